--- /dev/null
+++ b/rattanjob/key.go
@@ -0,0 +1,170 @@
+// Package rattanjob holds the data of submissions: keys, submissions, answers
+// and their states. It has no behaviour beyond checks and encodings.
+package rattanjob
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+)
+
+// ErrKey reports text that is not a submission key of this system.
+const ErrKey = errors.ConstError("not a submission key")
+
+const (
+	keyVersion   = 1
+	nonceSize    = 12
+	maxWitnesses = 4
+	maxNameSize  = 64
+)
+
+// Incarnation is one run of an instance. Instance names are unique in the
+// system; Number is the start of the process in milliseconds since 1970, so a
+// later run of the same instance has a higher number.
+type Incarnation struct {
+	Instance string
+	Number   uint64
+}
+
+// EpochID names one uninterrupted period of authority of a home.
+type EpochID struct {
+	Home Incarnation
+	// Number counts the epochs of the incarnation from 1.
+	Number uint32
+}
+
+// Nonce tells the keys of one epoch apart.
+type Nonce [nonceSize]byte
+
+// Key is the idempotency key of a submission. It names the home that alone
+// decides whether the submission is new, and the witnesses that can tell
+// whether the home's epoch has ended.
+type Key struct {
+	Epoch EpochID
+	// Witnesses has at most 4 members and is the same in all keys of an epoch.
+	Witnesses []Incarnation
+	// IssuedAt is measured from the start of the epoch, on the home's clock.
+	IssuedAt time.Duration
+	// CallerHash is HashCaller of the caller that the key was issued to.
+	CallerHash uint32
+	Nonce      Nonce
+}
+
+// HashCaller returns the hash of a caller's name that keys carry.
+func HashCaller(caller string) uint32 {
+	return uint32(xxhash.Sum64String(caller))
+}
+
+// ParseKey parses the text form of a key. It returns ErrKey for any other text.
+func ParseKey(text string) (Key, error) {
+	data, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil {
+		return Key{}, errors.WithType(errors.Errorf("%.64q", text), ErrKey)
+	}
+	reader := keyReader{data: data}
+	key := reader.key()
+	if reader.failed || len(reader.data) != 0 {
+		return Key{}, errors.WithType(errors.Errorf("%.64q", text), ErrKey)
+	}
+	return key, nil
+}
+
+// MarshalText returns the text form of the key.
+func (k Key) MarshalText() ([]byte, error) {
+	return []byte(k.String()), nil
+}
+
+// String returns the text form of the key: unpadded base64 for URLs.
+func (k Key) String() string {
+	data := make([]byte, 0, 128)
+	data = append(data, keyVersion)
+	data = appendIncarnation(data, k.Epoch.Home)
+	data = binary.AppendUvarint(data, uint64(k.Epoch.Number))
+	data = binary.AppendUvarint(data, uint64(k.IssuedAt/time.Millisecond))
+	data = binary.BigEndian.AppendUint32(data, k.CallerHash)
+	data = append(data, k.Nonce[:]...)
+	data = append(data, byte(len(k.Witnesses)))
+	for _, witness := range k.Witnesses {
+		data = appendIncarnation(data, witness)
+	}
+	return base64.RawURLEncoding.EncodeToString(data)
+}
+
+// UnmarshalText parses the text form of a key; see ParseKey.
+func (k *Key) UnmarshalText(text []byte) error {
+	parsed, err := ParseKey(string(text))
+	if err != nil {
+		return err
+	}
+	*k = parsed
+	return nil
+}
+
+func appendIncarnation(data []byte, incarnation Incarnation) []byte {
+	data = append(data, byte(len(incarnation.Instance)))
+	data = append(data, incarnation.Instance...)
+	return binary.AppendUvarint(data, incarnation.Number)
+}
+
+// keyReader reads the fields of a key; failed stays set after the first fault.
+type keyReader struct {
+	data   []byte
+	failed bool
+}
+
+func (r *keyReader) key() Key {
+	var key Key
+	if version := r.bytes(1); r.failed || version[0] != keyVersion {
+		r.failed = true
+		return key
+	}
+	key.Epoch.Home = r.incarnation()
+	key.Epoch.Number = uint32(r.uvarint(1<<32 - 1))
+	key.IssuedAt = time.Duration(r.uvarint(1<<40)) * time.Millisecond
+	if hash := r.bytes(4); !r.failed {
+		key.CallerHash = binary.BigEndian.Uint32(hash)
+	}
+	copy(key.Nonce[:], r.bytes(nonceSize))
+	count := r.bytes(1)
+	if r.failed || int(count[0]) > maxWitnesses {
+		r.failed = true
+		return key
+	}
+	for range int(count[0]) {
+		key.Witnesses = append(key.Witnesses, r.incarnation())
+	}
+	return key
+}
+
+func (r *keyReader) incarnation() Incarnation {
+	size := r.bytes(1)
+	if r.failed || size[0] == 0 || size[0] > maxNameSize {
+		r.failed = true
+		return Incarnation{}
+	}
+	name := string(r.bytes(int(size[0])))
+	return Incarnation{Instance: name, Number: r.uvarint(1<<63 - 1)}
+}
+
+func (r *keyReader) bytes(count int) []byte {
+	if r.failed || len(r.data) < count {
+		r.failed = true
+		return nil
+	}
+	taken := r.data[:count]
+	r.data = r.data[count:]
+	return taken
+}
+
+func (r *keyReader) uvarint(limit uint64) uint64 {
+	value, size := binary.Uvarint(r.data)
+	if r.failed || size <= 0 || value > limit {
+		r.failed = true
+		return 0
+	}
+	r.data = r.data[size:]
+	return value
+}
--- /dev/null
+++ b/rattanjson/duration.go
@@ -0,0 +1,41 @@
+// Package rattanjson holds what the project's JSON formats share: durations
+// written as text and a strict decoder whose errors name the key at fault.
+package rattanjson
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// ErrDuration reports text that is not a duration such as "250ms".
+const ErrDuration = errors.ConstError("not a duration such as \"250ms\"")
+
+// Duration is a time.Duration that JSON holds as text such as "250ms".
+type Duration time.Duration
+
+// MarshalText returns the duration in the form of time.Duration.String.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration {
+	return time.Duration(d)
+}
+
+// String returns the duration in the form of time.Duration.String.
+func (d Duration) String() string {
+	return time.Duration(d).String()
+}
+
+// UnmarshalText parses the form of time.ParseDuration. It returns ErrDuration
+// for any other text.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return errors.WithType(errors.Errorf("%q", string(text)), ErrDuration)
+	}
+	*d = Duration(parsed)
+	return nil
+}
--- /dev/null
+++ b/rattankernel/kernel.go
@@ -0,0 +1,91 @@
+// Package rattankernel is the micro-kernel of an entry instance: services are
+// registered under a name, find each other by name, and are started and
+// stopped in order.
+package rattankernel
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+)
+
+// Errors of the kernel.
+const (
+	ErrNoService = errors.ConstError("no such service")
+	ErrDuplicate = errors.ConstError("service is registered twice")
+	ErrWrongType = errors.ConstError("service has another type")
+)
+
+// Service is a part of an instance with a life of its own.
+type Service interface {
+	// Name is unique in a kernel and constant.
+	Name() string
+	// Start returns when the service is usable; it leaves loops running.
+	Start(ctx context.Context) error
+	// Stop ends the service gracefully until ctx ends.
+	Stop(ctx context.Context) error
+}
+
+// Kernel holds the services of one instance. It is safe for concurrent use
+// once all services are registered.
+type Kernel struct {
+	services []Service
+	byName   map[string]Service
+	started  int
+}
+
+// New returns a kernel without services.
+func New() *Kernel {
+	return &Kernel{byName: map[string]Service{}}
+}
+
+// Register adds a service. It returns ErrDuplicate for a name in use.
+func (k *Kernel) Register(service Service) error {
+	name := service.Name()
+	if _, ok := k.byName[name]; ok {
+		return errors.WithType(errors.Errorf("service %s", name), ErrDuplicate)
+	}
+	k.byName[name] = service
+	k.services = append(k.services, service)
+	return nil
+}
+
+// Start starts the services in the order of registration. When one fails, the
+// ones started before are stopped and the error names the failed service.
+func (k *Kernel) Start(ctx context.Context) error {
+	for _, service := range k.services {
+		if err := service.Start(ctx); err != nil {
+			_ = k.Stop(ctx)
+			return errors.Annotatef(err, "service %s", service.Name())
+		}
+		k.started++
+	}
+	return nil
+}
+
+// Stop stops the started services in reverse order and returns the first error.
+func (k *Kernel) Stop(ctx context.Context) error {
+	var first error
+	for ; k.started > 0; k.started-- {
+		service := k.services[k.started-1]
+		if err := service.Stop(ctx); err != nil && first == nil {
+			first = errors.Annotatef(err, "service %s", service.Name())
+		}
+	}
+	return first
+}
+
+// Find returns the service with the name as a T. It returns ErrNoService or
+// ErrWrongType.
+func Find[T any](k *Kernel, name string) (T, error) {
+	var none T
+	service, ok := k.byName[name]
+	if !ok {
+		return none, errors.WithType(errors.Errorf("service %s", name), ErrNoService)
+	}
+	typed, ok := service.(T)
+	if !ok {
+		return none, errors.WithType(errors.Errorf("service %s is a %T", name, service), ErrWrongType)
+	}
+	return typed, nil
+}
