--- /dev/null
+++ b/rattanpool/config.go
@@ -0,0 +1,40 @@
+package rattanpool
+
+import "time"
+
+// Random is the source of jitter; *rand.Rand of math/rand/v2 implements it.
+type Random interface {
+	// Float64 returns a number in [0, 1).
+	Float64() float64
+}
+
+// Config sets up a Scheduler. Zero values of fields stand for the defaults.
+type Config struct {
+	// MaxWait bounds ageing: a job is never overtaken by jobs of its caller
+	// that were admitted more than MaxWait after it. Default 3 s.
+	MaxWait time.Duration
+	// LongTask is the learned 90th percentile of run times above which a job
+	// kind is long. Default 2 s.
+	LongTask time.Duration
+	// LongShare is the share of slots that long work may occupy while short
+	// work is present. Default 0.7.
+	LongShare float64
+	// ShortPresence is how long short work counts as present after its last
+	// admission or end. Default 10 s.
+	ShortPresence time.Duration
+	// EjectionCap is the largest share of a service's targets that is ejected
+	// at a time. Default 0.3.
+	EjectionCap float64
+	// RetryShare is the share of recent starts that may be retries. Default 0.1.
+	RetryShare float64
+	// RetryFloor is the number of retries per second that is always allowed.
+	// Default 10.
+	RetryFloor float64
+	// UnresolvedGrace is how long after its job's deadline an unresolved task
+	// still counts as holding its slot. Default 1 s.
+	UnresolvedGrace time.Duration
+	// Random is the source of jitter; nil stands for a source with a fixed seed.
+	Random Random
+	// PanicOnViolation makes a violated invariant panic; tests set it.
+	PanicOnViolation bool
+}
--- a/rattanpool/pool.go
+++ b/rattanpool/pool.go
@@ -10,6 +10,7 @@
 )
 
 //go:generate go tool stringer -type=Outcome -trimprefix=Outcome
+//go:generate go tool stringer -type=Choice -trimprefix=Choice
 
 // JobID names a job within one scheduler.
 type JobID uint64
@@ -83,8 +84,30 @@
 	// Waited is the time from admission, or from the refusal of the attempt
 	// before, to the assignment.
 	Waited time.Duration
+	// Choice says why the target was chosen.
+	Choice Choice
+	// Long says that the task counted as long work when it was assigned.
+	Long bool
 }
 
+// Choice says why a target was chosen for a task.
+type Choice int
+
+// The choices, best first except for the probe.
+const (
+	// ChoiceFast says that the target runs tasks faster than the service's
+	// average.
+	ChoiceFast Choice = iota
+	// ChoiceNormal says that no faster target had a free slot.
+	ChoiceNormal
+	// ChoiceSlow says that only slower targets had free slots.
+	ChoiceSlow
+	// ChoiceSuspect says that only targets with recent failures had free slots.
+	ChoiceSuspect
+	// ChoiceProbe says that an ejected or reinstated target was tried.
+	ChoiceProbe
+)
+
 // Outcome says how an assignment ended.
 type Outcome int
 
