--- /dev/null
+++ b/rattansettings/load.go
@@ -0,0 +1,119 @@
+package rattansettings
+
+import (
+	"os"
+	"reflect"
+
+	"github.com/juju/errors"
+
+	"github.com/rattanlever/rattanlever/rattanjson"
+)
+
+// ErrSettings reports settings that break a rule of the table.
+const ErrSettings = errors.ConstError("invalid settings")
+
+// Default returns settings with all defaults. It does not pass Check, because
+// names and addresses have no default.
+func Default() Settings {
+	var settings Settings
+	value := reflect.ValueOf(&settings).Elem()
+	for _, row := range table {
+		row.setDefault(value)
+	}
+	return settings
+}
+
+// Load reads settings from a JSON file. Its errors name the path, and those of
+// Parse the key.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Annotate(err, "settings")
+	}
+	settings, err := Parse(data)
+	if err != nil {
+		return Settings{}, errors.Annotate(err, path)
+	}
+	return settings, nil
+}
+
+// Parse decodes and checks settings. Keys that data does not have keep their
+// defaults. The errors are those of rattanjson.DecodeStrict and of Check.
+func Parse(data []byte) (Settings, error) {
+	settings := Default()
+	if err := rattanjson.DecodeStrict(data, &settings); err != nil {
+		return Settings{}, errors.Trace(err)
+	}
+	if err := settings.Check(); err != nil {
+		return Settings{}, err
+	}
+	return settings, nil
+}
+
+// Check returns ErrSettings, naming the key at fault and what was expected, or
+// nil.
+func (s Settings) Check() error {
+	value := reflect.ValueOf(s)
+	for _, row := range table {
+		if err := row.check(value); err != nil {
+			return err
+		}
+	}
+	if err := s.Keys.check(); err != nil {
+		return err
+	}
+	if err := s.Home.check(); err != nil {
+		return err
+	}
+	return s.checkPeers()
+}
+
+func (s Settings) checkPeers() error {
+	if s.CallerAddress == s.PeerAddress {
+		return invalid("PeerAddress: %q, want another address than CallerAddress", s.PeerAddress)
+	}
+	seen := map[string]int{}
+	for i, peer := range s.Peers {
+		if first, ok := seen[peer.Name]; ok {
+			return invalid("Peers[%d].Name: %q, want another name than Peers[%d]", i, peer.Name, first)
+		}
+		seen[peer.Name] = i
+	}
+	return nil
+}
+
+// Empty reports whether the instance works without TLS.
+func (k Keys) Empty() bool {
+	return k == Keys{}
+}
+
+func (k Keys) check() error {
+	if k.Empty() {
+		return nil
+	}
+	files := []struct{ key, path string }{
+		{"CertificateFile", k.CertificateFile},
+		{"KeyFile", k.KeyFile},
+		{"AuthorityFile", k.AuthorityFile},
+	}
+	for _, file := range files {
+		if file.path == "" {
+			return invalid("Keys.%s: missing, want the path of a PEM file, or no path at all in Keys for operation without TLS", file.key)
+		}
+	}
+	return nil
+}
+
+func (h Home) check() error {
+	switch {
+	case 2*h.HeartbeatInterval > h.TenureDuration:
+		return invalid("Home.HeartbeatInterval: %v, want at most half of Home.TenureDuration (%v)", h.HeartbeatInterval, h.TenureDuration)
+	case 10*h.VerdictMargin < h.TenureDuration:
+		return invalid("Home.VerdictMargin: %v, want at least a tenth of Home.TenureDuration (%v)", h.VerdictMargin, h.TenureDuration)
+	case h.KeyLifetime > h.Retention:
+		return invalid("Home.KeyLifetime: %v, want at most Home.Retention (%v)", h.KeyLifetime, h.Retention)
+	case h.AnswerRetention > h.Retention:
+		return invalid("Home.AnswerRetention: %v, want at most Home.Retention (%v)", h.AnswerRetention, h.Retention)
+	}
+	return nil
+}
--- /dev/null
+++ b/rattansettings/table.go
@@ -0,0 +1,248 @@
+package rattansettings
+
+import (
+	"net/netip"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/rattanlever/rattanlever/rattanjson"
+)
+
+// Type is the type of a setting's value, as the documentation names it.
+type Type string
+
+// The types of settings.
+const (
+	// TypeName is 1 to 64 letters, digits, dots, underscores and hyphens.
+	TypeName Type = "name"
+	// TypeListenAddress is an IP address and port to listen on.
+	TypeListenAddress Type = "listen address"
+	// TypePeerAddress is an IP address and port that other instances connect
+	// to, so the unspecified address is refused.
+	TypePeerAddress Type = "address"
+	TypePath        Type = "path"
+	TypeChoice      Type = "choice"
+	TypeDuration    Type = "duration"
+	TypeInteger     Type = "integer"
+)
+
+// Row describes one setting. The table of rows is the only source of defaults,
+// checks and documentation.
+type Row struct {
+	// Key is the path of the setting; [] stands for the elements of a list.
+	Key  string
+	Type Type
+	// Unit is empty where the type conveys it.
+	Unit string
+	// Default is the text form; it is empty for settings without a default.
+	Default string
+	// Min and Max are the inclusive bounds of durations and integers.
+	Min, Max string
+	// Choices are the values of TypeChoice.
+	Choices []string
+	// Optional settings may be empty.
+	Optional    bool
+	Description string
+}
+
+const maxNameLength = 64
+
+var table = []Row{
+	{Key: "Name", Type: TypeName, Description: "Name of the instance, unique in the system."},
+	{Key: "AvailabilityZone", Type: TypeName, Description: "Availability zone of the instance."},
+	{Key: "CallerAddress", Type: TypeListenAddress, Description: "Address for callers and operators."},
+	{Key: "PeerAddress", Type: TypePeerAddress, Description: "Address for other entry instances."},
+	{Key: "PlatformAddress", Type: TypePeerAddress, Description: "Address of the platform's key-value service and instance list."},
+	{Key: "Peers[].Name", Type: TypeName, Description: "Name of an instance to contact first. The instance itself may be listed, so that all instances can share one list."},
+	{Key: "Peers[].AvailabilityZone", Type: TypeName, Description: "Availability zone of that instance."},
+	{Key: "Peers[].PeerAddress", Type: TypePeerAddress, Description: "Peer address of that instance."},
+	{Key: "Document", Type: TypePath, Optional: true, Description: "Configuration document that is used until the platform or a peer has one."},
+	{Key: "LogLevel", Type: TypeChoice, Default: "info", Choices: []string{"error", "warn", "info", "debug"}, Description: "Least severe level that is logged."},
+	{Key: "Keys.CertificateFile", Type: TypePath, Optional: true, Description: "PEM file with the certificate of the instance. The three files are set together, or none of them for operation without TLS."},
+	{Key: "Keys.KeyFile", Type: TypePath, Optional: true, Description: "PEM file with the private key of the instance."},
+	{Key: "Keys.AuthorityFile", Type: TypePath, Optional: true, Description: "PEM file with the certificates that sign the certificates of all peers, callers and operators."},
+	{Key: "Home.HeartbeatInterval", Type: TypeDuration, Default: "500ms", Min: "10ms", Max: "10s", Description: "Time between heartbeats to the witnesses. At most half of TenureDuration, so that one lost heartbeat does not end an epoch."},
+	{Key: "Home.TenureDuration", Type: TypeDuration, Default: "1.2s", Min: "50ms", Max: "1m0s", Description: "Time that an acknowledged heartbeat keeps an epoch valid, counted from when it was sent."},
+	{Key: "Home.VerdictMargin", Type: TypeDuration, Default: "300ms", Min: "10ms", Max: "1m0s", Description: "Time beyond TenureDuration after which a silent witness may vote that the epoch has ended. At least a tenth of TenureDuration, because clocks may differ in rate by up to 10%."},
+	{Key: "Home.KeyLifetime", Type: TypeDuration, Default: "1m0s", Min: "1s", Max: "1h0m0s", Description: "Time after issue during which a key is accepted for a first submission. At most Retention."},
+	{Key: "Home.Retention", Type: TypeDuration, Default: "10m0s", Min: "1s", Max: "24h0m0s", Description: "Time that the record of an ended job is kept."},
+	{Key: "Home.AnswerRetention", Type: TypeDuration, Default: "1m0s", Min: "1s", Max: "24h0m0s", Description: "Time that the results of an answered job are kept. At most Retention."},
+	{Key: "Home.MaxRecords", Type: TypeInteger, Unit: "records", Default: "1000000", Min: "1000", Max: "100000000", Description: "Most records in the ledger."},
+	{Key: "Home.MaxAnswerBytes", Type: TypeInteger, Unit: "bytes", Default: "67108864", Min: "1048576", Max: "68719476736", Description: "Most bytes of results in the ledger; the oldest are dropped first."},
+	{Key: "Home.DrainTimeout", Type: TypeDuration, Default: "2m0s", Min: "1s", Max: "1h0m0s", Description: "Longest time that a graceful shutdown waits for running jobs."},
+}
+
+// want says in a few words what the row accepts.
+func (r Row) want() string {
+	switch r.Type {
+	case TypeName:
+		return "1 to 64 letters, digits, dots, underscores or hyphens"
+	case TypeListenAddress:
+		return "an IP address and a port from 1 to 65535, such as \"10.0.0.1:8080\""
+	case TypePeerAddress:
+		return "an IP address that others can reach and a port from 1 to 65535, such as \"10.0.0.1:8080\""
+	case TypeChoice:
+		return "one of " + strings.Join(r.Choices, ", ")
+	case TypeDuration:
+		return "a duration from " + shorten(r.Min) + " to " + shorten(r.Max)
+	case TypeInteger:
+		return "a number of " + r.Unit + " from " + r.Min + " to " + r.Max
+	default:
+		return "the path of a file"
+	}
+}
+
+// accepts reports whether the text form of a value satisfies the row.
+func (r Row) accepts(text string) bool {
+	if text == "" {
+		return r.Optional
+	}
+	switch r.Type {
+	case TypeName:
+		return isName(text)
+	case TypeListenAddress:
+		address, err := netip.ParseAddrPort(text)
+		return err == nil && address.Port() != 0
+	case TypePeerAddress:
+		address, err := netip.ParseAddrPort(text)
+		return err == nil && address.Port() != 0 && !address.Addr().IsUnspecified()
+	case TypeChoice:
+		return contains(r.Choices, text)
+	case TypeDuration:
+		value, err := time.ParseDuration(text)
+		return err == nil && value >= mustDuration(r.Min) && value <= mustDuration(r.Max)
+	case TypeInteger:
+		value, err := strconv.ParseInt(text, 10, 64)
+		return err == nil && value >= mustInteger(r.Min) && value <= mustInteger(r.Max)
+	default:
+		return !strings.ContainsRune(text, 0)
+	}
+}
+
+// check returns ErrSettings for the first value at the row's key that the row
+// does not accept.
+func (r Row) check(settings reflect.Value) error {
+	return walk(settings, r.Key, "", func(path string, value reflect.Value) error {
+		text := textOf(value)
+		if r.accepts(text) {
+			return nil
+		}
+		if text == "" {
+			return invalid("%s: missing, want %s", path, r.want())
+		}
+		return invalid("%s: %.80q, want %s", path, text, r.want())
+	})
+}
+
+// setDefault sets the value at the row's key to the default.
+func (r Row) setDefault(settings reflect.Value) {
+	if r.Default == "" {
+		return
+	}
+	_ = walk(settings, r.Key, "", func(_ string, value reflect.Value) error {
+		switch r.Type {
+		case TypeDuration:
+			value.SetInt(int64(mustDuration(r.Default)))
+		case TypeInteger:
+			value.SetInt(mustInteger(r.Default))
+		default:
+			value.SetString(r.Default)
+		}
+		return nil
+	})
+}
+
+// walk calls visit for each value at the key, with its path. It panics on a
+// key that the type does not have.
+func walk(value reflect.Value, key, path string, visit func(path string, value reflect.Value) error) error {
+	if key == "" {
+		return visit(path, value)
+	}
+	name, rest, _ := strings.Cut(key, ".")
+	name, isList := strings.CutSuffix(name, "[]")
+	if path != "" {
+		path += "."
+	}
+	path += name
+	field := value.FieldByName(name)
+	if !isList {
+		return walk(field, rest, path, visit)
+	}
+	for i := range field.Len() {
+		if err := walk(field.Index(i), rest, path+"["+strconv.Itoa(i)+"]", visit); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func textOf(value reflect.Value) string {
+	switch typed := value.Interface().(type) {
+	case rattanjson.Duration:
+		return typed.String()
+	case string:
+		return typed
+	default:
+		return strconv.FormatInt(value.Int(), 10)
+	}
+}
+
+func isName(text string) bool {
+	if len(text) == 0 || len(text) > maxNameLength {
+		return false
+	}
+	return strings.IndexFunc(text, isNotNameRune) < 0
+}
+
+func isNotNameRune(char rune) bool {
+	switch {
+	case char >= 'a' && char <= 'z', char >= 'A' && char <= 'Z', char >= '0' && char <= '9':
+		return false
+	default:
+		return char != '.' && char != '_' && char != '-'
+	}
+}
+
+func contains(list []string, text string) bool {
+	for _, element := range list {
+		if element == text {
+			return true
+		}
+	}
+	return false
+}
+
+// shorten drops the zero parts of a duration's text, such as in "1m0s".
+func shorten(duration string) string {
+	if strings.HasSuffix(duration, "m0s") {
+		duration = strings.TrimSuffix(duration, "0s")
+	}
+	if strings.HasSuffix(duration, "h0m") {
+		duration = strings.TrimSuffix(duration, "0m")
+	}
+	return duration
+}
+
+func mustDuration(text string) time.Duration {
+	value, err := time.ParseDuration(text)
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+func mustInteger(text string) int64 {
+	value, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+func invalid(format string, args ...any) error {
+	return errors.WithType(errors.Errorf(format, args...), ErrSettings)
+}
