--- /dev/null
+++ b/rattancmd/entrycmd.go
@@ -0,0 +1,44 @@
+package rattancmd
+
+import (
+	"github.com/juju/errors"
+
+	"github.com/rattanlever/rattanlever/rattanentry"
+	"github.com/rattanlever/rattanlever/rattanlog"
+	"github.com/rattanlever/rattanlever/rattansettings"
+)
+
+type entryOptions struct {
+	Config string `long:"config" value-name:"FILE" required:"true" description:"settings of the instance, a JSON file"`
+
+	std *streams
+}
+
+func entryCommand(std *streams) command {
+	return command{
+		name:    "entry",
+		short:   "Run one entry instance",
+		example: "rattanlever entry --config entry.json",
+		data:    &entryOptions{std: std},
+	}
+}
+
+// Execute runs the instance until SIGINT or SIGTERM, and then shuts it down
+// gracefully.
+func (o *entryOptions) Execute([]string) error {
+	settings, err := rattansettings.Load(o.Config)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	logger, err := rattanlog.New(o.std.err, settings.LogLevel)
+	if err != nil {
+		return errors.Annotate(err, "LogLevel")
+	}
+	instance, err := rattanentry.New(rattanentry.Config{Settings: settings, Logger: logger})
+	if err != nil {
+		return errors.Annotatef(err, "instance %s", settings.Name)
+	}
+	ctx, cancel := interruptible()
+	defer cancel()
+	return instance.Run(ctx)
+}
--- /dev/null
+++ b/rattancmd/main.go
@@ -0,0 +1,131 @@
+// Package rattancmd is the command line of rattanlever, one file per command.
+package rattancmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
+)
+
+// Exit codes of every command.
+const (
+	ExitOK     = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// ErrUsage reports arguments that a command cannot use.
+const ErrUsage = errors.ConstError("usage")
+
+// streams are the standard streams of a command.
+type streams struct {
+	in  io.Reader
+	out io.Writer
+	err io.Writer
+}
+
+// command is one command of the tree; group commands have subcommands only.
+type command struct {
+	name    string
+	short   string
+	example string
+	data    any
+	subs    []command
+}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, in io.Reader, out, errOut io.Writer) int {
+	std := &streams{in: in, out: out, err: errOut}
+	parser := flags.NewNamedParser("rattanlever", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "dispatcher for sub-second tasks"
+	parser.LongDescription = "Dispatches jobs of sub-second tasks to targets. Each command has its own help."
+	for _, cmd := range commands(std) {
+		if err := addCommand(parser.Command, cmd); err != nil {
+			_, _ = fmt.Fprintln(errOut, "rattanlever:", err)
+			return ExitFailed
+		}
+	}
+	_, err := parser.ParseArgs(args)
+	return exitCode(err, out, errOut)
+}
+
+// commands returns the command tree, sorted by name.
+func commands(std *streams) []command {
+	return []command{
+		benchCommand(std),
+		configCommand(std),
+		confirmCommand(std),
+		demoCommand(std),
+		entryCommand(std),
+		jobCommand(std),
+		keysCommand(std),
+		planCommand(std),
+		reportCommand(std),
+		standinCommand(std),
+	}
+}
+
+type commander interface {
+	AddCommand(command, shortDescription, longDescription string, data any) (*flags.Command, error)
+}
+
+func addCommand(parent commander, cmd command) error {
+	long := cmd.short + "."
+	if cmd.example != "" {
+		long += "\n\nExample:\n  " + cmd.example
+	}
+	data := cmd.data
+	if data == nil {
+		data = &struct{}{}
+	}
+	added, err := parent.AddCommand(cmd.name, cmd.short, long, data)
+	if err != nil {
+		return errors.Annotatef(err, "command %s", cmd.name)
+	}
+	for _, sub := range cmd.subs {
+		if err := addCommand(added, sub); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func exitCode(err error, out, errOut io.Writer) int {
+	if err == nil {
+		return ExitOK
+	}
+	var parseError *flags.Error
+	if errors.As(err, &parseError) {
+		if parseError.Type == flags.ErrHelp {
+			_, _ = fmt.Fprintln(out, parseError.Message)
+			return ExitOK
+		}
+		_, _ = fmt.Fprintln(errOut, "rattanlever:", firstLine(parseError.Message))
+		return ExitUsage
+	}
+	_, _ = fmt.Fprintln(errOut, "rattanlever:", firstLine(err.Error()))
+	if errors.Is(err, ErrUsage) {
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+func firstLine(text string) string {
+	line, _, _ := strings.Cut(text, "\n")
+	return line
+}
+
+// interruptible returns a context that ends at SIGINT and SIGTERM.
+func interruptible() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+}
+
+func usageError(format string, args ...any) error {
+	return errors.WithType(errors.Errorf(format, args...), ErrUsage)
+}
--- /dev/null
+++ b/rattanentry/configuration.go
@@ -0,0 +1,195 @@
+package rattanentry
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/rattanlever/rattanlever/rattanconfig"
+	"github.com/rattanlever/rattanlever/rattanpeer"
+	"github.com/rattanlever/rattanlever/rattanplatform"
+)
+
+const (
+	methodPullConfiguration = "PullConfiguration"
+	// watchWait is the longest wait of one watch call; each call counts
+	// against the platform's rates.
+	watchWait       = 30 * time.Second
+	watchRetry      = time.Second
+	pullTimeout     = time.Second
+	platformTimeout = 2 * time.Second
+)
+
+// KeyWatcher is the part of the platform's client that Configuration uses.
+type KeyWatcher interface {
+	Watch(ctx context.Context, prefix string, afterRevision int64, wait time.Duration) (rattanplatform.Changes, error)
+}
+
+// ConfigurationConfig configures a Configuration.
+type ConfigurationConfig struct {
+	Platform KeyWatcher
+	Peers    PeerCaller
+	Logger   *logrus.Logger
+	// Initial is in force until a newer document is known; nil means none.
+	Initial *rattanconfig.Document
+	// Watches reports whether this instance watches the platform itself; the
+	// others learn of changes from heartbeats.
+	Watches func(now time.Time) bool
+	// Installed is called with each document that comes into force.
+	Installed func(document *rattanconfig.Document)
+}
+
+// Configuration holds the document in force. Its revision only rises. It is
+// safe for concurrent use.
+type Configuration struct {
+	config  ConfigurationConfig
+	current atomic.Pointer[rattanconfig.Document]
+	// reached is when the platform last answered a watch, in Unix nanoseconds.
+	reached atomic.Int64
+	cancel  context.CancelFunc
+	loops   sync.WaitGroup
+	// installing orders installations.
+	installing sync.Mutex
+	pulling    atomic.Bool
+}
+
+// NewConfiguration returns a configuration with the initial document in force.
+func NewConfiguration(config ConfigurationConfig) *Configuration {
+	configuration := &Configuration{config: config}
+	configuration.current.Store(&rattanconfig.Document{})
+	if config.Initial != nil {
+		configuration.current.Store(config.Initial)
+	}
+	return configuration
+}
+
+// Document returns the document in force; revision 0 means none.
+func (c *Configuration) Document() *rattanconfig.Document {
+	return c.current.Load()
+}
+
+// Handle serves pulls by other instances.
+func (c *Configuration) Handle(node *rattanpeer.Node) {
+	node.Handle(methodPullConfiguration, func(context.Context, string, []byte) ([]byte, error) {
+		return json.Marshal(c.Document())
+	})
+}
+
+// Install puts the document in force if it is valid and newer.
+func (c *Configuration) Install(document *rattanconfig.Document) error {
+	if err := rattanconfig.Check(*document); err != nil {
+		return errors.Annotatef(err, "revision %d", document.Revision)
+	}
+	c.installing.Lock()
+	defer c.installing.Unlock()
+	if document.Revision <= c.current.Load().Revision {
+		return nil
+	}
+	c.current.Store(document)
+	c.config.Logger.WithField("Revision", document.Revision).Info("configuration in force")
+	c.config.Installed(document)
+	return nil
+}
+
+// Name returns the name of the service in the kernel.
+func (c *Configuration) Name() string {
+	return "Configuration"
+}
+
+// PeerRevision tells that the peer at the address has a document of the
+// revision, and pulls it when it is newer than the one in force.
+func (c *Configuration) PeerRevision(address string, revision uint64) {
+	if revision <= c.Document().Revision || !c.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer c.pulling.Store(false)
+		if err := c.pull(address); err != nil {
+			c.config.Logger.WithError(err).Debug("configuration not pulled")
+		}
+	}()
+}
+
+// PlatformReached returns when the platform last answered.
+func (c *Configuration) PlatformReached() time.Time {
+	return time.Unix(0, c.reached.Load())
+}
+
+// Start begins to watch the platform.
+func (c *Configuration) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	c.loops.Go(func() { c.watch(ctx) })
+	if c.Document().Revision > 0 {
+		c.config.Installed(c.Document())
+	}
+	return nil
+}
+
+// Stop ends the watch.
+func (c *Configuration) Stop(context.Context) error {
+	c.cancel()
+	c.loops.Wait()
+	return nil
+}
+
+func (c *Configuration) pull(address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	body, err := c.config.Peers.Call(ctx, address, methodPullConfiguration, nil)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	var document rattanconfig.Document
+	if err := json.Unmarshal(body, &document); err != nil {
+		return errors.Trace(err)
+	}
+	return c.Install(&document)
+}
+
+// watch follows the document's key in the platform while this instance is one
+// of its zone's watchers.
+func (c *Configuration) watch(ctx context.Context) {
+	var revision int64
+	for ctx.Err() == nil {
+		if !c.config.Watches(time.Now()) {
+			sleep(ctx, watchRetry)
+			continue
+		}
+		changes, err := c.config.Platform.Watch(ctx, rattanconfig.PlatformKey, revision, watchWait)
+		if err != nil {
+			sleep(ctx, watchRetry)
+			continue
+		}
+		c.reached.Store(time.Now().UnixNano())
+		revision = changes.Revision
+		for _, entry := range changes.Entries {
+			c.receive(entry)
+		}
+	}
+}
+
+func (c *Configuration) receive(entry rattanplatform.Entry) {
+	if entry.Key != rattanconfig.PlatformKey || entry.Deleted {
+		return
+	}
+	document, err := rattanconfig.Parse(entry.Value)
+	if err == nil {
+		err = c.Install(&document)
+	}
+	if err != nil {
+		c.config.Logger.WithError(err).Error("configuration in the platform is not valid")
+	}
+}
+
+func sleep(ctx context.Context, duration time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(duration):
+	}
+}
--- /dev/null
+++ b/rattanentry/front.go
@@ -0,0 +1,405 @@
+package rattanentry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/juju/errors"
+
+	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattanjson"
+	"github.com/rattanlever/rattanlever/rattanmember"
+	"github.com/rattanlever/rattanlever/rattanmetric"
+	"github.com/rattanlever/rattanlever/rattanpeer"
+)
+
+const (
+	defaultWait = 30 * time.Second
+	maxWait     = 60 * time.Second
+	maxKeys     = 1000
+	// forwardMargin is the time that a forwarded request may take beyond the
+	// wait that it asks for.
+	forwardMargin = 2 * time.Second
+	// forwardTries bounds the deliveries of one request to its home; a key
+	// makes each of them idempotent.
+	forwardTries = 4
+	// retryUnknown is when a caller may ask again about an unreachable home.
+	retryUnknown = rattanjson.Duration(300 * time.Millisecond)
+)
+
+// Methods of the links between instances.
+const (
+	methodSubmit  = "Submit"
+	methodStatus  = "Status"
+	methodCancel  = "Cancel"
+	methodExplain = "Explain"
+)
+
+// Directory tells where homes are.
+type Directory interface {
+	// Owner returns the home of this instance's own availability zone.
+	Owner(now time.Time) (rattanmember.Member, bool)
+	// Locate returns the peer address of the instance, and whether the
+	// incarnation is known to have ended.
+	Locate(incarnation rattanjob.Incarnation) (address string, ended bool)
+	// Unreachable reports a failed attempt to reach an incarnation and returns
+	// whether it is proved to have ended.
+	Unreachable(now time.Time, incarnation rattanjob.Incarnation, refused bool) (ended bool)
+	// Ended asks the witnesses of an epoch whether it has ended.
+	Ended(ctx context.Context, key rattanjob.Key) bool
+}
+
+// PeerCaller sends requests to other instances.
+type PeerCaller interface {
+	Call(ctx context.Context, address, method string, body []byte) ([]byte, error)
+}
+
+// FrontConfig configures a Front. All fields are required.
+type FrontConfig struct {
+	// Instance is the name of this instance.
+	Instance  string
+	Home      *Home
+	Directory Directory
+	Peers     PeerCaller
+	Metrics   *rattanmetric.Registry
+	// Explain returns what is known here of a job.
+	Explain func(key rattanjob.Key, caller string) (json.RawMessage, bool)
+}
+
+// Front serves callers: it issues keys, and hands submissions, look-ups and
+// cancellations to the homes that their keys name.
+type Front struct {
+	config FrontConfig
+}
+
+// forwarded is the body of a request that a front hands to a home.
+type forwarded struct {
+	Caller     string
+	Key        rattanjob.Key
+	Wait       rattanjson.Duration   `json:",omitempty"`
+	Submission *rattanjob.Submission `json:",omitempty"`
+	Fault      *rattanjob.Answer     `json:",omitempty"`
+}
+
+// KeysRequest asks for submission keys.
+type KeysRequest struct {
+	// Count is 1 to 1000; 0 means 1.
+	Count int
+}
+
+// KeysReply holds submission keys.
+type KeysReply struct {
+	Keys []rattanjob.Key
+}
+
+// NewFront returns a front.
+func NewFront(config FrontConfig) *Front {
+	return &Front{config: config}
+}
+
+// Handle serves the requests that other fronts forward to the home here.
+func (f *Front) Handle(node *rattanpeer.Node) {
+	node.Handle(methodSubmit, f.serve(f.submitHere))
+	node.Handle(methodStatus, f.serve(f.statusHere))
+	node.Handle(methodCancel, f.serve(f.cancelHere))
+	node.Handle(methodExplain, f.explainHere)
+}
+
+// Routes adds the callers' routes to the server.
+func (f *Front) Routes(server *khttp.Server) {
+	route := server.Route("/v1")
+	route.POST("/keys", f.keys)
+	route.POST("/jobs", f.submit)
+	route.GET("/jobs/{key}", f.status)
+	route.DELETE("/jobs/{key}", f.cancel)
+	route.GET("/jobs/{key}/explain", f.explain)
+}
+
+// IssueKeys returns count keys for the caller that name the home of this
+// instance's availability zone. It sends no message.
+func (f *Front) IssueKeys(now time.Time, caller string, count int) ([]rattanjob.Key, bool) {
+	owner, ok := f.config.Directory.Owner(now)
+	if !ok || owner.Epoch.ID.Number == 0 {
+		return nil, false
+	}
+	keys := make([]rattanjob.Key, count)
+	for i := range keys {
+		keys[i] = rattanjob.Key{
+			Epoch:      owner.Epoch.ID,
+			Witnesses:  owner.Epoch.Witnesses,
+			IssuedAt:   owner.Epoch.Age,
+			CallerHash: rattanjob.HashCaller(caller),
+		}
+		_, _ = rand.Read(keys[i].Nonce[:])
+	}
+	return keys, true
+}
+
+func (f *Front) keys(ctx khttp.Context) error {
+	caller, refusal := identify(ctx.Request())
+	if refusal != nil {
+		return respond(ctx, *refusal)
+	}
+	var request KeysRequest
+	body, refusal := readBody(ctx)
+	if refusal != nil {
+		return respond(ctx, *refusal)
+	}
+	if len(body) > 0 {
+		if err := rattanjson.DecodeStrict(body, &request); err != nil {
+			return respond(ctx, rattanjob.Refusal(rattanjob.ReasonInvalid, err.Error()))
+		}
+	}
+	if request.Count < 0 || request.Count > maxKeys {
+		return respond(ctx, rattanjob.Refusal(rattanjob.ReasonInvalid, "Count: want 1 to 1000"))
+	}
+	keys, ok := f.IssueKeys(time.Now(), caller, max(request.Count, 1))
+	if !ok {
+		return respond(ctx, rattanjob.Uncertain(rattanjob.ReasonNotReady, "no home is known in this availability zone", retryUnknown))
+	}
+	return ctx.JSON(http.StatusOK, KeysReply{Keys: keys})
+}
+
+func (f *Front) submit(ctx khttp.Context) error {
+	caller, refusal := identify(ctx.Request())
+	if refusal != nil {
+		return respond(ctx, *refusal)
+	}
+	wait, refusal := waitOf(ctx.Request())
+	if refusal != nil {
+		return respond(ctx, *refusal)
+	}
+	body, refusal := readBody(ctx)
+	if refusal != nil {
+		return respond(ctx, *refusal)
+	}
+	request, refusal := parseSubmission(body)
+	if refusal != nil {
+		return respond(ctx, *refusal)
+	}
+	request.Caller = caller
+	request.Wait = rattanjson.Duration(wait)
+	return respond(ctx, f.route(ctx, methodSubmit, request, f.submitHere))
+}
+
+func (f *Front) status(ctx khttp.Context) error {
+	request, refusal := f.lookup(ctx)
+	if refusal != nil {
+		return respond(ctx, *refusal)
+	}
+	return respond(ctx, f.route(ctx, methodStatus, request, f.statusHere))
+}
+
+func (f *Front) cancel(ctx khttp.Context) error {
+	request, refusal := f.lookup(ctx)
+	if refusal != nil {
+		return respond(ctx, *refusal)
+	}
+	request.Wait = 0
+	return respond(ctx, f.route(ctx, methodCancel, request, f.cancelHere))
+}
+
+func (f *Front) explain(ctx khttp.Context) error {
+	request, refusal := f.lookup(ctx)
+	if refusal != nil {
+		return respond(ctx, *refusal)
+	}
+	body, err := json.Marshal(request)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	var facts []byte
+	if request.Key.Epoch.Home.Instance == f.config.Instance {
+		facts, err = f.explainHere(ctx, f.config.Instance, body)
+	} else {
+		address, _ := f.config.Directory.Locate(request.Key.Epoch.Home)
+		facts, err = f.config.Peers.Call(ctx, address, methodExplain, body)
+	}
+	if err != nil {
+		return respond(ctx, rattanjob.Answer{Key: request.Key.String(), Reason: rattanjob.ReasonKeyUnknown, Detail: "nothing is recorded of this job"})
+	}
+	return ctx.Blob(http.StatusOK, "application/json", facts)
+}
+
+// lookup parses a request about one key.
+func (f *Front) lookup(ctx khttp.Context) (*forwarded, *rattanjob.Answer) {
+	caller, refusal := identify(ctx.Request())
+	if refusal != nil {
+		return nil, refusal
+	}
+	wait, refusal := waitOf(ctx.Request())
+	if refusal != nil {
+		return nil, refusal
+	}
+	key, err := rattanjob.ParseKey(ctx.Vars().Get("key"))
+	if err != nil {
+		answer := rattanjob.Refusal(rattanjob.ReasonInvalid, err.Error())
+		return nil, &answer
+	}
+	return &forwarded{Caller: caller, Key: key, Wait: rattanjson.Duration(wait)}, nil
+}
+
+// route hands the request to the home that its key names, and delivers it
+// again when the link breaks. The answer says when the home has ended.
+func (f *Front) route(ctx context.Context, method string, request *forwarded, here func(context.Context, *forwarded) rattanjob.Answer) rattanjob.Answer {
+	home := request.Key.Epoch.Home
+	if home.Instance == f.config.Instance {
+		return here(ctx, request)
+	}
+	began := time.Now()
+	delivered := false
+	for try := 0; ; try++ {
+		answer, err := f.deliver(ctx, method, request)
+		if err == nil {
+			return answer
+		}
+		delivered = delivered || !notSent(err)
+		answer = f.judge(ctx, request.Key, err)
+		answer.Undelivered = !delivered
+		left := time.Until(began.Add(request.Wait.Std()))
+		if answer.State != rattanjob.StateUnknown || try+1 >= forwardTries || left <= 0 {
+			return answer
+		}
+		request.Wait = rattanjson.Duration(left)
+		select {
+		case <-ctx.Done():
+			return answer
+		case <-time.After(min(retryUnknown.Std(), left)):
+		}
+	}
+}
+
+// deliver sends the request to its home once.
+func (f *Front) deliver(ctx context.Context, method string, request *forwarded) (rattanjob.Answer, error) {
+	address, ended := f.config.Directory.Locate(request.Key.Epoch.Home)
+	if ended {
+		return lost(request.Key), nil
+	}
+	if address == "" {
+		return rattanjob.Answer{}, rattanpeer.ErrUnreachable
+	}
+	body, err := json.Marshal(request)
+	if err != nil {
+		return rattanjob.Answer{}, errors.Trace(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, request.Wait.Std()+forwardMargin)
+	defer cancel()
+	reply, err := f.config.Peers.Call(ctx, address, method, body)
+	if err != nil {
+		return rattanjob.Answer{}, err
+	}
+	var answer rattanjob.Answer
+	if err := json.Unmarshal(reply, &answer); err != nil {
+		return answer, errors.Trace(err)
+	}
+	if answer.Key != request.Key.String() {
+		reportViolation(errors.WithType(errors.Errorf("answer for key %s to a request for %s", answer.Key, request.Key), ErrInvariant))
+		return rattanjob.Answer{}, errors.Trace(ErrInvariant)
+	}
+	return answer, nil
+}
+
+// judge decides what a failed delivery proves about the home.
+func (f *Front) judge(ctx context.Context, key rattanjob.Key, err error) rattanjob.Answer {
+	refused := errors.Is(err, rattanpeer.ErrRefused)
+	if f.config.Directory.Unreachable(time.Now(), key.Epoch.Home, refused) || f.config.Directory.Ended(ctx, key) {
+		return lost(key)
+	}
+	answer := rattanjob.Uncertain(rattanjob.ReasonHomeUnreachable, "the home of the job does not answer and is not known to have ended", retryUnknown)
+	answer.Key = key.String()
+	return answer
+}
+
+// notSent reports whether the error of a call proves that the request was not
+// sent.
+func notSent(err error) bool {
+	return errors.Is(err, rattanpeer.ErrRefused) || errors.Is(err, rattanpeer.ErrUnreachable)
+}
+
+// serve adapts a method of the home to a handler of the links.
+func (f *Front) serve(here func(context.Context, *forwarded) rattanjob.Answer) rattanpeer.Handler {
+	return func(ctx context.Context, _ string, body []byte) ([]byte, error) {
+		request := &forwarded{}
+		if err := json.Unmarshal(body, request); err != nil {
+			return nil, errors.Trace(err)
+		}
+		return json.Marshal(here(ctx, request))
+	}
+}
+
+func (f *Front) submitHere(ctx context.Context, request *forwarded) rattanjob.Answer {
+	request.Submission.Key = request.Key
+	return f.config.Home.Submit(ctx, time.Now(), request.Caller, request.Submission, request.Fault, request.Wait.Std())
+}
+
+func (f *Front) statusHere(ctx context.Context, request *forwarded) rattanjob.Answer {
+	return f.config.Home.Status(ctx, time.Now(), request.Caller, request.Key, request.Wait.Std())
+}
+
+func (f *Front) cancelHere(_ context.Context, request *forwarded) rattanjob.Answer {
+	return f.config.Home.Cancel(time.Now(), request.Caller, request.Key)
+}
+
+func (f *Front) explainHere(_ context.Context, _ string, body []byte) ([]byte, error) {
+	var request forwarded
+	if err := json.Unmarshal(body, &request); err != nil {
+		return nil, errors.Trace(err)
+	}
+	facts, ok := f.config.Explain(request.Key, request.Caller)
+	if !ok {
+		return nil, errors.NotFoundf("job")
+	}
+	return facts, nil
+}
+
+// parseSubmission decodes a submission. A body with a fault but a readable key
+// is handed to the home with the fault, because only the home can say whether
+// the key was used before.
+func parseSubmission(body []byte) (*forwarded, *rattanjob.Answer) {
+	submission := &rattanjob.Submission{}
+	err := rattanjson.DecodeStrict(body, submission)
+	if err == nil {
+		err = submission.Check()
+	}
+	if err == nil {
+		return &forwarded{Key: submission.Key, Submission: submission}, nil
+	}
+	fault := rattanjob.Refusal(rattanjob.ReasonInvalid, err.Error())
+	var readable struct{ Key rattanjob.Key }
+	if json.Unmarshal(body, &readable) != nil || readable.Key.Epoch.Home.Instance == "" {
+		return nil, &fault
+	}
+	return &forwarded{Key: readable.Key, Submission: &rattanjob.Submission{Key: readable.Key}, Fault: &fault}, nil
+}
+
+func readBody(ctx khttp.Context) ([]byte, *rattanjob.Answer) {
+	body, err := io.ReadAll(http.MaxBytesReader(ctx.Response(), ctx.Request().Body, rattanjob.MaxBodySize))
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	refusal := rattanjob.Refusal(rattanjob.ReasonInvalid, "the body could not be read")
+	if errors.As(err, &tooLarge) {
+		refusal = rattanjob.Refusal(rattanjob.ReasonBodyTooLarge, "the body is larger than "+strconv.Itoa(rattanjob.MaxBodySize)+" bytes")
+	}
+	return nil, &refusal
+}
+
+func waitOf(request *http.Request) (time.Duration, *rattanjob.Answer) {
+	text := request.URL.Query().Get("Wait")
+	if text == "" {
+		return defaultWait, nil
+	}
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait < 0 || wait > maxWait {
+		refusal := rattanjob.Refusal(rattanjob.ReasonInvalid, "Wait: want a duration from 0s to 60s")
+		return 0, &refusal
+	}
+	return wait, nil
+}
--- /dev/null
+++ b/rattanentry/home.go
@@ -0,0 +1,574 @@
+// Package rattanentry is the entry instance: its services meet in a
+// micro-kernel and find each other by name. Front talks to callers, Home runs
+// the jobs of the pool that this instance owns, Members keeps membership and
+// epochs, Configuration and Inventory hold what the platform provides, and
+// Operations serves operators.
+package rattanentry
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/rattanlever/rattanlever/rattanconfig"
+	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattanjson"
+	"github.com/rattanlever/rattanlever/rattanledger"
+	"github.com/rattanlever/rattanlever/rattanmetric"
+	"github.com/rattanlever/rattanlever/rattanpool"
+	"github.com/rattanlever/rattanlever/rattantarget"
+)
+
+// ErrInvariant reports a broken invariant of the program itself.
+const ErrInvariant = errors.ConstError("invariant violated")
+
+const (
+	// maintenanceInterval is how often the home expires jobs that can no
+	// longer meet their deadline, and sweeps its records.
+	maintenanceInterval = 25 * time.Millisecond
+	sweepInterval       = time.Second
+	// leaseGrace is how long a task's lease outlasts its job's deadline.
+	leaseGrace = time.Second
+	// stopTimeout bounds a request to stop or inspect a task.
+	stopTimeout = 2 * time.Second
+)
+
+// Scheduler decides which task runs where; rattanpool.Scheduler is the
+// product's.
+type Scheduler interface {
+	Admit(now time.Time, job rattanpool.Job) rattanpool.Admission
+	Cancel(now time.Time, id rattanpool.JobID) (unstarted int)
+	Expire(now time.Time) []rattanpool.JobID
+	Finish(now time.Time, ended rattanpool.Assignment, report rattanpool.Report) (requeued bool)
+	Load(now time.Time) rattanpool.Load
+	Next(now time.Time) (rattanpool.Assignment, bool)
+	NextWake(now time.Time) (time.Duration, bool)
+	SetCallers(now time.Time, callers []rattanpool.Caller)
+	SetTargets(now time.Time, targets []rattanpool.Target)
+}
+
+// TaskRunner runs tasks at targets.
+type TaskRunner interface {
+	Run(ctx context.Context, dispatch rattantarget.Dispatch) (rattantarget.Result, error)
+	Settle(ctx context.Context, address, id string) (rattantarget.Result, error)
+	Stop(ctx context.Context, address, id string) (rattantarget.Stopped, error)
+}
+
+// Authority tells whether this instance may act for an epoch.
+type Authority interface {
+	EpochValid(now time.Time, epoch rattanjob.EpochID) bool
+}
+
+// Documents gives the configuration that is in force here.
+type Documents interface {
+	Document() *rattanconfig.Document
+}
+
+// Recorder keeps what happened to jobs and how well they were served.
+type Recorder interface {
+	Submitted(now time.Time, key rattanjob.Key, caller string, submission *rattanjob.Submission)
+	Assigned(now time.Time, key rattanjob.Key, assignment rattanpool.Assignment)
+	TaskEnded(now time.Time, key rattanjob.Key, assignment rattanpool.Assignment, report rattanpool.Report)
+	Answered(now time.Time, key rattanjob.Key, caller, kind string, age time.Duration, answer rattanjob.Answer)
+}
+
+// HomeConfig configures a Home. All fields but Recorder are required.
+type HomeConfig struct {
+	Scheduler Scheduler
+	Ledger    *rattanledger.Ledger
+	Runner    TaskRunner
+	Authority Authority
+	Documents Documents
+	Metrics   *rattanmetric.Registry
+	Recorder  Recorder
+	// Fence is called when the home finds that an epoch is no longer valid.
+	Fence func(epoch rattanjob.EpochID)
+	// DrainTimeout bounds the wait of Stop for jobs in progress.
+	DrainTimeout time.Duration
+}
+
+// Home runs the jobs whose keys name this instance. It is safe for concurrent
+// use.
+type Home struct {
+	config  HomeConfig
+	counts  homeCounts
+	stopped chan struct{}
+	loops   sync.WaitGroup
+
+	mutex     sync.Mutex
+	draining  bool
+	waiting   int
+	nextID    rattanpool.JobID
+	runs      map[rattanjob.Nonce]*run
+	byID      map[rattanpool.JobID]*run
+	addresses map[string]string
+	wake      *time.Timer
+	lastSweep time.Time
+}
+
+// NewHome returns a home without targets.
+func NewHome(config HomeConfig) *Home {
+	home := &Home{
+		config:    config,
+		counts:    newHomeCounts(config.Metrics),
+		stopped:   make(chan struct{}),
+		runs:      map[rattanjob.Nonce]*run{},
+		byID:      map[rattanpool.JobID]*run{},
+		addresses: map[string]string{},
+	}
+	home.wake = time.AfterFunc(time.Hour, home.pump)
+	return home
+}
+
+// Cancel ends the job of the key. A key that was not submitted yet is refused
+// from now on, so that a delayed submission cannot run after the cancellation.
+func (h *Home) Cancel(now time.Time, caller string, key rattanjob.Key) rattanjob.Answer {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	answer, verdict := h.config.Ledger.Lookup(now, key, caller)
+	switch verdict {
+	case rattanledger.VerdictUnknown:
+		cancelled := rattanjob.Answer{
+			Key:       key.String(),
+			State:     rattanjob.StateCancelled,
+			Execution: rattanjob.ExecutionNotRun,
+			Reason:    rattanjob.ReasonCancelled,
+			Detail:    "cancelled before it was submitted",
+		}
+		if err := h.config.Ledger.Refuse(now, key, cancelled); err != nil {
+			return rattanjob.Uncertain(rattanjob.ReasonInternal, err.Error(), 0)
+		}
+		h.counts.cancelled.Inc()
+		return cancelled
+	case rattanledger.VerdictJoin:
+		current, ok := h.runs[key.Nonce]
+		if !ok {
+			h.violated("running record without a run")
+			return rattanjob.Uncertain(rattanjob.ReasonInternal, "record without a run", 0)
+		}
+		h.counts.cancelled.Inc()
+		return h.end(now, current, rattanjob.StateCancelled, rattanjob.ReasonCancelled, "cancelled by its caller")
+	}
+	return h.stated(answer, verdict, key)
+}
+
+// Drain waits until all jobs in progress have ended and their waiting callers
+// are answered, at most DrainTimeout. New submissions are refused meanwhile.
+func (h *Home) Drain(ctx context.Context) error {
+	h.mutex.Lock()
+	h.draining = true
+	h.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, h.config.DrainTimeout)
+	defer cancel()
+	return h.drained(ctx)
+}
+
+// Fence ends all jobs of the epoch: no further task is started, and their
+// answer is Lost. Their tasks are stopped at the targets.
+func (h *Home) Fence(now time.Time, epoch rattanjob.EpochID) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.fence(now, epoch)
+}
+
+// Jobs returns the number of jobs in progress.
+func (h *Home) Jobs() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return len(h.runs)
+}
+
+// Load returns the load of the pool.
+func (h *Home) Load(now time.Time) rattanpool.Load {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.config.Scheduler.Load(now)
+}
+
+// OpenEpoch accepts submissions for a new epoch of this instance.
+func (h *Home) OpenEpoch(now time.Time, epoch rattanjob.EpochID) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.config.Ledger.OpenEpoch(now, epoch, now)
+}
+
+// Name returns the name of the service in the kernel.
+func (h *Home) Name() string {
+	return "Home"
+}
+
+// SetCallers sets the callers of the pool.
+func (h *Home) SetCallers(now time.Time, callers []rattanpool.Caller) {
+	h.mutex.Lock()
+	h.config.Scheduler.SetCallers(now, callers)
+	h.mutex.Unlock()
+	h.pump()
+}
+
+// SetTargets sets the targets of the pool and their addresses by name.
+func (h *Home) SetTargets(now time.Time, targets []rattanpool.Target, addresses map[string]string) {
+	h.mutex.Lock()
+	h.config.Scheduler.SetTargets(now, targets)
+	for name, address := range addresses {
+		h.addresses[name] = address
+	}
+	h.mutex.Unlock()
+	h.pump()
+}
+
+// Start starts the maintenance of the home.
+func (h *Home) Start(context.Context) error {
+	h.loops.Go(h.maintain)
+	return nil
+}
+
+// Status returns the answer for the key, waiting up to wait for a final one.
+func (h *Home) Status(ctx context.Context, now time.Time, caller string, key rattanjob.Key, wait time.Duration) rattanjob.Answer {
+	h.mutex.Lock()
+	if !h.valid(now, key.Epoch) {
+		h.mutex.Unlock()
+		return lost(key)
+	}
+	answer, verdict := h.config.Ledger.Lookup(now, key, caller)
+	current := h.runs[key.Nonce]
+	if verdict != rattanledger.VerdictJoin || current == nil {
+		answer = h.stated(answer, verdict, key)
+		h.mutex.Unlock()
+		return answer
+	}
+	h.mutex.Unlock()
+	return h.await(ctx, current, caller, wait)
+}
+
+// Stop ends the maintenance. Jobs still in progress are abandoned.
+func (h *Home) Stop(context.Context) error {
+	close(h.stopped)
+	h.loops.Wait()
+	h.wake.Stop()
+	return nil
+}
+
+// Submit starts the job unless its key was used before, and waits up to wait
+// for a final answer. A fault is why the submission cannot be accepted; it is
+// recorded as the refusal of the key if the key is new.
+func (h *Home) Submit(ctx context.Context, now time.Time, caller string, submission *rattanjob.Submission, fault *rattanjob.Answer, wait time.Duration) rattanjob.Answer {
+	current, answer := h.begin(now, caller, submission, fault)
+	if current == nil {
+		return answer
+	}
+	h.pump()
+	return h.await(ctx, current, caller, wait)
+}
+
+// begin decides on a submission and returns its run, or its answer.
+func (h *Home) begin(now time.Time, caller string, submission *rattanjob.Submission, fault *rattanjob.Answer) (*run, rattanjob.Answer) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	key := submission.Key
+	if !h.valid(now, key.Epoch) {
+		return nil, lost(key)
+	}
+	answer, verdict := h.config.Ledger.Begin(now, key, caller, submission.Digest())
+	switch verdict {
+	case rattanledger.VerdictStart:
+	case rattanledger.VerdictJoin:
+		h.counts.joined.Inc()
+		if current, ok := h.runs[key.Nonce]; ok {
+			return current, rattanjob.Answer{}
+		}
+		h.violated("running record without a run")
+		return nil, rattanjob.Uncertain(rattanjob.ReasonInternal, "record without a run", 0)
+	default:
+		return nil, h.stated(answer, verdict, key)
+	}
+	if fault != nil {
+		return nil, h.refuse(now, key, caller, *fault)
+	}
+	job, refusal := h.accept(now, caller, submission)
+	if refusal != nil {
+		return nil, h.refuse(now, key, caller, *refusal)
+	}
+	return h.launch(now, caller, submission, job), rattanjob.Answer{}
+}
+
+// accept checks the submission against the configuration and the load.
+func (h *Home) accept(now time.Time, caller string, submission *rattanjob.Submission) (rattanpool.Job, *rattanjob.Answer) {
+	if h.draining {
+		refusal := rattanjob.Refusal(rattanjob.ReasonShuttingDown, "the instance is shutting down")
+		refusal.RetryAfter = rattanjson.Duration(100 * time.Millisecond)
+		return rattanpool.Job{}, &refusal
+	}
+	job, refusal := describeJob(now, h.config.Documents.Document(), caller, submission)
+	if refusal != nil {
+		return job, refusal
+	}
+	h.nextID++
+	job.ID = h.nextID
+	admission := h.config.Scheduler.Admit(now, job)
+	if admission.Admitted {
+		return job, nil
+	}
+	rejected := rattanjob.Refusal(admission.Reason, admission.Detail)
+	rejected.RetryAfter = rattanjson.Duration(admission.RetryAfter)
+	return job, &rejected
+}
+
+// launch registers the run of an admitted job.
+func (h *Home) launch(now time.Time, caller string, submission *rattanjob.Submission, job rattanpool.Job) *run {
+	current := &run{
+		id:        job.ID,
+		key:       submission.Key,
+		caller:    caller,
+		kind:      submission.Kind,
+		tasks:     submission.Tasks,
+		submitted: now,
+		deadline:  job.Deadline,
+		results:   make([]rattanjob.Result, len(submission.Tasks)),
+		remaining: len(submission.Tasks),
+		running:   make(map[int]rattanpool.Assignment),
+		done:      make(chan struct{}),
+	}
+	current.timer = time.AfterFunc(job.Deadline.Sub(now), func() { h.pastDeadline(current) })
+	h.runs[current.key.Nonce] = current
+	h.byID[current.id] = current
+	h.counts.admitted.Inc()
+	if h.config.Recorder != nil {
+		h.config.Recorder.Submitted(now, current.key, caller, submission)
+	}
+	return current
+}
+
+// refuse records a refusal as the final answer of a key that began just now.
+func (h *Home) refuse(now time.Time, key rattanjob.Key, caller string, refusal rattanjob.Answer) rattanjob.Answer {
+	refusal.Key = key.String()
+	if err := h.config.Ledger.Refuse(now, key, refusal); err != nil {
+		h.violated(err.Error())
+	}
+	h.counts.refused(refusal.Reason)
+	if h.config.Recorder != nil {
+		h.config.Recorder.Answered(now, key, caller, "", 0, refusal)
+	}
+	return refusal
+}
+
+// await waits for the end of the run. The answer is given only while the
+// epoch is valid: a home that was paused may have been declared ended.
+func (h *Home) await(ctx context.Context, current *run, caller string, wait time.Duration) rattanjob.Answer {
+	if caller != current.caller {
+		return rattanjob.Refusal(rattanjob.ReasonKeyUnknown, "no such key for this caller")
+	}
+	h.mutex.Lock()
+	h.waiting++
+	h.mutex.Unlock()
+	defer func() {
+		h.mutex.Lock()
+		h.waiting--
+		h.mutex.Unlock()
+	}()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-current.done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if !h.valid(time.Now(), current.key.Epoch) {
+		return lost(current.key)
+	}
+	if current.ended {
+		return current.answer
+	}
+	return rattanjob.Answer{
+		Key:        current.key.String(),
+		State:      rattanjob.StateRunning,
+		Started:    current.started,
+		RetryAfter: rattanjson.Duration(100 * time.Millisecond),
+	}
+}
+
+// stated turns a verdict of the ledger into an answer.
+func (h *Home) stated(answer rattanjob.Answer, verdict rattanledger.Verdict, key rattanjob.Key) rattanjob.Answer {
+	switch verdict {
+	case rattanledger.VerdictConflict:
+		answer = rattanjob.Answer{
+			State:     rattanjob.StateRefused,
+			Execution: rattanjob.ExecutionMayHaveRun,
+			Reason:    rattanjob.ReasonConflict,
+			Detail:    "the key was used with another body; nothing of this body was run",
+		}
+	case rattanledger.VerdictUnknown, rattanledger.VerdictForeign:
+		answer = rattanjob.Answer{
+			State:  rattanjob.StateUnknown,
+			Reason: rattanjob.ReasonKeyUnknown,
+			Detail: "no such key for this caller",
+		}
+	case rattanledger.VerdictFenced:
+		return lost(key)
+	case rattanledger.VerdictFull:
+		answer = rattanjob.Uncertain(rattanjob.ReasonOverloaded, "too many records; nothing was started now", rattanjson.Duration(time.Second))
+	}
+	answer.Key = key.String()
+	return answer
+}
+
+// valid reports whether the home may act for the epoch now; it fences the
+// epoch when it may not.
+func (h *Home) valid(now time.Time, epoch rattanjob.EpochID) bool {
+	if h.config.Authority.EpochValid(now, epoch) {
+		return true
+	}
+	h.fence(now, epoch)
+	return false
+}
+
+func (h *Home) fence(now time.Time, epoch rattanjob.EpochID) {
+	h.config.Ledger.FenceEpoch(now, epoch)
+	for _, current := range h.runs {
+		if current.key.Epoch == epoch {
+			h.counts.fenced.Inc()
+			h.settle(now, current, lost(current.key))
+		}
+	}
+	if h.config.Fence != nil {
+		go h.config.Fence(epoch)
+	}
+}
+
+// drained waits until no job is in progress and no request waits.
+func (h *Home) drained(ctx context.Context) error {
+	for {
+		h.mutex.Lock()
+		idle := len(h.runs) == 0 && h.waiting == 0
+		h.mutex.Unlock()
+		if idle {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Annotate(ctx.Err(), "jobs in progress")
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// maintain expires jobs and records until the home is stopped.
+func (h *Home) maintain() {
+	ticker := time.NewTicker(maintenanceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.stopped:
+			return
+		case now := <-ticker.C:
+			h.tick(now)
+		}
+	}
+}
+
+func (h *Home) tick(now time.Time) {
+	h.mutex.Lock()
+	for _, id := range h.config.Scheduler.Expire(now) {
+		if current, ok := h.byID[id]; ok {
+			h.end(now, current, rattanjob.StateRefused, rattanjob.ReasonDeadlinePassed, "it could no longer meet its deadline")
+		}
+	}
+	if now.Sub(h.lastSweep) >= sweepInterval {
+		h.lastSweep = now
+		h.config.Ledger.Sweep(now)
+	}
+	h.mutex.Unlock()
+	h.pump()
+}
+
+func (h *Home) violated(what string) {
+	h.counts.violations.Inc()
+	violations.Add(1)
+	reportViolation(errors.WithType(errors.New(what), ErrInvariant))
+}
+
+// describeJob checks a submission against the configuration.
+func describeJob(now time.Time, document *rattanconfig.Document, caller string, submission *rattanjob.Submission) (rattanpool.Job, *rattanjob.Answer) {
+	kind, ok := document.JobKinds[submission.Kind]
+	if !ok || kind.Retired || document.Services[kind.Service].Retired {
+		return refuseJob(rattanjob.ReasonUnknownKind, "Kind: %q is not an accepted job kind", submission.Kind)
+	}
+	party, ok := document.Callers[caller]
+	if !ok || party.Retired {
+		return refuseJob(rattanjob.ReasonUnknownCaller, "caller %q is not configured", caller)
+	}
+	if len(submission.Tasks) > kind.MaxTasks {
+		return refuseJob(rattanjob.ReasonInvalid, "Tasks: %d tasks, want at most %d for kind %s", len(submission.Tasks), kind.MaxTasks, submission.Kind)
+	}
+	deadline := submission.Deadline.Std()
+	if deadline == 0 {
+		deadline = kind.Deadline.Std()
+	}
+	if deadline > kind.Deadline.Std() {
+		return refuseJob(rattanjob.ReasonInvalid, "Deadline: %v, want at most %v for kind %s", deadline, kind.Deadline, submission.Kind)
+	}
+	if refusal := checkPayloads(kind, submission.Tasks); refusal != nil {
+		return rattanpool.Job{}, refusal
+	}
+	return rattanpool.Job{
+		Caller:              caller,
+		Kind:                submission.Kind,
+		Service:             kind.Service,
+		Tasks:               len(submission.Tasks),
+		RunTime:             declaredRunTime(kind, submission.Tasks),
+		Deadline:            now.Add(deadline),
+		Idempotent:          kind.Idempotent,
+		CoresPerTask:        kind.CoresPerTask,
+		MemoryMBPerTask:     kind.MemoryMBPerTask,
+		AcceleratorsPerTask: kind.AcceleratorsPerTask,
+	}, nil
+}
+
+func checkPayloads(kind rattanconfig.JobKind, tasks []rattanjob.Task) *rattanjob.Answer {
+	if kind.MaxPayloadBytes == 0 {
+		return nil
+	}
+	for i, task := range tasks {
+		if len(task.Payload) > kind.MaxPayloadBytes {
+			_, refusal := refuseJob(rattanjob.ReasonInvalid, "Tasks[%d].Payload: %d bytes, want at most %d", i, len(task.Payload), kind.MaxPayloadBytes)
+			return refusal
+		}
+	}
+	return nil
+}
+
+// declaredRunTime is the mean of the tasks' declared run times, or the kind's.
+func declaredRunTime(kind rattanconfig.JobKind, tasks []rattanjob.Task) time.Duration {
+	var total time.Duration
+	for _, task := range tasks {
+		declared := task.RunTime.Std()
+		if declared == 0 {
+			declared = kind.RunTime.Std()
+		}
+		total += declared
+	}
+	return total / time.Duration(len(tasks))
+}
+
+func refuseJob(reason rattanjob.Reason, format string, args ...any) (rattanpool.Job, *rattanjob.Answer) {
+	refusal := rattanjob.Refusal(reason, errors.Errorf(format, args...).Error())
+	return rattanpool.Job{}, &refusal
+}
+
+func lost(key rattanjob.Key) rattanjob.Answer {
+	answer := rattanjob.Lost("the home of the job has lost its record; tasks may have run")
+	answer.Key = key.String()
+	return answer
+}
+
+// taskPayload is never empty, because targets take any JSON value.
+func taskPayload(task rattanjob.Task) json.RawMessage {
+	if len(task.Payload) == 0 {
+		return json.RawMessage("null")
+	}
+	return task.Payload
+}
--- /dev/null
+++ b/rattanentry/operations.go
@@ -0,0 +1,148 @@
+package rattanentry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattanmetric"
+)
+
+//go:generate go tool stringer -type=Condition -trimprefix=Condition
+
+// cutOffAfter is how long the platform may be silent before the instance
+// reports itself as cut off from it.
+const cutOffAfter = 5 * time.Second
+
+// Condition is what an instance tells the load balancer about itself.
+type Condition int
+
+// The conditions of an instance. Serving and CutOff are ready.
+const (
+	// ConditionStarting says that no configuration or no home is known yet.
+	ConditionStarting Condition = iota
+	ConditionServing
+	// ConditionCutOff says that the platform does not answer; jobs are served
+	// with the last known configuration and targets.
+	ConditionCutOff
+	ConditionDraining
+)
+
+// Health is the body of /health and /ready.
+type Health struct {
+	Condition        string
+	Name             string
+	AvailabilityZone string
+	// Revision is the configuration in force here.
+	Revision uint64
+	// Jobs is the number of jobs in progress here.
+	Jobs int
+}
+
+// OperationsConfig configures Operations. All fields are required.
+type OperationsConfig struct {
+	Name             string
+	AvailabilityZone string
+	Configuration    *Configuration
+	Inventory        *Inventory
+	Directory        Directory
+	Home             *Home
+	Metrics          *rattanmetric.Registry
+}
+
+// Operations serves operators and the load balancer.
+type Operations struct {
+	config   OperationsConfig
+	draining atomic.Bool
+}
+
+// NewOperations returns the operators' service.
+func NewOperations(config OperationsConfig) *Operations {
+	return &Operations{config: config}
+}
+
+// Condition returns the condition of the instance.
+func (o *Operations) Condition(now time.Time) Condition {
+	_, owned := o.config.Directory.Owner(now)
+	switch {
+	case o.draining.Load():
+		return ConditionDraining
+	case o.config.Configuration.Document().Revision == 0 || !owned:
+		return ConditionStarting
+	case now.Sub(o.config.Inventory.Reached()) > cutOffAfter:
+		return ConditionCutOff
+	}
+	return ConditionServing
+}
+
+// Drain makes the instance not ready, so that the load balancer sends no new
+// callers.
+func (o *Operations) Drain(context.Context) error {
+	o.draining.Store(true)
+	return nil
+}
+
+// Name returns the name of the service in the kernel.
+func (o *Operations) Name() string {
+	return "Operations"
+}
+
+// Routes adds the routes of operators and of the load balancer to the server.
+func (o *Operations) Routes(server *khttp.Server) {
+	route := server.Route("/")
+	route.GET("/health", o.health)
+	route.GET("/ready", o.ready)
+	route.GET("/metrics", o.metrics)
+	route.GET("/v1/config", o.document)
+}
+
+// Start does nothing.
+func (o *Operations) Start(context.Context) error { return nil }
+
+// Stop does nothing.
+func (o *Operations) Stop(context.Context) error { return nil }
+
+func (o *Operations) describe(now time.Time) Health {
+	return Health{
+		Condition:        o.Condition(now).String(),
+		Name:             o.config.Name,
+		AvailabilityZone: o.config.AvailabilityZone,
+		Revision:         o.config.Configuration.Document().Revision,
+		Jobs:             o.config.Home.Jobs(),
+	}
+}
+
+func (o *Operations) health(ctx khttp.Context) error {
+	return ctx.JSON(http.StatusOK, o.describe(time.Now()))
+}
+
+func (o *Operations) ready(ctx khttp.Context) error {
+	now := time.Now()
+	switch o.Condition(now) {
+	case ConditionServing, ConditionCutOff:
+		return ctx.JSON(http.StatusOK, o.describe(now))
+	}
+	return ctx.JSON(http.StatusServiceUnavailable, o.describe(now))
+}
+
+func (o *Operations) metrics(ctx khttp.Context) error {
+	ctx.Response().Header().Set("Content-Type", "text/plain; version=0.0.4")
+	ctx.Response().WriteHeader(http.StatusOK)
+	o.config.Metrics.Write(ctx.Response())
+	return nil
+}
+
+func (o *Operations) document(ctx khttp.Context) error {
+	if _, refusal := identifyOperator(ctx.Request()); refusal != nil {
+		return respond(ctx, *refusal)
+	}
+	document := o.config.Configuration.Document()
+	if document.Revision == 0 {
+		return respond(ctx, rattanjob.Uncertain(rattanjob.ReasonNotReady, "no configuration is known yet", retryUnknown))
+	}
+	return ctx.JSON(http.StatusOK, document)
+}
--- /dev/null
+++ b/rattanentry/respond.go
@@ -0,0 +1,54 @@
+package rattanentry
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/rattanlever/rattanlever/rattanjob"
+)
+
+// respond writes the answer with its HTTP status.
+func respond(ctx khttp.Context, answer rattanjob.Answer) error {
+	if answer.RetryAfter > 0 {
+		seconds := math.Ceil(answer.RetryAfter.Std().Seconds())
+		ctx.Response().Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	return ctx.JSON(StatusCode(answer), answer)
+}
+
+// StatusCode returns the HTTP status of an answer.
+func StatusCode(answer rattanjob.Answer) int {
+	if code, ok := reasonCodes[answer.Reason]; ok {
+		return code
+	}
+	switch answer.State {
+	case rattanjob.StateComplete, rattanjob.StateCancelled:
+		return http.StatusOK
+	case rattanjob.StateRunning:
+		return http.StatusAccepted
+	case rattanjob.StateRefused:
+		return http.StatusTooManyRequests
+	case rattanjob.StateFailed:
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// reasonCodes has the reasons that decide the status whatever the state.
+var reasonCodes = map[rattanjob.Reason]int{
+	rattanjob.ReasonBodyTooLarge:   http.StatusRequestEntityTooLarge,
+	rattanjob.ReasonConflict:       http.StatusConflict,
+	rattanjob.ReasonDeadlinePassed: http.StatusGatewayTimeout,
+	rattanjob.ReasonHomeLost:       http.StatusGone,
+	rattanjob.ReasonInvalid:        http.StatusBadRequest,
+	rattanjob.ReasonKeyExpired:     http.StatusGone,
+	rattanjob.ReasonKeyUnknown:     http.StatusNotFound,
+	rattanjob.ReasonNeverRunnable:  http.StatusUnprocessableEntity,
+	rattanjob.ReasonUnauthorized:   http.StatusUnauthorized,
+	rattanjob.ReasonUnknownCaller:  http.StatusForbidden,
+	rattanjob.ReasonUnknownKind:    http.StatusUnprocessableEntity,
+}
--- /dev/null
+++ b/rattanentry/run.go
@@ -0,0 +1,242 @@
+package rattanentry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattanjson"
+	"github.com/rattanlever/rattanlever/rattanpool"
+	"github.com/rattanlever/rattanlever/rattantarget"
+)
+
+// run is one job in progress at its home. All fields are guarded by the
+// home's mutex, except those that never change after launch.
+type run struct {
+	id        rattanpool.JobID
+	key       rattanjob.Key
+	caller    string
+	kind      string
+	tasks     []rattanjob.Task
+	submitted time.Time
+	deadline  time.Time
+	timer     *time.Timer
+
+	results []rattanjob.Result
+	// remaining is the number of tasks without a result.
+	remaining int
+	// started is the number of tasks of which it is not proved that they did
+	// not start.
+	started int
+	// running holds the assignments in progress by task.
+	running map[int]rattanpool.Assignment
+	ended   bool
+	answer  rattanjob.Answer
+	// done is closed when answer is set.
+	done chan struct{}
+}
+
+// taskID names one attempt of one task; no two dispatches share one.
+func (r *run) taskID(assignment rattanpool.Assignment) string {
+	epoch := r.key.Epoch
+	return fmt.Sprintf("%s.%d.%d.%x-%d-%d", epoch.Home.Instance, epoch.Home.Number, epoch.Number, r.key.Nonce, assignment.Task, assignment.Attempt)
+}
+
+// pump assigns waiting tasks to free slots until the scheduler has no more.
+func (h *Home) pump() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	now := time.Now()
+	for {
+		assignment, ok := h.config.Scheduler.Next(now)
+		if !ok {
+			break
+		}
+		h.start(now, assignment)
+	}
+	if delay, ok := h.config.Scheduler.NextWake(now); ok {
+		h.wake.Reset(max(delay, time.Millisecond))
+	}
+}
+
+// start dispatches one task, unless its job has ended or lost its epoch.
+func (h *Home) start(now time.Time, assignment rattanpool.Assignment) {
+	current, ok := h.byID[assignment.Job]
+	address, known := h.addresses[assignment.Target]
+	if !ok || current.ended || !known || !h.valid(now, current.key.Epoch) {
+		h.config.Scheduler.Finish(now, assignment, rattanpool.Report{Outcome: rattanpool.OutcomeStopped})
+		return
+	}
+	if _, twice := current.running[assignment.Task]; twice {
+		h.violated("task is assigned while it runs")
+	}
+	current.started++
+	current.running[assignment.Task] = assignment
+	h.counts.started.Inc()
+	if h.config.Recorder != nil {
+		h.config.Recorder.Assigned(now, current.key, assignment)
+	}
+	go h.dispatch(current, assignment, address, now)
+}
+
+// dispatch runs one task at its target and reports the outcome.
+func (h *Home) dispatch(current *run, assignment rattanpool.Assignment, address string, began time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), current.deadline.Add(leaseGrace))
+	defer cancel()
+	id := current.taskID(assignment)
+	result, err := h.config.Runner.Run(ctx, rattantarget.Dispatch{
+		Address: address,
+		ID:      id,
+		Kind:    current.kind,
+		Payload: taskPayload(current.tasks[assignment.Task]),
+		Lease:   rattanjson.Duration(current.deadline.Add(leaseGrace).Sub(began)),
+	})
+	if errors.Is(err, rattantarget.ErrUnresolved) && ctx.Err() == nil {
+		h.counts.settled.Inc()
+		result, err = h.config.Runner.Settle(ctx, address, id)
+	}
+	now := time.Now()
+	report := rattanpool.Report{Outcome: outcomeOf(err), RunTime: now.Sub(began), Unreachable: errors.Is(err, rattantarget.ErrUnreachable)}
+	h.finish(now, current, assignment, report, result, err)
+}
+
+func outcomeOf(err error) rattanpool.Outcome {
+	switch {
+	case err == nil:
+		return rattanpool.OutcomeDone
+	case errors.Is(err, rattantarget.ErrNotStarted):
+		return rattanpool.OutcomeNotStarted
+	case errors.Is(err, rattantarget.ErrStopped):
+		return rattanpool.OutcomeStopped
+	case errors.Is(err, rattantarget.ErrFailed):
+		return rattanpool.OutcomeFailed
+	default:
+		return rattanpool.OutcomeUnresolved
+	}
+}
+
+// finish records how one dispatch ended and ends the job when it decides it.
+func (h *Home) finish(now time.Time, current *run, assignment rattanpool.Assignment, report rattanpool.Report, result rattantarget.Result, cause error) {
+	h.mutex.Lock()
+	requeued := h.config.Scheduler.Finish(now, assignment, report)
+	delete(current.running, assignment.Task)
+	h.counts.outcome(report.Outcome)
+	if report.Outcome == rattanpool.OutcomeNotStarted {
+		current.started--
+	}
+	if h.config.Recorder != nil {
+		h.config.Recorder.TaskEnded(now, current.key, assignment, report)
+	}
+	if !current.ended {
+		h.conclude(now, current, assignment, report.Outcome, requeued, result, cause)
+	}
+	h.mutex.Unlock()
+	h.pump()
+}
+
+func (h *Home) conclude(now time.Time, current *run, assignment rattanpool.Assignment, outcome rattanpool.Outcome, requeued bool, result rattantarget.Result, cause error) {
+	switch {
+	case outcome == rattanpool.OutcomeDone:
+		current.results[assignment.Task] = rattanjob.Result{Payload: result.Payload}
+		current.remaining--
+		if current.remaining == 0 {
+			h.end(now, current, rattanjob.StateComplete, rattanjob.ReasonNone, "")
+		}
+	case outcome == rattanpool.OutcomeNotStarted && requeued:
+	case outcome == rattanpool.OutcomeNotStarted:
+		h.end(now, current, rattanjob.StateFailed, rattanjob.ReasonNoTarget, fmt.Sprintf("task %d: %v", assignment.Task, cause))
+	case outcome == rattanpool.OutcomeUnresolved:
+		h.end(now, current, rattanjob.StateFailed, rattanjob.ReasonTaskUnresolved, fmt.Sprintf("task %d at %s may have run: %v", assignment.Task, assignment.Target, cause))
+	default:
+		h.end(now, current, rattanjob.StateFailed, rattanjob.ReasonTaskFailed, fmt.Sprintf("task %d at %s: %v", assignment.Task, assignment.Target, cause))
+	}
+}
+
+// pastDeadline ends a run whose deadline has passed.
+func (h *Home) pastDeadline(current *run) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if current.ended {
+		return
+	}
+	now := time.Now()
+	if current.started == 0 {
+		h.end(now, current, rattanjob.StateRefused, rattanjob.ReasonDeadlinePassed, "the deadline passed before a task was started")
+		return
+	}
+	h.end(now, current, rattanjob.StateFailed, rattanjob.ReasonDeadlinePassed, fmt.Sprintf("the deadline passed with %d of %d tasks without a result", current.remaining, len(current.tasks)))
+}
+
+// end gives the run its final answer and records it.
+func (h *Home) end(now time.Time, current *run, state rattanjob.State, reason rattanjob.Reason, detail string) rattanjob.Answer {
+	answer := rattanjob.Answer{
+		Key:       current.key.String(),
+		State:     state,
+		Execution: current.execution(),
+		Reason:    reason,
+		Detail:    detail,
+	}
+	switch state {
+	case rattanjob.StateComplete:
+		answer.Execution = rattanjob.ExecutionRan
+		answer.Results = current.results
+	case rattanjob.StateRefused:
+		if current.started > 0 {
+			answer.State = rattanjob.StateFailed
+		}
+		answer.Started = current.started
+	default:
+		answer.Started = current.started
+	}
+	if err := h.config.Ledger.Finish(now, current.key, answer); err != nil {
+		h.violated(err.Error())
+	}
+	h.settle(now, current, answer)
+	return answer
+}
+
+func (r *run) execution() rattanjob.Execution {
+	if r.started == 0 {
+		return rattanjob.ExecutionNotRun
+	}
+	return rattanjob.ExecutionMayHaveRun
+}
+
+// settle closes the run with its answer: waiting tasks are dropped and running
+// ones are stopped at their targets.
+func (h *Home) settle(now time.Time, current *run, answer rattanjob.Answer) {
+	if current.ended {
+		return
+	}
+	if answer.State == rattanjob.StateComplete && current.remaining != 0 {
+		h.violated("complete answer with results missing")
+	}
+	current.ended = true
+	current.answer = answer
+	current.timer.Stop()
+	close(current.done)
+	delete(h.runs, current.key.Nonce)
+	delete(h.byID, current.id)
+	h.config.Scheduler.Cancel(now, current.id)
+	for _, assignment := range current.running {
+		h.stop(current, assignment)
+	}
+	h.counts.answered(answer)
+	if h.config.Recorder != nil {
+		h.config.Recorder.Answered(now, current.key, current.caller, current.kind, now.Sub(current.submitted), answer)
+	}
+}
+
+// stop asks a target to stop a task whose job has ended.
+func (h *Home) stop(current *run, assignment rattanpool.Assignment) {
+	address := h.addresses[assignment.Target]
+	id := current.taskID(assignment)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		_, _ = h.config.Runner.Stop(ctx, address, id)
+	}()
+}
--- a/rattanjob/answer.go
+++ b/rattanjob/answer.go
@@ -24,6 +24,9 @@
 	// Started is the number of tasks that were started, for jobs that failed
 	// or were cancelled.
 	Started int `json:",omitempty"`
+	// Undelivered says that this request reached no home. A caller that has
+	// submitted the key only once may then submit with a new key.
+	Undelivered bool `json:",omitempty"`
 	// Results is non-empty only in state Complete, where it holds one result a
 	// task in the order of the submission. It is empty in a complete answer
 	// whose results are past their retention; Detail then says so.
--- a/rattankernel/kernel.go
+++ b/rattankernel/kernel.go
@@ -26,6 +26,13 @@
 	Stop(ctx context.Context) error
 }
 
+// Drainer is a service that has work in progress to finish before it stops.
+type Drainer interface {
+	// Drain takes no new work and returns when the work in progress has ended
+	// or ctx ends. Other services are usable meanwhile.
+	Drain(ctx context.Context) error
+}
+
 // Kernel holds the services of one instance. It is safe for concurrent use
 // once all services are registered.
 type Kernel struct {
@@ -39,6 +46,22 @@
 	return &Kernel{byName: map[string]Service{}}
 }
 
+// Drain drains the started services in reverse order of registration and
+// returns the first error.
+func (k *Kernel) Drain(ctx context.Context) error {
+	var first error
+	for i := k.started - 1; i >= 0; i-- {
+		drainer, ok := k.services[i].(Drainer)
+		if !ok {
+			continue
+		}
+		if err := drainer.Drain(ctx); err != nil && first == nil {
+			first = errors.Annotatef(err, "service %s", k.services[i].Name())
+		}
+	}
+	return first
+}
+
 // Register adds a service. It returns ErrDuplicate for a name in use.
 func (k *Kernel) Register(service Service) error {
 	name := service.Name()
