Add clients of the platform and of targets, and their stand-ins

The entry instance, the demo and the measurements need the outside systems before anything else can run. This adds the public interface of all three packages with the working paths of each. The fault paths have no tests yet.

--- /dev/null
+++ b/rattanplatform/counters.go
@@ -0,0 +1,28 @@
+package rattanplatform
+
+import "sync/atomic"
+
+// Counters counts the calls of a client since its construction. Each call is
+// counted once, when it is made; a watch that waits counts as one call.
+type Counters struct {
+	Gets      atomic.Uint64
+	Puts      atomic.Uint64
+	Deletes   atomic.Uint64
+	Watches   atomic.Uint64
+	Leases    atomic.Uint64
+	Instances atomic.Uint64
+	// Conflicts, Unavailable and Uncertain count the errors of that name.
+	Conflicts   atomic.Uint64
+	Unavailable atomic.Uint64
+	Uncertain   atomic.Uint64
+}
+
+// Reads returns the number of calls that the platform counts as reads.
+func (c *Counters) Reads() uint64 {
+	return c.Gets.Load() + c.Watches.Load() + c.Instances.Load()
+}
+
+// Writes returns the number of calls that the platform counts as writes.
+func (c *Counters) Writes() uint64 {
+	return c.Puts.Load() + c.Deletes.Load() + c.Leases.Load()
+}
--- /dev/null
+++ b/rattanstandin/platformhttp.go
@@ -0,0 +1,272 @@
+package rattanstandin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/rattanlever/rattanlever/rattanplatform"
+)
+
+// Errors of malformed calls.
+const (
+	errQuery = errors.ConstError("invalid query parameter")
+	errBody  = errors.ConstError("invalid body")
+)
+
+// maxControlSize bounds the body of a control call.
+const maxControlSize = 16 << 20
+
+// handler returns the platform's and the control interface.
+func (p *Platform) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/kv/{key...}", p.call(CallKindRead, p.serveGet))
+	mux.HandleFunc("PUT /v1/kv/{key...}", p.call(CallKindWrite, p.servePut))
+	mux.HandleFunc("DELETE /v1/kv/{key...}", p.call(CallKindWrite, p.serveDelete))
+	mux.HandleFunc("GET /v1/watch/{prefix...}", p.call(CallKindWatch, p.serveWatch))
+	mux.HandleFunc("POST /v1/leases", p.call(CallKindLease, p.serveGrant))
+	mux.HandleFunc("PUT /v1/leases/{id}", p.call(CallKindLease, p.serveRenew))
+	mux.HandleFunc("GET /v1/instances", p.call(CallKindInstances, p.serveInstances))
+	mux.HandleFunc("GET /control/counts", p.serveCounts)
+	mux.HandleFunc("DELETE /control/counts", p.serveResetCounts)
+	mux.HandleFunc("GET /control/faults", p.serveFaults)
+	mux.HandleFunc("POST /control/faults", p.serveSetFaults)
+	mux.HandleFunc("POST /control/instances", p.serveChangeInstances)
+	return mux
+}
+
+// reply is the answer to a call.
+type reply struct {
+	body any
+	err  error
+}
+
+// failure is the body of an answer that is an error.
+type failure struct {
+	Error string
+	// Revision is the revision that a key in conflict has.
+	Revision int64 `json:",omitempty"`
+}
+
+// call wraps the effect of a call into counting, limits and faults.
+func (p *Platform) call(kind CallKind, effect func(w http.ResponseWriter, r *http.Request) reply) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		limiter := p.reads
+		if kind.IsWrite() {
+			limiter = p.writes
+		}
+		allowed := limiter.Allow()
+		p.counts.add(time.Now(), kind, !allowed)
+		if !allowed {
+			answer(w, http.StatusServiceUnavailable, failure{Error: "rate limit"})
+			return
+		}
+		if !p.pass(w, r) {
+			return
+		}
+		reply := effect(w, r)
+		if faults := p.Faults(); kind.IsWrite() && faults.loses() {
+			panic(http.ErrAbortHandler)
+		}
+		status, body := reply.render()
+		answer(w, status, body)
+	}
+}
+
+// pass applies the outage and the latency, and reports whether the call is to
+// take effect.
+func (p *Platform) pass(w http.ResponseWriter, r *http.Request) bool {
+	for {
+		faults, switched := p.currentFaults()
+		switch faults.Outage {
+		case OutageUnavailable:
+			answer(w, http.StatusServiceUnavailable, failure{Error: "outage"})
+			return false
+		case OutageClosed:
+			panic(http.ErrAbortHandler)
+		case OutageSilent:
+			select {
+			case <-switched:
+			case <-r.Context().Done():
+				return false
+			}
+		default:
+			time.Sleep(faults.Latency.Std())
+			return true
+		}
+	}
+}
+
+func (r *reply) render() (status int, body any) {
+	if r.err == nil {
+		return http.StatusOK, r.body
+	}
+	failure := failure{Error: r.err.Error()}
+	if written, ok := r.body.(rattanplatform.Written); ok {
+		failure.Revision = written.Revision
+	}
+	switch {
+	case errors.Is(r.err, rattanplatform.ErrConflict):
+		return http.StatusConflict, failure
+	case errors.Is(r.err, rattanplatform.ErrNotFound):
+		return http.StatusNotFound, failure
+	case errors.Is(r.err, rattanplatform.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge, failure
+	case errors.Is(r.err, rattanplatform.ErrUnavailable):
+		return http.StatusServiceUnavailable, failure
+	default:
+		return http.StatusBadRequest, failure
+	}
+}
+
+func (p *Platform) serveGet(_ http.ResponseWriter, r *http.Request) reply {
+	entry, err := p.store.get(r.PathValue("key"))
+	return reply{entry, err}
+}
+
+func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) reply {
+	query := r.URL.Query()
+	ifRevision, err := number(query, "IfRevision", rattanplatform.AnyRevision)
+	if err != nil {
+		return reply{err: err}
+	}
+	lease, err := number(query, "Lease", rattanplatform.NoLease)
+	if err != nil {
+		return reply{err: err}
+	}
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, rattanplatform.MaxValueSize))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return reply{err: errors.WithType(err, rattanplatform.ErrTooLarge)}
+	case err != nil:
+		return reply{err: errors.WithType(err, errBody)}
+	}
+	revision, err := p.store.put(r.PathValue("key"), value, ifRevision, lease)
+	return reply{rattanplatform.Written{Revision: revision}, err}
+}
+
+func (p *Platform) serveDelete(_ http.ResponseWriter, r *http.Request) reply {
+	ifRevision, err := number(r.URL.Query(), "IfRevision", rattanplatform.AnyRevision)
+	if err != nil {
+		return reply{err: err}
+	}
+	revision, err := p.store.remove(r.PathValue("key"), ifRevision)
+	return reply{rattanplatform.Written{Revision: revision}, err}
+}
+
+func (p *Platform) serveWatch(_ http.ResponseWriter, r *http.Request) reply {
+	query := r.URL.Query()
+	after, err := number(query, "AfterRevision", 0)
+	if err != nil {
+		return reply{err: err}
+	}
+	wait, err := time.ParseDuration(query.Get("Wait"))
+	if query.Has("Wait") && (err != nil || wait < 0 || wait > rattanplatform.MaxWatchWait) {
+		return reply{err: errors.WithType(errors.Errorf("Wait: %q, want 0s to %v", query.Get("Wait"), rattanplatform.MaxWatchWait), errQuery)}
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		faults, switched := p.currentFaults()
+		if faults.Outage == OutageUnavailable || faults.Outage == OutageClosed {
+			return reply{err: errors.WithType(errors.New("outage"), rattanplatform.ErrUnavailable)}
+		}
+		changes, changed := p.store.changes(r.PathValue("prefix"), after)
+		if len(changes.Entries) > 0 && faults.Outage == OutageNone {
+			return reply{body: changes}
+		}
+		select {
+		case <-changed:
+		case <-switched:
+		case <-timer.C:
+			return reply{body: changes}
+		case <-r.Context().Done():
+			return reply{body: changes}
+		}
+	}
+}
+
+func (p *Platform) serveGrant(w http.ResponseWriter, r *http.Request) reply {
+	var wanted rattanplatform.Lease
+	if err := readJSON(w, r, &wanted); err != nil {
+		return reply{err: err}
+	}
+	if wanted.Duration <= 0 || wanted.Duration.Std() > MaxLeaseDuration {
+		return reply{err: errors.WithType(errors.Errorf("Duration: %v, want more than 0s and at most %v", wanted.Duration, MaxLeaseDuration), errBody)}
+	}
+	return reply{body: p.store.grant(time.Now(), wanted.Duration.Std())}
+}
+
+func (p *Platform) serveRenew(_ http.ResponseWriter, r *http.Request) reply {
+	id, err := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	if err != nil {
+		return reply{err: errors.WithType(err, rattanplatform.ErrNotFound)}
+	}
+	lease, err := p.store.renew(time.Now(), id)
+	return reply{lease, err}
+}
+
+func (p *Platform) serveInstances(http.ResponseWriter, *http.Request) reply {
+	lag := p.options.InstanceListLag + p.Faults().InstanceListLag
+	return reply{body: p.instances.at(time.Now(), lag.Std())}
+}
+
+func (p *Platform) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, p.Counts())
+}
+
+func (p *Platform) serveResetCounts(w http.ResponseWriter, _ *http.Request) {
+	p.ResetCounts()
+	answer(w, http.StatusOK, p.Counts())
+}
+
+func (p *Platform) serveFaults(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, p.Faults())
+}
+
+func (p *Platform) serveSetFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := readJSON(w, r, &faults); err != nil {
+		answer(w, http.StatusBadRequest, failure{Error: err.Error()})
+		return
+	}
+	p.SetFaults(faults)
+	answer(w, http.StatusOK, faults)
+}
+
+func (p *Platform) serveChangeInstances(w http.ResponseWriter, r *http.Request) {
+	var change InstanceChange
+	if err := readJSON(w, r, &change); err != nil {
+		answer(w, http.StatusBadRequest, failure{Error: err.Error()})
+		return
+	}
+	p.ChangeInstances(change)
+	answer(w, http.StatusOK, change)
+}
+
+// readJSON reads a control body; unknown fields are errors.
+func readJSON(w http.ResponseWriter, r *http.Request, target any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControlSize))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return errors.WithType(err, errBody)
+	}
+	return nil
+}
+
+func number(query url.Values, name string, missing int64) (int64, error) {
+	if !query.Has(name) {
+		return missing, nil
+	}
+	value, err := strconv.ParseInt(query.Get(name), 10, 64)
+	if err != nil {
+		return 0, errors.WithType(errors.Errorf("%s: %q", name, query.Get(name)), errQuery)
+	}
+	return value, nil
+}
--- /dev/null
+++ b/rattanstandin/startlog.go
@@ -0,0 +1,129 @@
+package rattanstandin
+
+import (
+	"hash/maphash"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// startLogShards reduces contention between targets that share a log.
+const startLogShards = 64
+
+// maxDoubleIDs bounds the IDs that Doubles returns.
+const maxDoubleIDs = 1000
+
+// Start is one start of a task.
+type Start struct {
+	Target string
+	// Incarnation counts the processes of the target from 1.
+	Incarnation int
+	At          time.Time
+}
+
+// StartLog records every start of every task, by task ID. It outlives the
+// targets' processes and grows with the number of tasks until Reset.
+type StartLog struct {
+	starts  atomic.Uint64
+	doubles atomic.Uint64
+	seed    maphash.Seed
+	shards  [startLogShards]startShard
+
+	mu        sync.Mutex
+	doubleIDs []string
+}
+
+type startShard struct {
+	mu    sync.Mutex
+	first map[string]Start
+	// again has the further starts of tasks that were started twice.
+	again map[string][]Start
+}
+
+// NewStartLog returns an empty log.
+func NewStartLog() *StartLog {
+	log := &StartLog{seed: maphash.MakeSeed()}
+	log.Reset()
+	return log
+}
+
+// DoubleStarts returns the number of starts of tasks that had been started
+// before, at any target.
+func (l *StartLog) DoubleStarts() uint64 { return l.doubles.Load() }
+
+// Doubles returns the IDs of tasks that were started more than once, at most
+// the first 1,000.
+func (l *StartLog) Doubles() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.doubleIDs)
+}
+
+// Reset empties the log.
+func (l *StartLog) Reset() {
+	for i := range l.shards {
+		shard := &l.shards[i]
+		shard.mu.Lock()
+		shard.first = map[string]Start{}
+		shard.again = map[string][]Start{}
+		shard.mu.Unlock()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.doubleIDs = nil
+	l.starts.Store(0)
+	l.doubles.Store(0)
+}
+
+// Starts returns the number of starts.
+func (l *StartLog) Starts() uint64 { return l.starts.Load() }
+
+// Times returns the starts of a task in order.
+func (l *StartLog) Times(id string) []Start {
+	shard := l.shard(id)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	first, ok := shard.first[id]
+	if !ok {
+		return nil
+	}
+	return append([]Start{first}, shard.again[id]...)
+}
+
+// record adds a start.
+func (l *StartLog) record(id string, start Start) {
+	l.starts.Add(1)
+	shard := l.shard(id)
+	shard.mu.Lock()
+	_, double := shard.first[id]
+	if double {
+		shard.again[id] = append(shard.again[id], start)
+	} else {
+		shard.first[id] = start
+	}
+	shard.mu.Unlock()
+	if double {
+		l.recordDouble(id)
+	}
+}
+
+func (l *StartLog) recordDouble(id string) {
+	l.doubles.Add(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.doubleIDs) < maxDoubleIDs && !slices.Contains(l.doubleIDs, id) {
+		l.doubleIDs = append(l.doubleIDs, id)
+	}
+}
+
+// startedBy reports whether one process of a target has started the task.
+func (l *StartLog) startedBy(id, target string, incarnation int) bool {
+	return slices.ContainsFunc(l.Times(id), func(start Start) bool {
+		return start.Target == target && start.Incarnation == incarnation
+	})
+}
+
+func (l *StartLog) shard(id string) *startShard {
+	return &l.shards[maphash.String(l.seed, id)%startLogShards]
+}
--- /dev/null
+++ b/rattanstandin/targethttp.go
@@ -0,0 +1,111 @@
+package rattanstandin
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rattanlever/rattanlever/rattantarget"
+)
+
+// maxDispatchSize bounds the body of a dispatch.
+const maxDispatchSize = 4 << 20
+
+// quietLog drops the HTTP server's lines about broken connections, which are
+// expected here.
+var quietLog = log.New(io.Discard, "", 0)
+
+var buffers = sync.Pool{New: func() any { return &bytes.Buffer{} }}
+
+func serveUntilClosed(server *http.Server, listener net.Listener, served chan<- struct{}) {
+	_ = server.Serve(listener)
+	close(served)
+}
+
+// serve answers the task interface.
+func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	id, named := strings.CutPrefix(r.URL.Path, "/v1/tasks/")
+	switch {
+	case r.Method == http.MethodPost && r.URL.Path == "/v1/tasks":
+		t.servePost(w, r)
+	case r.Method == http.MethodGet && named:
+		answer(w, http.StatusOK, t.inspect(time.Now(), id))
+	case r.Method == http.MethodDelete && named:
+		answer(w, http.StatusOK, t.stop(time.Now(), id))
+	case r.Method == http.MethodGet && r.URL.Path == "/v1/usage":
+		answer(w, http.StatusOK, t.report(time.Now()))
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (t *Target) servePost(w http.ResponseWriter, r *http.Request) {
+	dispatch, err := readDispatch(w, r)
+	if err != nil {
+		answer(w, http.StatusBadRequest, rattantarget.Rejection{NotStarted: true, Reason: err.Error()})
+		return
+	}
+	task, rejection := t.dispatch(time.Now(), dispatch)
+	switch {
+	case rejection != nil && !rejection.NotStarted:
+		answer(w, http.StatusInternalServerError, rejection)
+		return
+	case rejection != nil:
+		answer(w, http.StatusTooManyRequests, rejection)
+		return
+	}
+	select {
+	case <-task.done:
+		t.answerTask(w, task)
+	case <-r.Context().Done():
+	}
+}
+
+// answerTask answers the dispatch of a task that has ended; an ended task no
+// longer changes.
+func (t *Target) answerTask(w http.ResponseWriter, ended *task) {
+	switch {
+	case !ended.started:
+		answer(w, http.StatusServiceUnavailable, rattantarget.Rejection{NotStarted: true, Reason: ended.reason})
+	case ended.failed:
+		answer(w, http.StatusInternalServerError, rattantarget.Rejection{Reason: ended.reason})
+	default:
+		answer(w, http.StatusOK, rattantarget.Result{ID: ended.id, Payload: ended.payload})
+	}
+}
+
+func readDispatch(w http.ResponseWriter, r *http.Request) (*rattantarget.Dispatch, error) {
+	buffer, _ := buffers.Get().(*bytes.Buffer)
+	defer buffers.Put(buffer)
+	buffer.Reset()
+	if _, err := buffer.ReadFrom(http.MaxBytesReader(w, r.Body, maxDispatchSize)); err != nil {
+		return nil, err
+	}
+	dispatch := &rattantarget.Dispatch{}
+	return dispatch, json.Unmarshal(buffer.Bytes(), dispatch)
+}
+
+// answer writes a JSON body.
+func answer(w http.ResponseWriter, status int, body any) {
+	buffer, _ := buffers.Get().(*bytes.Buffer)
+	defer buffers.Put(buffer)
+	buffer.Reset()
+	if err := json.NewEncoder(buffer).Encode(body); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	header := w.Header()
+	header["Content-Type"] = contentType
+	header["Content-Length"] = []string{strconv.Itoa(buffer.Len())}
+	w.WriteHeader(status)
+	_, _ = w.Write(buffer.Bytes())
+}
+
+var contentType = []string{"application/json"}
