rattanmember: add the membership table

A table decides who is alive, who owns a pool and whether an epoch of this home is valid. Every method first fences the epochs that have lapsed, so an acknowledgement that arrives after a pause cannot revive one. A witness starts to acknowledge an epoch only while the epoch is young, which lets it forget old votes safely. The number of witnesses is even: an odd one would raise the majority without surviving one failure more.

Ended takes the epoch and the witnesses of the key besides the votes, and Roll returns the events that the caller must act on.

--- /dev/null
+++ b/rattanmember/gossip.go
@@ -0,0 +1,365 @@
+package rattanmember
+
+import (
+	"math/bits"
+	"slices"
+	"time"
+)
+
+// Bounds of names in messages, and of what is kept.
+const (
+	maxNameSize    = 64
+	maxAddressSize = 128
+	forgetInterval = 10 * time.Second
+)
+
+// entry is what this table keeps of another member.
+type entry struct {
+	member Member
+	// learnedAt is when the age of the member's epoch was as in member.
+	learnedAt time.Time
+	// heardAt is when the member itself was last heard from.
+	heardAt time.Time
+	// changedAt is when the status last changed.
+	changedAt time.Time
+	// awaitingSince is when the first unanswered heartbeat was sent.
+	awaitingSince time.Time
+	probed        bool
+	proof         Proof
+	// transmissions is the number of messages that still carry the change.
+	transmissions int
+	queued        bool
+}
+
+// takeIn merges a message's sender and changes. It returns false when the sender
+// is an incarnation that has ended.
+func (t *Table) takeIn(now time.Time, from Member, changes []Member, payload []byte) bool {
+	if len(payload) > t.config.MaxPayload || len(changes) > 2*t.config.MaxChanges {
+		t.counters.Malformed++
+		return false
+	}
+	for _, change := range changes {
+		t.merge(now, change)
+	}
+	if from.Incarnation.Instance == t.self.Incarnation.Instance {
+		t.mergeSelf(now, from)
+		return false
+	}
+	t.merge(now, from)
+	known := t.entries[from.Incarnation.Instance]
+	if known == nil || known.member.Incarnation != from.Incarnation {
+		return false
+	}
+	if known.member.Status == StatusDead {
+		t.counters.Contradictions++
+		return false
+	}
+	known.heardAt = now
+	known.awaitingSince = time.Time{}
+	if known.member.Version == from.Version {
+		known.member.Epoch = from.Epoch
+		known.learnedAt = now
+	}
+	return true
+}
+
+// merge applies what is said of a member, if it is later than what is known. A
+// later incarnation wins over an earlier one, death over everything else of the
+// same incarnation, a higher version over a lower one, and suspicion over any
+// other status of the same version.
+func (t *Table) merge(now time.Time, said Member) {
+	if !wellFormed(said, t.config.MaxWitnesses) {
+		t.counters.Malformed++
+		return
+	}
+	if said.Incarnation.Instance == t.self.Incarnation.Instance {
+		t.mergeSelf(now, said)
+		return
+	}
+	known := t.entries[said.Incarnation.Instance]
+	if known == nil {
+		known = t.add(now, said)
+		t.spread(known)
+		return
+	}
+	if !supersedes(said, known.member) {
+		return
+	}
+	if said.Incarnation != known.member.Incarnation {
+		*known = entry{queued: known.queued, probed: known.probed}
+	}
+	t.set(now, known, said)
+	t.spread(known)
+}
+
+func supersedes(said, known Member) bool {
+	switch {
+	case said.Incarnation.Number != known.Incarnation.Number:
+		return said.Incarnation.Number > known.Incarnation.Number
+	case known.Status == StatusDead:
+		return false
+	case said.Status == StatusDead:
+		return true
+	case said.Version != known.Version:
+		return said.Version > known.Version
+	}
+	return said.Status == StatusSuspect && known.Status != StatusSuspect
+}
+
+// mergeSelf refutes a suspicion of this member, and notices that the others take
+// it for dead.
+func (t *Table) mergeSelf(now time.Time, said Member) {
+	switch {
+	case said.Incarnation.Number < t.self.Incarnation.Number:
+	case said.Incarnation.Number > t.self.Incarnation.Number || said.Status == StatusDead:
+		t.supersede(now)
+	case said.Status == StatusSuspect && said.Version >= t.self.Version:
+		t.self.Version = said.Version + 1
+		t.counters.Refutations++
+	}
+}
+
+func (t *Table) add(now time.Time, said Member) *entry {
+	name := said.Incarnation.Instance
+	known := &entry{}
+	t.entries[name] = known
+	t.set(now, known, said)
+	t.order = append(t.order, name)
+	if last, at := len(t.order)-1, t.nextOrder; at < last {
+		at += t.config.Random.IntN(last - at + 1)
+		t.order[at], t.order[last] = t.order[last], t.order[at]
+	}
+	return known
+}
+
+func (t *Table) set(now time.Time, known *entry, said Member) {
+	known.member = said
+	known.learnedAt = now
+	known.changedAt = now
+	if said.Status == StatusDead {
+		known.proof = ProofReported
+		t.counters.Deaths++
+	}
+	clear(t.owners)
+}
+
+func (t *Table) suspect(now time.Time, known *entry) {
+	if known.member.Status == StatusSuspect || known.member.Status == StatusDead {
+		return
+	}
+	known.member.Status = StatusSuspect
+	known.changedAt = now
+	t.counters.Suspicions++
+	clear(t.owners)
+	t.spread(known)
+}
+
+func (t *Table) bury(now time.Time, known *entry, proof Proof) {
+	known.member.Status = StatusDead
+	known.member.Epoch.Witnesses = nil
+	known.proof = proof
+	known.changedAt = now
+	t.counters.Deaths++
+	clear(t.owners)
+	t.spread(known)
+}
+
+// spread queues a member for the next messages. The number of transmissions
+// grows with the logarithm of the fleet, so that a change reaches everyone.
+func (t *Table) spread(known *entry) {
+	known.transmissions = 3 * bits.Len(uint(len(t.entries)+1))
+	if known.queued {
+		return
+	}
+	known.queued = true
+	t.changed = append(t.changed, known.member.Incarnation.Instance)
+}
+
+// changesFor returns at most MaxChanges members for a message: the receiver
+// itself if it is not taken for alive, then recent changes, then up to refresh
+// others in turn.
+func (t *Table) changesFor(now time.Time, receiver string, refresh int) []Member {
+	var changes []Member
+	add := func(known *entry) {
+		changes = append(changes, known.member.at(now.Sub(known.learnedAt)))
+	}
+	if known := t.entries[receiver]; known != nil && (known.member.Status == StatusSuspect || known.member.Status == StatusDead) {
+		add(known)
+	}
+	for range len(t.changed) {
+		if len(changes) >= t.config.MaxChanges {
+			return changes
+		}
+		name := t.changed[0]
+		t.changed = t.changed[1:]
+		known := t.entries[name]
+		if known == nil {
+			continue
+		}
+		known.transmissions--
+		known.queued = known.transmissions > 0
+		if known.queued {
+			t.changed = append(t.changed, name)
+		}
+		if name != receiver {
+			add(known)
+		}
+	}
+	for range min(refresh, t.config.MaxChanges-len(changes), len(t.order)) {
+		t.refresh = (t.refresh + 1) % len(t.order)
+		if name := t.order[t.refresh]; name != receiver {
+			add(t.entries[name])
+		}
+	}
+	return changes
+}
+
+// witnesses appends the witnesses of all epochs of this home.
+func (t *Table) witnesses(receivers []Member) []Member {
+	for _, epoch := range t.epochs {
+		for _, witness := range epoch.witnesses {
+			known := t.entries[witness.Instance]
+			if known != nil && known.member.Incarnation == witness && known.member.Status != StatusDead {
+				receivers = appendReceiver(receivers, known.member)
+			}
+		}
+	}
+	return receivers
+}
+
+// probed appends the members that have not answered yet.
+func (t *Table) probed(receivers []Member) []Member {
+	for _, name := range t.probes {
+		receivers = appendReceiver(receivers, t.entries[name].member)
+	}
+	return receivers
+}
+
+// randomPeer appends one member or seed. Every member has its turn once in each
+// shuffled round, which bounds the time until a failure is noticed.
+func (t *Table) randomPeer(receivers []Member) []Member {
+	seeds := t.unknownSeeds()
+	if choice := t.config.Random.IntN(len(t.order) + len(seeds) + 1); choice < len(seeds) {
+		return appendReceiver(receivers, seeds[choice])
+	}
+	for range len(t.order) {
+		if t.nextOrder >= len(t.order) {
+			t.shuffle()
+		}
+		known := t.entries[t.order[t.nextOrder]]
+		t.nextOrder++
+		if known.member.Status != StatusDead {
+			return appendReceiver(receivers, known.member)
+		}
+	}
+	if len(seeds) > 0 {
+		return appendReceiver(receivers, seeds[t.config.Random.IntN(len(seeds))])
+	}
+	return receivers
+}
+
+func (t *Table) unknownSeeds() []Member {
+	var seeds []Member
+	for _, seed := range t.config.Seeds {
+		known := t.entries[seed.Incarnation.Instance]
+		unknown := known == nil || known.member.Status == StatusDead
+		if unknown && seed.Incarnation.Instance != t.self.Incarnation.Instance {
+			seed.Incarnation.Number = 0
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds
+}
+
+func (t *Table) shuffle() {
+	t.nextOrder = 0
+	for i := len(t.order) - 1; i > 0; i-- {
+		j := t.config.Random.IntN(i + 1)
+		t.order[i], t.order[j] = t.order[j], t.order[i]
+	}
+}
+
+// probe sends heartbeats to a member at every interval until it answers or is
+// suspected.
+func (t *Table) probe(known *entry) {
+	if known.probed || known.member.Status != StatusAlive {
+		return
+	}
+	known.probed = true
+	t.probes = append(t.probes, known.member.Incarnation.Instance)
+}
+
+// suspectSilent suspects the members that have not answered two heartbeats and
+// stops to probe those that have.
+func (t *Table) suspectSilent(now time.Time) {
+	t.probes = slices.DeleteFunc(t.probes, func(name string) bool {
+		known := t.entries[name]
+		if known == nil {
+			return true
+		}
+		waiting := !known.awaitingSince.IsZero()
+		if waiting && now.Sub(known.awaitingSince) >= t.suspectAfter() {
+			t.suspect(now, known)
+		}
+		sent := waiting || now.Sub(known.heardAt) >= 2*t.config.HeartbeatInterval
+		known.probed = sent && known.member.Status == StatusAlive
+		return !known.probed
+	})
+}
+
+func (t *Table) suspectAfter() time.Duration {
+	return 2*t.config.HeartbeatInterval + t.config.HeartbeatInterval/2
+}
+
+// noticePause forgives missing answers after a pause of this member itself.
+func (t *Table) noticePause(now time.Time) {
+	if now.Sub(t.lastTick) >= t.config.TenureDuration {
+		t.counters.Pauses++
+		t.resumedAt = now
+		for _, known := range t.entries {
+			known.awaitingSince = time.Time{}
+		}
+	}
+	t.lastTick = now
+}
+
+// forget drops members that have been dead or silent for ForgetAfter.
+func (t *Table) forget(now time.Time) {
+	if now.Before(t.nextForget) {
+		return
+	}
+	t.nextForget = now.Add(forgetInterval)
+	t.forgetGrants(now)
+	for name, known := range t.entries {
+		gone := known.member.Status == StatusDead || known.member.Status == StatusSuspect
+		if !gone || now.Sub(known.changedAt) < t.config.ForgetAfter {
+			continue
+		}
+		delete(t.entries, name)
+		t.order = removeName(t.order, name)
+		t.probes = removeName(t.probes, name)
+		t.changed = removeName(t.changed, name)
+	}
+}
+
+func appendReceiver(receivers []Member, receiver Member) []Member {
+	for _, other := range receivers {
+		if other.Incarnation.Instance == receiver.Incarnation.Instance {
+			return receivers
+		}
+	}
+	return append(receivers, receiver)
+}
+
+func wellFormed(said Member, maxWitnesses int) bool {
+	name := said.Incarnation.Instance
+	switch {
+	case name == "" || len(name) > maxNameSize || said.Incarnation.Number == 0:
+		return false
+	case len(said.AvailabilityZone) > maxNameSize || len(said.PeerAddress) > maxAddressSize:
+		return false
+	case said.Status < StatusAlive || said.Status > StatusDead || said.Claim < 0:
+		return false
+	}
+	return len(said.Epoch.Witnesses) <= maxWitnesses
+}
--- a/rattanmember/member.go
+++ b/rattanmember/member.go
@@ -14,7 +14,8 @@
 // Status is what a member believes of another.
 type Status int
 
-// The statuses of a member.
+// The statuses of a member. Only StatusDead is a proof, and it is final for an
+// incarnation; a suspect may be alive behind a partition.
 const (
 	StatusAlive Status = iota
 	StatusSuspect
@@ -28,9 +29,12 @@
 	AvailabilityZone string
 	// PeerAddress is host:port of the instance's drpc listener.
 	PeerAddress string
-	Status      Status
-	// Epoch is the current epoch of the member; keys are issued for it.
-	Epoch Epoch
+	Status      Status `json:",omitempty"`
+	// Epoch is the current epoch of the member; keys are issued for it. It is
+	// zero when the member is not a home.
+	Epoch Epoch `json:",omitzero"`
+	// Claim is the number of the owned pool plus 1, or 0 for none.
+	Claim int `json:",omitempty"`
 	// Version rises with each change that the member itself reports.
 	Version uint64
 }
@@ -38,8 +42,25 @@
 // Epoch is a period of authority as it is announced to others.
 type Epoch struct {
 	ID        rattanjob.EpochID
-	Witnesses []rattanjob.Incarnation
+	Witnesses []rattanjob.Incarnation `json:",omitempty"`
 	// Age is the time since the epoch started, on the home's clock, when the
 	// message was made. Receivers extrapolate from the time of arrival.
 	Age time.Duration
 }
+
+// senior reports whether m has the right to a pool before other.
+func (m *Member) senior(other *Member) bool {
+	if m.Incarnation.Number != other.Incarnation.Number {
+		return m.Incarnation.Number < other.Incarnation.Number
+	}
+	return m.Incarnation.Instance < other.Incarnation.Instance
+}
+
+// at returns the member with the age of its epoch advanced by the time since
+// the member was learned.
+func (m Member) at(elapsed time.Duration) Member {
+	if m.Epoch.ID.Number != 0 {
+		m.Epoch.Age += elapsed
+	}
+	return m
+}
--- /dev/null
+++ b/rattanmember/table.go
@@ -0,0 +1,450 @@
+package rattanmember
+
+import (
+	"time"
+
+	"github.com/rattanlever/rattanlever/rattanjob"
+)
+
+// Default values of a Config.
+const (
+	DefaultHeartbeatInterval = 500 * time.Millisecond
+	DefaultGossipInterval    = time.Second
+	DefaultTenureDuration    = 1200 * time.Millisecond
+	// DefaultVerdictMargin covers clocks whose rates differ by less than 10%.
+	DefaultVerdictMargin = 300 * time.Millisecond
+	// DefaultDrainDuration covers the lifetime of a key, the longest deadline
+	// and the retention of the record.
+	DefaultDrainDuration  = 21 * time.Minute
+	DefaultJoinDuration   = 2 * time.Second
+	DefaultGrowthInterval = 10 * time.Second
+	DefaultForgetAfter    = time.Hour
+	DefaultListLag        = 10 * time.Minute
+	DefaultMaxWitnesses   = 4
+	DefaultMaxChanges     = 8
+	DefaultMaxPayload     = 4096
+	DefaultMaxEpochs      = 16
+	DefaultMaxGrants      = 4096
+)
+
+// refreshChanges is the number of unchanged members in a random heartbeat. They
+// let members converge that missed a change.
+const refreshChanges = 4
+
+// Random is the source of random choices, such as *rand.Rand of math/rand/v2.
+type Random interface {
+	IntN(n int) int
+}
+
+// Config holds the identity of a member, its timings and its bounds. Zero
+// values are replaced by the defaults, except for Self, Seeds, Pools and Random.
+type Config struct {
+	// Self has an incarnation, an availability zone and a peer address.
+	Self Member
+	// Seeds are instances to contact first. Their incarnation number is 0.
+	Seeds []Member
+	// Pools is the number of pools of the own availability zone; see SetPools.
+	Pools             int
+	Random            Random
+	HeartbeatInterval time.Duration
+	GossipInterval    time.Duration
+	// TenureDuration is the time for which an acknowledgement supports an
+	// epoch, from when the heartbeat was sent.
+	TenureDuration time.Duration
+	// VerdictMargin is the time by which a witness waits longer than
+	// TenureDuration before it votes.
+	VerdictMargin time.Duration
+	// DrainDuration is the time after a rollover for which the old epoch is kept.
+	DrainDuration time.Duration
+	// JoinDuration is the time after the start before a member with seeds
+	// claims a pool.
+	JoinDuration time.Duration
+	// GrowthInterval is the shortest time between rollovers that only gain
+	// witnesses.
+	GrowthInterval time.Duration
+	// ForgetAfter is the time for which a dead or silent member is remembered.
+	ForgetAfter time.Duration
+	// ListLag is the longest time until a started instance is in the list.
+	ListLag time.Duration
+	// MaxWitnesses is at most 4, the limit of a key.
+	MaxWitnesses int
+	// MaxChanges bounds the members in one message.
+	MaxChanges int
+	MaxPayload int
+	// MaxEpochs bounds the epochs that are open at the same time through
+	// rollovers.
+	MaxEpochs int
+	// MaxGrants bounds the epochs of other homes that are remembered.
+	MaxGrants int
+}
+
+// Counters are totals since the start, except for the last four.
+type Counters struct {
+	EpochsOpened uint64
+	EpochsFenced uint64
+	// EpochsAbandoned counts epochs that never became valid.
+	EpochsAbandoned uint64
+	VotesEnded      uint64
+	Suspicions      uint64
+	Refutations     uint64
+	Deaths          uint64
+	Pauses          uint64
+	// Contradictions counts messages from incarnations that are proved dead.
+	Contradictions uint64
+	// Malformed counts members and payloads in messages that break a bound.
+	Malformed uint64
+
+	Members int
+	Alive   int
+	Epochs  int
+	Grants  int
+}
+
+// Table is one member's view of the others, and its own epochs. It is not safe
+// for concurrent use.
+type Table struct {
+	config Config
+	self   Member
+	// superseded is set when the others take this incarnation for dead.
+	superseded bool
+	startedAt  time.Time
+	payload    []byte
+	pools      int
+
+	entries map[string]*entry
+	// order holds the names in the order in which they are contacted next.
+	order     []string
+	nextOrder int
+	// changed holds the names with transmissions left.
+	changed []string
+	refresh int
+	// probes holds members that have not answered yet.
+	probes []string
+
+	epochs     []*homeEpoch
+	lastNumber uint32
+	lastOpened time.Time
+	grants     map[rattanjob.EpochID]*grant
+	list       instanceList
+	events     []Event
+
+	lastTick      time.Time
+	resumedAt     time.Time
+	nextHeartbeat time.Time
+	nextGossip    time.Time
+	nextForget    time.Time
+	owners        map[ownerKey]ownerValue
+	counters      Counters
+}
+
+// New returns a table that knows only itself and its seeds.
+func New(now time.Time, config Config) *Table {
+	config.setDefaults()
+	t := &Table{
+		config:        config,
+		self:          config.Self,
+		startedAt:     now,
+		pools:         config.Pools,
+		entries:       map[string]*entry{},
+		grants:        map[rattanjob.EpochID]*grant{},
+		lastTick:      now,
+		resumedAt:     now.Add(-config.TenureDuration),
+		nextHeartbeat: now,
+		nextGossip:    now,
+		nextForget:    now.Add(forgetInterval),
+		owners:        map[ownerKey]ownerValue{},
+	}
+	t.self.Status = StatusAlive
+	t.self.Version = 1
+	t.self.Claim = 0
+	t.self.Epoch = Epoch{}
+	return t
+}
+
+// Self returns the member itself as it is announced to others.
+func (t *Table) Self(now time.Time) Member {
+	self := t.self
+	if current := t.inPhase(phaseCurrent); current != nil {
+		self.Epoch = current.announced(now)
+	}
+	return self
+}
+
+// Members returns all known members except for Self.
+func (t *Table) Members(now time.Time) []Member {
+	members := make([]Member, 0, len(t.entries))
+	for _, known := range t.entries {
+		members = append(members, known.member.at(now.Sub(known.learnedAt)))
+	}
+	return members
+}
+
+// Member returns a member by the name of its instance.
+func (t *Table) Member(now time.Time, instance string) (Member, bool) {
+	if instance == t.self.Incarnation.Instance {
+		return t.Self(now), true
+	}
+	known := t.entries[instance]
+	if known == nil {
+		return Member{}, false
+	}
+	return known.member.at(now.Sub(known.learnedAt)), true
+}
+
+// SetPayload replaces the payload of later messages. A payload of more than
+// MaxPayload bytes is counted as malformed and ignored.
+func (t *Table) SetPayload(payload []byte) {
+	if len(payload) > t.config.MaxPayload {
+		t.counters.Malformed++
+		return
+	}
+	t.payload = payload
+}
+
+// SetPools sets the number of pools of the own availability zone. The member is
+// a home when it owns one of them.
+func (t *Table) SetPools(pools int) {
+	t.pools = pools
+}
+
+// Counters returns the present values of the counters.
+func (t *Table) Counters() Counters {
+	counters := t.counters
+	counters.Members = len(t.entries)
+	counters.Epochs = len(t.epochs)
+	counters.Grants = len(t.grants)
+	for _, known := range t.entries {
+		if known.member.Status == StatusAlive {
+			counters.Alive++
+		}
+	}
+	return counters
+}
+
+// Heartbeats returns the heartbeats that are due. It is called several times
+// per HeartbeatInterval; the caller keeps now as the time of sending.
+func (t *Table) Heartbeats(now time.Time) []Outgoing {
+	t.advance(now)
+	t.noticePause(now)
+	t.watchHomes(now)
+	t.suspectSilent(now)
+	t.forget(now)
+	if t.superseded {
+		return nil
+	}
+	var receivers []Member
+	if !now.Before(t.nextHeartbeat) {
+		t.nextHeartbeat = now.Add(t.config.HeartbeatInterval)
+		receivers = t.witnesses(receivers)
+		receivers = t.probed(receivers)
+	}
+	gossipFrom := len(receivers)
+	if !now.Before(t.nextGossip) {
+		t.nextGossip = now.Add(t.config.GossipInterval)
+		receivers = t.randomPeer(receivers)
+	}
+	outgoing := make([]Outgoing, 0, len(receivers))
+	for i, receiver := range receivers {
+		refresh := 0
+		if i >= gossipFrom {
+			refresh = refreshChanges
+		}
+		outgoing = append(outgoing, t.heartbeat(now, receiver, refresh))
+	}
+	return outgoing
+}
+
+// HandleHeartbeat takes in a heartbeat and returns the reply.
+func (t *Table) HandleHeartbeat(now time.Time, heartbeat Heartbeat) Acknowledgement {
+	t.advance(now)
+	sender := heartbeat.From.Incarnation
+	current := t.takeIn(now, heartbeat.From, heartbeat.Changes, heartbeat.Payload)
+	reply := Acknowledgement{From: t.Self(now), To: sender, Payload: t.payload}
+	if current && heartbeat.To == t.self.Incarnation && !t.superseded {
+		t.acknowledge(now, sender, heartbeat.Tenures, &reply)
+	}
+	reply.Changes = t.changesFor(now, sender.Instance, refreshIf(len(heartbeat.Tenures) == 0))
+	return reply
+}
+
+// HandleAcknowledgement takes in the reply to a heartbeat that was sent at
+// sent, the time that was given to Heartbeats.
+func (t *Table) HandleAcknowledgement(now, sent time.Time, reply Acknowledgement) {
+	t.advance(now)
+	if reply.To != t.self.Incarnation || t.superseded {
+		return
+	}
+	if !t.takeIn(now, reply.From, reply.Changes, reply.Payload) {
+		return
+	}
+	for _, epoch := range t.epochs {
+		epoch.acknowledge(reply, sent)
+	}
+	t.promote(now)
+}
+
+// HandleUnreachable takes in that an incarnation did not answer. With refused,
+// its peer address refused the connection, which proves that it has ended. The
+// incarnation must be the one that was known before the connection was tried.
+func (t *Table) HandleUnreachable(now time.Time, incarnation rattanjob.Incarnation, refused bool) {
+	t.advance(now)
+	known := t.entries[incarnation.Instance]
+	if known == nil || known.member.Incarnation != incarnation || known.member.Status == StatusDead {
+		return
+	}
+	if refused {
+		t.bury(now, known, ProofRefused)
+		return
+	}
+	t.suspect(now, known)
+}
+
+// ObserveInstances takes in the platform's instance list.
+func (t *Table) ObserveInstances(now time.Time, list InstanceList) {
+	t.advance(now)
+	if list.Revision <= t.list.revision {
+		return
+	}
+	t.observe(now, list)
+}
+
+// EpochValid reports whether this member holds authority over the epoch. Once
+// it was false for an epoch that has opened, it stays false.
+func (t *Table) EpochValid(now time.Time, id rattanjob.EpochID) bool {
+	t.advance(now)
+	for _, epoch := range t.epochs {
+		if epoch.id == id {
+			return epoch.phase != phasePending
+		}
+	}
+	return false
+}
+
+// CurrentEpoch returns the epoch for which keys are issued, if this member is a
+// home with a valid one.
+func (t *Table) CurrentEpoch(now time.Time) (Epoch, bool) {
+	t.advance(now)
+	current := t.inPhase(phaseCurrent)
+	if current == nil {
+		return Epoch{}, false
+	}
+	return current.announced(now), true
+}
+
+// Roll opens, rolls over and drains epochs as needed and returns the events
+// since the last call. It is called at least as often as Heartbeats.
+func (t *Table) Roll(now time.Time) []Event {
+	t.advance(now)
+	if !t.superseded {
+		t.claim(now)
+		t.roll(now)
+	}
+	events := t.events
+	t.events = nil
+	return events
+}
+
+// Close ends a draining epoch before its drain time, when it has no records.
+func (t *Table) Close(now time.Time, id rattanjob.EpochID) {
+	t.advance(now)
+	for _, epoch := range t.epochs {
+		if epoch.id == id && epoch.phase == phaseDraining {
+			t.end(now, epoch, EventEpochClosed)
+			return
+		}
+	}
+}
+
+// Vote asks this member, as a witness, whether an epoch has ended. The
+// witnesses are those of the key.
+func (t *Table) Vote(now time.Time, id rattanjob.EpochID, witnesses []rattanjob.Incarnation) Vote {
+	t.advance(now)
+	vote := Vote{Witness: t.self.Incarnation, Epoch: id}
+	if proof := t.proof(now, id.Home); proof != ProofNone {
+		vote.Proof = proof
+		return vote
+	}
+	if t.superseded || !contains(witnesses, t.self.Incarnation) {
+		return vote
+	}
+	vote.Ended, vote.RetryAfter = t.vote(now, id)
+	return vote
+}
+
+// Proof returns a proof that an incarnation has ended, or ProofNone.
+func (t *Table) Proof(now time.Time, incarnation rattanjob.Incarnation) Proof {
+	t.advance(now)
+	return t.proof(now, incarnation)
+}
+
+// Ended reports whether an epoch has certainly ended: by a proof of this member
+// or of a voter, or by the votes of a majority of the epoch's voters, which are
+// its home and the witnesses of the key. Otherwise nothing is known.
+func (t *Table) Ended(now time.Time, id rattanjob.EpochID, witnesses []rattanjob.Incarnation, votes []Vote) bool {
+	t.advance(now)
+	if t.proof(now, id.Home) != ProofNone {
+		return true
+	}
+	return verdict(id, witnesses, votes)
+}
+
+// Leave announces that this member leaves. It gives up its pool, and its epochs
+// drain.
+func (t *Table) Leave(now time.Time) {
+	t.advance(now)
+	if t.self.Status == StatusLeaving {
+		return
+	}
+	t.self.Status = StatusLeaving
+	t.setClaim(now, 0)
+}
+
+func (t *Table) heartbeat(now time.Time, receiver Member, refresh int) Outgoing {
+	if known := t.entries[receiver.Incarnation.Instance]; known != nil && known.awaitingSince.IsZero() {
+		known.awaitingSince = now
+		t.probe(known)
+	}
+	message := Heartbeat{
+		From:    t.Self(now),
+		To:      receiver.Incarnation,
+		Payload: t.payload,
+		Changes: t.changesFor(now, receiver.Incarnation.Instance, refresh),
+	}
+	for _, epoch := range t.epochs {
+		if contains(epoch.witnesses, receiver.Incarnation) {
+			message.Tenures = append(message.Tenures, Tenure{ID: epoch.id, Age: now.Sub(epoch.start)})
+		}
+	}
+	return Outgoing{To: receiver, Heartbeat: message}
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.HeartbeatInterval, DefaultHeartbeatInterval)
+	setDefault(&c.GossipInterval, DefaultGossipInterval)
+	setDefault(&c.TenureDuration, DefaultTenureDuration)
+	setDefault(&c.VerdictMargin, DefaultVerdictMargin)
+	setDefault(&c.DrainDuration, DefaultDrainDuration)
+	setDefault(&c.JoinDuration, DefaultJoinDuration)
+	setDefault(&c.GrowthInterval, DefaultGrowthInterval)
+	setDefault(&c.ForgetAfter, DefaultForgetAfter)
+	setDefault(&c.ListLag, DefaultListLag)
+	setDefault(&c.MaxWitnesses, DefaultMaxWitnesses)
+	setDefault(&c.MaxChanges, DefaultMaxChanges)
+	setDefault(&c.MaxPayload, DefaultMaxPayload)
+	setDefault(&c.MaxEpochs, DefaultMaxEpochs)
+	setDefault(&c.MaxGrants, DefaultMaxGrants)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func refreshIf(wanted bool) int {
+	if wanted {
+		return refreshChanges
+	}
+	return 0
+}
