Report the line, column and path of the key in all errors of strict decoding

The former decoder left out the key for values whose own UnmarshalText fails and for elements of lists. The walk now decodes each value once.

--- a/rattanjson/decode.go
+++ b/rattanjson/decode.go
@@ -2,9 +2,10 @@
 
 import (
 	"bytes"
+	"encoding"
 	"encoding/json"
-	"io"
 	"reflect"
+	"strconv"
 	"strings"
 
 	"github.com/juju/errors"
@@ -17,175 +18,259 @@
 	ErrType       = errors.ConstError("wrong type")
 )
 
+var (
+	durationType        = reflect.TypeFor[Duration]()
+	jsonUnmarshalerType = reflect.TypeFor[json.Unmarshaler]()
+	textUnmarshalerType = reflect.TypeFor[encoding.TextUnmarshaler]()
+)
+
 // DecodeStrict decodes exactly one JSON value from data into target, a pointer
-// to a struct. Keys are matched by exact name; an unknown key is an error that
-// names the key and the nearest known one. The errors are ErrSyntax,
-// ErrUnknownKey and ErrType, or those of the fields' own UnmarshalText.
+// to a struct. Keys are matched by exact name, and values that data does not
+// have keep what target holds. The errors are ErrSyntax (also for a key that
+// stands twice), ErrUnknownKey with the nearest known key, ErrType, or those
+// of the fields' own UnmarshalText. Each error has the line and the column,
+// and the path of the key at fault.
 func DecodeStrict(data []byte, target any) error {
-	if err := checkKeys(data, reflect.TypeOf(target).Elem(), ""); err != nil {
+	if !json.Valid(data) {
+		return syntaxError(data)
+	}
+	strict := strictDecoder{data: data, decoder: json.NewDecoder(bytes.NewReader(data))}
+	return strict.value(reflect.ValueOf(target).Elem(), "")
+}
+
+// strictDecoder decodes data that is known to be valid JSON.
+type strictDecoder struct {
+	data    []byte
+	decoder *json.Decoder
+}
+
+func (d *strictDecoder) value(target reflect.Value, path string) error {
+	if isLeaf(target.Type()) {
+		return d.leaf(target, path)
+	}
+	if target.Kind() == reflect.Pointer {
+		if d.isNull() {
+			return d.decoder.Decode(target.Addr().Interface())
+		}
+		if target.IsNil() {
+			target.Set(reflect.New(target.Type().Elem()))
+		}
+		return d.value(target.Elem(), path)
+	}
+	offset := d.decoder.InputOffset()
+	token, err := d.decoder.Token()
+	if err != nil {
 		return errors.Trace(err)
 	}
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(target); err != nil {
-		return describe(data, err)
+	wanted := json.Delim('{')
+	if target.Kind() == reflect.Slice {
+		wanted = '['
 	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return errors.WithType(errors.New("more than one value"), ErrSyntax)
+	switch {
+	case token == nil:
+		return nil
+	case token != wanted:
+		return d.fault(offset, path, ErrType, "want "+want(target.Type())+", got "+got(token))
+	case target.Kind() == reflect.Slice:
+		return d.list(target, path)
+	default:
+		return d.object(target, path)
 	}
-	return nil
 }
 
-func describe(data []byte, err error) error {
-	var syntax *json.SyntaxError
-	if errors.As(err, &syntax) {
-		line, column := position(data, syntax.Offset)
-		return errors.WithType(errors.Errorf("line %d, column %d: %v", line, column, syntax), ErrSyntax)
+func (d *strictDecoder) leaf(target reflect.Value, path string) error {
+	offset := d.decoder.InputOffset()
+	err := d.decoder.Decode(target.Addr().Interface())
+	if err == nil {
+		return nil
 	}
 	var mismatch *json.UnmarshalTypeError
 	if errors.As(err, &mismatch) {
-		return errors.WithType(errors.Errorf("%s: want %s, got %s", mismatch.Field, mismatch.Type, mismatch.Value), ErrType)
-	}
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-		return errors.WithType(errors.New("unexpected end"), ErrSyntax)
+		return d.fault(offset, path, ErrType, "want "+want(target.Type())+", got "+mismatch.Value)
 	}
-	return errors.Trace(err)
-}
-
-func position(data []byte, offset int64) (line, column int) {
-	offset = min(offset, int64(len(data)))
-	before := data[:offset]
-	line = bytes.Count(before, []byte("\n")) + 1
-	column = len(before) - bytes.LastIndexByte(before, '\n')
-	return line, column
+	return errors.Annotatef(err, "%s: %s", d.place(offset), path)
 }
 
-// checkKeys walks objects and arrays of data along the type and reports the
-// first key that the type does not have, or that stands twice in one object.
-func checkKeys(data []byte, typ reflect.Type, path string) error {
-	for typ.Kind() == reflect.Pointer {
-		typ = typ.Elem()
-	}
-	trimmed := bytes.TrimSpace(data)
-	if len(trimmed) == 0 {
-		return nil
-	}
-	switch {
-	case trimmed[0] == '{' && typ.Kind() == reflect.Struct:
-		return checkObject(trimmed, path, func(key string) (reflect.Type, error) {
-			return fieldType(typ, key, path)
-		})
-	case trimmed[0] == '{' && typ.Kind() == reflect.Map:
-		return checkObject(trimmed, path, func(string) (reflect.Type, error) {
-			return typ.Elem(), nil
-		})
-	case trimmed[0] == '[' && typ.Kind() == reflect.Slice && typ.Elem().Kind() != reflect.Uint8:
-		return checkArray(trimmed, typ.Elem(), path)
+func (d *strictDecoder) list(target reflect.Value, path string) error {
+	target.Set(reflect.MakeSlice(target.Type(), 0, 0))
+	for i := 0; d.decoder.More(); i++ {
+		element := reflect.New(target.Type().Elem()).Elem()
+		if err := d.value(element, path+"["+strconv.Itoa(i)+"]"); err != nil {
+			return err
+		}
+		target.Set(reflect.Append(target, element))
 	}
-	return nil
+	_, err := d.decoder.Token()
+	return errors.Trace(err)
 }
 
-func checkObject(data []byte, path string, typeOf func(key string) (reflect.Type, error)) error {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	if _, err := decoder.Token(); err != nil {
-		return describe(data, err)
+func (d *strictDecoder) object(target reflect.Value, path string) error {
+	if target.Kind() == reflect.Map && target.IsNil() {
+		target.Set(reflect.MakeMap(target.Type()))
 	}
 	seen := map[string]bool{}
-	for decoder.More() {
-		token, err := decoder.Token()
+	for d.decoder.More() {
+		offset := d.decoder.InputOffset()
+		token, err := d.decoder.Token()
 		if err != nil {
-			return describe(data, err)
+			return errors.Trace(err)
 		}
 		key, _ := token.(string)
 		if seen[key] {
-			return errors.WithType(errors.Errorf("%s: key stands twice", join(path, key)), ErrSyntax)
+			return d.fault(offset, join(path, key), ErrSyntax, "key stands twice")
 		}
 		seen[key] = true
-		typ, err := typeOf(key)
-		if err != nil {
-			return err
-		}
-		var value json.RawMessage
-		if err := decoder.Decode(&value); err != nil {
-			return describe(data, err)
-		}
-		if err := checkKeys(value, typ, join(path, key)); err != nil {
+		if err := d.member(target, path, key, offset); err != nil {
 			return err
 		}
 	}
-	return nil
+	_, err := d.decoder.Token()
+	return errors.Trace(err)
 }
 
-func checkArray(data []byte, elem reflect.Type, path string) error {
-	if elem.Kind() != reflect.Struct {
-		return nil
+// member decodes the value of the key, whose own text starts at the offset.
+func (d *strictDecoder) member(target reflect.Value, path, key string, offset int64) error {
+	if target.Kind() == reflect.Map {
+		return d.entry(target, path, key)
 	}
-	var values []json.RawMessage
-	if err := json.Unmarshal(data, &values); err != nil {
-		return describe(data, err)
+	field, ok := target.Type().FieldByName(key)
+	if ok && isMember(field) {
+		return d.value(target.FieldByIndex(field.Index), join(path, key))
 	}
-	for _, value := range values {
-		if err := checkKeys(value, elem, path); err != nil {
-			return err
-		}
+	message := "no such key"
+	if nearest := Nearest(key, memberNames(target.Type())); nearest != "" {
+		message += ", did you mean " + nearest + "?"
 	}
+	return d.fault(offset, join(path, key), ErrUnknownKey, message)
+}
+
+func (d *strictDecoder) entry(target reflect.Value, path, key string) error {
+	entry := reflect.New(target.Type().Elem()).Elem()
+	if err := d.value(entry, join(path, key)); err != nil {
+		return err
+	}
+	target.SetMapIndex(reflect.ValueOf(key).Convert(target.Type().Key()), entry)
 	return nil
 }
 
-func fieldType(typ reflect.Type, key, path string) (reflect.Type, error) {
-	var names []string
-	for _, field := range reflect.VisibleFields(typ) {
-		if field.Anonymous || !field.IsExported() {
-			continue
-		}
-		if field.Name == key {
-			return field.Type, nil
-		}
-		names = append(names, field.Name)
+func (d *strictDecoder) fault(offset int64, path string, kind errors.ConstError, message string) error {
+	place := d.place(offset)
+	if path != "" {
+		place += ": " + path
 	}
-	message := "%s: no such key"
-	if nearest := Nearest(key, names); nearest != "" {
-		message += ", did you mean " + nearest + "?"
+	return errors.WithType(errors.Errorf("%s: %s", place, message), kind)
+}
+
+// isNull reports whether the next token is null.
+func (d *strictDecoder) isNull() bool {
+	return bytes.HasPrefix(d.data[d.skip(d.decoder.InputOffset()):], []byte("null"))
+}
+
+// place names the line and the column of the first token after the offset.
+func (d *strictDecoder) place(offset int64) string {
+	return place(d.data, d.skip(offset))
+}
+
+// skip returns the offset of the first token at or after the offset.
+func (d *strictDecoder) skip(offset int64) int64 {
+	rest := d.data[offset:]
+	return offset + int64(len(rest)-len(bytes.TrimLeft(rest, " \t\r\n,:")))
+}
+
+func syntaxError(data []byte) error {
+	var value json.RawMessage
+	err := json.Unmarshal(data, &value)
+	offset := int64(len(data))
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) && !strings.HasPrefix(syntax.Error(), "unexpected end") {
+		// The offset counts the bytes up to and including the one at fault.
+		offset = max(syntax.Offset-1, 0)
 	}
-	return nil, errors.WithType(errors.Errorf(message, join(path, key)), ErrUnknownKey)
+	return errors.WithType(errors.Errorf("%s: %v", place(data, offset), err), ErrSyntax)
 }
 
-func join(path, key string) string {
-	if path == "" {
-		return key
+func place(data []byte, offset int64) string {
+	before := data[:min(offset, int64(len(data)))]
+	line := bytes.Count(before, []byte("\n")) + 1
+	column := len(before) - bytes.LastIndexByte(before, '\n')
+	return "line " + strconv.Itoa(line) + ", column " + strconv.Itoa(column)
+}
+
+// isLeaf reports whether encoding/json decodes values of the type as a whole.
+func isLeaf(typ reflect.Type) bool {
+	pointer := reflect.PointerTo(typ)
+	if pointer.Implements(jsonUnmarshalerType) || pointer.Implements(textUnmarshalerType) {
+		return true
+	}
+	switch typ.Kind() {
+	case reflect.Struct, reflect.Pointer:
+		return false
+	case reflect.Map:
+		return typ.Key().Kind() != reflect.String
+	case reflect.Slice:
+		return typ.Elem().Kind() == reflect.Uint8
+	default:
+		return true
 	}
-	return path + "." + key
 }
 
-// Nearest returns the name with the smallest edit distance to key, or "" when
-// none is within half of the key's length.
-func Nearest(key string, names []string) string {
-	best, bestDistance := "", len(key)/2+1
-	for _, name := range names {
-		distance := editDistance(strings.ToLower(key), strings.ToLower(name))
-		if distance < bestDistance {
-			best, bestDistance = name, distance
+func isMember(field reflect.StructField) bool {
+	return field.IsExported() && !field.Anonymous && field.Tag.Get("json") != "-"
+}
+
+func memberNames(typ reflect.Type) []string {
+	var names []string
+	for _, field := range reflect.VisibleFields(typ) {
+		if isMember(field) {
+			names = append(names, field.Name)
 		}
 	}
-	return best
+	return names
 }
 
-func editDistance(a, b string) int {
-	row := make([]int, len(b)+1)
-	for j := range row {
-		row[j] = j
+func want(typ reflect.Type) string {
+	if typ == durationType {
+		return `a duration such as "250ms"`
 	}
-	for i := 1; i <= len(a); i++ {
-		diagonal := row[0]
-		row[0] = i
-		for j := 1; j <= len(b); j++ {
-			cost := 1
-			if a[i-1] == b[j-1] {
-				cost = 0
-			}
-			next := min(row[j]+1, row[j-1]+1, diagonal+cost)
-			diagonal, row[j] = row[j], next
-		}
+	if reflect.PointerTo(typ).Implements(textUnmarshalerType) {
+		return "a string"
+	}
+	switch typ.Kind() {
+	case reflect.Struct, reflect.Map:
+		return "an object"
+	case reflect.Slice:
+		return "a list"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float32, reflect.Float64:
+		return "a number"
+	case reflect.String:
+		return "a string"
+	default:
+		return "a whole number in range"
 	}
-	return row[len(b)]
+}
+
+func got(token json.Token) string {
+	switch token {
+	case json.Delim('{'):
+		return "object"
+	case json.Delim('['):
+		return "array"
+	}
+	switch token.(type) {
+	case string:
+		return "string"
+	case bool:
+		return "bool"
+	default:
+		return "number"
+	}
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
 }
--- /dev/null
+++ b/rattanjson/decode_test.go
@@ -0,0 +1,116 @@
+package rattanjson
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+)
+
+type sample struct {
+	Name    string
+	Count   int
+	Share   float64
+	On      bool
+	Wait    Duration
+	Raw     json.RawMessage
+	Inner   inner
+	Pointer *inner
+	List    []inner
+	Map     map[string]inner
+	Numbers map[string]int
+}
+
+type inner struct {
+	Size  int
+	Words []string
+}
+
+// TestDecodeStrict guards against values that are lost or merged wrongly by
+// the decoder's own walk.
+func TestDecodeStrict(t *testing.T) {
+	c := qt.New(t)
+	got := sample{Name: "kept", List: []inner{{Size: 9}}, Inner: inner{Size: 8}}
+	err := DecodeStrict([]byte(`{"Count":3,"Share":0.5,"On":true,"Wait":"250ms","Raw":{"a":[1]},
+		"Inner":{"Words":["x","y"]},"Pointer":{"Size":4},"List":[{"Size":1},{}],
+		"Map":{"a":{"Size":2}},"Numbers":{"n":7}}`), &got)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.DeepEquals, sample{
+		Name: "kept", Count: 3, Share: 0.5, On: true, Wait: Duration(250 * time.Millisecond),
+		Raw: json.RawMessage(`{"a":[1]}`), Inner: inner{Size: 8, Words: []string{"x", "y"}},
+		Pointer: &inner{Size: 4}, List: []inner{{Size: 1}, {}},
+		Map: map[string]inner{"a": {Size: 2}}, Numbers: map[string]int{"n": 7},
+	})
+}
+
+// TestDecodeStrictErrors guards against errors that leave the key or the place
+// of a fault open.
+func TestDecodeStrictErrors(t *testing.T) {
+	for _, test := range []struct {
+		name, data string
+		kind       errors.ConstError
+		message    string
+	}{
+		{"empty", ``, ErrSyntax, `line 1, column 1: unexpected end of JSON input`},
+		{"truncated", "{\n\"Name\":", ErrSyntax, `line 2, column 8: unexpected end of JSON input`},
+		{"two values", `{} {}`, ErrSyntax, `line 1, column 4: invalid character '\{' after top-level value`},
+		{"comma", "{\n  \"Count\": 3,\n}", ErrSyntax, `line 3, column 1: invalid character '\}'.*`},
+		{"unknown", "{\n  \"Cuont\": 3}", ErrUnknownKey, `line 2, column 3: Cuont: no such key, did you mean Count\?`},
+		{"other case", `{"count": 3}`, ErrUnknownKey, `line 1, column 2: count: no such key, did you mean Count\?`},
+		{"unknown deep", `{"List":[{},{"Sizes":1}]}`, ErrUnknownKey, `.*: List\[1\]\.Sizes: no such key, did you mean Size\?`},
+		{"unknown far", `{"Zyxwvutsr":1}`, ErrUnknownKey, `.*: Zyxwvutsr: no such key`},
+		{"twice", `{"Count":3, "Count":3}`, ErrSyntax, `line 1, column 13: Count: key stands twice`},
+		{"twice in map", `{"Map":{"a":{},"a":{}}}`, ErrSyntax, `.*: Map\.a: key stands twice`},
+		{"not an object", `[]`, ErrType, `line 1, column 1: want an object, got array`},
+		{"not a list", `{"List":{}}`, ErrType, `.*: List: want a list, got object`},
+		{"not a whole number", `{"Inner":{"Size":1.5}}`, ErrType, `line 1, column 18: Inner\.Size: want a whole number in range, got number 1\.5`},
+		{"too large", `{"Count":99999999999999999999}`, ErrType, `.*: Count: want a whole number in range, got number 9+`},
+		{"number for text", `{"Name":1}`, ErrType, `.*: Name: want a string, got number`},
+		{"number for duration", `{"Wait":250}`, ErrType, `.*: Wait: want a duration such as "250ms", got number`},
+		{"text for duration", `{"Wait":"soon"}`, ErrDuration, `.*column 9: Wait: "soon", want a duration such as "250ms"`},
+		{"text for bool", `{"On":"yes"}`, ErrType, `.*: On: want true or false, got string`},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			err := DecodeStrict([]byte(test.data), &sample{})
+			c.Assert(err, qt.ErrorMatches, test.message)
+			c.Assert(errors.Is(err, test.kind), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
+
+// FuzzDecodeStrict guards against panics, and against input that is accepted
+// here but decoded differently by encoding/json.
+func FuzzDecodeStrict(f *testing.F) {
+	f.Add([]byte(`{"Count":3,"Inner":{"Words":["x"]},"List":[{"Size":1}],"Map":{"a":{}},"Wait":"1s"}`))
+	f.Add([]byte(`{"Map":{},"List":[]}`))
+	f.Add([]byte(`{"Pointer":null,"List":null,"Raw":[{}],"Numbers":{"":1}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var got, wanted sample
+		if DecodeStrict(data, &got) != nil {
+			return
+		}
+		if err := json.Unmarshal(data, &wanted); err != nil {
+			t.Fatalf("accepted, but encoding/json reports %v", err)
+		}
+		gotText, _ := json.Marshal(got)
+		wantedText, _ := json.Marshal(wanted)
+		if string(gotText) != string(wantedText) {
+			t.Fatalf("decoded %s, encoding/json %s", gotText, wantedText)
+		}
+	})
+}
+
+// TestParseEnum guards against names that are accepted though no value has
+// them, and against errors that do not list the names.
+func TestParseEnum(t *testing.T) {
+	c := qt.New(t)
+	value, err := ParseEnum([]byte("Sunday"), time.Tuesday)
+	c.Assert(err, qt.IsNil)
+	c.Assert(value, qt.Equals, time.Sunday)
+	_, err = ParseEnum([]byte("Sun"), time.Tuesday)
+	c.Assert(errors.Is(err, ErrEnum), qt.IsTrue)
+	c.Assert(err, qt.ErrorMatches, `"Sun", want one of Sunday, Monday`)
+}
--- a/rattanjson/duration.go
+++ b/rattanjson/duration.go
@@ -34,7 +34,7 @@
 func (d *Duration) UnmarshalText(text []byte) error {
 	parsed, err := time.ParseDuration(string(text))
 	if err != nil {
-		return errors.WithType(errors.Errorf("%q", string(text)), ErrDuration)
+		return errors.WithType(errors.Errorf("%.80q, want a duration such as \"250ms\"", string(text)), ErrDuration)
 	}
 	*d = Duration(parsed)
 	return nil
