--- a/rattanconfig/check.go
+++ b/rattanconfig/check.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"math"
 	"slices"
 	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/juju/errors"
 
@@ -57,14 +60,25 @@
 	return document, nil
 }
 
+// Encode returns the JSON form of a document. It returns ErrDocument for one
+// that is too large for the platform's service.
+func Encode(document Document) ([]byte, error) {
+	data, err := json.Marshal(document)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if len(data) > maxDocumentBytes {
+		return nil, invalid("document: %d bytes, want at most %d", len(data), maxDocumentBytes)
+	}
+	return data, nil
+}
+
 // Check returns ErrDocument, naming the path of the key at fault and what was
 // expected, or nil. Entries are checked in the order of their names, so that
 // the same document always gives the same error.
 func Check(document Document) error {
-	if len(document.RequestID) > maxTextLength {
-		return invalid("RequestID: %d bytes, want at most %d", len(document.RequestID), maxTextLength)
-	}
 	return firstError(
+		func() error { return checkText("RequestID", document.RequestID) },
 		func() error { return checkEach("Services", document.Services, checkService) },
 		func() error {
 			return checkEach("JobKinds", document.JobKinds, func(path string, kind JobKind) error {
@@ -170,8 +184,8 @@
 }
 
 func checkText(path, text string) error {
-	if len(text) > maxTextLength || strings.ContainsAny(text, "\n\r\x00") {
-		return invalid("%s: want one line of at most %d bytes", path, maxTextLength)
+	if len(text) > maxTextLength || !utf8.ValidString(text) || strings.ContainsFunc(text, unicode.IsControl) {
+		return invalid("%s: want one line of at most %d bytes of UTF-8 without control characters", path, maxTextLength)
 	}
 	return nil
 }
--- /dev/null
+++ b/rattanconfig/check_test.go
@@ -0,0 +1,138 @@
+package rattanconfig
+
+import (
+	"math"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"github.com/rattanlever/rattanlever/rattanjson"
+)
+
+func example(tb testing.TB, name string) ([]byte, Document) {
+	tb.Helper()
+	data, err := os.ReadFile("../docs/examples/" + name + ".json")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	document, err := Parse(data)
+	if err != nil {
+		tb.Fatalf("%s: %v", name, err)
+	}
+	return data, document
+}
+
+// TestExamples guards against examples that the program refuses, and against a
+// rush confirmation or a shopping list that is declared idempotent.
+func TestExamples(t *testing.T) {
+	c := qt.New(t)
+	_, listaforge := example(t, "listaforge")
+	c.Assert(listaforge.JobKinds["shopping-list"].Idempotent, qt.IsFalse)
+	_, desk := example(t, "transcript-desk")
+	c.Assert(desk.JobKinds["rush-confirmation"].Idempotent, qt.IsFalse)
+	c.Assert(desk.Callers, qt.HasLen, 4)
+}
+
+// TestCheck guards against absurd documents that pass, and against errors that
+// do not name the path of the key and what was expected.
+func TestCheck(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(*Document)
+		want   string
+	}{
+		{"name", func(d *Document) { d.Services["a b"] = Service{} }, `Services: name "a b", want 1 to 64 letters.*`},
+		{"description", func(d *Document) { d.Services["planner"] = Service{Description: "a\nb"} }, `Services\.planner\.Description: want one line.*`},
+		{"service in use", func(d *Document) { delete(d.Services, "planner") }, `JobKinds\.shopping-list\.Service: no "planner" in Services`},
+		{"retired service", func(d *Document) { d.Services["planner"] = Service{Retired: true} }, `JobKinds\.shopping-list\.Service: "planner" is retired.*`},
+		{"service misspelt", func(d *Document) { changeKind(d, func(k *JobKind) { k.Service = "planer" }) }, `.*did you mean "planner"\?`},
+		{"no service", func(d *Document) { changeKind(d, func(k *JobKind) { k.Service = "" }) }, `JobKinds\.shopping-list\.Service: missing.*`},
+		{"no tasks", func(d *Document) { changeKind(d, func(k *JobKind) { k.MaxTasks = 0 }) }, `JobKinds\.shopping-list\.MaxTasks: 0, want 1 to 250`},
+		{"many tasks", func(d *Document) { changeKind(d, func(k *JobKind) { k.MaxTasks = 251 }) }, `.*MaxTasks: 251, want 1 to 250`},
+		{"no deadline", func(d *Document) { changeKind(d, func(k *JobKind) { k.Deadline = 0 }) }, `.*Deadline: 0s, want 1ms to 10m0s`},
+		{"long deadline", func(d *Document) { changeKind(d, func(k *JobKind) { k.Deadline = span(time.Hour) }) }, `.*Deadline: 1h0m0s, want .*`},
+		{"run time", func(d *Document) { changeKind(d, func(k *JobKind) { k.RunTime = span(time.Minute) }) }, `.*RunTime: 1m0s, want 0s to the deadline \(10s\)`},
+		{"negative run time", func(d *Document) { changeKind(d, func(k *JobKind) { k.RunTime = -1 }) }, `.*RunTime: -1ns, want .*`},
+		{"cores", func(d *Document) { changeKind(d, func(k *JobKind) { k.CoresPerTask = -1 }) }, `.*CoresPerTask: -1, want 0 to .*`},
+		{"memory", func(d *Document) { changeKind(d, func(k *JobKind) { k.MemoryMBPerTask = -1 }) }, `.*MemoryMBPerTask: -1, want 0 to .*`},
+		{"accelerators", func(d *Document) { changeKind(d, func(k *JobKind) { k.AcceleratorsPerTask = math.MaxInt }) }, `.*AcceleratorsPerTask: .*`},
+		{"payload", func(d *Document) { changeKind(d, func(k *JobKind) { k.MaxPayloadBytes = 1 << 30 }) }, `.*MaxPayloadBytes: .*`},
+		{"no weight", func(d *Document) { d.Callers["app"] = Caller{} }, `Callers\.app\.Weight: 0, want above 0.*`},
+		{"infinite weight", func(d *Document) { d.Callers["app"] = Caller{Weight: math.Inf(1)} }, `Callers\.app\.Weight: \+Inf.*`},
+		{"weight not a number", func(d *Document) { d.Callers["app"] = Caller{Weight: math.NaN()} }, `Callers\.app\.Weight: NaN.*`},
+		{"quota", func(d *Document) { d.Callers["app"] = Caller{Weight: 1, Quota: -5} }, `Callers\.app\.Quota: -5, want .*`},
+		{"limit", func(d *Document) { d.Callers["app"] = Caller{Weight: 1, MaxJobs: -5} }, `Callers\.app\.MaxJobs: -5, want .*`},
+		{"reason", func(d *Document) { d.Drains["t1"] = Drain{Reason: "a\nb"} }, `Drains\.t1\.Reason: want one line.*`},
+		{"objective kind", func(d *Document) { changeObjective(d, func(o *Objective) { o.Kind = "stock-chekc" }) }, `Objectives\.stock-in-time\.Kind: no "stock-chekc" in JobKinds, did you mean "stock-check"\?`},
+		{"measure", func(d *Document) { changeObjective(d, func(o *Objective) { o.Measure = "Fast" }) }, `.*Measure: "Fast", want AnsweredInTime, ShortWait or Refused`},
+		{"goal", func(d *Document) { changeObjective(d, func(o *Objective) { o.Goal = 1 }) }, `.*Goal: 1, want above 0 and below 1`},
+		{"window", func(d *Document) { changeObjective(d, func(o *Objective) { o.Window = span(time.Minute) }) }, `.*Window: 1m0s, want 1h0m0s to .*`},
+		{"threshold", func(d *Document) { changeObjective(d, func(o *Objective) { o.Threshold = -1 }) }, `.*Threshold: -1ns, want .*`},
+		{"no threshold", func(d *Document) {
+			changeObjective(d, func(o *Objective) { o.Measure, o.Threshold = MeasureShortWait, 0 })
+		}, `.*Threshold: missing.*`},
+		{"useless threshold", func(d *Document) { changeObjective(d, func(o *Objective) { o.Measure = MeasureRefused }) }, `.*Threshold: 1s, want none.*`},
+		{"request ID", func(d *Document) { d.RequestID = string(make([]byte, 300)) }, `RequestID: want one line of at most 200 bytes.*`},
+		{"not UTF-8", func(d *Document) { d.RequestID = "\xc7" }, `RequestID: want one line .*of UTF-8.*`},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			_, document := example(t, "listaforge")
+			test.change(&document)
+			err := Check(document)
+			c.Assert(errors.Is(err, ErrDocument), qt.IsTrue, qt.Commentf("%v", err))
+			c.Assert(err, qt.ErrorMatches, test.want)
+		})
+	}
+}
+
+// TestParseErrors guards against a misspelt key that is dropped in silence.
+func TestParseErrors(t *testing.T) {
+	c := qt.New(t)
+	_, err := Parse([]byte(`{"Callers":{"app":{"Wieght":1}}}`))
+	c.Assert(errors.Is(err, rattanjson.ErrUnknownKey), qt.IsTrue)
+	c.Assert(err, qt.ErrorMatches, `line 1, column 20: Callers\.app\.Wieght: no such key, did you mean Weight\?`)
+	_, err = Parse(make([]byte, 2<<20))
+	c.Assert(errors.Is(err, ErrDocument), qt.IsTrue)
+}
+
+// FuzzParse guards against panics and against documents that are accepted but
+// refused after a round trip.
+func FuzzParse(f *testing.F) {
+	for _, name := range []string{"listaforge", "transcript-desk"} {
+		data, _ := example(f, name)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		document, err := Parse(data)
+		if err != nil {
+			return
+		}
+		text, err := Encode(document)
+		if err != nil {
+			return
+		}
+		if _, err := Parse(text); err != nil {
+			t.Fatalf("round trip of %s: %v", text, err)
+		}
+	})
+}
+
+func changeKind(document *Document, change func(*JobKind)) {
+	kind := document.JobKinds["shopping-list"]
+	change(&kind)
+	document.JobKinds["shopping-list"] = kind
+}
+
+func changeObjective(document *Document, change func(*Objective)) {
+	objective := document.Objectives["stock-in-time"]
+	change(&objective)
+	document.Objectives["stock-in-time"] = objective
+}
+
+func span(duration time.Duration) rattanjson.Duration {
+	return rattanjson.Duration(duration)
+}
--- a/rattansettings/load_test.go
+++ b/rattansettings/load_test.go
@@ -1,6 +1,7 @@
 package rattansettings
 
 import (
+	"encoding/json"
 	"os"
 	"path/filepath"
 	"testing"
@@ -44,3 +45,92 @@
 	c.Assert(errors.Is(err, ErrSettings), qt.IsTrue)
 	c.Assert(err, qt.ErrorMatches, path+": Name: missing, want .*")
 }
+
+const valid = `{"Name":"buda-1","AvailabilityZone":"buda","CallerAddress":"0.0.0.0:8080",
+	"PeerAddress":"[fd00::1]:9090","PlatformAddress":"10.0.0.9:7000",
+	"Peers":[{"Name":"pest-1","AvailabilityZone":"pest","PeerAddress":"10.0.1.1:9090"}],
+	"Home":{"MaxRecords":5000,"DrainTimeout":"30s"}}`
+
+// TestParse guards against keys of a file that do not replace the defaults.
+func TestParse(t *testing.T) {
+	c := qt.New(t)
+	settings, err := Parse([]byte(valid))
+	c.Assert(err, qt.IsNil)
+	c.Assert(settings.Home.MaxRecords, qt.Equals, 5000)
+	c.Assert(settings.Home.DrainTimeout.Std(), qt.Equals, 30*time.Second)
+	c.Assert(settings.Home.TenureDuration, qt.Equals, Default().Home.TenureDuration)
+	c.Assert(settings.Peers, qt.DeepEquals, []Peer{{Name: "pest-1", AvailabilityZone: "pest", PeerAddress: "10.0.1.1:9090"}})
+}
+
+// TestCheck guards against absurd values that pass, and against errors that do
+// not name the key and what was expected.
+func TestCheck(t *testing.T) {
+	for _, test := range []struct {
+		name, key string
+		change    func(*Settings)
+		want      string
+	}{
+		{"no name", "Name", func(s *Settings) { s.Name = "" }, "missing, want 1 to 64 letters.*"},
+		{"long name", "Name", func(s *Settings) { s.Name = string(make([]byte, 65)) }, ".*want 1 to 64 letters.*"},
+		{"space in name", "Name", func(s *Settings) { s.Name = "a b" }, `"a b", want 1 to 64 letters.*`},
+		{"no zone", "AvailabilityZone", func(s *Settings) { s.AvailabilityZone = "" }, "missing, want .*"},
+		{"host name", "CallerAddress", func(s *Settings) { s.CallerAddress = "localhost:80" }, `"localhost:80", want an IP address and a port.*`},
+		{"no port", "CallerAddress", func(s *Settings) { s.CallerAddress = "10.0.0.1" }, ".*want an IP address and a port.*"},
+		{"port 0", "CallerAddress", func(s *Settings) { s.CallerAddress = "10.0.0.1:0" }, ".*want .* a port from 1 to 65535.*"},
+		{"port 70000", "CallerAddress", func(s *Settings) { s.CallerAddress = "10.0.0.1:70000" }, ".*want .* a port from 1 to 65535.*"},
+		{"unspecified", "PeerAddress", func(s *Settings) { s.PeerAddress = "0.0.0.0:90" }, ".*want an IP address that others can reach.*"},
+		{"same address", "PeerAddress", func(s *Settings) { s.CallerAddress = s.PeerAddress }, ".*want another address than CallerAddress"},
+		{"no platform", "PlatformAddress", func(s *Settings) { s.PlatformAddress = "" }, "missing, want .*"},
+		{"peer name", `Peers\[1\].Name`, func(s *Settings) { s.Peers = append(s.Peers, s.Peers[0]) }, `"pest-1", want another name than Peers\[0\]`},
+		{"peer zone", `Peers\[0\].AvailabilityZone`, func(s *Settings) { s.Peers[0].AvailabilityZone = "" }, "missing, want .*"},
+		{"peer address", `Peers\[0\].PeerAddress`, func(s *Settings) { s.Peers[0].PeerAddress = ":90" }, ".*want an IP address.*"},
+		{"log level", "LogLevel", func(s *Settings) { s.LogLevel = "loud" }, `"loud", want one of error, warn, info, debug`},
+		{"half of the keys", "Keys.KeyFile", func(s *Settings) { s.Keys.CertificateFile = "a.pem" }, "missing, want the path of a PEM file.*"},
+		{"path", "Document", func(s *Settings) { s.Document = "a\x00" }, ".*want the path of a file"},
+		{"negative", "Home.HeartbeatInterval", func(s *Settings) { s.Home.HeartbeatInterval = -1 }, `"-1ns", want a duration from 10ms to 10s`},
+		{"zero", "Home.Retention", func(s *Settings) { s.Home.Retention = 0 }, `"0s", want a duration from 1s to 24h`},
+		{"heartbeat", "Home.HeartbeatInterval", func(s *Settings) { s.Home.HeartbeatInterval = s.Home.TenureDuration }, ".*want at most half of Home.TenureDuration.*"},
+		{"margin", "Home.VerdictMargin", func(s *Settings) { s.Home.TenureDuration = rattanjson.Duration(10 * time.Second) }, "300ms, want at least a tenth of Home.TenureDuration.*"},
+		{"key lifetime", "Home.KeyLifetime", func(s *Settings) { s.Home.KeyLifetime = rattanjson.Duration(time.Hour) }, ".*want at most Home.Retention.*"},
+		{"answer retention", "Home.AnswerRetention", func(s *Settings) { s.Home.AnswerRetention = rattanjson.Duration(time.Hour) }, ".*want at most Home.Retention.*"},
+		{"no records", "Home.MaxRecords", func(s *Settings) { s.Home.MaxRecords = 0 }, `"0", want a number of records from 1000 to 100000000`},
+		{"all bytes", "Home.MaxAnswerBytes", func(s *Settings) { s.Home.MaxAnswerBytes = 1 << 62 }, ".*want a number of bytes from .*"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			settings, err := Parse([]byte(valid))
+			c.Assert(err, qt.IsNil)
+			test.change(&settings)
+			err = settings.Check()
+			c.Assert(errors.Is(err, ErrSettings), qt.IsTrue, qt.Commentf("%v", err))
+			c.Assert(err, qt.ErrorMatches, test.key+": "+test.want)
+		})
+	}
+}
+
+// FuzzParse guards against panics and against settings that are accepted but
+// refused after a round trip.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		settings, err := Parse(data)
+		if err != nil {
+			return
+		}
+		text, err := json.Marshal(settings)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Parse(text); err != nil {
+			t.Fatalf("round trip of %s: %v", text, err)
+		}
+	})
+}
+
+// TestExample guards against an example that the program refuses.
+func TestExample(t *testing.T) {
+	c := qt.New(t)
+	settings, err := Load("../docs/examples/settings.json")
+	c.Assert(err, qt.IsNil)
+	c.Assert(settings.Peers, qt.HasLen, 3)
+}
--- /dev/null
+++ b/rattansettings/page.go
@@ -0,0 +1,50 @@
+package rattansettings
+
+import "strings"
+
+const pageHead = `# Settings
+
+Settings of one entry instance, a JSON object that ` + "`rattanlever entry --config FILE`" + ` reads and ` + "`rattanlever config check FILE`" + ` checks. Durations are strings such as ` + "`\"250ms\"`" + `; names are 1 to 64 letters, digits, dots, underscores or hyphens; addresses are an IP address and a port. This page is generated from the table in ` + "`rattansettings/table.go`" + ` by ` + "`go test ./rattansettings -update`" + `.
+
+| key | type | default | range | description |
+|---|---|---|---|---|
+`
+
+// Page returns the documentation of all settings in Markdown.
+func Page() string {
+	var page strings.Builder
+	page.WriteString(pageHead)
+	for _, row := range table {
+		page.WriteString("| `" + row.Key + "` | " + row.typeText() + " | " + row.defaultText() + " | " + row.rangeText() + " | " + row.Description + " |\n")
+	}
+	return page.String()
+}
+
+func (r Row) typeText() string {
+	if r.Unit == "" {
+		return string(r.Type)
+	}
+	return string(r.Type) + " (" + r.Unit + ")"
+}
+
+func (r Row) defaultText() string {
+	switch {
+	case r.Default != "":
+		return shorten(r.Default)
+	case r.Optional:
+		return "empty"
+	default:
+		return "required"
+	}
+}
+
+func (r Row) rangeText() string {
+	switch r.Type {
+	case TypeDuration, TypeInteger:
+		return shorten(r.Min) + " to " + shorten(r.Max)
+	case TypeChoice:
+		return strings.Join(r.Choices, ", ")
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/rattansettings/page_test.go
@@ -0,0 +1,57 @@
+package rattansettings
+
+import (
+	"flag"
+	"os"
+	"reflect"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const pagePath = "../docs/settings.md"
+
+var update = flag.Bool("update", false, "write the generated page")
+
+// TestPage guards against a page that no longer describes the settings.
+func TestPage(t *testing.T) {
+	c := qt.New(t)
+	if *update {
+		c.Assert(os.WriteFile(pagePath, []byte(Page()), 0o644), qt.IsNil)
+	}
+	data, err := os.ReadFile(pagePath)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(data), qt.Equals, Page(), qt.Commentf("run go test ./rattansettings -update"))
+}
+
+// TestTableIsComplete guards against a setting without a row, which would have
+// no check, default and documentation.
+func TestTableIsComplete(t *testing.T) {
+	c := qt.New(t)
+	var keys, rows []string
+	collectKeys(reflect.TypeFor[Settings](), "", &keys)
+	for _, row := range table {
+		rows = append(rows, row.Key)
+		c.Check(row.Description, qt.Not(qt.Equals), "", qt.Commentf(row.Key))
+		c.Check(row.Default == "" || row.accepts(row.Default), qt.IsTrue, qt.Commentf("%s: default %s", row.Key, row.Default))
+	}
+	c.Assert(rows, qt.DeepEquals, keys)
+}
+
+func collectKeys(typ reflect.Type, path string, keys *[]string) {
+	if typ.Kind() == reflect.Slice {
+		collectKeys(typ.Elem(), path+"[]", keys)
+		return
+	}
+	if typ.Kind() != reflect.Struct {
+		*keys = append(*keys, path)
+		return
+	}
+	for _, field := range reflect.VisibleFields(typ) {
+		name := field.Name
+		if path != "" {
+			name = path + "." + name
+		}
+		collectKeys(field.Type, name, keys)
+	}
+}
--- a/rattansettings/table.go
+++ b/rattansettings/table.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -111,7 +112,7 @@
 		address, err := netip.ParseAddrPort(text)
 		return err == nil && address.Port() != 0 && !address.Addr().IsUnspecified()
 	case TypeChoice:
-		return contains(r.Choices, text)
+		return slices.Contains(r.Choices, text)
 	case TypeDuration:
 		value, err := time.ParseDuration(text)
 		return err == nil && value >= mustDuration(r.Min) && value <= mustDuration(r.Max)
@@ -207,15 +208,6 @@
 	}
 }
 
-func contains(list []string, text string) bool {
-	for _, element := range list {
-		if element == text {
-			return true
-		}
-	}
-	return false
-}
-
 // shorten drops the zero parts of a duration's text, such as in "1m0s".
 func shorten(duration string) string {
 	if strings.HasSuffix(duration, "m0s") {
