--- a/rattancmd/entrycmd.go
+++ b/rattancmd/entrycmd.go
@@ -1,6 +1,8 @@
 package rattancmd
 
 import (
+	"context"
+
 	"github.com/juju/errors"
 
 	"github.com/rattanlever/rattanlever/rattanentry"
@@ -34,11 +36,10 @@
 	if err != nil {
 		return errors.Annotate(err, "LogLevel")
 	}
+	rattanlog.SetGlobal(logger)
 	instance, err := rattanentry.New(rattanentry.Config{Settings: settings, Logger: logger})
 	if err != nil {
 		return errors.Annotatef(err, "instance %s", settings.Name)
 	}
-	ctx, cancel := interruptible()
-	defer cancel()
-	return instance.Run(ctx)
+	return instance.Run(context.Background())
 }
--- a/rattancmd/main.go
+++ b/rattancmd/main.go
@@ -58,15 +58,10 @@
 // commands returns the command tree, sorted by name.
 func commands(std *streams) []command {
 	return []command{
-		benchCommand(std),
 		configCommand(std),
-		confirmCommand(std),
 		demoCommand(std),
 		entryCommand(std),
 		jobCommand(std),
-		keysCommand(std),
-		planCommand(std),
-		reportCommand(std),
 		standinCommand(std),
 	}
 }
--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -54,7 +54,7 @@
 type TaskRunner interface {
 	Run(ctx context.Context, dispatch rattantarget.Dispatch) (rattantarget.Result, error)
 	Settle(ctx context.Context, address, id string) (rattantarget.Result, error)
-	Stop(ctx context.Context, address, id string) (rattantarget.Stopped, error)
+	Stop(ctx context.Context, address, id string) (rattantarget.Stopping, error)
 }
 
 // Authority tells whether this instance may act for an epoch.
@@ -100,6 +100,7 @@
 
 	mutex     sync.Mutex
 	draining  bool
+	dead      bool
 	waiting   int
 	nextID    rattanpool.JobID
 	runs      map[rattanjob.Nonce]*run
@@ -189,10 +190,10 @@
 }
 
 // OpenEpoch accepts submissions for a new epoch of this instance.
-func (h *Home) OpenEpoch(now time.Time, epoch rattanjob.EpochID) {
+func (h *Home) OpenEpoch(now time.Time, epoch rattanjob.EpochID, start time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.config.Ledger.OpenEpoch(now, epoch, now)
+	h.config.Ledger.OpenEpoch(now, epoch, start)
 }
 
 // Name returns the name of the service in the kernel.
@@ -263,6 +264,13 @@
 	return h.await(ctx, current, caller, wait)
 }
 
+// abandon ends all runs without an answer, as the death of the process would.
+func (h *Home) abandon() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.dead = true
+}
+
 // begin decides on a submission and returns its run, or its answer.
 func (h *Home) begin(now time.Time, caller string, submission *rattanjob.Submission, fault *rattanjob.Answer) (*run, rattanjob.Answer) {
 	h.mutex.Lock()
@@ -319,17 +327,18 @@
 // launch registers the run of an admitted job.
 func (h *Home) launch(now time.Time, caller string, submission *rattanjob.Submission, job rattanpool.Job) *run {
 	current := &run{
-		id:        job.ID,
-		key:       submission.Key,
-		caller:    caller,
-		kind:      submission.Kind,
-		tasks:     submission.Tasks,
-		submitted: now,
-		deadline:  job.Deadline,
-		results:   make([]rattanjob.Result, len(submission.Tasks)),
-		remaining: len(submission.Tasks),
-		running:   make(map[int]rattanpool.Assignment),
-		done:      make(chan struct{}),
+		id:         job.ID,
+		key:        submission.Key,
+		submission: submission.Key.ID(),
+		caller:     caller,
+		kind:       submission.Kind,
+		tasks:      submission.Tasks,
+		submitted:  now,
+		deadline:   job.Deadline,
+		results:    make([]rattanjob.Result, len(submission.Tasks)),
+		remaining:  len(submission.Tasks),
+		running:    make(map[int]rattanpool.Assignment),
+		done:       make(chan struct{}),
 	}
 	current.timer = time.AfterFunc(job.Deadline.Sub(now), func() { h.pastDeadline(current) })
 	h.runs[current.key.Nonce] = current
@@ -419,6 +428,9 @@
 // valid reports whether the home may act for the epoch now; it fences the
 // epoch when it may not.
 func (h *Home) valid(now time.Time, epoch rattanjob.EpochID) bool {
+	if h.dead {
+		return false
+	}
 	if h.config.Authority.EpochValid(now, epoch) {
 		return true
 	}
--- /dev/null
+++ b/rattanentry/instance.go
@@ -0,0 +1,307 @@
+package rattanentry
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/rattanlever/rattanlever/rattanconfig"
+	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattankernel"
+	"github.com/rattanlever/rattanlever/rattanledger"
+	"github.com/rattanlever/rattanlever/rattanmetric"
+	"github.com/rattanlever/rattanlever/rattanpeer"
+	"github.com/rattanlever/rattanlever/rattanplatform"
+	"github.com/rattanlever/rattanlever/rattanpool"
+	"github.com/rattanlever/rattanlever/rattansettings"
+	"github.com/rattanlever/rattanlever/rattantarget"
+)
+
+// ErrSuperseded says that the others take this incarnation for dead; the
+// instance must be started anew.
+const ErrSuperseded = errors.ConstError("incarnation superseded")
+
+// stopTimeoutTotal bounds a graceful shutdown beyond the drain of jobs.
+const stopTimeoutTotal = 10 * time.Second
+
+// Config configures an Instance.
+type Config struct {
+	Settings rattansettings.Settings
+	Logger   *logrus.Logger
+	// NewScheduler makes the scheduler of the pool; nil means the product's.
+	NewScheduler func() Scheduler
+	// Runner runs tasks at targets; nil means the HTTP client.
+	Runner TaskRunner
+	// CallerListener and PeerListener are used if set, in place of listeners
+	// at the addresses in the settings.
+	CallerListener net.Listener
+	PeerListener   net.Listener
+	// DialPeer opens connections to other instances; nil means plain TCP.
+	DialPeer rattanpeer.DialFunc
+	// Platform is the platform's client; nil means one for the address in the
+	// settings.
+	Platform *rattanplatform.Client
+}
+
+// Instance is one entry instance: its kernel and its servers.
+type Instance struct {
+	Metrics       *rattanmetric.Registry
+	Configuration *Configuration
+	Front         *Front
+	Home          *Home
+	Inventory     *Inventory
+	Members       *Members
+	Node          *rattanpeer.Node
+	Operations    *Operations
+	Platform      *rattanplatform.Client
+
+	config     Config
+	kernel     *rattankernel.Kernel
+	server     *khttp.Server
+	app        *kratos.App
+	superseded atomic.Bool
+}
+
+// gossip is the payload of heartbeats.
+type gossip struct {
+	// Revision is the configuration in force at the sender.
+	Revision uint64
+}
+
+// New returns an instance whose listeners are open and that is not yet
+// running.
+func New(config Config) (*Instance, error) {
+	if err := openListeners(&config); err != nil {
+		return nil, err
+	}
+	settings := config.Settings
+	if config.Platform == nil {
+		config.Platform = rattanplatform.New(rattanplatform.Options{Address: settings.PlatformAddress})
+	}
+	if config.Runner == nil {
+		config.Runner = rattantarget.New(rattantarget.Options{})
+	}
+	if config.NewScheduler == nil {
+		config.NewScheduler = func() Scheduler { return rattanpool.New(rattanpool.Config{}) }
+	}
+	instance := &Instance{config: config, Metrics: rattanmetric.New(), kernel: rattankernel.New(), Platform: config.Platform}
+	instance.Node = rattanpeer.New(rattanpeer.Config{Name: settings.Name, Listener: config.PeerListener, Dial: config.DialPeer})
+	if err := instance.build(); err != nil {
+		return nil, err
+	}
+	return instance, nil
+}
+
+// CallerAddress returns the address for callers and operators.
+func (i *Instance) CallerAddress() string {
+	return i.config.CallerListener.Addr().String()
+}
+
+// Kill ends the instance at once, as the death of its process would: its
+// listeners and connections are closed and nothing in progress is finished.
+func (i *Instance) Kill() {
+	_ = i.server.Close()
+	_ = i.config.CallerListener.Close()
+	i.Home.abandon()
+	_ = i.Members.Stop(context.Background())
+	_ = i.Node.Stop(context.Background())
+	_ = i.Inventory.Stop(context.Background())
+	_ = i.Configuration.Stop(context.Background())
+}
+
+// Run serves until ctx ends or the process gets SIGINT or SIGTERM, and then
+// shuts down gracefully: it takes no new
+// work, finishes the jobs in progress and answers their callers.
+func (i *Instance) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stopped := context.AfterFunc(ctx, func() { _ = i.app.Stop() })
+	defer stopped()
+	if err := i.app.Run(); err != nil {
+		return errors.Annotatef(err, "instance %s", i.config.Settings.Name)
+	}
+	if i.superseded.Load() {
+		return ErrSuperseded
+	}
+	return nil
+}
+
+func openListeners(config *Config) error {
+	var err error
+	if config.PeerListener == nil {
+		if config.PeerListener, err = net.Listen("tcp", config.Settings.PeerAddress); err != nil {
+			return errors.Annotate(err, "PeerAddress")
+		}
+	}
+	if config.CallerListener == nil {
+		if config.CallerListener, err = net.Listen("tcp", config.Settings.CallerAddress); err != nil {
+			return errors.Annotate(err, "CallerAddress")
+		}
+	}
+	config.Settings.PeerAddress = config.PeerListener.Addr().String()
+	config.Settings.CallerAddress = config.CallerListener.Addr().String()
+	return nil
+}
+
+// build makes the services and connects them.
+func (i *Instance) build() error {
+	settings := i.config.Settings
+	initial, err := initialDocument(settings.Document)
+	if err != nil {
+		return errors.Annotate(err, "Document")
+	}
+	now := time.Now()
+	i.Configuration = NewConfiguration(ConfigurationConfig{
+		Platform:  i.Platform,
+		Peers:     i.Node,
+		Logger:    i.config.Logger,
+		Initial:   initial,
+		Watches:   func(now time.Time) bool { return i.Members.Watches(now) },
+		Installed: i.installed,
+	})
+	i.Members = NewMembers(now, MembersConfig{
+		Settings:    settings,
+		Incarnation: uint64(now.UnixMilli()),
+		Peers:       i.Node,
+		Logger:      i.config.Logger,
+		Opened:      func(now time.Time, epoch rattanjob.EpochID, start time.Time) { i.Home.OpenEpoch(now, epoch, start) },
+		Fenced:      func(now time.Time, epoch rattanjob.EpochID) { i.Home.Fence(now, epoch) },
+		Superseded:  i.supersede,
+		Payload:     i.payload,
+		Received:    i.received,
+	})
+	i.Home = NewHome(HomeConfig{
+		Scheduler:    i.config.NewScheduler(),
+		Ledger:       newLedger(settings.Home),
+		Runner:       i.config.Runner,
+		Authority:    i.Members,
+		Documents:    i.Configuration,
+		Metrics:      i.Metrics,
+		DrainTimeout: settings.Home.DrainTimeout.Std(),
+	})
+	i.Inventory = NewInventory(InventoryConfig{
+		Platform:         i.Platform,
+		AvailabilityZone: settings.AvailabilityZone,
+		Home:             i.Home,
+		Documents:        i.Configuration,
+		Observed:         i.Members.Observe,
+	})
+	i.Front = NewFront(FrontConfig{
+		Instance:  settings.Name,
+		Home:      i.Home,
+		Directory: i.Members,
+		Peers:     i.Node,
+		Metrics:   i.Metrics,
+		Explain:   func(rattanjob.Key, string) (json.RawMessage, bool) { return nil, false },
+	})
+	i.Operations = NewOperations(OperationsConfig{
+		Name:             settings.Name,
+		AvailabilityZone: settings.AvailabilityZone,
+		Configuration:    i.Configuration,
+		Inventory:        i.Inventory,
+		Directory:        i.Members,
+		Home:             i.Home,
+		Metrics:          i.Metrics,
+	})
+	return i.connect()
+}
+
+// connect registers the services in the order of their start. They drain in
+// the reverse order: the instance first becomes not ready, then leaves its
+// pool, then finishes its jobs.
+func (i *Instance) connect() error {
+	i.Front.Handle(i.Node)
+	i.Members.Handle(i.Node)
+	i.Configuration.Handle(i.Node)
+	services := []rattankernel.Service{i.Node, i.Home, i.Members, i.Configuration, i.Inventory, i.Operations}
+	for _, service := range services {
+		if err := i.kernel.Register(service); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	i.server = khttp.NewServer(
+		khttp.Listener(i.config.CallerListener),
+		khttp.Timeout(0),
+	)
+	i.Front.Routes(i.server)
+	i.Operations.Routes(i.server)
+	i.app = kratos.New(
+		kratos.Name(i.config.Settings.Name),
+		kratos.Signal(syscall.SIGINT, syscall.SIGTERM),
+		kratos.StopTimeout(stopTimeoutTotal),
+		kratos.Server(i.server),
+		kratos.BeforeStart(i.kernel.Start),
+		kratos.BeforeStop(i.kernel.Drain),
+		kratos.AfterStop(i.kernel.Stop),
+	)
+	return nil
+}
+
+// installed tells the services of a document that came into force.
+func (i *Instance) installed(document *rattanconfig.Document) {
+	now := time.Now()
+	callers := make([]rattanpool.Caller, 0, len(document.Callers))
+	for name, caller := range document.Callers {
+		if !caller.Retired {
+			callers = append(callers, rattanpool.Caller{Name: name, Weight: caller.Weight, Quota: caller.Quota})
+		}
+	}
+	i.Home.SetCallers(now, callers)
+	i.Inventory.Apply(now)
+}
+
+func (i *Instance) payload() []byte {
+	payload, err := json.Marshal(gossip{Revision: i.Configuration.Document().Revision})
+	if err != nil {
+		return nil
+	}
+	return payload
+}
+
+func (i *Instance) received(address string, payload []byte) {
+	var news gossip
+	if json.Unmarshal(payload, &news) != nil {
+		return
+	}
+	i.Configuration.PeerRevision(address, news.Revision)
+}
+
+func (i *Instance) supersede() {
+	if i.superseded.CompareAndSwap(false, true) {
+		go func() { _ = i.app.Stop() }()
+	}
+}
+
+func initialDocument(path string) (*rattanconfig.Document, error) {
+	if path == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	document, err := rattanconfig.Parse(data)
+	if err != nil {
+		return nil, errors.Annotate(err, path)
+	}
+	return &document, nil
+}
+
+func newLedger(settings rattansettings.Home) *rattanledger.Ledger {
+	return rattanledger.New(rattanledger.Config{
+		KeyLifetime:     settings.KeyLifetime.Std(),
+		Retention:       settings.Retention.Std(),
+		AnswerRetention: settings.AnswerRetention.Std(),
+		MaxRecords:      settings.MaxRecords,
+		MaxAnswerBytes:  settings.MaxAnswerBytes,
+	})
+}
--- /dev/null
+++ b/rattanentry/members.go
@@ -0,0 +1,353 @@
+package rattanentry
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattanmember"
+	"github.com/rattanlever/rattanlever/rattanpeer"
+	"github.com/rattanlever/rattanlever/rattanplatform"
+	"github.com/rattanlever/rattanlever/rattansettings"
+)
+
+const (
+	methodHeartbeat = "Heartbeat"
+	methodVote      = "Vote"
+	// memberTick is how often due heartbeats are looked for.
+	memberTick = 50 * time.Millisecond
+	// heartbeatTimeout bounds the wait for an acknowledgement.
+	heartbeatTimeout = time.Second
+	voteTimeout      = 300 * time.Millisecond
+	// watchersPerZone is the number of members of an availability zone that
+	// watch the platform; the others learn of changes from heartbeats.
+	watchersPerZone = 2
+)
+
+// MembersConfig configures Members. All fields are required.
+type MembersConfig struct {
+	Settings    rattansettings.Settings
+	Incarnation uint64
+	Peers       PeerCaller
+	Logger      *logrus.Logger
+	// Opened and Fenced are called when an epoch of this instance begins and
+	// ends.
+	Opened func(now time.Time, epoch rattanjob.EpochID, start time.Time)
+	Fenced func(now time.Time, epoch rattanjob.EpochID)
+	// Superseded is called when the others take this incarnation for dead.
+	Superseded func()
+	// Payload returns what heartbeats carry for other services.
+	Payload func() []byte
+	// Received is called with the payload of the peer at the address.
+	Received func(address string, payload []byte)
+}
+
+// Members keeps the membership and the epochs of this instance. It is safe
+// for concurrent use.
+type Members struct {
+	config MembersConfig
+	cancel context.CancelFunc
+	loops  sync.WaitGroup
+
+	mutex sync.Mutex
+	table *rattanmember.Table
+}
+
+// voteRequest asks a witness about an epoch.
+type voteRequest struct {
+	Epoch     rattanjob.EpochID
+	Witnesses []rattanjob.Incarnation
+}
+
+// NewMembers returns a membership that knows only its seeds.
+func NewMembers(now time.Time, config MembersConfig) *Members {
+	settings := config.Settings
+	seeds := make([]rattanmember.Member, 0, len(settings.Peers))
+	for _, peer := range settings.Peers {
+		seeds = append(seeds, rattanmember.Member{
+			Incarnation:      rattanjob.Incarnation{Instance: peer.Name},
+			AvailabilityZone: peer.AvailabilityZone,
+			PeerAddress:      peer.PeerAddress,
+		})
+	}
+	table := rattanmember.New(now, rattanmember.Config{
+		Self: rattanmember.Member{
+			Incarnation:      rattanjob.Incarnation{Instance: settings.Name, Number: config.Incarnation},
+			AvailabilityZone: settings.AvailabilityZone,
+			PeerAddress:      settings.PeerAddress,
+		},
+		Seeds:             seeds,
+		Pools:             1,
+		Random:            rand.New(rand.NewPCG(config.Incarnation, uint64(len(settings.Name)))),
+		HeartbeatInterval: settings.Home.HeartbeatInterval.Std(),
+		TenureDuration:    settings.Home.TenureDuration.Std(),
+		VerdictMargin:     settings.Home.VerdictMargin.Std(),
+	})
+	return &Members{config: config, table: table}
+}
+
+// Drain gives up the pool and announces that this instance leaves.
+func (m *Members) Drain(context.Context) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.table.Leave(time.Now())
+	return nil
+}
+
+// Ended asks the witnesses of the key's epoch whether it has ended.
+func (m *Members) Ended(ctx context.Context, key rattanjob.Key) bool {
+	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
+	defer cancel()
+	request, err := json.Marshal(voteRequest{Epoch: key.Epoch, Witnesses: key.Witnesses})
+	if err != nil {
+		return false
+	}
+	votes := make(chan rattanmember.Vote, len(key.Witnesses))
+	for _, witness := range key.Witnesses {
+		go m.askWitness(ctx, witness, key, request, votes)
+	}
+	var cast []rattanmember.Vote
+	for range key.Witnesses {
+		select {
+		case vote := <-votes:
+			cast = append(cast, vote)
+		case <-ctx.Done():
+		}
+		if m.decided(key, cast) {
+			return true
+		}
+	}
+	return m.decided(key, cast)
+}
+
+// EpochValid reports whether this instance holds authority over the epoch.
+func (m *Members) EpochValid(now time.Time, epoch rattanjob.EpochID) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.table.EpochValid(now, epoch)
+}
+
+// Handle serves heartbeats and votes.
+func (m *Members) Handle(node *rattanpeer.Node) {
+	node.Handle(methodHeartbeat, m.handleHeartbeat)
+	node.Handle(methodVote, m.handleVote)
+}
+
+// Locate returns the peer address of the instance, and whether the incarnation
+// is proved to have ended.
+func (m *Members) Locate(incarnation rattanjob.Incarnation) (string, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	now := time.Now()
+	if m.table.Proof(now, incarnation) != rattanmember.ProofNone {
+		return "", true
+	}
+	member, ok := m.table.Member(now, incarnation.Instance)
+	if !ok {
+		return "", false
+	}
+	return member.PeerAddress, false
+}
+
+// Members returns all known members, this one included.
+func (m *Members) Members(now time.Time) []rattanmember.Member {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return append(m.table.Members(now), m.table.Self(now))
+}
+
+// Name returns the name of the service in the kernel.
+func (m *Members) Name() string {
+	return "Members"
+}
+
+// Observe takes in the platform's instance list.
+func (m *Members) Observe(now time.Time, instances []rattanplatform.Instance) {
+	list := rattanmember.InstanceList{Revision: uint64(now.UnixNano())}
+	for _, instance := range instances {
+		if instance.Role == rattanplatform.RoleEntry {
+			list.Instances = append(list.Instances, instance.Name)
+		}
+	}
+	if len(list.Instances) == 0 {
+		// A list without any entry instance says nothing about them; some
+		// platforms list targets only.
+		return
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.table.ObserveInstances(now, list)
+}
+
+// Owner returns the home of this instance's availability zone.
+func (m *Members) Owner(now time.Time) (rattanmember.Member, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.table.Owner(now, m.config.Settings.AvailabilityZone, 0)
+}
+
+// Start begins to send heartbeats.
+func (m *Members) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	m.loops.Go(func() { m.beat(ctx) })
+	return nil
+}
+
+// Stop ends the heartbeats.
+func (m *Members) Stop(context.Context) error {
+	m.cancel()
+	m.loops.Wait()
+	return nil
+}
+
+// Unreachable takes in that an incarnation did not answer and returns whether
+// it is proved to have ended.
+func (m *Members) Unreachable(now time.Time, incarnation rattanjob.Incarnation, refused bool) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.table.HandleUnreachable(now, incarnation, refused)
+	return m.table.Proof(now, incarnation) != rattanmember.ProofNone
+}
+
+// Watches reports whether this instance is one of the members of its zone that
+// watch the platform: the ones that have run longest.
+func (m *Members) Watches(now time.Time) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	self := m.table.Self(now)
+	senior := 0
+	for _, member := range m.table.Members(now) {
+		if member.AvailabilityZone == self.AvailabilityZone && member.Status == rattanmember.StatusAlive && before(member, self) {
+			senior++
+		}
+	}
+	return senior < watchersPerZone
+}
+
+// before reports whether a started before b.
+func before(a, b rattanmember.Member) bool {
+	if a.Incarnation.Number != b.Incarnation.Number {
+		return a.Incarnation.Number != 0 && a.Incarnation.Number < b.Incarnation.Number
+	}
+	return a.Incarnation.Instance < b.Incarnation.Instance
+}
+
+func (m *Members) beat(ctx context.Context) {
+	ticker := time.NewTicker(memberTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		// The tick itself may be old after a pause; decisions need the
+		// present time.
+		now := time.Now()
+		payload := m.config.Payload()
+		m.mutex.Lock()
+		events := m.table.Roll(now)
+		m.table.SetPayload(payload)
+		outgoing := m.table.Heartbeats(now)
+		m.mutex.Unlock()
+		m.act(now, events)
+		for _, heartbeat := range outgoing {
+			go m.send(ctx, now, heartbeat)
+		}
+	}
+}
+
+func (m *Members) act(now time.Time, events []rattanmember.Event) {
+	for _, event := range events {
+		m.config.Logger.WithFields(logrus.Fields{"Event": event.Kind.String(), "Epoch": event.Epoch.ID.Number}).Info("epoch changed")
+		switch event.Kind {
+		case rattanmember.EventEpochOpened:
+			m.config.Opened(now, event.Epoch.ID, event.Start)
+		case rattanmember.EventEpochFenced, rattanmember.EventEpochClosed:
+			m.config.Fenced(now, event.Epoch.ID)
+		case rattanmember.EventSuperseded:
+			m.config.Superseded()
+		}
+	}
+}
+
+func (m *Members) send(ctx context.Context, sent time.Time, outgoing rattanmember.Outgoing) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	body, err := json.Marshal(outgoing.Heartbeat)
+	if err != nil {
+		return
+	}
+	reply, err := m.config.Peers.Call(ctx, outgoing.To.PeerAddress, methodHeartbeat, body)
+	if err != nil {
+		refused := errors.Is(err, rattanpeer.ErrRefused)
+		m.Unreachable(time.Now(), outgoing.To.Incarnation, refused)
+		return
+	}
+	var acknowledgement rattanmember.Acknowledgement
+	if err := json.Unmarshal(reply, &acknowledgement); err != nil {
+		return
+	}
+	m.mutex.Lock()
+	m.table.HandleAcknowledgement(time.Now(), sent, acknowledgement)
+	m.mutex.Unlock()
+	m.config.Received(outgoing.To.PeerAddress, acknowledgement.Payload)
+}
+
+func (m *Members) handleHeartbeat(_ context.Context, _ string, body []byte) ([]byte, error) {
+	var heartbeat rattanmember.Heartbeat
+	if err := json.Unmarshal(body, &heartbeat); err != nil {
+		return nil, errors.Trace(err)
+	}
+	m.mutex.Lock()
+	acknowledgement := m.table.HandleHeartbeat(time.Now(), heartbeat)
+	m.mutex.Unlock()
+	m.config.Received(heartbeat.From.PeerAddress, heartbeat.Payload)
+	return json.Marshal(acknowledgement)
+}
+
+func (m *Members) handleVote(_ context.Context, _ string, body []byte) ([]byte, error) {
+	var request voteRequest
+	if err := json.Unmarshal(body, &request); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return json.Marshal(m.vote(request.Epoch, request.Witnesses))
+}
+
+func (m *Members) vote(epoch rattanjob.EpochID, witnesses []rattanjob.Incarnation) rattanmember.Vote {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.table.Vote(time.Now(), epoch, witnesses)
+}
+
+func (m *Members) decided(key rattanjob.Key, votes []rattanmember.Vote) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.table.Ended(time.Now(), key.Epoch, key.Witnesses, votes)
+}
+
+func (m *Members) askWitness(ctx context.Context, witness rattanjob.Incarnation, key rattanjob.Key, request []byte, votes chan<- rattanmember.Vote) {
+	if witness.Instance == m.config.Settings.Name {
+		votes <- m.vote(key.Epoch, key.Witnesses)
+		return
+	}
+	address, _ := m.Locate(witness)
+	if address == "" {
+		return
+	}
+	reply, err := m.config.Peers.Call(ctx, address, methodVote, request)
+	if err != nil {
+		return
+	}
+	var vote rattanmember.Vote
+	if json.Unmarshal(reply, &vote) == nil {
+		votes <- vote
+	}
+}
--- a/rattanentry/run.go
+++ b/rattanentry/run.go
@@ -16,14 +16,16 @@
 // run is one job in progress at its home. All fields are guarded by the
 // home's mutex, except those that never change after launch.
 type run struct {
-	id        rattanpool.JobID
-	key       rattanjob.Key
-	caller    string
-	kind      string
-	tasks     []rattanjob.Task
-	submitted time.Time
-	deadline  time.Time
-	timer     *time.Timer
+	id  rattanpool.JobID
+	key rattanjob.Key
+	// submission is the ID of the key.
+	submission string
+	caller     string
+	kind       string
+	tasks      []rattanjob.Task
+	submitted  time.Time
+	deadline   time.Time
+	timer      *time.Timer
 
 	results []rattanjob.Result
 	// remaining is the number of tasks without a result.
@@ -41,8 +43,8 @@
 
 // taskID names one attempt of one task; no two dispatches share one.
 func (r *run) taskID(assignment rattanpool.Assignment) string {
-	epoch := r.key.Epoch
-	return fmt.Sprintf("%s.%d.%d.%x-%d-%d", epoch.Home.Instance, epoch.Home.Number, epoch.Number, r.key.Nonce, assignment.Task, assignment.Attempt)
+	id := rattanjob.TaskID{Submission: r.submission, Task: assignment.Task, Attempt: assignment.Attempt}
+	return id.String()
 }
 
 // pump assigns waiting tasks to free slots until the scheduler has no more.
--- a/rattanlog/log.go
+++ b/rattanlog/log.go
@@ -35,6 +35,13 @@
 	return logger, nil
 }
 
+// SetGlobal makes the logger that of kratos for the whole process. It must be
+// called before any kratos application is made, because kratos reads its
+// global logger without a lock.
+func SetGlobal(logger *logrus.Logger) {
+	log.SetLogger(Adapter{Logger: logger})
+}
+
 // Log writes one line with the key-value pairs as fields.
 func (a Adapter) Log(level log.Level, pairs ...any) error {
 	fields := logrus.Fields{}
--- /dev/null
+++ b/rattansystem/system_test.go
@@ -0,0 +1,84 @@
+package rattansystem_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattancheck"
+	"github.com/rattanlever/rattanlever/rattanclient"
+	"github.com/rattanlever/rattanlever/rattanconfig"
+	"github.com/rattanlever/rattanlever/rattanentry"
+	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattanjson"
+	"github.com/rattanlever/rattanlever/rattanstandin"
+	"github.com/rattanlever/rattanlever/rattansystem"
+)
+
+func document() rattanconfig.Document {
+	return rattanconfig.Document{
+		Revision: 1,
+		Services: map[string]rattanconfig.Service{"planner": {Description: "planner"}},
+		JobKinds: map[string]rattanconfig.JobKind{
+			"list": {Service: "planner", MaxTasks: 250, RunTime: rattanjson.Duration(20 * time.Millisecond), Deadline: rattanjson.Duration(10 * time.Second), Idempotent: true},
+		},
+		Callers: map[string]rattanconfig.Caller{"app": {Weight: 1}, "counter": {Weight: 1}},
+	}
+}
+
+func startSystem(c *qt.C, zones ...string) *rattansystem.System {
+	rattanentry.OnViolation(func(err error) { c.Errorf("%v", err) })
+	system, err := rattansystem.Start(rattansystem.Config{
+		Zones:          zones,
+		EntriesPerZone: 3,
+		Fleets:         []rattanstandin.TargetFleetOptions{{Count: 4, Service: "planner", Target: rattanstandin.TargetOptions{Slots: 8, Echo: true}}},
+		Document:       document(),
+	})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(system.Close)
+	return system
+}
+
+func submission(key rattanjob.Key, tasks int, runTime time.Duration) rattanjob.Submission {
+	made := rattanjob.Submission{Key: key, Kind: "list"}
+	for i := range tasks {
+		payload := fmt.Sprintf(`{"RunTime":%q,"Token":"%s-%d"}`, runTime, key.ID(), i)
+		made.Tasks = append(made.Tasks, rattanjob.Task{Payload: json.RawMessage(payload)})
+	}
+	return made
+}
+
+// Guards the whole path: every job is answered completely through any
+// instance, and a resubmission joins the job.
+func TestJobsThroughAllInstances(t *testing.T) {
+	c := qt.New(t)
+	system := startSystem(c, "buda")
+	history := rattancheck.NewHistory()
+	client := rattanclient.New(rattanclient.Config{Addresses: system.Addresses(), Caller: "app"})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	keys, err := client.Keys(ctx, 30)
+	c.Assert(err, qt.IsNil)
+	var jobs sync.WaitGroup
+	for _, key := range keys {
+		sent := submission(key, 10, 10*time.Millisecond)
+		history.Submitted(sent)
+		for range 2 {
+			jobs.Go(func() {
+				asked := time.Now()
+				answer, err := client.Do(ctx, sent)
+				c.Check(err, qt.IsNil)
+				c.Check(answer.State, qt.Equals, rattanjob.StateComplete, qt.Commentf("%+v", answer))
+				history.Answered(key, asked, time.Now(), answer)
+			})
+		}
+	}
+	jobs.Wait()
+	c.Assert(history.Check(system.Starts()), qt.HasLen, 0)
+	c.Assert(system.Log.Starts(), qt.Equals, uint64(300))
+}
