Test the outcomes of dispatches under faults

Covers refusals, deaths, lost and silent connections, unusable responses and connections that close at any moment. The tests found a data race in Target.Revive, which wrote the address again; a target now takes its address once. Revive retries for up to a second, as the operating system may give a free port to an outgoing connection. A dispatch without an ID or a lease is refused, and a process that died no longer answers.

--- a/rattanplatform/client.go
+++ b/rattanplatform/client.go
@@ -20,8 +20,7 @@
 	"github.com/rattanlever/rattanlever/rattanjson"
 )
 
-// Errors of the client. Every error of a call is one of these, or the error of
-// its context.
+// Errors of the client. Every error of a call is one of these.
 const (
 	// ErrConflict says that the key does not have the expected revision, and
 	// that nothing was written.
@@ -66,8 +65,9 @@
 	Transport http.RoundTripper
 }
 
-// Client calls the platform. It is safe for concurrent use and makes each call
-// once; it does not retry.
+// Client calls the platform. It is safe for concurrent use. It sends a write at
+// most once; the transport may send a read again when a kept connection turns
+// out to be closed.
 type Client struct {
 	// Counters counts the calls that were made.
 	Counters Counters
@@ -159,6 +159,31 @@
 	return written.Revision, errors.Annotatef(err, "key %q", key)
 }
 
+// ReadBack finds out about a Put with a revision as condition that ended with
+// ErrUncertain. The value has to be unique to that Put, so it contains the
+// writer's request ID. ReadBack returns the revision if the key holds the
+// value. It returns ErrConflict if another write came after the condition's
+// revision; the Put may have taken effect before that write. It returns
+// ErrUncertain if the key still has the condition's revision: then the Put may
+// still take effect, and making it again is safe.
+func (c *Client) ReadBack(ctx context.Context, key string, value []byte, ifRevision int64) (int64, error) {
+	entry, err := c.Get(ctx, key)
+	switch {
+	case errors.Is(err, ErrNotFound):
+		entry = Entry{Revision: NoRevision}
+	case err != nil:
+		return 0, err
+	}
+	switch {
+	case entry.Revision == ifRevision:
+		return 0, errors.Annotatef(ErrUncertain, "key %q still has revision %d", key, ifRevision)
+	case entry.Revision != NoRevision && bytes.Equal(entry.Value, value):
+		return entry.Revision, nil
+	default:
+		return entry.Revision, errors.Annotatef(ErrConflict, "key %q has revision %d", key, entry.Revision)
+	}
+}
+
 // RenewLease restarts the time of a lease. An expired lease is ErrNotFound.
 func (c *Client) RenewLease(ctx context.Context, id int64) (Lease, error) {
 	c.Counters.Leases.Add(1)
--- a/rattanstandin/target.go
+++ b/rattanstandin/target.go
@@ -18,6 +18,12 @@
 	DefaultKeepFinished = 4096
 )
 
+// Bounds of the attempts to listen at the address of a target that was killed.
+const (
+	reviveTimeout  = time.Second
+	reviveInterval = 10 * time.Millisecond
+)
+
 // maxTombstones bounds the IDs that one target refuses because of stop
 // requests; the oldest are dropped.
 const maxTombstones = 1 << 16
@@ -100,10 +106,12 @@
 	if options.Log == nil {
 		options.Log = NewStartLog()
 	}
-	t := &Target{options: options, address: options.Address}
-	if err := t.Revive(); err != nil {
+	listener, err := listen(options.Address)
+	if err != nil {
 		return nil, errors.Annotatef(err, "target %q", options.Name)
 	}
+	t := &Target{options: options, address: listener.Addr().String()}
+	t.boot(listener)
 	return t, nil
 }
 
@@ -120,7 +128,10 @@
 	server, served := t.server, t.served
 	t.server, t.listener = nil, nil
 	for _, task := range t.tasks {
-		task.end(rattantarget.TaskStateStopped, "target died")
+		if !task.ended() {
+			task.lost = true
+			task.end(rattantarget.TaskStateStopped, "target died")
+		}
 	}
 	t.queue, t.tasks, t.finished = nil, nil, nil
 	t.tombstones, t.tombstoneList = nil, nil
@@ -145,21 +156,36 @@
 	if t.server != nil {
 		return nil
 	}
-	listener, err := listen(t.address)
+	listener, err := t.listenAgain()
 	if err != nil {
-		return errors.Trace(err)
+		return errors.Annotatef(err, "target %q", t.options.Name)
 	}
-	t.address = listener.Addr().String()
+	t.boot(listener)
+	return nil
+}
+
+// listenAgain retries for a short time, as the operating system may have given
+// the port to an outgoing connection in the meantime.
+func (t *Target) listenAgain() (*listener, error) {
+	for deadline := time.Now().Add(reviveTimeout); ; time.Sleep(reviveInterval) {
+		listener, err := listen(t.address)
+		if err == nil || time.Now().After(deadline) {
+			return listener, err
+		}
+	}
+}
+
+// boot starts a process of the target.
+func (t *Target) boot(listener *listener) {
 	t.listener = listener
-	t.server = &http.Server{Handler: http.HandlerFunc(t.serve), ErrorLog: quietLog}
-	t.served = make(chan struct{})
 	t.incarnation++
+	t.server = &http.Server{Handler: t.handler(t.incarnation), ErrorLog: quietLog}
+	t.served = make(chan struct{})
 	t.startedAt = time.Now()
 	t.tasks = map[string]*task{}
 	t.tombstones = map[string]bool{}
 	t.usage = usageHistory{}
 	go serveUntilClosed(t.server, listener, t.served)
-	return nil
 }
 
 // SetBehaviour changes how the target misbehaves.
--- a/rattanstandin/targethttp.go
+++ b/rattanstandin/targethttp.go
@@ -12,9 +12,14 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/rattanlever/rattanlever/rattantarget"
 )
 
+// errDispatch reports a dispatch that the interface does not allow.
+const errDispatch = errors.ConstError("ID and a Lease of more than 0s are required")
+
 // maxDispatchSize bounds the body of a dispatch.
 const maxDispatchSize = 4 << 20
 
@@ -29,12 +34,20 @@
 	close(served)
 }
 
-// serve answers the task interface.
-func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+// handler returns the task interface of one process of the target.
+func (t *Target) handler(incarnation int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && r.URL.Path == "/v1/tasks" {
+			t.servePost(w, r, incarnation)
+			return
+		}
+		t.serveQuery(w, r)
+	})
+}
+
+func (t *Target) serveQuery(w http.ResponseWriter, r *http.Request) {
 	id, named := strings.CutPrefix(r.URL.Path, "/v1/tasks/")
 	switch {
-	case r.Method == http.MethodPost && r.URL.Path == "/v1/tasks":
-		t.servePost(w, r)
 	case r.Method == http.MethodGet && named:
 		answer(w, http.StatusOK, t.inspect(time.Now(), id))
 	case r.Method == http.MethodDelete && named:
@@ -46,14 +59,16 @@
 	}
 }
 
-func (t *Target) servePost(w http.ResponseWriter, r *http.Request) {
+func (t *Target) servePost(w http.ResponseWriter, r *http.Request, incarnation int) {
 	dispatch, err := readDispatch(w, r)
 	if err != nil {
 		answer(w, http.StatusBadRequest, rattantarget.Rejection{NotStarted: true, Reason: err.Error()})
 		return
 	}
-	task, rejection := t.dispatch(time.Now(), dispatch)
+	task, rejection := t.dispatch(time.Now(), incarnation, dispatch)
 	switch {
+	case task == nil && rejection == nil:
+		panic(http.ErrAbortHandler)
 	case rejection != nil && !rejection.NotStarted:
 		answer(w, http.StatusInternalServerError, rejection)
 		return
@@ -72,10 +87,12 @@
 // longer changes.
 func (t *Target) answerTask(w http.ResponseWriter, ended *task) {
 	switch {
+	case ended.lost:
+		panic(http.ErrAbortHandler)
 	case !ended.started:
 		answer(w, http.StatusServiceUnavailable, rattantarget.Rejection{NotStarted: true, Reason: ended.reason})
 	case ended.failed:
-		answer(w, http.StatusInternalServerError, rattantarget.Rejection{Reason: ended.reason})
+		answer(w, http.StatusInternalServerError, rattantarget.Rejection{Stopped: ended.state == rattantarget.TaskStateStopped, Reason: ended.reason})
 	default:
 		answer(w, http.StatusOK, rattantarget.Result{ID: ended.id, Payload: ended.payload})
 	}
@@ -89,7 +106,13 @@
 		return nil, err
 	}
 	dispatch := &rattantarget.Dispatch{}
-	return dispatch, json.Unmarshal(buffer.Bytes(), dispatch)
+	if err := json.Unmarshal(buffer.Bytes(), dispatch); err != nil {
+		return nil, err
+	}
+	if dispatch.ID == "" || dispatch.Lease <= 0 {
+		return nil, errDispatch
+	}
+	return dispatch, nil
 }
 
 // answer writes a JSON body.
--- a/rattanstandin/task.go
+++ b/rattanstandin/task.go
@@ -16,7 +16,9 @@
 	state   rattantarget.TaskState
 	started bool
 	failed  bool
-	reason  string
+	// lost says that the target's process died before the task ended.
+	lost   bool
+	reason string
 	// payload is the result once the task is done.
 	payload json.RawMessage
 	runTime time.Duration
@@ -63,9 +65,13 @@
 }
 
 // dispatch starts or queues a task, or returns why it was rejected.
-func (t *Target) dispatch(now time.Time, dispatch *rattantarget.Dispatch) (*task, *rattantarget.Rejection) {
+// It returns neither when the process that read the request has died.
+func (t *Target) dispatch(now time.Time, incarnation int, dispatch *rattantarget.Dispatch) (*task, *rattantarget.Rejection) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.server == nil || t.incarnation != incarnation {
+		return nil, nil
+	}
 	t.noteUsage(now)
 	if started, ok := t.tombstones[dispatch.ID]; ok {
 		return nil, &rattantarget.Rejection{NotStarted: !started, Reason: "stopped before"}
@@ -73,7 +79,7 @@
 	if t.behaviour.Refuse {
 		return nil, &rattantarget.Rejection{NotStarted: true, Reason: "refuses all tasks"}
 	}
-	if t.tasks == nil || (t.busy >= t.options.Slots && len(t.queue) >= t.options.QueueLimit) {
+	if t.busy >= t.options.Slots && len(t.queue) >= t.options.QueueLimit {
 		return nil, &rattantarget.Rejection{NotStarted: true, Reason: "no free slot"}
 	}
 	added := &task{
--- a/rattantarget/run.go
+++ b/rattantarget/run.go
@@ -178,6 +178,8 @@
 	switch {
 	case rejection.NotStarted:
 		return Result{}, typed(detail, ErrNotStarted, ErrRefused)
+	case status == http.StatusInternalServerError && rejection.Stopped:
+		return Result{}, typed(detail, ErrFailed, ErrStopped)
 	case status == http.StatusInternalServerError:
 		return Result{}, typed(detail, ErrFailed)
 	default:
--- a/rattantarget/settle.go
+++ b/rattantarget/settle.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"syscall"
@@ -161,8 +162,8 @@
 	}
 	response, err := c.queries.RoundTrip(request)
 	if err != nil {
-		var operation interface{ Timeout() bool }
-		if errors.Is(err, syscall.ECONNREFUSED) || (errors.As(err, &operation) && ctx.Err() == nil) {
+		var operation *net.OpError
+		if errors.As(err, &operation) && operation.Op == "dial" {
 			return typed(err, ErrUnreachable)
 		}
 		return errors.Trace(err)
--- /dev/null
+++ b/rattantarget/settle_test.go
@@ -0,0 +1,274 @@
+package rattantarget_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"github.com/rattanlever/rattanlever/rattanstandin"
+	"github.com/rattanlever/rattanlever/rattantarget"
+)
+
+// start runs a task in the background until the target has started it.
+func start(c *qt.C, client *rattantarget.Client, target *rattanstandin.Target, runTime string) <-chan error {
+	ended := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	c.Cleanup(cancel)
+	go func() {
+		_, err := client.Run(ctx, rattantarget.Dispatch{
+			Address: target.Address(),
+			ID:      "task",
+			Payload: json.RawMessage(`{"RunTime":"` + runTime + `"}`),
+			Lease:   testLease,
+		})
+		ended <- err
+	}()
+	for deadline := time.Now().Add(5 * time.Second); target.Log().Starts() == 0; time.Sleep(time.Millisecond) {
+		c.Assert(time.Now().Before(deadline), qt.IsTrue)
+	}
+	return ended
+}
+
+// TestSettle guards against a settlement that permits a second start of a task
+// that may have run, and against one that waits for something that cannot come.
+func TestSettle(t *testing.T) {
+	tests := []struct {
+		name    string
+		runTime string
+		// before happens after the start of the task and before Settle.
+		before func(client *rattantarget.Client, target *rattanstandin.Target)
+		want   error
+	}{
+		{name: "runs on", runTime: "200ms"},
+		{
+			name:    "connection silent",
+			runTime: "50ms",
+			before:  func(_ *rattantarget.Client, target *rattanstandin.Target) { target.Silence(rattanstandin.SilenceBoth) },
+		},
+		{
+			name:    "stopped",
+			runTime: "10s",
+			before: func(client *rattantarget.Client, target *rattanstandin.Target) {
+				_, _ = client.Stop(context.Background(), target.Address(), "task")
+			},
+			want: rattantarget.ErrStopped,
+		},
+		{
+			name:    "target dead",
+			runTime: "10s",
+			before:  func(_ *rattantarget.Client, target *rattanstandin.Target) { target.Kill() },
+			want:    rattantarget.ErrUnresolved,
+		},
+		{
+			name:    "target restarted",
+			runTime: "10s",
+			before: func(_ *rattantarget.Client, target *rattanstandin.Target) {
+				target.Kill()
+				_ = target.Revive()
+			},
+			want: rattantarget.ErrUnresolved,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			target := newTarget(t, rattanstandin.TargetOptions{})
+			client := newClient(t, rattantarget.Options{})
+			start(c, client, target, test.runTime)
+			if test.before != nil {
+				test.before(client, target)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			result, err := client.Settle(ctx, target.Address(), "task")
+			c.Assert(ctx.Err(), qt.IsNil)
+			if test.want != nil {
+				c.Assert(err, qt.ErrorIs, test.want)
+				c.Assert(err, qt.Not(qt.ErrorIs), rattantarget.ErrNotStarted)
+				return
+			}
+			c.Assert(err, qt.IsNil)
+			c.Assert(result.ID, qt.Equals, "task")
+			c.Assert(target.Log().Starts(), qt.Equals, uint64(1))
+		})
+	}
+}
+
+// TestSettleForeign guards against a "not started" about a dispatch whose time
+// the client does not know.
+func TestSettleForeign(t *testing.T) {
+	c := qt.New(t)
+	target := newTarget(t, rattanstandin.TargetOptions{})
+	client := newClient(t, rattantarget.Options{})
+	_, err := client.Settle(context.Background(), target.Address(), "task")
+	c.Assert(err, qt.ErrorIs, rattantarget.ErrUnresolved)
+}
+
+// TestRunSilentConnections guards against tasks that hang with a silent
+// connection, and against those that start twice when they are settled.
+func TestRunSilentConnections(t *testing.T) {
+	const tasks = 20
+	for silence, wantStarts := range map[rattanstandin.Silence]uint64{
+		// The requests are lost with the responses.
+		rattanstandin.SilenceBoth: tasks,
+		// The requests arrive.
+		rattanstandin.SilenceResponses: 2 * tasks,
+	} {
+		t.Run(silence.String(), func(t *testing.T) {
+			c := qt.New(t)
+			target := newTarget(t, rattanstandin.TargetOptions{Slots: 2 * tasks})
+			client := newClient(t, rattantarget.Options{})
+			runAll := func(name string) (notStarted int) {
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				defer cancel()
+				var mu sync.Mutex
+				var running sync.WaitGroup
+				for n := range tasks {
+					running.Go(func() {
+						_, err := client.Run(ctx, rattantarget.Dispatch{
+							Address:      target.Address(),
+							InspectAfter: 200 * time.Millisecond,
+							ID:           fmt.Sprintf("%s-%d", name, n),
+							Payload:      json.RawMessage(`{"RunTime":"50ms"}`),
+							Lease:        testLease,
+						})
+						mu.Lock()
+						defer mu.Unlock()
+						if errors.Is(err, rattantarget.ErrNotStarted) {
+							notStarted++
+							return
+						}
+						c.Check(err, qt.IsNil)
+					})
+				}
+				running.Wait()
+				c.Check(ctx.Err(), qt.IsNil)
+				return notStarted
+			}
+			c.Assert(runAll("before"), qt.Equals, 0)
+			c.Assert(target.Silence(silence), qt.Equals, tasks)
+			notStarted := runAll("silent")
+			c.Check(uint64(2*tasks-notStarted), qt.Equals, wantStarts)
+			c.Check(client.Counters.Silent.Load(), qt.Equals, uint64(tasks))
+			c.Check(runAll("after"), qt.Equals, 0)
+			c.Check(target.Log().Starts(), qt.Equals, wantStarts+tasks)
+			c.Check(target.Log().DoubleStarts(), qt.Equals, uint64(0))
+		})
+	}
+}
+
+// TestRunConnectionLimit guards against more connections to a target than it
+// allows, and against tasks that fail because they wait for one.
+func TestRunConnectionLimit(t *testing.T) {
+	c := qt.New(t)
+	target := newTarget(t, rattanstandin.TargetOptions{Slots: 300})
+	client := newClient(t, rattantarget.Options{})
+	var running sync.WaitGroup
+	for n := range 300 {
+		running.Go(func() {
+			_, err := client.Run(context.Background(), rattantarget.Dispatch{
+				Address: target.Address(),
+				ID:      fmt.Sprint(n),
+				Payload: json.RawMessage(`{"RunTime":"10ms"}`),
+				Lease:   testLease,
+			})
+			c.Check(err, qt.IsNil)
+		})
+	}
+	running.Wait()
+	c.Assert(client.Counters.Dials.Load() <= rattantarget.DefaultConnections, qt.IsTrue)
+}
+
+// TestRandomFaults guards against a second start of any task under random
+// faults of all targets, when ErrNotStarted alone permits another dispatch.
+func TestRandomFaults(t *testing.T) {
+	seed := rand.Uint64()
+	t.Logf("seed %d", seed)
+	c := qt.New(t)
+	fleet, err := rattanstandin.NewTargetFleet(rattanstandin.TargetFleetOptions{Count: 5})
+	c.Assert(err, qt.IsNil)
+	defer fleet.Close()
+	client := newClient(t, rattantarget.Options{Connections: 8})
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	var running sync.WaitGroup
+	running.Go(func() { causeFaults(ctx, rand.New(rand.NewPCG(seed, 0)), fleet) })
+	var mu sync.Mutex
+	counts := map[string]int{}
+	for worker := range 24 {
+		running.Go(func() {
+			random := rand.New(rand.NewPCG(seed, uint64(worker)+1))
+			for n := 0; ctx.Err() == nil; n++ {
+				outcome := runWithRetries(client, fleet, random, fmt.Sprintf("%d-%d", worker, n))
+				mu.Lock()
+				counts[outcome]++
+				mu.Unlock()
+			}
+		})
+	}
+	running.Wait()
+	t.Logf("outcomes %v, settled %d, starts %d", counts, client.Counters.Silent.Load(), fleet.Log().Starts())
+	c.Check(fleet.Log().Doubles(), qt.HasLen, 0)
+	c.Check(counts["done"] > 0, qt.IsTrue)
+}
+
+// causeFaults changes a random target every few milliseconds, and leaves all
+// targets sound.
+func causeFaults(ctx context.Context, random *rand.Rand, fleet *rattanstandin.TargetFleet) {
+	for ctx.Err() == nil {
+		target := fleet.Targets[random.IntN(len(fleet.Targets))]
+		switch random.IntN(6) {
+		case 0:
+			target.Kill()
+		case 1:
+			target.Silence(rattanstandin.SilenceBoth)
+		case 2:
+			target.Silence(rattanstandin.SilenceResponses)
+		case 3:
+			target.SetBehaviour(rattanstandin.Behaviour{Refuse: random.IntN(2) == 0, SlowFactor: 1 + 3*random.Float64()})
+		default:
+			target.SetBehaviour(rattanstandin.Behaviour{})
+			_ = target.Revive()
+		}
+		time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
+	}
+	_ = fleet.Control(rattanstandin.TargetControl{Revive: true, Behaviour: &rattanstandin.Behaviour{}})
+}
+
+// runWithRetries dispatches a task until its outcome is something else than
+// "not started", and returns the outcome.
+func runWithRetries(client *rattantarget.Client, fleet *rattanstandin.TargetFleet, random *rand.Rand, id string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for ctx.Err() == nil {
+		address := fleet.Targets[random.IntN(len(fleet.Targets))].Address()
+		_, err := client.Run(ctx, rattantarget.Dispatch{
+			Address:      address,
+			InspectAfter: 30 * time.Millisecond,
+			ID:           id,
+			Payload:      json.RawMessage(fmt.Sprintf(`{"RunTime":"%dms"}`, random.IntN(20))),
+			Lease:        testLease,
+		})
+		if errors.Is(err, rattantarget.ErrUnresolved) {
+			_, err = client.Settle(ctx, address, id)
+		}
+		switch {
+		case err == nil:
+			return "done"
+		case errors.Is(err, rattantarget.ErrNotStarted):
+			time.Sleep(time.Millisecond)
+		case errors.Is(err, rattantarget.ErrFailed):
+			return "failed"
+		default:
+			return "unresolved"
+		}
+	}
+	return "not started"
+}
--- a/rattantarget/task.go
+++ b/rattantarget/task.go
@@ -55,7 +55,10 @@
 	// NotStarted says that the task was not started and will not be by this
 	// request.
 	NotStarted bool
-	Reason     string `json:",omitempty"`
+	// Stopped says that the task was stopped after its start, on request or at
+	// the end of its lease.
+	Stopped bool   `json:",omitempty"`
+	Reason  string `json:",omitempty"`
 }
 
 // Inspection is what a target knows about a task.
