rattanmember: clear a missing answer only by an answer

A heartbeat that arrives proves one direction only. With it, a home behind a one-way partition took a member that it could not reach for a witness, again and again. A single lost message is no reason to roll over either. A grant that was only asked about does not let an old epoch be acknowledged.

--- a/rattanmember/epoch.go
+++ b/rattanmember/epoch.go
@@ -70,14 +70,19 @@
 // advance fences the epochs whose validity has lapsed. Every method calls it
 // before anything else, so that no acknowledgement can revive an epoch.
 func (t *Table) advance(now time.Time) {
-	for _, epoch := range slices.Clone(t.epochs) {
+	t.noticePause(now)
+	for i := 0; i < len(t.epochs); {
+		epoch := t.epochs[i]
 		switch {
 		case epoch.phase == phasePending:
+			i++
 		case !epoch.valid(now, t.config.TenureDuration):
 			t.counters.EpochsFenced++
 			t.end(now, epoch, EventEpochFenced)
 		case epoch.phase == phaseDraining && !now.Before(epoch.drainUntil):
 			t.end(now, epoch, EventEpochClosed)
+		default:
+			i++
 		}
 	}
 }
@@ -132,15 +137,22 @@
 		return false
 	}
 	elapsed := now.Sub(t.lastOpened)
-	if t.lostWitness(now, current) {
+	if t.lostWitness(current) {
 		return elapsed >= t.config.TenureDuration
 	}
+	if len(current.witnesses) == 0 {
+		return elapsed >= 2*t.config.TenureDuration
+	}
 	return len(witnesses) > len(current.witnesses) && elapsed >= t.config.GrowthInterval
 }
 
-func (t *Table) lostWitness(now time.Time, current *homeEpoch) bool {
+// lostWitness reports whether a witness will not acknowledge the epoch again. A
+// lost message is no reason to roll over.
+func (t *Table) lostWitness(current *homeEpoch) bool {
 	for index, witness := range current.witnesses {
-		if current.ended[index] || !t.reachable(now, witness) {
+		known := t.entries[witness.Instance]
+		alive := known != nil && known.member.Incarnation == witness && known.member.Status == StatusAlive
+		if current.ended[index] || !alive {
 			return true
 		}
 	}
--- a/rattanmember/gossip.go
+++ b/rattanmember/gossip.go
@@ -4,6 +4,8 @@
 	"math/bits"
 	"slices"
 	"time"
+
+	"github.com/rattanlever/rattanlever/rattanjob"
 )
 
 // Bounds of names in messages, and of what is kept.
@@ -55,7 +57,6 @@
 		return false
 	}
 	known.heardAt = now
-	known.awaitingSince = time.Time{}
 	if known.member.Version == from.Version {
 		known.member.Epoch = from.Epoch
 		known.learnedAt = now
@@ -133,6 +134,9 @@
 }
 
 func (t *Table) set(now time.Time, known *entry, said Member) {
+	if known.member.Status == StatusSuspect {
+		known.awaitingSince = time.Time{}
+	}
 	known.member = said
 	known.learnedAt = now
 	known.changedAt = now
@@ -176,15 +180,20 @@
 }
 
 // changesFor returns at most MaxChanges members for a message: the receiver
-// itself if it is not taken for alive, then recent changes, then up to refresh
-// others in turn.
-func (t *Table) changesFor(now time.Time, receiver string, refresh int) []Member {
+// itself if it is taken for silent, ended or replaced, then recent changes, then
+// up to refresh others in turn.
+func (t *Table) changesFor(now time.Time, incarnation rattanjob.Incarnation, refresh int) []Member {
+	receiver := incarnation.Instance
 	var changes []Member
 	add := func(known *entry) {
 		changes = append(changes, known.member.at(now.Sub(known.learnedAt)))
 	}
-	if known := t.entries[receiver]; known != nil && (known.member.Status == StatusSuspect || known.member.Status == StatusDead) {
-		add(known)
+	if known := t.entries[receiver]; known != nil {
+		doubted := known.member.Status == StatusSuspect || known.member.Status == StatusDead
+		replaced := known.member.Incarnation.Number > incarnation.Number
+		if doubted || replaced {
+			add(known)
+		}
 	}
 	for range len(t.changed) {
 		if len(changes) >= t.config.MaxChanges {
@@ -313,14 +322,15 @@
 
 // noticePause forgives missing answers after a pause of this member itself.
 func (t *Table) noticePause(now time.Time) {
-	if now.Sub(t.lastTick) >= t.config.TenureDuration {
-		t.counters.Pauses++
-		t.resumedAt = now
-		for _, known := range t.entries {
-			known.awaitingSince = time.Time{}
-		}
+	if now.Sub(t.lastTick) < t.config.TenureDuration {
+		return
 	}
 	t.lastTick = now
+	t.resumedAt = now
+	t.counters.Pauses++
+	for _, known := range t.entries {
+		known.awaitingSince = time.Time{}
+	}
 }
 
 // forget drops members that have been dead or silent for ForgetAfter.
--- a/rattanmember/message.go
+++ b/rattanmember/message.go
@@ -73,8 +73,6 @@
 	ProofInstanceList
 	// ProofReported says that another member has a proof.
 	ProofReported
-	// ProofLaterEpoch says that the home itself has ended the epoch.
-	ProofLaterEpoch
 )
 
 // InstanceList is the platform's list of instances.
--- a/rattanmember/owner.go
+++ b/rattanmember/owner.go
@@ -18,7 +18,8 @@
 // Owner returns the member that owns a pool of an availability zone. A member
 // that has claimed the pool keeps it while it is alive, so that pools do not
 // move when another owner leaves; a pool that nobody has claimed belongs to the
-// most senior members without a claim, in order.
+// most senior members without a claim, in order. When there are more pools than
+// members, the rest belongs to all members in turn.
 func (t *Table) Owner(now time.Time, availabilityZone string, pool int) (Member, bool) {
 	key := ownerKey{availabilityZone: availabilityZone, pool: pool}
 	value, cached := t.owners[key]
@@ -51,10 +52,13 @@
 			rank++
 		}
 	}
-	if rank >= len(unclaimed) {
+	if rank < len(unclaimed) {
+		return unclaimed[rank], true
+	}
+	if len(members) == 0 {
 		return Member{}, false
 	}
-	return unclaimed[rank], true
+	return members[(rank-len(unclaimed))%len(members)], true
 }
 
 // candidates returns the alive members of an availability zone by seniority.
--- a/rattanmember/proof_string.go
+++ b/rattanmember/proof_string.go
@@ -13,12 +13,11 @@
 	_ = x[ProofLaterIncarnation-2]
 	_ = x[ProofInstanceList-3]
 	_ = x[ProofReported-4]
-	_ = x[ProofLaterEpoch-5]
 }
 
-const _Proof_name = "NoneRefusedLaterIncarnationInstanceListReportedLaterEpoch"
+const _Proof_name = "NoneRefusedLaterIncarnationInstanceListReported"
 
-var _Proof_index = [...]uint8{0, 4, 11, 27, 39, 47, 57}
+var _Proof_index = [...]uint8{0, 4, 11, 27, 39, 47}
 
 func (i Proof) String() string {
 	idx := int(i) - 0
--- a/rattanmember/table.go
+++ b/rattanmember/table.go
@@ -225,7 +225,7 @@
 // per HeartbeatInterval; the caller keeps now as the time of sending.
 func (t *Table) Heartbeats(now time.Time) []Outgoing {
 	t.advance(now)
-	t.noticePause(now)
+	t.lastTick = now
 	t.watchHomes(now)
 	t.suspectSilent(now)
 	t.forget(now)
@@ -263,7 +263,7 @@
 	if current && heartbeat.To == t.self.Incarnation && !t.superseded {
 		t.acknowledge(now, sender, heartbeat.Tenures, &reply)
 	}
-	reply.Changes = t.changesFor(now, sender.Instance, refreshIf(len(heartbeat.Tenures) == 0))
+	reply.Changes = t.changesFor(now, sender, refreshIf(len(heartbeat.Tenures) == 0))
 	return reply
 }
 
@@ -277,6 +277,7 @@
 	if !t.takeIn(now, reply.From, reply.Changes, reply.Payload) {
 		return
 	}
+	t.entries[reply.From.Incarnation.Instance].awaitingSince = time.Time{}
 	for _, epoch := range t.epochs {
 		epoch.acknowledge(reply, sent)
 	}
@@ -408,7 +409,7 @@
 		From:    t.Self(now),
 		To:      receiver.Incarnation,
 		Payload: t.payload,
-		Changes: t.changesFor(now, receiver.Incarnation.Instance, refresh),
+		Changes: t.changesFor(now, receiver.Incarnation, refresh),
 	}
 	for _, epoch := range t.epochs {
 		if contains(epoch.witnesses, receiver.Incarnation) {
--- a/rattanmember/witness.go
+++ b/rattanmember/witness.go
@@ -1,6 +1,8 @@
 package rattanmember
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -11,6 +13,8 @@
 type grant struct {
 	// at is when the epoch was last acknowledged or first asked about.
 	at time.Time
+	// acknowledged is false while the epoch was only asked about.
+	acknowledged bool
 	// ended is the promise never to acknowledge the epoch again.
 	ended bool
 }
@@ -28,19 +32,28 @@
 			t.counters.Malformed++
 			continue
 		}
-		remembered := t.grants[tenure.ID]
-		if remembered == nil && tenure.Age <= youngEpoch*t.config.TenureDuration {
-			remembered = t.remember(now, tenure.ID)
-		}
-		if remembered == nil || remembered.ended {
+		if t.grantTenure(now, tenure) {
+			reply.Granted = append(reply.Granted, tenure.ID)
+		} else {
 			reply.Ended = append(reply.Ended, tenure.ID)
-			continue
 		}
-		remembered.at = now
-		reply.Granted = append(reply.Granted, tenure.ID)
 	}
 }
 
+func (t *Table) grantTenure(now time.Time, tenure Tenure) bool {
+	young := tenure.Age <= youngEpoch*t.config.TenureDuration
+	remembered := t.grants[tenure.ID]
+	if remembered == nil && young {
+		remembered = t.remember(now, tenure.ID)
+	}
+	if remembered == nil || remembered.ended || !remembered.acknowledged && !young {
+		return false
+	}
+	remembered.acknowledged = true
+	remembered.at = now
+	return true
+}
+
 // remember returns nil when the limit of remembered epochs is reached.
 func (t *Table) remember(now time.Time, id rattanjob.EpochID) *grant {
 	if len(t.grants) >= t.config.MaxGrants {
@@ -98,6 +111,7 @@
 // watchHomes probes homes that this member is a witness of and that have become
 // silent.
 func (t *Table) watchHomes(now time.Time) {
+	var silent []*entry
 	for id, remembered := range t.grants {
 		silence := now.Sub(remembered.at)
 		if remembered.ended || silence < 2*t.config.HeartbeatInterval || silence > t.config.ForgetAfter {
@@ -108,9 +122,17 @@
 			continue
 		}
 		if now.Sub(known.heardAt) >= 2*t.config.HeartbeatInterval {
-			t.probe(known)
+			silent = append(silent, known)
 		}
 	}
+	// Map order must not decide the order of messages, or a seed would not
+	// repeat a run.
+	slices.SortFunc(silent, func(a, b *entry) int {
+		return cmp.Compare(a.member.Incarnation.Instance, b.member.Incarnation.Instance)
+	})
+	for _, known := range silent {
+		t.probe(known)
+	}
 }
 
 // forgetGrants drops what is too old to matter; see youngEpoch.
@@ -136,7 +158,7 @@
 	for _, name := range list.Instances {
 		t.list.names[name] = true
 	}
-	for name := range former {
+	for _, name := range slices.Sorted(maps.Keys(former)) {
 		if t.list.names[name] {
 			continue
 		}
