Schedule by fair queueing, learned run times and ranked targets

Adds order within a caller, long-work share, admission, retry budget, ejection, back-off and quotas, with a discrete-event driver that compares with an omniscient queue.

--- a/rattanpool/config.go
+++ b/rattanpool/config.go
@@ -1,6 +1,9 @@
 package rattanpool
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Random is the source of jitter; *rand.Rand of math/rand/v2 implements it.
 type Random interface {
@@ -13,14 +16,20 @@
 	// MaxWait bounds ageing: a job is never overtaken by jobs of its caller
 	// that were admitted more than MaxWait after it. Default 3 s.
 	MaxWait time.Duration
+	// SizeWeight scales how much a job's expected remaining work, as a time of
+	// the whole service, delays it behind smaller jobs. Default 8.
+	SizeWeight float64
+	// FairBurst is how far a caller may be ahead of its share before callers
+	// within their share go first, as a time of its share. Default 1 s.
+	FairBurst time.Duration
 	// LongTask is the learned 90th percentile of run times above which a job
 	// kind is long. Default 2 s.
 	LongTask time.Duration
-	// LongShare is the share of slots that long work may occupy while short
-	// work is present. Default 0.7.
+	// LongShare is the share of a service's slots that long work may occupy
+	// while short work is present. Default 0.7.
 	LongShare float64
 	// ShortPresence is how long short work counts as present after its last
-	// admission or end. Default 10 s.
+	// admission or start. Default 10 s.
 	ShortPresence time.Duration
 	// EjectionCap is the largest share of a service's targets that is ejected
 	// at a time. Default 0.3.
@@ -38,3 +47,26 @@
 	// PanicOnViolation makes a violated invariant panic; tests set it.
 	PanicOnViolation bool
 }
+
+func (c *Config) setDefaults() {
+	setDefault(&c.MaxWait, 3*time.Second)
+	setDefault(&c.SizeWeight, 8)
+	setDefault(&c.FairBurst, time.Second)
+	setDefault(&c.LongTask, 2*time.Second)
+	setDefault(&c.LongShare, 0.7)
+	setDefault(&c.ShortPresence, 10*time.Second)
+	setDefault(&c.EjectionCap, 0.3)
+	setDefault(&c.RetryShare, 0.1)
+	setDefault(&c.RetryFloor, 10)
+	setDefault(&c.UnresolvedGrace, time.Second)
+	if c.Random == nil {
+		c.Random = rand.New(rand.NewPCG(1, 1))
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/rattanpool/simulation_test.go
@@ -0,0 +1,347 @@
+package rattanpool
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// simKind describes a job kind of a simulated workload.
+type simKind struct {
+	name             string
+	share            float64 // of the work
+	median           time.Duration
+	sigma            float64
+	tasks            float64 // median number of tasks in a job
+	tail, tailFactor float64 // probability and factor of very long tasks
+	declared         float64 // declared over true run time
+	nonIdempotent    bool
+}
+
+var (
+	listaforge = []simKind{
+		{name: "parse", share: 0.25, median: 80 * time.Millisecond, sigma: 0.5, tasks: 8, tail: 0.005, tailFactor: 30, declared: 0.1},
+		{name: "match", share: 0.6, median: 300 * time.Millisecond, sigma: 0.6, tasks: 15, tail: 0.002, tailFactor: 20, declared: 10},
+		{name: "price", share: 0.15, median: 900 * time.Millisecond, sigma: 0.4, tasks: 6, tail: 0.0005, tailFactor: 100, declared: 1},
+	}
+	transcriptShort = []simKind{
+		{name: "lookup", share: 0.6, median: 60 * time.Millisecond, sigma: 0.5, tasks: 3, tail: 0.005, tailFactor: 10, declared: 10},
+		{name: "rush", share: 0.4, median: 300 * time.Millisecond, sigma: 0.4, tasks: 1, tail: 0.001, tailFactor: 10, declared: 1, nonIdempotent: true},
+	}
+	transcriptLong = []simKind{
+		{name: "extract", share: 1, median: 2500 * time.Millisecond, sigma: 0.6, tasks: 10, tail: 0.01, tailFactor: 10, declared: 0.1},
+	}
+)
+
+type simJob struct {
+	Job
+	at       time.Duration
+	deadline time.Duration // after at
+	times    []time.Duration
+	work     time.Duration
+
+	admission Admission
+	left      int
+	stopped   bool
+	expired   bool
+	end       time.Duration // after the start of the run, 0 while unfinished
+	waits     []time.Duration
+	runs      []simSpan
+}
+
+type simSpan struct{ from, to time.Duration }
+
+func (j *simJob) response() time.Duration { return j.end - j.at }
+
+func (j *simJob) longest() time.Duration { return slices.Max(j.times) }
+
+// simStream is a Poisson stream of jobs of some kinds at a constant load.
+type simStream struct {
+	kinds    []simKind
+	callers  []string
+	load     float64 // offered slot time over capacity
+	from, to time.Duration
+	deadline time.Duration
+}
+
+// generate draws the jobs of a stream.
+func (g simStream) generate(random *rand.Rand, slots int) []*simJob {
+	var jobs []*simJob
+	for _, k := range g.kinds {
+		budget := g.load * k.share * float64(slots) * (g.to - g.from).Seconds()
+		var drawn []*simJob
+		for used := 0.0; used < budget; {
+			j := k.draw(random)
+			j.at = g.from + time.Duration(random.Float64()*float64(g.to-g.from))
+			j.Caller = g.callers[random.IntN(len(g.callers))]
+			j.deadline = g.deadline
+			used += j.work.Seconds()
+			drawn = append(drawn, j)
+		}
+		jobs = append(jobs, drawn...)
+	}
+	return jobs
+}
+
+func (k simKind) draw(random *rand.Rand) *simJob {
+	j := &simJob{Job: Job{Kind: k.name, Service: "s", Idempotent: !k.nonIdempotent}}
+	j.RunTime = time.Duration(float64(k.median) * k.declared)
+	j.Tasks = 1
+	if k.tasks > 1 {
+		j.Tasks = min(max(int(k.tasks*math.Exp(0.8*random.NormFloat64())), 1), 250)
+	}
+	for range j.Tasks {
+		run := float64(k.median) * math.Exp(k.sigma*random.NormFloat64())
+		if random.Float64() < k.tail {
+			run *= k.tailFactor
+		}
+		j.times = append(j.times, time.Duration(run))
+		j.work += time.Duration(run)
+	}
+	return j
+}
+
+func simSort(jobs ...[]*simJob) []*simJob {
+	all := slices.Concat(jobs...)
+	slices.SortStableFunc(all, func(a, b *simJob) int { return int(a.at - b.at) })
+	for i, j := range all {
+		j.ID = JobID(i + 1)
+	}
+	return all
+}
+
+func simCopy(jobs []*simJob, keep func(*simJob) bool) []*simJob {
+	var kept []*simJob
+	for _, j := range jobs {
+		if keep(j) {
+			copied := *j
+			kept = append(kept, &copied)
+		}
+	}
+	return kept
+}
+
+// simEvent is an arrival, the end of a task, a deadline or a wake-up.
+type simEvent struct {
+	at       time.Duration
+	arrival  *simJob
+	deadline *simJob
+	task     *simTask
+	sequence int
+}
+
+type simTask struct {
+	job        *simJob
+	assignment Assignment
+	from       time.Duration
+	over       bool
+}
+
+type simEvents []simEvent
+
+func (h simEvents) Len() int { return len(h) }
+func (h simEvents) Less(a, b int) bool {
+	return h[a].at < h[b].at || h[a].at == h[b].at && h[a].sequence < h[b].sequence
+}
+func (h simEvents) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
+func (h *simEvents) Push(e any)   { *h = append(*h, e.(simEvent)) }
+func (h *simEvents) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+var simStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// simulation runs jobs through a scheduler in virtual time.
+type simulation struct {
+	scheduler *Scheduler
+	events    simEvents
+	sequence  int
+	running   map[JobID][]*simTask
+	jobs      map[JobID]*simJob
+	wake      time.Duration
+}
+
+func simTargets(slots int) []Target {
+	var targets []Target
+	for i := range slots / 8 {
+		targets = append(targets, Target{
+			Name: fmt.Sprintf("t%03d", i), Rack: fmt.Sprintf("r%02d", i/8), Service: "s",
+			Slots: 8, Cores: 30, MemoryMB: 130_000,
+		})
+	}
+	return targets
+}
+
+// simRun runs the jobs on targets with 8 slots each until all have ended.
+func simRun(config Config, slots int, jobs []*simJob) *Scheduler {
+	config.PanicOnViolation = true
+	sim := &simulation{scheduler: New(config), running: map[JobID][]*simTask{}, jobs: map[JobID]*simJob{}}
+	sim.scheduler.SetTargets(simStart, simTargets(slots))
+	for _, j := range jobs {
+		j.end, j.left, j.stopped, j.expired, j.waits, j.runs = 0, j.Tasks, false, false, nil, nil
+		sim.push(simEvent{at: j.at, arrival: j})
+		sim.jobs[j.ID] = j
+	}
+	for len(sim.events) > 0 {
+		sim.step()
+	}
+	return sim.scheduler
+}
+
+func (m *simulation) push(e simEvent) {
+	m.sequence++
+	e.sequence = m.sequence
+	heap.Push(&m.events, e)
+}
+
+func (m *simulation) step() {
+	e := heap.Pop(&m.events).(simEvent)
+	now := simStart.Add(e.at)
+	switch {
+	case e.arrival != nil:
+		m.arrive(e.at, e.arrival)
+	case e.deadline != nil:
+		m.stop(e.at, e.deadline)
+	case e.task != nil:
+		m.finish(e.at, e.task, OutcomeDone)
+	}
+	for _, id := range m.scheduler.Expire(now) {
+		m.jobs[id].expired = true
+	}
+	for {
+		a, ok := m.scheduler.Next(now)
+		if !ok {
+			break
+		}
+		m.start(e.at, a)
+	}
+	if wait, ok := m.scheduler.NextWake(now); ok && (m.wake <= e.at || e.at+wait < m.wake) {
+		m.wake = e.at + wait
+		m.push(simEvent{at: m.wake})
+	}
+}
+
+func (m *simulation) arrive(at time.Duration, j *simJob) {
+	j.Deadline = simStart.Add(at + j.deadline)
+	j.admission = m.scheduler.Admit(simStart.Add(at), j.Job)
+	if j.admission.Admitted {
+		m.push(simEvent{at: at + j.deadline, deadline: j})
+	}
+}
+
+func (m *simulation) start(at time.Duration, a Assignment) {
+	j := m.jobs[a.Job]
+	t := &simTask{job: j, assignment: a, from: at}
+	j.waits = append(j.waits, a.Waited)
+	m.running[j.ID] = append(m.running[j.ID], t)
+	m.push(simEvent{at: at + j.times[a.Task], task: t})
+}
+
+func (m *simulation) finish(at time.Duration, t *simTask, outcome Outcome) {
+	if t.over {
+		return
+	}
+	t.over = true
+	j := t.job
+	j.runs = append(j.runs, simSpan{from: t.from, to: at})
+	m.scheduler.Finish(simStart.Add(at), t.assignment, Report{Outcome: outcome, RunTime: at - t.from})
+	if outcome != OutcomeDone {
+		return
+	}
+	j.left--
+	if j.left == 0 {
+		j.end = at
+		delete(m.running, j.ID)
+	}
+}
+
+// stop does what a home does at a deadline: it drops what waits and stops what
+// runs.
+func (m *simulation) stop(at time.Duration, j *simJob) {
+	if j.end > 0 || j.expired {
+		return
+	}
+	j.stopped = true
+	m.scheduler.Cancel(simStart.Add(at), j.ID)
+	for _, t := range m.running[j.ID] {
+		m.finish(at, t, OutcomeStopped)
+	}
+	delete(m.running, j.ID)
+}
+
+// simIdeal returns the response times of the jobs in one omniscient queue over
+// all slots: true run times are known, tasks are bound late, and jobs are taken
+// in order of arrival or, with shortest, in order of their true total work. The
+// tasks of a job are taken longest first.
+func simIdeal(slots int, jobs []*simJob, shortest bool) []time.Duration {
+	var free simEvents
+	for range slots {
+		free = append(free, simEvent{})
+	}
+	ends := make([]time.Duration, len(jobs))
+	order := func(a, b int) bool { return jobs[a].at < jobs[b].at }
+	if shortest {
+		order = func(a, b int) bool { return jobs[a].work < jobs[b].work }
+	}
+	waiting := &simQueue{less: order}
+	next := 0
+	left := map[int][]time.Duration{}
+	for next < len(jobs) || waiting.Len() > 0 {
+		at := free[0].at
+		if waiting.Len() == 0 {
+			at = max(at, jobs[next].at)
+		}
+		for next < len(jobs) && jobs[next].at <= at {
+			times := slices.Clone(jobs[next].times)
+			slices.Sort(times)
+			left[next] = times
+			heap.Push(waiting, next)
+			next++
+		}
+		first := waiting.items[0]
+		times := left[first]
+		end := at + times[len(times)-1]
+		left[first] = times[:len(times)-1]
+		if len(left[first]) == 0 {
+			heap.Pop(waiting)
+			delete(left, first)
+		}
+		ends[first] = max(ends[first], end)
+		free[0].at = end
+		heap.Fix(&free, 0)
+	}
+	for i, j := range jobs {
+		ends[i] -= j.at
+	}
+	return ends
+}
+
+// simQueue orders indices of jobs; it implements heap.Interface.
+type simQueue struct {
+	items []int
+	less  func(a, b int) bool
+}
+
+func (q *simQueue) Len() int           { return len(q.items) }
+func (q *simQueue) Less(a, b int) bool { return q.less(q.items[a], q.items[b]) }
+func (q *simQueue) Swap(a, b int)      { q.items[a], q.items[b] = q.items[b], q.items[a] }
+func (q *simQueue) Push(item any)      { q.items = append(q.items, item.(int)) }
+func (q *simQueue) Pop() any {
+	last := q.items[len(q.items)-1]
+	q.items = q.items[:len(q.items)-1]
+	return last
+}
+
+func quantile(values []time.Duration, q float64) time.Duration {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(values)
+	slices.Sort(sorted)
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
--- /dev/null
+++ b/rattanpool/target.go
@@ -0,0 +1,187 @@
+package rattanpool
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// speedSamples is the number of tasks after which a target's speed counts.
+	speedSamples = 32
+	// speedClip bounds what one task can say about the speed, in octaves, since
+	// run times are heavy-tailed.
+	speedClip = 2
+	// speedStep is the step between speed classes, in octaves. The learned
+	// speed of equal targets varies by about 0.13 octaves.
+	speedStep = 0.5
+
+	// outcomeDecay makes about the last ten outcomes count.
+	outcomeDecay = 0.9
+
+	leastBusyBackoff        = 10 * time.Millisecond
+	mostBusyBackoff         = 500 * time.Millisecond
+	leastUnreachableBackoff = 100 * time.Millisecond
+	mostUnreachableBackoff  = 5 * time.Second
+)
+
+// health is the state of a target with regard to ejection.
+type health uint8
+
+const (
+	healthGood health = iota
+	// healthEjected targets wait for their back-off.
+	healthEjected
+	// healthProbing targets wait for a probe task or run one.
+	healthProbing
+	// healthReinstating targets get a limited number of tasks.
+	healthReinstating
+)
+
+// target is a worker instance with its slots.
+type target struct {
+	Target
+	service *service
+	// position is the index in service.targets.
+	position int
+	rack     int
+	removed  bool
+	// round is the last SetTargets call that named the target.
+	round uint64
+
+	held         int
+	cores        int
+	memoryMB     int
+	accelerators int
+
+	// speed is the learned run time relative to the kind's, in octaves.
+	speed  float64
+	ran    int
+	health health
+	// limit is the most slots used while the target is reinstated.
+	limit int
+	// good and bad are decayed counts of outcomes.
+	good, bad   float64
+	consecutive int
+	lastFailed  JobID
+	looksBroken bool
+	forgiving   bool // a timer to weaken failures is set
+	// ejections is the number of recent ejections.
+	ejections  int
+	probeAt    time.Duration
+	reinstated time.Duration
+
+	// backoff is the last back-off after a refusal, until when it ends.
+	backoff time.Duration
+	until   time.Duration
+}
+
+// inUse says that the target may get tasks as far as the instance list and its
+// health are concerned.
+func (t *target) inUse() bool {
+	return !t.removed && !t.Leaving && (t.health == healthGood || t.health == healthReinstating)
+}
+
+// capacity returns the number of slots that may be used.
+func (t *target) capacity() int {
+	if t.health == healthReinstating {
+		return min(t.limit, t.Slots)
+	}
+	return t.Slots
+}
+
+// failureRate returns the share of failures in the recent outcomes.
+func (t *target) failureRate() float64 {
+	if t.good+t.bad == 0 {
+		return 0
+	}
+	return t.bad / (t.good + t.bad)
+}
+
+// suspect says that recent failures put the target last.
+func (t *target) suspect() bool {
+	return t.consecutive >= 2 || t.bad >= 0.9 && t.failureRate() > 0.3
+}
+
+// fits says whether a task with the profile's needs fits beside the tasks that
+// run already.
+func (t *target) fits(p *profile) bool {
+	return t.cores+p.cores <= t.Cores &&
+		t.memoryMB+p.memoryMB <= t.MemoryMB &&
+		t.accelerators+p.accelerators <= t.Accelerators
+}
+
+// couldFit returns the number of tasks with the profile's needs that the target
+// runs at a time when it has no others.
+func (t *Target) couldFit(p *profile) int {
+	count := t.Slots
+	if p.cores > 0 {
+		count = min(count, t.Cores/p.cores)
+	}
+	if p.memoryMB > 0 {
+		count = min(count, t.MemoryMB/p.memoryMB)
+	}
+	if p.accelerators > 0 {
+		count = min(count, t.Accelerators/p.accelerators)
+	}
+	return count
+}
+
+func (t *target) hold(p *profile) {
+	t.held++
+	t.cores += p.cores
+	t.memoryMB += p.memoryMB
+	t.accelerators += p.accelerators
+	t.service.held++
+}
+
+func (t *target) release(p *profile) {
+	t.held--
+	t.cores -= p.cores
+	t.memoryMB -= p.memoryMB
+	t.accelerators -= p.accelerators
+	t.service.held--
+}
+
+// learnSpeed compares the run time of a task with that of its kind.
+func (t *target) learnSpeed(k *kind, runTime time.Duration) {
+	if !k.learned() {
+		return
+	}
+	octaves := math.Log2(float64(max(runTime, firstBucket))) - k.logMean
+	octaves = min(max(octaves, -speedClip), speedClip)
+	t.ran++
+	t.speed += (octaves - t.speed) / float64(min(t.ran, speedSamples))
+}
+
+// class returns the rank class for a profile, classNone when the target cannot
+// take a task now.
+func (t *target) class(p *profile, now time.Duration) rankClass {
+	if !t.inUse() || t.held >= t.capacity() || now < t.until || !t.fits(p) {
+		return classNone
+	}
+	if t.suspect() {
+		return classSuspect
+	}
+	class := t.speedClass()
+	if p.accelerators == 0 && t.Accelerators > 0 {
+		class += classAccelerated
+	}
+	return class
+}
+
+func (t *target) speedClass() rankClass {
+	switch {
+	case t.health == healthReinstating:
+		return classSlow
+	case t.ran < speedSamples:
+		return classNormal
+	case t.speed < -speedStep:
+		return classFast
+	case t.speed < speedStep:
+		return classNormal
+	case t.speed < 2*speedStep:
+		return classSlow
+	default:
+		return classSlowest
+	}
+}
--- /dev/null
+++ b/rattanpool/targets_test.go
@@ -0,0 +1,234 @@
+package rattanpool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// The bounds of the targets table of docs/design.md.
+const (
+	boundMedian     = 1.10
+	boundP99        = 1.5
+	boundGoodput    = 0.97
+	boundInDeadline = 0.99
+	boundShortWait  = 2.0
+	boundFairness   = 1.2
+	boundBackToNorm = time.Second
+	noDeadline      = time.Hour
+	waitResolution  = time.Millisecond // a network round trip; shorter waits are not told apart
+	simulatedTime   = 60 * time.Second
+)
+
+func callerNames(count int) []string {
+	var names []string
+	for i := range count {
+		names = append(names, fmt.Sprintf("c%02d", i))
+	}
+	return names
+}
+
+func ratio(a, b time.Duration) float64 { return float64(a) / float64(b) }
+
+func responses(jobs []*simJob) []time.Duration {
+	var times []time.Duration
+	for _, j := range jobs {
+		if j.end > 0 {
+			times = append(times, j.response())
+		}
+	}
+	return times
+}
+
+// slowdown compares a run with the ideal: for each quantile, the better of the
+// ideal's two orders.
+func slowdown(config Config, slots int, jobs []*simJob) (median, p99, jobMedian, jobP99 float64) {
+	simRun(config, slots, jobs)
+	fifo, shortest := simIdeal(slots, jobs, false), simIdeal(slots, jobs, true)
+	ours := responses(jobs)
+	median = ratio(quantile(ours, 0.5), min(quantile(fifo, 0.5), quantile(shortest, 0.5)))
+	p99 = ratio(quantile(ours, 0.99), min(quantile(fifo, 0.99), quantile(shortest, 0.99)))
+	best := shortest
+	if sum(fifo) < sum(shortest) {
+		best = fifo
+	}
+	var each []time.Duration
+	for i, j := range jobs {
+		each = append(each, time.Duration(1e6*ratio(j.response(), best[i])))
+	}
+	return median, p99, float64(quantile(each, 0.5)) / 1e6, float64(quantile(each, 0.99)) / 1e6
+}
+
+func sum(values []time.Duration) (total time.Duration) {
+	for _, value := range values {
+		total += value
+	}
+	return total
+}
+
+// transcript splits the load between short and long work, 3 to 2.
+func transcript(load float64, to time.Duration, deadline time.Duration) []simStream {
+	callers := callerNames(4)
+	return []simStream{
+		{kinds: transcriptShort, callers: callers, load: 0.6 * load, to: to, deadline: deadline},
+		{kinds: transcriptLong, callers: callers, load: 0.4 * load, to: to, deadline: deadline},
+	}
+}
+
+func generate(seed uint64, slots int, streams ...simStream) []*simJob {
+	random := rand.New(rand.NewPCG(seed, 7))
+	var all [][]*simJob
+	for _, g := range streams {
+		all = append(all, g.generate(random, slots))
+	}
+	return simSort(all...)
+}
+
+// TestSlowdown guards against an order or a placement that leaves slots idle or
+// makes jobs end later than one omniscient queue would.
+func TestSlowdown(t *testing.T) {
+	for _, slots := range []int{136, 400} {
+		for seed := uint64(1); seed <= 3; seed++ {
+			workloads := map[string][]*simJob{
+				"listaforge": generate(seed, slots, simStream{kinds: listaforge, callers: callerNames(8), load: 0.8, to: simulatedTime, deadline: noDeadline}),
+				"transcript": generate(seed, slots, transcript(0.8, simulatedTime, noDeadline)...),
+			}
+			for name, jobs := range workloads {
+				t.Run(fmt.Sprintf("%s/%d/%d", name, slots, seed), func(t *testing.T) {
+					median, p99, jobMedian, jobP99 := slowdown(Config{}, slots, jobs)
+					t.Logf("median %.3f p99 %.3f; by job median %.3f p99 %.3f (%d jobs)", median, p99, jobMedian, jobP99, len(jobs))
+					if median > boundMedian || p99 > boundP99 {
+						t.Errorf("median %.3f (bound %.2f), p99 %.3f (bound %.2f)", median, boundMedian, p99, boundP99)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestShortBehindLong guards against long work that delays short tasks.
+func TestShortBehindLong(t *testing.T) {
+	for _, slots := range []int{136, 400} {
+		for seed := uint64(1); seed <= 3; seed++ {
+			t.Run(fmt.Sprintf("%d/%d", slots, seed), func(t *testing.T) {
+				both := generate(seed, slots, transcript(0.8, simulatedTime, noDeadline)...)
+				isShort := func(j *simJob) bool { return j.Kind != "extract" }
+				without := simCopy(both, isShort)
+				simRun(Config{}, slots, both)
+				simRun(Config{}, slots, without)
+				with, alone := shortWait(both), shortWait(without)
+				t.Logf("p99 wait %v with long work, %v without", with, alone)
+				if with > time.Duration(boundShortWait*float64(max(alone, waitResolution))) {
+					t.Errorf("p99 wait %v with long work, %v without", with, alone)
+				}
+			})
+		}
+	}
+}
+
+func shortWait(jobs []*simJob) time.Duration {
+	var waits []time.Duration
+	for _, j := range jobs {
+		if j.Kind != "extract" {
+			waits = append(waits, j.waits...)
+		}
+	}
+	return quantile(waits, 0.99)
+}
+
+// TestFairness guards against a caller at 10 times its share that delays the
+// others.
+func TestFairness(t *testing.T) {
+	const callers = 8
+	for _, slots := range []int{136, 400} {
+		for seed := uint64(1); seed <= 3; seed++ {
+			t.Run(fmt.Sprintf("%d/%d", slots, seed), func(t *testing.T) {
+				names := callerNames(callers)
+				to, deadline := 30*time.Second, 10*time.Second
+				all := generate(seed, slots,
+					simStream{kinds: listaforge, callers: names[1:], load: 0.8 * (callers - 1) / callers, to: to, deadline: deadline},
+					simStream{kinds: listaforge, callers: names[:1], load: 10.0 / callers, to: to, deadline: deadline})
+				isOther := func(j *simJob) bool { return j.Caller != names[0] }
+				alone := simCopy(all, isOther)
+				simRun(Config{}, slots, all)
+				simRun(Config{}, slots, alone)
+				others := simCopy(all, isOther)
+				with, without := quantile(responses(others), 0.99), quantile(responses(alone), 0.99)
+				t.Logf("p99 %v with the greedy caller, %v alone; refused %d of %d, alone %d", with, without, refused(others), len(others), refused(alone))
+				if ratio(with, without) > boundFairness {
+					t.Errorf("p99 %v with the greedy caller, %v alone", with, without)
+				}
+				if refused(others) > refused(alone) {
+					t.Errorf("%d jobs of callers within their share refused, alone %d", refused(others), refused(alone))
+				}
+			})
+		}
+	}
+}
+
+func refused(jobs []*simJob) (count int) {
+	for _, j := range jobs {
+		if !j.admission.Admitted {
+			count++
+		}
+	}
+	return count
+}
+
+// TestCrest guards against admission that accepts what it cannot serve, or
+// refuses what it could.
+func TestCrest(t *testing.T) {
+	const from, to, end = 10 * time.Second, 15 * time.Second, 25 * time.Second
+	for _, slots := range []int{136, 400} {
+		for seed := uint64(1); seed <= 3; seed++ {
+			t.Run(fmt.Sprintf("%d/%d", slots, seed), func(t *testing.T) {
+				callers, deadline := callerNames(8), 5*time.Second
+				jobs := generate(seed, slots,
+					simStream{kinds: listaforge, callers: callers, load: 0.5, to: end, deadline: deadline},
+					simStream{kinds: listaforge, callers: callers, load: 2.5, from: from, to: to, deadline: deadline})
+				simRun(Config{}, slots, jobs)
+				assertCrest(t, slots, jobs, from, to)
+			})
+		}
+	}
+}
+
+func assertCrest(t *testing.T, slots int, jobs []*simJob, from, to time.Duration) {
+	t.Helper()
+	var good time.Duration
+	accepted, met, expired, late := 0, 0, 0, 0
+	for _, j := range jobs {
+		inTime := j.end > 0
+		if inTime {
+			good += within(j.runs, from, to)
+		}
+		// No scheduler can meet the deadline of a job with one longer task.
+		if j.admission.Admitted && j.longest() < j.deadline {
+			accepted++
+			if inTime {
+				met++
+			}
+			if j.expired {
+				expired++
+			}
+		}
+		if !j.admission.Admitted && j.at > to+boundBackToNorm {
+			late++
+		}
+	}
+	goodput := good.Seconds() / (float64(slots) * (to - from).Seconds())
+	inDeadline := float64(met) / float64(accepted)
+	t.Logf("goodput %.3f, in deadline %.4f of %d accepted, %d expired, refused %d of %d, %d of them later than 1 s after the crest",
+		goodput, inDeadline, accepted, expired, refused(jobs), len(jobs), late)
+	if goodput < boundGoodput || inDeadline < boundInDeadline || late > 0 {
+		t.Errorf("goodput %.3f (bound %.2f), in deadline %.4f (bound %.2f), refused after the crest %d", goodput, boundGoodput, inDeadline, boundInDeadline, late)
+	}
+}
+
+func within(runs []simSpan, from, to time.Duration) (total time.Duration) {
+	for _, run := range runs {
+		total += max(0, min(run.to, to)-max(run.from, from))
+	}
+	return total
+}
--- /dev/null
+++ b/rattanpool/timers.go
@@ -0,0 +1,66 @@
+package rattanpool
+
+import (
+	"container/heap"
+	"time"
+)
+
+// timerKind says what happens when a timer is due.
+type timerKind uint8
+
+const (
+	// timerBackoff ends the back-off of a target after a refusal.
+	timerBackoff timerKind = iota
+	// timerProbe makes an ejected target wait for a probe task.
+	timerProbe
+	// timerRelease ends the hold of an unresolved task on its slot.
+	timerRelease
+	// timerForgive weakens the failures of a suspect target, which gets little
+	// work and would stay suspect without it.
+	timerForgive
+)
+
+// timer is something that happens without a call.
+type timer struct {
+	at      time.Duration
+	kind    timerKind
+	target  *target
+	profile *profile
+	caller  *caller
+}
+
+// timerHeap orders timers by their time; it implements heap.Interface.
+type timerHeap []timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(a, b int) bool { return h[a].at < h[b].at }
+func (h timerHeap) Swap(a, b int)      { h[a], h[b] = h[b], h[a] }
+func (h *timerHeap) Push(item any)     { *h = append(*h, item.(timer)) }
+
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	removed := (*h)[last]
+	(*h)[last] = timer{}
+	*h = (*h)[:last]
+	return removed
+}
+
+func (s *Scheduler) runTimers(now time.Duration) {
+	for len(s.timers) > 0 && s.timers[0].at <= now {
+		s.runTimer(now, heap.Pop(&s.timers).(timer))
+	}
+}
+
+func (s *Scheduler) runTimer(now time.Duration, due timer) {
+	switch due.kind {
+	case timerBackoff:
+		s.refile(now, due.target)
+	case timerProbe:
+		s.startProbing(now, due.target)
+	case timerRelease:
+		s.holds--
+		s.release(now, due.target, due.profile, due.caller)
+	case timerForgive:
+		s.forgive(now, due.target)
+	}
+}
