--- a/rattanconfig/check.go
+++ b/rattanconfig/check.go
@@ -33,15 +33,17 @@
 
 // Limits of a document.
 const (
-	maxNameLength    = 64
-	maxTextLength    = 200
-	maxWeight        = 1_000_000
-	minDeadline      = time.Millisecond
-	minWindow        = time.Hour
-	maxWindow        = 90 * 24 * time.Hour
-	maxPerTarget     = 1 << 20
-	maxSlots         = 1 << 20
-	maxDocumentBytes = 1 << 20 // the largest value of the platform's service
+	maxNameLength = 64
+	maxTextLength = 200
+	maxWeight     = 1_000_000
+	minDeadline   = time.Millisecond
+	minWindow     = time.Hour
+	maxWindow     = 90 * 24 * time.Hour
+	maxPerTarget  = 1 << 20
+	maxSlots      = 1 << 20
+	// maxDocumentBytes leaves room for a plan, which contains the document, in
+	// the largest value of the platform (1 MB).
+	maxDocumentBytes = 900_000
 )
 
 // Parse decodes and checks a document. The errors are those of
