--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -8,6 +8,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -106,6 +108,12 @@
 	runs      map[rattanjob.Nonce]*run
 	byID      map[rattanpool.JobID]*run
 	addresses map[string]string
+	// demand is the number of tasks without a result, by caller, and jobs the
+	// number of jobs in progress.
+	demand map[string]int
+	jobs   map[string]int
+	// services is the number of slots by service.
+	services  map[string]int
 	wake      *time.Timer
 	lastSweep time.Time
 }
@@ -119,6 +127,8 @@
 		runs:      map[rattanjob.Nonce]*run{},
 		byID:      map[rattanpool.JobID]*run{},
 		addresses: map[string]string{},
+		demand:    map[string]int{},
+		jobs:      map[string]int{},
 	}
 	home.wake = time.AfterFunc(time.Hour, home.pump)
 	return home
@@ -182,11 +192,16 @@
 	return len(h.runs)
 }
 
-// Load returns the load of the pool.
-func (h *Home) Load(now time.Time) rattanpool.Load {
+// Load returns the load of the home.
+func (h *Home) Load(now time.Time) HomeLoad {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.config.Scheduler.Load(now)
+	return HomeLoad{
+		Jobs:         len(h.runs),
+		Pool:         h.config.Scheduler.Load(now),
+		Demand:       maps.Clone(h.demand),
+		ServiceSlots: h.services,
+	}
 }
 
 // OpenEpoch accepts submissions for a new epoch of this instance.
@@ -211,7 +226,14 @@
 
 // SetTargets sets the targets of the pool and their addresses by name.
 func (h *Home) SetTargets(now time.Time, targets []rattanpool.Target, addresses map[string]string) {
+	services := map[string]int{}
+	for _, target := range targets {
+		if !target.Leaving {
+			services[target.Service] += target.Slots
+		}
+	}
 	h.mutex.Lock()
+	h.services = services
 	h.config.Scheduler.SetTargets(now, targets)
 	for name, address := range addresses {
 		h.addresses[name] = address
@@ -309,10 +331,16 @@
 		refusal.RetryAfter = rattanjson.Duration(100 * time.Millisecond)
 		return rattanpool.Job{}, &refusal
 	}
-	job, refusal := describeJob(now, h.config.Documents.Document(), caller, submission)
+	document := h.config.Documents.Document()
+	job, refusal := describeJob(now, document, caller, submission)
 	if refusal != nil {
 		return job, refusal
 	}
+	if limit := document.Callers[caller].MaxJobs; limit > 0 && h.jobs[caller] >= limit {
+		refusal := rattanjob.Refusal(rattanjob.ReasonOverQuota, fmt.Sprintf("%d jobs in progress, the limit of caller %s", limit, caller))
+		refusal.RetryAfter = rattanjson.Duration(job.RunTime)
+		return job, &refusal
+	}
 	h.nextID++
 	job.ID = h.nextID
 	admission := h.config.Scheduler.Admit(now, job)
@@ -343,6 +371,8 @@
 	current.timer = time.AfterFunc(job.Deadline.Sub(now), func() { h.pastDeadline(current) })
 	h.runs[current.key.Nonce] = current
 	h.byID[current.id] = current
+	h.demand[caller] += len(submission.Tasks)
+	h.jobs[caller]++
 	h.counts.admitted.Inc()
 	if h.config.Recorder != nil {
 		h.config.Recorder.Submitted(now, current.key, caller, submission)
--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -16,10 +16,12 @@
 
 	"github.com/rattanlever/rattanlever/rattanconfig"
 	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattanjson"
 	"github.com/rattanlever/rattanlever/rattankernel"
 	"github.com/rattanlever/rattanlever/rattanledger"
 	"github.com/rattanlever/rattanlever/rattanmetric"
 	"github.com/rattanlever/rattanlever/rattanpeer"
+	"github.com/rattanlever/rattanlever/rattanplan"
 	"github.com/rattanlever/rattanlever/rattanplatform"
 	"github.com/rattanlever/rattanlever/rattanpool"
 	"github.com/rattanlever/rattanlever/rattansettings"
@@ -59,9 +61,11 @@
 	Front         *Front
 	Home          *Home
 	Inventory     *Inventory
+	Loads         *Loads
 	Members       *Members
 	Node          *rattanpeer.Node
 	Operations    *Operations
+	Plans         *Plans
 	Platform      *rattanplatform.Client
 
 	config     Config
@@ -203,6 +207,20 @@
 		Metrics:   i.Metrics,
 		Explain:   func(rattanjob.Key, string) (json.RawMessage, bool) { return nil, false },
 	})
+	i.Loads = NewLoads(LoadsConfig{
+		Instance:  settings.Name,
+		Home:      i.Home,
+		Members:   i.Members,
+		Peers:     i.Node,
+		Documents: i.Configuration,
+		Local:     i.load,
+	})
+	i.Plans = NewPlans(PlansConfig{
+		Store:         i.Platform,
+		Configuration: i.Configuration,
+		Facts:         i.facts,
+		Logger:        i.config.Logger,
+	})
 	i.Operations = NewOperations(OperationsConfig{
 		Name:             settings.Name,
 		AvailabilityZone: settings.AvailabilityZone,
@@ -222,7 +240,8 @@
 	i.Front.Handle(i.Node)
 	i.Members.Handle(i.Node)
 	i.Configuration.Handle(i.Node)
-	services := []rattankernel.Service{i.Node, i.Home, i.Members, i.Configuration, i.Inventory, i.Operations}
+	i.Loads.Handle(i.Node)
+	services := []rattankernel.Service{i.Node, i.Home, i.Members, i.Configuration, i.Inventory, i.Loads, i.Operations}
 	for _, service := range services {
 		if err := i.kernel.Register(service); err != nil {
 			return errors.Trace(err)
@@ -234,6 +253,7 @@
 	)
 	i.Front.Routes(i.server)
 	i.Operations.Routes(i.server)
+	i.Plans.Routes(i.server)
 	i.app = kratos.New(
 		kratos.Name(i.config.Settings.Name),
 		kratos.Signal(syscall.SIGINT, syscall.SIGTERM),
@@ -249,14 +269,47 @@
 // installed tells the services of a document that came into force.
 func (i *Instance) installed(document *rattanconfig.Document) {
 	now := time.Now()
-	callers := make([]rattanpool.Caller, 0, len(document.Callers))
-	for name, caller := range document.Callers {
-		if !caller.Retired {
-			callers = append(callers, rattanpool.Caller{Name: name, Weight: caller.Weight, Quota: caller.Quota})
+	i.Home.SetCallers(now, DivideQuotas(document, i.Loads.All(now)))
+	i.Inventory.Apply(now)
+}
+
+// load describes this instance's load to other homes.
+func (i *Instance) load(now time.Time) HomeLoad {
+	load := i.Home.Load(now)
+	load.Instance = i.config.Settings.Name
+	load.AvailabilityZone = i.config.Settings.AvailabilityZone
+	load.Revision = i.Configuration.Document().Revision
+	return load
+}
+
+// facts sums up the loads of all homes for a plan.
+func (i *Instance) facts(now time.Time) rattanplan.Facts {
+	facts := rattanplan.Facts{
+		ServiceSlots: map[string]int{},
+		Targets:      map[string]rattanplan.Target{},
+		Instances:    map[string]rattanplan.Instance{},
+		Callers:      map[string]rattanplan.Usage{},
+	}
+	for _, load := range i.Loads.All(now) {
+		facts.Slots += load.Pool.Slots
+		facts.BusySlots += load.Pool.BusySlots
+		facts.Backlog += rattanjson.Duration(load.Pool.Backlog)
+		for service, slots := range load.ServiceSlots {
+			facts.ServiceSlots[service] += slots
+		}
+		for caller, slots := range load.Pool.CallerSlots {
+			usage := facts.Callers[caller]
+			usage.Slots += slots
+			facts.Callers[caller] = usage
 		}
+		facts.Instances[load.Instance] = rattanplan.Instance{AvailabilityZone: load.AvailabilityZone, Revision: load.Revision, Jobs: load.Jobs}
 	}
-	i.Home.SetCallers(now, callers)
-	i.Inventory.Apply(now)
+	for _, instance := range i.Inventory.Instances() {
+		if instance.Role == rattanplatform.RoleTarget {
+			facts.Targets[instance.Name] = rattanplan.Target{AvailabilityZone: instance.AvailabilityZone, Service: instance.Service, Slots: instance.Slots}
+		}
+	}
+	return facts
 }
 
 func (i *Instance) payload() []byte {
--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -162,6 +162,19 @@
 	return append(m.table.Members(now), m.table.Self(now))
 }
 
+// Homes returns the other members that own a pool.
+func (m *Members) Homes(now time.Time) []rattanmember.Member {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var homes []rattanmember.Member
+	for _, member := range m.table.Members(now) {
+		if member.Claim > 0 && member.Status == rattanmember.StatusAlive {
+			homes = append(homes, member)
+		}
+	}
+	return homes
+}
+
 // Name returns the name of the service in the kernel.
 func (m *Members) Name() string {
 	return "Members"
@@ -185,6 +198,13 @@
 	m.table.ObserveInstances(now, list)
 }
 
+// OwnsPool reports whether this instance is a home.
+func (m *Members) OwnsPool(now time.Time) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.table.Self(now).Claim > 0
+}
+
 // Owner returns the home of this instance's availability zone.
 func (m *Members) Owner(now time.Time) (rattanmember.Member, bool) {
 	m.mutex.Lock()
--- /dev/null
+++ b/rattanentry/plans.go
@@ -0,0 +1,239 @@
+package rattanentry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/rattanlever/rattanlever/rattanconfig"
+	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattanplan"
+	"github.com/rattanlever/rattanlever/rattanplatform"
+)
+
+// planPrefix is followed by the ID in the platform's keys of plans.
+const planPrefix = "Plans/"
+
+// confirmTries bounds the attempts to settle a write whose answer was lost.
+const confirmTries = 5
+
+// KeyStore is the part of the platform's client that Plans uses.
+type KeyStore interface {
+	Get(ctx context.Context, key string) (rattanplatform.Entry, error)
+	Put(ctx context.Context, key string, value []byte, ifRevision, lease int64) (int64, error)
+}
+
+// PlansConfig configures Plans. All fields are required.
+type PlansConfig struct {
+	Store         KeyStore
+	Configuration *Configuration
+	Facts         func(now time.Time) rattanplan.Facts
+	Logger        *logrus.Logger
+}
+
+// Plans serves operators' intents: it makes plans, keeps them in the platform,
+// and puts confirmed ones in force.
+type Plans struct {
+	config PlansConfig
+}
+
+// PlanReply is a plan with its text and its progress.
+type PlanReply struct {
+	Plan     rattanplan.Plan
+	Text     string
+	Progress *rattanplan.Progress `json:",omitempty"`
+}
+
+// NewPlans returns the service of plans.
+func NewPlans(config PlansConfig) *Plans {
+	return &Plans{config: config}
+}
+
+// Routes adds the routes of plans to the server.
+func (p *Plans) Routes(server *khttp.Server) {
+	route := server.Route("/v1")
+	route.POST("/plans", p.serve(func(ctx context.Context, _ string, body []byte) (rattanplan.Plan, error) {
+		return p.Make(ctx, time.Now(), body)
+	}))
+	route.GET("/plans/{id}", p.serve(func(ctx context.Context, id string, _ []byte) (rattanplan.Plan, error) {
+		plan, _, err := p.load(ctx, id)
+		return plan, err
+	}))
+	route.POST("/plans/{id}/confirm", p.serve(func(ctx context.Context, id string, _ []byte) (rattanplan.Plan, error) {
+		return p.Confirm(ctx, time.Now(), id)
+	}))
+	route.POST("/plans/{id}/abandon", p.serve(func(ctx context.Context, id string, _ []byte) (rattanplan.Plan, error) {
+		return p.Abandon(ctx, time.Now(), id)
+	}))
+	route.POST("/plans/{id}/undo", p.serve(func(ctx context.Context, id string, _ []byte) (rattanplan.Plan, error) {
+		return p.Undo(ctx, time.Now(), id)
+	}))
+}
+
+// Abandon makes a plan unusable.
+func (p *Plans) Abandon(ctx context.Context, now time.Time, id string) (rattanplan.Plan, error) {
+	plan, revision, err := p.load(ctx, id)
+	if err != nil {
+		return plan, err
+	}
+	abandoned, err := rattanplan.Abandon(now, plan)
+	if err != nil {
+		return plan, errors.Trace(err)
+	}
+	return abandoned, p.store(ctx, abandoned, revision)
+}
+
+// Confirm puts a plan in force by compare-and-swap. A write whose answer was
+// lost is read back by the plan's ID before anything is said or tried again.
+func (p *Plans) Confirm(ctx context.Context, now time.Time, id string) (rattanplan.Plan, error) {
+	plan, planRevision, err := p.load(ctx, id)
+	if err != nil {
+		return plan, err
+	}
+	for range confirmTries {
+		current, revision, err := p.document(ctx)
+		if err != nil {
+			return plan, err
+		}
+		next, err := rattanplan.Confirm(now, plan, current)
+		if errors.Is(err, rattanplan.ErrConfirmed) {
+			return p.confirmed(ctx, now, plan, planRevision, current)
+		}
+		if err != nil {
+			return plan, errors.Trace(err)
+		}
+		if err := p.write(ctx, next, revision); err == nil {
+			return p.confirmed(ctx, now, plan, planRevision, next)
+		} else if !errors.Is(err, rattanplatform.ErrUncertain) && !errors.Is(err, rattanplatform.ErrConflict) {
+			return plan, errors.Annotatef(err, "plan %s: not confirmed", id)
+		}
+	}
+	return plan, errors.Annotatef(rattanplatform.ErrUncertain, "plan %s: confirm again to learn whether it is in force", id)
+}
+
+// Make makes a plan for an intent and keeps it in the platform.
+func (p *Plans) Make(ctx context.Context, now time.Time, body []byte) (rattanplan.Plan, error) {
+	intent, err := rattanplan.ParseIntent(body)
+	if err != nil {
+		return rattanplan.Plan{}, errors.Trace(err)
+	}
+	return p.make(ctx, now, intent)
+}
+
+// Undo makes a plan that restores what a confirmed plan changed.
+func (p *Plans) Undo(ctx context.Context, now time.Time, id string) (rattanplan.Plan, error) {
+	plan, _, err := p.load(ctx, id)
+	if err != nil {
+		return plan, err
+	}
+	intent, err := rattanplan.Undo(plan)
+	if err != nil {
+		return plan, errors.Trace(err)
+	}
+	return p.make(ctx, now, intent)
+}
+
+func (p *Plans) make(ctx context.Context, now time.Time, intent rattanplan.Intent) (rattanplan.Plan, error) {
+	document, _, err := p.document(ctx)
+	if err != nil {
+		return rattanplan.Plan{}, err
+	}
+	plan, err := rattanplan.Make(now, document, intent, p.config.Facts(now))
+	if err != nil {
+		return plan, errors.Trace(err)
+	}
+	return plan, p.store(ctx, plan, rattanplatform.NoRevision)
+}
+
+// confirmed records that a plan is in force. The record may fail: the
+// document's request ID alone tells that the plan was confirmed.
+func (p *Plans) confirmed(ctx context.Context, now time.Time, plan rattanplan.Plan, revision int64, document rattanconfig.Document) (rattanplan.Plan, error) {
+	if plan.State == rattanplan.StateConfirmed {
+		return plan, nil
+	}
+	plan = rattanplan.MarkConfirmed(now, plan, document)
+	if err := p.store(ctx, plan, revision); err != nil {
+		p.config.Logger.WithError(err).WithField("Plan", plan.ID).Warn("confirmation not recorded")
+	}
+	return plan, p.config.Configuration.Install(&document)
+}
+
+func (p *Plans) document(ctx context.Context) (rattanconfig.Document, int64, error) {
+	entry, err := p.config.Store.Get(ctx, rattanconfig.PlatformKey)
+	if err != nil {
+		return rattanconfig.Document{}, 0, errors.Annotatef(err, "key %s", rattanconfig.PlatformKey)
+	}
+	document, err := rattanconfig.Parse(entry.Value)
+	return document, entry.Revision, errors.Annotatef(err, "key %s", rattanconfig.PlatformKey)
+}
+
+func (p *Plans) write(ctx context.Context, document rattanconfig.Document, revision int64) error {
+	value, err := rattanconfig.Encode(document)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = p.config.Store.Put(ctx, rattanconfig.PlatformKey, value, revision, rattanplatform.NoLease)
+	return err
+}
+
+func (p *Plans) load(ctx context.Context, id string) (rattanplan.Plan, int64, error) {
+	var plan rattanplan.Plan
+	entry, err := p.config.Store.Get(ctx, planPrefix+id)
+	if err != nil {
+		return plan, 0, errors.Annotatef(err, "plan %s", id)
+	}
+	if err := json.Unmarshal(entry.Value, &plan); err != nil {
+		return plan, 0, errors.Annotatef(err, "plan %s", id)
+	}
+	return plan, entry.Revision, nil
+}
+
+func (p *Plans) store(ctx context.Context, plan rattanplan.Plan, revision int64) error {
+	value, err := json.Marshal(plan)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = p.config.Store.Put(ctx, planPrefix+plan.ID, value, revision, rattanplatform.NoLease)
+	return errors.Annotatef(err, "plan %s", plan.ID)
+}
+
+// serve adapts an operation on plans to a route for operators.
+func (p *Plans) serve(operate func(ctx context.Context, id string, body []byte) (rattanplan.Plan, error)) khttp.HandlerFunc {
+	return func(ctx khttp.Context) error {
+		if _, refusal := identifyOperator(ctx.Request()); refusal != nil {
+			return respond(ctx, *refusal)
+		}
+		body, refusal := readBody(ctx)
+		if refusal != nil {
+			return respond(ctx, *refusal)
+		}
+		plan, err := operate(ctx, ctx.Vars().Get("id"), body)
+		if err != nil {
+			return ctx.JSON(planStatus(err), rattanjob.Answer{State: rattanjob.StateRefused, Reason: rattanjob.ReasonInvalid, Detail: err.Error()})
+		}
+		reply := PlanReply{Plan: plan, Text: plan.Text()}
+		if plan.State == rattanplan.StateConfirmed {
+			progress := plan.Progress(p.config.Facts(time.Now()))
+			reply.Progress = &progress
+		}
+		return ctx.JSON(http.StatusOK, reply)
+	}
+}
+
+// planStatus returns the HTTP status of an error of a plan.
+func planStatus(err error) int {
+	switch {
+	case errors.Is(err, rattanplan.ErrStale), errors.Is(err, rattanplan.ErrAbandoned), errors.Is(err, rattanplan.ErrConfirmed), errors.Is(err, rattanplan.ErrNotConfirmed), errors.Is(err, rattanplatform.ErrConflict):
+		return http.StatusConflict
+	case errors.Is(err, rattanplatform.ErrNotFound):
+		return http.StatusNotFound
+	case errors.Is(err, rattanplatform.ErrUnavailable), errors.Is(err, rattanplatform.ErrUncertain), errors.Is(err, context.DeadlineExceeded):
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadRequest
+}
--- a/rattanentry/run.go
+++ b/rattanentry/run.go
@@ -144,6 +144,7 @@
 	case outcome == rattanpool.OutcomeDone:
 		current.results[assignment.Task] = rattanjob.Result{Payload: result.Payload}
 		current.remaining--
+		h.demand[current.caller]--
 		if current.remaining == 0 {
 			h.end(now, current, rattanjob.StateComplete, rattanjob.ReasonNone, "")
 		}
@@ -222,6 +223,7 @@
 	close(current.done)
 	delete(h.runs, current.key.Nonce)
 	delete(h.byID, current.id)
+	h.release(current)
 	h.config.Scheduler.Cancel(now, current.id)
 	for _, assignment := range current.running {
 		h.stop(current, assignment)
@@ -232,6 +234,16 @@
 	}
 }
 
+// release takes an ended run out of the sums by caller.
+func (h *Home) release(current *run) {
+	h.demand[current.caller] -= current.remaining
+	h.jobs[current.caller]--
+	if h.jobs[current.caller] == 0 {
+		delete(h.demand, current.caller)
+		delete(h.jobs, current.caller)
+	}
+}
+
 // stop asks a target to stop a task whose job has ended.
 func (h *Home) stop(current *run, assignment rattanpool.Assignment) {
 	address := h.addresses[assignment.Target]
