--- a/rattanconfig/check.go
+++ b/rattanconfig/check.go
@@ -41,6 +41,9 @@
 	maxWindow     = 90 * 24 * time.Hour
 	maxPerTarget  = 1 << 20
 	maxSlots      = 1 << 20
+	// maxObjectives bounds the memory of the counts that every instance keeps
+	// for an objective, about 35 KB.
+	maxObjectives = 200
 	// maxDocumentBytes leaves room for a plan, which contains the document, in
 	// the largest value of the platform (1 MB).
 	maxDocumentBytes = 900_000
@@ -79,6 +82,9 @@
 // expected, or nil. Entries are checked in the order of their names, so that
 // the same document always gives the same error.
 func Check(document Document) error {
+	if len(document.Objectives) > maxObjectives {
+		return invalid("Objectives: %d entries, want at most %d", len(document.Objectives), maxObjectives)
+	}
 	return firstError(
 		func() error { return checkText("RequestID", document.RequestID) },
 		func() error { return checkEach("Services", document.Services, checkService) },
--- a/rattanconfig/check_test.go
+++ b/rattanconfig/check_test.go
@@ -1,6 +1,7 @@
 package rattanconfig
 
 import (
+	"fmt"
 	"math"
 	"os"
 	"testing"
@@ -75,6 +76,11 @@
 			changeObjective(d, func(o *Objective) { o.Measure, o.Threshold = MeasureShortWait, 0 })
 		}, `.*Threshold: missing.*`},
 		{"useless threshold", func(d *Document) { changeObjective(d, func(o *Objective) { o.Measure = MeasureRefused }) }, `.*Threshold: 1s, want none.*`},
+		{"many objectives", func(d *Document) {
+			for i := range 201 {
+				d.Objectives[fmt.Sprint(i)] = d.Objectives["stock-in-time"]
+			}
+		}, `Objectives: 204 entries, want at most 200`},
 		{"request ID", func(d *Document) { d.RequestID = string(make([]byte, 300)) }, `RequestID: want one line of at most 200 bytes.*`},
 		{"not UTF-8", func(d *Document) { d.RequestID = "\xc7" }, `RequestID: want one line .*of UTF-8.*`},
 	} {
--- a/rattanplan/estimate.go
+++ b/rattanplan/estimate.go
@@ -142,6 +142,8 @@
 		return
 	}
 	p.Outstanding = excess
+	p.Expected += rattanjson.Duration(p.longestDeadline())
+	p.Cost.Delayed = usage.Backlog
 	p.effect("No running task is stopped; its next tasks start when it holds fewer slots than the quota.")
 	p.warn("The caller holds %s more than the new quota; its waiting tasks (%s of slot time) are delayed, and new jobs that cannot meet their deadline are refused.",
 		count(excess, "slot"), around(usage.Backlog.Std()))
@@ -243,8 +245,8 @@
 // longestDeadline bounds the time that accepted jobs concerned by the intent
 // can still take.
 func (p *Plan) longestDeadline() time.Duration {
-	if kind, ok := p.Base.JobKinds[p.Intent.Name]; ok && p.Intent.Kind != KindRetireCaller && p.Intent.Kind != KindPutCaller {
-		return kind.Deadline.Std()
+	if p.Intent.Kind == KindRetireJobKind || p.Intent.Kind == KindPutJobKind {
+		return p.Base.JobKinds[p.Intent.Name].Deadline.Std()
 	}
 	longest := time.Duration(0)
 	for _, kind := range p.Base.JobKinds {
--- a/rattanplan/plan.go
+++ b/rattanplan/plan.go
@@ -101,6 +101,8 @@
 	// work off the present backlog.
 	BacklogBefore rattanjson.Duration
 	BacklogAfter  rattanjson.Duration
+	// Delayed is the slot time of waiting tasks that will wait longer.
+	Delayed rattanjson.Duration
 }
 
 // Make returns the plan for an intent at the present document and load. The
@@ -179,12 +181,18 @@
 		return []string{"None."}
 	}
 	var sentences []string
+	if c.Delayed > 0 {
+		sentences = append(sentences, fmt.Sprintf("Waiting tasks with %s of slot time are delayed.", around(c.Delayed.Std())))
+	}
 	switch {
 	case c.SlotsLost > 0:
 		sentences = append(sentences, fmt.Sprintf("%s go out of use.", count(c.SlotsLost, "slot")))
 	case c.SlotsLost < 0:
 		sentences = append(sentences, fmt.Sprintf("%s come into use.", count(-c.SlotsLost, "slot")))
 	}
+	if c.SlotsLost == 0 {
+		return sentences
+	}
 	if c.SlotsLeft == 0 {
 		return append(sentences, "No slot is left for the present work.")
 	}
--- a/rattanplan/plan_test.go
+++ b/rattanplan/plan_test.go
@@ -87,7 +87,8 @@
 		{"weight", `{"Kind":"SetShare","Name":"app","Share":{"Weight":14}}`, 2 * time.Second, []string{
 			"Caller app is changed.", "share of the slots is 70.0% (now 40.0%), about 280 slots", "caller counter-pest (share 10.0%, now 20.0%)", "Callers.app.Weight: 4 replaced by 14",
 		}},
-		{"quota", `{"Kind":"SetShare","Name":"app","Share":{"Quota":200,"MaxJobs":50}}`, 2 * time.Second, []string{
+		{"quota", `{"Kind":"SetShare","Name":"app","Share":{"Quota":200,"MaxJobs":50}}`, 12 * time.Second, []string{
+			"Waiting tasks with 1m30s of slot time are delayed.",
 			"at most 200 slots at a time (before: 300); it holds 250 now", "holds 50 slots more than the new quota; its waiting tasks (1m30s of slot time) are delayed", "at most 50 jobs in progress in a pool (before: 5000); it has 100",
 		}},
 		{"no quota", `{"Kind":"SetShare","Name":"app","Share":{"Quota":0,"MaxJobs":0}}`, 2 * time.Second, []string{"no quota any more (before: 300)", "no longer limited (before: 5000)"}},
