Test the platform's client under faults

A silent outage applied waiting writes when it ended, depending on whether the server had noticed that the client was gone. Calls in an outage now never take effect; added latency covers writes whose effect comes late.

--- a/rattanplatform/client_test.go
+++ b/rattanplatform/client_test.go
@@ -1,8 +1,11 @@
 package rattanplatform_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -15,7 +18,7 @@
 	platform, err := rattanstandin.NewPlatform(options)
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(platform.Close)
-	client := rattanplatform.New(rattanplatform.Options{Address: platform.Address()})
+	client := rattanplatform.New(rattanplatform.Options{Address: platform.Address(), Timeout: 300 * time.Millisecond})
 	t.Cleanup(client.Close)
 	return platform, client
 }
@@ -25,18 +28,201 @@
 	c := qt.New(t)
 	_, client := newPlatform(t, rattanstandin.PlatformOptions{})
 	ctx := context.Background()
-	_, err := client.Get(ctx, "Plans/1")
+	const key = "Plans/a b%/1"
+	_, err := client.Get(ctx, key)
 	c.Assert(err, qt.ErrorIs, rattanplatform.ErrNotFound)
-	first, err := client.Put(ctx, "Plans/1", []byte("a"), rattanplatform.NoRevision, rattanplatform.NoLease)
+	first, err := client.Put(ctx, key, []byte("a"), rattanplatform.NoRevision, rattanplatform.NoLease)
 	c.Assert(err, qt.IsNil)
-	_, err = client.Put(ctx, "Plans/1", []byte("b"), rattanplatform.NoRevision, rattanplatform.NoLease)
+	_, err = client.Put(ctx, key, []byte("b"), rattanplatform.NoRevision, rattanplatform.NoLease)
 	c.Assert(err, qt.ErrorIs, rattanplatform.ErrConflict)
-	second, err := client.Put(ctx, "Plans/1", []byte("b"), first, rattanplatform.NoLease)
+	second, err := client.Put(ctx, key, []byte("b"), first, rattanplatform.NoLease)
 	c.Assert(err, qt.IsNil)
 	c.Assert(second > first, qt.IsTrue)
-	c.Assert(client.Delete(ctx, "Plans/1", first), qt.ErrorIs, rattanplatform.ErrConflict)
-	entry, err := client.Get(ctx, "Plans/1")
+	c.Assert(client.Delete(ctx, key, first), qt.ErrorIs, rattanplatform.ErrConflict)
+	entry, err := client.Get(ctx, key)
 	c.Assert(err, qt.IsNil)
-	c.Assert(entry, qt.DeepEquals, rattanplatform.Entry{Key: "Plans/1", Value: []byte("b"), Revision: second})
-	c.Assert(client.Delete(ctx, "Plans/1", second), qt.IsNil)
+	c.Assert(entry, qt.DeepEquals, rattanplatform.Entry{Key: key, Value: []byte("b"), Revision: second})
+	third, err := client.Put(ctx, key, nil, rattanplatform.AnyRevision, rattanplatform.NoLease)
+	c.Assert(err, qt.IsNil)
+	c.Assert(client.Delete(ctx, key, third), qt.IsNil)
+	c.Assert(client.Delete(ctx, key, rattanplatform.AnyRevision), qt.ErrorIs, rattanplatform.ErrNotFound)
+	c.Assert(client.Counters.Reads(), qt.Equals, uint64(2))
+	c.Assert(client.Counters.Writes(), qt.Equals, uint64(7))
+	c.Assert(client.Counters.Conflicts.Load(), qt.Equals, uint64(2))
+}
+
+// TestValueSize guards against a value that one side accepts and the other does
+// not.
+func TestValueSize(t *testing.T) {
+	c := qt.New(t)
+	_, client := newPlatform(t, rattanstandin.PlatformOptions{})
+	ctx := context.Background()
+	largest := bytes.Repeat([]byte{0xff}, rattanplatform.MaxValueSize)
+	_, err := client.Put(ctx, "Key", largest, rattanplatform.NoRevision, rattanplatform.NoLease)
+	c.Assert(err, qt.IsNil)
+	entry, err := client.Get(ctx, "Key")
+	c.Assert(err, qt.IsNil)
+	c.Assert(bytes.Equal(entry.Value, largest), qt.IsTrue)
+	_, err = client.Put(ctx, "Key", append(largest, 0), rattanplatform.AnyRevision, rattanplatform.NoLease)
+	c.Assert(err, qt.ErrorIs, rattanplatform.ErrTooLarge)
+}
+
+// TestFaults guards against a write that is reported as without effect although
+// it may have one, and the reverse.
+func TestFaults(t *testing.T) {
+	slow := rattanstandin.Faults{}
+	qt.Assert(t, slow.Latency.UnmarshalText([]byte("500ms")), qt.IsNil)
+	tests := []struct {
+		name    string
+		faults  rattanstandin.Faults
+		down    bool
+		silence rattanstandin.Silence
+		write   error
+		read    error
+		// effect says that the write has its effect in spite of the error.
+		effect bool
+	}{
+		{name: "sound", effect: true},
+		{name: "unavailable", faults: rattanstandin.Faults{Outage: rattanstandin.OutageUnavailable}, write: rattanplatform.ErrUnavailable, read: rattanplatform.ErrUnavailable},
+		{name: "closed", faults: rattanstandin.Faults{Outage: rattanstandin.OutageClosed}, write: rattanplatform.ErrUncertain, read: rattanplatform.ErrUnavailable},
+		{name: "silent", faults: rattanstandin.Faults{Outage: rattanstandin.OutageSilent}, write: rattanplatform.ErrUncertain, read: rattanplatform.ErrUnavailable},
+		{name: "slow", faults: slow, write: rattanplatform.ErrUncertain, read: rattanplatform.ErrUnavailable, effect: true},
+		{name: "lost answers", faults: rattanstandin.Faults{LostAnswers: 1}, write: rattanplatform.ErrUncertain, effect: true},
+		{name: "silent connections", silence: rattanstandin.SilenceBoth, write: rattanplatform.ErrUncertain},
+		{name: "silent connections that deliver", silence: rattanstandin.SilenceResponses, write: rattanplatform.ErrUncertain, effect: true},
+		{name: "down", down: true, write: rattanplatform.ErrUnavailable, read: rattanplatform.ErrUnavailable},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			platform, client := newPlatform(t, rattanstandin.PlatformOptions{})
+			ctx := context.Background()
+			revision, err := client.Put(ctx, "Key", []byte("before"), rattanplatform.NoRevision, rattanplatform.NoLease)
+			c.Assert(err, qt.IsNil)
+			platform.SetFaults(test.faults)
+			platform.SilenceConnections(test.silence)
+			if test.down {
+				platform.Close()
+			}
+			_, err = client.Put(ctx, "Key", []byte("after"), revision, rattanplatform.NoLease)
+			c.Check(err, qt.ErrorIs, test.write)
+			_, err = client.Get(ctx, "Key")
+			c.Check(err, qt.ErrorIs, test.read)
+			if test.down {
+				return
+			}
+			platform.SetFaults(rattanstandin.Faults{})
+			time.Sleep(test.faults.Latency.Std())
+			written, err := client.ReadBack(ctx, "Key", []byte("after"), revision)
+			if test.effect {
+				c.Check(err, qt.IsNil)
+				c.Check(written > revision, qt.IsTrue)
+				return
+			}
+			c.Check(err, qt.ErrorIs, rattanplatform.ErrUncertain)
+			_, err = client.Put(ctx, "Key", []byte("other"), revision, rattanplatform.NoLease)
+			c.Check(err, qt.IsNil)
+			_, err = client.ReadBack(ctx, "Key", []byte("after"), revision)
+			c.Check(err, qt.ErrorIs, rattanplatform.ErrConflict)
+		})
+	}
+}
+
+// TestWatch guards against a change that a watch misses, and against a watch
+// that does not wait.
+func TestWatch(t *testing.T) {
+	c := qt.New(t)
+	platform, client := newPlatform(t, rattanstandin.PlatformOptions{})
+	ctx := context.Background()
+	put := func(key, value string) int64 {
+		revision, err := client.Put(ctx, key, []byte(value), rattanplatform.AnyRevision, rattanplatform.NoLease)
+		c.Assert(err, qt.IsNil)
+		return revision
+	}
+	put("Plans/1", "a")
+	put("Other", "a")
+	last := put("Plans/2", "a")
+	changes, err := client.Watch(ctx, "Plans/", 0, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(changes.Revision, qt.Equals, last)
+	c.Assert(changes.Entries, qt.HasLen, 2)
+
+	begin := time.Now()
+	changes, err = client.Watch(ctx, "Plans/", last, 100*time.Millisecond)
+	c.Assert(err, qt.IsNil)
+	c.Assert(changes, qt.DeepEquals, rattanplatform.Changes{Revision: last})
+	c.Assert(time.Since(begin) >= 100*time.Millisecond, qt.IsTrue)
+
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		put("Other", "b")
+		c.Check(client.Delete(ctx, "Plans/1", rattanplatform.AnyRevision), qt.IsNil)
+	}()
+	changes, err = client.Watch(ctx, "Plans/", last, 10*time.Second)
+	c.Assert(err, qt.IsNil)
+	c.Assert(changes.Entries, qt.DeepEquals, []rattanplatform.Entry{{Key: "Plans/1", Revision: changes.Revision, Deleted: true}})
+
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		platform.SetFaults(rattanstandin.Faults{Outage: rattanstandin.OutageUnavailable})
+	}()
+	_, err = client.Watch(ctx, "", changes.Revision, 10*time.Second)
+	c.Assert(err, qt.ErrorIs, rattanplatform.ErrUnavailable)
+	c.Assert(platform.Counts().Kinds[rattanstandin.CallKindWatch].Total, qt.Equals, uint64(4))
+}
+
+// TestLease guards against keys that outlive their lease, or vanish although it
+// is renewed.
+func TestLease(t *testing.T) {
+	c := qt.New(t)
+	_, client := newPlatform(t, rattanstandin.PlatformOptions{})
+	ctx := context.Background()
+	lease, err := client.GrantLease(ctx, 200*time.Millisecond)
+	c.Assert(err, qt.IsNil)
+	_, err = client.Put(ctx, "Leased", []byte("a"), rattanplatform.NoRevision, lease.ID)
+	c.Assert(err, qt.IsNil)
+	_, err = client.Put(ctx, "Unbound", []byte("a"), rattanplatform.NoRevision, lease.ID)
+	c.Assert(err, qt.IsNil)
+	last, err := client.Put(ctx, "Unbound", []byte("b"), rattanplatform.AnyRevision, rattanplatform.NoLease)
+	c.Assert(err, qt.IsNil)
+	for range 6 {
+		time.Sleep(60 * time.Millisecond)
+		_, err = client.RenewLease(ctx, lease.ID)
+		c.Assert(err, qt.IsNil)
+	}
+	changes, err := client.Watch(ctx, "", last, 5*time.Second)
+	c.Assert(err, qt.IsNil)
+	c.Assert(changes.Entries, qt.DeepEquals, []rattanplatform.Entry{{Key: "Leased", Revision: last + 1, Deleted: true}})
+	_, err = client.RenewLease(ctx, lease.ID)
+	c.Assert(err, qt.ErrorIs, rattanplatform.ErrNotFound)
+	_, err = client.Put(ctx, "Leased", nil, rattanplatform.AnyRevision, lease.ID)
+	c.Assert(err, qt.ErrorIs, rattanplatform.ErrNotFound)
+	_, err = client.GrantLease(ctx, 0)
+	c.Assert(err, qt.ErrorIs, rattanplatform.ErrRejected)
+}
+
+// TestInstances guards against a change of the format of the instance list.
+func TestInstances(t *testing.T) {
+	c := qt.New(t)
+	platform, client := newPlatform(t, rattanstandin.PlatformOptions{})
+	want := rattanplatform.Instance{
+		Name:             "buda-1",
+		Address:          "127.0.0.1:9000",
+		AvailabilityZone: "buda",
+		Rack:             "buda-rack-1",
+		Role:             rattanplatform.RoleTarget,
+		Service:          "Lists",
+		Slots:            8,
+		Cores:            30,
+		MemoryMB:         130_000,
+		State:            rattanplatform.StateLeaving,
+	}
+	platform.SetInstances(want)
+	instances, err := client.Instances(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Assert(instances, qt.DeepEquals, []rattanplatform.Instance{want})
+	encoded, err := json.Marshal(want)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(encoded), qt.Equals, `{"Name":"buda-1","Address":"127.0.0.1:9000","AvailabilityZone":"buda",`+
+		`"Rack":"buda-rack-1","Role":"Target","Service":"Lists","Slots":8,"Cores":30,"MemoryMB":130000,"State":"Leaving"}`)
 }
--- a/rattanstandin/control.go
+++ b/rattanstandin/control.go
@@ -95,7 +95,7 @@
 
 func (f *TargetFleet) serveControl(w http.ResponseWriter, r *http.Request) {
 	var control TargetControl
-	err := readJSON(w, r, &control)
+	err := readJSON(r, &control)
 	if err == nil {
 		err = f.Control(control)
 	}
--- a/rattanstandin/faults.go
+++ b/rattanstandin/faults.go
@@ -7,15 +7,15 @@
 // Outage is how the platform fails to serve calls.
 type Outage int
 
-// The kinds of outage. A call in an outage has no effect.
+// The kinds of outage. A call that arrives in an outage has no effect.
 const (
 	OutageNone Outage = iota
 	// OutageUnavailable answers every call with status 503.
 	OutageUnavailable
 	// OutageClosed closes the connection of every call without an answer.
 	OutageClosed
-	// OutageSilent answers no call until the outage ends, when the calls that
-	// still wait are served.
+	// OutageSilent leaves every call without an answer; the connections of
+	// those that still wait are closed when the outage ends.
 	OutageSilent
 	outageCount
 )
--- a/rattanstandin/platformhttp.go
+++ b/rattanstandin/platformhttp.go
@@ -1,6 +1,7 @@
 package rattanstandin
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -54,7 +55,7 @@
 }
 
 // call wraps the effect of a call into counting, limits and faults.
-func (p *Platform) call(kind CallKind, effect func(w http.ResponseWriter, r *http.Request) reply) http.HandlerFunc {
+func (p *Platform) call(kind CallKind, effect func(r *http.Request) reply) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		limiter := p.reads
 		if kind.IsWrite() {
@@ -66,10 +67,16 @@
 			answer(w, http.StatusServiceUnavailable, failure{Error: "rate limit"})
 			return
 		}
+		// The server notices a client that has gone only after the body is read.
+		value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, rattanplatform.MaxValueSize))
+		r.Body = io.NopCloser(bytes.NewReader(value))
 		if !p.pass(w, r) {
 			return
 		}
-		reply := effect(w, r)
+		reply := reply{err: bodyError(err)}
+		if err == nil {
+			reply = effect(r)
+		}
 		if faults := p.Faults(); kind.IsWrite() && faults.loses() {
 			panic(http.ErrAbortHandler)
 		}
@@ -81,24 +88,34 @@
 // pass applies the outage and the latency, and reports whether the call is to
 // take effect.
 func (p *Platform) pass(w http.ResponseWriter, r *http.Request) bool {
-	for {
-		faults, switched := p.currentFaults()
-		switch faults.Outage {
-		case OutageUnavailable:
-			answer(w, http.StatusServiceUnavailable, failure{Error: "outage"})
-			return false
-		case OutageClosed:
-			panic(http.ErrAbortHandler)
-		case OutageSilent:
-			select {
-			case <-switched:
-			case <-r.Context().Done():
-				return false
-			}
-		default:
-			time.Sleep(faults.Latency.Std())
-			return true
+	faults, switched := p.currentFaults()
+	switch faults.Outage {
+	case OutageUnavailable:
+		answer(w, http.StatusServiceUnavailable, failure{Error: "outage"})
+		return false
+	case OutageClosed:
+		panic(http.ErrAbortHandler)
+	case OutageSilent:
+		select {
+		case <-switched:
+		case <-r.Context().Done():
 		}
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(faults.Latency.Std())
+	return true
+}
+
+// bodyError returns the error of a body that could not be read.
+func bodyError(err error) error {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &tooLarge):
+		return errors.WithType(err, rattanplatform.ErrTooLarge)
+	default:
+		return errors.WithType(err, errBody)
 	}
 }
 
@@ -124,12 +141,12 @@
 	}
 }
 
-func (p *Platform) serveGet(_ http.ResponseWriter, r *http.Request) reply {
+func (p *Platform) serveGet(r *http.Request) reply {
 	entry, err := p.store.get(r.PathValue("key"))
 	return reply{entry, err}
 }
 
-func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) reply {
+func (p *Platform) servePut(r *http.Request) reply {
 	query := r.URL.Query()
 	ifRevision, err := number(query, "IfRevision", rattanplatform.AnyRevision)
 	if err != nil {
@@ -139,19 +156,15 @@
 	if err != nil {
 		return reply{err: err}
 	}
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, rattanplatform.MaxValueSize))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return reply{err: errors.WithType(err, rattanplatform.ErrTooLarge)}
-	case err != nil:
-		return reply{err: errors.WithType(err, errBody)}
+	value, err := io.ReadAll(r.Body)
+	if err != nil {
+		return reply{err: bodyError(err)}
 	}
 	revision, err := p.store.put(r.PathValue("key"), value, ifRevision, lease)
 	return reply{rattanplatform.Written{Revision: revision}, err}
 }
 
-func (p *Platform) serveDelete(_ http.ResponseWriter, r *http.Request) reply {
+func (p *Platform) serveDelete(r *http.Request) reply {
 	ifRevision, err := number(r.URL.Query(), "IfRevision", rattanplatform.AnyRevision)
 	if err != nil {
 		return reply{err: err}
@@ -160,7 +173,7 @@
 	return reply{rattanplatform.Written{Revision: revision}, err}
 }
 
-func (p *Platform) serveWatch(_ http.ResponseWriter, r *http.Request) reply {
+func (p *Platform) serveWatch(r *http.Request) reply {
 	query := r.URL.Query()
 	after, err := number(query, "AfterRevision", 0)
 	if err != nil {
@@ -192,9 +205,9 @@
 	}
 }
 
-func (p *Platform) serveGrant(w http.ResponseWriter, r *http.Request) reply {
+func (p *Platform) serveGrant(r *http.Request) reply {
 	var wanted rattanplatform.Lease
-	if err := readJSON(w, r, &wanted); err != nil {
+	if err := readJSON(r, &wanted); err != nil {
 		return reply{err: err}
 	}
 	if wanted.Duration <= 0 || wanted.Duration.Std() > MaxLeaseDuration {
@@ -203,7 +216,7 @@
 	return reply{body: p.store.grant(time.Now(), wanted.Duration.Std())}
 }
 
-func (p *Platform) serveRenew(_ http.ResponseWriter, r *http.Request) reply {
+func (p *Platform) serveRenew(r *http.Request) reply {
 	id, err := strconv.ParseInt(r.PathValue("id"), 10, 64)
 	if err != nil {
 		return reply{err: errors.WithType(err, rattanplatform.ErrNotFound)}
@@ -212,7 +225,7 @@
 	return reply{lease, err}
 }
 
-func (p *Platform) serveInstances(http.ResponseWriter, *http.Request) reply {
+func (p *Platform) serveInstances(*http.Request) reply {
 	lag := p.options.InstanceListLag + p.Faults().InstanceListLag
 	return reply{body: p.instances.at(time.Now(), lag.Std())}
 }
@@ -232,7 +245,7 @@
 
 func (p *Platform) serveSetFaults(w http.ResponseWriter, r *http.Request) {
 	var faults Faults
-	if err := readJSON(w, r, &faults); err != nil {
+	if err := readJSON(r, &faults); err != nil {
 		answer(w, http.StatusBadRequest, failure{Error: err.Error()})
 		return
 	}
@@ -242,7 +255,7 @@
 
 func (p *Platform) serveChangeInstances(w http.ResponseWriter, r *http.Request) {
 	var change InstanceChange
-	if err := readJSON(w, r, &change); err != nil {
+	if err := readJSON(r, &change); err != nil {
 		answer(w, http.StatusBadRequest, failure{Error: err.Error()})
 		return
 	}
@@ -251,8 +264,8 @@
 }
 
 // readJSON reads a control body; unknown fields are errors.
-func readJSON(w http.ResponseWriter, r *http.Request, target any) error {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControlSize))
+func readJSON(r *http.Request, target any) error {
+	decoder := json.NewDecoder(io.LimitReader(r.Body, maxControlSize))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(target); err != nil {
 		return errors.WithType(err, errBody)
