--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -71,10 +71,26 @@
 
 // Recorder keeps what happened to jobs and how well they were served.
 type Recorder interface {
-	Submitted(now time.Time, key rattanjob.Key, caller string, submission *rattanjob.Submission)
-	Assigned(now time.Time, key rattanjob.Key, assignment rattanpool.Assignment)
-	TaskEnded(now time.Time, key rattanjob.Key, assignment rattanpool.Assignment, report rattanpool.Report)
-	Answered(now time.Time, key rattanjob.Key, caller, kind string, age time.Duration, answer rattanjob.Answer)
+	Submitted(now time.Time, job *Running, submission *rattanjob.Submission)
+	Assigned(now time.Time, job *Running, assignment rattanpool.Assignment)
+	TaskEnded(now time.Time, job *Running, assignment rattanpool.Assignment, report rattanpool.Report)
+	Answered(now time.Time, ended Ended)
+}
+
+// Running identifies a job in progress.
+type Running struct {
+	Key    rattanjob.Key
+	Caller string
+	Kind   string
+}
+
+// Ended is the end of a job that was admitted or refused.
+type Ended struct {
+	Running
+	// Took is the time from submission to answer.
+	Took     time.Duration
+	Deadline time.Duration
+	Answer   rattanjob.Answer
 }
 
 // HomeConfig configures a Home. All fields but Recorder are required.
@@ -315,11 +331,11 @@
 		return nil, h.stated(answer, verdict, key)
 	}
 	if fault != nil {
-		return nil, h.refuse(now, key, caller, *fault)
+		return nil, h.refuse(now, Running{Key: key, Caller: caller, Kind: submission.Kind}, *fault)
 	}
 	job, refusal := h.accept(now, caller, submission)
 	if refusal != nil {
-		return nil, h.refuse(now, key, caller, *refusal)
+		return nil, h.refuse(now, Running{Key: key, Caller: caller, Kind: submission.Kind}, *refusal)
 	}
 	return h.launch(now, caller, submission, job), rattanjob.Answer{}
 }
@@ -356,10 +372,8 @@
 func (h *Home) launch(now time.Time, caller string, submission *rattanjob.Submission, job rattanpool.Job) *run {
 	current := &run{
 		id:         job.ID,
-		key:        submission.Key,
+		Running:    Running{Key: submission.Key, Caller: caller, Kind: submission.Kind},
 		submission: submission.Key.ID(),
-		caller:     caller,
-		kind:       submission.Kind,
 		tasks:      submission.Tasks,
 		submitted:  now,
 		deadline:   job.Deadline,
@@ -369,26 +383,26 @@
 		done:       make(chan struct{}),
 	}
 	current.timer = time.AfterFunc(job.Deadline.Sub(now), func() { h.pastDeadline(current) })
-	h.runs[current.key.Nonce] = current
+	h.runs[current.Key.Nonce] = current
 	h.byID[current.id] = current
 	h.demand[caller] += len(submission.Tasks)
 	h.jobs[caller]++
 	h.counts.admitted.Inc()
 	if h.config.Recorder != nil {
-		h.config.Recorder.Submitted(now, current.key, caller, submission)
+		h.config.Recorder.Submitted(now, &current.Running, submission)
 	}
 	return current
 }
 
 // refuse records a refusal as the final answer of a key that began just now.
-func (h *Home) refuse(now time.Time, key rattanjob.Key, caller string, refusal rattanjob.Answer) rattanjob.Answer {
-	refusal.Key = key.String()
-	if err := h.config.Ledger.Refuse(now, key, refusal); err != nil {
+func (h *Home) refuse(now time.Time, job Running, refusal rattanjob.Answer) rattanjob.Answer {
+	refusal.Key = job.Key.String()
+	if err := h.config.Ledger.Refuse(now, job.Key, refusal); err != nil {
 		h.violated(err.Error())
 	}
 	h.counts.refused(refusal.Reason)
 	if h.config.Recorder != nil {
-		h.config.Recorder.Answered(now, key, caller, "", 0, refusal)
+		h.config.Recorder.Answered(now, Ended{Running: job, Answer: refusal})
 	}
 	return refusal
 }
@@ -396,7 +410,7 @@
 // await waits for the end of the run. The answer is given only while the
 // epoch is valid: a home that was paused may have been declared ended.
 func (h *Home) await(ctx context.Context, current *run, caller string, wait time.Duration) rattanjob.Answer {
-	if caller != current.caller {
+	if caller != current.Caller {
 		return rattanjob.Refusal(rattanjob.ReasonKeyUnknown, "no such key for this caller")
 	}
 	h.mutex.Lock()
@@ -416,14 +430,14 @@
 	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if !h.valid(time.Now(), current.key.Epoch) {
-		return lost(current.key)
+	if !h.valid(time.Now(), current.Key.Epoch) {
+		return lost(current.Key)
 	}
 	if current.ended {
 		return current.answer
 	}
 	return rattanjob.Answer{
-		Key:        current.key.String(),
+		Key:        current.Key.String(),
 		State:      rattanjob.StateRunning,
 		Started:    current.started,
 		RetryAfter: rattanjson.Duration(100 * time.Millisecond),
@@ -471,9 +485,9 @@
 func (h *Home) fence(now time.Time, epoch rattanjob.EpochID) {
 	h.config.Ledger.FenceEpoch(now, epoch)
 	for _, current := range h.runs {
-		if current.key.Epoch == epoch {
+		if current.Key.Epoch == epoch {
 			h.counts.fenced.Inc()
-			h.settle(now, current, lost(current.key))
+			h.settle(now, current, lost(current.Key))
 		}
 	}
 	if h.config.Fence != nil {
--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/rattanlever/rattanlever/rattanburn"
 	"github.com/rattanlever/rattanlever/rattanconfig"
 	"github.com/rattanlever/rattanlever/rattanjob"
 	"github.com/rattanlever/rattanlever/rattanjson"
@@ -66,10 +67,12 @@
 	Node          *rattanpeer.Node
 	Operations    *Operations
 	Plans         *Plans
+	Records       *Records
 	Platform      *rattanplatform.Client
 
 	config     Config
 	kernel     *rattankernel.Kernel
+	burn       *rattanburn.Counters
 	server     *khttp.Server
 	app        *kratos.App
 	superseded atomic.Bool
@@ -183,6 +186,8 @@
 		Payload:     i.payload,
 		Received:    i.received,
 	})
+	i.burn = rattanburn.New()
+	i.Records = NewRecords(RecordsConfig{Members: i.Members, Peers: i.Node, Burn: i.burn})
 	i.Home = NewHome(HomeConfig{
 		Scheduler:    i.config.NewScheduler(),
 		Ledger:       newLedger(settings.Home),
@@ -190,6 +195,7 @@
 		Authority:    i.Members,
 		Documents:    i.Configuration,
 		Metrics:      i.Metrics,
+		Recorder:     i.Records,
 		DrainTimeout: settings.Home.DrainTimeout.Std(),
 	})
 	i.Inventory = NewInventory(InventoryConfig{
@@ -241,6 +247,7 @@
 	i.Members.Handle(i.Node)
 	i.Configuration.Handle(i.Node)
 	i.Loads.Handle(i.Node)
+	i.Records.Handle(i.Node)
 	services := []rattankernel.Service{i.Node, i.Home, i.Members, i.Configuration, i.Inventory, i.Loads, i.Operations}
 	for _, service := range services {
 		if err := i.kernel.Register(service); err != nil {
@@ -254,6 +261,7 @@
 	i.Front.Routes(i.server)
 	i.Operations.Routes(i.server)
 	i.Plans.Routes(i.server)
+	i.Records.Routes(i.server)
 	i.app = kratos.New(
 		kratos.Name(i.config.Settings.Name),
 		kratos.Signal(syscall.SIGINT, syscall.SIGTERM),
@@ -270,6 +278,7 @@
 func (i *Instance) installed(document *rattanconfig.Document) {
 	now := time.Now()
 	i.Home.SetCallers(now, DivideQuotas(document, i.Loads.All(now)))
+	i.burn.SetObjectives(now, *document)
 	i.Inventory.Apply(now)
 }
 
--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -205,6 +205,19 @@
 	return m.table.Self(now).Claim > 0
 }
 
+// Others returns the other members that may be alive.
+func (m *Members) Others(now time.Time) []rattanmember.Member {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var others []rattanmember.Member
+	for _, member := range m.table.Members(now) {
+		if member.Status != rattanmember.StatusDead {
+			others = append(others, member)
+		}
+	}
+	return others
+}
+
 // Owner returns the home of this instance's availability zone.
 func (m *Members) Owner(now time.Time) (rattanmember.Member, bool) {
 	m.mutex.Lock()
--- /dev/null
+++ b/rattanentry/records.go
@@ -0,0 +1,131 @@
+package rattanentry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/rattanlever/rattanlever/rattanburn"
+	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattanmember"
+	"github.com/rattanlever/rattanlever/rattanpeer"
+	"github.com/rattanlever/rattanlever/rattanpool"
+)
+
+const (
+	methodBurn  = "Burn"
+	burnTimeout = time.Second
+)
+
+// RecordsConfig configures Records. All fields are required.
+type RecordsConfig struct {
+	Members *Members
+	Peers   PeerCaller
+	Burn    *rattanburn.Counters
+}
+
+// Records keeps how well this instance served its callers. It implements
+// Recorder.
+type Records struct {
+	config RecordsConfig
+}
+
+// NewRecords returns the records of one instance.
+func NewRecords(config RecordsConfig) *Records {
+	return &Records{config: config}
+}
+
+// Answered records the final answer of a job.
+func (r *Records) Answered(now time.Time, ended Ended) {
+	switch ended.Answer.State {
+	case rattanjob.StateCancelled:
+	case rattanjob.StateRefused:
+		r.config.Burn.Submitted(now, ended.Caller, ended.Kind, true)
+	default:
+		r.config.Burn.Answered(now, rattanburn.Answer{
+			Caller:   ended.Caller,
+			Kind:     ended.Kind,
+			Took:     ended.Took,
+			Deadline: ended.Deadline,
+			Complete: ended.Answer.State == rattanjob.StateComplete,
+		})
+	}
+}
+
+// Assigned records the assignment of a task to a target.
+func (r *Records) Assigned(now time.Time, job *Running, assignment rattanpool.Assignment) {
+	r.config.Burn.Started(now, job.Caller, job.Kind, assignment.Waited)
+}
+
+// Burn returns the counts of all instances that answer.
+func (r *Records) Burn(ctx context.Context, now time.Time) rattanburn.Snapshot {
+	snapshots := []rattanburn.Snapshot{r.config.Burn.Snapshot(now)}
+	ctx, cancel := context.WithTimeout(ctx, burnTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	var mutex sync.Mutex
+	for _, member := range r.config.Members.Others(now) {
+		calls.Go(func() {
+			if snapshot, ok := r.ask(ctx, member); ok {
+				mutex.Lock()
+				snapshots = append(snapshots, snapshot)
+				mutex.Unlock()
+			}
+		})
+	}
+	calls.Wait()
+	return rattanburn.Merge(snapshots...)
+}
+
+// Handle serves the counts to other instances.
+func (r *Records) Handle(node *rattanpeer.Node) {
+	node.Handle(methodBurn, func(context.Context, string, []byte) ([]byte, error) {
+		return json.Marshal(r.config.Burn.Snapshot(time.Now()))
+	})
+}
+
+// Routes adds the routes of the report to the server.
+func (r *Records) Routes(server *khttp.Server) {
+	route := server.Route("/v1/report")
+	route.GET("/burn", r.text)
+	route.GET("/burn.html", r.page)
+}
+
+// Submitted records that a job was admitted.
+func (r *Records) Submitted(now time.Time, job *Running, _ *rattanjob.Submission) {
+	r.config.Burn.Submitted(now, job.Caller, job.Kind, false)
+}
+
+// TaskEnded records the end of an assignment.
+func (r *Records) TaskEnded(time.Time, *Running, rattanpool.Assignment, rattanpool.Report) {}
+
+func (r *Records) ask(ctx context.Context, member rattanmember.Member) (rattanburn.Snapshot, bool) {
+	var snapshot rattanburn.Snapshot
+	reply, err := r.config.Peers.Call(ctx, member.PeerAddress, methodBurn, nil)
+	if err != nil {
+		return snapshot, false
+	}
+	return snapshot, json.Unmarshal(reply, &snapshot) == nil
+}
+
+func (r *Records) text(ctx khttp.Context) error {
+	if _, refusal := identifyOperator(ctx.Request()); refusal != nil {
+		return respond(ctx, *refusal)
+	}
+	return ctx.Blob(http.StatusOK, "text/plain; charset=utf-8", []byte(r.Burn(ctx, time.Now()).Text()))
+}
+
+func (r *Records) page(ctx khttp.Context) error {
+	if _, refusal := identifyOperator(ctx.Request()); refusal != nil {
+		return respond(ctx, *refusal)
+	}
+	page, err := r.Burn(ctx, time.Now()).Page()
+	if err != nil {
+		return err
+	}
+	return ctx.Blob(http.StatusOK, "text/html; charset=utf-8", page)
+}
--- a/rattanentry/run.go
+++ b/rattanentry/run.go
@@ -16,12 +16,10 @@
 // run is one job in progress at its home. All fields are guarded by the
 // home's mutex, except those that never change after launch.
 type run struct {
-	id  rattanpool.JobID
-	key rattanjob.Key
+	Running
+	id rattanpool.JobID
 	// submission is the ID of the key.
 	submission string
-	caller     string
-	kind       string
 	tasks      []rattanjob.Task
 	submitted  time.Time
 	deadline   time.Time
@@ -68,7 +66,7 @@
 func (h *Home) start(now time.Time, assignment rattanpool.Assignment) {
 	current, ok := h.byID[assignment.Job]
 	address, known := h.addresses[assignment.Target]
-	if !ok || current.ended || !known || !h.valid(now, current.key.Epoch) {
+	if !ok || current.ended || !known || !h.valid(now, current.Key.Epoch) {
 		h.config.Scheduler.Finish(now, assignment, rattanpool.Report{Outcome: rattanpool.OutcomeStopped})
 		return
 	}
@@ -79,7 +77,7 @@
 	current.running[assignment.Task] = assignment
 	h.counts.started.Inc()
 	if h.config.Recorder != nil {
-		h.config.Recorder.Assigned(now, current.key, assignment)
+		h.config.Recorder.Assigned(now, &current.Running, assignment)
 	}
 	go h.dispatch(current, assignment, address, now)
 }
@@ -92,7 +90,7 @@
 	result, err := h.config.Runner.Run(ctx, rattantarget.Dispatch{
 		Address: address,
 		ID:      id,
-		Kind:    current.kind,
+		Kind:    current.Kind,
 		Payload: taskPayload(current.tasks[assignment.Task]),
 		Lease:   rattanjson.Duration(current.deadline.Add(leaseGrace).Sub(began)),
 	})
@@ -130,7 +128,7 @@
 		current.started--
 	}
 	if h.config.Recorder != nil {
-		h.config.Recorder.TaskEnded(now, current.key, assignment, report)
+		h.config.Recorder.TaskEnded(now, &current.Running, assignment, report)
 	}
 	if !current.ended {
 		h.conclude(now, current, assignment, report.Outcome, requeued, result, cause)
@@ -144,7 +142,7 @@
 	case outcome == rattanpool.OutcomeDone:
 		current.results[assignment.Task] = rattanjob.Result{Payload: result.Payload}
 		current.remaining--
-		h.demand[current.caller]--
+		h.demand[current.Caller]--
 		if current.remaining == 0 {
 			h.end(now, current, rattanjob.StateComplete, rattanjob.ReasonNone, "")
 		}
@@ -176,7 +174,7 @@
 // end gives the run its final answer and records it.
 func (h *Home) end(now time.Time, current *run, state rattanjob.State, reason rattanjob.Reason, detail string) rattanjob.Answer {
 	answer := rattanjob.Answer{
-		Key:       current.key.String(),
+		Key:       current.Key.String(),
 		State:     state,
 		Execution: current.execution(),
 		Reason:    reason,
@@ -194,7 +192,7 @@
 	default:
 		answer.Started = current.started
 	}
-	if err := h.config.Ledger.Finish(now, current.key, answer); err != nil {
+	if err := h.config.Ledger.Finish(now, current.Key, answer); err != nil {
 		h.violated(err.Error())
 	}
 	h.settle(now, current, answer)
@@ -221,7 +219,7 @@
 	current.answer = answer
 	current.timer.Stop()
 	close(current.done)
-	delete(h.runs, current.key.Nonce)
+	delete(h.runs, current.Key.Nonce)
 	delete(h.byID, current.id)
 	h.release(current)
 	h.config.Scheduler.Cancel(now, current.id)
@@ -230,17 +228,22 @@
 	}
 	h.counts.answered(answer)
 	if h.config.Recorder != nil {
-		h.config.Recorder.Answered(now, current.key, current.caller, current.kind, now.Sub(current.submitted), answer)
+		h.config.Recorder.Answered(now, Ended{
+			Running:  current.Running,
+			Took:     now.Sub(current.submitted),
+			Deadline: current.deadline.Sub(current.submitted),
+			Answer:   answer,
+		})
 	}
 }
 
 // release takes an ended run out of the sums by caller.
 func (h *Home) release(current *run) {
-	h.demand[current.caller] -= current.remaining
-	h.jobs[current.caller]--
-	if h.jobs[current.caller] == 0 {
-		delete(h.demand, current.caller)
-		delete(h.jobs, current.caller)
+	h.demand[current.Caller] -= current.remaining
+	h.jobs[current.Caller]--
+	if h.jobs[current.Caller] == 0 {
+		delete(h.demand, current.Caller)
+		delete(h.jobs, current.Caller)
 	}
 }
 
