Hand a pool over before a home leaves, and drain entry instances by plan

Cause: after SIGTERM of the only home its zone issued no keys until the next heartbeats (a trial got 503 NotReady). Change: a leaving home keeps accepting until another member owns the pool, at most 4 s; the client asks for keys again. Refusals of submissions that could never be accepted no longer count against objectives.

--- a/rattanclient/client.go
+++ b/rattanclient/client.go
@@ -107,21 +107,24 @@
 	return c.raw(ctx, http.MethodGet, path, nil)
 }
 
-// Keys returns new submission keys.
+// Keys returns new submission keys. It asks again, also other instances, until
+// one issues them or ctx ends.
 func (c *Client) Keys(ctx context.Context, count int) ([]rattanjob.Key, error) {
 	body, err := json.Marshal(rattanentry.KeysRequest{Count: count})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	data, err := c.raw(ctx, http.MethodPost, "/v1/keys", body)
-	if err != nil {
-		return nil, err
-	}
-	var reply rattanentry.KeysReply
-	if err := json.Unmarshal(data, &reply); err != nil {
-		return nil, errors.WithType(err, ErrStatus)
+	for {
+		status, data, err := c.send(ctx, http.MethodPost, "/v1/keys", body)
+		if err == nil && status != http.StatusServiceUnavailable {
+			return parseKeys(status, data)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.WithType(errors.Errorf("no key: %v %.200s", err, data), ErrNoAnswer)
+		case <-time.After(defaultRetry):
+		}
 	}
-	return reply.Keys, nil
 }
 
 // Post returns the body of the response to a POST request, for operators.
@@ -156,6 +159,17 @@
 	return answer, nil
 }
 
+func parseKeys(status int, data []byte) ([]rattanjob.Key, error) {
+	if status != http.StatusOK {
+		return nil, errors.WithType(errors.Errorf("/v1/keys: status %d: %s", status, bytes.TrimSpace(data)), ErrStatus)
+	}
+	var reply rattanentry.KeysReply
+	if err := json.Unmarshal(data, &reply); err != nil {
+		return nil, errors.WithType(err, ErrStatus)
+	}
+	return reply.Keys, nil
+}
+
 func (c *Client) raw(ctx context.Context, method, path string, body []byte) ([]byte, error) {
 	status, data, err := c.send(ctx, method, path, body)
 	if err != nil {
--- a/rattancmd/entrycmd.go
+++ b/rattancmd/entrycmd.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/rattanlever/rattanlever/rattanentry"
 	"github.com/rattanlever/rattanlever/rattanlog"
@@ -37,6 +38,16 @@
 		return errors.Annotate(err, "LogLevel")
 	}
 	rattanlog.SetGlobal(logger)
+	for {
+		err := runInstance(settings, logger)
+		if !errors.Is(err, rattanentry.ErrSuperseded) {
+			return err
+		}
+		logger.Info("starting anew as another incarnation")
+	}
+}
+
+func runInstance(settings rattansettings.Settings, logger *logrus.Logger) error {
 	instance, err := rattanentry.New(rattanentry.Config{Settings: settings, Logger: logger})
 	if err != nil {
 		return errors.Annotatef(err, "instance %s", settings.Name)
--- a/rattancmd/main.go
+++ b/rattancmd/main.go
@@ -59,9 +59,12 @@
 func commands(std *streams) []command {
 	return []command{
 		configCommand(std),
+		confirmCommand(std),
 		demoCommand(std),
 		entryCommand(std),
 		jobCommand(std),
+		planCommand(std),
+		reportCommand(std),
 		standinCommand(std),
 	}
 }
--- a/rattancmd/standincmd.go
+++ b/rattancmd/standincmd.go
@@ -28,6 +28,8 @@
 	AvailabilityZone string        `long:"zone" value-name:"ZONE" default:"buda" description:"availability zone"`
 	Service          string        `long:"service" value-name:"SERVICE" default:"planner" description:"service that the targets run"`
 	Slots            int           `long:"slots" value-name:"N" default:"8" description:"tasks that a target runs at a time"`
+	Cores            int           `long:"cores" value-name:"N" default:"30" description:"processors of a target"`
+	MemoryMB         int           `long:"memory" value-name:"MB" default:"130000" description:"memory of a target"`
 	RunTime          time.Duration `long:"run-time" value-name:"DURATION" default:"100ms" description:"run time of tasks whose payload has no RunTime"`
 	Platform         string        `long:"platform" value-name:"ADDRESS" description:"stand-in platform that lists the targets"`
 	Control          string        `long:"control" value-name:"ADDRESS" description:"IP address and port of the control interface"`
@@ -90,6 +92,8 @@
 		NamePrefix:       o.AvailabilityZone + "-" + o.Service,
 		AvailabilityZone: o.AvailabilityZone,
 		Service:          o.Service,
+		Cores:            o.Cores,
+		MemoryMB:         o.MemoryMB,
 		ControlAddress:   o.Control,
 		Target:           rattanstandin.TargetOptions{Slots: o.Slots, RunTime: rattanjson.Duration(o.RunTime), Echo: true},
 	})
--- a/rattandemo/demo.go
+++ b/rattandemo/demo.go
@@ -159,8 +159,8 @@
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
 	client := d.client(caller)
-	keys := d.keys(ctx, client)
-	if len(keys) == 0 {
+	keys, err := client.Keys(ctx, 1)
+	if err != nil {
 		return
 	}
 	sent := makeSubmission(keys[0], work, tasks, factor)
@@ -180,18 +180,6 @@
 	attempts.Wait()
 }
 
-// keys gets a key, asking other instances when one does not answer.
-func (d *demo) keys(ctx context.Context, client *rattanclient.Client) []rattanjob.Key {
-	for ctx.Err() == nil {
-		keys, err := client.Keys(ctx, 1)
-		if err == nil {
-			return keys
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	return nil
-}
-
 // ask submits until the answer is final and records it.
 func (d *demo) ask(ctx context.Context, client *rattanclient.Client, sent rattanjob.Submission) {
 	asked := time.Now()
--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -76,6 +76,7 @@
 	server     *khttp.Server
 	app        *kratos.App
 	superseded atomic.Bool
+	drained    atomic.Bool
 }
 
 // gossip is the payload of heartbeats.
@@ -279,27 +280,43 @@
 	now := time.Now()
 	i.Home.SetCallers(now, DivideQuotas(document, i.Loads.All(now)))
 	i.burn.SetObjectives(now, *document)
+	i.applyDrain(document)
 	i.Inventory.Apply(now)
 }
 
+// applyDrain takes this instance out of use when an operator drains it. An
+// instance that is put back into use starts anew as another incarnation.
+func (i *Instance) applyDrain(document *rattanconfig.Document) {
+	_, drained := document.Drains[i.config.Settings.Name]
+	switch {
+	case drained && i.drained.CompareAndSwap(false, true):
+		i.config.Logger.WithField("Revision", document.Revision).Info("drained by an operator")
+		_ = i.Operations.Drain(context.Background())
+		go func() { _ = i.Members.Drain(context.Background()) }()
+	case !drained && i.drained.Load():
+		i.supersede()
+	}
+}
+
 // load describes this instance's load to other homes.
 func (i *Instance) load(now time.Time) HomeLoad {
 	load := i.Home.Load(now)
 	load.Instance = i.config.Settings.Name
 	load.AvailabilityZone = i.config.Settings.AvailabilityZone
+	load.OwnsPool = i.Members.OwnsPool(now)
 	load.Revision = i.Configuration.Document().Revision
 	return load
 }
 
-// facts sums up the loads of all homes for a plan.
-func (i *Instance) facts(now time.Time) rattanplan.Facts {
+// facts sums up the loads of all instances for a plan.
+func (i *Instance) facts(ctx context.Context, now time.Time) rattanplan.Facts {
 	facts := rattanplan.Facts{
 		ServiceSlots: map[string]int{},
 		Targets:      map[string]rattanplan.Target{},
 		Instances:    map[string]rattanplan.Instance{},
 		Callers:      map[string]rattanplan.Usage{},
 	}
-	for _, load := range i.Loads.All(now) {
+	for _, load := range i.Loads.Collect(ctx, now) {
 		facts.Slots += load.Pool.Slots
 		facts.BusySlots += load.Pool.BusySlots
 		facts.Backlog += rattanjson.Duration(load.Pool.Backlog)
--- a/rattanentry/loads.go
+++ b/rattanentry/loads.go
@@ -30,6 +30,8 @@
 type HomeLoad struct {
 	Instance         string
 	AvailabilityZone string
+	// OwnsPool says that the instance is a home; only homes share quotas.
+	OwnsPool bool
 	// Revision is the configuration in force at the home.
 	Revision uint64
 	Jobs     int
@@ -86,12 +88,40 @@
 	return all
 }
 
+// Collect asks all other instances for their loads and returns those of the
+// ones that answer, this instance's first.
+func (l *Loads) Collect(ctx context.Context, now time.Time) []HomeLoad {
+	all := []HomeLoad{l.config.Local(now)}
+	body, err := json.Marshal(all[0])
+	if err != nil {
+		return all
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	var mutex sync.Mutex
+	for _, member := range l.config.Members.Others(now) {
+		calls.Go(func() {
+			var load HomeLoad
+			reply, err := l.config.Peers.Call(ctx, member.PeerAddress, methodLoad, body)
+			if err != nil || json.Unmarshal(reply, &load) != nil {
+				return
+			}
+			mutex.Lock()
+			all = append(all, load)
+			mutex.Unlock()
+		})
+	}
+	calls.Wait()
+	return all
+}
+
 // Handle serves the exchange.
 func (l *Loads) Handle(node *rattanpeer.Node) {
 	node.Handle(methodLoad, func(_ context.Context, _ string, body []byte) ([]byte, error) {
 		now := time.Now()
 		if err := l.take(now, body); err != nil {
-			return nil, err
+			return nil, errors.Trace(err)
 		}
 		return json.Marshal(l.config.Local(now))
 	})
@@ -157,6 +187,9 @@
 	if err := json.Unmarshal(body, &load); err != nil {
 		return errors.Trace(err)
 	}
+	if !load.OwnsPool {
+		return nil
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.received[load.Instance] = receivedLoad{load: load, at: now}
--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -25,6 +25,9 @@
 	// heartbeatTimeout bounds the wait for an acknowledgement.
 	heartbeatTimeout = time.Second
 	voteTimeout      = 300 * time.Millisecond
+	// handoverTimeout is the longest time that a leaving home waits for
+	// another member to take its pool.
+	handoverTimeout = 4 * time.Second
 	// watchersPerZone is the number of members of an availability zone that
 	// watch the platform; the others learn of changes from heartbeats.
 	watchersPerZone = 2
@@ -92,11 +95,27 @@
 	return &Members{config: config, table: table}
 }
 
-// Drain gives up the pool and announces that this instance leaves.
-func (m *Members) Drain(context.Context) error {
+// Drain gives up the pool and waits until another member of the zone has taken
+// it, so that keys can be issued throughout. The home still accepts jobs
+// meanwhile.
+func (m *Members) Drain(ctx context.Context) error {
 	m.mutex.Lock()
-	defer m.mutex.Unlock()
+	owned := m.table.Self(time.Now()).Claim > 0
 	m.table.Leave(time.Now())
+	m.mutex.Unlock()
+	if !owned {
+		return nil
+	}
+	end := time.Now().Add(handoverTimeout)
+	for ctx.Err() == nil && time.Now().Before(end) && m.zoneHasOthers(time.Now()) {
+		owner, ok := m.Owner(time.Now())
+		if ok && owner.Epoch.ID.Number > 0 && owner.Incarnation.Instance != m.config.Settings.Name {
+			// The other members learn of the new owner within a heartbeat.
+			sleep(ctx, m.config.Settings.Home.HeartbeatInterval.Std())
+			return nil
+		}
+		sleep(ctx, memberTick)
+	}
 	return nil
 }
 
@@ -264,6 +283,16 @@
 	return senior < watchersPerZone
 }
 
+// zoneHasOthers reports whether another member of the zone is alive.
+func (m *Members) zoneHasOthers(now time.Time) bool {
+	for _, member := range m.Others(now) {
+		if member.AvailabilityZone == m.config.Settings.AvailabilityZone && member.Status == rattanmember.StatusAlive && member.Incarnation.Number > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // before reports whether a started before b.
 func before(a, b rattanmember.Member) bool {
 	if a.Incarnation.Number != b.Incarnation.Number {
--- a/rattanentry/plans.go
+++ b/rattanentry/plans.go
@@ -32,7 +32,7 @@
 type PlansConfig struct {
 	Store         KeyStore
 	Configuration *Configuration
-	Facts         func(now time.Time) rattanplan.Facts
+	Facts         func(ctx context.Context, now time.Time) rattanplan.Facts
 	Logger        *logrus.Logger
 }
 
@@ -143,7 +143,7 @@
 	if err != nil {
 		return rattanplan.Plan{}, err
 	}
-	plan, err := rattanplan.Make(now, document, intent, p.config.Facts(now))
+	plan, err := rattanplan.Make(now, document, intent, p.config.Facts(ctx, now))
 	if err != nil {
 		return plan, errors.Trace(err)
 	}
@@ -218,7 +218,7 @@
 		}
 		reply := PlanReply{Plan: plan, Text: plan.Text()}
 		if plan.State == rattanplan.StateConfirmed {
-			progress := plan.Progress(p.config.Facts(time.Now()))
+			progress := plan.Progress(p.config.Facts(ctx, time.Now()))
 			reply.Progress = &progress
 		}
 		return ctx.JSON(http.StatusOK, reply)
--- a/rattanentry/records.go
+++ b/rattanentry/records.go
@@ -44,7 +44,9 @@
 	switch ended.Answer.State {
 	case rattanjob.StateCancelled:
 	case rattanjob.StateRefused:
-		r.config.Burn.Submitted(now, ended.Caller, ended.Kind, true)
+		if ofLoad(ended.Answer.Reason) {
+			r.config.Burn.Submitted(now, ended.Caller, ended.Kind, true)
+		}
 	default:
 		r.config.Burn.Answered(now, rattanburn.Answer{
 			Caller:   ended.Caller,
@@ -103,6 +105,16 @@
 // TaskEnded records the end of an assignment.
 func (r *Records) TaskEnded(time.Time, *Running, rattanpool.Assignment, rattanpool.Report) {}
 
+// ofLoad reports whether a refusal is the system's doing; refusals of
+// submissions that could never be accepted are no bad events.
+func ofLoad(reason rattanjob.Reason) bool {
+	switch reason {
+	case rattanjob.ReasonOverloaded, rattanjob.ReasonOverQuota, rattanjob.ReasonDeadlineTooShort, rattanjob.ReasonDeadlinePassed, rattanjob.ReasonNoTarget, rattanjob.ReasonShuttingDown:
+		return true
+	}
+	return false
+}
+
 func (r *Records) ask(ctx context.Context, member rattanmember.Member) (rattanburn.Snapshot, bool) {
 	var snapshot rattanburn.Snapshot
 	reply, err := r.config.Peers.Call(ctx, member.PeerAddress, methodBurn, nil)
