--- a/rattantarget/fault_test.go
+++ b/rattantarget/fault_test.go
@@ -259,8 +259,10 @@
 	}
 	workers.Wait()
 	notStarted.Range(func(id, err any) bool {
-		return c.Check(target.seen[id.(string)], qt.Equals, 0, qt.Commentf("task %s: %v", id, err))
+		return c.Check(target.times(id.(string)), qt.Equals, 0, qt.Commentf("task %s: %v", id, err))
 	})
+	target.mu.Lock()
+	defer target.mu.Unlock()
 	for id, times := range target.seen {
 		c.Check(times, qt.Equals, 1, qt.Commentf("task %s", id))
 	}
