--- a/rattanstandin/fleet.go
+++ b/rattanstandin/fleet.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"strconv"
 
 	"github.com/juju/errors"
 
@@ -27,6 +29,12 @@
 	Cores        int
 	MemoryMB     int
 	Accelerators int
+	// Host is the IP address that all targets listen on; the default is that
+	// of the loopback interface.
+	Host string
+	// FirstPort is the port of the first target; the others follow it. The
+	// default of 0 takes free ports.
+	FirstPort int
 	// Target configures each target; its Name and Address are ignored.
 	Target TargetOptions
 	// ControlAddress is the IP address and port of the control interface; the
@@ -56,6 +64,9 @@
 	if options.NamePrefix == "" {
 		options.NamePrefix = "target"
 	}
+	if options.Host == "" {
+		options.Host = "127.0.0.1"
+	}
 	if options.Target.Log == nil {
 		options.Target.Log = NewStartLog()
 	}
@@ -63,7 +74,7 @@
 	for i := range options.Count {
 		target := options.Target
 		target.Name = fmt.Sprintf("%s-%d", options.NamePrefix, i+1)
-		target.Address = ""
+		target.Address = options.address(i)
 		added, err := NewTarget(target)
 		if err != nil {
 			fleet.Close()
@@ -81,6 +92,15 @@
 	return fleet, nil
 }
 
+// address returns the address of the target of an index.
+func (o *TargetFleetOptions) address(index int) string {
+	port := 0
+	if o.FirstPort > 0 {
+		port = o.FirstPort + index
+	}
+	return net.JoinHostPort(o.Host, strconv.Itoa(port))
+}
+
 // Close ends all targets.
 func (f *TargetFleet) Close() {
 	if f.control != nil {
--- a/rattanstandin/standin_test.go
+++ b/rattanstandin/standin_test.go
@@ -52,7 +52,12 @@
 	exchange(c, http.MethodPost, url+"/control/faults", `{"Outage":"Partly"}`, http.StatusBadRequest)
 	exchange(c, http.MethodPost, url+"/control/faults", `{"Outages":"Closed"}`, http.StatusBadRequest)
 	exchange(c, http.MethodPost, url+"/control/faults", `{}`, http.StatusOK)
-	exchange(c, http.MethodPost, url+"/control/instances", `{"Set":[{"Name":"a"},{"Name":"b","Role":"Target"}],"Leave":["b"],"Remove":["a"]}`, http.StatusOK)
+	c.Assert(rattanstandin.Announce(context.Background(), platform.Address(), rattanstandin.InstanceChange{
+		Set:    []rattanplatform.Instance{{Name: "a"}, {Name: "b", Role: rattanplatform.RoleTarget}},
+		Leave:  []string{"b"},
+		Remove: []string{"a"},
+	}), qt.IsNil)
+	exchange(c, http.MethodPost, url+"/control/instances", `{"Set":[{"Role":"Worker"}]}`, http.StatusBadRequest)
 	var instances []rattanplatform.Instance
 	c.Assert(json.Unmarshal([]byte(exchange(c, http.MethodGet, url+"/v1/instances", "", http.StatusOK)), &instances), qt.IsNil)
 	c.Assert(instances, qt.DeepEquals, []rattanplatform.Instance{{Name: "b", Role: rattanplatform.RoleTarget, State: rattanplatform.StateLeaving}})
--- a/rattanstandin/targethttp.go
+++ b/rattanstandin/targethttp.go
@@ -125,6 +125,7 @@
 		return
 	}
 	header := w.Header()
+	header["Date"] = nil
 	header["Content-Type"] = contentType
 	header["Content-Length"] = []string{strconv.Itoa(buffer.Len())}
 	w.WriteHeader(status)
--- a/rattantarget/run.go
+++ b/rattantarget/run.go
@@ -15,7 +15,9 @@
 // maxKeptBuffer is the largest buffer in bytes that is kept for reuse.
 const maxKeptBuffer = 64 << 10
 
-var dispatchHeader = http.Header{"Content-Type": {"application/json"}}
+// dispatchHeader is shared by all dispatches. The empty User-Agent keeps the
+// transport from sending its own.
+var dispatchHeader = http.Header{"Content-Type": {"application/json"}, "User-Agent": {""}}
 
 // attempt is the state of one exchange. It is reused only when its request was
 // written completely, as the transport may otherwise still read from it.
@@ -23,7 +25,9 @@
 	trace   httptrace.ClientTrace
 	body    bytes.Buffer
 	encoder *json.Encoder
+	reader  bodyReader
 	answer  bytes.Buffer
+	limited io.LimitedReader
 
 	conn atomic.Pointer[conn]
 	// writes is the connection's number of writes before this request.
@@ -31,6 +35,14 @@
 	wrote  atomic.Bool
 }
 
+// bodyReader reads the body of a request.
+type bodyReader struct {
+	bytes.Reader
+}
+
+// Close does nothing.
+func (*bodyReader) Close() error { return nil }
+
 func newAttempt() *attempt {
 	a := &attempt{}
 	a.encoder = json.NewEncoder(&a.body)
@@ -107,7 +119,8 @@
 	if err != nil {
 		return Result{}, a.lost(err)
 	}
-	_, err = a.answer.ReadFrom(io.LimitReader(response.Body, c.options.MaxResult+1))
+	a.limited = io.LimitedReader{R: response.Body, N: c.options.MaxResult + 1}
+	_, err = a.answer.ReadFrom(&a.limited)
 	response.Body.Close()
 	if err != nil {
 		return Result{}, typed(err, ErrUnresolved)
@@ -121,6 +134,7 @@
 // request returns the HTTP request. It has no GetBody and its method is not
 // idempotent, so that the transport cannot send it a second time.
 func (a *attempt) request(ctx context.Context, endpoint *endpoint) *http.Request {
+	a.reader.Reset(a.body.Bytes())
 	request := &http.Request{
 		Method:        http.MethodPost,
 		URL:           endpoint.tasks,
@@ -128,7 +142,7 @@
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 		Header:        dispatchHeader,
-		Body:          io.NopCloser(bytes.NewReader(a.body.Bytes())),
+		Body:          &a.reader,
 		ContentLength: int64(a.body.Len()),
 		Host:          endpoint.address,
 	}
@@ -153,6 +167,7 @@
 	}
 	a.body.Reset()
 	a.answer.Reset()
+	a.limited.R = nil
 	a.conn.Store(nil)
 	a.wrote.Store(false)
 	c.attempts.Put(a)
