--- a/rattanmember/epoch.go
+++ b/rattanmember/epoch.go
@@ -170,9 +170,10 @@
 }
 
 // chooseWitnesses returns the witnesses of a new epoch: those of the current one
-// that are reachable, then the members heard from last. Their number is even,
-// because one more witness would raise the majority and not the number of
-// failures that it survives.
+// that are reachable, then the most senior members that own no pool. These take
+// over the pool, and a witness is the first to notice that its home is silent.
+// The number of witnesses is even, because one more would raise the majority and
+// not the number of failures that it survives.
 func (t *Table) chooseWitnesses(now time.Time, current *homeEpoch) []rattanjob.Incarnation {
 	var candidates []*entry
 	for _, known := range t.entries {
@@ -193,8 +194,8 @@
 	slices.SortFunc(candidates, func(a, b *entry) int {
 		return cmp.Or(
 			cmp.Compare(kept(a), kept(b)),
-			b.heardAt.Compare(a.heardAt),
-			cmp.Compare(a.member.Incarnation.Instance, b.member.Incarnation.Instance),
+			cmp.Compare(min(a.member.Claim, 1), min(b.member.Claim, 1)),
+			a.member.compare(&b.member),
 		)
 	})
 	count := min(len(candidates), t.config.MaxWitnesses)
--- a/rattanmember/gossip.go
+++ b/rattanmember/gossip.go
@@ -251,32 +251,39 @@
 	if choice := t.config.Random.IntN(len(t.order) + len(seeds) + 1); choice < len(seeds) {
 		return appendReceiver(receivers, seeds[choice])
 	}
-	for range len(t.order) {
-		if t.nextOrder >= len(t.order) {
-			t.shuffle()
-		}
-		known := t.entries[t.order[t.nextOrder]]
-		t.nextOrder++
-		if known.member.Status != StatusDead {
-			return appendReceiver(receivers, known.member)
-		}
+	if len(t.order) == 0 {
+		return receivers
 	}
-	if len(seeds) > 0 {
-		return appendReceiver(receivers, seeds[t.config.Random.IntN(len(seeds))])
+	if t.nextOrder >= len(t.order) {
+		t.shuffle()
 	}
-	return receivers
+	receiver := t.entries[t.order[t.nextOrder]].member
+	t.nextOrder++
+	// A later incarnation may run at the address of one that has ended, without
+	// any member left that it knows.
+	if receiver.Status == StatusDead {
+		receiver.Incarnation.Number = 0
+	}
+	return appendReceiver(receivers, receiver)
 }
 
+// unknownSeeds returns the seeds and the listed instances that are not known as
+// members.
 func (t *Table) unknownSeeds() []Member {
 	var seeds []Member
-	for _, seed := range t.config.Seeds {
-		known := t.entries[seed.Incarnation.Instance]
-		unknown := known == nil || known.member.Status == StatusDead
-		if unknown && seed.Incarnation.Instance != t.self.Incarnation.Instance {
+	add := func(seed Member) {
+		name := seed.Incarnation.Instance
+		if name != t.self.Incarnation.Instance && t.entries[name] == nil {
 			seed.Incarnation.Number = 0
-			seeds = append(seeds, seed)
+			seeds = appendReceiver(seeds, seed)
 		}
 	}
+	for _, seed := range t.config.Seeds {
+		add(seed)
+	}
+	for _, name := range t.list.names {
+		add(t.list.instances[name])
+	}
 	return seeds
 }
 
--- a/rattanmember/member.go
+++ b/rattanmember/member.go
@@ -4,6 +4,7 @@
 package rattanmember
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/rattanlever/rattanlever/rattanjob"
@@ -48,12 +49,12 @@
 	Age time.Duration
 }
 
-// senior reports whether m has the right to a pool before other.
-func (m *Member) senior(other *Member) bool {
-	if m.Incarnation.Number != other.Incarnation.Number {
-		return m.Incarnation.Number < other.Incarnation.Number
-	}
-	return m.Incarnation.Instance < other.Incarnation.Instance
+// compare orders members by seniority: the earliest start first, then by name.
+func (m *Member) compare(other *Member) int {
+	return cmp.Or(
+		cmp.Compare(m.Incarnation.Number, other.Incarnation.Number),
+		cmp.Compare(m.Incarnation.Instance, other.Incarnation.Instance),
+	)
 }
 
 // at returns the member with the age of its epoch advanced by the time since
--- a/rattanmember/message.go
+++ b/rattanmember/message.go
@@ -79,8 +79,9 @@
 type InstanceList struct {
 	// Revision rises with each change; earlier lists are ignored.
 	Revision uint64
-	// Instances are the names of all live and leaving instances.
-	Instances []string
+	// Instances are all live and leaving entry instances. Only the instance
+	// name, the availability zone and the peer address are read.
+	Instances []Member
 }
 
 // EventKind says what an Event is about.
--- a/rattanmember/owner.go
+++ b/rattanmember/owner.go
@@ -72,12 +72,7 @@
 			members = append(members, known.member)
 		}
 	}
-	slices.SortFunc(members, func(a, b Member) int {
-		if a.senior(&b) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(members, func(a, b Member) int { return a.compare(&b) })
 	return members
 }
 
@@ -94,7 +89,7 @@
 		}
 		t.setClaim(now, 0)
 	}
-	if len(t.unknownSeeds()) > 0 && now.Sub(t.startedAt) < t.config.JoinDuration {
+	if now.Sub(t.startedAt) < t.config.JoinDuration && len(t.unknownSeeds()) > 0 {
 		return
 	}
 	for pool := range t.pools {
--- a/rattanmember/table.go
+++ b/rattanmember/table.go
@@ -19,7 +19,7 @@
 	DefaultJoinDuration   = 2 * time.Second
 	DefaultGrowthInterval = 10 * time.Second
 	DefaultForgetAfter    = time.Hour
-	DefaultListLag        = 10 * time.Minute
+	DefaultListLag        = time.Minute
 	DefaultMaxWitnesses   = 4
 	DefaultMaxChanges     = 8
 	DefaultMaxPayload     = 4096
@@ -361,7 +361,7 @@
 func (t *Table) Vote(now time.Time, id rattanjob.EpochID, witnesses []rattanjob.Incarnation) Vote {
 	t.advance(now)
 	vote := Vote{Witness: t.self.Incarnation, Epoch: id}
-	if proof := t.proof(now, id.Home); proof != ProofNone {
+	if proof := t.proof(id.Home); proof != ProofNone {
 		vote.Proof = proof
 		return vote
 	}
@@ -375,7 +375,7 @@
 // Proof returns a proof that an incarnation has ended, or ProofNone.
 func (t *Table) Proof(now time.Time, incarnation rattanjob.Incarnation) Proof {
 	t.advance(now)
-	return t.proof(now, incarnation)
+	return t.proof(incarnation)
 }
 
 // Ended reports whether an epoch has certainly ended: by a proof of this member
@@ -383,7 +383,7 @@
 // its home and the witnesses of the key. Otherwise nothing is known.
 func (t *Table) Ended(now time.Time, id rattanjob.EpochID, witnesses []rattanjob.Incarnation, votes []Vote) bool {
 	t.advance(now)
-	if t.proof(now, id.Home) != ProofNone {
+	if t.proof(id.Home) != ProofNone {
 		return true
 	}
 	return verdict(id, witnesses, votes)
--- a/rattanmember/witness.go
+++ b/rattanmember/witness.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -148,31 +147,34 @@
 type instanceList struct {
 	revision   uint64
 	observedAt time.Time
-	names      map[string]bool
+	instances  map[string]Member
+	names      []string
 }
 
 // observe buries members that an earlier list contained and this one does not.
 func (t *Table) observe(now time.Time, list InstanceList) {
-	former := t.list.names
-	t.list = instanceList{revision: list.Revision, observedAt: now, names: make(map[string]bool, len(list.Instances))}
-	for _, name := range list.Instances {
-		t.list.names[name] = true
-	}
-	for _, name := range slices.Sorted(maps.Keys(former)) {
-		if t.list.names[name] {
+	former := t.list
+	t.list = instanceList{revision: list.Revision, observedAt: now, instances: make(map[string]Member, len(list.Instances))}
+	for _, listed := range list.Instances {
+		listed.Incarnation.Number = 0
+		t.list.instances[listed.Incarnation.Instance] = listed
+		t.list.names = append(t.list.names, listed.Incarnation.Instance)
+	}
+	for _, name := range former.names {
+		if _, listed := t.list.instances[name]; listed {
 			continue
 		}
-		if name == t.self.Incarnation.Instance {
+		if name == t.self.Incarnation.Instance && t.unlisted(t.self.Incarnation) {
 			t.supersede(now)
-			continue
 		}
-		if known := t.entries[name]; known != nil && known.member.Status != StatusDead {
+		known := t.entries[name]
+		if known != nil && known.member.Status != StatusDead && t.unlisted(known.member.Incarnation) {
 			t.bury(now, known, ProofInstanceList)
 		}
 	}
 }
 
-func (t *Table) proof(now time.Time, incarnation rattanjob.Incarnation) Proof {
+func (t *Table) proof(incarnation rattanjob.Incarnation) Proof {
 	if incarnation == t.self.Incarnation {
 		return ProofNone
 	}
@@ -182,7 +184,7 @@
 	known := t.entries[incarnation.Instance]
 	switch {
 	case known == nil:
-		return proofIf(t.unlisted(now, incarnation), ProofInstanceList)
+		return proofIf(t.unlisted(incarnation), ProofInstanceList)
 	case known.member.Incarnation.Number > incarnation.Number:
 		return ProofLaterIncarnation
 	case known.member.Incarnation == incarnation && known.member.Status == StatusDead:
@@ -191,10 +193,11 @@
 	return ProofNone
 }
 
-// unlisted reports whether an instance that started long ago is not in the
-// instance list.
-func (t *Table) unlisted(_ time.Time, incarnation rattanjob.Incarnation) bool {
-	if t.list.revision == 0 || t.list.names[incarnation.Instance] {
+// unlisted reports whether an incarnation is not in the instance list although
+// it started so long ago that it would have to be. A list that lags may miss the
+// new incarnation of an instance that was replaced.
+func (t *Table) unlisted(incarnation rattanjob.Incarnation) bool {
+	if _, listed := t.list.instances[incarnation.Instance]; listed || t.list.revision == 0 {
 		return false
 	}
 	started := time.UnixMilli(int64(incarnation.Number))
