--- /dev/null
+++ b/rattantrace/trace.go
@@ -0,0 +1,99 @@
+package rattantrace
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattanjson"
+)
+
+// Trace is what happened to one job.
+type Trace struct {
+	Key         string
+	Caller      string
+	Kind        string
+	Front       string
+	Tasks       int
+	SubmittedAt time.Time
+	Deadline    rattanjson.Duration
+	// Admitted is false for refused jobs and for those not yet decided on.
+	Admitted bool
+	// Expected is the time to the end of the last task, estimated at admission.
+	Expected rattanjson.Duration
+	State    rattanjob.State
+	Reason   rattanjob.Reason
+	Detail   string `json:",omitempty"`
+	// Took is the time from submission to answer; 0 while the job runs.
+	Took   rattanjson.Duration
+	Events []Event
+	// EventsLost counts the events that newer ones have overwritten.
+	EventsLost int `json:",omitempty"`
+}
+
+// Event is one step of a job.
+type Event struct {
+	// After is the time since the submission.
+	After rattanjson.Duration
+	Kind  EventKind
+	Task  int
+	// Target, Attempt and Waited belong to assignments.
+	Target  string              `json:",omitempty"`
+	Attempt int                 `json:",omitempty"`
+	Waited  rattanjson.Duration `json:",omitempty"`
+	Cause   string              `json:",omitempty"`
+	// Outcome is empty while the task runs.
+	Outcome string              `json:",omitempty"`
+	Ran     rattanjson.Duration `json:",omitempty"`
+}
+
+// Text returns the trace for people, one line an event.
+func (t Trace) Text() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "Job %s\n", t.Key)
+	fmt.Fprintf(&text, "  submitted %s by caller %s through %s: %d tasks of kind %s, deadline %v\n",
+		t.SubmittedAt.UTC().Format(time.RFC3339Nano), t.Caller, t.Front, t.Tasks, t.Kind, t.Deadline)
+	if t.Admitted {
+		fmt.Fprintf(&text, "  admitted, expected to take %v\n", t.Expected)
+	}
+	if t.EventsLost > 0 {
+		fmt.Fprintf(&text, "  (%d earlier events are no longer kept)\n", t.EventsLost)
+	}
+	for _, event := range t.Events {
+		fmt.Fprintf(&text, "  +%v %s\n", event.After, event.describe())
+	}
+	text.WriteString("  " + t.ending() + "\n")
+	return text.String()
+}
+
+func (t Trace) ending() string {
+	if !t.State.Final() {
+		return "still running"
+	}
+	text := fmt.Sprintf("%v after %v", t.State, t.Took)
+	if t.Reason != rattanjob.ReasonNone {
+		text += fmt.Sprintf(", reason %v", t.Reason)
+	}
+	if t.Detail != "" {
+		text += ": " + t.Detail
+	}
+	return text
+}
+
+func (e Event) describe() string {
+	switch e.Kind {
+	case EventWaiting:
+		return fmt.Sprintf("task %d waits: %s", e.Task, e.Cause)
+	case EventEnded:
+		return fmt.Sprintf("task %d: %s after %v", e.Task, e.Outcome, e.Ran)
+	}
+	text := fmt.Sprintf("task %d to target %s, attempt %d, waited %v", e.Task, e.Target, e.Attempt, e.Waited)
+	if e.Cause != "" {
+		text += " (" + e.Cause + ")"
+	}
+	if e.Outcome == "" {
+		return text + ": running"
+	}
+	return text + fmt.Sprintf(": %s after %v", e.Outcome, e.Ran)
+}
