--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -22,6 +22,7 @@
 	"github.com/rattanlever/rattanlever/rattanmetric"
 	"github.com/rattanlever/rattanlever/rattanpool"
 	"github.com/rattanlever/rattanlever/rattantarget"
+	"github.com/rattanlever/rattanlever/rattantrace"
 )
 
 // ErrInvariant reports a broken invariant of the program itself.
@@ -71,9 +72,10 @@
 
 // Recorder keeps what happened to jobs and how well they were served.
 type Recorder interface {
-	Submitted(now time.Time, job *Running, submission *rattanjob.Submission)
-	Assigned(now time.Time, job *Running, assignment rattanpool.Assignment)
-	TaskEnded(now time.Time, job *Running, assignment rattanpool.Assignment, report rattanpool.Report)
+	// Submitted sets the Trace of the job.
+	Submitted(now time.Time, job *Running, submission rattantrace.Submission, expected time.Duration)
+	Assigned(now time.Time, job *Running, assignment rattanpool.Assignment) rattantrace.Ref
+	TaskEnded(now time.Time, job *Running, ref rattantrace.Ref, task int, report rattanpool.Report)
 	Answered(now time.Time, ended Ended)
 }
 
@@ -82,6 +84,14 @@
 	Key    rattanjob.Key
 	Caller string
 	Kind   string
+	// Trace names the job's trace; 0 means none.
+	Trace rattantrace.ID
+}
+
+// dispatched is one assignment in progress.
+type dispatched struct {
+	rattanpool.Assignment
+	ref rattantrace.Ref
 }
 
 // Ended is the end of a job that was admitted or refused.
@@ -333,43 +343,44 @@
 	if fault != nil {
 		return nil, h.refuse(now, Running{Key: key, Caller: caller, Kind: submission.Kind}, *fault)
 	}
-	job, refusal := h.accept(now, caller, submission)
+	job, expected, refusal := h.accept(now, caller, submission)
 	if refusal != nil {
 		return nil, h.refuse(now, Running{Key: key, Caller: caller, Kind: submission.Kind}, *refusal)
 	}
-	return h.launch(now, caller, submission, job), rattanjob.Answer{}
+	return h.launch(now, caller, submission, job, expected), rattanjob.Answer{}
 }
 
-// accept checks the submission against the configuration and the load.
-func (h *Home) accept(now time.Time, caller string, submission *rattanjob.Submission) (rattanpool.Job, *rattanjob.Answer) {
+// accept checks the submission against the configuration and the load. It
+// returns the job and its expected time to the end, or a refusal.
+func (h *Home) accept(now time.Time, caller string, submission *rattanjob.Submission) (rattanpool.Job, time.Duration, *rattanjob.Answer) {
 	if h.draining {
 		refusal := rattanjob.Refusal(rattanjob.ReasonShuttingDown, "the instance is shutting down")
 		refusal.RetryAfter = rattanjson.Duration(100 * time.Millisecond)
-		return rattanpool.Job{}, &refusal
+		return rattanpool.Job{}, 0, &refusal
 	}
 	document := h.config.Documents.Document()
 	job, refusal := describeJob(now, document, caller, submission)
 	if refusal != nil {
-		return job, refusal
+		return job, 0, refusal
 	}
 	if limit := document.Callers[caller].MaxJobs; limit > 0 && h.jobs[caller] >= limit {
 		refusal := rattanjob.Refusal(rattanjob.ReasonOverQuota, fmt.Sprintf("%d jobs in progress, the limit of caller %s", limit, caller))
 		refusal.RetryAfter = rattanjson.Duration(job.RunTime)
-		return job, &refusal
+		return job, 0, &refusal
 	}
 	h.nextID++
 	job.ID = h.nextID
 	admission := h.config.Scheduler.Admit(now, job)
 	if admission.Admitted {
-		return job, nil
+		return job, admission.Expected, nil
 	}
 	rejected := rattanjob.Refusal(admission.Reason, admission.Detail)
 	rejected.RetryAfter = rattanjson.Duration(admission.RetryAfter)
-	return job, &rejected
+	return job, 0, &rejected
 }
 
 // launch registers the run of an admitted job.
-func (h *Home) launch(now time.Time, caller string, submission *rattanjob.Submission, job rattanpool.Job) *run {
+func (h *Home) launch(now time.Time, caller string, submission *rattanjob.Submission, job rattanpool.Job, expected time.Duration) *run {
 	current := &run{
 		id:         job.ID,
 		Running:    Running{Key: submission.Key, Caller: caller, Kind: submission.Kind},
@@ -379,7 +390,7 @@
 		deadline:   job.Deadline,
 		results:    make([]rattanjob.Result, len(submission.Tasks)),
 		remaining:  len(submission.Tasks),
-		running:    make(map[int]rattanpool.Assignment),
+		running:    make(map[int]dispatched),
 		done:       make(chan struct{}),
 	}
 	current.timer = time.AfterFunc(job.Deadline.Sub(now), func() { h.pastDeadline(current) })
@@ -389,7 +400,13 @@
 	h.jobs[caller]++
 	h.counts.admitted.Inc()
 	if h.config.Recorder != nil {
-		h.config.Recorder.Submitted(now, &current.Running, submission)
+		h.config.Recorder.Submitted(now, &current.Running, rattantrace.Submission{
+			Key:      submission.Key,
+			Caller:   caller,
+			Kind:     submission.Kind,
+			Tasks:    len(submission.Tasks),
+			Deadline: job.Deadline.Sub(now),
+		}, expected)
 	}
 	return current
 }
--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -27,6 +27,7 @@
 	"github.com/rattanlever/rattanlever/rattanpool"
 	"github.com/rattanlever/rattanlever/rattansettings"
 	"github.com/rattanlever/rattanlever/rattantarget"
+	"github.com/rattanlever/rattanlever/rattantrace"
 )
 
 // ErrSuperseded says that the others take this incarnation for dead; the
@@ -188,7 +189,7 @@
 		Received:    i.received,
 	})
 	i.burn = rattanburn.New()
-	i.Records = NewRecords(RecordsConfig{Members: i.Members, Peers: i.Node, Burn: i.burn})
+	i.Records = NewRecords(RecordsConfig{Members: i.Members, Peers: i.Node, Burn: i.burn, Tracer: rattantrace.New(rattantrace.Options{})})
 	i.Home = NewHome(HomeConfig{
 		Scheduler:    i.config.NewScheduler(),
 		Ledger:       newLedger(settings.Home),
@@ -212,7 +213,7 @@
 		Directory: i.Members,
 		Peers:     i.Node,
 		Metrics:   i.Metrics,
-		Explain:   func(rattanjob.Key, string) (json.RawMessage, bool) { return nil, false },
+		Explain:   i.Records.Explain,
 	})
 	i.Loads = NewLoads(LoadsConfig{
 		Instance:  settings.Name,
--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -204,7 +204,11 @@
 	list := rattanmember.InstanceList{Revision: uint64(now.UnixNano())}
 	for _, instance := range instances {
 		if instance.Role == rattanplatform.RoleEntry {
-			list.Instances = append(list.Instances, instance.Name)
+			list.Instances = append(list.Instances, rattanmember.Member{
+				Incarnation:      rattanjob.Incarnation{Instance: instance.Name},
+				AvailabilityZone: instance.AvailabilityZone,
+				PeerAddress:      instance.PeerAddress,
+			})
 		}
 	}
 	if len(list.Instances) == 0 {
--- a/rattanentry/records.go
+++ b/rattanentry/records.go
@@ -14,6 +14,7 @@
 	"github.com/rattanlever/rattanlever/rattanmember"
 	"github.com/rattanlever/rattanlever/rattanpeer"
 	"github.com/rattanlever/rattanlever/rattanpool"
+	"github.com/rattanlever/rattanlever/rattantrace"
 )
 
 const (
@@ -26,9 +27,10 @@
 	Members *Members
 	Peers   PeerCaller
 	Burn    *rattanburn.Counters
+	Tracer  *rattantrace.Tracer
 }
 
-// Records keeps how well this instance served its callers. It implements
+// Records keeps what happened to jobs here and how well they were served. It implements
 // Recorder.
 type Records struct {
 	config RecordsConfig
@@ -41,6 +43,10 @@
 
 // Answered records the final answer of a job.
 func (r *Records) Answered(now time.Time, ended Ended) {
+	if ended.Trace == 0 {
+		ended.Trace = r.config.Tracer.Begin(now, rattantrace.Submission{Key: ended.Key, Caller: ended.Caller, Kind: ended.Kind})
+	}
+	r.config.Tracer.Finished(now, ended.Trace, ended.Answer)
 	switch ended.Answer.State {
 	case rattanjob.StateCancelled:
 	case rattanjob.StateRefused:
@@ -59,8 +65,15 @@
 }
 
 // Assigned records the assignment of a task to a target.
-func (r *Records) Assigned(now time.Time, job *Running, assignment rattanpool.Assignment) {
+func (r *Records) Assigned(now time.Time, job *Running, assignment rattanpool.Assignment) rattantrace.Ref {
 	r.config.Burn.Started(now, job.Caller, job.Kind, assignment.Waited)
+	return r.config.Tracer.Assigned(now, job.Trace, rattantrace.Assignment{
+		Task:    assignment.Task,
+		Target:  assignment.Target,
+		Attempt: assignment.Attempt,
+		Waited:  assignment.Waited,
+		Cause:   assignment.Choice.String(),
+	})
 }
 
 // Burn returns the counts of all instances that answer.
@@ -83,6 +96,16 @@
 	return rattanburn.Merge(snapshots...)
 }
 
+// Explain returns the trace of the caller's job.
+func (r *Records) Explain(key rattanjob.Key, caller string) (json.RawMessage, bool) {
+	trace, err := r.config.Tracer.Explain(key)
+	if err != nil || trace.Caller != caller {
+		return nil, false
+	}
+	data, err := json.Marshal(trace)
+	return data, err == nil
+}
+
 // Handle serves the counts to other instances.
 func (r *Records) Handle(node *rattanpeer.Node) {
 	node.Handle(methodBurn, func(context.Context, string, []byte) ([]byte, error) {
@@ -97,13 +120,17 @@
 	route.GET("/burn.html", r.page)
 }
 
-// Submitted records that a job was admitted.
-func (r *Records) Submitted(now time.Time, job *Running, _ *rattanjob.Submission) {
+// Submitted records that a job was admitted and sets its Trace.
+func (r *Records) Submitted(now time.Time, job *Running, submission rattantrace.Submission, expected time.Duration) {
 	r.config.Burn.Submitted(now, job.Caller, job.Kind, false)
+	job.Trace = r.config.Tracer.Begin(now, submission)
+	r.config.Tracer.Admitted(job.Trace, expected)
 }
 
 // TaskEnded records the end of an assignment.
-func (r *Records) TaskEnded(time.Time, *Running, rattanpool.Assignment, rattanpool.Report) {}
+func (r *Records) TaskEnded(now time.Time, job *Running, ref rattantrace.Ref, task int, report rattanpool.Report) {
+	r.config.Tracer.Ended(now, job.Trace, ref, task, report)
+}
 
 // ofLoad reports whether a refusal is the system's doing; refusals of
 // submissions that could never be accepted are no bad events.
--- a/rattanentry/run.go
+++ b/rattanentry/run.go
@@ -32,7 +32,7 @@
 	// not start.
 	started int
 	// running holds the assignments in progress by task.
-	running map[int]rattanpool.Assignment
+	running map[int]dispatched
 	ended   bool
 	answer  rattanjob.Answer
 	// done is closed when answer is set.
@@ -74,11 +74,12 @@
 		h.violated("task is assigned while it runs")
 	}
 	current.started++
-	current.running[assignment.Task] = assignment
+	task := dispatched{Assignment: assignment}
 	h.counts.started.Inc()
 	if h.config.Recorder != nil {
-		h.config.Recorder.Assigned(now, &current.Running, assignment)
+		task.ref = h.config.Recorder.Assigned(now, &current.Running, assignment)
 	}
+	current.running[assignment.Task] = task
 	go h.dispatch(current, assignment, address, now)
 }
 
@@ -122,13 +123,14 @@
 func (h *Home) finish(now time.Time, current *run, assignment rattanpool.Assignment, report rattanpool.Report, result rattantarget.Result, cause error) {
 	h.mutex.Lock()
 	requeued := h.config.Scheduler.Finish(now, assignment, report)
+	ref := current.running[assignment.Task].ref
 	delete(current.running, assignment.Task)
 	h.counts.outcome(report.Outcome)
 	if report.Outcome == rattanpool.OutcomeNotStarted {
 		current.started--
 	}
 	if h.config.Recorder != nil {
-		h.config.Recorder.TaskEnded(now, &current.Running, assignment, report)
+		h.config.Recorder.TaskEnded(now, &current.Running, ref, assignment.Task, report)
 	}
 	if !current.ended {
 		h.conclude(now, current, assignment, report.Outcome, requeued, result, cause)
@@ -223,8 +225,8 @@
 	delete(h.byID, current.id)
 	h.release(current)
 	h.config.Scheduler.Cancel(now, current.id)
-	for _, assignment := range current.running {
-		h.stop(current, assignment)
+	for _, task := range current.running {
+		h.stop(current, task.Assignment)
 	}
 	h.counts.answered(answer)
 	if h.config.Recorder != nil {
