--- a/rattanentry/front.go
+++ b/rattanentry/front.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -43,8 +44,9 @@
 
 // Directory tells where homes are.
 type Directory interface {
-	// Owner returns the home of this instance's own availability zone.
-	Owner(now time.Time) (rattanmember.Member, bool)
+	// Owners returns the homes of this instance's own availability zone that
+	// issue keys.
+	Owners(now time.Time) []rattanmember.Member
 	// Locate returns the peer address of the instance, and whether the
 	// incarnation is known to have ended.
 	Locate(incarnation rattanjob.Incarnation) (address string, ended bool)
@@ -76,6 +78,8 @@
 // cancellations to the homes that their keys name.
 type Front struct {
 	config FrontConfig
+	// issued counts keys; it spreads them over the pools.
+	issued atomic.Uint64
 }
 
 // forwarded is the body of a request that a front hands to a home.
@@ -121,15 +125,17 @@
 	route.GET("/jobs/{key}/explain", f.explain)
 }
 
-// IssueKeys returns count keys for the caller that name the home of this
-// instance's availability zone. It sends no message.
+// IssueKeys returns count keys for the caller that name homes of this
+// instance's availability zone, spread evenly over its pools. It sends no
+// message.
 func (f *Front) IssueKeys(now time.Time, caller string, count int) ([]rattanjob.Key, bool) {
-	owner, ok := f.config.Directory.Owner(now)
-	if !ok || owner.Epoch.ID.Number == 0 {
+	owners := f.config.Directory.Owners(now)
+	if len(owners) == 0 {
 		return nil, false
 	}
 	keys := make([]rattanjob.Key, count)
 	for i := range keys {
+		owner := owners[f.issued.Add(1)%uint64(len(owners))]
 		keys[i] = rattanjob.Key{
 			Epoch:      owner.Epoch.ID,
 			Witnesses:  owner.Epoch.Witnesses,
--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -182,7 +182,7 @@
 		Incarnation: uint64(now.UnixMilli()),
 		Peers:       i.Node,
 		Logger:      i.config.Logger,
-		Opened:      func(now time.Time, epoch rattanjob.EpochID, start time.Time) { i.Home.OpenEpoch(now, epoch, start) },
+		Opened:      i.opened,
 		Fenced:      func(now time.Time, epoch rattanjob.EpochID) { i.Home.Fence(now, epoch) },
 		Superseded:  i.supersede,
 		Payload:     i.payload,
@@ -205,6 +205,7 @@
 		AvailabilityZone: settings.AvailabilityZone,
 		Home:             i.Home,
 		Documents:        i.Configuration,
+		Pools:            i.Members,
 		Observed:         i.Members.Observe,
 	})
 	i.Front = NewFront(FrontConfig{
@@ -285,6 +286,13 @@
 	i.Inventory.Apply(now)
 }
 
+// opened makes the home ready for a new epoch: its records and the targets of
+// the pool, which may be another one than before.
+func (i *Instance) opened(now time.Time, epoch rattanjob.EpochID, start time.Time) {
+	i.Home.OpenEpoch(now, epoch, start)
+	i.Inventory.Apply(now)
+}
+
 // applyDrain takes this instance out of use when an operator drains it. An
 // instance that is put back into use starts anew as another incarnation.
 func (i *Instance) applyDrain(document *rattanconfig.Document) {
--- a/rattanentry/inventory.go
+++ b/rattanentry/inventory.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/rattanlever/rattanlever/rattanconfig"
 	"github.com/rattanlever/rattanlever/rattanplatform"
 	"github.com/rattanlever/rattanlever/rattanpool"
@@ -19,12 +22,23 @@
 	Instances(ctx context.Context) ([]rattanplatform.Instance, error)
 }
 
+// PoolSlots is the most slots of a pool. One queue over this many slots is
+// close to an ideal single queue, and one instance can carry their starts.
+const PoolSlots = 1024
+
+// Pools tells which pool of its zone this instance owns.
+type Pools interface {
+	Pool(now time.Time) (pool, pools int, owned bool)
+	SetPools(pools int)
+}
+
 // InventoryConfig configures an Inventory. All fields are required.
 type InventoryConfig struct {
 	Platform         InstanceLister
 	AvailabilityZone string
 	Home             *Home
 	Documents        Documents
+	Pools            Pools
 	// Observed is called with each instance list that the platform gave.
 	Observed func(now time.Time, instances []rattanplatform.Instance)
 }
@@ -46,16 +60,24 @@
 	return &Inventory{config: config}
 }
 
-// Apply tells the home its targets anew, after a change of the configuration.
+// Apply tells the home the targets of its pool anew, after a change of the
+// configuration, of the instance list or of the pool. An instance without a
+// pool prepares for the only pool of its zone, so that it can take it over at
+// once.
 func (i *Inventory) Apply(now time.Time) {
-	i.mutex.Lock()
-	instances := i.instances
-	i.mutex.Unlock()
 	document := i.config.Documents.Document()
+	zone := i.zoneTargets()
+	slots := 0
+	for _, instance := range zone {
+		slots += instance.Slots
+	}
+	pools := max(1, (slots+PoolSlots-1)/PoolSlots)
+	i.config.Pools.SetPools(pools)
+	own, _, owned := i.config.Pools.Pool(now)
 	var targets []rattanpool.Target
 	addresses := map[string]string{}
-	for _, instance := range instances {
-		if instance.Role != rattanplatform.RoleTarget || instance.AvailabilityZone != i.config.AvailabilityZone {
+	for _, instance := range zone {
+		if pools > 1 && (!owned || PoolOf(instance.Name, pools) != own) {
 			continue
 		}
 		targets = append(targets, describeTarget(document, instance))
@@ -64,6 +86,28 @@
 	i.config.Home.SetTargets(now, targets, addresses)
 }
 
+// PoolOf returns the pool of a target by rendezvous hashing, so that a change
+// of the number of pools moves as few targets as possible.
+func PoolOf(target string, pools int) int {
+	best, bestHash := 0, uint64(0)
+	for pool := range pools {
+		if hash := xxhash.Sum64String(target + "/" + strconv.Itoa(pool)); hash >= bestHash {
+			best, bestHash = pool, hash
+		}
+	}
+	return best
+}
+
+func (i *Inventory) zoneTargets() []rattanplatform.Instance {
+	var targets []rattanplatform.Instance
+	for _, instance := range i.Instances() {
+		if instance.Role == rattanplatform.RoleTarget && instance.AvailabilityZone == i.config.AvailabilityZone {
+			targets = append(targets, instance)
+		}
+	}
+	return targets
+}
+
 // Instances returns the last known instance list.
 func (i *Inventory) Instances() []rattanplatform.Instance {
 	i.mutex.Lock()
--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -60,6 +60,8 @@
 
 	mutex sync.Mutex
 	table *rattanmember.Table
+	// pools is the number of pools of the availability zone, at least 1.
+	pools int
 }
 
 // voteRequest asks a witness about an epoch.
@@ -92,7 +94,7 @@
 		TenureDuration:    settings.Home.TenureDuration.Std(),
 		VerdictMargin:     settings.Home.VerdictMargin.Std(),
 	})
-	return &Members{config: config, table: table}
+	return &Members{config: config, table: table, pools: 1}
 }
 
 // Drain gives up the pool and waits until another member of the zone has taken
@@ -221,6 +223,21 @@
 	m.table.ObserveInstances(now, list)
 }
 
+// Owners returns the homes of this instance's availability zone that issue
+// keys, by pool.
+func (m *Members) Owners(now time.Time) []rattanmember.Member {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	owners := make([]rattanmember.Member, 0, m.pools)
+	for pool := range m.pools {
+		owner, ok := m.table.Owner(now, m.config.Settings.AvailabilityZone, pool)
+		if ok && owner.Epoch.ID.Number > 0 {
+			owners = append(owners, owner)
+		}
+	}
+	return owners
+}
+
 // OwnsPool reports whether this instance is a home.
 func (m *Members) OwnsPool(now time.Time) bool {
 	m.mutex.Lock()
@@ -248,6 +265,23 @@
 	return m.table.Owner(now, m.config.Settings.AvailabilityZone, 0)
 }
 
+// Pool returns the number of the pool that this instance owns and the number
+// of pools of its zone.
+func (m *Members) Pool(now time.Time) (pool, pools int, owned bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	claim := m.table.Self(now).Claim
+	return claim - 1, m.pools, claim > 0
+}
+
+// SetPools sets the number of pools of the availability zone.
+func (m *Members) SetPools(pools int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.pools = pools
+	m.table.SetPools(pools)
+}
+
 // Start begins to send heartbeats.
 func (m *Members) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/rattanentry/operations.go
+++ b/rattanentry/operations.go
@@ -67,7 +67,7 @@
 
 // Condition returns the condition of the instance.
 func (o *Operations) Condition(now time.Time) Condition {
-	_, owned := o.config.Directory.Owner(now)
+	owned := len(o.config.Directory.Owners(now)) > 0
 	switch {
 	case o.draining.Load():
 		return ConditionDraining
