Read the instance list through two watchers of each zone

Cause: every instance read the list once a second, so the platform's calls grew with the fleet. Change: two watchers of a zone read it, the others pull it from them when its hash differs.

--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -202,6 +202,8 @@
 	})
 	i.Inventory = NewInventory(InventoryConfig{
 		Platform:         i.Platform,
+		Peers:            i.Node,
+		Watchers:         i.Members,
 		AvailabilityZone: settings.AvailabilityZone,
 		Home:             i.Home,
 		Documents:        i.Configuration,
@@ -249,6 +251,7 @@
 	i.Front.Handle(i.Node)
 	i.Members.Handle(i.Node)
 	i.Configuration.Handle(i.Node)
+	i.Inventory.Handle(i.Node)
 	i.Loads.Handle(i.Node)
 	i.Records.Handle(i.Node)
 	services := []rattankernel.Service{i.Node, i.Home, i.Members, i.Configuration, i.Inventory, i.Loads, i.Operations}
@@ -355,6 +358,7 @@
 	return payload
 }
 
+// received takes in the payload of a peer's heartbeat.
 func (i *Instance) received(address string, payload []byte) {
 	var news gossip
 	if json.Unmarshal(payload, &news) != nil {
--- a/rattanentry/inventory.go
+++ b/rattanentry/inventory.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"encoding/json"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 
 	"github.com/rattanlever/rattanlever/rattanconfig"
+	"github.com/rattanlever/rattanlever/rattanjson"
+	"github.com/rattanlever/rattanlever/rattanmember"
+	"github.com/rattanlever/rattanlever/rattanpeer"
 	"github.com/rattanlever/rattanlever/rattanplatform"
 	"github.com/rattanlever/rattanlever/rattanpool"
 )
@@ -17,6 +22,8 @@
 // must get no new work after 3 s.
 const inventoryInterval = time.Second
 
+const methodPullInstances = "PullInstances"
+
 // InstanceLister is the part of the platform's client that Inventory uses.
 type InstanceLister interface {
 	Instances(ctx context.Context) ([]rattanplatform.Instance, error)
@@ -32,9 +39,21 @@
 	SetPools(pools int)
 }
 
+// Watchers tells which members read from the platform for the others.
+type Watchers interface {
+	// Watches reports whether this instance is one of them.
+	Watches(now time.Time) bool
+	// Others returns the members that may be alive.
+	Others(now time.Time) []rattanmember.Member
+	// Watchers returns the other ones of this availability zone.
+	Watchers(now time.Time) []rattanmember.Member
+}
+
 // InventoryConfig configures an Inventory. All fields are required.
 type InventoryConfig struct {
 	Platform         InstanceLister
+	Peers            PeerCaller
+	Watchers         Watchers
 	AvailabilityZone string
 	Home             *Home
 	Documents        Documents
@@ -52,7 +71,22 @@
 
 	mutex     sync.Mutex
 	instances []rattanplatform.Instance
-	reached   time.Time
+	// reached is when the platform gave the list, and hash that of its JSON.
+	reached time.Time
+	hash    uint64
+}
+
+// pullInstances asks for the instance list if its hash is another.
+type pullInstances struct {
+	Hash uint64
+}
+
+// instanceList is the reply to a pull.
+type instanceList struct {
+	// Age is the time since the platform gave the list.
+	Age       rattanjson.Duration
+	Unchanged bool                      `json:",omitempty"`
+	Instances []rattanplatform.Instance `json:",omitempty"`
 }
 
 // NewInventory returns an empty inventory.
@@ -108,6 +142,11 @@
 	return targets
 }
 
+// Handle serves the list to other instances.
+func (i *Inventory) Handle(node *rattanpeer.Node) {
+	node.Handle(methodPullInstances, i.serve)
+}
+
 // Instances returns the last known instance list.
 func (i *Inventory) Instances() []rattanplatform.Instance {
 	i.mutex.Lock()
@@ -147,20 +186,100 @@
 	return nil
 }
 
+// read gets the instance list: from the platform if this instance is one of
+// the watchers of its zone, else from one of them. The calls of the platform
+// thus do not grow with the number of instances.
 func (i *Inventory) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	instances, err := i.config.Platform.Instances(ctx)
+	now := time.Now()
+	sources := i.config.Watchers.Watchers(now)
+	if i.config.Watchers.Watches(now) {
+		instances, err := i.config.Platform.Instances(ctx)
+		if err == nil {
+			i.install(time.Now(), time.Now(), instances)
+		}
+		if err == nil || !i.Reached().IsZero() {
+			return
+		}
+		// A watcher that starts during an outage takes the list from anybody.
+		sources = i.config.Watchers.Others(now)
+	}
+	for _, source := range sources {
+		if i.pull(ctx, source.PeerAddress) == nil {
+			return
+		}
+	}
+}
+
+// pull gets the instance list from a watcher if it has changed.
+func (i *Inventory) pull(ctx context.Context, address string) error {
+	i.mutex.Lock()
+	request, err := json.Marshal(pullInstances{Hash: i.hash})
+	i.mutex.Unlock()
 	if err != nil {
-		return
+		return errors.Trace(err)
+	}
+	body, err := i.config.Peers.Call(ctx, address, methodPullInstances, request)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	var reply instanceList
+	if err := json.Unmarshal(body, &reply); err != nil {
+		return errors.Trace(err)
 	}
 	now := time.Now()
+	reached := now.Add(-reply.Age.Std())
+	if reply.Unchanged {
+		i.mutex.Lock()
+		reply.Instances = i.instances
+		i.mutex.Unlock()
+	}
+	i.install(now, reached, reply.Instances)
+	return nil
+}
+
+// install puts a list in use unless a later one is.
+func (i *Inventory) install(now, reached time.Time, instances []rattanplatform.Instance) {
+	data, err := json.Marshal(instances)
+	if err != nil {
+		return
+	}
+	hash := xxhash.Sum64(data)
 	i.mutex.Lock()
+	if !reached.After(i.reached) {
+		i.mutex.Unlock()
+		return
+	}
+	changed := hash != i.hash
 	i.instances = instances
-	i.reached = now
+	i.reached = reached
+	i.hash = hash
 	i.mutex.Unlock()
 	i.config.Observed(now, instances)
-	i.Apply(now)
+	if changed {
+		i.Apply(now)
+	}
+}
+
+// serve answers a pull with this instance's own list.
+func (i *Inventory) serve(_ context.Context, _ string, body []byte) ([]byte, error) {
+	var request pullInstances
+	if err := json.Unmarshal(body, &request); err != nil {
+		return nil, errors.Trace(err)
+	}
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.reached.IsZero() {
+		return nil, errors.NotFoundf("instance list")
+	}
+	reply := instanceList{Age: rattanjson.Duration(time.Since(i.reached))}
+	if request.Hash == i.hash {
+		reply.Unchanged = true
+	} else {
+		reply.Instances = i.instances
+	}
+	return json.Marshal(reply)
 }
 
 func describeTarget(document *rattanconfig.Document, instance rattanplatform.Instance) rattanpool.Target {
--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -1,9 +1,11 @@
 package rattanentry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -306,19 +308,28 @@
 	return m.table.Proof(now, incarnation) != rattanmember.ProofNone
 }
 
-// Watches reports whether this instance is one of the members of its zone that
-// watch the platform: the ones that have run longest.
-func (m *Members) Watches(now time.Time) bool {
+// Watchers returns the other members of this zone that watch the platform for
+// it: the ones that have run longest.
+func (m *Members) Watchers(now time.Time) []rattanmember.Member {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	self := m.table.Self(now)
-	senior := 0
+	var senior []rattanmember.Member
 	for _, member := range m.table.Members(now) {
 		if member.AvailabilityZone == self.AvailabilityZone && member.Status == rattanmember.StatusAlive && before(member, self) {
-			senior++
+			senior = append(senior, member)
 		}
 	}
-	return senior < watchersPerZone
+	slices.SortFunc(senior, func(a, b rattanmember.Member) int {
+		return cmp.Or(cmp.Compare(a.Incarnation.Number, b.Incarnation.Number), cmp.Compare(a.Incarnation.Instance, b.Incarnation.Instance))
+	})
+	return senior[:min(len(senior), watchersPerZone)]
+}
+
+// Watches reports whether this instance is one of the members of its zone that
+// watch the platform.
+func (m *Members) Watches(now time.Time) bool {
+	return len(m.Watchers(now)) < watchersPerZone
 }
 
 // zoneHasOthers reports whether another member of the zone is alive.
