Partition availability zones from the stand-in platform

A zone gets an address of its own, and calls to it can be left without an answer. The start log holds its starts without pointers, as a run may log millions.

--- a/rattanplatform/client.go
+++ b/rattanplatform/client.go
@@ -61,8 +61,6 @@
 	// Connections bounds the idle connections that are kept. The default is
 	// DefaultConnections.
 	Connections int
-	// Transport replaces the client's own connections, for TLS and for tests.
-	Transport http.RoundTripper
 }
 
 // Client calls the platform. It is safe for concurrent use. It sends a write at
@@ -73,7 +71,7 @@
 	Counters Counters
 
 	options   Options
-	transport http.RoundTripper
+	transport *http.Transport
 }
 
 // New returns a client.
@@ -84,24 +82,19 @@
 	if options.Connections <= 0 {
 		options.Connections = DefaultConnections
 	}
-	client := &Client{options: options, transport: options.Transport}
-	if client.transport == nil {
-		client.transport = &http.Transport{
+	return &Client{
+		options: options,
+		transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: options.Timeout}).DialContext,
 			MaxIdleConns:        options.Connections,
 			MaxIdleConnsPerHost: options.Connections,
 			IdleConnTimeout:     idleTimeout,
-		}
+		},
 	}
-	return client
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() {
-	if transport, ok := c.transport.(*http.Transport); ok {
-		transport.CloseIdleConnections()
-	}
-}
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
 // Delete deletes a key if it has the revision. It returns ErrNotFound if the
 // key does not exist.
--- a/rattanstandin/faults.go
+++ b/rattanstandin/faults.go
@@ -24,6 +24,9 @@
 // a sound platform.
 type Faults struct {
 	Outage Outage
+	// Partitioned are availability zones whose calls get no answer, as in
+	// OutageSilent. A zone's calls are those to its address.
+	Partitioned []string `json:",omitempty"`
 	// Latency is added before the effect of each call. The effect then happens
 	// even if the client has given up.
 	Latency rattanjson.Duration
--- a/rattanstandin/listener.go
+++ b/rattanstandin/listener.go
@@ -36,6 +36,9 @@
 type listener struct {
 	net.Listener
 
+	// zone is the availability zone that the address is for, or "".
+	zone string
+
 	mu    sync.Mutex
 	conns map[*silentConn]struct{}
 }
--- a/rattanstandin/platform.go
+++ b/rattanstandin/platform.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,14 +39,18 @@
 	ReadLimit  float64
 	// InstanceListLag is the time until readers see a change of the instances.
 	InstanceListLag rattanjson.Duration
+	// AvailabilityZones get an address of the loopback interface each, so that
+	// a zone can be partitioned from the platform.
+	AvailabilityZones []string
 }
 
 // Platform stands in for the platform's key-value service and instance list.
 type Platform struct {
 	options   PlatformOptions
 	listener  *listener
+	zones     map[string]*listener
 	server    *http.Server
-	served    chan struct{}
+	serving   sync.WaitGroup
 	store     *store
 	instances instanceList
 	counts    callCounts
@@ -68,25 +74,43 @@
 	if options.ReadLimit <= 0 {
 		options.ReadLimit = DefaultReadLimit
 	}
-	listener, err := listen(options.Address)
-	if err != nil {
-		return nil, errors.Annotate(err, "platform")
-	}
 	p := &Platform{
 		options:  options,
-		listener: listener,
-		served:   make(chan struct{}),
+		zones:    map[string]*listener{},
 		store:    newStore(),
 		writes:   newLimiter(options.WriteLimit),
 		reads:    newLimiter(options.ReadLimit),
 		switched: make(chan struct{}),
 	}
 	p.counts.reset(time.Now())
-	p.server = &http.Server{Handler: p.handler(), ErrorLog: quietLog}
-	go serveUntilClosed(p.server, listener, p.served)
+	p.server = &http.Server{Handler: p.handler(), ErrorLog: quietLog, ConnContext: withZone}
+	if err := p.listen(); err != nil {
+		p.Close()
+		return nil, errors.Annotate(err, "platform")
+	}
 	return p, nil
 }
 
+// listen opens the addresses and serves them.
+func (p *Platform) listen() error {
+	opened, err := listen(p.options.Address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	p.listener = opened
+	p.serving.Go(func() { _ = p.server.Serve(opened) })
+	for _, zone := range p.options.AvailabilityZones {
+		opened, err := listen("127.0.0.1:0")
+		if err != nil {
+			return errors.Trace(err)
+		}
+		opened.zone = zone
+		p.zones[zone] = opened
+		p.serving.Go(func() { _ = p.server.Serve(opened) })
+	}
+	return nil
+}
+
 // Address returns the IP address and port.
 func (p *Platform) Address() string { return p.listener.Addr().String() }
 
@@ -98,7 +122,7 @@
 // Close ends the platform. Its state is lost.
 func (p *Platform) Close() {
 	_ = p.server.Close()
-	<-p.served
+	p.serving.Wait()
 	p.store.close()
 }
 
@@ -117,12 +141,8 @@
 // Run serves until the context ends, then closes the platform.
 func (p *Platform) Run(ctx context.Context) error {
 	defer p.Close()
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-p.served:
-		return errors.New("platform: listener closed")
-	}
+	<-ctx.Done()
+	return nil
 }
 
 // SetFaults replaces the faults that are switched on.
@@ -143,7 +163,22 @@
 
 // SilenceConnections makes the open connections go silent for good, and returns
 // their number. New connections work.
-func (p *Platform) SilenceConnections(silence Silence) int { return p.listener.silence(silence) }
+func (p *Platform) SilenceConnections(silence Silence) int {
+	count := p.listener.silence(silence)
+	for _, zone := range p.zones {
+		count += zone.silence(silence)
+	}
+	return count
+}
+
+// ZoneAddress returns the IP address and port for an availability zone of the
+// options, or "".
+func (p *Platform) ZoneAddress(zone string) string {
+	if listener := p.zones[zone]; listener != nil {
+		return listener.Addr().String()
+	}
+	return ""
+}
 
 func (p *Platform) currentFaults() (Faults, <-chan struct{}) {
 	p.mu.Lock()
@@ -151,6 +186,25 @@
 	return p.faults, p.switched
 }
 
+// outage returns the outage for calls from an availability zone.
+func (f *Faults) outage(zone string) Outage {
+	if f.Outage == OutageNone && zone != "" && slices.Contains(f.Partitioned, zone) {
+		return OutageSilent
+	}
+	return f.Outage
+}
+
+// zoneKey is the key of the context value that holds the availability zone
+// whose address a connection was made to.
+type zoneKey struct{}
+
+func withZone(ctx context.Context, conn net.Conn) context.Context {
+	if accepted, ok := conn.(*silentConn); ok {
+		return context.WithValue(ctx, zoneKey{}, accepted.listener.zone)
+	}
+	return ctx
+}
+
 // loses reports whether the answer to one write is lost.
 func (f *Faults) loses() bool { return f.LostAnswers > 0 && rand.Float64() < f.LostAnswers }
 
--- a/rattanstandin/platformhttp.go
+++ b/rattanstandin/platformhttp.go
@@ -89,7 +89,7 @@
 // take effect.
 func (p *Platform) pass(w http.ResponseWriter, r *http.Request) bool {
 	faults, switched := p.currentFaults()
-	switch faults.Outage {
+	switch faults.outage(zoneOf(r)) {
 	case OutageUnavailable:
 		answer(w, http.StatusServiceUnavailable, failure{Error: "outage"})
 		return false
@@ -106,6 +106,11 @@
 	return true
 }
 
+func zoneOf(r *http.Request) string {
+	zone, _ := r.Context().Value(zoneKey{}).(string)
+	return zone
+}
+
 // bodyError returns the error of a body that could not be read.
 func bodyError(err error) error {
 	var tooLarge *http.MaxBytesError
@@ -185,22 +190,23 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for {
+	for expired := false; ; {
 		faults, switched := p.currentFaults()
-		if faults.Outage == OutageUnavailable || faults.Outage == OutageClosed {
+		outage := faults.outage(zoneOf(r))
+		if outage == OutageUnavailable || outage == OutageClosed {
 			return reply{err: errors.WithType(errors.New("outage"), rattanplatform.ErrUnavailable)}
 		}
 		changes, changed := p.store.changes(r.PathValue("prefix"), after)
-		if len(changes.Entries) > 0 && faults.Outage == OutageNone {
+		if outage == OutageNone && (len(changes.Entries) > 0 || expired) {
 			return reply{body: changes}
 		}
 		select {
 		case <-changed:
 		case <-switched:
 		case <-timer.C:
-			return reply{body: changes}
+			expired = true
 		case <-r.Context().Done():
-			return reply{body: changes}
+			panic(http.ErrAbortHandler)
 		}
 	}
 }
--- a/rattanstandin/standin_test.go
+++ b/rattanstandin/standin_test.go
@@ -43,7 +43,7 @@
 	defer platform.Close()
 	url := "http://" + platform.Address()
 	exchange(c, http.MethodPost, url+"/control/faults", `{"Outage":"Unavailable","Latency":"5ms","LostAnswers":0.5}`, http.StatusOK)
-	c.Assert(platform.Faults(), qt.Equals, rattanstandin.Faults{
+	c.Assert(platform.Faults(), qt.DeepEquals, rattanstandin.Faults{
 		Outage:      rattanstandin.OutageUnavailable,
 		Latency:     rattanjson.Duration(5 * time.Millisecond),
 		LostAnswers: 0.5,
@@ -102,6 +102,26 @@
 	c.Check(err, qt.IsNil)
 }
 
+// TestPlatformPartition guards against a partition that cuts off more than its
+// availability zone, or that serves calls which the zone has given up.
+func TestPlatformPartition(t *testing.T) {
+	c := qt.New(t)
+	platform, err := rattanstandin.NewPlatform(rattanstandin.PlatformOptions{AvailabilityZones: []string{"bern-a", "zurich-b"}})
+	c.Assert(err, qt.IsNil)
+	defer platform.Close()
+	platform.SetFaults(rattanstandin.Faults{Partitioned: []string{"bern-a"}})
+	put := func(zone string) error {
+		client := rattanplatform.New(rattanplatform.Options{Address: platform.ZoneAddress(zone), Timeout: 200 * time.Millisecond})
+		defer client.Close()
+		_, err := client.Put(context.Background(), zone, nil, rattanplatform.NoRevision, rattanplatform.NoLease)
+		return err
+	}
+	c.Assert(put("bern-a"), qt.ErrorIs, rattanplatform.ErrUncertain)
+	c.Assert(put("zurich-b"), qt.IsNil)
+	platform.SetFaults(rattanstandin.Faults{})
+	c.Assert(put("bern-a"), qt.IsNil)
+}
+
 // TestInstanceListLag guards against readers that see a change before the lag
 // has passed, or never.
 func TestInstanceListLag(t *testing.T) {
@@ -196,6 +216,7 @@
 	c.Assert(f.Log().Times("b"), qt.HasLen, 0)
 	first, second := f.Log().Times("a")[0].At, f.Log().Times("d")[0].At
 	c.Assert(second.Sub(first) >= runTime, qt.IsTrue)
+	c.Assert(f.LastStart().Sub(second).Abs() < time.Millisecond, qt.IsTrue)
 }
 
 // TestTargetTombstone guards against a stopped ID that a late dispatch starts.
--- a/rattanstandin/startlog.go
+++ b/rattanstandin/startlog.go
@@ -28,22 +28,35 @@
 	starts  atomic.Uint64
 	doubles atomic.Uint64
 	seed    maphash.Seed
+	base    time.Time
 	shards  [startLogShards]startShard
 
 	mu        sync.Mutex
 	doubleIDs []string
+	targets   []string
 }
 
 type startShard struct {
 	mu    sync.Mutex
-	first map[string]Start
+	first map[string]compactStart
 	// again has the further starts of tasks that were started twice.
-	again map[string][]Start
+	again map[string][]compactStart
 }
 
+// compactStart is a Start without pointers, as a log may hold millions.
+type compactStart struct {
+	// at is the time since the base of the log.
+	at          time.Duration
+	target      targetID
+	incarnation int32
+}
+
+// targetID is the index of a target's name in the log.
+type targetID int32
+
 // NewStartLog returns an empty log.
 func NewStartLog() *StartLog {
-	log := &StartLog{seed: maphash.MakeSeed()}
+	log := &StartLog{seed: maphash.MakeSeed(), base: time.Now()}
 	log.Reset()
 	return log
 }
@@ -65,8 +78,8 @@
 	for i := range l.shards {
 		shard := &l.shards[i]
 		shard.mu.Lock()
-		shard.first = map[string]Start{}
-		shard.again = map[string][]Start{}
+		shard.first = map[string]compactStart{}
+		shard.again = map[string][]compactStart{}
 		shard.mu.Unlock()
 	}
 	l.mu.Lock()
@@ -81,6 +94,21 @@
 
 // Times returns the starts of a task in order.
 func (l *StartLog) Times(id string) []Start {
+	l.mu.Lock()
+	targets := l.targets
+	l.mu.Unlock()
+	var starts []Start
+	for _, compact := range l.times(id) {
+		starts = append(starts, Start{
+			Target:      targets[compact.target],
+			Incarnation: int(compact.incarnation),
+			At:          l.base.Add(compact.at),
+		})
+	}
+	return starts
+}
+
+func (l *StartLog) times(id string) []compactStart {
 	shard := l.shard(id)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
@@ -88,11 +116,20 @@
 	if !ok {
 		return nil
 	}
-	return append([]Start{first}, shard.again[id]...)
+	return append([]compactStart{first}, shard.again[id]...)
+}
+
+// addTarget returns the ID of a target that is new to the log.
+func (l *StartLog) addTarget(name string) targetID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.targets = append(l.targets, name)
+	return targetID(len(l.targets) - 1)
 }
 
 // record adds a start.
-func (l *StartLog) record(id string, start Start) {
+func (l *StartLog) record(now time.Time, id string, target targetID, incarnation int) {
+	start := compactStart{at: now.Sub(l.base), target: target, incarnation: int32(incarnation)}
 	l.starts.Add(1)
 	shard := l.shard(id)
 	shard.mu.Lock()
@@ -118,9 +155,9 @@
 }
 
 // startedBy reports whether one process of a target has started the task.
-func (l *StartLog) startedBy(id, target string, incarnation int) bool {
-	return slices.ContainsFunc(l.Times(id), func(start Start) bool {
-		return start.Target == target && start.Incarnation == incarnation
+func (l *StartLog) startedBy(id string, target targetID, incarnation int) bool {
+	return slices.ContainsFunc(l.times(id), func(start compactStart) bool {
+		return start.target == target && start.incarnation == int32(incarnation)
 	})
 }
 
--- a/rattanstandin/target.go
+++ b/rattanstandin/target.go
@@ -70,6 +70,8 @@
 type Target struct {
 	options TargetOptions
 	address string
+	// id is the target's in the log.
+	id targetID
 
 	mu        sync.Mutex
 	behaviour Behaviour
@@ -79,6 +81,7 @@
 	served      chan struct{}
 	incarnation int
 	startedAt   time.Time
+	lastStart   time.Time
 	busy        int
 	queue       []*task
 	tasks       map[string]*task
@@ -110,7 +113,11 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "target %q", options.Name)
 	}
-	t := &Target{options: options, address: listener.Addr().String()}
+	t := &Target{
+		options: options,
+		address: listener.Addr().String(),
+		id:      options.Log.addTarget(options.Name),
+	}
 	t.boot(listener)
 	return t, nil
 }
@@ -143,6 +150,13 @@
 	}
 }
 
+// LastStart returns when the target last started a task, or the zero time.
+func (t *Target) LastStart() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastStart
+}
+
 // Log returns the log of starts.
 func (t *Target) Log() *StartLog { return t.options.Log }
 
--- a/rattanstandin/task.go
+++ b/rattanstandin/task.go
@@ -103,7 +103,8 @@
 
 // start puts a task into a slot.
 func (t *Target) start(now time.Time, started *task) {
-	t.options.Log.record(started.id, Start{Target: t.options.Name, Incarnation: t.incarnation, At: now})
+	t.options.Log.record(now, started.id, t.id, t.incarnation)
+	t.lastStart = now
 	t.busy++
 	started.started = true
 	started.state = rattantarget.TaskStateRunning
@@ -189,7 +190,7 @@
 		inspection.Started = started
 		return inspection
 	}
-	if t.options.Log.startedBy(id, t.options.Name, t.incarnation) {
+	if t.options.Log.startedBy(id, t.id, t.incarnation) {
 		inspection.State = rattantarget.TaskStateDone
 		inspection.Started = true
 		inspection.Failed = true
@@ -207,7 +208,7 @@
 	known := t.tasks[id]
 	switch {
 	case known == nil:
-		stopping.Started = t.tombstones[id] || t.options.Log.startedBy(id, t.options.Name, t.incarnation)
+		stopping.Started = t.tombstones[id] || t.options.Log.startedBy(id, t.id, t.incarnation)
 		stopping.Stopped = t.tombstones[id] || !stopping.Started
 	case known.state == rattantarget.TaskStateRunning:
 		stopping = rattantarget.Stopping{Started: true, Stopped: true, Uptime: stopping.Uptime}
--- a/rattantarget/fault_test.go
+++ b/rattantarget/fault_test.go
@@ -225,7 +225,7 @@
 
 // TestRunClosedConnections guards against a dispatch that is sent twice, or
 // that is reported as not started although the target has read it, when the
-// target closes kept connections at any moment.
+// target closes kept connections and contexts end at any moment.
 func TestRunClosedConnections(t *testing.T) {
 	c := qt.New(t)
 	target := newRawTarget(t, func(target *rawTarget, conn net.Conn) {
@@ -250,7 +250,13 @@
 		workers.Go(func() {
 			for n := range 500 {
 				id := strconv.Itoa(worker) + "-" + strconv.Itoa(n)
-				_, err := client.Run(context.Background(), rattantarget.Dispatch{Address: target.Addr().String(), ID: id, Lease: testLease})
+				timeout := time.Minute
+				if n%2 == 0 {
+					timeout = time.Duration(rand.IntN(1000)) * time.Microsecond
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), timeout)
+				_, err := client.Run(ctx, rattantarget.Dispatch{Address: target.Addr().String(), ID: id, Lease: testLease})
+				cancel()
 				if errors.Is(err, rattantarget.ErrNotStarted) {
 					notStarted.Store(id, err)
 				}
