--- a/rattanledger/ledger.go
+++ b/rattanledger/ledger.go
@@ -123,12 +123,10 @@
 	if epoch.records[key.Nonce] != nil {
 		return l.Finish(now, key, answer)
 	}
-	if absent := l.absence(now, epoch, key); absent != VerdictUnknown {
-		if l.provedNotRun(now, epoch, key) {
-			return nil
-		}
+	if l.absence(now, epoch, key) != VerdictUnknown && !l.provedNotRun(now, epoch, key) {
 		return errors.WithType(errors.Errorf("epoch %d", key.Epoch.Number), ErrNoRecord)
 	}
+	// A key without room is below the watermark, which refuses it as well.
 	if !l.makeRoom(now, epoch, key) {
 		return nil
 	}
--- a/rattanmember/table.go
+++ b/rattanmember/table.go
@@ -234,13 +234,13 @@
 	}
 	var receivers []Member
 	if !now.Before(t.nextHeartbeat) {
-		t.nextHeartbeat = now.Add(t.config.HeartbeatInterval)
+		t.nextHeartbeat = next(now, t.nextHeartbeat, t.config.HeartbeatInterval)
 		receivers = t.witnesses(receivers)
 		receivers = t.probed(receivers)
 	}
 	gossipFrom := len(receivers)
 	if !now.Before(t.nextGossip) {
-		t.nextGossip = now.Add(t.config.GossipInterval)
+		t.nextGossip = next(now, t.nextGossip, t.config.GossipInterval)
 		receivers = t.randomPeer(receivers)
 	}
 	outgoing := make([]Outgoing, 0, len(receivers))
@@ -419,6 +419,15 @@
 	return Outgoing{To: receiver, Heartbeat: message}
 }
 
+// next returns the next due time. It does not add up the delays of the calls,
+// because two intervals must fit in a tenure.
+func next(now, due time.Time, interval time.Duration) time.Time {
+	if due = due.Add(interval); due.After(now) {
+		return due
+	}
+	return now.Add(interval)
+}
+
 func (c *Config) setDefaults() {
 	setDefault(&c.HeartbeatInterval, DefaultHeartbeatInterval)
 	setDefault(&c.GossipInterval, DefaultGossipInterval)
