--- a/rattanburn/counters_test.go
+++ b/rattanburn/counters_test.go
@@ -205,7 +205,7 @@
 	}
 	snapshot := counters.Snapshot(start.Add(time.Minute))
 	text := snapshot.Text()
-	c.Check(text, qt.Contains, "Burn rates at 2026-03-02T09:01:00Z, revision 4, 1 instances")
+	c.Check(text, qt.Contains, "Burn rates at 2026-03-02T09:01:00Z, revision 4, instances: 1")
 	c.Check(text, qt.Matches, `(?s).*all +Page +-4900\.0% +50\.00 +50\.00 +50\.00 +50\.00 +50\.00.*`)
 	c.Check(text, qt.Contains, "all: 99% of events good by measure Refused, all job kinds, over 30d\n  50 of 100 events were bad")
 	c.Check(text, qt.Contains, "<b>app</b>, list: 50 bad events in the last two hours")
--- a/rattanburn/text.go
+++ b/rattanburn/text.go
@@ -13,7 +13,7 @@
 // Text returns the report as text.
 func (s Snapshot) Text() string {
 	var text strings.Builder
-	fmt.Fprintf(&text, "Burn rates at %s, revision %d, %d instances\n", s.At.UTC().Format(time.RFC3339), s.Revision, s.Instances)
+	fmt.Fprintf(&text, "Burn rates at %s, revision %d, instances: %d\n", s.At.UTC().Format(time.RFC3339), s.Revision, s.Instances)
 	if len(s.Objectives) == 0 {
 		text.WriteString("The configuration has no objectives.\n")
 		return text.String()
--- a/rattanconfig/check.go
+++ b/rattanconfig/check.go
@@ -33,7 +33,6 @@
 
 // Limits of a document.
 const (
-	maxNameLength = 64
 	maxTextLength = 200
 	maxWeight     = 1_000_000
 	minDeadline   = time.Millisecond
@@ -174,8 +173,8 @@
 // checkEach checks the names and the entries of a section in sorted order.
 func checkEach[T any](section string, entries map[string]T, check func(path string, entry T) error) error {
 	for _, name := range sortedNames(entries) {
-		if !isName(name) {
-			return invalid("%s: name %.80q, want 1 to %d letters, digits, dots, underscores or hyphens", section, name, maxNameLength)
+		if !rattanjson.IsName(name) {
+			return invalid("%s: name %.80q, want %s", section, name, rattanjson.NameRule)
 		}
 		if err := check(section+"."+name, entries[name]); err != nil {
 			return err
@@ -209,22 +208,6 @@
 	return text == MeasureAnsweredInTime || text == MeasureShortWait || text == MeasureRefused
 }
 
-func isName(text string) bool {
-	if len(text) == 0 || len(text) > maxNameLength {
-		return false
-	}
-	return strings.IndexFunc(text, isNotNameRune) < 0
-}
-
-func isNotNameRune(char rune) bool {
-	switch {
-	case char >= 'a' && char <= 'z', char >= 'A' && char <= 'Z', char >= '0' && char <= '9':
-		return false
-	default:
-		return char != '.' && char != '_' && char != '-'
-	}
-}
-
 func sortedNames[K cmp.Ordered, V any](entries map[K]V) []K {
 	names := make([]K, 0, len(entries))
 	for name := range entries {
--- a/rattanjson/decode_test.go
+++ b/rattanjson/decode_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -114,3 +115,28 @@
 	c.Assert(errors.Is(err, ErrEnum), qt.IsTrue)
 	c.Assert(err, qt.ErrorMatches, `"Sun", want one of Sunday, Monday`)
 }
+
+// TestIsName guards against names that could not stand in a path, a label or a
+// URL.
+func TestIsName(t *testing.T) {
+	c := qt.New(t)
+	for _, name := range []string{"a", "buda-1", "A_b.9", strings.Repeat("x", MaxNameLength)} {
+		c.Check(IsName(name), qt.IsTrue, qt.Commentf("%q", name))
+	}
+	for _, name := range []string{"", "a b", "a/b", "a\n", "é", strings.Repeat("x", MaxNameLength+1)} {
+		c.Check(IsName(name), qt.IsFalse, qt.Commentf("%q", name))
+	}
+}
+
+// TestDuration guards against a duration that changes in a round trip.
+func TestDuration(t *testing.T) {
+	c := qt.New(t)
+	for _, text := range []string{"0s", "250ms", "1.5s", "-2h0m0s", "1ns"} {
+		var duration Duration
+		c.Assert(duration.UnmarshalText([]byte(text)), qt.IsNil)
+		c.Check(duration.String(), qt.Equals, text)
+		c.Check(duration.Std().String(), qt.Equals, text)
+	}
+	var duration Duration
+	c.Assert(errors.Is(duration.UnmarshalText([]byte("5")), ErrDuration), qt.IsTrue)
+}
--- a/rattanplan/plan.go
+++ b/rattanplan/plan.go
@@ -143,6 +143,10 @@
 	if err := rattanconfig.Check(after); err != nil {
 		return rattanconfig.Document{}, err
 	}
+	// Encode refuses a document that is too large for the platform.
+	if _, err := rattanconfig.Encode(after); err != nil {
+		return rattanconfig.Document{}, err
+	}
 	return after, nil
 }
 
--- a/rattansettings/table.go
+++ b/rattansettings/table.go
@@ -50,8 +50,6 @@
 	Description string
 }
 
-const maxNameLength = 64
-
 var table = []Row{
 	{Key: "Name", Type: TypeName, Description: "Name of the instance, unique in the system."},
 	{Key: "AvailabilityZone", Type: TypeName, Description: "Availability zone of the instance."},
@@ -81,7 +79,7 @@
 func (r Row) want() string {
 	switch r.Type {
 	case TypeName:
-		return "1 to 64 letters, digits, dots, underscores or hyphens"
+		return rattanjson.NameRule
 	case TypeListenAddress:
 		return "an IP address and a port from 1 to 65535, such as \"10.0.0.1:8080\""
 	case TypePeerAddress:
@@ -104,7 +102,7 @@
 	}
 	switch r.Type {
 	case TypeName:
-		return isName(text)
+		return rattanjson.IsName(text)
 	case TypeListenAddress:
 		address, err := netip.ParseAddrPort(text)
 		return err == nil && address.Port() != 0
@@ -192,22 +190,6 @@
 	}
 }
 
-func isName(text string) bool {
-	if len(text) == 0 || len(text) > maxNameLength {
-		return false
-	}
-	return strings.IndexFunc(text, isNotNameRune) < 0
-}
-
-func isNotNameRune(char rune) bool {
-	switch {
-	case char >= 'a' && char <= 'z', char >= 'A' && char <= 'Z', char >= '0' && char <= '9':
-		return false
-	default:
-		return char != '.' && char != '_' && char != '-'
-	}
-}
-
 // shorten drops the zero parts of a duration's text, such as in "1m0s".
 func shorten(duration string) string {
 	if strings.HasSuffix(duration, "m0s") {
