Keep the name of a new event while unused names are dropped

A target's number could be freed while the cause of the same event was looked up, so that the event showed the cause as its target. The former test looked at the last events only.

--- a/rattankeys/make.go
+++ b/rattankeys/make.go
@@ -67,17 +67,23 @@
 }
 
 // MakeCertificate makes a certificate with a new key, signed by the authority.
+// Only those of instances are for servers.
 func MakeCertificate(now time.Time, authority *Authority, request Request) (Pair, error) {
+	usages := []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
+	if request.Identity.Role == RoleInstance {
+		usages = append(usages, x509.ExtKeyUsageServerAuth)
+	}
+	return makeCertificate(now, authority, request, usages)
+}
+
+func makeCertificate(now time.Time, authority *Authority, request Request, usages []x509.ExtKeyUsage) (Pair, error) {
 	template := newTemplate(now, request.Lifetime, pkix.Name{
 		CommonName:         request.Identity.Name,
 		OrganizationalUnit: []string{request.Identity.Role.String()},
 	})
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.IPAddresses = request.Addresses
-	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
-	if request.Identity.Role == RoleInstance {
-		template.ExtKeyUsage = append(template.ExtKeyUsage, x509.ExtKeyUsageServerAuth)
-	}
+	template.ExtKeyUsage = usages
 	key, der, err := sign(template, authority.certificate, authority.key)
 	if err != nil {
 		return Pair{}, errors.Trace(err)
--- a/rattankeys/store_test.go
+++ b/rattankeys/store_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"crypto/tls"
+	"crypto/x509"
 	"io"
 	"net"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,10 +28,16 @@
 	return made
 }
 
-// write makes new files for the identity, valid for an hour from madeAt.
+// write makes new files for the identity, valid for an hour from madeAt, and
+// for servers and clients whatever the role is.
 func write(tb testing.TB, directory string, authority *Authority, identity Identity, madeAt time.Time) rattansettings.Keys {
 	tb.Helper()
-	pair, err := MakeCertificate(madeAt, authority, Request{Identity: identity, Lifetime: time.Hour})
+	return writeFor(tb, directory, authority, identity, madeAt, x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth)
+}
+
+func writeFor(tb testing.TB, directory string, authority *Authority, identity Identity, madeAt time.Time, usages ...x509.ExtKeyUsage) rattansettings.Keys {
+	tb.Helper()
+	pair, err := makeCertificate(madeAt, authority, Request{Identity: identity, Lifetime: time.Hour}, usages)
 	if err != nil {
 		tb.Fatal(err)
 	}
@@ -145,6 +153,7 @@
 		{"unknown server", peers, member(t, theirs, RoleInstance, "a"), instance.ClientConfig("a"), false},
 		{"expired server", peers, at(past), instance.ClientConfig("b"), false},
 		{"other server", peers, member(t, ours, RoleInstance, "c"), instance.ClientConfig("a"), false},
+		{"client's certificate as server", peers, open(t, writeFor(t, t.TempDir(), ours, Identity{Role: RoleInstance, Name: "a"}, time.Now(), x509.ExtKeyUsageClientAuth), time.Now()), instance.ClientConfig("a"), false},
 		{"caller as server", peers, member(t, ours, RoleCaller, "a"), instance.ClientConfig("a"), false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -158,6 +167,66 @@
 	}
 }
 
+// TestServerVersion guards against a client that accepts less than TLS 1.3.
+func TestServerVersion(t *testing.T) {
+	ours := authority(t, "ours")
+	instance := member(t, ours, RoleInstance, "a")
+	config := instance.serverConfig([]Role{RoleInstance}, nil)
+	config.MinVersion, config.MaxVersion = tls.VersionTLS12, tls.VersionTLS12
+	_, err := connect(server(t, config), instance.ClientConfig("a"))
+	qt.Assert(t, err, qt.ErrorMatches, ".*protocol version.*")
+}
+
+// TestMakeCertificate guards against made certificates that let a caller serve.
+func TestMakeCertificate(t *testing.T) {
+	c := qt.New(t)
+	ours := authority(t, "ours")
+	for role := range roleCount {
+		pair, err := MakeCertificate(time.Now(), ours, Request{Identity: Identity{Role: role, Name: "a"}, Lifetime: time.Hour})
+		c.Assert(err, qt.IsNil)
+		made, err := tls.X509KeyPair(pair.CertificatePEM, pair.KeyPEM)
+		c.Assert(err, qt.IsNil)
+		c.Check(slices.Contains(made.Leaf.ExtKeyUsage, x509.ExtKeyUsageServerAuth), qt.Equals, role == RoleInstance)
+	}
+}
+
+// TestReloadSameStamp guards against a replacement that is not noticed because
+// the file system's time stamps and the sizes are the same.
+func TestReloadSameStamp(t *testing.T) {
+	c := qt.New(t)
+	signer := authority(t, "ours")
+	directory := t.TempDir()
+	identity := Identity{Role: RoleInstance, Name: "a"}
+	now := time.Now()
+	keys := write(t, directory, signer, identity, now)
+	stamped := func() [3]stamp {
+		for _, path := range []string{keys.CertificateFile, keys.KeyFile, keys.AuthorityFile} {
+			c.Assert(os.Chtimes(path, now, now), qt.IsNil)
+		}
+		stamps, err := (&Store{options: Options{Keys: keys}}).stat()
+		c.Assert(err, qt.IsNil)
+		return stamps
+	}
+	before := stamped()
+	store := open(t, keys, now)
+	write(t, directory, signer, identity, now)
+	// The size of a signature varies by a few bytes.
+	for range 200 {
+		if stamped() == before {
+			break
+		}
+		write(t, directory, signer, identity, now)
+	}
+	c.Assert(stamped(), qt.Equals, before)
+	changed, err := store.Reload(now.Add(time.Second))
+	c.Assert(err, qt.IsNil)
+	c.Assert(changed, qt.IsTrue)
+	// A file read now would be refused, because its certificate has ended.
+	changed, err = store.Reload(now.Add(2 * time.Hour))
+	c.Assert(err, qt.IsNil, qt.Commentf("files that have not changed are read again"))
+	c.Assert(changed, qt.IsFalse)
+}
+
 // trusting drops the client's own check, so that the server must refuse.
 func trusting(config *tls.Config) *tls.Config {
 	config.VerifyConnection = nil
--- a/rattantrace/tracer.go
+++ b/rattantrace/tracer.go
@@ -142,13 +142,14 @@
 func (t *Tracer) Assigned(now time.Time, id ID, assignment Assignment) Ref {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	target := t.number(now, assignment.Target, 0)
 	return t.add(now, id, record{
 		kind:    EventAssigned,
 		task:    uint16(assignment.Task),
 		attempt: uint16(assignment.Attempt),
 		waited:  microseconds(assignment.Waited),
-		target:  t.number(now, assignment.Target),
-		cause:   t.number(now, assignment.Cause),
+		target:  target,
+		cause:   t.number(now, assignment.Cause, target),
 	})
 }
 
@@ -157,7 +158,7 @@
 func (t *Tracer) Waiting(now time.Time, id ID, task int, cause string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.add(now, id, record{kind: EventWaiting, task: uint16(task), cause: t.number(now, cause)})
+	t.add(now, id, record{kind: EventWaiting, task: uint16(task), cause: t.number(now, cause, 0)})
 }
 
 // Ended records how an assignment ended, in the event of the assignment where
@@ -238,14 +239,16 @@
 }
 
 // number returns the number of a name, and makes room in a full table by
-// dropping the names that no kept event refers to.
-func (t *Tracer) number(now time.Time, name string) uint32 {
+// dropping the names that no kept event refers to, except the one with the
+// number of an event that is about to be added.
+func (t *Tracer) number(now time.Time, name string, except uint32) uint32 {
 	number, ok := t.names.number(name)
 	if ok || now.Sub(t.collected) < collectEvery {
 		return number
 	}
 	t.collected = now
 	used := make([]bool, len(t.names.names))
+	used[except] = true
 	for i := range t.records {
 		used[t.records[i].target] = true
 		used[t.records[i].cause] = true
--- a/rattantrace/tracer_test.go
+++ b/rattantrace/tracer_test.go
@@ -102,23 +102,35 @@
 }
 
 // TestNames guards against a table of names that grows without bound, or that
-// names another target after it was cleared.
+// gives an event another name after unused ones were dropped.
 func TestNames(t *testing.T) {
 	c := qt.New(t)
-	tracer := New(Options{Jobs: 2, Events: 4})
-	tracer.names = newNameTable(6)
-	id := tracer.Begin(start, submission(1))
-	for number := range 40 {
-		now := start.Add(time.Duration(number) * 2 * collectEvery)
-		tracer.Assigned(now, id, Assignment{Task: number, Target: fmt.Sprint("t", number)})
+	const events = 4
+	// The kept events need two names each, and the new event two.
+	for limit := 2 + 2*events + 2; limit < 20; limit++ {
+		tracer := New(Options{Jobs: 2, Events: events})
+		tracer.names = newNameTable(limit)
+		id := tracer.Begin(start, submission(1))
+		for number := range 40 {
+			now := start.Add(time.Duration(number) * 2 * collectEvery)
+			tracer.Assigned(now, id, Assignment{Task: number, Target: fmt.Sprint("t", number), Cause: fmt.Sprint("c", number)})
+			trace, err := tracer.Explain(key(1))
+			c.Assert(err, qt.IsNil)
+			for _, event := range trace.Events {
+				c.Check(event.Target, qt.Equals, fmt.Sprint("t", event.Task))
+				c.Check(event.Cause, qt.Equals, fmt.Sprint("c", event.Task))
+			}
+		}
+		c.Assert(len(tracer.names.names) <= limit, qt.IsTrue)
 	}
-	c.Assert(len(tracer.names.names) <= 6, qt.IsTrue)
+	tracer := New(Options{Jobs: 2, Events: events})
+	tracer.names = newNameTable(3)
+	id := tracer.Begin(start, submission(1))
+	tracer.Assigned(start, id, Assignment{Target: "t1", Cause: "c1"})
 	trace, err := tracer.Explain(key(1))
 	c.Assert(err, qt.IsNil)
-	for _, event := range trace.Events {
-		c.Check(event.Target == fmt.Sprint("t", event.Task) || event.Target == unknownName, qt.IsTrue, qt.Commentf("%+v", event))
-	}
-	c.Assert(trace.Events, qt.HasLen, 4)
+	c.Assert(trace.Events[0].Target, qt.Equals, "t1")
+	c.Assert(trace.Events[0].Cause, qt.Equals, unknownName)
 }
 
 // TestAllocates guards against allocation on the start path.
