--- /dev/null
+++ b/rattancmd/keyscmd.go
@@ -0,0 +1,77 @@
+package rattancmd
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/rattanlever/rattanlever/rattankeys"
+)
+
+const keysDirectoryMode = 0o700
+
+type keysMakeOptions struct {
+	Directory string        `long:"directory" value-name:"DIRECTORY" default:"keys" description:"where the files are written"`
+	Lifetime  time.Duration `long:"lifetime" value-name:"DURATION" default:"24h" description:"how long the certificates are valid"`
+	Args      struct {
+		Identities []string `positional-arg-name:"ROLE/NAME" required:"1" description:"such as Instance/e1, Caller/app or Operator/night"`
+	} `positional-args:"true"`
+
+	std *streams
+}
+
+func keysCommand(std *streams) command {
+	return command{
+		name:  "keys",
+		short: "Make keys for trials",
+		subs: []command{{
+			name:    "make",
+			short:   "Make an authority and certificates that it signs; the authority's own key is not kept",
+			example: "rattanlever keys make Instance/e1 Instance/e2 Caller/app Operator/day",
+			data:    &keysMakeOptions{std: std},
+		}},
+	}
+}
+
+// Execute writes a certificate, a key and the authority for each identity.
+func (o *keysMakeOptions) Execute([]string) error {
+	now := time.Now()
+	authority, err := rattankeys.MakeAuthority(now, "rattanlever trial", o.Lifetime)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := os.MkdirAll(o.Directory, keysDirectoryMode); err != nil {
+		return errors.Annotate(err, "--directory")
+	}
+	for _, text := range o.Args.Identities {
+		identity, err := parseIdentity(text)
+		if err != nil {
+			return err
+		}
+		pair, err := rattankeys.MakeCertificate(now, authority, rattankeys.Request{Identity: identity, Lifetime: o.Lifetime})
+		if err != nil {
+			return errors.Annotate(err, text)
+		}
+		files, err := rattankeys.WriteFiles(o.Directory, identity.Name, authority, pair)
+		if err != nil {
+			return errors.Annotate(err, text)
+		}
+		_, _ = fmt.Fprintln(o.std.out, text, files.CertificateFile, files.KeyFile, files.AuthorityFile)
+	}
+	return nil
+}
+
+// parseIdentity parses ROLE/NAME.
+func parseIdentity(text string) (rattankeys.Identity, error) {
+	var identity rattankeys.Identity
+	role, name, _ := strings.Cut(text, "/")
+	if err := identity.Role.UnmarshalText([]byte(role)); err != nil || name == "" || name != filepath.Base(name) {
+		return identity, usageError("%s: want ROLE/NAME with the role Caller, Operator or Instance", text)
+	}
+	identity.Name = name
+	return identity, nil
+}
--- a/rattancmd/main.go
+++ b/rattancmd/main.go
@@ -63,6 +63,7 @@
 		demoCommand(std),
 		entryCommand(std),
 		jobCommand(std),
+		keysCommand(std),
 		planCommand(std),
 		reportCommand(std),
 		standinCommand(std),
--- a/rattancmd/tls.go
+++ b/rattancmd/tls.go
@@ -1,20 +1,34 @@
 package rattancmd
 
 import (
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
 	"github.com/rattanlever/rattanlever/rattanclient"
+	"github.com/rattanlever/rattanlever/rattankeys"
+	"github.com/rattanlever/rattanlever/rattansettings"
 )
 
 // tlsOptions are the key files of commands that connect to an instance.
 type tlsOptions struct {
 	Certificate string `long:"certificate" value-name:"FILE" description:"client certificate in PEM"`
-	Key         string `long:"private-key" value-name:"FILE" description:"private key of the certificate in PEM"`
+	PrivateKey  string `long:"private-key" value-name:"FILE" description:"private key of the certificate in PEM"`
 	Authority   string `long:"authority" value-name:"FILE" description:"certificates that sign the instances' certificates, in PEM"`
 }
 
 // apply sets up the client for TLS if key files are given.
-func (o *tlsOptions) apply(*rattanclient.Config) error {
-	if o.Certificate == "" && o.Key == "" && o.Authority == "" {
+func (o *tlsOptions) apply(config *rattanclient.Config) error {
+	keys := rattansettings.Keys{CertificateFile: o.Certificate, KeyFile: o.PrivateKey, AuthorityFile: o.Authority}
+	if keys.Empty() {
 		return nil
 	}
-	return usageError("--certificate: TLS is not available yet")
+	store, err := rattankeys.Open(time.Now(), rattankeys.Options{Keys: keys})
+	if err != nil {
+		return errors.Annotate(err, "--certificate, --private-key, --authority")
+	}
+	config.Scheme = "https"
+	config.Transport = &http.Transport{TLSClientConfig: store.ClientConfig(""), ForceAttemptHTTP2: true}
+	return nil
 }
--- a/rattanentry/identity.go
+++ b/rattanentry/identity.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattankeys"
 )
 
 // Headers that name the requesting party where there is no TLS.
@@ -12,43 +13,33 @@
 	HeaderOperator = "Operator"
 )
 
-// Organisational units of client certificates.
-const (
-	roleCaller   = "Caller"
-	roleOperator = "Operator"
-)
-
 // identify returns the name of the caller: that of its certificate, or, where
 // there is no TLS, that of the header Caller.
 func identify(request *http.Request) (string, *rattanjob.Answer) {
-	return identifyAs(request, roleCaller, HeaderCaller)
+	return identifyAs(request, rattankeys.RoleCaller, HeaderCaller)
 }
 
 // identifyOperator returns the name of the operator.
 func identifyOperator(request *http.Request) (string, *rattanjob.Answer) {
-	return identifyAs(request, roleOperator, HeaderOperator)
+	return identifyAs(request, rattankeys.RoleOperator, HeaderOperator)
 }
 
-func identifyAs(request *http.Request, role, header string) (string, *rattanjob.Answer) {
+func identifyAs(request *http.Request, role rattankeys.Role, header string) (string, *rattanjob.Answer) {
+	name, wanted := request.Header.Get(header), "header "+header
 	if request.TLS != nil {
-		return certificateName(request, role)
+		name, wanted = certificateName(request, role), "a client certificate of the role "+role.String()
 	}
-	if name := request.Header.Get(header); name != "" {
-		return name, nil
+	if name == "" {
+		refusal := rattanjob.Refusal(rattanjob.ReasonUnauthorized, wanted+": required")
+		return "", &refusal
 	}
-	refusal := rattanjob.Refusal(rattanjob.ReasonUnauthorized, "header "+header+": required")
-	return "", &refusal
+	return name, nil
 }
 
-func certificateName(request *http.Request, role string) (string, *rattanjob.Answer) {
-	for _, chain := range request.TLS.VerifiedChains {
-		subject := chain[0].Subject
-		for _, unit := range subject.OrganizationalUnit {
-			if unit == role && subject.CommonName != "" {
-				return subject.CommonName, nil
-			}
-		}
+func certificateName(request *http.Request, role rattankeys.Role) string {
+	identity, err := rattankeys.IdentityOf(*request.TLS)
+	if err != nil || identity.Require(role) != nil {
+		return ""
 	}
-	refusal := rattanjob.Refusal(rattanjob.ReasonUnauthorized, "a client certificate of the role "+role+" is required")
-	return "", &refusal
+	return identity.Name
 }
--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -19,6 +19,7 @@
 	"github.com/rattanlever/rattanlever/rattanjob"
 	"github.com/rattanlever/rattanlever/rattanjson"
 	"github.com/rattanlever/rattanlever/rattankernel"
+	"github.com/rattanlever/rattanlever/rattankeys"
 	"github.com/rattanlever/rattanlever/rattanledger"
 	"github.com/rattanlever/rattanlever/rattanmetric"
 	"github.com/rattanlever/rattanlever/rattanpeer"
@@ -63,13 +64,15 @@
 	Front         *Front
 	Home          *Home
 	Inventory     *Inventory
-	Loads         *Loads
-	Members       *Members
-	Node          *rattanpeer.Node
-	Operations    *Operations
-	Plans         *Plans
-	Records       *Records
-	Platform      *rattanplatform.Client
+	// Keyring is nil without TLS.
+	Keyring    *Keyring
+	Loads      *Loads
+	Members    *Members
+	Node       *rattanpeer.Node
+	Operations *Operations
+	Plans      *Plans
+	Records    *Records
+	Platform   *rattanplatform.Client
 
 	config     Config
 	kernel     *rattankernel.Kernel
@@ -103,7 +106,18 @@
 		config.NewScheduler = func() Scheduler { return rattanpool.New(rattanpool.Config{}) }
 	}
 	instance := &Instance{config: config, Metrics: rattanmetric.New(), kernel: rattankernel.New(), Platform: config.Platform}
-	instance.Node = rattanpeer.New(rattanpeer.Config{Name: settings.Name, Listener: config.PeerListener, Dial: config.DialPeer})
+	node := rattanpeer.Config{Name: settings.Name, Listener: config.PeerListener, Dial: config.DialPeer}
+	if !settings.Keys.Empty() {
+		store, err := rattankeys.Open(time.Now(), rattankeys.Options{Keys: settings.Keys})
+		if err != nil {
+			return nil, errors.Annotate(err, "Keys")
+		}
+		instance.Keyring = &Keyring{store: store, logger: config.Logger}
+		node.Listener = instance.Keyring.peers(config.PeerListener)
+		node.Dial = instance.Keyring.dialPeer(config.DialPeer)
+		node.PeerName = peerName
+	}
+	instance.Node = rattanpeer.New(node)
 	if err := instance.build(); err != nil {
 		return nil, err
 	}
@@ -255,15 +269,19 @@
 	i.Loads.Handle(i.Node)
 	i.Records.Handle(i.Node)
 	services := []rattankernel.Service{i.Node, i.Home, i.Members, i.Configuration, i.Inventory, i.Loads, i.Operations}
+	if i.Keyring != nil {
+		services = append(services, i.Keyring)
+	}
 	for _, service := range services {
 		if err := i.kernel.Register(service); err != nil {
 			return errors.Trace(err)
 		}
 	}
-	i.server = khttp.NewServer(
-		khttp.Listener(i.config.CallerListener),
-		khttp.Timeout(0),
-	)
+	options := []khttp.ServerOption{khttp.Listener(i.config.CallerListener), khttp.Timeout(0)}
+	if i.Keyring != nil {
+		options = append(options, khttp.TLSConfig(i.Keyring.callers()))
+	}
+	i.server = khttp.NewServer(options...)
 	i.Front.Routes(i.server)
 	i.Operations.Routes(i.server)
 	i.Plans.Routes(i.server)
--- a/rattanpeer/node.go
+++ b/rattanpeer/node.go
@@ -95,13 +95,16 @@
 		config.Silence = defaultSilence
 	}
 	if config.Dial == nil {
-		config.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
-		}
+		config.Dial = DialTCP
 	}
 	return &Node{config: config, handlers: map[string]Handler{}, links: map[string]*link{}}
 }
 
+// DialTCP opens a plain TCP connection.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
 // Call sends a request to the instance at the address and waits for its reply.
 func (n *Node) Call(ctx context.Context, address, method string, body []byte) ([]byte, error) {
 	peer, err := n.link(ctx, address)
--- a/rattanplatform/client.go
+++ b/rattanplatform/client.go
@@ -61,6 +61,8 @@
 	// Connections bounds the idle connections that are kept. The default is
 	// DefaultConnections.
 	Connections int
+	// Dial opens connections; nil means plain TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Client calls the platform. It is safe for concurrent use. It sends a write at
@@ -82,10 +84,13 @@
 	if options.Connections <= 0 {
 		options.Connections = DefaultConnections
 	}
+	if options.Dial == nil {
+		options.Dial = (&net.Dialer{Timeout: options.Timeout}).DialContext
+	}
 	return &Client{
 		options: options,
 		transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: options.Timeout}).DialContext,
+			DialContext:         options.Dial,
 			MaxIdleConns:        options.Connections,
 			MaxIdleConnsPerHost: options.Connections,
 			IdleConnTimeout:     idleTimeout,
--- a/rattanstandin/startlist.go
+++ b/rattanstandin/startlist.go
@@ -1,15 +1,15 @@
 package rattanstandin
 
-// ByID returns all starts by task ID.
-func (l *StartLog) ByID() map[string][]Start {
-	all := map[string][]Start{}
+// Counts returns the number of starts by task ID.
+func (l *StartLog) Counts() map[string]int {
+	counts := map[string]int{}
 	for i := range l.shards {
 		shard := &l.shards[i]
 		shard.mu.Lock()
-		for id, first := range shard.first {
-			all[id] = append([]Start{first}, shard.again[id]...)
+		for id := range shard.first {
+			counts[id] = 1 + len(shard.again[id])
 		}
 		shard.mu.Unlock()
 	}
-	return all
+	return counts
 }
--- a/rattansystem/system.go
+++ b/rattansystem/system.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -199,11 +198,7 @@
 
 // Starts returns the number of starts at targets by task ID.
 func (s *System) Starts() map[string]int {
-	starts := map[string]int{}
-	for id, all := range s.Log.ByID() {
-		starts[id] = len(all)
-	}
-	return starts
+	return s.Log.Counts()
 }
 
 // WaitReady waits until the instances of the zones, or all, are ready.
@@ -328,8 +323,8 @@
 		PeerListener:   peers,
 		DialPeer:       s.Network.Dial(zone),
 		Platform: rattanplatform.New(rattanplatform.Options{
-			Address:   s.Platform.Address(),
-			Transport: &http.Transport{DialContext: s.Network.DialPlatform(zone)},
+			Address: s.Platform.Address(),
+			Dial:    s.Network.DialPlatform(zone),
 		}),
 	}
 	if s.config.NewRunner != nil {
