--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -35,6 +35,12 @@
 	sweepInterval       = time.Second
 	// leaseGrace is how long a task's lease outlasts its job's deadline.
 	leaseGrace = time.Second
+	// A dispatch is inspected after inspectFactor times the declared run time,
+	// within the two bounds: rarely enough to cost few messages, and early
+	// enough that a silent connection is settled before most deadlines.
+	inspectFactor   = 4
+	minInspectAfter = 500 * time.Millisecond
+	maxInspectAfter = 10 * time.Second
 	// stopTimeout bounds a request to stop or inspect a task.
 	stopTimeout = 2 * time.Second
 )
@@ -393,6 +399,7 @@
 		running:    make(map[int]dispatched),
 		done:       make(chan struct{}),
 	}
+	current.inspectAfter = min(max(inspectFactor*job.RunTime, minInspectAfter), maxInspectAfter)
 	current.timer = time.AfterFunc(job.Deadline.Sub(now), func() { h.pastDeadline(current) })
 	h.runs[current.Key.Nonce] = current
 	h.byID[current.id] = current
--- a/rattanentry/run.go
+++ b/rattanentry/run.go
@@ -24,6 +24,9 @@
 	submitted  time.Time
 	deadline   time.Time
 	timer      *time.Timer
+	// inspectAfter is how long a dispatch may be silent before its target is
+	// asked about the task on another connection.
+	inspectAfter time.Duration
 
 	results []rattanjob.Result
 	// remaining is the number of tasks without a result.
@@ -94,6 +97,8 @@
 		Kind:    current.Kind,
 		Payload: taskPayload(current.tasks[assignment.Task]),
 		Lease:   rattanjson.Duration(current.deadline.Add(leaseGrace).Sub(began)),
+
+		InspectAfter: current.inspectAfter,
 	})
 	if errors.Is(err, rattantarget.ErrUnresolved) && ctx.Err() == nil {
 		h.counts.settled.Inc()
