--- a/rattanentry/counts.go
+++ b/rattanentry/counts.go
@@ -39,6 +39,7 @@
 type homeCounts struct {
 	registry   *rattanmetric.Registry
 	admitted   *metrics.Counter
+	borrowed   *metrics.Counter
 	joined     *metrics.Counter
 	started    *metrics.Counter
 	cancelled  *metrics.Counter
@@ -52,6 +53,7 @@
 	counts := homeCounts{
 		registry:   registry,
 		admitted:   registry.Counter("jobs_admitted_total"),
+		borrowed:   registry.Counter("slot_loans_total"),
 		joined:     registry.Counter("submissions_joined_total"),
 		started:    registry.Counter("tasks_started_total"),
 		cancelled:  registry.Counter("jobs_cancelled_total"),
--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -19,6 +19,7 @@
 	"github.com/rattanlever/rattanlever/rattanjob"
 	"github.com/rattanlever/rattanlever/rattanjson"
 	"github.com/rattanlever/rattanlever/rattanledger"
+	"github.com/rattanlever/rattanlever/rattanloan"
 	"github.com/rattanlever/rattanlever/rattanmetric"
 	"github.com/rattanlever/rattanlever/rattanpool"
 	"github.com/rattanlever/rattanlever/rattantarget"
@@ -145,7 +146,14 @@
 	demand map[string]int
 	jobs   map[string]int
 	// services is the number of slots by service.
-	services  map[string]int
+	services map[string]int
+	// queued is the number of tasks that wait for a slot, by service, and busy
+	// the number of assignments in progress, by target.
+	queued map[string]int
+	busy   map[string]int
+	// own are the targets of the pool, without loans.
+	own       []rattanpool.Target
+	loans     *rattanloan.Book
 	wake      *time.Timer
 	lastSweep time.Time
 }
@@ -161,6 +169,9 @@
 		addresses: map[string]string{},
 		demand:    map[string]int{},
 		jobs:      map[string]int{},
+		queued:    map[string]int{},
+		busy:      map[string]int{},
+		loans:     rattanloan.New(rattanloan.Config{}),
 	}
 	home.wake = time.AfterFunc(time.Hour, home.pump)
 	return home
@@ -258,22 +269,38 @@
 
 // SetTargets sets the targets of the pool and their addresses by name.
 func (h *Home) SetTargets(now time.Time, targets []rattanpool.Target, addresses map[string]string) {
-	services := map[string]int{}
+	h.mutex.Lock()
+	h.own = targets
+	maps.Copy(h.addresses, addresses)
+	h.services = map[string]int{}
 	for _, target := range targets {
 		if !target.Leaving {
-			services[target.Service] += target.Slots
+			h.services[target.Service] += target.Slots
 		}
 	}
-	h.mutex.Lock()
-	h.services = services
-	h.config.Scheduler.SetTargets(now, targets)
-	for name, address := range addresses {
-		h.addresses[name] = address
-	}
+	h.applyTargets(now)
 	h.mutex.Unlock()
 	h.pump()
 }
 
+// applyTargets tells the scheduler the own targets without the slots that are
+// lent, and the borrowed ones.
+func (h *Home) applyTargets(now time.Time) {
+	borrowed, addresses := h.loans.Borrowed(now)
+	maps.Copy(h.addresses, addresses)
+	targets := make([]rattanpool.Target, 0, len(h.own)+len(borrowed))
+	for _, target := range h.own {
+		lent := h.loans.LentSlots(now, target.Name)
+		if lent >= target.Slots {
+			target.Leaving = true
+		} else {
+			target.Slots -= lent
+		}
+		targets = append(targets, target)
+	}
+	h.config.Scheduler.SetTargets(now, append(targets, borrowed...))
+}
+
 // Start starts the maintenance of the home.
 func (h *Home) Start(context.Context) error {
 	h.loops.Go(h.maintain)
@@ -389,6 +416,8 @@
 func (h *Home) launch(now time.Time, caller string, submission *rattanjob.Submission, job rattanpool.Job, expected time.Duration) *run {
 	current := &run{
 		id:         job.ID,
+		service:    job.Service,
+		waiting:    len(submission.Tasks),
 		Running:    Running{Key: submission.Key, Caller: caller, Kind: submission.Kind},
 		submission: submission.Key.ID(),
 		tasks:      submission.Tasks,
@@ -404,6 +433,7 @@
 	h.runs[current.Key.Nonce] = current
 	h.byID[current.id] = current
 	h.demand[caller] += len(submission.Tasks)
+	h.queued[job.Service] += len(submission.Tasks)
 	h.jobs[caller]++
 	h.counts.admitted.Inc()
 	if h.config.Recorder != nil {
@@ -557,6 +587,9 @@
 			h.end(now, current, rattanjob.StateRefused, rattanjob.ReasonDeadlinePassed, "it could no longer meet its deadline")
 		}
 	}
+	if h.loans.Expire(now) {
+		h.applyTargets(now)
+	}
 	if now.Sub(h.lastSweep) >= sweepInterval {
 		h.lastSweep = now
 		h.config.Ledger.Sweep(now)
--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -72,6 +72,7 @@
 	Operations *Operations
 	Plans      *Plans
 	Records    *Records
+	Spill      *Spill
 	Platform   *rattanplatform.Client
 
 	config     Config
@@ -240,6 +241,7 @@
 		Documents: i.Configuration,
 		Local:     i.load,
 	})
+	i.Spill = NewSpill(SpillConfig{Instance: settings.Name, Home: i.Home, Members: i.Members, Loads: i.Loads, Peers: i.Node})
 	i.Plans = NewPlans(PlansConfig{
 		Store:         i.Platform,
 		Configuration: i.Configuration,
@@ -268,7 +270,8 @@
 	i.Inventory.Handle(i.Node)
 	i.Loads.Handle(i.Node)
 	i.Records.Handle(i.Node)
-	services := []rattankernel.Service{i.Node, i.Home, i.Members, i.Configuration, i.Inventory, i.Loads, i.Operations}
+	i.Spill.Handle(i.Node)
+	services := []rattankernel.Service{i.Node, i.Home, i.Members, i.Configuration, i.Inventory, i.Loads, i.Spill, i.Operations}
 	if i.Keyring != nil {
 		services = append(services, i.Keyring)
 	}
--- a/rattanentry/run.go
+++ b/rattanentry/run.go
@@ -17,7 +17,10 @@
 // home's mutex, except those that never change after launch.
 type run struct {
 	Running
-	id rattanpool.JobID
+	id      rattanpool.JobID
+	service string
+	// waiting is the number of tasks that wait for a slot.
+	waiting int
 	// submission is the ID of the key.
 	submission string
 	tasks      []rattanjob.Task
@@ -68,6 +71,9 @@
 // start dispatches one task, unless its job has ended or lost its epoch.
 func (h *Home) start(now time.Time, assignment rattanpool.Assignment) {
 	current, ok := h.byID[assignment.Job]
+	if ok {
+		h.unqueue(current, 1)
+	}
 	address, known := h.addresses[assignment.Target]
 	if !ok || current.ended || !known || !h.valid(now, current.Key.Epoch) {
 		h.config.Scheduler.Finish(now, assignment, rattanpool.Report{Outcome: rattanpool.OutcomeStopped})
@@ -77,6 +83,7 @@
 		h.violated("task is assigned while it runs")
 	}
 	current.started++
+	h.busy[assignment.Target]++
 	task := dispatched{Assignment: assignment}
 	h.counts.started.Inc()
 	if h.config.Recorder != nil {
@@ -128,6 +135,9 @@
 func (h *Home) finish(now time.Time, current *run, assignment rattanpool.Assignment, report rattanpool.Report, result rattantarget.Result, cause error) {
 	h.mutex.Lock()
 	requeued := h.config.Scheduler.Finish(now, assignment, report)
+	if h.busy[assignment.Target]--; h.busy[assignment.Target] <= 0 {
+		delete(h.busy, assignment.Target)
+	}
 	ref := current.running[assignment.Task].ref
 	delete(current.running, assignment.Task)
 	h.counts.outcome(report.Outcome)
@@ -154,6 +164,7 @@
 			h.end(now, current, rattanjob.StateComplete, rattanjob.ReasonNone, "")
 		}
 	case outcome == rattanpool.OutcomeNotStarted && requeued:
+		h.unqueue(current, -1)
 	case outcome == rattanpool.OutcomeNotStarted:
 		h.end(now, current, rattanjob.StateFailed, rattanjob.ReasonNoTarget, fmt.Sprintf("task %d: %v", assignment.Task, cause))
 	case outcome == rattanpool.OutcomeUnresolved:
@@ -244,8 +255,17 @@
 	}
 }
 
-// release takes an ended run out of the sums by caller.
+// unqueue takes a number of tasks of a run out of the waiting ones.
+func (h *Home) unqueue(current *run, count int) {
+	current.waiting -= count
+	if h.queued[current.service] -= count; h.queued[current.service] <= 0 {
+		delete(h.queued, current.service)
+	}
+}
+
+// release takes an ended run out of the sums by caller and service.
 func (h *Home) release(current *run) {
+	h.unqueue(current, current.waiting)
 	h.demand[current.Caller] -= current.remaining
 	h.jobs[current.Caller]--
 	if h.jobs[current.Caller] == 0 {
