--- a/rattanconfig/check.go
+++ b/rattanconfig/check.go
@@ -41,7 +41,7 @@
 	maxPerTarget  = 1 << 20
 	maxSlots      = 1 << 20
 	// maxObjectives bounds the memory of the counts that every instance keeps
-	// for an objective, about 35 KB.
+	// for an objective, about 45 KB.
 	maxObjectives = 200
 	// maxDocumentBytes leaves room for a plan, which contains the document, in
 	// the largest value of the platform (1 MB).
--- a/rattanjson/decode.go
+++ b/rattanjson/decode.go
@@ -2,9 +2,9 @@
 
 import (
 	"bytes"
-	"encoding"
 	"encoding/json"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -18,12 +18,6 @@
 	ErrType       = errors.ConstError("wrong type")
 )
 
-var (
-	durationType        = reflect.TypeFor[Duration]()
-	jsonUnmarshalerType = reflect.TypeFor[json.Unmarshaler]()
-	textUnmarshalerType = reflect.TypeFor[encoding.TextUnmarshaler]()
-)
-
 // DecodeStrict decodes exactly one JSON value from data into target, a pointer
 // to a struct. Keys are matched by exact name, and values that data does not
 // have keep what target holds. The errors are ErrSyntax (also for a key that
@@ -34,243 +28,258 @@
 	if !json.Valid(data) {
 		return syntaxError(data)
 	}
-	strict := strictDecoder{data: data, decoder: json.NewDecoder(bytes.NewReader(data))}
-	return strict.value(reflect.ValueOf(target).Elem(), "")
+	strict := strictDecoder{data: data}
+	return strict.value(reflect.ValueOf(target).Elem(), path{})
 }
 
-// strictDecoder decodes data that is known to be valid JSON.
+// strictDecoder walks data that is known to be valid JSON.
 type strictDecoder struct {
-	data    []byte
-	decoder *json.Decoder
+	data []byte
+	// offset is that of the next byte.
+	offset int
 }
 
-func (d *strictDecoder) value(target reflect.Value, path string) error {
-	if isLeaf(target.Type()) {
-		return d.leaf(target, path)
-	}
-	if target.Kind() == reflect.Pointer {
-		if d.isNull() {
-			return d.decoder.Decode(target.Addr().Interface())
+// value decodes the next value into target.
+func (d *strictDecoder) value(target reflect.Value, at path) error {
+	d.skipSpace()
+	shape := shapeOf(target.Type())
+	switch {
+	case shape.form == formLeaf:
+		return d.leaf(target, at)
+	case d.data[d.offset] == 'n':
+		// As in encoding/json, null empties a pointer, list or map.
+		d.literal()
+		if shape.form != formObject {
+			target.SetZero()
 		}
+		return nil
+	case shape.form == formPointer:
 		if target.IsNil() {
 			target.Set(reflect.New(target.Type().Elem()))
 		}
-		return d.value(target.Elem(), path)
+		return d.value(target.Elem(), at)
+	case d.data[d.offset] != shape.opening():
+		return d.fault(d.offset, at, ErrType, "want "+want(target.Type())+", got "+got(d.data[d.offset]))
 	}
-	offset := d.decoder.InputOffset()
-	token, err := d.decoder.Token()
-	if err != nil {
-		return errors.Trace(err)
-	}
-	wanted := json.Delim('{')
-	if target.Kind() == reflect.Slice {
-		wanted = '['
-	}
-	switch {
-	case token == nil:
-		return nil
-	case token != wanted:
-		return d.fault(offset, path, ErrType, "want "+want(target.Type())+", got "+got(token))
-	case target.Kind() == reflect.Slice:
-		return d.list(target, path)
+	d.offset++
+	switch shape.form {
+	case formList:
+		return d.list(target, at)
+	case formMap:
+		return d.entries(target, at)
 	default:
-		return d.object(target, path)
+		return d.members(target, shape, at)
 	}
 }
 
-func (d *strictDecoder) leaf(target reflect.Value, path string) error {
-	offset := d.decoder.InputOffset()
-	err := d.decoder.Decode(target.Addr().Interface())
+func (d *strictDecoder) leaf(target reflect.Value, at path) error {
+	offset := d.offset
+	text := d.literal()
+	if target.Type() == rawMessageType {
+		target.SetBytes(bytes.Clone(text))
+		return nil
+	}
+	err := json.Unmarshal(text, target.Addr().Interface())
 	if err == nil {
 		return nil
 	}
 	var mismatch *json.UnmarshalTypeError
 	if errors.As(err, &mismatch) {
-		return d.fault(offset, path, ErrType, "want "+want(target.Type())+", got "+mismatch.Value)
+		return d.fault(offset, at, ErrType, "want "+want(target.Type())+", got "+mismatch.Value)
 	}
-	return errors.Annotatef(err, "%s: %s", d.place(offset), path)
+	return errors.Annotatef(err, "%s: %v", place(d.data, offset), at)
 }
 
-func (d *strictDecoder) list(target reflect.Value, path string) error {
+func (d *strictDecoder) list(target reflect.Value, at path) error {
+	// A new list leaves the elements of a default untouched.
 	target.Set(reflect.MakeSlice(target.Type(), 0, 0))
-	for i := 0; d.decoder.More(); i++ {
-		element := reflect.New(target.Type().Elem()).Elem()
-		if err := d.value(element, path+"["+strconv.Itoa(i)+"]"); err != nil {
+	for i := 0; d.more(']'); i++ {
+		target.Grow(1)
+		target.SetLen(i + 1)
+		target.Index(i).SetZero()
+		if err := d.value(target.Index(i), path{parent: &at, index: i, element: true}); err != nil {
 			return err
 		}
-		target.Set(reflect.Append(target, element))
 	}
-	_, err := d.decoder.Token()
-	return errors.Trace(err)
+	return nil
 }
 
-func (d *strictDecoder) object(target reflect.Value, path string) error {
-	if target.Kind() == reflect.Map && target.IsNil() {
+func (d *strictDecoder) members(target reflect.Value, shape *shape, at path) error {
+	var backing [16]string
+	seen := backing[:0]
+	for d.more('}') {
+		offset := d.offset
+		key := d.key()
+		index, ok := shape.members[key]
+		if !ok {
+			return d.unknownKey(offset, shape, path{parent: &at, key: key})
+		}
+		if slices.Contains(seen, key) {
+			return d.fault(offset, path{parent: &at, key: key}, ErrSyntax, "key stands twice")
+		}
+		seen = append(seen, key)
+		if err := d.value(target.Field(index), path{parent: &at, key: key}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *strictDecoder) entries(target reflect.Value, at path) error {
+	if target.IsNil() {
 		target.Set(reflect.MakeMap(target.Type()))
 	}
 	seen := map[string]bool{}
-	for d.decoder.More() {
-		offset := d.decoder.InputOffset()
-		token, err := d.decoder.Token()
-		if err != nil {
-			return errors.Trace(err)
-		}
-		key, _ := token.(string)
+	for d.more('}') {
+		offset := d.offset
+		key := d.key()
 		if seen[key] {
-			return d.fault(offset, join(path, key), ErrSyntax, "key stands twice")
+			return d.fault(offset, path{parent: &at, key: key}, ErrSyntax, "key stands twice")
 		}
 		seen[key] = true
-		if err := d.member(target, path, key, offset); err != nil {
+		entry := reflect.New(target.Type().Elem()).Elem()
+		if err := d.value(entry, path{parent: &at, key: key}); err != nil {
 			return err
 		}
+		target.SetMapIndex(reflect.ValueOf(key).Convert(target.Type().Key()), entry)
 	}
-	_, err := d.decoder.Token()
-	return errors.Trace(err)
+	return nil
 }
 
-// member decodes the value of the key, whose own text starts at the offset.
-func (d *strictDecoder) member(target reflect.Value, path, key string, offset int64) error {
-	if target.Kind() == reflect.Map {
-		return d.entry(target, path, key)
+// more moves to the next member of a list or an object, or behind the closing
+// byte.
+func (d *strictDecoder) more(closing byte) bool {
+	d.skipSpace()
+	if d.data[d.offset] == closing {
+		d.offset++
+		return false
 	}
-	field, ok := target.Type().FieldByName(key)
-	if ok && isMember(field) {
-		return d.value(target.FieldByIndex(field.Index), join(path, key))
+	if d.data[d.offset] == ',' {
+		d.offset++
+		d.skipSpace()
 	}
-	message := "no such key"
-	if nearest := Nearest(key, memberNames(target.Type())); nearest != "" {
-		message += ", did you mean " + nearest + "?"
+	return true
+}
+
+// key reads a key and the colon behind it.
+func (d *strictDecoder) key() string {
+	literal := d.literal()
+	d.skipSpace()
+	d.offset++
+	var key string
+	// A literal of valid JSON decodes.
+	_ = json.Unmarshal(literal, &key)
+	return key
+}
+
+// literal reads the next value as it stands.
+func (d *strictDecoder) literal() []byte {
+	start, depth := d.offset, 0
+	for d.offset < len(d.data) {
+		switch d.data[d.offset] {
+		case '"':
+			d.skipString()
+		case '{', '[':
+			depth++
+			d.offset++
+		case '}', ']':
+			if depth == 0 {
+				return d.data[start:d.offset]
+			}
+			depth--
+			d.offset++
+		case ',', ':', ' ', '\t', '\r', '\n':
+			if depth == 0 {
+				return d.data[start:d.offset]
+			}
+			d.offset++
+			continue
+		default:
+			d.offset++
+			continue
+		}
+		if depth == 0 {
+			break
+		}
 	}
-	return d.fault(offset, join(path, key), ErrUnknownKey, message)
+	return d.data[start:d.offset]
 }
 
-func (d *strictDecoder) entry(target reflect.Value, path, key string) error {
-	entry := reflect.New(target.Type().Elem()).Elem()
-	if err := d.value(entry, join(path, key)); err != nil {
-		return err
+func (d *strictDecoder) skipString() {
+	for d.offset++; d.data[d.offset] != '"'; d.offset++ {
+		if d.data[d.offset] == '\\' {
+			d.offset++
+		}
 	}
-	target.SetMapIndex(reflect.ValueOf(key).Convert(target.Type().Key()), entry)
-	return nil
+	d.offset++
 }
 
-func (d *strictDecoder) fault(offset int64, path string, kind errors.ConstError, message string) error {
-	place := d.place(offset)
-	if path != "" {
-		place += ": " + path
+func (d *strictDecoder) skipSpace() {
+	for d.offset < len(d.data) {
+		switch d.data[d.offset] {
+		case ' ', '\t', '\r', '\n':
+			d.offset++
+		default:
+			return
+		}
 	}
-	return errors.WithType(errors.Errorf("%s: %s", place, message), kind)
 }
 
-// isNull reports whether the next token is null.
-func (d *strictDecoder) isNull() bool {
-	return bytes.HasPrefix(d.data[d.skip(d.decoder.InputOffset()):], []byte("null"))
+func (d *strictDecoder) unknownKey(offset int, shape *shape, at path) error {
+	message := "no such key"
+	if nearest := Nearest(at.key, shape.names); nearest != "" {
+		message += ", did you mean " + nearest + "?"
+	}
+	return d.fault(offset, at, ErrUnknownKey, message)
 }
 
-// place names the line and the column of the first token after the offset.
-func (d *strictDecoder) place(offset int64) string {
-	return place(d.data, d.skip(offset))
+func (d *strictDecoder) fault(offset int, at path, kind errors.ConstError, message string) error {
+	text := place(d.data, offset)
+	if name := at.String(); name != "" {
+		text += ": " + name
+	}
+	return errors.WithType(errors.Errorf("%s: %s", text, message), kind)
 }
 
-// skip returns the offset of the first token at or after the offset.
-func (d *strictDecoder) skip(offset int64) int64 {
-	rest := d.data[offset:]
-	return offset + int64(len(rest)-len(bytes.TrimLeft(rest, " \t\r\n,:")))
+// path is the place of a value; its text is made only for an error.
+type path struct {
+	parent *path
+	key    string
+	// index is that of an element of a list.
+	index   int
+	element bool
+}
+
+// String returns the path such as Peers[1].Name; it is empty for the root.
+func (p path) String() string {
+	switch {
+	case p.parent == nil:
+		return ""
+	case p.element:
+		return p.parent.String() + "[" + strconv.Itoa(p.index) + "]"
+	}
+	if prefix := p.parent.String(); prefix != "" {
+		return prefix + "." + p.key
+	}
+	return p.key
 }
 
 func syntaxError(data []byte) error {
 	var value json.RawMessage
 	err := json.Unmarshal(data, &value)
-	offset := int64(len(data))
+	offset := len(data)
 	var syntax *json.SyntaxError
 	if errors.As(err, &syntax) && !strings.HasPrefix(syntax.Error(), "unexpected end") {
 		// The offset counts the bytes up to and including the one at fault.
-		offset = max(syntax.Offset-1, 0)
+		offset = max(int(syntax.Offset)-1, 0)
 	}
 	return errors.WithType(errors.Errorf("%s: %v", place(data, offset), err), ErrSyntax)
 }
 
-func place(data []byte, offset int64) string {
-	before := data[:min(offset, int64(len(data)))]
+// place names the line and the column of the byte at the offset.
+func place(data []byte, offset int) string {
+	before := data[:min(offset, len(data))]
 	line := bytes.Count(before, []byte("\n")) + 1
 	column := len(before) - bytes.LastIndexByte(before, '\n')
 	return "line " + strconv.Itoa(line) + ", column " + strconv.Itoa(column)
 }
-
-// isLeaf reports whether encoding/json decodes values of the type as a whole.
-func isLeaf(typ reflect.Type) bool {
-	pointer := reflect.PointerTo(typ)
-	if pointer.Implements(jsonUnmarshalerType) || pointer.Implements(textUnmarshalerType) {
-		return true
-	}
-	switch typ.Kind() {
-	case reflect.Struct, reflect.Pointer:
-		return false
-	case reflect.Map:
-		return typ.Key().Kind() != reflect.String
-	case reflect.Slice:
-		return typ.Elem().Kind() == reflect.Uint8
-	default:
-		return true
-	}
-}
-
-func isMember(field reflect.StructField) bool {
-	return field.IsExported() && !field.Anonymous && field.Tag.Get("json") != "-"
-}
-
-func memberNames(typ reflect.Type) []string {
-	var names []string
-	for _, field := range reflect.VisibleFields(typ) {
-		if isMember(field) {
-			names = append(names, field.Name)
-		}
-	}
-	return names
-}
-
-func want(typ reflect.Type) string {
-	if typ == durationType {
-		return `a duration such as "250ms"`
-	}
-	if reflect.PointerTo(typ).Implements(textUnmarshalerType) {
-		return "a string"
-	}
-	switch typ.Kind() {
-	case reflect.Struct, reflect.Map:
-		return "an object"
-	case reflect.Slice:
-		return "a list"
-	case reflect.Bool:
-		return "true or false"
-	case reflect.Float32, reflect.Float64:
-		return "a number"
-	case reflect.String:
-		return "a string"
-	default:
-		return "a whole number in range"
-	}
-}
-
-func got(token json.Token) string {
-	switch token {
-	case json.Delim('{'):
-		return "object"
-	case json.Delim('['):
-		return "array"
-	}
-	switch token.(type) {
-	case string:
-		return "string"
-	case bool:
-		return "bool"
-	default:
-		return "number"
-	}
-}
-
-func join(path, key string) string {
-	if path == "" {
-		return key
-	}
-	return path + "." + key
-}
