Use new connections in two tests of a process that is down

The tests expected a refused connection, but a client that has not yet noticed the end of its kept connection writes to it and rightly reports that the call may have had an effect. What the tests demand of the error is unchanged.

--- a/rattanplatform/client_test.go
+++ b/rattanplatform/client_test.go
@@ -102,7 +102,9 @@
 			platform.SetFaults(test.faults)
 			platform.SilenceConnections(test.silence)
 			if test.down {
+				// A kept connection would leave open whether the write was read.
 				platform.Close()
+				client = rattanplatform.New(rattanplatform.Options{Address: platform.Address()})
 			}
 			_, err = client.Put(ctx, "Key", []byte("after"), revision, rattanplatform.NoLease)
 			c.Check(err, qt.ErrorIs, test.write)
--- a/rattanstandin/standin_test.go
+++ b/rattanstandin/standin_test.go
@@ -284,6 +284,9 @@
 	c.Assert(counts, qt.JSONEquals, rattanstandin.StartCounts{Starts: 2, DoubleStarts: 1, Doubles: []string{"a"}})
 	c.Assert(<-f.run("b"), qt.ErrorIs, rattantarget.ErrFailed)
 	exchange(c, http.MethodPost, url+"/control/faults", `{"Kill":true}`, http.StatusOK)
+	// A kept connection would leave open whether the dispatch was read.
+	f.client = rattantarget.New(rattantarget.Options{})
+	defer f.client.Close()
 	c.Assert(<-f.run("c"), qt.ErrorIs, rattantarget.ErrUnreachable)
 	exchange(c, http.MethodPost, url+"/control/faults", `{"Revive":true,"Behaviour":{"SlowFactor":2}}`, http.StatusOK)
 	c.Assert(<-f.run("c"), qt.IsNil)
