rattanmember: open an epoch only in Roll, bound received messages

An epoch became current when its acknowledgement arrived, so keys could be issued before the caller had opened the epoch in its ledger. It becomes current in Roll now, which returns the event in the same call. What a message may carry is bounded by constants, because configurations may differ between instances.

Tests of ownership, leaving, malformed messages and forgetting; leaving members are part of the histories.

--- a/rattanmember/epoch.go
+++ b/rattanmember/epoch.go
@@ -112,6 +112,7 @@
 // roll opens an epoch when there is none, when a witness of the current one is
 // lost, or when more witnesses can be had.
 func (t *Table) roll(now time.Time) {
+	t.promote(now)
 	current := t.inPhase(phaseCurrent)
 	if t.self.Claim == 0 {
 		t.drain(now, current)
--- a/rattanmember/fleet_test.go
+++ b/rattanmember/fleet_test.go
@@ -43,6 +43,7 @@
 	up          bool
 	hostDown    bool
 	delisted    bool
+	leaving     bool
 	pausedUntil time.Duration
 	group       int
 	deafTo      *node // no message from this node arrives
@@ -119,7 +120,7 @@
 		f.faults.config(&config)
 	}
 	n.table = New(f.local(n), config)
-	n.up, n.hostDown, n.pausedUntil = true, false, 0
+	n.up, n.hostDown, n.leaving, n.pausedUntil = true, false, false, 0
 	f.running[n.incarnation] = true
 }
 
@@ -344,8 +345,14 @@
 // heal ends all faults and checks that the fleet converges.
 func (f *fleet) heal() error {
 	f.loss = 0
-	for _, n := range f.nodes {
+	for i, n := range f.nodes {
 		n.group, n.pausedUntil, n.deafTo, n.late = 0, 0, nil, false
+		if n.leaving && n.up {
+			f.kill(n, false)
+		}
+		if last := len(f.nodes) - 1; i == last && len(f.active()) == 0 {
+			f.start(n)
+		}
 	}
 	if !f.connected() {
 		for _, n := range f.nodes {
@@ -406,10 +413,10 @@
 				return errors.WithType(errors.Errorf("%v sees %v as %v", n.incarnation, other.incarnation, member), errDiverged)
 			}
 			owner, found := n.table.Owner(f.local(n), other.zone, 0)
-			home := f.node(owner.Incarnation.Instance)
-			if !found || home.incarnation != owner.Incarnation {
+			if !found || !f.running[owner.Incarnation] {
 				return errors.WithType(errors.Errorf("%v: owner of %v is %v", n.incarnation, other.zone, owner), errDiverged)
 			}
+			home := f.node(owner.Incarnation.Instance)
 			epoch, open := home.table.CurrentEpoch(f.local(home))
 			want := min(4, (zones[other.zone]-1)/2*2)
 			if !open || len(epoch.Witnesses) != want || owner.Epoch.ID != epoch.ID {
--- a/rattanmember/gossip.go
+++ b/rattanmember/gossip.go
@@ -10,8 +10,13 @@
 
 // Bounds of names in messages, and of what is kept.
 const (
+	maxWitnesses   = 4
 	maxNameSize    = 64
 	maxAddressSize = 128
+	// maxMembers and maxTenures bound what a received message may carry. They
+	// do not depend on the configuration, which may differ between instances.
+	maxMembers     = 64
+	maxTenures     = 64
 	forgetInterval = 10 * time.Second
 )
 
@@ -36,7 +41,7 @@
 // takeIn merges a message's sender and changes. It returns false when the sender
 // is an incarnation that has ended.
 func (t *Table) takeIn(now time.Time, from Member, changes []Member, payload []byte) bool {
-	if len(payload) > t.config.MaxPayload || len(changes) > 2*t.config.MaxChanges {
+	if len(payload) > t.config.MaxPayload || len(changes) > maxMembers {
 		t.counters.Malformed++
 		return false
 	}
@@ -69,7 +74,7 @@
 // same incarnation, a higher version over a lower one, and suspicion over any
 // other status of the same version.
 func (t *Table) merge(now time.Time, said Member) {
-	if !wellFormed(said, t.config.MaxWitnesses) {
+	if !wellFormed(said) {
 		t.counters.Malformed++
 		return
 	}
@@ -368,7 +373,7 @@
 	return append(receivers, receiver)
 }
 
-func wellFormed(said Member, maxWitnesses int) bool {
+func wellFormed(said Member) bool {
 	name := said.Incarnation.Instance
 	switch {
 	case name == "" || len(name) > maxNameSize || said.Incarnation.Number == 0:
--- a/rattanmember/invariants_test.go
+++ b/rattanmember/invariants_test.go
@@ -76,6 +76,9 @@
 		for _, other := range f.nodes {
 			other.group, other.deafTo, other.late = 0, nil, false
 		}
+	case action == 26 && awake && choose("leave", 4) == 0:
+		n.table.Leave(f.local(n))
+		n.leaving = true
 	case action == 26 && n.up && len(f.active()) > 2:
 		f.kill(n, choose("host", 2) == 0)
 		n.delisted = choose("delisted", 4) == 0
--- a/rattanmember/table.go
+++ b/rattanmember/table.go
@@ -281,7 +281,6 @@
 	for _, epoch := range t.epochs {
 		epoch.acknowledge(reply, sent)
 	}
-	t.promote(now)
 }
 
 // HandleUnreachable takes in that an incarnation did not answer. With refused,
@@ -333,7 +332,9 @@
 }
 
 // Roll opens, rolls over and drains epochs as needed and returns the events
-// since the last call. It is called at least as often as Heartbeats.
+// since the last call. It is called at least as often as Heartbeats, and best
+// after every HandleAcknowledgement too. An epoch becomes the current one only
+// here, so that its EventEpochOpened is not later than the first key.
 func (t *Table) Roll(now time.Time) []Event {
 	t.advance(now)
 	if !t.superseded {
@@ -443,6 +444,7 @@
 	setDefault(&c.MaxPayload, DefaultMaxPayload)
 	setDefault(&c.MaxEpochs, DefaultMaxEpochs)
 	setDefault(&c.MaxGrants, DefaultMaxGrants)
+	c.MaxWitnesses = min(c.MaxWitnesses, maxWitnesses)
 }
 
 func setDefault[T comparable](field *T, value T) {
--- a/rattanmember/table_test.go
+++ b/rattanmember/table_test.go
@@ -67,6 +67,7 @@
 	}
 	home.Roll(now)
 	exchange(now, home, witnesses)
+	home.Roll(now)
 	epoch, _ = home.CurrentEpoch(now)
 	return home, witnesses, epoch
 }
--- a/rattanmember/witness.go
+++ b/rattanmember/witness.go
@@ -26,6 +26,10 @@
 // acknowledge grants the tenures of a home, except for epochs that this witness
 // has voted on or that it cannot remember.
 func (t *Table) acknowledge(now time.Time, home rattanjob.Incarnation, tenures []Tenure, reply *Acknowledgement) {
+	if len(tenures) > maxTenures {
+		t.counters.Malformed++
+		return
+	}
 	for _, tenure := range tenures {
 		if tenure.ID.Home != home {
 			t.counters.Malformed++
