--- a/rattancmd/standincmd.go
+++ b/rattancmd/standincmd.go
@@ -106,7 +106,7 @@
 		_, _ = fmt.Fprintf(o.std.out, "target %s %s\n", instance.Name, instance.Address)
 	}
 	if o.Platform != "" {
-		if err := rattanstandin.RegisterInstances(ctx, o.Platform, fleet.Instances()); err != nil {
+		if err := rattanstandin.Announce(ctx, o.Platform, rattanstandin.InstanceChange{Set: fleet.Instances()}); err != nil {
 			return errors.Annotate(err, "--platform")
 		}
 	}
