Check histories for linearizability and repair cancellations

A cancellation of a key that was not submitted yet was answered with Unknown/Internal and left no record, so a delayed submission could still run; the answer had no key, which fronts reported as a broken invariant. A home also answered cancellations without checking its authority, which can contradict a HomeLost that a caller was told while it was paused.

--- a/rattancheck/check.go
+++ b/rattancheck/check.go
@@ -35,6 +35,9 @@
 	InvariantStable
 	// InvariantResolved says that each submission gets a final answer.
 	InvariantResolved
+	// InvariantRegister says that the requests of one key are linearizable
+	// against the record of the key at its home; see register.go.
+	InvariantRegister
 )
 
 // Violation is one broken invariant.
@@ -50,12 +53,17 @@
 	asked    time.Time
 	received time.Time
 	answer   rattanjob.Answer
+	// body is the digest of the submission that was answered; 0 means that
+	// the request had none.
+	body uint64
 }
 
 // submission is what is recorded of one key.
 type submission struct {
-	expected []json.RawMessage
+	// expected holds the results of each body that was sent with the key.
+	expected map[uint64][]json.RawMessage
 	answers  []observation
+	requests []Request
 }
 
 // History records submissions and their answers. It is safe for concurrent
@@ -75,27 +83,46 @@
 func (h *History) Submitted(sent rattanjob.Submission) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	id := sent.Key.ID()
-	if _, ok := h.submissions[id]; ok {
-		return
-	}
-	record := &submission{}
-	for _, task := range sent.Tasks {
-		record.expected = append(record.expected, task.Payload)
+	payloads := make([]json.RawMessage, len(sent.Tasks))
+	for i, task := range sent.Tasks {
+		payloads[i] = task.Payload
 	}
-	h.submissions[id] = record
+	h.record(sent.Key).expected[sent.Digest()] = payloads
 }
 
 // Answered records an answer to a request that was sent at asked.
 func (h *History) Answered(key rattanjob.Key, asked, received time.Time, answer rattanjob.Answer) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	record, ok := h.submissions[key.ID()]
+	record := h.record(key)
+	record.answers = append(record.answers, observation{asked: asked, received: received, answer: answer})
+}
+
+// Requested records one request and what came of it.
+func (h *History) Requested(request Request) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	record := h.record(request.Key)
+	record.requests = append(record.requests, request)
+	if request.Answered {
+		record.answers = append(record.answers, observation{
+			asked:    request.Asked,
+			received: request.Received,
+			answer:   request.Answer,
+			body:     request.Body,
+		})
+	}
+}
+
+// record returns the record of a key.
+func (h *History) record(key rattanjob.Key) *submission {
+	id := key.ID()
+	record, ok := h.submissions[id]
 	if !ok {
-		record = &submission{}
-		h.submissions[key.ID()] = record
+		record = &submission{expected: map[uint64][]json.RawMessage{}}
+		h.submissions[id] = record
 	}
-	record.answers = append(record.answers, observation{asked: asked, received: received, answer: answer})
+	return record
 }
 
 // Len returns the number of submissions.
@@ -156,44 +183,69 @@
 			report(InvariantNotRun, "answer %v/%v says not run, %d tasks started", answer.State, answer.Reason, starts)
 		}
 		if answer.State == rattanjob.StateComplete {
-			s.checkResults(answer, report)
+			s.checkResults(seen, report)
 		}
 	}
 	if !resolved {
 		report(InvariantResolved, "no final answer among %d", len(s.answers))
 	}
 	s.checkStable(report)
+	if !s.linearizable() {
+		report(InvariantRegister, "%s", s.trace())
+	}
 	return violations
 }
 
-func (s *submission) checkResults(answer rattanjob.Answer, report func(Invariant, string, ...any)) {
-	if len(answer.Results) == 0 && answer.Detail != "" {
+func (s *submission) checkResults(seen observation, report func(Invariant, string, ...any)) {
+	results := seen.answer.Results
+	if len(results) == 0 && seen.answer.Detail != "" {
 		return
 	}
-	if len(answer.Results) != len(s.expected) {
-		report(InvariantWhole, "%d results of %d", len(answer.Results), len(s.expected))
+	var reasons []Violation
+	for body, expected := range s.expected {
+		if seen.body != 0 && seen.body != body {
+			continue
+		}
+		invariant, reason := compare(results, expected)
+		if reason == "" {
+			return
+		}
+		reasons = append(reasons, Violation{Invariant: invariant, Detail: reason})
+	}
+	if len(reasons) == 0 {
+		report(InvariantOwnAnswer, "complete answer to a body that was not sent")
 		return
 	}
-	for i, result := range answer.Results {
+	report(reasons[0].Invariant, "%s", reasons[0].Detail)
+}
+
+// compare returns the first difference between results and what is expected.
+func compare(results []rattanjob.Result, expected []json.RawMessage) (Invariant, string) {
+	if len(results) != len(expected) {
+		return InvariantWhole, fmt.Sprintf("%d results of %d", len(results), len(expected))
+	}
+	for i, result := range results {
 		if len(result.Payload) == 0 {
-			report(InvariantWhole, "result %d is empty", i)
-		} else if !bytes.Equal(compact(result.Payload), compact(s.expected[i])) {
-			report(InvariantOwnAnswer, "result %d is %.80s, want %.80s", i, result.Payload, s.expected[i])
+			return InvariantWhole, fmt.Sprintf("result %d is empty", i)
+		}
+		if !bytes.Equal(compact(result.Payload), compact(expected[i])) {
+			return InvariantOwnAnswer, fmt.Sprintf("result %d is %.80s, want %.80s", i, result.Payload, expected[i])
 		}
 	}
+	return 0, ""
 }
 
 // checkStable reports final answers that contradict one another. A job's
 // record may be lost with its home, so HomeLost may follow any final answer;
 // nothing else may follow HomeLost, unless the requests overlapped.
 func (s *submission) checkStable(report func(Invariant, string, ...any)) {
-	for i, first := range s.answers {
-		for _, later := range s.answers[i+1:] {
-			if later.asked.Before(first.received) || !settled(first.answer) || !settled(later.answer) {
+	for _, first := range s.answers {
+		for _, later := range s.answers {
+			if !later.asked.After(first.received) || !settled(first.answer) || !settled(later.answer) {
 				continue
 			}
-			if later.answer.Reason != rattanjob.ReasonHomeLost && later.answer.State != first.answer.State {
-				report(InvariantStable, "%v/%v after %v/%v", later.answer.State, later.answer.Reason, first.answer.State, first.answer.Reason)
+			if later.answer.Reason != rattanjob.ReasonHomeLost && outcomeOf(later.answer) != outcomeOf(first.answer) {
+				report(InvariantStable, "%v after %v", outcomeOf(later.answer), outcomeOf(first.answer))
 			}
 		}
 	}
--- a/rattancheck/invariant_string.go
+++ b/rattancheck/invariant_string.go
@@ -14,11 +14,12 @@
 	_ = x[InvariantNotRun-3]
 	_ = x[InvariantStable-4]
 	_ = x[InvariantResolved-5]
+	_ = x[InvariantRegister-6]
 }
 
-const _Invariant_name = "SingleStartWholeOwnAnswerNotRunStableResolved"
+const _Invariant_name = "SingleStartWholeOwnAnswerNotRunStableResolvedRegister"
 
-var _Invariant_index = [...]uint8{0, 11, 16, 25, 31, 37, 45}
+var _Invariant_index = [...]uint8{0, 11, 16, 25, 31, 37, 45, 53}
 
 func (i Invariant) String() string {
 	idx := int(i) - 0
--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -139,26 +139,19 @@
 func (h *Home) Cancel(now time.Time, caller string, key rattanjob.Key) rattanjob.Answer {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	// A home that was paused may have been declared ended, and its answer
+	// would contradict what callers were told meanwhile.
+	if !h.valid(now, key.Epoch) {
+		return lost(key)
+	}
 	answer, verdict := h.config.Ledger.Lookup(now, key, caller)
 	switch verdict {
 	case rattanledger.VerdictUnknown:
-		cancelled := rattanjob.Answer{
-			Key:       key.String(),
-			State:     rattanjob.StateCancelled,
-			Execution: rattanjob.ExecutionNotRun,
-			Reason:    rattanjob.ReasonCancelled,
-			Detail:    "cancelled before it was submitted",
-		}
-		if err := h.config.Ledger.Refuse(now, key, cancelled); err != nil {
-			return rattanjob.Uncertain(rattanjob.ReasonInternal, err.Error(), 0)
-		}
-		h.counts.cancelled.Inc()
-		return cancelled
+		return h.cancelUnsubmitted(now, key)
 	case rattanledger.VerdictJoin:
 		current, ok := h.runs[key.Nonce]
 		if !ok {
-			h.violated("running record without a run")
-			return rattanjob.Uncertain(rattanjob.ReasonInternal, "record without a run", 0)
+			return h.missingRun(key)
 		}
 		h.counts.cancelled.Inc()
 		return h.end(now, current, rattanjob.StateCancelled, rattanjob.ReasonCancelled, "cancelled by its caller")
@@ -309,8 +302,7 @@
 		if current, ok := h.runs[key.Nonce]; ok {
 			return current, rattanjob.Answer{}
 		}
-		h.violated("running record without a run")
-		return nil, rattanjob.Uncertain(rattanjob.ReasonInternal, "record without a run", 0)
+		return nil, h.missingRun(key)
 	default:
 		return nil, h.stated(answer, verdict, key)
 	}
@@ -352,6 +344,33 @@
 	return job, &rejected
 }
 
+// cancelUnsubmitted makes a cancellation the final answer of a key that was not
+// submitted yet.
+func (h *Home) cancelUnsubmitted(now time.Time, key rattanjob.Key) rattanjob.Answer {
+	cancelled := rattanjob.Answer{
+		Key:       key.String(),
+		State:     rattanjob.StateCancelled,
+		Execution: rattanjob.ExecutionNotRun,
+		Reason:    rattanjob.ReasonCancelled,
+		Detail:    "cancelled before it was submitted",
+	}
+	if err := h.config.Ledger.Refuse(now, key, cancelled); err != nil {
+		answer := rattanjob.Uncertain(rattanjob.ReasonInternal, err.Error(), 0)
+		answer.Key = key.String()
+		return answer
+	}
+	h.counts.cancelled.Inc()
+	return cancelled
+}
+
+// missingRun reports a record in state Running that has no run.
+func (h *Home) missingRun(key rattanjob.Key) rattanjob.Answer {
+	h.violated("running record without a run")
+	answer := rattanjob.Uncertain(rattanjob.ReasonInternal, "record without a run", 0)
+	answer.Key = key.String()
+	return answer
+}
+
 // launch registers the run of an admitted job.
 func (h *Home) launch(now time.Time, caller string, submission *rattanjob.Submission, job rattanpool.Job) *run {
 	current := &run{
@@ -397,7 +416,7 @@
 // epoch is valid: a home that was paused may have been declared ended.
 func (h *Home) await(ctx context.Context, current *run, caller string, wait time.Duration) rattanjob.Answer {
 	if caller != current.caller {
-		return rattanjob.Refusal(rattanjob.ReasonKeyUnknown, "no such key for this caller")
+		return h.stated(rattanjob.Answer{}, rattanledger.VerdictForeign, current.key)
 	}
 	h.mutex.Lock()
 	h.waiting++
--- /dev/null
+++ b/rattanentry/home_test.go
@@ -0,0 +1,154 @@
+package rattanentry
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattanconfig"
+	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattanjson"
+	"github.com/rattanlever/rattanlever/rattanmetric"
+	"github.com/rattanlever/rattanlever/rattanpool"
+	"github.com/rattanlever/rattanlever/rattansettings"
+	"github.com/rattanlever/rattanlever/rattantarget"
+)
+
+// fakeAuthority holds every epoch until it is revoked.
+type fakeAuthority struct {
+	revoked atomic.Bool
+}
+
+func (a *fakeAuthority) EpochValid(time.Time, rattanjob.EpochID) bool { return !a.revoked.Load() }
+
+// fakeDocuments has one document.
+type fakeDocuments struct{}
+
+func (fakeDocuments) Document() *rattanconfig.Document {
+	return &rattanconfig.Document{
+		Revision: 1,
+		Services: map[string]rattanconfig.Service{"planner": {}},
+		JobKinds: map[string]rattanconfig.JobKind{"list": {Service: "planner", MaxTasks: 250, RunTime: rattanjson.Duration(time.Millisecond), Deadline: rattanjson.Duration(5 * time.Second)}},
+		Callers:  map[string]rattanconfig.Caller{"app": {Weight: 1}},
+	}
+}
+
+// fakeRunner starts tasks and ends them when released is closed.
+type fakeRunner struct {
+	starts   atomic.Int64
+	released chan struct{}
+}
+
+func (r *fakeRunner) Run(_ context.Context, dispatch rattantarget.Dispatch) (rattantarget.Result, error) {
+	r.starts.Add(1)
+	<-r.released
+	return rattantarget.Result{ID: dispatch.ID, Payload: dispatch.Payload}, nil
+}
+
+func (*fakeRunner) Settle(context.Context, string, string) (rattantarget.Result, error) {
+	return rattantarget.Result{}, rattantarget.ErrUnresolved
+}
+
+func (*fakeRunner) Stop(context.Context, string, string) (rattantarget.Stopping, error) {
+	return rattantarget.Stopping{}, nil
+}
+
+// homeUnderTest is a home with one epoch and one target.
+type homeUnderTest struct {
+	*Home
+	authority *fakeAuthority
+	runner    *fakeRunner
+	epoch     rattanjob.EpochID
+	keys      byte
+}
+
+func newHomeUnderTest(c *qt.C) *homeUnderTest {
+	under := &homeUnderTest{
+		authority: &fakeAuthority{},
+		runner:    &fakeRunner{released: make(chan struct{})},
+		epoch:     rattanjob.EpochID{Home: rattanjob.Incarnation{Instance: "buda-1", Number: 1}, Number: 1},
+	}
+	under.Home = NewHome(HomeConfig{
+		Scheduler:    rattanpool.New(rattanpool.Config{}),
+		Ledger:       newLedger(rattansettings.Default().Home),
+		Runner:       under.runner,
+		Authority:    under.authority,
+		Documents:    fakeDocuments{},
+		Metrics:      rattanmetric.New(),
+		DrainTimeout: time.Second,
+	})
+	now := time.Now()
+	under.OpenEpoch(now, under.epoch, now)
+	under.SetCallers(now, []rattanpool.Caller{{Name: "app", Weight: 1}})
+	under.SetTargets(now, []rattanpool.Target{{Name: "t", Service: "planner", Slots: 8}}, map[string]string{"t": "127.0.0.1:1"})
+	c.Assert(under.Start(context.Background()), qt.IsNil)
+	c.Cleanup(func() { _ = under.Stop(context.Background()) })
+	return under
+}
+
+func (h *homeUnderTest) key() rattanjob.Key {
+	h.keys++
+	made := rattanjob.Key{Epoch: h.epoch, CallerHash: rattanjob.HashCaller("app")}
+	made.Nonce[0] = h.keys
+	return made
+}
+
+func (h *homeUnderTest) submit(key rattanjob.Key, wait time.Duration) rattanjob.Answer {
+	submission := &rattanjob.Submission{Key: key, Kind: "list", Tasks: []rattanjob.Task{{Payload: json.RawMessage(`1`)}}}
+	return h.Submit(context.Background(), time.Now(), "app", submission, nil, wait)
+}
+
+// Guards I4 against a submission that is delayed on its way and arrives after
+// the caller was told that its job was cancelled and not run.
+func TestCancelBeforeSubmission(t *testing.T) {
+	c := qt.New(t)
+	home := newHomeUnderTest(c)
+	close(home.runner.released)
+	key := home.key()
+	cancelled := home.Cancel(time.Now(), "app", key)
+	c.Assert(cancelled.State, qt.Equals, rattanjob.StateCancelled)
+	c.Assert(cancelled.Execution, qt.Equals, rattanjob.ExecutionNotRun)
+	c.Assert(cancelled.Key, qt.Equals, key.String())
+	answer := home.submit(key, time.Second)
+	c.Assert(answer.State, qt.Equals, rattanjob.StateCancelled)
+	c.Assert(answer.Execution, qt.Equals, rattanjob.ExecutionNotRun)
+	c.Assert(home.runner.starts.Load(), qt.Equals, int64(0))
+}
+
+// Guards against a home that resumes after a pause and answers a cancellation
+// although its epoch was declared ended meanwhile.
+func TestCancelWithoutAuthority(t *testing.T) {
+	c := qt.New(t)
+	home := newHomeUnderTest(c)
+	running, absent := home.key(), home.key()
+	c.Assert(home.submit(running, 0).State, qt.Equals, rattanjob.StateRunning)
+	home.authority.revoked.Store(true)
+	for _, key := range []rattanjob.Key{running, absent} {
+		answer := home.Cancel(time.Now(), "app", key)
+		c.Assert(answer.Reason, qt.Equals, rattanjob.ReasonHomeLost)
+		c.Assert(answer.Execution, qt.Equals, rattanjob.ExecutionMayHaveRun)
+		c.Assert(answer.Key, qt.Equals, key.String())
+	}
+	close(home.runner.released)
+}
+
+// Guards against answers that a front cannot match to its request: every
+// answer of a home names the key that was asked about.
+func TestAnswersNameTheirKey(t *testing.T) {
+	c := qt.New(t)
+	home := newHomeUnderTest(c)
+	running := home.key()
+	c.Assert(home.submit(running, 0).Key, qt.Equals, running.String())
+	other := &rattanjob.Submission{Key: running, Kind: "list", Tasks: []rattanjob.Task{{Payload: json.RawMessage(`2`)}}}
+	c.Assert(home.Submit(context.Background(), time.Now(), "app", other, nil, 0).Key, qt.Equals, running.String())
+	c.Assert(home.Status(context.Background(), time.Now(), "other", running, 0).Key, qt.Equals, running.String())
+	c.Assert(home.Status(context.Background(), time.Now(), "app", running, 0).Key, qt.Equals, running.String())
+	absent := home.key()
+	c.Assert(home.Status(context.Background(), time.Now(), "app", absent, 0).Key, qt.Equals, absent.String())
+	close(home.runner.released)
+	c.Assert(home.submit(running, 5*time.Second).Key, qt.Equals, running.String())
+}
--- a/rattanledger/ledger.go
+++ b/rattanledger/ledger.go
@@ -108,12 +108,14 @@
 	return answer, verdict
 }
 
-// Refuse makes a refusal the final answer of the key. It needs no earlier
+// Refuse makes a refusal, or a cancellation of a job that was not run, the
+// final answer of the key. It needs no earlier
 // Begin: without a record it leaves a tombstone, so that a submission that is
 // still on its way cannot start. It returns ErrNotFinal, ErrAnswered,
 // ErrNoRecord when the key may have run, or ErrFenced.
 func (l *Ledger) Refuse(now time.Time, key rattanjob.Key, answer rattanjob.Answer) error {
-	if answer.State != rattanjob.StateRefused || answer.Execution != rattanjob.ExecutionNotRun {
+	refusal := answer.State == rattanjob.StateRefused || answer.State == rattanjob.StateCancelled
+	if !refusal || answer.Execution != rattanjob.ExecutionNotRun {
 		return errors.WithType(errors.Errorf("%v, %v", answer.State, answer.Execution), ErrNotFinal)
 	}
 	epoch, err := l.open(key)
--- a/rattansystem/network.go
+++ b/rattansystem/network.go
@@ -13,41 +13,47 @@
 const platformZone = "platform"
 
 // Network carries the connections between instances and to the platform, and
-// can cut availability zones off. A cut drops everything without an error, on
-// open connections and on new ones.
+// can cut availability zones and single instances off. A cut drops everything
+// without an error, on open connections and on new ones.
 type Network struct {
-	mutex  sync.Mutex
-	places map[string]string
-	cuts   map[[2]string]bool
+	mutex    sync.Mutex
+	places   map[string]place
+	zones    map[string]bool
+	isolated map[string]bool
+}
+
+// place is where an end of a connection is.
+type place struct {
+	zone, instance string
 }
 
 // NewNetwork returns a network without cuts.
 func NewNetwork() *Network {
-	return &Network{places: map[string]string{}, cuts: map[[2]string]bool{}}
+	return &Network{places: map[string]place{}, zones: map[string]bool{}, isolated: map[string]bool{}}
 }
 
 // Cut cuts the zone off from all other zones and from the platform.
 func (n *Network) Cut(zone string) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.cuts[[2]string{zone, zone}] = true
+	n.zones[zone] = true
 }
 
-// Dial returns the function by which instances of the zone reach others.
-func (n *Network) Dial(zone string) rattanpeer.DialFunc {
+// Dial returns the function by which an instance of the zone reaches others.
+func (n *Network) Dial(zone, instance string) rattanpeer.DialFunc {
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		n.mutex.Lock()
-		place := n.places[address]
+		to := n.places[address]
 		n.mutex.Unlock()
-		return n.dial(ctx, zone, place, address)
+		return n.dial(ctx, place{zone: zone, instance: instance}, to, address)
 	}
 }
 
-// DialPlatform returns the function by which instances of the zone reach the
-// platform.
-func (n *Network) DialPlatform(zone string) func(ctx context.Context, network, address string) (net.Conn, error) {
+// DialPlatform returns the function by which an instance of the zone reaches
+// the platform.
+func (n *Network) DialPlatform(zone, instance string) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
-		return n.dial(ctx, zone, platformZone, address)
+		return n.dial(ctx, place{zone: zone, instance: instance}, place{zone: platformZone}, address)
 	}
 }
 
@@ -55,26 +61,35 @@
 func (n *Network) Heal() {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.cuts = map[[2]string]bool{}
+	n.zones = map[string]bool{}
+	n.isolated = map[string]bool{}
+}
+
+// Isolate cuts one instance off from all others and from the platform. Its
+// callers and its targets still reach it, as when its peers' network fails.
+func (n *Network) Isolate(instance string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.isolated[instance] = true
 }
 
-// Place tells in which zone an address is.
-func (n *Network) Place(address, zone string) {
+// Place tells the zone and the instance of an address.
+func (n *Network) Place(address, zone, instance string) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.places[address] = zone
+	n.places[address] = place{zone: zone, instance: instance}
 }
 
-func (n *Network) cut(from, to string) bool {
+func (n *Network) cut(from, to place) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	if from == to {
-		return false
+	if from.zone != to.zone && (n.zones[from.zone] || n.zones[to.zone]) {
+		return true
 	}
-	return n.cuts[[2]string{from, from}] || n.cuts[[2]string{to, to}]
+	return from.instance != to.instance && (n.isolated[from.instance] || n.isolated[to.instance])
 }
 
-func (n *Network) dial(ctx context.Context, from, to, address string) (net.Conn, error) {
+func (n *Network) dial(ctx context.Context, from, to place, address string) (net.Conn, error) {
 	if n.cut(from, to) {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -90,7 +105,7 @@
 type cutConn struct {
 	net.Conn
 	network  *Network
-	from, to string
+	from, to place
 	mutex    sync.Mutex
 	silent   bool
 }
--- a/rattansystem/system.go
+++ b/rattansystem/system.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -61,10 +62,9 @@
 	Instance         *rattanentry.Instance
 	cancel           context.CancelFunc
 	// Done is closed when the instance has ended.
-	Done chan struct{}
-	Err  error
-	// Killed is set by Kill.
-	Killed bool
+	Done   chan struct{}
+	Err    error
+	killed atomic.Bool
 }
 
 // System is a running small system.
@@ -112,7 +112,7 @@
 func (s *System) Addresses(zones ...string) []string {
 	var addresses []string
 	for _, entry := range s.Entries(zones...) {
-		if !entry.Killed {
+		if !entry.Killed() {
 			addresses = append(addresses, entry.Instance.CallerAddress())
 		}
 	}
@@ -122,7 +122,7 @@
 // Close ends everything at once.
 func (s *System) Close() {
 	for _, entry := range s.Entries() {
-		if !entry.Killed {
+		if !entry.Killed() {
 			entry.Instance.Kill()
 		}
 		entry.cancel()
@@ -150,7 +150,7 @@
 // Home returns the instance that owns the pool of the zone.
 func (s *System) Home(zone string) *Entry {
 	for _, asked := range s.Entries(zone) {
-		if asked.Killed {
+		if asked.Killed() {
 			continue
 		}
 		owner, ok := asked.Instance.Members.Owner(time.Now())
@@ -158,7 +158,7 @@
 			continue
 		}
 		for _, entry := range s.Entries(zone) {
-			if entry.Name == owner.Incarnation.Instance && !entry.Killed {
+			if entry.Name == owner.Incarnation.Instance && !entry.Killed() {
 				return entry
 			}
 		}
@@ -168,9 +168,7 @@
 
 // Kill ends an instance as the death of its process would.
 func (s *System) Kill(entry *Entry) {
-	s.mutex.Lock()
-	entry.Killed = true
-	s.mutex.Unlock()
+	entry.killed.Store(true)
 	entry.Instance.Kill()
 }
 
@@ -178,9 +176,7 @@
 func (s *System) Shutdown(entry *Entry) error {
 	entry.cancel()
 	<-entry.Done
-	s.mutex.Lock()
-	entry.Killed = true
-	s.mutex.Unlock()
+	entry.killed.Store(true)
 	return entry.Err
 }
 
@@ -210,7 +206,7 @@
 func (s *System) WaitReady(zones ...string) error {
 	deadline := time.Now().Add(readyTimeout)
 	for _, entry := range s.Entries(zones...) {
-		for !entry.Killed && !entry.ready() {
+		for !entry.Killed() && !entry.ready() {
 			if time.Now().After(deadline) {
 				return errors.WithType(errors.Errorf("instance %s: %v", entry.Name, entry.Instance.Operations.Condition(time.Now())), ErrNotReady)
 			}
@@ -220,6 +216,11 @@
 	return nil
 }
 
+// Killed reports whether the instance was killed or has shut down.
+func (e *Entry) Killed() bool {
+	return e.killed.Load()
+}
+
 func (e *Entry) ready() bool {
 	now := time.Now()
 	owner, ok := e.Instance.Members.Owner(now)
@@ -319,17 +320,17 @@
 	if s.config.AdjustSettings != nil {
 		s.config.AdjustSettings(&settings)
 	}
-	s.Network.Place(peers.Addr().String(), zone)
+	s.Network.Place(peers.Addr().String(), zone, name)
 	config := rattanentry.Config{
 		Settings:       settings,
 		Logger:         s.logger,
 		NewScheduler:   s.config.NewScheduler,
 		CallerListener: callers,
 		PeerListener:   peers,
-		DialPeer:       s.Network.Dial(zone),
+		DialPeer:       s.Network.Dial(zone, name),
 		Platform: rattanplatform.New(rattanplatform.Options{
 			Address:   s.Platform.Address(),
-			Transport: &http.Transport{DialContext: s.Network.DialPlatform(zone)},
+			Transport: &http.Transport{DialContext: s.Network.DialPlatform(zone, name)},
 		}),
 	}
 	if s.config.NewRunner != nil {
--- a/rattansystem/system_test.go
+++ b/rattansystem/system_test.go
@@ -13,7 +13,6 @@
 	"github.com/rattanlever/rattanlever/rattancheck"
 	"github.com/rattanlever/rattanlever/rattanclient"
 	"github.com/rattanlever/rattanlever/rattanconfig"
-	"github.com/rattanlever/rattanlever/rattanentry"
 	"github.com/rattanlever/rattanlever/rattanjob"
 	"github.com/rattanlever/rattanlever/rattanjson"
 	"github.com/rattanlever/rattanlever/rattanstandin"
@@ -32,7 +31,7 @@
 }
 
 func startSystem(c *qt.C, zones ...string) *rattansystem.System {
-	rattanentry.OnViolation(func(err error) { c.Errorf("%v", err) })
+	c.Cleanup(func() { c.Check(reportedViolations(), qt.HasLen, 0) })
 	system, err := rattansystem.Start(rattansystem.Config{
 		Zones:          zones,
 		EntriesPerZone: 3,
