Find silent connections to targets and to the platform

Connections that go silent without an error held jobs until their deadline (the dispatch was never inspected), the leaving of a target until 3.3 s after its announcement (target value 3 s) and a configuration change for up to 32 s (target value 2 s).

Dispatches are inspected after 1 s. Watches wait 500 ms instead of 30 s and are given up 500 ms later, readings of the instance list are given up after 1 s and repeated every 500 ms; the bounds double up to 2 s while the platform is slow.

--- a/rattanentry/configuration.go
+++ b/rattanentry/configuration.go
@@ -18,10 +18,14 @@
 const (
 	methodPullConfiguration = "PullConfiguration"
 	// watchWait is the longest wait of one watch call; each call counts
-	// against the platform's rates.
-	watchWait       = 30 * time.Second
-	watchRetry      = time.Second
-	pullTimeout     = time.Second
+	// against the platform's rates. A connection can go silent without an
+	// error, so the wait and watchMargin bound the time until a change is seen
+	// on a new connection; a change must be in force everywhere within 2 s.
+	watchWait   = 500 * time.Millisecond
+	watchMargin = 500 * time.Millisecond
+	watchRetry  = time.Second
+	pullTimeout = time.Second
+	// platformTimeout is the longest wait for a slow platform.
 	platformTimeout = 2 * time.Second
 )
 
@@ -156,14 +160,21 @@
 // of its zone's watchers.
 func (c *Configuration) watch(ctx context.Context) {
 	var revision int64
+	margin := patience{least: watchMargin, most: platformTimeout}
 	for ctx.Err() == nil {
 		if !c.config.Watches(time.Now()) {
 			sleep(ctx, watchRetry)
 			continue
 		}
-		changes, err := c.config.Platform.Watch(ctx, rattanconfig.PlatformKey, revision, watchWait)
+		var changes rattanplatform.Changes
+		err := margin.call(ctx, watchWait, func(ctx context.Context) (err error) {
+			changes, err = c.config.Platform.Watch(ctx, rattanconfig.PlatformKey, revision, watchWait)
+			return err
+		})
 		if err != nil {
-			sleep(ctx, watchRetry)
+			if !errors.Is(err, context.DeadlineExceeded) {
+				sleep(ctx, watchRetry)
+			}
 			continue
 		}
 		c.reached.Store(time.Now().UnixNano())
--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -34,6 +34,10 @@
 	sweepInterval       = time.Second
 	// leaseGrace is how long a task's lease outlasts its job's deadline.
 	leaseGrace = time.Second
+	// inspectAfter is how long a task runs before its target is asked about it
+	// on a new connection: connections go silent without an error. Each query is
+	// a wasted message, and most tasks end within a second.
+	inspectAfter = time.Second
 	// stopTimeout bounds a request to stop or inspect a task.
 	stopTimeout = 2 * time.Second
 )
--- a/rattanentry/inventory.go
+++ b/rattanentry/inventory.go
@@ -5,14 +5,21 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/rattanlever/rattanlever/rattanconfig"
 	"github.com/rattanlever/rattanlever/rattanplatform"
 	"github.com/rattanlever/rattanlever/rattanpool"
 )
 
-// inventoryInterval is how often the instance list is read; a leaving target
-// must get no new work after 3 s.
-const inventoryInterval = time.Second
+// inventoryInterval is how often the instance list is read, and
+// inventoryTimeout bounds one reading on a connection that may have gone
+// silent. A leaving target must get no new work after 3 s, of which the lag of
+// the list takes a part.
+const (
+	inventoryInterval = 500 * time.Millisecond
+	inventoryTimeout  = time.Second
+)
 
 // InstanceLister is the part of the platform's client that Inventory uses.
 type InstanceLister interface {
@@ -88,8 +95,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	i.loops.Go(func() {
+		bound := patience{least: inventoryTimeout, most: platformTimeout}
 		for ctx.Err() == nil {
-			i.read(ctx)
+			_ = bound.call(ctx, 0, i.read)
 			sleep(ctx, inventoryInterval)
 		}
 	})
@@ -103,12 +111,10 @@
 	return nil
 }
 
-func (i *Inventory) read(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
-	defer cancel()
+func (i *Inventory) read(ctx context.Context) error {
 	instances, err := i.config.Platform.Instances(ctx)
 	if err != nil {
-		return
+		return errors.Trace(err)
 	}
 	now := time.Now()
 	i.mutex.Lock()
@@ -117,6 +123,7 @@
 	i.mutex.Unlock()
 	i.config.Observed(now, instances)
 	i.Apply(now)
+	return nil
 }
 
 func describeTarget(document *rattanconfig.Document, instance rattanplatform.Instance) rattanpool.Target {
--- a/rattanentry/run.go
+++ b/rattanentry/run.go
@@ -90,11 +90,12 @@
 	defer cancel()
 	id := current.taskID(assignment)
 	result, err := h.config.Runner.Run(ctx, rattantarget.Dispatch{
-		Address: address,
-		ID:      id,
-		Kind:    current.kind,
-		Payload: taskPayload(current.tasks[assignment.Task]),
-		Lease:   rattanjson.Duration(current.deadline.Add(leaseGrace).Sub(began)),
+		Address:      address,
+		InspectAfter: inspectAfter,
+		ID:           id,
+		Kind:         current.kind,
+		Payload:      taskPayload(current.tasks[assignment.Task]),
+		Lease:        rattanjson.Duration(current.deadline.Add(leaseGrace).Sub(began)),
 	})
 	if errors.Is(err, rattantarget.ErrUnresolved) && ctx.Err() == nil {
 		h.counts.settled.Inc()
--- /dev/null
+++ b/rattansystem/fault_test.go
@@ -0,0 +1,406 @@
+package rattansystem_test
+
+import (
+	"context"
+	"math"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattancheck"
+	"github.com/rattanlever/rattanlever/rattanclient"
+	"github.com/rattanlever/rattanlever/rattanentry"
+	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattanstandin"
+	"github.com/rattanlever/rattanlever/rattansystem"
+)
+
+// Guards against jobs that fail at their deadline because the connection of a
+// dispatch went silent: the task is queried and settled on a new connection.
+func TestSilentTargetConnections(t *testing.T) {
+	for _, silence := range []rattanstandin.Silence{rattanstandin.SilenceResponses, rattanstandin.SilenceBoth} {
+		t.Run(silence.String(), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			system := startSystem(c, "buda")
+			history := rattancheck.NewHistory()
+			client := rattanclient.New(rattanclient.Config{Addresses: system.Addresses(), Caller: "app"})
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			keys, err := client.Keys(ctx, 20)
+			c.Assert(err, qt.IsNil)
+			// The first jobs leave idle connections behind; some of the others
+			// are in progress when all connections go silent, and the rest is
+			// dispatched on silent connections.
+			var jobs sync.WaitGroup
+			for i, key := range keys {
+				sent := submission(key, 8, 50*time.Millisecond)
+				history.Submitted(sent)
+				jobs.Go(func() {
+					time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+					asked := time.Now()
+					answer, err := client.Do(ctx, sent)
+					c.Check(err, qt.IsNil)
+					c.Check(answer.State, qt.Equals, rattanjob.StateComplete, qt.Commentf("%+v", answer))
+					history.Answered(key, asked, time.Now(), answer)
+				})
+			}
+			time.Sleep(200 * time.Millisecond)
+			for _, target := range system.Fleets[0].Targets {
+				target.Silence(silence)
+			}
+			jobs.Wait()
+			c.Assert(history.Check(system.Starts()), qt.HasLen, 0)
+		})
+	}
+}
+
+// leaveBound is the target value of section 2: a leaving target gets no new
+// work after 3 s.
+const leaveBound = 3 * time.Second
+
+// Guards I6, also when the connections to the platform have gone silent.
+func TestLeavingTargetGetsNoWork(t *testing.T) {
+	for _, silence := range []rattanstandin.Silence{rattanstandin.SilenceNone, rattanstandin.SilenceBoth} {
+		t.Run(silence.String(), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			system := startSystem(c, "buda")
+			load := startLoad(system, "buda", 20, 4, 20*time.Millisecond)
+			target := system.Fleets[0].Targets[0]
+			waitFor(c, time.Second, "starts at the target", func() bool { return lastStart(system, target.Name()).After(time.Time{}) })
+			if silence != rattanstandin.SilenceNone {
+				system.Platform.SilenceConnections(silence)
+			}
+			left := time.Now()
+			system.Platform.ChangeInstances(rattanstandin.InstanceChange{Leave: []string{target.Name()}})
+			time.Sleep(leaveBound + 700*time.Millisecond)
+			load.stop()
+			late := lastStart(system, target.Name()).Sub(left)
+			c.Logf("last start %v after the target began to leave", late)
+			c.Assert(late <= leaveBound, qt.IsTrue, qt.Commentf("last start after %v", late))
+			c.Assert(load.history.Check(system.Starts()), qt.HasLen, 0)
+		})
+	}
+}
+
+// lastStart returns the time of the last start at a target.
+func lastStart(system *rattansystem.System, target string) time.Time {
+	var last time.Time
+	for _, starts := range system.Log.ByID() {
+		for _, start := range starts {
+			if start.Target == target && start.At.After(last) {
+				last = start.At
+			}
+		}
+	}
+	return last
+}
+
+func waitFor(c *qt.C, timeout time.Duration, what string, condition func() bool) time.Duration {
+	c.Helper()
+	began := time.Now()
+	for !condition() {
+		if time.Since(began) > timeout {
+			c.Fatalf("%s: not within %v", what, timeout)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// load is a steady load of one availability zone's own callers.
+type load struct {
+	history  *rattancheck.History
+	sent     atomic.Int64
+	complete atomic.Int64
+	done     chan struct{}
+	jobs     sync.WaitGroup
+}
+
+// startLoad submits jobs at a rate through the instances of the zone.
+func startLoad(system *rattansystem.System, zone string, perSecond, tasks int, runTime time.Duration) *load {
+	made := &load{history: rattancheck.NewHistory(), done: make(chan struct{})}
+	client := rattanclient.New(rattanclient.Config{Addresses: system.Addresses(zone), Caller: "app"})
+	made.jobs.Go(func() {
+		ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+		defer ticker.Stop()
+		for {
+			select {
+			case <-made.done:
+				return
+			case <-ticker.C:
+			}
+			made.jobs.Go(func() { made.job(client, tasks, runTime) })
+		}
+	})
+	return made
+}
+
+func (l *load) job(client *rattanclient.Client, tasks int, runTime time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	l.sent.Add(1)
+	keys, err := client.Keys(ctx, 1)
+	if err != nil {
+		return
+	}
+	sent := submission(keys[0], tasks, runTime)
+	l.history.Submitted(sent)
+	asked := time.Now()
+	answer, err := client.Do(ctx, sent)
+	if err != nil {
+		return
+	}
+	l.history.Answered(sent.Key, asked, time.Now(), answer)
+	if answer.State == rattanjob.StateComplete {
+		l.complete.Add(1)
+	}
+}
+
+func (l *load) stop() {
+	close(l.done)
+	l.jobs.Wait()
+}
+
+// share returns the share of the jobs sent in a window that were completed.
+func (l *load) share(window time.Duration) (share float64, sent int64) {
+	sentBefore, completeBefore := l.sent.Load(), l.complete.Load()
+	time.Sleep(window)
+	sent = l.sent.Load() - sentBefore
+	return float64(l.complete.Load()-completeBefore) / float64(sent), sent
+}
+
+const (
+	// inForceBound is the target value of section 2 for today's size.
+	inForceBound = 2 * time.Second
+	// goodputBound is the target value of section 2 for an outage of the
+	// platform and for a partition, relative to the time before.
+	goodputBound = 0.99
+)
+
+var threeZones = []string{"buda", "pest", "csepel"}
+
+func revisions(system *rattansystem.System) (least uint64) {
+	least = math.MaxUint64
+	for _, entry := range system.Entries() {
+		if !entry.Killed() {
+			least = min(least, entry.Instance.Configuration.Document().Revision)
+		}
+	}
+	return least
+}
+
+// watchRevisions records any instance whose revision falls.
+func watchRevisions(system *rattansystem.System, done chan struct{}, reverted *atomic.Int64) {
+	highest := map[string]uint64{}
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Millisecond):
+		}
+		for _, entry := range system.Entries() {
+			revision := entry.Instance.Configuration.Document().Revision
+			if revision < highest[entry.Name] {
+				reverted.Add(1)
+			}
+			highest[entry.Name] = revision
+		}
+	}
+}
+
+// Guards I8: each change is in force on all nine instances within 2 s and is
+// never reverted, also when the connections to the platform have gone silent,
+// when operators race, and for an instance that starts during an outage.
+func TestConfigurationInForceEverywhere(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	system := startSystem(c, threeZones...)
+	done := make(chan struct{})
+	var reverted atomic.Int64
+	var watching sync.WaitGroup
+	watching.Go(func() { watchRevisions(system, done, &reverted) })
+	change := func(what string) {
+		revision := raiseRevision(system, 2)
+		c.Assert(revision > 0, qt.IsTrue, qt.Commentf("%s: change not made", what))
+		took := waitFor(c, inForceBound, what, func() bool { return revisions(system) >= revision })
+		c.Logf("%s: revision %d in force on %d instances after %v", what, revision, len(system.Addresses()), took)
+	}
+	for range 3 {
+		change("plain change")
+	}
+	system.Platform.SilenceConnections(rattanstandin.SilenceBoth)
+	change("silent connections")
+
+	race := &injector{system: system}
+	race.race()
+	highest := raiseRevision(system, 3)
+	waitFor(c, inForceBound, "racing operators", func() bool { return revisions(system) >= highest })
+
+	system.Platform.SetFaults(rattanstandin.Faults{Outage: rattanstandin.OutageUnavailable})
+	added, err := system.StartEntry("buda", "buda-entry-4")
+	c.Assert(err, qt.IsNil)
+	took := waitFor(c, 10*time.Second, "start during an outage", func() bool {
+		return added.Instance.Operations.Condition(time.Now()) == rattanentry.ConditionCutOff
+	})
+	c.Logf("instance started during an outage is ready after %v", took)
+	c.Assert(added.Instance.Configuration.Document().Revision, qt.Equals, highest)
+	system.Platform.SetFaults(rattanstandin.Faults{})
+	waitFor(c, 10*time.Second, "end of the outage", func() bool {
+		return added.Instance.Operations.Condition(time.Now()) == rattanentry.ConditionServing
+	})
+	change("after the outage")
+	close(done)
+	watching.Wait()
+	c.Assert(reverted.Load(), qt.Equals, int64(0))
+}
+
+// Guards against waves of cancellations: each of 2,000 at once gets a true,
+// final answer.
+func TestWaveOfCancellations(t *testing.T) {
+	c := qt.New(t)
+	system := startSystem(c, "buda")
+	history := rattancheck.NewHistory()
+	client := rattanclient.New(rattanclient.Config{Addresses: system.Addresses(), Caller: "app"})
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	const jobs = 2000
+	var keys []rattanjob.Key
+	for len(keys) < jobs {
+		more, err := client.Keys(ctx, 1000)
+		c.Assert(err, qt.IsNil)
+		keys = append(keys, more...)
+	}
+	// Half of the jobs are submitted before the wave, so that some run, some
+	// wait and some are unknown when they are cancelled.
+	var requests sync.WaitGroup
+	for i, key := range keys {
+		sent := submission(key, 1, 50*time.Millisecond)
+		history.Submitted(sent)
+		if i%2 == 1 {
+			continue
+		}
+		requests.Go(func() { askOnce(ctx, history, client, sent) })
+	}
+	time.Sleep(100 * time.Millisecond)
+	var final, cancelled atomic.Int64
+	began := time.Now()
+	for _, key := range keys {
+		requests.Go(func() {
+			asked := time.Now()
+			answer, err := client.Cancel(ctx, key)
+			c.Check(err, qt.IsNil)
+			history.Requested(rattancheck.Request{Operation: rattancheck.OperationCancel, Key: key, Asked: asked, Received: time.Now(), Answered: err == nil, Answer: answer})
+			if answer.State.Final() {
+				final.Add(1)
+			}
+			if answer.State == rattanjob.StateCancelled {
+				cancelled.Add(1)
+			}
+		})
+	}
+	requests.Wait()
+	c.Logf("%d cancellations, %d final answers, %d cancelled, after %v", jobs, final.Load(), cancelled.Load(), time.Since(began))
+	c.Assert(final.Load(), qt.Equals, int64(jobs))
+	waitFor(c, 10*time.Second, "end of the jobs", func() bool { return system.Home("buda").Instance.Home.Jobs() == 0 })
+	// Delayed submissions of cancelled jobs must not run.
+	for i, key := range keys {
+		if i%2 == 1 {
+			requests.Go(func() { askOnce(ctx, history, client, submission(key, 1, 50*time.Millisecond)) })
+		}
+	}
+	requests.Wait()
+	c.Assert(history.Check(system.Starts()), qt.HasLen, 0)
+}
+
+// askOnce submits once and records the request.
+func askOnce(ctx context.Context, history *rattancheck.History, client *rattanclient.Client, sent rattanjob.Submission) {
+	asked := time.Now()
+	answer, err := client.Submit(ctx, sent, 20*time.Second)
+	history.Requested(rattancheck.Request{
+		Operation: rattancheck.OperationSubmit, Key: sent.Key, Body: sent.Digest(),
+		Asked: asked, Received: time.Now(), Answered: err == nil, Answer: answer,
+	})
+}
+
+// faultWindow is the time over which goodput is measured before and during a
+// fault. The target value is for 10 min; nothing in the path of a job depends
+// on how long the fault has lasted beyond the detection of silence (2 s) and
+// the platform's timeouts (2 s), which the window covers.
+const faultWindow = 4 * time.Second
+
+// Guards against a zone that needs anything outside of it: cut off from the
+// other zones and from the platform, it serves its own callers as before.
+func TestZoneCutOffServesItsOwnCallers(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	system := startSystem(c, threeZones...)
+	loads := map[string]*load{}
+	for _, zone := range threeZones {
+		loads[zone] = startLoad(system, zone, 40, 4, 20*time.Millisecond)
+	}
+	measure := func(what string) map[string]float64 {
+		shares := map[string]float64{}
+		var mutex sync.Mutex
+		var windows sync.WaitGroup
+		for _, zone := range threeZones {
+			windows.Go(func() {
+				share, sent := loads[zone].share(faultWindow)
+				mutex.Lock()
+				defer mutex.Unlock()
+				shares[zone] = share
+				c.Logf("%s %s: goodput %.4f of %d jobs in %v", what, zone, share, sent, faultWindow)
+			})
+		}
+		windows.Wait()
+		return shares
+	}
+	before := measure("before")
+	system.Network.Cut("pest")
+	during := measure("cut")
+	system.Network.Heal()
+	for _, zone := range threeZones {
+		loads[zone].stop()
+		c.Check(during[zone] >= goodputBound*before[zone], qt.IsTrue, qt.Commentf("%s: %.4f after %.4f", zone, during[zone], before[zone]))
+		c.Check(loads[zone].history.Check(system.Starts()), qt.HasLen, 0)
+	}
+}
+
+// Guards the platform's limits: its calls are within 150 writes/s and 400
+// reads/s and do not grow with the task rate.
+func TestPlatformCallsUnderLoad(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	system := startSystem(c, threeZones...)
+	rates := func(jobs int) rattanstandin.Counts {
+		var loads []*load
+		for _, zone := range threeZones {
+			loads = append(loads, startLoad(system, zone, jobs, 20, 10*time.Millisecond))
+		}
+		system.Platform.ResetCounts()
+		startsBefore := system.Log.Starts()
+		time.Sleep(faultWindow)
+		counts := system.Platform.Counts()
+		starts := float64(system.Log.Starts()-startsBefore) / faultWindow.Seconds()
+		for _, each := range loads {
+			each.stop()
+		}
+		c.Logf("%.0f starts/s: %.1f reads/s (peak %d), %.1f writes/s (peak %d)", starts,
+			counts.Reads.PerSecond, counts.Reads.PeakSecond, counts.Writes.PerSecond, counts.Writes.PeakSecond)
+		return counts
+	}
+	low, high := rates(2), rates(40)
+	for _, counts := range []rattanstandin.Counts{low, high} {
+		c.Check(counts.Reads.PeakSecond <= 400, qt.IsTrue)
+		c.Check(counts.Writes.PeakSecond <= 150, qt.IsTrue)
+	}
+	// Independent of the task rate: the twentyfold rate makes no more calls
+	// than one instance makes in a window of its own accord.
+	allowance := float64(len(system.Entries())) / faultWindow.Seconds()
+	c.Check(high.Reads.PerSecond <= low.Reads.PerSecond+allowance, qt.IsTrue)
+	c.Check(high.Writes.PerSecond <= low.Writes.PerSecond+allowance, qt.IsTrue)
+}
