--- a/rattanentry/inventory.go
+++ b/rattanentry/inventory.go
@@ -18,9 +18,14 @@
 	"github.com/rattanlever/rattanlever/rattanpool"
 )
 
-// inventoryInterval is how often the instance list is read; a leaving target
-// must get no new work after 3 s.
-const inventoryInterval = time.Second
+// inventoryInterval is how often the instance list is read, and
+// inventoryTimeout bounds one reading on a connection that may have gone
+// silent. A leaving target must get no new work after 3 s, of which the lag of
+// the list takes a part.
+const (
+	inventoryInterval = 500 * time.Millisecond
+	inventoryTimeout  = time.Second
+)
 
 const methodPullInstances = "PullInstances"
 
@@ -171,8 +176,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	i.loops.Go(func() {
+		bound := patience{least: inventoryTimeout, most: platformTimeout}
 		for ctx.Err() == nil {
-			i.read(ctx)
+			i.read(ctx, &bound)
 			sleep(ctx, inventoryInterval)
 		}
 	})
@@ -189,16 +195,11 @@
 // read gets the instance list: from the platform if this instance is one of
 // the watchers of its zone, else from one of them. The calls of the platform
 // thus do not grow with the number of instances.
-func (i *Inventory) read(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
-	defer cancel()
+func (i *Inventory) read(ctx context.Context, bound *patience) {
 	now := time.Now()
 	sources := i.config.Watchers.Watchers(now)
 	if i.config.Watchers.Watches(now) {
-		instances, err := i.config.Platform.Instances(ctx)
-		if err == nil {
-			i.install(time.Now(), time.Now(), instances)
-		}
+		err := bound.call(ctx, 0, i.ask)
 		if err == nil || !i.Reached().IsZero() {
 			return
 		}
@@ -212,8 +213,21 @@
 	}
 }
 
+// ask gets the instance list from the platform.
+func (i *Inventory) ask(ctx context.Context) error {
+	instances, err := i.config.Platform.Instances(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	now := time.Now()
+	i.install(now, now, instances)
+	return nil
+}
+
 // pull gets the instance list from a watcher if it has changed.
 func (i *Inventory) pull(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, inventoryTimeout/2)
+	defer cancel()
 	i.mutex.Lock()
 	request, err := json.Marshal(pullInstances{Hash: i.hash})
 	i.mutex.Unlock()
--- a/rattansystem/system.go
+++ b/rattansystem/system.go
@@ -11,6 +11,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -60,10 +61,9 @@
 	Instance         *rattanentry.Instance
 	cancel           context.CancelFunc
 	// Done is closed when the instance has ended.
-	Done chan struct{}
-	Err  error
-	// Killed is set by Kill.
-	Killed bool
+	Done   chan struct{}
+	Err    error
+	killed atomic.Bool
 }
 
 // System is a running small system.
@@ -111,7 +111,7 @@
 func (s *System) Addresses(zones ...string) []string {
 	var addresses []string
 	for _, entry := range s.Entries(zones...) {
-		if !entry.Killed {
+		if !entry.Killed() {
 			addresses = append(addresses, entry.Instance.CallerAddress())
 		}
 	}
@@ -121,7 +121,7 @@
 // Close ends everything at once.
 func (s *System) Close() {
 	for _, entry := range s.Entries() {
-		if !entry.Killed {
+		if !entry.Killed() {
 			entry.Instance.Kill()
 		}
 		entry.cancel()
@@ -149,7 +149,7 @@
 // Home returns the instance that owns the pool of the zone.
 func (s *System) Home(zone string) *Entry {
 	for _, asked := range s.Entries(zone) {
-		if asked.Killed {
+		if asked.Killed() {
 			continue
 		}
 		owner, ok := asked.Instance.Members.Owner(time.Now())
@@ -157,7 +157,7 @@
 			continue
 		}
 		for _, entry := range s.Entries(zone) {
-			if entry.Name == owner.Incarnation.Instance && !entry.Killed {
+			if entry.Name == owner.Incarnation.Instance && !entry.Killed() {
 				return entry
 			}
 		}
@@ -167,9 +167,7 @@
 
 // Kill ends an instance as the death of its process would.
 func (s *System) Kill(entry *Entry) {
-	s.mutex.Lock()
-	entry.Killed = true
-	s.mutex.Unlock()
+	entry.killed.Store(true)
 	entry.Instance.Kill()
 }
 
@@ -177,9 +175,7 @@
 func (s *System) Shutdown(entry *Entry) error {
 	entry.cancel()
 	<-entry.Done
-	s.mutex.Lock()
-	entry.Killed = true
-	s.mutex.Unlock()
+	entry.killed.Store(true)
 	return entry.Err
 }
 
@@ -205,7 +201,7 @@
 func (s *System) WaitReady(zones ...string) error {
 	deadline := time.Now().Add(readyTimeout)
 	for _, entry := range s.Entries(zones...) {
-		for !entry.Killed && !entry.ready() {
+		for !entry.Killed() && !entry.ready() {
 			if time.Now().After(deadline) {
 				return errors.WithType(errors.Errorf("instance %s: %v", entry.Name, entry.Instance.Operations.Condition(time.Now())), ErrNotReady)
 			}
@@ -215,6 +211,11 @@
 	return nil
 }
 
+// Killed reports whether the instance was killed or has shut down.
+func (e *Entry) Killed() bool {
+	return e.killed.Load()
+}
+
 func (e *Entry) ready() bool {
 	now := time.Now()
 	owner, ok := e.Instance.Members.Owner(now)
@@ -314,17 +315,17 @@
 	if s.config.AdjustSettings != nil {
 		s.config.AdjustSettings(&settings)
 	}
-	s.Network.Place(peers.Addr().String(), zone)
+	s.Network.Place(peers.Addr().String(), zone, name)
 	config := rattanentry.Config{
 		Settings:       settings,
 		Logger:         s.logger,
 		NewScheduler:   s.config.NewScheduler,
 		CallerListener: callers,
 		PeerListener:   peers,
-		DialPeer:       s.Network.Dial(zone),
+		DialPeer:       s.Network.Dial(zone, name),
 		Platform: rattanplatform.New(rattanplatform.Options{
 			Address: s.Platform.Address(),
-			Dial:    s.Network.DialPlatform(zone),
+			Dial:    s.Network.DialPlatform(zone, name),
 		}),
 	}
 	if s.config.NewRunner != nil {
