Keep slots free for the learned demand of short work

Short tasks waited up to 1.2 s (p99) behind long work that held 70% of the slots. Long work is now limited to what the learned peak of short work leaves, or to its own learned need.

--- a/rattanpool/placement.go
+++ b/rattanpool/placement.go
@@ -49,10 +49,12 @@
 	slots int
 	held  int
 	// longHeld is the number of slots that long work occupies.
-	longHeld int
-	ejected  int
-	broken   int
-	rateSum  float64 // of the failure rates of listed targets
+	longHeld     int
+	shortDemand  demand
+	longArrivals arrivals
+	ejected      int
+	broken       int
+	rateSum      float64 // of the failure rates of listed targets
 	// shortSeen is when short work was last present.
 	shortSeen time.Duration
 	hasShort  bool
--- a/rattanpool/scheduler.go
+++ b/rattanpool/scheduler.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// overrunInterval is how often running tasks are checked for overruns.
-	overrunInterval = 10 * time.Millisecond
 	// slackPart is the part of a job's slack that jobs admitted later may use
 	// by going before it. At a crest of 3 times capacity the jobs that arrive in
 	// a quarter of the slack use up three quarters of it.
@@ -376,7 +374,7 @@
 	}
 	s.require(on.held <= on.Slots, "more tasks than slots")
 	s.require(c.Quota == 0 || c.held <= c.Quota, "more slots held than the quota")
-	s.require(!j.kind.long || !s.shortPresent(now, v) || v.longHeld <= s.longLimit(v), "more long work than its share")
+	s.require(!j.kind.long || !s.shortPresent(now, v) || v.longHeld <= s.longMost(v), "more long work than its share")
 	s.refile(now, on)
 }
 
@@ -527,6 +525,9 @@
 	if !k.long {
 		p.service.shortSeen, p.service.hasShort = now, true
 	}
+	if k.long {
+		p.service.longArrivals.work += k.expected().Seconds() * float64(submitted.Tasks)
+	}
 	s.queue.activate(c)
 	s.noteWaiting(j, submitted.Tasks)
 	s.queueJob(j)
@@ -674,66 +675,6 @@
 	return j.deadline - j.kind.typical()
 }
 
-// startRunning puts a task on the list of running tasks of its length class.
-func (s *Scheduler) startRunning(t *task) {
-	if t.long {
-		t.job.profile.service.longHeld++
-		return
-	}
-	t.job.kind.link(t)
-}
-
-func (s *Scheduler) stopRunning(t *task) {
-	t.job.running--
-	if t.long {
-		t.job.profile.service.longHeld--
-		return
-	}
-	t.job.kind.unlink(t)
-}
-
-// markOverruns counts tasks as long that run far longer than expected.
-func (s *Scheduler) markOverruns(now time.Duration) {
-	if now < s.overrunsAt {
-		return
-	}
-	s.overrunsAt = now + overrunInterval
-	for _, k := range s.kinds {
-		limit := now - k.overrun()
-		for k.oldest != nil && k.oldest.since < limit {
-			s.markLong(k.oldest)
-		}
-	}
-}
-
-func (s *Scheduler) markLong(t *task) {
-	t.job.kind.unlink(t)
-	t.long = true
-	t.job.profile.service.longHeld++
-}
-
-func (s *Scheduler) longLimit(v *service) int {
-	return max(1, int(s.config.LongShare*float64(v.slots)))
-}
-
-// longBlocked says that no further long task may start now.
-func (s *Scheduler) longBlocked(now time.Duration, v *service) bool {
-	return v.longHeld >= s.longLimit(v) && s.shortPresent(now, v)
-}
-
-func (s *Scheduler) shortPresent(now time.Duration, v *service) bool {
-	return v.hasShort && now-v.shortSeen < s.config.ShortPresence || s.shortWaiting(v)
-}
-
-func (s *Scheduler) shortWaiting(v *service) bool {
-	for _, p := range v.profiles {
-		if p.lanes[0].jobs > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 func laneIndex(long bool) int {
 	if long {
 		return 1
