Test the scheduler with random calls and per policy; eject by repeated failure

Random calls found that a kind could turn long while its jobs stood in the short lane. A target that failed everything at low load was forgiven every 5 s and never ejected; a suspect now only ranks last for that time. With a factor of 3 over the others' failure rate, none was ejected when 4 of 10 targets were broken; the factor is 2.

--- /dev/null
+++ b/rattanpool/bench_test.go
@@ -0,0 +1,83 @@
+package rattanpool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// benchScheduler returns a scheduler with 220 callers whose jobs wait, and all
+// slots but a few held, so that each end of a task frees the next slot.
+func benchScheduler(b *testing.B, targets int) (*Scheduler, []Assignment) {
+	b.Helper()
+	s := New(Config{})
+	var list []Target
+	for i := range targets {
+		list = append(list, Target{
+			Name: fmt.Sprintf("t%05d", i), Rack: fmt.Sprintf("r%04d", i/8), Service: "s",
+			Slots: 8, Cores: 60, MemoryMB: 250_000, Accelerators: 2 * (i % 2),
+		})
+	}
+	s.SetTargets(simStart, list)
+	random := rand.New(rand.NewPCG(1, 1))
+	id := JobID(0)
+	for tasks := 0; tasks < 8*targets+2*b.N+20_000; {
+		id++
+		j := Job{
+			ID: id, Caller: fmt.Sprintf("c%d", id%220), Kind: fmt.Sprintf("k%d", id%7), Service: "s",
+			Tasks: 1 + random.IntN(250), RunTime: time.Millisecond, Deadline: simStart.Add(noDeadline), Idempotent: true,
+			CoresPerTask: int(id % 3), AcceleratorsPerTask: int(id % 5 / 4),
+		}
+		if !s.Admit(simStart, j).Admitted {
+			b.Fatal("not admitted")
+		}
+		tasks += j.Tasks
+	}
+	var running []Assignment
+	for {
+		a, ok := s.Next(simStart)
+		if !ok {
+			return s, running
+		}
+		running = append(running, a)
+	}
+}
+
+// BenchmarkDecision measures the end of a task and the choice of the next one.
+func BenchmarkDecision(b *testing.B) {
+	for _, targets := range []int{50, 500, 8700} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			s, running := benchScheduler(b, targets)
+			random := rand.New(rand.NewPCG(2, 2))
+			now := simStart
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				now = now.Add(5 * time.Microsecond)
+				at := random.IntN(len(running))
+				s.Finish(now, running[at], Report{Outcome: OutcomeDone, RunTime: time.Millisecond})
+				a, ok := s.Next(now)
+				if !ok {
+					// No waiting task fits the slot that became free; refill later.
+					running[at] = running[len(running)-1]
+					running = running[:len(running)-1]
+					continue
+				}
+				running[at] = a
+			}
+		})
+	}
+}
+
+// BenchmarkAdmit measures the decision on a job that is refused.
+func BenchmarkAdmit(b *testing.B) {
+	s, _ := benchScheduler(b, 8700)
+	j := Job{ID: 1 << 40, Caller: "c1", Kind: "k1", Service: "s", Tasks: 250, Deadline: simStart.Add(time.Millisecond)}
+	b.ReportAllocs()
+	for b.Loop() {
+		if s.Admit(simStart, j).Admitted {
+			b.Fatal("admitted")
+		}
+	}
+}
--- a/rattanpool/ejection.go
+++ b/rattanpool/ejection.go
@@ -12,8 +12,8 @@
 	// three in a row, or more among successes.
 	ejectFailures = 2.5
 	// ejectFactor is how far the failure rate must be above the mean of the
-	// other targets.
-	ejectFactor = 3
+	// other targets. With 3, none would be ejected when a third of them is broken.
+	ejectFactor = 2
 	// repeatedFailure is the weight of a further failure of the same job, since
 	// a job that fails everywhere says little about a target.
 	repeatedFailure = 0.25
@@ -23,7 +23,10 @@
 	// ejectionMemory is how long after its reinstatement a target's earlier
 	// ejections lengthen the next back-off.
 	ejectionMemory = time.Minute
-	forgiveAfter   = 5 * time.Second
+	// suspectTime is how long a target ranks last after a failure that makes its
+	// failure rate suspectRate or more, or that follows another one.
+	suspectTime = 5 * time.Second
+	suspectRate = 0.3
 )
 
 // succeeded notes that the target completed a task.
@@ -32,6 +35,7 @@
 		return
 	}
 	t.consecutive = 0
+	t.suspectUntil = 0
 	t.backoff = 0
 	if t.good < 9.9 || t.bad > 0 {
 		s.noteOutcome(t, 1, 0)
@@ -57,10 +61,7 @@
 	t.lastFailed = id
 	t.consecutive++
 	s.noteOutcome(t, 0, weight)
-	if !t.forgiving {
-		t.forgiving = true
-		heap.Push(&s.timers, timer{at: now + forgiveAfter, kind: timerForgive, target: t})
-	}
+	s.suspect(now, t)
 	v := t.service
 	switch {
 	case t.health == healthEjected:
@@ -173,22 +174,22 @@
 	v.probes = v.probes[:0]
 }
 
-// forgive halves the weight of old failures.
-func (s *Scheduler) forgive(now time.Duration, t *target) {
-	t.forgiving = false
-	if t.service == nil || t.removed {
+// suspect puts a target with recent failures last for some time. It gets little
+// work meanwhile, so the time must end without a success.
+func (s *Scheduler) suspect(now time.Duration, t *target) {
+	if t.consecutive < 2 && (t.bad < 0.9 || t.failureRate() < suspectRate) {
 		return
 	}
-	before := t.failureRate()
-	t.consecutive /= 2
-	t.bad /= 2
-	s.sumRates(t, before)
-	s.refile(now, t)
+	if !t.suspectTimer {
+		t.suspectTimer = true
+		heap.Push(&s.timers, timer{at: now + suspectTime, kind: timerSuspect, target: t})
+	}
+	t.suspectUntil = now + suspectTime
 }
 
 func (s *Scheduler) clearOutcomes(t *target) {
 	before := t.failureRate()
-	t.good, t.bad, t.consecutive = 0, 0, 0
+	t.good, t.bad, t.consecutive, t.suspectUntil = 0, 0, 0, 0
 	s.sumRates(t, before)
 }
 
--- a/rattanpool/fairqueue.go
+++ b/rattanpool/fairqueue.go
@@ -35,8 +35,11 @@
 	caller *caller
 	lane   *lane
 	jobs   jobHeap
-	within bool
-	index  int // in lane.within or lane.beyond, or -1
+	// key and sequence are those of the first job.
+	key      time.Duration
+	sequence uint64
+	within   bool
+	index    int // in lane.within or lane.beyond, or -1
 }
 
 // lane holds the waiting jobs that have the same needs and length class.
@@ -67,7 +70,7 @@
 		return e.within
 	}
 	if e.within || e.caller == other.caller {
-		return e.jobs[0].key < other.jobs[0].key
+		return e.key < other.key
 	}
 	return e.caller.tag < other.caller.tag
 }
@@ -135,6 +138,7 @@
 		e.remove()
 	}
 	e.within = within
+	e.key, e.sequence = e.jobs[0].key, e.jobs[0].sequence
 	e.fix()
 }
 
@@ -173,11 +177,10 @@
 func (h withinHeap) Len() int { return len(h) }
 
 func (h withinHeap) Less(a, b int) bool {
-	first, second := h[a].jobs[0], h[b].jobs[0]
-	if first.key != second.key {
-		return first.key < second.key
+	if h[a].key != h[b].key {
+		return h[a].key < h[b].key
 	}
-	return first.sequence < second.sequence
+	return h[a].sequence < h[b].sequence
 }
 
 func (h withinHeap) Swap(a, b int) { swapEntries(h, a, b) }
--- a/rattanpool/kind.go
+++ b/rattanpool/kind.go
@@ -51,7 +51,7 @@
 	mean    time.Duration
 	median  time.Duration
 	p90     time.Duration
-	logMean float64 // of log2 of the run time
+	octaves float64 // mean of the run times in octaves
 
 	// oldest and newest are the ends of the list of running tasks that do not
 	// count as long, in order of their start.
@@ -86,15 +86,15 @@
 	return overrunFactor * k.expected()
 }
 
-// learn adds the run time of a task.
-func (k *kind) learn(runTime time.Duration) {
+// learn adds the run time of a task, also given in octaves.
+func (k *kind) learn(runTime time.Duration, octaves float64) {
 	runTime = max(runTime, firstBucket)
-	k.buckets[bucketOf(runTime)]++
+	k.buckets[bucketOf(octaves)]++
 	k.weight++
 	k.samples++
 	k.stale++
 	k.sum += float64(runTime)
-	k.logMean += (math.Log2(float64(runTime)) - k.logMean) / float64(min(k.samples, 256))
+	k.octaves += (octaves - k.octaves) / float64(min(k.samples, 256))
 	if k.weight >= decayWeight {
 		k.decay()
 	}
@@ -176,9 +176,13 @@
 	ended.previous, ended.next = nil, nil
 }
 
-func bucketOf(runTime time.Duration) int {
-	bucket := int(bucketsPerOctave * math.Log2(float64(runTime)/float64(firstBucket)))
-	return min(max(bucket, 0), bucketCount-1)
+// octavesOf returns the run time in octaves above firstBucket.
+func octavesOf(runTime time.Duration) float64 {
+	return math.Log2(float64(max(runTime, firstBucket)) / float64(firstBucket))
+}
+
+func bucketOf(octaves float64) int {
+	return min(int(bucketsPerOctave*octaves), bucketCount-1)
 }
 
 func bucketMiddle(bucket int) time.Duration {
--- a/rattanpool/longwork.go
+++ b/rattanpool/longwork.go
@@ -104,7 +104,7 @@
 // key places it has passed, which is at most MaxWait after its admission.
 func (s *Scheduler) longOverdue(v *service) bool {
 	for _, p := range v.profiles {
-		if head := p.lanes[1].head(); head != nil && head.jobs[0].key < s.clock {
+		if head := p.lanes[1].head(); head != nil && head.key < s.clock {
 			return true
 		}
 	}
--- /dev/null
+++ b/rattanpool/random_test.go
@@ -0,0 +1,313 @@
+package rattanpool
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// The results of the random runs are the same on every run, unless other flags
+// are given.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// modelTask is what the test knows about a task.
+type modelTask struct {
+	attempts int
+	running  bool
+	over     bool
+}
+
+// model drives a scheduler with random calls and checks its answers against
+// what was told to it.
+type model struct {
+	t         *rapid.T
+	s         *Scheduler
+	now       time.Time
+	fleet     map[string]Target
+	quotas    map[string]int
+	jobs      map[JobID][]modelTask
+	submitted map[JobID]Job
+	running   []Assignment
+	// unresolved holds the unresolved tasks, by when their hold ends.
+	unresolved map[Assignment]time.Time
+	nextID     JobID
+}
+
+func newModel(t *rapid.T) *model {
+	return &model{
+		t: t, s: New(Config{PanicOnViolation: true}), now: simStart,
+		jobs: map[JobID][]modelTask{}, submitted: map[JobID]Job{}, quotas: map[string]int{},
+		unresolved: map[Assignment]time.Time{},
+	}
+}
+
+func (m *model) setTargets(t *rapid.T) {
+	m.fleet = map[string]Target{}
+	var list []Target
+	for i := range 6 {
+		if rapid.IntRange(0, 4).Draw(t, "listed") == 0 {
+			continue
+		}
+		list = append(list, Target{
+			Name: fmt.Sprint("t", i), Rack: fmt.Sprint("r", rapid.IntRange(0, 2).Draw(t, "rack")),
+			Service: fmt.Sprint("s", i%2), Slots: rapid.IntRange(1, 4).Draw(t, "slots"), Cores: 8, MemoryMB: 100, Accelerators: i / 3,
+			Leaving: rapid.IntRange(0, 9).Draw(t, "leaving") == 0,
+		})
+		m.fleet[list[len(list)-1].Name] = list[len(list)-1]
+	}
+	m.s.SetTargets(m.now, list)
+}
+
+func (m *model) setCallers(t *rapid.T) {
+	m.quotas = map[string]int{}
+	var list []Caller
+	for i := range 3 {
+		name := fmt.Sprint("c", i)
+		m.quotas[name] = rapid.SampledFrom([]int{0, 0, 1, 3}).Draw(t, "quota")
+		list = append(list, Caller{Name: name, Weight: float64(1 + i), Quota: m.quotas[name]})
+	}
+	m.s.SetCallers(m.now, list)
+}
+
+func (m *model) admit(t *rapid.T) {
+	m.nextID++
+	j := Job{
+		ID: m.nextID, Caller: fmt.Sprint("c", rapid.IntRange(0, 3).Draw(t, "caller")),
+		Service: fmt.Sprint("s", rapid.IntRange(0, 1).Draw(t, "service")), Kind: fmt.Sprint("k", rapid.IntRange(0, 3).Draw(t, "kind")),
+		Tasks: rapid.IntRange(1, 6).Draw(t, "tasks"), RunTime: time.Duration(rapid.IntRange(0, 5000).Draw(t, "declared")) * time.Millisecond,
+		Deadline:   m.now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "deadline")) * time.Millisecond),
+		Idempotent: rapid.Bool().Draw(t, "idempotent"), CoresPerTask: rapid.IntRange(0, 4).Draw(t, "cores"),
+		AcceleratorsPerTask: rapid.IntRange(0, 1).Draw(t, "accelerators"),
+	}
+	if m.s.Admit(m.now, j).Admitted {
+		m.jobs[j.ID] = make([]modelTask, j.Tasks)
+		m.submitted[j.ID] = j
+	}
+}
+
+func (m *model) next(t *rapid.T) {
+	a, ok := m.s.Next(m.now)
+	if !ok {
+		return
+	}
+	tasks, known := m.jobs[a.Job]
+	if !known {
+		t.Fatalf("task of job %d assigned, which is not in progress", a.Job)
+	}
+	task := &tasks[a.Task]
+	if task.running || task.over || a.Attempt != task.attempts+1 {
+		t.Fatalf("task assigned again: %+v, known %+v", a, *task)
+	}
+	on, listed := m.fleet[a.Target]
+	j := m.submitted[a.Job]
+	if !listed || on.Leaving || on.Service != j.Service {
+		t.Fatalf("task assigned to target %+v", on)
+	}
+	task.running, task.attempts = true, a.Attempt
+	m.running = append(m.running, a)
+	held, cores, accelerators, callerHeld := 0, 0, 0, 0
+	for _, other := range m.holding() {
+		if other.Target == a.Target {
+			held++
+			cores += m.submitted[other.Job].CoresPerTask
+			accelerators += m.submitted[other.Job].AcceleratorsPerTask
+		}
+		if m.submitted[other.Job].Caller == j.Caller {
+			callerHeld++
+		}
+	}
+	if held > on.Slots || cores > on.Cores || accelerators > on.Accelerators {
+		t.Fatalf("target %+v runs %d tasks with %d cores and %d accelerators", on, held, cores, accelerators)
+	}
+	if quota := m.quotas[j.Caller]; quota > 0 && callerHeld > quota {
+		t.Fatalf("caller %s holds %d slots, quota %d", j.Caller, callerHeld, quota)
+	}
+}
+
+// holding returns the assignments that hold a slot.
+func (m *model) holding() []Assignment {
+	all := slices.Clone(m.running)
+	for a, end := range m.unresolved {
+		if m.now.Before(end) {
+			all = append(all, a)
+		}
+	}
+	return all
+}
+
+func (m *model) finish(t *rapid.T) {
+	if len(m.running) == 0 {
+		return
+	}
+	outcomes := []Outcome{OutcomeDone, OutcomeDone, OutcomeDone, OutcomeFailed, OutcomeNotStarted, OutcomeUnresolved, OutcomeStopped}
+	m.finishAs(rapid.IntRange(0, len(m.running)-1).Draw(t, "index"), Report{
+		Outcome:     rapid.SampledFrom(outcomes).Draw(t, "outcome"),
+		RunTime:     time.Duration(rapid.IntRange(0, 4000).Draw(t, "run")) * time.Millisecond,
+		Unreachable: rapid.Bool().Draw(t, "unreachable"),
+	})
+}
+
+func (m *model) finishAs(at int, report Report) {
+	a := m.running[at]
+	m.running = append(m.running[:at], m.running[at+1:]...)
+	requeued := m.s.Finish(m.now, a, report)
+	if requeued && report.Outcome != OutcomeNotStarted {
+		m.t.Fatalf("task requeued after %v", report.Outcome)
+	}
+	task := &m.jobs[a.Job][a.Task]
+	task.running, task.over = false, !requeued
+	if report.Outcome == OutcomeUnresolved {
+		end := m.submitted[a.Job].Deadline
+		if end.Before(m.now) {
+			end = m.now
+		}
+		m.unresolved[a] = end.Add(time.Second)
+	}
+	m.forget(a.Job)
+}
+
+func (m *model) forget(id JobID) {
+	for _, task := range m.jobs[id] {
+		if !task.over {
+			return
+		}
+	}
+	delete(m.jobs, id)
+}
+
+func (m *model) drop(id JobID) (dropped int) {
+	for i := range m.jobs[id] {
+		if task := &m.jobs[id][i]; !task.running && !task.over {
+			task.over = true
+			dropped++
+		}
+	}
+	m.forget(id)
+	return dropped
+}
+
+func (m *model) cancel(t *rapid.T) {
+	if m.nextID == 0 {
+		return
+	}
+	id := JobID(rapid.IntRange(1, int(m.nextID)).Draw(t, "job"))
+	if got, want := m.s.Cancel(m.now, id), m.drop(id); got != want {
+		t.Fatalf("cancel of job %d dropped %d tasks, expected %d", id, got, want)
+	}
+}
+
+func (m *model) expire(t *rapid.T) {
+	for _, id := range m.s.Expire(m.now) {
+		tasks, known := m.jobs[id]
+		if !known {
+			t.Fatalf("job %d expired, which is not in progress", id)
+		}
+		if dropped := m.drop(id); dropped != len(tasks) {
+			t.Fatalf("job %d expired after %d of its tasks started", id, len(tasks)-dropped)
+		}
+	}
+}
+
+func (m *model) pass(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "passed")) * time.Millisecond)
+}
+
+// drain runs all that is left on an intact fleet; every task must end.
+func (m *model) drain() {
+	m.t.Helper()
+	var list []Target
+	m.fleet = map[string]Target{}
+	for i := range 6 {
+		list = append(list, Target{Name: fmt.Sprint("t", i), Service: fmt.Sprint("s", i%2), Slots: 4, Cores: 8, MemoryMB: 100, Accelerators: 1})
+		m.fleet[list[i].Name] = list[i]
+	}
+	m.s.SetTargets(m.now, list)
+	for round := 0; len(m.jobs) > 0; round++ {
+		if round > 300 {
+			m.t.Fatalf("%d jobs do not end: %+v", len(m.jobs), m.jobs)
+		}
+		for len(m.running) > 0 {
+			m.finishAs(0, Report{Outcome: OutcomeDone, RunTime: time.Millisecond})
+		}
+		for before := -1; before < len(m.running); {
+			before = len(m.running)
+			m.next(m.t)
+		}
+		m.now = m.now.Add(time.Second)
+	}
+}
+
+// TestRandomCalls guards against slots, quotas and resources exceeded, tasks
+// assigned twice or never, and accounts that do not return to zero.
+func TestRandomCalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		m.setCallers(t)
+		m.setTargets(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"targets": m.setTargets, "callers": m.setCallers, "admit": m.admit, "admit2": m.admit, "admit3": m.admit,
+			"next": m.next, "next2": m.next, "next3": m.next, "next4": m.next, "finish": m.finish, "finish2": m.finish,
+			"cancel": m.cancel, "expire": m.expire, "pass": m.pass,
+		})
+		m.t = t
+		m.drain()
+		m.now = m.now.Add(time.Minute)
+		load := m.s.Load(m.now)
+		if load.BusySlots != 0 || load.Backlog != 0 || len(load.CallerSlots) != 0 || len(m.s.jobs) != 0 || m.s.Violations != 0 {
+			t.Fatalf("accounts not at zero: %+v, %d violations", load, m.s.Violations)
+		}
+	})
+}
+
+// TestInjectedFaults shows that each invariant check can fail.
+func TestInjectedFaults(t *testing.T) {
+	admit := func(s *Scheduler, id JobID, tasks int) {
+		s.Admit(simStart, Job{ID: id, Caller: "c", Kind: "k", Service: "s", Tasks: tasks, Deadline: simStart.Add(time.Minute)})
+	}
+	next := func(s *Scheduler) Assignment {
+		a, _ := s.Next(simStart)
+		return a
+	}
+	done := Report{Outcome: OutcomeDone, RunTime: time.Second}
+	for name, inject := range map[string]func(*Scheduler){
+		"slots":          func(s *Scheduler) { admit(s, 1, 1); s.targets["t000"].Slots = 0; next(s) },
+		"quota":          func(s *Scheduler) { admit(s, 1, 2); next(s); s.callers["c"].Quota = 1; next(s) },
+		"assigned again": func(s *Scheduler) { admit(s, 1, 1); s.jobs[1].tasks[0].state = taskEnded; next(s) },
+		"finished twice": func(s *Scheduler) {
+			admit(s, 1, 2)
+			a := next(s)
+			s.Finish(simStart, a, done)
+			s.Finish(simStart, a, done)
+		},
+		"unknown":         func(s *Scheduler) { s.Finish(simStart, Assignment{Job: 9}, done) },
+		"released twice":  func(s *Scheduler) { admit(s, 1, 1); a := next(s); s.busy = 0; s.Finish(simStart, a, done) },
+		"admitted twice":  func(s *Scheduler) { admit(s, 1, 1); admit(s, 1, 1) },
+		"waiting":         func(s *Scheduler) { admit(s, 1, 1); s.kinds[kindKey{"s", "k"}].waiting = 0; next(s) },
+		"not zero at end": func(s *Scheduler) { admit(s, 1, 1); a := next(s); s.holds++; s.Finish(simStart, a, done) },
+		"long share": func(s *Scheduler) {
+			admit(s, 1, 8)
+			s.kinds[kindKey{"s", "k"}].long = true
+			for range 8 {
+				next(s)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := New(Config{})
+			s.SetTargets(simStart, simTargets(8))
+			inject(s)
+			qt.Assert(t, s.Violations, qt.Not(qt.Equals), uint64(0))
+		})
+	}
+}
--- a/rattanpool/target.go
+++ b/rattanpool/target.go
@@ -1,9 +1,6 @@
 package rattanpool
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// speedSamples is the number of tasks after which a target's speed counts.
@@ -64,7 +61,9 @@
 	consecutive int
 	lastFailed  JobID
 	looksBroken bool
-	forgiving   bool // a timer to weaken failures is set
+	// suspectUntil is until when the target ranks last.
+	suspectUntil time.Duration
+	suspectTimer bool
 	// ejections is the number of recent ejections.
 	ejections  int
 	probeAt    time.Duration
@@ -97,11 +96,6 @@
 	return t.bad / (t.good + t.bad)
 }
 
-// suspect says that recent failures put the target last.
-func (t *target) suspect() bool {
-	return t.consecutive >= 2 || t.bad >= 0.9 && t.failureRate() > 0.3
-}
-
 // fits says whether a task with the profile's needs fits beside the tasks that
 // run already.
 func (t *target) fits(p *profile) bool {
@@ -142,29 +136,35 @@
 	t.service.held--
 }
 
-// learnSpeed compares the run time of a task with that of its kind.
-func (t *target) learnSpeed(k *kind, runTime time.Duration) {
+// learnSpeed compares the run time of a task, in octaves, with that of its kind.
+func (t *target) learnSpeed(k *kind, octaves float64) {
 	if !k.learned() {
 		return
 	}
-	octaves := math.Log2(float64(max(runTime, firstBucket))) - k.logMean
-	octaves = min(max(octaves, -speedClip), speedClip)
+	octaves = min(max(octaves-k.octaves, -speedClip), speedClip)
 	t.ran++
 	t.speed += (octaves - t.speed) / float64(min(t.ran, speedSamples))
 }
 
-// class returns the rank class for a profile, classNone when the target cannot
-// take a task now.
-func (t *target) class(p *profile, now time.Duration) rankClass {
-	if !t.inUse() || t.held >= t.capacity() || now < t.until || !t.fits(p) {
+// class returns the rank class for tasks that any target fits and that need
+// accelerators, classNone when the target cannot take a task now.
+func (t *target) class(now time.Duration) rankClass {
+	if t.held >= t.capacity() || now < t.until || !t.inUse() {
 		return classNone
 	}
-	if t.suspect() {
+	if now < t.suspectUntil {
 		return classSuspect
 	}
-	class := t.speedClass()
-	if p.accelerators == 0 && t.Accelerators > 0 {
-		class += classAccelerated
+	return t.speedClass()
+}
+
+// classFor narrows a class that is not classNone down to a profile.
+func (t *target) classFor(p *profile, class rankClass) rankClass {
+	if !t.fits(p) {
+		return classNone
+	}
+	if p.accelerators == 0 && t.Accelerators > 0 && class < classAccelerated {
+		return class + classAccelerated
 	}
 	return class
 }
--- a/rattanpool/timers.go
+++ b/rattanpool/timers.go
@@ -15,9 +15,8 @@
 	timerProbe
 	// timerRelease ends the hold of an unresolved task on its slot.
 	timerRelease
-	// timerForgive weakens the failures of a suspect target, which gets little
-	// work and would stay suspect without it.
-	timerForgive
+	// timerSuspect ends the time for which a target ranks last.
+	timerSuspect
 )
 
 // timer is something that happens without a call.
@@ -55,12 +54,16 @@
 	switch due.kind {
 	case timerBackoff:
 		s.refile(now, due.target)
+	case timerSuspect:
+		due.target.suspectTimer = due.target.suspectUntil > now
+		if until := due.target.suspectUntil; until > now {
+			heap.Push(&s.timers, timer{at: until, kind: timerSuspect, target: due.target})
+		}
+		s.refile(now, due.target)
 	case timerProbe:
 		s.startProbing(now, due.target)
 	case timerRelease:
 		s.holds--
 		s.release(now, due.target, due.profile, due.caller)
-	case timerForgive:
-		s.forgive(now, due.target)
 	}
 }
