--- /dev/null
+++ b/rattanbench/entry.go
@@ -0,0 +1,12 @@
+package rattanbench
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+)
+
+// openEntryBed opens entry instances for the experiment.
+func openEntryBed(_ context.Context, _ Scheduler, _ Experiment) (bed, error) {
+	return nil, errors.NotImplementedf("entry instances")
+}
--- /dev/null
+++ b/rattanbench/names.go
@@ -0,0 +1,14 @@
+package rattanbench
+
+import "fmt"
+
+// targetsPerRack is the number of targets of both users in one rack.
+const targetsPerRack = 8
+
+func targetName(i int) string {
+	return fmt.Sprintf("target-%02d", i)
+}
+
+func rackName(i int) string {
+	return fmt.Sprintf("rack-%d", i/targetsPerRack)
+}
--- /dev/null
+++ b/rattanbench/page.go
@@ -0,0 +1,133 @@
+package rattanbench
+
+import (
+	"fmt"
+	"html/template"
+	"io"
+	"math"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// pageText is one page without any reference to other files.
+const pageText = `<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>rattanlever bench</title>
+<style>
+body { font: 14px sans-serif; margin: 24px; color: #222; }
+table { border-collapse: collapse; margin: 8px 0 16px; }
+td, th { border: 1px solid #ccc; padding: 2px 8px; text-align: right; }
+td:first-child, th:first-child { text-align: left; }
+.missed { background: #fadbd8; }
+.title { font-size: 13px; font-weight: bold; }
+.label { font-size: 10px; fill: #555; }
+.frame { fill: none; stroke: #999; }
+.grid { stroke: #eee; }
+.marker { stroke: #222; stroke-dasharray: 4 3; }
+</style></head><body>
+<h1>rattanlever bench</h1>
+<p>{{.Mode}}. Figures that miss their target are shaded. Response times count from the scheduled arrival.</p>
+{{range .Groups}}<h2>{{.Title}}</h2>
+<table><tr>{{range .Header}}<th>{{.}}</th>{{end}}</tr>
+{{range .Rows}}<tr><td>{{.Name}}</td><td>{{.Target}}</td>{{range .Cells}}<td{{if .Missed}} class="missed"{{end}}>{{.Text}}</td>{{end}}</tr>
+{{end}}</table>
+<p>{{range .Legend}}<span style="color:{{.Colour}}">&#9632; {{.Name}}</span> {{end}}</p>
+{{range .Charts}}{{.}}{{end}}
+{{end}}</body></html>
+`
+
+var pageTemplate = template.Must(template.New("page").Parse(pageText))
+
+type page struct {
+	Mode   string
+	Groups []pageGroup
+}
+
+type pageGroup struct {
+	Title  string
+	Header []string
+	Rows   []pageRow
+	Legend []pageKey
+	Charts []template.HTML
+}
+
+type pageRow struct {
+	Name, Target string
+	Cells        []pageCell
+}
+
+type pageCell struct {
+	Text   string
+	Missed bool
+}
+
+type pageKey struct{ Name, Colour string }
+
+// WritePage writes one HTML page with the figures and plots. It refers to
+// nothing on a network.
+func (r Report) WritePage(w io.Writer) error {
+	content := page{Mode: r.mode}
+	for _, group := range r.groups() {
+		content.Groups = append(content.Groups, newPageGroup(group))
+	}
+	return errors.Annotate(pageTemplate.Execute(w, content), "write the report as a page")
+}
+
+func newPageGroup(runs []Row) pageGroup {
+	group := pageGroup{
+		Title:  fmt.Sprintf("%s, seed %d", runs[0].Name, runs[0].Seed),
+		Header: []string{"measure", "target"},
+	}
+	for i, run := range runs {
+		group.Header = append(group.Header, run.Policy)
+		group.Legend = append(group.Legend, pageKey{Name: run.Policy, Colour: chartColours[i%len(chartColours)]})
+	}
+	for _, m := range measures() {
+		row := pageRow{Name: m.name, Target: m.target()}
+		for _, run := range runs {
+			figure := m.figure(run)
+			missed := !math.IsNaN(float64(figure)) && !m.met(figure)
+			row.Cells = append(row.Cells, pageCell{Text: figure.String(), Missed: missed})
+		}
+		group.Rows = append(group.Rows, row)
+	}
+	for _, n := range notes() {
+		row := pageRow{Name: n.name}
+		for _, run := range runs {
+			row.Cells = append(row.Cells, pageCell{Text: strings.TrimSpace(n.value(run.details))})
+		}
+		group.Rows = append(group.Rows, row)
+	}
+	for _, c := range charts(runs) {
+		group.Charts = append(group.Charts, c.svg())
+	}
+	return group
+}
+
+func charts(runs []Row) []chart {
+	slowdowns := chart{title: "Job response time relative to the ideal (distribution)", xLabel: "slowdown", logX: true, yMax: 1}
+	crests := chart{title: "Goodput around the crest, relative to capacity", xLabel: "seconds", yMax: 1.1, horizontals: []float64{1}}
+	shortAlone := chart{title: "Wait of short tasks, without long work (distribution)", xLabel: "seconds", logX: true, yMax: 1}
+	shortLong := chart{title: "Wait of short tasks, with long work (distribution)", xLabel: "seconds", logX: true, yMax: 1}
+	fairAlone := chart{title: "Response time of the other callers, alone (distribution)", xLabel: "seconds", logX: true, yMax: 1}
+	fairGreedy := chart{title: "Response time of the other callers, with a greedy one (distribution)", xLabel: "seconds", logX: true, yMax: 1}
+	floor := waitFloor.Seconds()
+	for _, run := range runs {
+		d := run.details
+		slowdowns.series = append(slowdowns.series, distribution(run.Policy, d.slowdown.ratios, 0.5))
+		crests.series = append(crests.series, timeline(run.Policy, d.crest))
+		shortAlone.series = append(shortAlone.series, distribution(run.Policy, seconds(d.shortAlone), floor))
+		shortLong.series = append(shortLong.series, distribution(run.Policy, seconds(d.shortLong), floor))
+		fairAlone.series = append(fairAlone.series, distribution(run.Policy, seconds(d.fairAlone), floor))
+		fairGreedy.series = append(fairGreedy.series, distribution(run.Policy, seconds(d.fairGreedy), floor))
+	}
+	return []chart{slowdowns, crests, shortAlone, shortLong, fairAlone, fairGreedy}
+}
+
+func timeline(name string, seen crest) series {
+	line := series{name: name}
+	for i, share := range seen.perBin {
+		line.points = append(line.points, point{x: (float64(i) + 0.5) * timelineBin.Seconds(), y: share})
+	}
+	return line
+}
--- /dev/null
+++ b/rattanbench/runner.go
@@ -0,0 +1,79 @@
+package rattanbench
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// drainTime is how long a run waits after the last deadline that counts, for
+// answers that are late.
+const drainTime = 2 * time.Second
+
+// longestDrain bounds the wait for jobs whose deadline is far off: long work
+// whose answers count in no measure.
+const longestDrain = 14 * time.Second
+
+// bed is a system with its own fleet for one run.
+type bed interface {
+	System
+	// Begin starts the observation; times of starts count from the argument.
+	Begin(start time.Time)
+	// Observe returns what happened since Begin.
+	Observe() ([]Start, Traffic)
+	Close()
+}
+
+// openBed returns a system that dispatches by the scheduler to the fleet of the
+// experiment.
+type openBed func(ctx context.Context, scheduler Scheduler, e Experiment) (bed, error)
+
+// observe runs the experiment on the bed.
+func observe(ctx context.Context, b bed, e Experiment) Observation {
+	const leadTime = 50 * time.Millisecond
+	start := time.Now().Add(leadTime)
+	b.Begin(start)
+	seen := Observation{Outcomes: runOpenLoop(ctx, b, e.Jobs, start)}
+	seen.Starts, seen.Traffic = b.Observe()
+	return seen
+}
+
+// runOpenLoop submits each job at its scheduled arrival, whatever the system
+// has answered so far, and returns the outcomes by index.
+func runOpenLoop(ctx context.Context, system System, jobs []Job, start time.Time) []Outcome {
+	ctx, cancel := context.WithDeadline(ctx, start.Add(lastAnswer(jobs)))
+	defer cancel()
+	outcomes := make([]Outcome, len(jobs))
+	var submissions sync.WaitGroup
+	for _, job := range jobs {
+		due := start.Add(job.At)
+		time.Sleep(time.Until(due))
+		submissions.Go(func() {
+			outcome := system.Submit(ctx, job)
+			outcome.Response = time.Since(due)
+			outcomes[job.Index] = outcome
+		})
+	}
+	submissions.Wait()
+	return outcomes
+}
+
+// lastAnswer returns the time by which a run is over.
+func lastAnswer(jobs []Job) time.Duration {
+	var last, lastArrival time.Duration
+	for _, job := range jobs {
+		last = max(last, job.At+job.Deadline)
+		lastArrival = max(lastArrival, job.At)
+	}
+	return min(last+drainTime, lastArrival+longestDrain)
+}
+
+func closeBeds(beds []bed) {
+	var closing sync.WaitGroup
+	for _, b := range beds {
+		if b != nil {
+			closing.Go(b.Close)
+		}
+	}
+	closing.Wait()
+}
