--- a/rattanbench/bench.go
+++ b/rattanbench/bench.go
@@ -151,7 +151,7 @@
 	opening, openCtx := errgroup.WithContext(ctx)
 	for i, member := range members {
 		opening.Go(func() (err error) {
-			beds[i], err = p.open(openCtx, member.policy.New(seed), member.experiment)
+			beds[i], err = p.open(openCtx, func() Scheduler { return member.policy.New(seed) }, member.experiment)
 			return errors.Annotatef(err, "open %s for %s", member.experiment.Scenario, member.policy.Name)
 		})
 	}
--- a/rattanbench/entry.go
+++ b/rattanbench/entry.go
@@ -7,6 +7,6 @@
 )
 
 // openEntryBed opens entry instances for the experiment.
-func openEntryBed(_ context.Context, _ Scheduler, _ Experiment) (bed, error) {
+func openEntryBed(_ context.Context, _ func() Scheduler, _ Experiment) (bed, error) {
 	return nil, errors.NotImplementedf("entry instances")
 }
--- a/rattanbench/ideal.go
+++ b/rattanbench/ideal.go
@@ -21,7 +21,7 @@
 // String returns the name of the order.
 func (o Order) String() string {
 	if o == OrderSmallest {
-		return "smallest remaining job first"
+		return "smallest first"
 	}
 	return "FIFO"
 }
--- a/rattanbench/report.go
+++ b/rattanbench/report.go
@@ -32,12 +32,12 @@
 	return json.Unmarshal(data, (*float64)(f))
 }
 
-// String returns the figure with three decimals, or a dash.
+// String returns the figure with four digits, or a dash.
 func (f Figure) String() string {
 	if math.IsNaN(float64(f)) {
 		return "-"
 	}
-	return fmt.Sprintf("%.3f", float64(f))
+	return fmt.Sprintf("%.4g", float64(f))
 }
 
 // Row is the result of one policy on all experiments of a workload.
--- a/rattanbench/runner.go
+++ b/rattanbench/runner.go
@@ -24,9 +24,9 @@
 	Close()
 }
 
-// openBed returns a system that dispatches by the scheduler to the fleet of the
-// experiment.
-type openBed func(ctx context.Context, scheduler Scheduler, e Experiment) (bed, error)
+// openBed returns a system that dispatches by schedulers of the function to the
+// fleet of the experiment.
+type openBed func(ctx context.Context, newScheduler func() Scheduler, e Experiment) (bed, error)
 
 // observe runs the experiment on the bed.
 func observe(ctx context.Context, b bed, e Experiment) Observation {
