--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -8,6 +8,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -54,7 +56,7 @@
 type TaskRunner interface {
 	Run(ctx context.Context, dispatch rattantarget.Dispatch) (rattantarget.Result, error)
 	Settle(ctx context.Context, address, id string) (rattantarget.Result, error)
-	Stop(ctx context.Context, address, id string) (rattantarget.Stopped, error)
+	Stop(ctx context.Context, address, id string) (rattantarget.Stopping, error)
 }
 
 // Authority tells whether this instance may act for an epoch.
@@ -100,11 +102,18 @@
 
 	mutex     sync.Mutex
 	draining  bool
+	dead      bool
 	waiting   int
 	nextID    rattanpool.JobID
 	runs      map[rattanjob.Nonce]*run
 	byID      map[rattanpool.JobID]*run
 	addresses map[string]string
+	// demand is the number of tasks without a result, by caller, and jobs the
+	// number of jobs in progress.
+	demand map[string]int
+	jobs   map[string]int
+	// services is the number of slots by service.
+	services  map[string]int
 	wake      *time.Timer
 	lastSweep time.Time
 }
@@ -118,6 +127,8 @@
 		runs:      map[rattanjob.Nonce]*run{},
 		byID:      map[rattanpool.JobID]*run{},
 		addresses: map[string]string{},
+		demand:    map[string]int{},
+		jobs:      map[string]int{},
 	}
 	home.wake = time.AfterFunc(time.Hour, home.pump)
 	return home
@@ -181,18 +192,23 @@
 	return len(h.runs)
 }
 
-// Load returns the load of the pool.
-func (h *Home) Load(now time.Time) rattanpool.Load {
+// Load returns the load of the home.
+func (h *Home) Load(now time.Time) HomeLoad {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.config.Scheduler.Load(now)
+	return HomeLoad{
+		Jobs:         len(h.runs),
+		Pool:         h.config.Scheduler.Load(now),
+		Demand:       maps.Clone(h.demand),
+		ServiceSlots: h.services,
+	}
 }
 
 // OpenEpoch accepts submissions for a new epoch of this instance.
-func (h *Home) OpenEpoch(now time.Time, epoch rattanjob.EpochID) {
+func (h *Home) OpenEpoch(now time.Time, epoch rattanjob.EpochID, start time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.config.Ledger.OpenEpoch(now, epoch, now)
+	h.config.Ledger.OpenEpoch(now, epoch, start)
 }
 
 // Name returns the name of the service in the kernel.
@@ -210,7 +226,14 @@
 
 // SetTargets sets the targets of the pool and their addresses by name.
 func (h *Home) SetTargets(now time.Time, targets []rattanpool.Target, addresses map[string]string) {
+	services := map[string]int{}
+	for _, target := range targets {
+		if !target.Leaving {
+			services[target.Service] += target.Slots
+		}
+	}
 	h.mutex.Lock()
+	h.services = services
 	h.config.Scheduler.SetTargets(now, targets)
 	for name, address := range addresses {
 		h.addresses[name] = address
@@ -263,6 +286,13 @@
 	return h.await(ctx, current, caller, wait)
 }
 
+// abandon ends all runs without an answer, as the death of the process would.
+func (h *Home) abandon() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.dead = true
+}
+
 // begin decides on a submission and returns its run, or its answer.
 func (h *Home) begin(now time.Time, caller string, submission *rattanjob.Submission, fault *rattanjob.Answer) (*run, rattanjob.Answer) {
 	h.mutex.Lock()
@@ -301,10 +331,16 @@
 		refusal.RetryAfter = rattanjson.Duration(100 * time.Millisecond)
 		return rattanpool.Job{}, &refusal
 	}
-	job, refusal := describeJob(now, h.config.Documents.Document(), caller, submission)
+	document := h.config.Documents.Document()
+	job, refusal := describeJob(now, document, caller, submission)
 	if refusal != nil {
 		return job, refusal
 	}
+	if limit := document.Callers[caller].MaxJobs; limit > 0 && h.jobs[caller] >= limit {
+		refusal := rattanjob.Refusal(rattanjob.ReasonOverQuota, fmt.Sprintf("%d jobs in progress, the limit of caller %s", limit, caller))
+		refusal.RetryAfter = rattanjson.Duration(job.RunTime)
+		return job, &refusal
+	}
 	h.nextID++
 	job.ID = h.nextID
 	admission := h.config.Scheduler.Admit(now, job)
@@ -319,21 +355,24 @@
 // launch registers the run of an admitted job.
 func (h *Home) launch(now time.Time, caller string, submission *rattanjob.Submission, job rattanpool.Job) *run {
 	current := &run{
-		id:        job.ID,
-		key:       submission.Key,
-		caller:    caller,
-		kind:      submission.Kind,
-		tasks:     submission.Tasks,
-		submitted: now,
-		deadline:  job.Deadline,
-		results:   make([]rattanjob.Result, len(submission.Tasks)),
-		remaining: len(submission.Tasks),
-		running:   make(map[int]rattanpool.Assignment),
-		done:      make(chan struct{}),
+		id:         job.ID,
+		key:        submission.Key,
+		submission: submission.Key.ID(),
+		caller:     caller,
+		kind:       submission.Kind,
+		tasks:      submission.Tasks,
+		submitted:  now,
+		deadline:   job.Deadline,
+		results:    make([]rattanjob.Result, len(submission.Tasks)),
+		remaining:  len(submission.Tasks),
+		running:    make(map[int]rattanpool.Assignment),
+		done:       make(chan struct{}),
 	}
 	current.timer = time.AfterFunc(job.Deadline.Sub(now), func() { h.pastDeadline(current) })
 	h.runs[current.key.Nonce] = current
 	h.byID[current.id] = current
+	h.demand[caller] += len(submission.Tasks)
+	h.jobs[caller]++
 	h.counts.admitted.Inc()
 	if h.config.Recorder != nil {
 		h.config.Recorder.Submitted(now, current.key, caller, submission)
@@ -419,6 +458,9 @@
 // valid reports whether the home may act for the epoch now; it fences the
 // epoch when it may not.
 func (h *Home) valid(now time.Time, epoch rattanjob.EpochID) bool {
+	if h.dead {
+		return false
+	}
 	if h.config.Authority.EpochValid(now, epoch) {
 		return true
 	}
--- a/rattanentry/run.go
+++ b/rattanentry/run.go
@@ -16,14 +16,16 @@
 // run is one job in progress at its home. All fields are guarded by the
 // home's mutex, except those that never change after launch.
 type run struct {
-	id        rattanpool.JobID
-	key       rattanjob.Key
-	caller    string
-	kind      string
-	tasks     []rattanjob.Task
-	submitted time.Time
-	deadline  time.Time
-	timer     *time.Timer
+	id  rattanpool.JobID
+	key rattanjob.Key
+	// submission is the ID of the key.
+	submission string
+	caller     string
+	kind       string
+	tasks      []rattanjob.Task
+	submitted  time.Time
+	deadline   time.Time
+	timer      *time.Timer
 
 	results []rattanjob.Result
 	// remaining is the number of tasks without a result.
@@ -41,8 +43,8 @@
 
 // taskID names one attempt of one task; no two dispatches share one.
 func (r *run) taskID(assignment rattanpool.Assignment) string {
-	epoch := r.key.Epoch
-	return fmt.Sprintf("%s.%d.%d.%x-%d-%d", epoch.Home.Instance, epoch.Home.Number, epoch.Number, r.key.Nonce, assignment.Task, assignment.Attempt)
+	id := rattanjob.TaskID{Submission: r.submission, Task: assignment.Task, Attempt: assignment.Attempt}
+	return id.String()
 }
 
 // pump assigns waiting tasks to free slots until the scheduler has no more.
@@ -142,6 +144,7 @@
 	case outcome == rattanpool.OutcomeDone:
 		current.results[assignment.Task] = rattanjob.Result{Payload: result.Payload}
 		current.remaining--
+		h.demand[current.caller]--
 		if current.remaining == 0 {
 			h.end(now, current, rattanjob.StateComplete, rattanjob.ReasonNone, "")
 		}
@@ -220,6 +223,7 @@
 	close(current.done)
 	delete(h.runs, current.key.Nonce)
 	delete(h.byID, current.id)
+	h.release(current)
 	h.config.Scheduler.Cancel(now, current.id)
 	for _, assignment := range current.running {
 		h.stop(current, assignment)
@@ -230,6 +234,16 @@
 	}
 }
 
+// release takes an ended run out of the sums by caller.
+func (h *Home) release(current *run) {
+	h.demand[current.caller] -= current.remaining
+	h.jobs[current.caller]--
+	if h.jobs[current.caller] == 0 {
+		delete(h.demand, current.caller)
+		delete(h.jobs, current.caller)
+	}
+}
+
 // stop asks a target to stop a task whose job has ended.
 func (h *Home) stop(current *run, assignment rattanpool.Assignment) {
 	address := h.addresses[assignment.Target]
