--- a/rattanbench/bench.go
+++ b/rattanbench/bench.go
@@ -36,13 +36,29 @@
 // plan is what Run does, derived from Options.
 type plan struct {
 	policies []Policy
-	fleet    Fleet
-	lengths  window
-	seeds    []uint64
-	// batches are sets of scenarios; those of one set run side by side.
-	batches [][]Scenario
-	open    openBed
-	mode    string
+	// steadyFleet serves the slowdown and fleet the other scenarios.
+	steadyFleet, fleet Fleet
+	lengths            window
+	seeds              []uint64
+	batches            []batch
+	open               openBed
+	mode               string
+}
+
+// batch is a set of experiments that run side by side. The size of a batch is
+// bounded by processor time and by open files: in a baseline thousands of
+// callers wait at the crest, each with a connection.
+type batch struct {
+	// workload is a name; empty means all.
+	workload  string
+	scenarios []Scenario
+}
+
+func (b batch) contains(c *cell) bool {
+	if b.workload != "" && b.workload != c.experiment.Workload {
+		return false
+	}
+	return slices.Contains(b.scenarios, c.experiment.Scenario)
 }
 
 // Run makes all experiments and returns the measures.
@@ -65,27 +81,13 @@
 }
 
 func newPlan(options Options) (plan, error) {
-	p := plan{
-		// One availability zone of today's users.
-		fleet:   Fleet{Targets: 17, SlotsPerTarget: 8},
-		lengths: window{warmUp: 5 * time.Second, steady: 40 * time.Second, crestTail: 10 * time.Second, pair: 30 * time.Second},
-		open:    openEntryBed,
-		mode:    "entry instances over loopback",
-		batches: [][]Scenario{
-			{ScenarioSlowdown},
-			{ScenarioCrest},
-			{ScenarioShortAlone, ScenarioShortLong},
-			{ScenarioFairAlone, ScenarioFairGreedy},
-		},
-	}
+	p := plan{open: openEntryBed}
 	first := max(options.Seed, 1)
 	p.seeds = []uint64{first}
 	if options.Quick {
-		p.lengths = window{warmUp: 2 * time.Second, steady: 8 * time.Second, crestTail: 3 * time.Second, pair: 7 * time.Second}
-		p.batches = [][]Scenario{
-			{ScenarioSlowdown, ScenarioCrest},
-			{ScenarioShortAlone, ScenarioShortLong, ScenarioFairAlone, ScenarioFairGreedy},
-		}
+		p.setQuick()
+	} else {
+		p.setFull()
 	}
 	if options.Virtual {
 		p.open = nil
@@ -103,6 +105,35 @@
 	return p, nil
 }
 
+// setFull plans long windows on fleets of one availability zone of today's
+// users.
+func (p *plan) setFull() {
+	p.mode = "entry instances over loopback"
+	p.fleet = Fleet{Targets: 17, SlotsPerTarget: 8}
+	p.steadyFleet = p.fleet
+	p.lengths = window{warmUp: 5 * time.Second, steady: 40 * time.Second, crestTail: 10 * time.Second, pair: 30 * time.Second}
+	p.batches = []batch{
+		{scenarios: []Scenario{ScenarioSlowdown}},
+		{workload: listaforge, scenarios: []Scenario{ScenarioCrest}},
+		{workload: transcriptDesk, scenarios: []Scenario{ScenarioCrest}},
+		{scenarios: []Scenario{ScenarioShortAlone, ScenarioShortLong}},
+		{workload: listaforge, scenarios: []Scenario{ScenarioFairAlone, ScenarioFairGreedy}},
+		{workload: transcriptDesk, scenarios: []Scenario{ScenarioFairAlone, ScenarioFairGreedy}},
+	}
+}
+
+// setQuick plans short windows, and smaller fleets where many callers wait.
+func (p *plan) setQuick() {
+	p.mode = "entry instances over loopback, quick"
+	p.steadyFleet = Fleet{Targets: 17, SlotsPerTarget: 8}
+	p.fleet = Fleet{Targets: 8, SlotsPerTarget: 8}
+	p.lengths = window{warmUp: 2 * time.Second, steady: 8 * time.Second, crestTail: 3 * time.Second, pair: 7 * time.Second}
+	p.batches = []batch{
+		{scenarios: []Scenario{ScenarioSlowdown, ScenarioCrest}},
+		{scenarios: []Scenario{ScenarioShortAlone, ScenarioShortLong, ScenarioFairAlone, ScenarioFairGreedy}},
+	}
+}
+
 // cell is one experiment under one policy.
 type cell struct {
 	experiment Experiment
@@ -115,19 +146,17 @@
 	workloads := []Workload{Listaforge(), TranscriptDesk()}
 	var cells []*cell
 	for _, workload := range workloads {
-		for _, experiment := range experiments(workload, p.fleet, p.lengths, seed) {
+		for _, experiment := range p.experiments(workload, seed) {
 			for _, policy := range p.policies {
 				cells = append(cells, &cell{experiment: experiment, policy: policy})
 			}
 		}
 	}
 	for _, batch := range p.batches {
-		progress(options.Progress, "seed %d: %v", seed, batch)
-		members := slices.DeleteFunc(slices.Clone(cells), func(c *cell) bool {
-			return !slices.Contains(batch, c.experiment.Scenario)
-		})
-		if err := p.batch(ctx, members, seed); err != nil {
-			return nil, errors.Annotatef(err, "experiments %v", batch)
+		progress(options.Progress, "seed %d: %s %v", seed, batch.workload, batch.scenarios)
+		members := slices.DeleteFunc(slices.Clone(cells), func(c *cell) bool { return !batch.contains(c) })
+		if err := p.run(ctx, members, seed); err != nil {
+			return nil, errors.Annotatef(err, "experiments %v", batch.scenarios)
 		}
 	}
 	var runs []Row
@@ -139,7 +168,7 @@
 	return runs, nil
 }
 
-func (p plan) batch(ctx context.Context, members []*cell, seed uint64) error {
+func (p plan) run(ctx context.Context, members []*cell, seed uint64) error {
 	if p.open == nil {
 		for _, member := range members {
 			member.seen = Simulate(member.policy.New(seed), member.experiment.Jobs, member.experiment.Callers(), member.experiment.Fleet)
--- a/rattanbench/experiment.go
+++ b/rattanbench/experiment.go
@@ -83,15 +83,17 @@
 }
 
 // experiments returns all experiments of a workload.
-func experiments(workload Workload, fleet Fleet, lengths window, seed uint64) []Experiment {
-	base := Experiment{Workload: workload.Name, Fleet: fleet, WarmUp: lengths.warmUp}
+func (p plan) experiments(workload Workload, seed uint64) []Experiment {
+	base := Experiment{Workload: workload.Name, Fleet: p.fleet, WarmUp: p.lengths.warmUp}
+	steady := base
+	steady.Fleet = p.steadyFleet
 	return slices.Concat(
 		[]Experiment{
-			slowdownExperiment(base, workload, lengths, seed),
-			crestExperiment(base, workload, lengths, seed),
+			slowdownExperiment(steady, workload, p.lengths, seed),
+			crestExperiment(base, workload, p.lengths, seed),
 		},
-		shortExperiments(base, workload, lengths, seed),
-		fairExperiments(base, workload, lengths, seed),
+		shortExperiments(base, workload, p.lengths, seed),
+		fairExperiments(base, workload, p.lengths, seed),
 	)
 }
 
@@ -125,6 +127,7 @@
 }
 
 func fairExperiments(e Experiment, workload Workload, lengths window, seed uint64) []Experiment {
+	workload.Callers = slices.Clone(workload.Callers)
 	for i := range workload.Callers {
 		workload.Callers[i].Share = 1
 	}
--- a/rattanbench/runner.go
+++ b/rattanbench/runner.go
@@ -10,10 +10,6 @@
 // answers that are late.
 const drainTime = 2 * time.Second
 
-// longestDrain bounds the wait for jobs whose deadline is far off: long work
-// whose answers count in no measure.
-const longestDrain = 14 * time.Second
-
 // bed is a system with its own fleet for one run.
 type bed interface {
 	System
@@ -44,28 +40,36 @@
 	ctx, cancel := context.WithDeadline(ctx, start.Add(lastAnswer(jobs)))
 	defer cancel()
 	outcomes := make([]Outcome, len(jobs))
-	var submissions sync.WaitGroup
+	var counted, long sync.WaitGroup
 	for _, job := range jobs {
 		due := start.Add(job.At)
 		time.Sleep(time.Until(due))
-		submissions.Go(func() {
+		group := &counted
+		if job.Long {
+			group = &long
+		}
+		group.Go(func() {
 			outcome := system.Submit(ctx, job)
 			outcome.Response = time.Since(due)
 			outcomes[job.Index] = outcome
 		})
 	}
-	submissions.Wait()
+	counted.Wait()
+	cancel()
+	long.Wait()
 	return outcomes
 }
 
-// lastAnswer returns the time by which a run is over.
+// lastAnswer returns the time by which a run is over. It does not wait for long
+// work, whose answers count in no measure.
 func lastAnswer(jobs []Job) time.Duration {
-	var last, lastArrival time.Duration
+	var last time.Duration
 	for _, job := range jobs {
-		last = max(last, job.At+job.Deadline)
-		lastArrival = max(lastArrival, job.At)
+		if !job.Long {
+			last = max(last, job.At+job.Deadline)
+		}
 	}
-	return min(last+drainTime, lastArrival+longestDrain)
+	return last + drainTime
 }
 
 func closeBeds(beds []bed) {
--- a/rattanbench/workload.go
+++ b/rattanbench/workload.go
@@ -9,6 +9,12 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// Names of the workloads.
+const (
+	listaforge     = "Listaforge"
+	transcriptDesk = "TranscriptDesk"
+)
+
 // stragglerFactor is how many times longer than the shortest task of its kind
 // a straggler runs.
 const stragglerFactor = 100
@@ -96,7 +102,7 @@
 // the app, small lists at the counter, and catalogue jobs of up to 250 tasks.
 func Listaforge() Workload {
 	return Workload{
-		Name: "Listaforge",
+		Name: listaforge,
 		Kinds: []JobKind{
 			{
 				Name: "CounterList", WorkShare: 0.15, MinTasks: 1, MaxTasks: 8,
@@ -122,7 +128,7 @@
 // extract assembly and rush confirmations of four rival firms.
 func TranscriptDesk() Workload {
 	return Workload{
-		Name: "TranscriptDesk",
+		Name: transcriptDesk,
 		Kinds: []JobKind{
 			{
 				Name: "StatusLookup", WorkShare: 0.20, MinTasks: 1, MaxTasks: 4,
