--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/rattanlever/rattanlever/rattanburn"
 	"github.com/rattanlever/rattanlever/rattanconfig"
 	"github.com/rattanlever/rattanlever/rattanjob"
 	"github.com/rattanlever/rattanlever/rattanjson"
@@ -26,6 +27,7 @@
 	"github.com/rattanlever/rattanlever/rattanpool"
 	"github.com/rattanlever/rattanlever/rattansettings"
 	"github.com/rattanlever/rattanlever/rattantarget"
+	"github.com/rattanlever/rattanlever/rattantrace"
 )
 
 // ErrSuperseded says that the others take this incarnation for dead; the
@@ -66,13 +68,16 @@
 	Node          *rattanpeer.Node
 	Operations    *Operations
 	Plans         *Plans
+	Records       *Records
 	Platform      *rattanplatform.Client
 
 	config     Config
 	kernel     *rattankernel.Kernel
+	burn       *rattanburn.Counters
 	server     *khttp.Server
 	app        *kratos.App
 	superseded atomic.Bool
+	drained    atomic.Bool
 }
 
 // gossip is the payload of heartbeats.
@@ -177,12 +182,14 @@
 		Incarnation: uint64(now.UnixMilli()),
 		Peers:       i.Node,
 		Logger:      i.config.Logger,
-		Opened:      func(now time.Time, epoch rattanjob.EpochID, start time.Time) { i.Home.OpenEpoch(now, epoch, start) },
+		Opened:      i.opened,
 		Fenced:      func(now time.Time, epoch rattanjob.EpochID) { i.Home.Fence(now, epoch) },
 		Superseded:  i.supersede,
 		Payload:     i.payload,
 		Received:    i.received,
 	})
+	i.burn = rattanburn.New()
+	i.Records = NewRecords(RecordsConfig{Members: i.Members, Peers: i.Node, Burn: i.burn, Tracer: rattantrace.New(rattantrace.Options{})})
 	i.Home = NewHome(HomeConfig{
 		Scheduler:    i.config.NewScheduler(),
 		Ledger:       newLedger(settings.Home),
@@ -190,6 +197,7 @@
 		Authority:    i.Members,
 		Documents:    i.Configuration,
 		Metrics:      i.Metrics,
+		Recorder:     i.Records,
 		DrainTimeout: settings.Home.DrainTimeout.Std(),
 	})
 	i.Inventory = NewInventory(InventoryConfig{
@@ -197,6 +205,7 @@
 		AvailabilityZone: settings.AvailabilityZone,
 		Home:             i.Home,
 		Documents:        i.Configuration,
+		Pools:            i.Members,
 		Observed:         i.Members.Observe,
 	})
 	i.Front = NewFront(FrontConfig{
@@ -205,7 +214,7 @@
 		Directory: i.Members,
 		Peers:     i.Node,
 		Metrics:   i.Metrics,
-		Explain:   func(rattanjob.Key, string) (json.RawMessage, bool) { return nil, false },
+		Explain:   i.Records.Explain,
 	})
 	i.Loads = NewLoads(LoadsConfig{
 		Instance:  settings.Name,
@@ -241,6 +250,7 @@
 	i.Members.Handle(i.Node)
 	i.Configuration.Handle(i.Node)
 	i.Loads.Handle(i.Node)
+	i.Records.Handle(i.Node)
 	services := []rattankernel.Service{i.Node, i.Home, i.Members, i.Configuration, i.Inventory, i.Loads, i.Operations}
 	for _, service := range services {
 		if err := i.kernel.Register(service); err != nil {
@@ -254,6 +264,7 @@
 	i.Front.Routes(i.server)
 	i.Operations.Routes(i.server)
 	i.Plans.Routes(i.server)
+	i.Records.Routes(i.server)
 	i.app = kratos.New(
 		kratos.Name(i.config.Settings.Name),
 		kratos.Signal(syscall.SIGINT, syscall.SIGTERM),
@@ -270,27 +281,51 @@
 func (i *Instance) installed(document *rattanconfig.Document) {
 	now := time.Now()
 	i.Home.SetCallers(now, DivideQuotas(document, i.Loads.All(now)))
+	i.burn.SetObjectives(now, *document)
+	i.applyDrain(document)
 	i.Inventory.Apply(now)
 }
 
+// opened makes the home ready for a new epoch: its records and the targets of
+// the pool, which may be another one than before.
+func (i *Instance) opened(now time.Time, epoch rattanjob.EpochID, start time.Time) {
+	i.Home.OpenEpoch(now, epoch, start)
+	i.Inventory.Apply(now)
+}
+
+// applyDrain takes this instance out of use when an operator drains it. An
+// instance that is put back into use starts anew as another incarnation.
+func (i *Instance) applyDrain(document *rattanconfig.Document) {
+	_, drained := document.Drains[i.config.Settings.Name]
+	switch {
+	case drained && i.drained.CompareAndSwap(false, true):
+		i.config.Logger.WithField("Revision", document.Revision).Info("drained by an operator")
+		_ = i.Operations.Drain(context.Background())
+		go func() { _ = i.Members.Drain(context.Background()) }()
+	case !drained && i.drained.Load():
+		i.supersede()
+	}
+}
+
 // load describes this instance's load to other homes.
 func (i *Instance) load(now time.Time) HomeLoad {
 	load := i.Home.Load(now)
 	load.Instance = i.config.Settings.Name
 	load.AvailabilityZone = i.config.Settings.AvailabilityZone
+	load.OwnsPool = i.Members.OwnsPool(now)
 	load.Revision = i.Configuration.Document().Revision
 	return load
 }
 
-// facts sums up the loads of all homes for a plan.
-func (i *Instance) facts(now time.Time) rattanplan.Facts {
+// facts sums up the loads of all instances for a plan.
+func (i *Instance) facts(ctx context.Context, now time.Time) rattanplan.Facts {
 	facts := rattanplan.Facts{
 		ServiceSlots: map[string]int{},
 		Targets:      map[string]rattanplan.Target{},
 		Instances:    map[string]rattanplan.Instance{},
 		Callers:      map[string]rattanplan.Usage{},
 	}
-	for _, load := range i.Loads.All(now) {
+	for _, load := range i.Loads.Collect(ctx, now) {
 		facts.Slots += load.Pool.Slots
 		facts.BusySlots += load.Pool.BusySlots
 		facts.Backlog += rattanjson.Duration(load.Pool.Backlog)
