--- a/rattanbench/entry.go
+++ b/rattanbench/entry.go
@@ -71,7 +71,7 @@
 
 // messages are the counters from which the wasted messages are computed.
 type messages struct {
-	links, settled, stopped, refused int64
+	links, linkBytes, settled, stopped, refused int64
 }
 
 // openEntryBed starts a system for the experiment.
@@ -171,25 +171,30 @@
 	b.transport.CloseIdleConnections()
 }
 
-// Observe returns the starts at the targets and the messages since Begin.
-func (b *entryBed) Observe() ([]Start, Traffic) {
+// Traffic returns the messages since Begin.
+func (b *entryBed) Traffic() Traffic {
 	calls := b.system.Platform.Counts()
 	now := b.messages()
-	traffic := Traffic{
+	targets := now.settled - b.before.settled + now.stopped - b.before.stopped + now.refused - b.before.refused
+	links := now.links - b.before.links - bothWays*b.forwarded.Load()
+	return Traffic{
 		PlatformWrites: int(calls.Writes.Total),
 		PlatformReads:  int(calls.Reads.Total),
 		Elapsed:        calls.Elapsed.Std(),
+		Waste: Waste{
+			Links:    int(max(links, 0)),
+			Platform: bothWays * int(calls.Writes.Total+calls.Reads.Total),
+			Targets:  int(bothWays * targets),
+			Callers:  int(bothWays * (b.keyRequests.Load() + b.asked.Load())),
+		},
+		Starts:    int(b.system.Log.Starts()),
+		LinkBytes: int(now.linkBytes - b.before.linkBytes),
 	}
-	requests := int64(traffic.PlatformWrites+traffic.PlatformReads) + b.keyRequests.Load() + b.asked.Load() +
-		now.settled - b.before.settled + now.stopped - b.before.stopped + now.refused - b.before.refused
-	links := now.links - b.before.links - bothWays*b.forwarded.Load()
-	traffic.Wasted = int(bothWays*requests + max(links, 0))
-	return b.starts(), traffic
 }
 
-// starts returns the starts that the targets recorded. A task holds its slot
+// Starts returns the starts that the targets recorded. A task holds its slot
 // for exactly its run time unless it is stopped.
-func (b *entryBed) starts() []Start {
+func (b *entryBed) Starts() []Start {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	var starts []Start
@@ -215,6 +220,7 @@
 	}
 	for _, entry := range b.system.Entries() {
 		seen.links += int64(entry.Instance.Node.Counts.Sent.Load())
+		seen.linkBytes += int64(entry.Instance.Node.Counts.BytesSent.Load())
 	}
 	return seen
 }
--- a/rattanbench/outcome.go
+++ b/rattanbench/outcome.go
@@ -41,15 +41,38 @@
 
 // Traffic counts the messages of a system during a run.
 type Traffic struct {
-	// Wasted is the number of messages that are not a submission, a dispatch or
-	// an answer that was used.
-	Wasted int
+	// Waste has the messages that are not a submission, a dispatch or an answer
+	// that was used. Requests and responses count one each.
+	Waste Waste
 	// PlatformWrites and PlatformReads are the calls of the platform.
 	PlatformWrites, PlatformReads int
+	// Starts is the number of tasks that were started.
+	Starts int
+	// LinkBytes is the payload sent between instances.
+	LinkBytes int
 	// Elapsed is the time over which the messages were counted.
 	Elapsed time.Duration
 }
 
+// Waste splits the wasted messages by their cause.
+type Waste struct {
+	// Links are heartbeats and everything else between instances but forwarded
+	// submissions and their answers.
+	Links int
+	// Platform are calls of the platform and their responses.
+	Platform int
+	// Targets are dispatches that were refused, and requests to settle or stop
+	// a task.
+	Targets int
+	// Callers are requests for keys and repeated requests for an answer.
+	Callers int
+}
+
+// Total returns the number of wasted messages.
+func (w Waste) Total() int {
+	return w.Links + w.Platform + w.Targets + w.Callers
+}
+
 // Observation is everything that one run showed.
 type Observation struct {
 	// Outcomes has one element a job, by index.
--- a/rattanbench/workload.go
+++ b/rattanbench/workload.go
@@ -173,6 +173,19 @@
 	}
 }
 
+// Scaled returns the workload with the numbers of tasks in a job multiplied by
+// the factor, for a fleet that is smaller by it. Small jobs stay as they are.
+func (w Workload) Scaled(factor float64) Workload {
+	const small = 10
+	w.Kinds = slices.Clone(w.Kinds)
+	scale := func(tasks int) int { return max(min(tasks, small), int(float64(tasks)*factor)) }
+	for i := range w.Kinds {
+		kind := &w.Kinds[i]
+		kind.MinTasks, kind.MaxTasks = scale(kind.MinTasks), scale(kind.MaxTasks)
+	}
+	return w
+}
+
 // OnlyCaller returns the workload with all jobs from one caller.
 func (w Workload) OnlyCaller(name string) Workload {
 	w.Callers = []CallerShare{{Name: name, Share: 1}}
