--- a/rattanbench/entry.go
+++ b/rattanbench/entry.go
@@ -63,7 +63,8 @@
 	random *rand.Rand
 
 	keyRequests atomic.Int64
-	// forwarded counts submissions that reached another instance than the home.
+	// forwarded counts submissions that reached another instance than the home,
+	// and the answers that came back from there.
 	forwarded atomic.Int64
 	// asked counts requests beyond the first one of a job.
 	asked atomic.Int64
@@ -176,7 +177,7 @@
 	calls := b.system.Platform.Counts()
 	now := b.messages()
 	targets := now.settled - b.before.settled + now.stopped - b.before.stopped + now.refused - b.before.refused
-	links := now.links - b.before.links - bothWays*b.forwarded.Load()
+	links := now.links - b.before.links - b.forwarded.Load()
 	return Traffic{
 		PlatformWrites: int(calls.Writes.Total),
 		PlatformReads:  int(calls.Reads.Total),
@@ -228,8 +229,10 @@
 // Submit submits the job through a random instance, and asks again as long as
 // the answer is not final.
 func (b *entryBed) Submit(ctx context.Context, job Job) Outcome {
-	client, key := b.route(job)
+	client, key, forwarded := b.route(job)
+	b.forwarded.Add(forwarded)
 	answer, err := client.Submit(ctx, submissionOf(job, key), submitWait)
+	b.forwarded.Add(forwarded)
 	for err == nil && !answer.State.Final() && ctx.Err() == nil {
 		b.asked.Add(1)
 		time.Sleep(answer.RetryAfter.Std())
@@ -250,19 +253,20 @@
 	return outcome
 }
 
-// route takes a key and chooses an instance for the job.
-func (b *entryBed) route(job Job) (*rattanclient.Client, rattanjob.Key) {
+// route takes a key and chooses an instance for the job. It returns 1 if the
+// instance has to forward the submission, or else 0.
+func (b *entryBed) route(job Job) (client *rattanclient.Client, key rattanjob.Key, forwarded int64) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	keys := b.keys[job.Caller]
-	key := keys[0]
+	key = keys[0]
 	b.keys[job.Caller] = keys[1:]
 	b.jobs[key.ID()] = job.Index
 	front := b.random.IntN(len(b.names))
 	if b.names[front] != key.Epoch.Home.Instance {
-		b.forwarded.Add(1)
+		forwarded = 1
 	}
-	return b.clients[job.Caller][front], key
+	return b.clients[job.Caller][front], key, forwarded
 }
 
 func submissionOf(job Job, key rattanjob.Key) rattanjob.Submission {
--- a/rattanbench/lateness.go
+++ b/rattanbench/lateness.go
@@ -12,6 +12,19 @@
 	p99, longest time.Duration
 }
 
+// Bounds of a machine that is quiet enough for response times: the bound of a
+// refusal is 10 ms.
+const (
+	quietP99     = 5 * time.Millisecond
+	quietLongest = 50 * time.Millisecond
+)
+
+// busy reports whether the machine was too busy for response times to say
+// much about the system.
+func (l lateness) busy() bool {
+	return l.p99 > quietP99 || l.longest > quietLongest
+}
+
 // measureLateness returns a function that ends the measurement.
 func measureLateness() func() lateness {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/rattanbench/report.go
+++ b/rattanbench/report.go
@@ -181,6 +181,9 @@
 // figures. An asterisk marks a figure that misses its target.
 func (r Report) WriteText(w io.Writer) error {
 	fmt.Fprintf(w, "%s, %.1f s in total; * misses the target, - was not measured\n", r.mode, r.elapsed.Seconds())
+	if warning := r.warning(); warning != "" {
+		fmt.Fprintln(w, warning)
+	}
 	for _, group := range r.groups() {
 		if err := writeGroup(w, group); err != nil {
 			return errors.Annotate(err, "write the report as text")
@@ -189,6 +192,19 @@
 	return nil
 }
 
+// warning returns a line about a busy machine, or nothing.
+func (r Report) warning() string {
+	var worst lateness
+	for _, row := range r.Runs {
+		worst = worst.worst(row.details.late)
+	}
+	if !worst.busy() {
+		return ""
+	}
+	return fmt.Sprintf("The machine was busy: timers fired up to %.0f ms late (p99 %.1f ms), so short times are upper bounds.",
+		worst.longest.Seconds()*1000, worst.p99.Seconds()*1000)
+}
+
 // groups returns the runs by workload and seed, in the order of the runs.
 func (r Report) groups() [][]Row {
 	var groups [][]Row
