--- a/rattanbench/entry.go
+++ b/rattanbench/entry.go
@@ -199,13 +199,13 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	var starts []Start
-	for text, all := range b.system.Log.ByID() {
+	for text := range b.system.Log.Counts() {
 		id, err := rattanjob.ParseTaskID(text)
 		job, known := b.jobs[id.Submission]
 		if err != nil || !known {
 			continue
 		}
-		for _, start := range all {
+		for _, start := range b.system.Log.Times(text) {
 			begin := start.At.Sub(b.start)
 			starts = append(starts, Start{Job: job, Task: id.Task, Begin: begin, End: begin + b.runTimes[job][id.Task]})
 		}
