--- a/rattanmember/gossip.go
+++ b/rattanmember/gossip.go
@@ -129,6 +129,10 @@
 	name := said.Incarnation.Instance
 	known := &entry{}
 	t.entries[name] = known
+	t.addedAt = now
+	if said.AvailabilityZone == t.self.AvailabilityZone {
+		t.joinedAt = now
+	}
 	t.set(now, known, said)
 	t.order = append(t.order, name)
 	if last, at := len(t.order)-1, t.nextOrder; at < last {
@@ -184,11 +188,12 @@
 	t.changed = append(t.changed, known.member.Incarnation.Instance)
 }
 
-// changesFor returns at most MaxChanges members for a message: the receiver
+// changesFor returns at most maxChanges members for a message: the receiver
 // itself if it is taken for silent, ended or replaced, then recent changes, then
 // up to refresh others in turn.
 func (t *Table) changesFor(now time.Time, incarnation rattanjob.Incarnation, refresh int) []Member {
 	receiver := incarnation.Instance
+	limit := t.maxChanges(now, refresh)
 	var changes []Member
 	add := func(known *entry) {
 		changes = append(changes, known.member.at(now.Sub(known.learnedAt)))
@@ -201,7 +206,7 @@
 		}
 	}
 	for range len(t.changed) {
-		if len(changes) >= t.config.MaxChanges {
+		if len(changes) >= limit {
 			return changes
 		}
 		name := t.changed[0]
@@ -219,7 +224,7 @@
 			add(known)
 		}
 	}
-	for range min(refresh, t.config.MaxChanges-len(changes), len(t.order)) {
+	for range min(refresh, limit-len(changes), len(t.order)) {
 		t.refresh = (t.refresh + 1) % len(t.order)
 		if name := t.order[t.refresh]; name != receiver {
 			add(t.entries[name])
@@ -228,6 +233,15 @@
 	return changes
 }
 
+// maxChanges is larger than MaxChanges while this member or the receiver learns
+// of many members, such as after a start of the whole fleet.
+func (t *Table) maxChanges(now time.Time, refresh int) int {
+	if refresh == joinChanges || now.Sub(t.addedAt) < t.config.JoinDuration {
+		return max(joinChanges, t.config.MaxChanges)
+	}
+	return t.config.MaxChanges
+}
+
 // witnesses appends the witnesses of all epochs of this home.
 func (t *Table) witnesses(receivers []Member) []Member {
 	for _, epoch := range t.epochs {
--- a/rattanmember/message.go
+++ b/rattanmember/message.go
@@ -14,6 +14,9 @@
 	From Member
 	// To is the incarnation that the sender knows; its Number is 0 for a seed.
 	To rattanjob.Incarnation
+	// Known is the number of members that the sender knows. A receiver that
+	// knows many more sends more of them, so that a new member learns fast.
+	Known int `json:",omitempty"`
 	// Tenures are the epochs of the sender that the receiver is a witness of.
 	Tenures []Tenure `json:",omitempty"`
 	// Changes are members whose state changed recently.
--- a/rattanmember/owner.go
+++ b/rattanmember/owner.go
@@ -89,7 +89,7 @@
 		}
 		t.setClaim(now, 0)
 	}
-	if now.Sub(t.startedAt) < t.config.JoinDuration && len(t.unknownSeeds()) > 0 {
+	if t.joining(now) {
 		return
 	}
 	for pool := range t.pools {
@@ -101,6 +101,15 @@
 	}
 }
 
+// joining reports whether a member with seeds still learns who else is in its
+// availability zone. A claim too early opens an epoch that must drain.
+func (t *Table) joining(now time.Time) bool {
+	if len(t.config.Seeds) == 0 || now.Sub(t.startedAt) >= 5*t.config.JoinDuration {
+		return false
+	}
+	return now.Sub(t.joinedAt) < t.config.JoinDuration
+}
+
 // setClaim changes the claim and lets the current epoch drain when it ends.
 func (t *Table) setClaim(now time.Time, claim int) {
 	t.self.Claim = claim
--- a/rattanmember/table.go
+++ b/rattanmember/table.go
@@ -27,9 +27,15 @@
 	DefaultMaxGrants      = 4096
 )
 
-// refreshChanges is the number of unchanged members in a random heartbeat. They
-// let members converge that missed a change.
-const refreshChanges = 4
+const (
+	// refreshChanges is the number of unchanged members in a random heartbeat
+	// and its reply. They let members converge that missed a change.
+	refreshChanges = 4
+	// joinChanges is the number of members in a message while many are new, and
+	// in the reply to a member that knows fewer than nine tenths of what the
+	// receiver knows.
+	joinChanges = 32
+)
 
 // Random is the source of random choices, such as *rand.Rand of math/rand/v2.
 type Random interface {
@@ -56,8 +62,9 @@
 	VerdictMargin time.Duration
 	// DrainDuration is the time after a rollover for which the old epoch is kept.
 	DrainDuration time.Duration
-	// JoinDuration is the time after the start before a member with seeds
-	// claims a pool.
+	// JoinDuration is the time without a new member of the availability zone
+	// after which a member with seeds claims a pool. It waits at most 5 times
+	// as long.
 	JoinDuration time.Duration
 	// GrowthInterval is the shortest time between rollovers that only gain
 	// witnesses.
@@ -68,7 +75,8 @@
 	ListLag time.Duration
 	// MaxWitnesses is at most 4, the limit of a key.
 	MaxWitnesses int
-	// MaxChanges bounds the members in one message.
+	// MaxChanges bounds the members in one message, except while many members
+	// are new; then it is 32.
 	MaxChanges int
 	MaxPayload int
 	// MaxEpochs bounds the epochs that are open at the same time through
@@ -108,8 +116,12 @@
 	// superseded is set when the others take this incarnation for dead.
 	superseded bool
 	startedAt  time.Time
-	payload    []byte
-	pools      int
+	// addedAt is when the last member was added.
+	addedAt time.Time
+	// joinedAt is when the last member of the own availability zone was added.
+	joinedAt time.Time
+	payload  []byte
+	pools    int
 
 	entries map[string]*entry
 	// order holds the names in the order in which they are contacted next.
@@ -144,6 +156,7 @@
 		config:        config,
 		self:          config.Self,
 		startedAt:     now,
+		joinedAt:      now,
 		pools:         config.Pools,
 		entries:       map[string]*entry{},
 		grants:        map[rattanjob.EpochID]*grant{},
@@ -263,7 +276,7 @@
 	if current && heartbeat.To == t.self.Incarnation && !t.superseded {
 		t.acknowledge(now, sender, heartbeat.Tenures, &reply)
 	}
-	reply.Changes = t.changesFor(now, sender, refreshIf(len(heartbeat.Tenures) == 0))
+	reply.Changes = t.changesFor(now, sender, t.refreshFor(heartbeat))
 	return reply
 }
 
@@ -409,6 +422,7 @@
 	message := Heartbeat{
 		From:    t.Self(now),
 		To:      receiver.Incarnation,
+		Known:   len(t.entries),
 		Payload: t.payload,
 		Changes: t.changesFor(now, receiver.Incarnation, refresh),
 	}
@@ -454,8 +468,12 @@
 	}
 }
 
-func refreshIf(wanted bool) int {
-	if wanted {
+// refreshFor returns the number of unchanged members in the reply.
+func (t *Table) refreshFor(heartbeat Heartbeat) int {
+	switch {
+	case 10*heartbeat.Known < 9*len(t.entries)-10:
+		return joinChanges
+	case len(heartbeat.Tenures) == 0:
 		return refreshChanges
 	}
 	return 0
