rattanledger: say "not run" of keys refused for lack of room

Keys below a watermark that was raised only because every record was running were answered with "may have run", although no record had been dropped. The ledger remembers the highest issue time of a record dropped early, so that it can tell both cases apart. Answers to keys without a record are counted as violations. The fleet passes replies and votes through JSON too.

--- a/rattanledger/ledger.go
+++ b/rattanledger/ledger.go
@@ -56,7 +56,8 @@
 	Full       uint64
 	Finished   uint64
 	Tombstones uint64
-	// Violations counts second answers that differed from the first.
+	// Violations counts second answers that differed from the first, and
+	// answers to keys without a record.
 	Violations     uint64
 	RecordsDropped uint64
 	// RecordsDroppedEarly counts records dropped before Retention because the
@@ -147,6 +148,7 @@
 	}
 	record := epoch.records[key.Nonce]
 	if record == nil {
+		l.counters.Violations++
 		return errors.WithType(errors.Errorf("epoch %d", key.Epoch.Number), ErrNoRecord)
 	}
 	if !record.state.Final() {
@@ -225,7 +227,7 @@
 		return answer, verdict
 	}
 	if !l.makeRoom(now, epoch, key) {
-		return rattanjob.Refusal(rattanjob.ReasonOverloaded, "the home cannot keep further records"), VerdictFull
+		return noRoom(), VerdictFull
 	}
 	l.insert(epoch, &record{
 		nonce:    key.Nonce,
@@ -282,6 +284,8 @@
 	switch {
 	case verdict == VerdictUnknown:
 		return unknown(), verdict
+	case l.provedNotRun(now, epoch, key) && key.IssuedAt < epoch.watermark:
+		return noRoom(), verdict
 	case l.provedNotRun(now, epoch, key):
 		return rattanjob.Refusal(rattanjob.ReasonKeyExpired, "the key expired before it was submitted"), verdict
 	}
@@ -306,13 +310,13 @@
 	return VerdictUnknown
 }
 
-// provedNotRun reports whether an expired key without a record certainly never
-// started: had it started, its record would still be kept.
+// provedNotRun reports whether a key without a record that is not accepted any
+// more certainly never started: had it started, its record would still be kept.
 func (l *Ledger) provedNotRun(now time.Time, epoch *epochRecords, key rattanjob.Key) bool {
 	age := epoch.age(now)
-	expired := age >= key.IssuedAt+l.config.KeyLifetime
+	refused := age >= key.IssuedAt+l.config.KeyLifetime || key.IssuedAt < epoch.watermark
 	kept := age < key.IssuedAt-issueAllowance+l.config.Retention
-	return expired && kept && key.IssuedAt >= epoch.watermark
+	return refused && kept && key.IssuedAt >= epoch.dropped
 }
 
 // makeRoom makes room for the record of a key. When the ledger is full it drops
@@ -330,7 +334,8 @@
 			l.raise(epoch, key.IssuedAt+time.Millisecond)
 			return false
 		}
-		l.raise(oldest, oldest.firstAnswered().issuedAt+time.Millisecond)
+		oldest.dropped = max(oldest.dropped, oldest.firstAnswered().issuedAt+time.Millisecond)
+		l.raise(oldest, oldest.dropped)
 		l.dropRecord(oldest)
 		l.counters.RecordsDroppedEarly++
 	}
@@ -455,6 +460,10 @@
 	return rattanjob.Uncertain(rattanjob.ReasonKeyUnknown, "no record of the key", 0)
 }
 
+func noRoom() rattanjob.Answer {
+	return rattanjob.Refusal(rattanjob.ReasonOverloaded, "the home cannot keep further records")
+}
+
 func conflict() rattanjob.Answer {
 	return rattanjob.Uncertain(rattanjob.ReasonConflict, "the key was used with another body; nothing was started for this one", 0)
 }
--- a/rattanledger/ledger_test.go
+++ b/rattanledger/ledger_test.go
@@ -80,6 +80,7 @@
 type faults struct {
 	config      func(*Config)
 	noWatermark bool // the watermark is not raised
+	noDropped   bool // records dropped early are not remembered
 	noTombstone bool // refusals are not kept
 	loseRecords bool // records disappear at each sweep
 	noFence     bool // fenced epochs go on
@@ -296,10 +297,13 @@
 }
 
 func (h *history) bounded() error {
-	if h.faults.noWatermark {
-		for _, epoch := range h.ledger.epochs {
+	for _, epoch := range h.ledger.epochs {
+		if h.faults.noWatermark {
 			epoch.watermark = 0
 		}
+		if h.faults.noDropped {
+			epoch.dropped = 0
+		}
 	}
 	counters := h.ledger.Counters()
 	if counters.Records > bounds.MaxRecords || counters.AnswerBytes > bounds.MaxAnswerBytes {
@@ -394,6 +398,7 @@
 		{"answer bytes", faults{config: func(c *Config) { c.MaxAnswerBytes = 1 << 20 }}, errBounds},
 		{"records", faults{config: func(c *Config) { c.MaxRecords++ }}, errBounds},
 		{"watermark", faults{noWatermark: true}, errSecondStart},
+		{"dropped early", faults{noDropped: true}, errFalseNotRun},
 		{"tombstone", faults{noTombstone: true}, errSecondStart},
 		{"not run", faults{loseRecords: true}, errFalseNotRun},
 		{"fence", faults{noFence: true}, errFence},
@@ -411,6 +416,41 @@
 	}
 }
 
+// TestFull guards against a full ledger that starts a job which it cannot
+// record, that forgets a refusal for lack of room, or that says "not run" of a
+// job whose record it has dropped.
+func TestFull(t *testing.T) {
+	config := bounds
+	config.MaxRecords = 2
+	ledger := New(config)
+	ledger.OpenEpoch(origin, rattanjob.EpochID{Home: home, Number: 1}, origin)
+	keys := make([]rattanjob.Key, 4)
+	for i := range keys {
+		keys[i] = testKey(1, i, time.Duration(i)*time.Second)
+	}
+	begin := func(i int) (rattanjob.Answer, Verdict) {
+		return ledger.Begin(origin.Add(4*time.Second), keys[i], "counter", 1)
+	}
+	for i := range 2 {
+		_, verdict := begin(i)
+		qt.Assert(t, verdict, qt.Equals, VerdictStart)
+	}
+	answer, verdict := begin(2)
+	qt.Assert(t, verdict, qt.Equals, VerdictFull)
+	qt.Assert(t, answer.Execution, qt.Equals, rattanjob.ExecutionNotRun)
+	qt.Assert(t, ledger.Finish(origin, keys[0], complete("first")), qt.IsNil)
+	again, verdict := begin(2)
+	qt.Assert(t, verdict, qt.Equals, VerdictExpired)
+	qt.Assert(t, again, qt.DeepEquals, answer)
+	_, verdict = begin(3)
+	qt.Assert(t, verdict, qt.Equals, VerdictStart)
+	answer, verdict = begin(0)
+	qt.Assert(t, verdict, qt.Equals, VerdictExpired)
+	qt.Assert(t, answer.Execution, qt.Equals, rattanjob.ExecutionMayHaveRun)
+	_, verdict = begin(1)
+	qt.Assert(t, verdict, qt.Equals, VerdictJoin)
+}
+
 type operation struct {
 	call    string
 	key     int
--- a/rattanledger/record.go
+++ b/rattanledger/record.go
@@ -20,7 +20,10 @@
 	// watermark is the oldest issue time that is acceptable for a first
 	// submission.
 	watermark time.Duration
-	records   map[rattanjob.Nonce]*record
+	// dropped is above the issue times of all records that were dropped before
+	// their retention; it is at most the watermark.
+	dropped time.Duration
+	records map[rattanjob.Nonce]*record
 	// answered holds the records with a final answer in the order in which
 	// they were answered; those before first are dropped.
 	answered []*record
--- a/rattanmember/fleet_test.go
+++ b/rattanmember/fleet_test.go
@@ -165,6 +165,9 @@
 	if to, from := f.node(m.to.Instance), f.node(m.from.Instance); to.group != from.group || to.deafTo == from {
 		return
 	}
+	if f.faults.noChanges && m.heartbeat != nil {
+		m.heartbeat.Changes = nil
+	}
 	copies := 1
 	if f.random.Float64() < f.loss {
 		copies = 2 * f.random.IntN(2)
@@ -197,7 +200,7 @@
 			m.ready = to.pausedUntil + time.Duration(f.random.IntN(30))*time.Millisecond
 			f.bag = append(f.bag, m)
 		case m.heartbeat != nil:
-			reply := to.table.HandleHeartbeat(f.local(to), f.encoded(*m.heartbeat))
+			reply := to.table.HandleHeartbeat(f.local(to), encoded(f, *m.heartbeat))
 			f.send(message{from: to.incarnation, to: m.from, sent: m.sent, reply: &reply})
 		case to.incarnation == m.to:
 			f.acknowledge(to, m)
@@ -206,7 +209,7 @@
 }
 
 func (f *fleet) acknowledge(to *node, m message) {
-	reply := *m.reply
+	reply := encoded(f, *m.reply)
 	if f.faults.noChanges {
 		reply.Changes = nil
 	}
@@ -218,18 +221,15 @@
 }
 
 // encoded sends some messages through their JSON form.
-func (f *fleet) encoded(heartbeat Heartbeat) Heartbeat {
-	if f.faults.noChanges {
-		heartbeat.Changes = nil
-	}
+func encoded[T any](f *fleet, sent T) T {
 	if f.random.IntN(16) != 0 {
-		return heartbeat
+		return sent
 	}
-	data, err := json.Marshal(heartbeat)
+	data, err := json.Marshal(sent)
 	if err != nil {
 		panic(err)
 	}
-	var decoded Heartbeat
+	var decoded T
 	if err := json.Unmarshal(data, &decoded); err != nil {
 		panic(err)
 	}
@@ -256,7 +256,7 @@
 func (f *fleet) collect(asking *node, epoch Epoch) error {
 	for _, n := range f.active() {
 		if f.random.IntN(8) != 0 {
-			vote := n.table.Vote(f.local(n), epoch.ID, epoch.Witnesses)
+			vote := encoded(f, n.table.Vote(f.local(n), epoch.ID, epoch.Witnesses))
 			f.votes[epoch.ID] = append(f.votes[epoch.ID], vote)
 		}
 	}
