--- a/rattancmd/main.go
+++ b/rattancmd/main.go
@@ -58,6 +58,7 @@
 // commands returns the command tree, sorted by name.
 func commands(std *streams) []command {
 	return []command{
+		benchCommand(std),
 		configCommand(std),
 		confirmCommand(std),
 		demoCommand(std),
