Test instances as processes: killed, paused, terminated, started in an outage

A graceful shutdown cut requests off that were forwarded to another home and took longer than 10 s. The stop of servers now waits as long as the longest request (60 s plus the margin of forwarding).

TestTerminationFinishesRequests: a 12 s request through a terminated front ended with EOF after 10 s before, and is complete after the change. TestPausedHomeDoesNotContradict failed in one of 11 runs on a busy machine with a complete answer after HomeLost; the cause is not known yet.

--- a/rattancheck/register.go
+++ b/rattancheck/register.go
@@ -32,6 +32,8 @@
 type Request struct {
 	Operation Operation
 	Key       rattanjob.Key
+	// Through names the instance that was asked; it is used in traces only.
+	Through string
 	// Body is Submission.Digest of a submission, and 0 otherwise.
 	Body     uint64
 	Asked    time.Time
@@ -269,7 +271,7 @@
 		if request.Answered {
 			said = outcomeOf(request.Answer).String()
 		}
-		lines = append(lines, fmt.Sprintf("%v..%v %v body %x: %s", from, to, request.Operation, request.Body, said))
+		lines = append(lines, fmt.Sprintf("%v..%v %v body %x through %s: %s", from, to, request.Operation, request.Body, request.Through, said))
 	}
 	return "no order of these requests is possible: " + strings.Join(lines, "; ")
 }
--- /dev/null
+++ b/rattancmd/process_test.go
@@ -0,0 +1,597 @@
+package rattancmd_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattancheck"
+	"github.com/rattanlever/rattanlever/rattanclient"
+	"github.com/rattanlever/rattanlever/rattanconfig"
+	"github.com/rattanlever/rattanlever/rattanentry"
+	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattanjson"
+	"github.com/rattanlever/rattanlever/rattanplatform"
+	"github.com/rattanlever/rattanlever/rattansettings"
+	"github.com/rattanlever/rattanlever/rattanstandin"
+)
+
+const (
+	startTimeout = 15 * time.Second
+	// resolveBound is the target value of section 2: every job of a killed
+	// instance is resolved within 3 s for a caller that asks again.
+	resolveBound = 3 * time.Second
+	// goodputBound is the target value for an outage of the platform, relative
+	// to the time before.
+	goodputBound = 0.99
+)
+
+// binary is the program under test, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "rattanlever")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	binary = filepath.Join(directory, "rattanlever")
+	build := exec.Command("go", "build", "-o", binary, "github.com/rattanlever/rattanlever")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, output)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one process of the program.
+type process struct {
+	name    string
+	address string
+	command *exec.Cmd
+	// ended is closed when the process has ended; err is its error.
+	ended  chan struct{}
+	err    error
+	output bytes.Buffer
+}
+
+// cluster is a set of entry processes of one availability zone. The platform
+// and the targets are in the test's own process, where their faults and the
+// log of starts are at hand.
+type cluster struct {
+	c         *qt.C
+	directory string
+	platform  *rattanstandin.Platform
+	fleet     *rattanstandin.TargetFleet
+	peers     []rattansettings.Peer
+	entries   []*process
+	reserved  []string
+	history   *rattancheck.History
+	transport *http.Transport
+}
+
+// freeAddresses returns addresses that were free a moment ago. They are all
+// held until the last is found, so that no two are the same.
+func freeAddresses(c *qt.C, count int) []string {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+// startCluster starts count entry processes, with addresses for spare more.
+func startCluster(c *qt.C, count, spare int) *cluster {
+	platform, err := rattanstandin.NewPlatform(rattanstandin.PlatformOptions{})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(platform.Close)
+	fleet, err := rattanstandin.NewTargetFleet(rattanstandin.TargetFleetOptions{
+		Count: 8, AvailabilityZone: "buda", Service: "planner",
+		Target: rattanstandin.TargetOptions{Slots: 16, Echo: true},
+	})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(fleet.Close)
+	platform.SetInstances(fleet.Instances()...)
+	made := &cluster{
+		c:         c,
+		directory: c.Mkdir(),
+		platform:  platform,
+		fleet:     fleet,
+		reserved:  freeAddresses(c, 2*(count+spare)),
+		history:   rattancheck.NewHistory(),
+		transport: &http.Transport{MaxIdleConnsPerHost: 256},
+	}
+	c.Cleanup(made.transport.CloseIdleConnections)
+	made.putDocument()
+	for i := range count + spare {
+		made.peers = append(made.peers, rattansettings.Peer{Name: entryName(i), AvailabilityZone: "buda", PeerAddress: made.reserved[2*i+1]})
+	}
+	for range count {
+		made.startEntry()
+	}
+	for _, entry := range made.entries {
+		made.waitReady(entry)
+	}
+	return made
+}
+
+func entryName(number int) string {
+	return fmt.Sprintf("buda-entry-%d", number+1)
+}
+
+func (s *cluster) putDocument() {
+	document := rattanconfig.Document{
+		Revision: 1,
+		Services: map[string]rattanconfig.Service{"planner": {Description: "planner"}},
+		JobKinds: map[string]rattanconfig.JobKind{
+			"list": {Service: "planner", MaxTasks: 250, RunTime: rattanjson.Duration(100 * time.Millisecond), Deadline: rattanjson.Duration(20 * time.Second)},
+		},
+		Callers: map[string]rattanconfig.Caller{"app": {Weight: 1}},
+	}
+	value, err := json.Marshal(document)
+	s.c.Assert(err, qt.IsNil)
+	client := rattanplatform.New(rattanplatform.Options{Address: s.platform.Address()})
+	defer client.Close()
+	_, err = client.Put(context.Background(), rattanconfig.PlatformKey, value, rattanplatform.NoRevision, rattanplatform.NoLease)
+	s.c.Assert(err, qt.IsNil)
+}
+
+// startEntry starts the next entry process from a generated settings file.
+func (s *cluster) startEntry() *process {
+	number := len(s.entries)
+	settings := rattansettings.Default()
+	settings.Name = entryName(number)
+	settings.AvailabilityZone = "buda"
+	settings.CallerAddress = s.reserved[2*number]
+	settings.PeerAddress = s.reserved[2*number+1]
+	settings.PlatformAddress = s.platform.Address()
+	settings.Peers = s.peers
+	data, err := json.Marshal(settings)
+	s.c.Assert(err, qt.IsNil)
+	file := filepath.Join(s.directory, settings.Name+".json")
+	s.c.Assert(os.WriteFile(file, data, 0o600), qt.IsNil)
+	entry := &process{
+		name:    settings.Name,
+		address: settings.CallerAddress,
+		command: exec.Command(binary, "entry", "--config", file),
+		ended:   make(chan struct{}),
+	}
+	entry.command.Stdout = &entry.output
+	entry.command.Stderr = &entry.output
+	s.c.Assert(entry.command.Start(), qt.IsNil)
+	go func() {
+		entry.err = entry.command.Wait()
+		close(entry.ended)
+	}()
+	s.entries = append(s.entries, entry)
+	s.c.Cleanup(func() {
+		_ = entry.command.Process.Kill()
+		<-entry.ended
+		if s.c.Failed() {
+			s.c.Logf("%s: %s", entry.name, lastPart(entry.output.String()))
+		}
+	})
+	return entry
+}
+
+func lastPart(text string) string {
+	const most = 2000
+	return text[max(0, len(text)-most):]
+}
+
+// health returns what the instance says of itself, or false.
+func (s *cluster) health(entry *process) (health rattanentry.Health, ready bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry.address+"/ready", nil)
+	s.c.Assert(err, qt.IsNil)
+	response, err := s.transport.RoundTrip(request)
+	if err != nil {
+		return health, false
+	}
+	defer func() { _ = response.Body.Close() }()
+	err = json.NewDecoder(response.Body).Decode(&health)
+	return health, err == nil && response.StatusCode == http.StatusOK
+}
+
+func (s *cluster) waitReady(entry *process) {
+	deadline := time.Now().Add(startTimeout)
+	for {
+		if _, ready := s.health(entry); ready {
+			if _, err := s.client(entry).Keys(context.Background(), 1); err == nil {
+				return
+			}
+		}
+		if time.Now().After(deadline) {
+			s.c.Fatalf("%s not ready after %v: %s", entry.name, startTimeout, lastPart(entry.output.String()))
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (s *cluster) client(entries ...*process) *rattanclient.Client {
+	var addresses []string
+	for _, entry := range entries {
+		addresses = append(addresses, entry.address)
+	}
+	return rattanclient.New(rattanclient.Config{Addresses: addresses, Caller: "app", Transport: s.transport})
+}
+
+// home returns the process that a key names, and the others.
+func (s *cluster) home(key rattanjob.Key) (home *process, others []*process) {
+	for _, entry := range s.entries {
+		if entry.name == key.Epoch.Home.Instance {
+			home = entry
+		} else {
+			others = append(others, entry)
+		}
+	}
+	s.c.Assert(home, qt.IsNotNil)
+	return home, others
+}
+
+func (s *cluster) keys(count int) []rattanjob.Key {
+	keys, err := s.client(s.entries...).Keys(context.Background(), count)
+	s.c.Assert(err, qt.IsNil)
+	return keys
+}
+
+func (s *cluster) submission(key rattanjob.Key, tasks int, runTime time.Duration) rattanjob.Submission {
+	made := rattanjob.Submission{Key: key, Kind: "list"}
+	for i := range tasks {
+		payload := fmt.Sprintf(`{"RunTime":%q,"Token":"%s-%d"}`, runTime, key.ID(), i)
+		made.Tasks = append(made.Tasks, rattanjob.Task{Payload: json.RawMessage(payload), RunTime: rattanjson.Duration(runTime)})
+	}
+	s.history.Submitted(made)
+	return made
+}
+
+// submit sends the submission once and records the request.
+func (s *cluster) submit(ctx context.Context, entry *process, sent rattanjob.Submission, wait time.Duration) (rattanjob.Answer, error) {
+	asked := time.Now()
+	answer, err := s.client(entry).Submit(ctx, sent, wait)
+	s.history.Requested(rattancheck.Request{
+		Operation: rattancheck.OperationSubmit, Key: sent.Key, Body: sent.Digest(), Through: entry.name,
+		Asked: asked, Received: time.Now(), Answered: err == nil, Answer: answer,
+	})
+	return answer, err
+}
+
+// status asks once and records the request.
+func (s *cluster) status(ctx context.Context, entry *process, key rattanjob.Key, wait time.Duration) (rattanjob.Answer, error) {
+	asked := time.Now()
+	answer, err := s.client(entry).Status(ctx, key, wait)
+	s.history.Requested(rattancheck.Request{
+		Operation: rattancheck.OperationStatus, Key: key, Through: entry.name,
+		Asked: asked, Received: time.Now(), Answered: err == nil, Answer: answer,
+	})
+	return answer, err
+}
+
+// waitJobs waits until the instance has jobs in progress and their tasks have
+// started.
+func (s *cluster) waitJobs(entry *process, jobs int, starts uint64) {
+	deadline := time.Now().Add(startTimeout)
+	for {
+		health, _ := s.health(entry)
+		if health.Jobs >= jobs && s.fleet.Log().Starts() >= starts {
+			return
+		}
+		if time.Now().After(deadline) {
+			s.c.Fatalf("%s has %d jobs, %d tasks started", entry.name, health.Jobs, s.fleet.Log().Starts())
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (s *cluster) checkHistory() {
+	s.c.Helper()
+	violations := map[rattancheck.Invariant]rattancheck.Violation{}
+	for _, violation := range s.history.Check(s.fleet.Log().Counts()) {
+		violations[violation.Invariant] = violation
+	}
+	s.c.Check(violations, qt.HasLen, 0, qt.Commentf("one of each invariant"))
+	s.c.Check(s.fleet.Log().DoubleStarts(), qt.Equals, uint64(0))
+}
+
+// Guards the target value for a killed instance: every job that it held is
+// resolved within 3 s for a caller that asks again, and none starts again.
+func TestKilledHomeIsResolved(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	cluster := startCluster(c, 4, 0)
+	keys := cluster.keys(40)
+	home, others := cluster.home(keys[0])
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	var killedAt atomic.Int64
+	var longest atomic.Int64
+	var jobs sync.WaitGroup
+	for i, key := range keys {
+		sent := cluster.submission(key, 2, 10*time.Second)
+		jobs.Go(func() {
+			// A third of the callers is connected to the home itself.
+			entry := home
+			if i%3 != 0 {
+				entry = others[i%len(others)]
+			}
+			answer, err := cluster.submit(ctx, entry, sent, 15*time.Second)
+			for try := i; (err != nil || !answer.State.Final()) && ctx.Err() == nil; try++ {
+				answer, err = cluster.submit(ctx, others[try%len(others)], sent, 15*time.Second)
+				time.Sleep(20 * time.Millisecond)
+			}
+			c.Check(answer.Reason, qt.Equals, rattanjob.ReasonHomeLost, qt.Commentf("%+v, %v", answer, err))
+			took := time.Now().UnixNano() - killedAt.Load()
+			for seen := longest.Load(); took > seen && !longest.CompareAndSwap(seen, took); seen = longest.Load() {
+			}
+		})
+	}
+	cluster.waitJobs(home, len(keys), uint64(2*len(keys)))
+	killedAt.Store(time.Now().UnixNano())
+	c.Assert(home.command.Process.Kill(), qt.IsNil)
+	jobs.Wait()
+	c.Logf("%d jobs of the killed home resolved after at most %v", len(keys), time.Duration(longest.Load()))
+	c.Check(time.Duration(longest.Load()) <= resolveBound, qt.IsTrue)
+
+	// The next member serves: new keys name another home.
+	var next rattanjob.Answer
+	for ctx.Err() == nil && next.State != rattanjob.StateComplete {
+		keys, err := cluster.client(others...).Keys(ctx, 1)
+		if err == nil {
+			next, _ = cluster.client(others...).Do(ctx, cluster.submission(keys[0], 1, 10*time.Millisecond))
+			cluster.history.Answered(keys[0], time.Now(), time.Now(), next)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.Logf("next home completes a job %v after the death", time.Duration(time.Now().UnixNano()-killedAt.Load()))
+	cluster.checkHistory()
+}
+
+// Guards against a home that is paused for longer than its tenure and then
+// contradicts what callers were told: nothing but HomeLost follows HomeLost.
+func TestPausedHomeDoesNotContradict(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	cluster := startCluster(c, 3, 0)
+	keys := cluster.keys(30)
+	home, others := cluster.home(keys[0])
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	done := make(chan struct{})
+	var callers sync.WaitGroup
+	var lost atomic.Int64
+	for i, key := range keys {
+		// Some jobs end before the pause, some during it and some after it.
+		sent := cluster.submission(key, 2, time.Duration(200+150*i)*time.Millisecond)
+		callers.Go(func() {
+			_, _ = cluster.submit(ctx, others[i%len(others)], sent, 0)
+			for {
+				entry := cluster.entries[i%len(cluster.entries)]
+				i++
+				asking, cancel := context.WithTimeout(ctx, 4*time.Second)
+				answer, err := cluster.status(asking, entry, key, 100*time.Millisecond)
+				cancel()
+				if err == nil && answer.Reason == rattanjob.ReasonHomeLost {
+					lost.Add(1)
+				}
+				select {
+				case <-done:
+					return
+				case <-time.After(50 * time.Millisecond):
+				}
+			}
+		})
+	}
+	cluster.waitJobs(home, 1, uint64(len(keys)))
+	time.Sleep(500 * time.Millisecond)
+	c.Assert(home.command.Process.Signal(syscall.SIGSTOP), qt.IsNil)
+	time.Sleep(3 * time.Second)
+	c.Check(lost.Load() > 0, qt.IsTrue, qt.Commentf("no caller was told that the home is lost during the pause"))
+	c.Assert(home.command.Process.Signal(syscall.SIGCONT), qt.IsNil)
+	time.Sleep(1500 * time.Millisecond)
+	close(done)
+	callers.Wait()
+	c.Logf("%d answers HomeLost, epoch %+v with witnesses %+v", lost.Load(), keys[0].Epoch, keys[0].Witnesses)
+	cluster.checkHistory()
+}
+
+// Guards I7: SIGTERM cuts no request in progress off, neither at the home nor
+// at a front whose forwarded request takes longer than the stop of servers.
+func TestTerminationFinishesRequests(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	cluster := startCluster(c, 3, 0)
+	keys := cluster.keys(31)
+	home, others := cluster.home(keys[0])
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	var jobs sync.WaitGroup
+	ask := func(entry *process, key rattanjob.Key, runTime time.Duration) {
+		sent := cluster.submission(key, 3, runTime)
+		jobs.Go(func() {
+			answer, err := cluster.submit(ctx, entry, sent, 20*time.Second)
+			c.Check(err, qt.IsNil, qt.Commentf("through %s", entry.name))
+			c.Check(answer.State, qt.Equals, rattanjob.StateComplete, qt.Commentf("through %s: %+v", entry.name, answer))
+		})
+	}
+	for i, key := range keys[:30] {
+		ask(cluster.entries[i%3], key, time.Duration(1000+50*i)*time.Millisecond)
+	}
+	ask(others[0], keys[30], 12*time.Second)
+	cluster.waitJobs(home, len(keys), uint64(3*len(keys)))
+	for _, terminated := range []*process{others[0], home} {
+		c.Assert(terminated.command.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	}
+	jobs.Wait()
+	for _, terminated := range []*process{others[0], home} {
+		select {
+		case <-terminated.ended:
+			c.Check(terminated.err, qt.IsNil, qt.Commentf("%s", terminated.name))
+		case <-time.After(startTimeout):
+			c.Errorf("%s has not ended", terminated.name)
+		}
+	}
+	cluster.checkHistory()
+}
+
+// Guards against instances that need the platform to start: one that starts
+// during an outage gets the configuration and the targets from its peers, and
+// serves as the home when the others have died.
+func TestStartDuringOutage(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	cluster := startCluster(c, 3, 1)
+	cluster.platform.SetFaults(rattanstandin.Faults{Outage: rattanstandin.OutageClosed})
+	began := time.Now()
+	added := cluster.startEntry()
+	cluster.waitReady(added)
+	health, _ := cluster.health(added)
+	c.Check(health.Revision, qt.Equals, uint64(1))
+	c.Logf("ready %v after the start", time.Since(began))
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	sent := cluster.submission(cluster.keys(1)[0], 4, 10*time.Millisecond)
+	answer, err := cluster.submit(ctx, added, sent, 10*time.Second)
+	c.Check(err, qt.IsNil)
+	c.Check(answer.State, qt.Equals, rattanjob.StateComplete, qt.Commentf("%+v", answer))
+
+	for _, entry := range cluster.entries[:3] {
+		c.Assert(entry.command.Process.Kill(), qt.IsNil)
+	}
+	var last rattanjob.Answer
+	for ctx.Err() == nil && last.State != rattanjob.StateComplete {
+		keys, err := cluster.client(added).Keys(ctx, 1)
+		if err == nil {
+			last, _ = cluster.submit(ctx, added, cluster.submission(keys[0], 4, 10*time.Millisecond), 5*time.Second)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.Check(last.State, qt.Equals, rattanjob.StateComplete, qt.Commentf("%+v", last))
+}
+
+// Guards the target value for an outage of the platform: goodput is at least
+// 99% of that before.
+func TestPlatformOutageUnderLoad(t *testing.T) {
+	for _, outage := range []rattanstandin.Outage{rattanstandin.OutageClosed, rattanstandin.OutageSilent} {
+		t.Run(outage.String(), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			cluster := startCluster(c, 3, 0)
+			const window, rate = 4 * time.Second, 50
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+			defer cancel()
+			goodput := func() float64 {
+				var sent, complete atomic.Int64
+				var jobs sync.WaitGroup
+				ticker := time.NewTicker(time.Second / rate)
+				defer ticker.Stop()
+				client := cluster.client(cluster.entries...)
+				for end := time.Now().Add(window); time.Now().Before(end); <-ticker.C {
+					jobs.Go(func() {
+						sent.Add(1)
+						keys, err := client.Keys(ctx, 1)
+						if err != nil {
+							return
+						}
+						submission := cluster.submission(keys[0], 4, 30*time.Millisecond)
+						asked := time.Now()
+						answer, err := client.Do(ctx, submission)
+						cluster.history.Answered(keys[0], asked, time.Now(), answer)
+						if err == nil && answer.State == rattanjob.StateComplete {
+							complete.Add(1)
+						}
+					})
+				}
+				jobs.Wait()
+				c.Logf("%d of %d jobs complete in %v", complete.Load(), sent.Load(), window)
+				return float64(complete.Load()) / float64(sent.Load())
+			}
+			before := goodput()
+			cluster.platform.SetFaults(rattanstandin.Faults{Outage: outage})
+			during := goodput()
+			cluster.platform.SetFaults(rattanstandin.Faults{})
+			c.Check(during >= goodputBound*before, qt.IsTrue, qt.Commentf("goodput %.4f after %.4f", during, before))
+			cluster.checkHistory()
+		})
+	}
+}
+
+// Guards the stand-in commands and the callers' commands as processes: a job
+// goes from the command line through the entry instance to a target and back.
+func TestAllProcesses(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	addresses := freeAddresses(c, 3)
+	run := func(args ...string) {
+		command := exec.Command(binary, args...)
+		c.Assert(command.Start(), qt.IsNil)
+		c.Cleanup(func() {
+			_ = command.Process.Kill()
+			_ = command.Wait()
+		})
+	}
+	run("standin", "platform", "--address", addresses[0], "--instance-list-lag", "0s")
+	cluster := &cluster{c: c, transport: &http.Transport{}, reserved: addresses[1:], directory: c.Mkdir()}
+	waitListening(c, addresses[0])
+	run("standin", "target", "--count", strconv.Itoa(2), "--zone", "buda", "--service", "planner", "--platform", addresses[0])
+	document := filepath.Join(cluster.directory, "document.json")
+	c.Assert(os.WriteFile(document, []byte(`{"Revision":1,"Services":{"planner":{}},"JobKinds":{"list":{"Service":"planner","MaxTasks":10,"RunTime":"10ms","Deadline":"5s"}},"Callers":{"app":{"Weight":1}}}`), 0o600), qt.IsNil)
+	settings := rattansettings.Default()
+	settings.Name = "buda-entry-1"
+	settings.AvailabilityZone = "buda"
+	settings.CallerAddress, settings.PeerAddress, settings.PlatformAddress = addresses[1], addresses[2], addresses[0]
+	settings.Document = document
+	data, err := json.Marshal(settings)
+	c.Assert(err, qt.IsNil)
+	file := filepath.Join(cluster.directory, "entry.json")
+	c.Assert(os.WriteFile(file, data, 0o600), qt.IsNil)
+	run("entry", "--config", file)
+	cluster.waitReady(&process{name: "buda-entry-1", address: addresses[1]})
+	var output []byte
+	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		submit := exec.Command(binary, "job", "submit", "--entry", addresses[1], "--caller", "app", "-")
+		submit.Stdin = bytes.NewReader([]byte(`{"Kind":"list","Tasks":[{"Payload":"a"},{"Payload":"b"}]}`))
+		output, err = submit.Output()
+		if err == nil {
+			break
+		}
+	}
+	c.Assert(err, qt.IsNil)
+	var answer rattanjob.Answer
+	c.Assert(json.Unmarshal(output, &answer), qt.IsNil, qt.Commentf("%s", output))
+	c.Assert(answer.State, qt.Equals, rattanjob.StateComplete)
+	c.Assert(answer.Results, qt.HasLen, 2)
+}
+
+func waitListening(c *qt.C, address string) {
+	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = conn.Close()
+			return
+		}
+	}
+	c.Fatalf("nothing listens at %s", address)
+}
--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -35,8 +35,10 @@
 // instance must be started anew.
 const ErrSuperseded = errors.ConstError("incarnation superseded")
 
-// stopTimeoutTotal bounds a graceful shutdown beyond the drain of jobs.
-const stopTimeoutTotal = 10 * time.Second
+// stopTimeoutTotal bounds a graceful shutdown beyond the drain of jobs. It
+// covers the longest wait of a request that was forwarded to another home: a
+// shutdown interrupts no request in progress.
+const stopTimeoutTotal = maxWait + 2*forwardMargin
 
 // Config configures an Instance.
 type Config struct {
--- a/rattansystem/history_test.go
+++ b/rattansystem/history_test.go
@@ -390,6 +390,7 @@
 func (r *historyRun) request(ctx context.Context, entry int, request rattancheck.Request, send func(context.Context, *rattanclient.Client) (rattanjob.Answer, error)) bool {
 	ctx, cancel := context.WithTimeout(ctx, 8*time.Second)
 	defer cancel()
+	request.Through = fmt.Sprintf("entry %d", entry%len(r.system.Entries()))
 	request.Asked = time.Now()
 	answer, err := send(ctx, r.client(entry))
 	request.Received = time.Now()
