--- a/rattanentry/operations.go
+++ b/rattanentry/operations.go
@@ -23,7 +23,9 @@
 
 // The conditions of an instance. Serving and CutOff are ready.
 const (
-	// ConditionStarting says that no configuration or no home is known yet.
+	// ConditionStarting says that no configuration, no instance list or no home
+	// is known yet. An instance that was ready without a list would refuse all
+	// jobs if it became the home during an outage of the platform.
 	ConditionStarting Condition = iota
 	ConditionServing
 	// ConditionCutOff says that the platform does not answer; jobs are served
@@ -71,7 +73,7 @@
 	switch {
 	case o.draining.Load():
 		return ConditionDraining
-	case o.config.Configuration.Document().Revision == 0 || !owned:
+	case o.config.Configuration.Document().Revision == 0 || o.config.Inventory.Reached().IsZero() || !owned:
 		return ConditionStarting
 	case now.Sub(o.config.Inventory.Reached()) > cutOffAfter:
 		return ConditionCutOff
