rattanpeer: prove a failure only by a later refusal, and send replies before the stop

A call that joined an attempt to connect got its refusal as a proof of failure, although the attempt may have been refused before the process began to listen. Such a call now tries a connection of its own. Replies whose handlers had returned could be lost when the node stopped; the node drains now.

--- a/rattancmd/process_test.go
+++ b/rattancmd/process_test.go
@@ -131,7 +131,7 @@
 		directory: c.Mkdir(),
 		platform:  platform,
 		fleet:     fleet,
-		reserved:  freeAddresses(2*(count+spare)),
+		reserved:  freeAddresses(2 * (count + spare)),
 		history:   rattancheck.NewHistory(),
 		transport: &http.Transport{MaxIdleConnsPerHost: 256},
 	}
--- a/rattanpeer/node.go
+++ b/rattanpeer/node.go
@@ -39,6 +39,8 @@
 	methodPing         = "Ping"
 	defaultSilence     = time.Second
 	defaultDialTimeout = 500 * time.Millisecond
+	drainTimeout       = 5 * time.Second
+	drainInterval      = 2 * time.Millisecond
 )
 
 // Handler serves one method. Its context ends with the link; the error's text
@@ -83,6 +85,8 @@
 	handlers map[string]Handler
 	serving  sync.WaitGroup
 	cancel   context.CancelFunc
+	// replying is the number of requests whose reply is not sent yet.
+	replying atomic.Int64
 
 	mutex  sync.Mutex
 	links  map[string]*link
@@ -118,6 +122,21 @@
 	return reply, nil
 }
 
+// Drain waits until the replies to all requests that arrived before are sent,
+// at most drainTimeout.
+func (n *Node) Drain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	for n.replying.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return errors.Annotate(ctx.Err(), "replies in progress")
+		case <-time.After(drainInterval):
+		}
+	}
+	return nil
+}
+
 // Handle sets the handler of a method.
 func (n *Node) Handle(method string, handler Handler) {
 	n.handlers[method] = handler
@@ -189,12 +208,28 @@
 	_ = srv.ServeOne(ctx, conn)
 }
 
-// link returns the open link to the address, or opens one.
+// link returns the open link to the address, or opens one. A refusal counts
+// only if the connection was tried after this call began: an earlier one says
+// nothing about a process that has started to listen since.
 func (n *Node) link(ctx context.Context, address string) (*link, error) {
+	peer, opened, err := n.join(ctx, address)
+	if err == nil || opened || !errors.Is(err, ErrRefused) {
+		return peer, err
+	}
+	peer, opened, err = n.join(ctx, address)
+	if !opened && errors.Is(err, ErrRefused) {
+		return nil, ErrUnreachable
+	}
+	return peer, err
+}
+
+// join waits for the link to the address and reports whether this call has
+// opened it.
+func (n *Node) join(ctx context.Context, address string) (peer *link, opened bool, err error) {
 	n.mutex.Lock()
 	if n.closed {
 		n.mutex.Unlock()
-		return nil, ErrLinkClosed
+		return nil, false, ErrLinkClosed
 	}
 	peer, ok := n.links[address]
 	if !ok {
@@ -205,9 +240,9 @@
 	n.mutex.Unlock()
 	select {
 	case <-peer.ready:
-		return peer, peer.openErr
+		return peer, !ok, peer.openErr
 	case <-ctx.Done():
-		return nil, errors.WithType(ctx.Err(), ErrUnreachable)
+		return nil, !ok, errors.WithType(ctx.Err(), ErrUnreachable)
 	}
 }
 
--- a/rattanpeer/node_test.go
+++ b/rattanpeer/node_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -132,3 +134,58 @@
 	_, err = a.Call(context.Background(), address, "Echo", nil)
 	c.Assert(err, qt.IsNil)
 }
+
+// Guards against a false proof of failure: a connection that was refused before
+// a process began to listen must not count for a call that began later and has
+// joined the attempt.
+func TestEarlierRefusalIsNoProof(t *testing.T) {
+	c := qt.New(t)
+	var dials atomic.Int64
+	dialing, refuse := make(chan struct{}), make(chan struct{})
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		if dials.Add(1) > 1 {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		}
+		close(dialing)
+		<-refuse
+		return nil, syscall.ECONNREFUSED
+	}
+	a, _ := startNode(c, "a", dial)
+	_, address := startNode(c, "b", nil)
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		_, err := a.Call(context.Background(), address, "Echo", nil)
+		c.Check(err, qt.ErrorIs, rattanpeer.ErrRefused)
+	})
+	<-dialing
+	joined := make(chan struct{})
+	calls.Go(func() {
+		close(joined)
+		_, err := a.Call(context.Background(), address, "Echo", nil)
+		c.Check(err, qt.IsNil)
+	})
+	<-joined
+	time.Sleep(20 * time.Millisecond)
+	close(refuse)
+	calls.Wait()
+}
+
+// Guards I7 on links: a node that stops after its drain has sent the replies
+// to the requests in progress.
+func TestDrainSendsReplies(t *testing.T) {
+	c := qt.New(t)
+	a, _ := startNode(c, "a", nil)
+	b, address := startNode(c, "b", nil)
+	var calls sync.WaitGroup
+	for range 20 {
+		calls.Go(func() {
+			got, err := a.Call(context.Background(), address, "Slow", []byte("x"))
+			c.Check(err, qt.IsNil)
+			c.Check(string(got), qt.Equals, "x")
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	c.Assert(b.Drain(context.Background()), qt.IsNil)
+	c.Assert(b.Stop(context.Background()), qt.IsNil)
+	calls.Wait()
+}
--- a/rattanpeer/server.go
+++ b/rattanpeer/server.go
@@ -38,7 +38,9 @@
 			send(&rattanpeerpb.Envelope{Method: methodPing})
 			continue
 		}
+		s.node.replying.Add(1)
 		go func() {
+			defer s.node.replying.Add(-1)
 			send(s.reply(ctx, envelope))
 		}()
 	}
