--- a/rattancmd/process_test.go
+++ b/rattancmd/process_test.go
@@ -85,7 +85,7 @@
 	fleet     *rattanstandin.TargetFleet
 	peers     []rattansettings.Peer
 	entries   []*process
-	reserved  []string
+	reserved  []net.Listener
 	history   *rattancheck.History
 	transport *http.Transport
 }
@@ -98,20 +98,24 @@
 	mostPort  = 32000
 )
 
-// freeAddresses returns addresses that were free a moment ago. They are all
-// held until the last is found, so that no two are the same.
-func freeAddresses(count int) []string {
-	var addresses []string
-	for len(addresses) < count {
+// reserve returns listeners at free ports. They are closed just before the
+// process starts that listens there.
+func reserve(count int) []net.Listener {
+	var listeners []net.Listener
+	for len(listeners) < count {
 		port := leastPort + rand.IntN(mostPort-leastPort)
 		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
-		if err != nil {
-			continue
+		if err == nil {
+			listeners = append(listeners, listener)
 		}
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
 	}
-	return addresses
+	return listeners
+}
+
+// release closes a reserved listener and returns its address.
+func release(reserved net.Listener) string {
+	_ = reserved.Close()
+	return reserved.Addr().String()
 }
 
 // startCluster starts count entry processes, with addresses for spare more.
@@ -131,14 +135,19 @@
 		directory: c.Mkdir(),
 		platform:  platform,
 		fleet:     fleet,
-		reserved:  freeAddresses(2 * (count + spare)),
+		reserved:  reserve(2 * (count + spare)),
 		history:   rattancheck.NewHistory(),
 		transport: &http.Transport{MaxIdleConnsPerHost: 256},
 	}
 	c.Cleanup(made.transport.CloseIdleConnections)
+	c.Cleanup(func() {
+		for _, reserved := range made.reserved {
+			_ = reserved.Close()
+		}
+	})
 	made.putDocument()
 	for i := range count + spare {
-		made.peers = append(made.peers, rattansettings.Peer{Name: entryName(i), AvailabilityZone: "buda", PeerAddress: made.reserved[2*i+1]})
+		made.peers = append(made.peers, rattansettings.Peer{Name: entryName(i), AvailabilityZone: "buda", PeerAddress: made.reserved[2*i+1].Addr().String()})
 	}
 	for range count {
 		made.startEntry()
@@ -176,8 +185,8 @@
 	settings := rattansettings.Default()
 	settings.Name = entryName(number)
 	settings.AvailabilityZone = "buda"
-	settings.CallerAddress = s.reserved[2*number]
-	settings.PeerAddress = s.reserved[2*number+1]
+	settings.CallerAddress = release(s.reserved[2*number])
+	settings.PeerAddress = release(s.reserved[2*number+1])
 	settings.PlatformAddress = s.platform.Address()
 	settings.Peers = s.peers
 	data, err := json.Marshal(settings)
@@ -573,7 +582,10 @@
 func TestAllProcesses(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	addresses := freeAddresses(3)
+	var addresses []string
+	for _, reserved := range reserve(3) {
+		addresses = append(addresses, release(reserved))
+	}
 	run := func(args ...string) {
 		command := exec.Command(binary, args...)
 		c.Assert(command.Start(), qt.IsNil)
@@ -583,7 +595,7 @@
 		})
 	}
 	run("standin", "platform", "--address", addresses[0], "--instance-list-lag", "0s")
-	cluster := &cluster{c: c, transport: &http.Transport{}, reserved: addresses[1:], directory: c.Mkdir()}
+	cluster := &cluster{c: c, transport: &http.Transport{}, directory: c.Mkdir()}
 	waitListening(c, addresses[0])
 	run("standin", "target", "--count", strconv.Itoa(2), "--zone", "buda", "--service", "planner", "--platform", addresses[0])
 	document := filepath.Join(cluster.directory, "document.json")
