Tell members of changes at once, and read from the platform through one watcher

Change: the oldest member of a zone reads from the platform, the second stands in when the list is 2 s old; whoever installs a change tells four members, who pull it. A call to the platform that runs into its bound closes the idle connections, which may have gone silent too.

--- a/rattancheck/check.go
+++ b/rattancheck/check.go
@@ -187,7 +187,11 @@
 		}
 	}
 	if !resolved {
-		report(InvariantResolved, "no final answer among %d", len(s.answers))
+		detail := ""
+		if len(s.answers) > 0 {
+			detail = s.answers[len(s.answers)-1].answer.Detail
+		}
+		report(InvariantResolved, "no final answer among %d, the last: %s", len(s.answers), detail)
 	}
 	s.checkStable(report)
 	if !s.linearizable() {
--- a/rattanentry/configuration.go
+++ b/rattanentry/configuration.go
@@ -21,9 +21,9 @@
 	// against the platform's rates. A connection can go silent without an
 	// error, so the wait and watchMargin bound the time until a change is seen
 	// on a new connection; a change must be in force everywhere within 2 s.
-	watchWait   = 500 * time.Millisecond
-	watchMargin = 500 * time.Millisecond
-	watchRetry  = time.Second
+	watchWait   = 700 * time.Millisecond
+	watchMargin = 400 * time.Millisecond
+	watchRetry  = 250 * time.Millisecond
 	pullTimeout = time.Second
 	// platformTimeout is the longest wait for a slow platform.
 	platformTimeout = 2 * time.Second
--- a/rattanentry/front.go
+++ b/rattanentry/front.go
@@ -288,7 +288,7 @@
 		return lost(request.Key), nil
 	}
 	if address == "" {
-		return rattanjob.Answer{}, rattanpeer.ErrUnreachable
+		return rattanjob.Answer{}, errors.Annotatef(rattanpeer.ErrUnreachable, "instance %s has no known address at %s", request.Key.Epoch.Home.Instance, f.config.Instance)
 	}
 	body, err := json.Marshal(request)
 	if err != nil {
@@ -317,7 +317,7 @@
 	if f.config.Directory.Unreachable(time.Now(), key.Epoch.Home, refused) || f.config.Directory.Ended(ctx, key) {
 		return lost(key)
 	}
-	answer := rattanjob.Uncertain(rattanjob.ReasonHomeUnreachable, "the home of the job does not answer and is not known to have ended", retryUnknown)
+	answer := rattanjob.Uncertain(rattanjob.ReasonHomeUnreachable, "the home of the job does not answer and is not known to have ended: "+err.Error(), retryUnknown)
 	answer.Key = key.String()
 	return answer
 }
--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -89,7 +89,12 @@
 // gossip is the payload of heartbeats.
 type gossip struct {
 	// Revision is the configuration in force at the sender.
-	Revision uint64
+	Revision         uint64
+	AvailabilityZone string
+	// ListHash and ListAge tell the sender's instance list and the time since
+	// the platform gave it.
+	ListHash uint64              `json:",omitempty"`
+	ListAge  rattanjson.Duration `json:",omitempty"`
 }
 
 // New returns an instance whose listeners are open and that is not yet
@@ -191,7 +196,7 @@
 		Peers:     i.Node,
 		Logger:    i.config.Logger,
 		Initial:   initial,
-		Watches:   func(now time.Time) bool { return i.Members.Watches(now) },
+		Watches:   func(now time.Time) bool { return i.Inventory.Watches(now) },
 		Installed: i.installed,
 	})
 	i.Members = NewMembers(now, MembersConfig{
@@ -226,6 +231,7 @@
 		Documents:        i.Configuration,
 		Pools:            i.Members,
 		Observed:         i.Members.Observe,
+		Changed:          i.spread,
 	})
 	i.Front = NewFront(FrontConfig{
 		Instance:  settings.Name,
@@ -270,6 +276,7 @@
 	i.Members.Handle(i.Node)
 	i.Configuration.Handle(i.Node)
 	i.Inventory.Handle(i.Node)
+	i.Node.Handle(methodNews, i.handleNews)
 	i.Loads.Handle(i.Node)
 	i.Records.Handle(i.Node)
 	i.Spill.Handle(i.Node)
@@ -309,6 +316,7 @@
 	i.Home.SetCallers(now, DivideQuotas(document, i.Loads.All(now)))
 	i.burn.SetObjectives(now, *document)
 	i.applyDrain(document)
+	i.spread()
 	i.Inventory.Apply(now)
 }
 
@@ -374,7 +382,12 @@
 }
 
 func (i *Instance) payload() []byte {
-	payload, err := json.Marshal(gossip{Revision: i.Configuration.Document().Revision})
+	news := gossip{Revision: i.Configuration.Document().Revision, AvailabilityZone: i.config.Settings.AvailabilityZone}
+	if hash, reached := i.Inventory.Version(); !reached.IsZero() {
+		news.ListHash = hash
+		news.ListAge = rattanjson.Duration(time.Since(reached))
+	}
+	payload, err := json.Marshal(news)
 	if err != nil {
 		return nil
 	}
@@ -388,6 +401,9 @@
 		return
 	}
 	i.Configuration.PeerRevision(address, news.Revision)
+	if news.ListHash != 0 && news.AvailabilityZone == i.config.Settings.AvailabilityZone {
+		i.Inventory.PeerList(address, news.ListHash, time.Now().Add(-news.ListAge.Std()))
+	}
 }
 
 func (i *Instance) supersede() {
--- a/rattanentry/inventory.go
+++ b/rattanentry/inventory.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,8 +24,11 @@
 // silent. A leaving target must get no new work after 3 s, of which the lag of
 // the list takes a part.
 const (
-	inventoryInterval = 500 * time.Millisecond
+	inventoryInterval = time.Second
 	inventoryTimeout  = time.Second
+	// standInAfter is the age of the list at which the second watcher reads
+	// from the platform in place of the first.
+	standInAfter = 2 * time.Second
 )
 
 const methodPullInstances = "PullInstances"
@@ -46,11 +50,10 @@
 
 // Watchers tells which members read from the platform for the others.
 type Watchers interface {
-	// Watches reports whether this instance is one of them.
-	Watches(now time.Time) bool
 	// Others returns the members that may be alive.
 	Others(now time.Time) []rattanmember.Member
-	// Watchers returns the other ones of this availability zone.
+	// Watchers returns those of this availability zone that come before this
+	// instance.
 	Watchers(now time.Time) []rattanmember.Member
 }
 
@@ -65,6 +68,8 @@
 	Pools            Pools
 	// Observed is called with each instance list that the platform gave.
 	Observed func(now time.Time, instances []rattanplatform.Instance)
+	// Changed is called after a list came in use that differs from the former.
+	Changed func()
 }
 
 // Inventory keeps the last known instance list and tells the home its
@@ -74,6 +79,8 @@
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
 
+	pulling atomic.Bool
+
 	mutex     sync.Mutex
 	instances []rattanplatform.Instance
 	// reached is when the platform gave the list, and hash that of its JSON.
@@ -178,7 +185,11 @@
 	i.loops.Go(func() {
 		bound := patience{least: inventoryTimeout, most: platformTimeout}
 		for ctx.Err() == nil {
-			i.read(ctx, &bound)
+			err := i.read(ctx, &bound)
+			if errors.Is(err, context.DeadlineExceeded) {
+				// The connection may have gone silent; a new one may work.
+				continue
+			}
 			sleep(ctx, inventoryInterval)
 		}
 	})
@@ -192,25 +203,74 @@
 	return nil
 }
 
-// read gets the instance list: from the platform if this instance is one of
-// the watchers of its zone, else from one of them. The calls of the platform
-// thus do not grow with the number of instances.
-func (i *Inventory) read(ctx context.Context, bound *patience) {
+// Watches reports whether this instance reads from the platform for its zone:
+// the first watcher always, the second while the first has no recent list. The
+// calls of the platform thus do not grow with the number of instances.
+func (i *Inventory) Watches(now time.Time) bool {
+	switch rank := len(i.config.Watchers.Watchers(now)); {
+	case rank == 0:
+		return true
+	case rank < watchersPerZone:
+		return now.Sub(i.Reached()) >= standInAfter
+	}
+	return false
+}
+
+// PeerList tells that a peer of this zone has a list with the hash that the
+// platform gave at reached. A list that is newer and another is pulled.
+func (i *Inventory) PeerList(address string, hash uint64, reached time.Time) {
+	i.mutex.Lock()
+	newer := reached.After(i.reached)
+	same := hash == i.hash
+	if newer && same {
+		i.reached = reached
+	}
+	i.mutex.Unlock()
+	if !newer || same || !i.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer i.pulling.Store(false)
+		_ = i.pull(context.Background(), address)
+	}()
+}
+
+// Version returns the hash of the list and when the platform gave it.
+func (i *Inventory) Version() (hash uint64, reached time.Time) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.hash, i.reached
+}
+
+// read gets the instance list from the platform, or from a watcher where this
+// instance needs it sooner than heartbeats bring it: without any list, and as
+// a home that is not next to a watcher.
+func (i *Inventory) read(ctx context.Context, bound *patience) error {
 	now := time.Now()
-	sources := i.config.Watchers.Watchers(now)
-	if i.config.Watchers.Watches(now) {
+	if i.Watches(now) {
 		err := bound.call(ctx, 0, i.ask)
 		if err == nil || !i.Reached().IsZero() {
-			return
+			return err
 		}
-		// A watcher that starts during an outage takes the list from anybody.
-		sources = i.config.Watchers.Others(now)
+		return i.pullFrom(ctx, i.config.Watchers.Others(now))
 	}
+	watchers := i.config.Watchers.Watchers(now)
+	_, _, home := i.config.Pools.Pool(now)
+	if i.Reached().IsZero() || (home && len(watchers) == watchersPerZone) {
+		return i.pullFrom(ctx, watchers)
+	}
+	return nil
+}
+
+// pullFrom pulls the list from the first source that has one.
+func (i *Inventory) pullFrom(ctx context.Context, sources []rattanmember.Member) error {
+	err := error(errors.NotFoundf("instance list"))
 	for _, source := range sources {
-		if i.pull(ctx, source.PeerAddress) == nil {
-			return
+		if err = i.pull(ctx, source.PeerAddress); err == nil {
+			return nil
 		}
 	}
+	return err
 }
 
 // ask gets the instance list from the platform.
@@ -273,6 +333,7 @@
 	i.config.Observed(now, instances)
 	if changed {
 		i.Apply(now)
+		i.config.Changed()
 	}
 }
 
--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -31,8 +31,14 @@
 	// another member to take its pool.
 	handoverTimeout = 4 * time.Second
 	// watchersPerZone is the number of members of an availability zone that
-	// watch the platform; the others learn of changes from heartbeats.
+	// may read from the platform: the one that has run longest does, the other
+	// one stands in for it. The rest learn of changes from heartbeats.
 	watchersPerZone = 2
+	// smallSystem is the number of seeds up to which members contact a random
+	// peer only every smallGossipInterval; news reaches all of so few members
+	// in one or two rounds.
+	smallSystem         = 12
+	smallGossipInterval = 2 * time.Second
 )
 
 // MembersConfig configures Members. All fields are required.
@@ -83,7 +89,12 @@
 			PeerAddress:      peer.PeerAddress,
 		})
 	}
+	gossipInterval := rattanmember.DefaultGossipInterval
+	if len(seeds) <= smallSystem {
+		gossipInterval = smallGossipInterval
+	}
 	table := rattanmember.New(now, rattanmember.Config{
+		GossipInterval: gossipInterval,
 		Self: rattanmember.Member{
 			Incarnation:      rattanjob.Incarnation{Instance: settings.Name, Number: config.Incarnation},
 			AvailabilityZone: settings.AvailabilityZone,
@@ -308,8 +319,9 @@
 	return m.table.Proof(now, incarnation) != rattanmember.ProofNone
 }
 
-// Watchers returns the other members of this zone that watch the platform for
-// it: the ones that have run longest.
+// Watchers returns the members of this zone that run longer than this one, the
+// oldest first, and at most watchersPerZone of them. The number of them is the
+// rank of this instance among the watchers of its zone.
 func (m *Members) Watchers(now time.Time) []rattanmember.Member {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -326,12 +338,6 @@
 	return senior[:min(len(senior), watchersPerZone)]
 }
 
-// Watches reports whether this instance is one of the members of its zone that
-// watch the platform.
-func (m *Members) Watches(now time.Time) bool {
-	return len(m.Watchers(now)) < watchersPerZone
-}
-
 // zoneHasOthers reports whether another member of the zone is alive.
 func (m *Members) zoneHasOthers(now time.Time) bool {
 	for _, member := range m.Others(now) {
--- a/rattanplatform/client.go
+++ b/rattanplatform/client.go
@@ -238,6 +238,10 @@
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
 	response, err := c.transport.RoundTrip(c.request(ctx, call))
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		// The connection may have gone silent, and so may the idle ones.
+		c.transport.CloseIdleConnections()
+	}
 	if err != nil {
 		return lost(err, call.write && connected.Load())
 	}
