--- a/rattanentry/configuration.go
+++ b/rattanentry/configuration.go
@@ -29,6 +29,16 @@
 	platformTimeout = 2 * time.Second
 )
 
+// historyLimit is the number of changes that are kept for peers that are
+// behind; a peer that is further behind gets the whole document. At 25,000
+// changes a day it covers about an hour.
+const historyLimit = 1000
+
+// pullConfiguration asks for the changes since a revision.
+type pullConfiguration struct {
+	Revision uint64
+}
+
 // KeyWatcher is the part of the platform's client that Configuration uses.
 type KeyWatcher interface {
 	Watch(ctx context.Context, prefix string, afterRevision int64, wait time.Duration) (rattanplatform.Changes, error)
@@ -53,6 +63,9 @@
 type Configuration struct {
 	config  ConfigurationConfig
 	current atomic.Pointer[rattanconfig.Document]
+	// history holds the last changes for peers that are behind; it is guarded
+	// by installing.
+	history rattanconfig.History
 	// reached is when the platform last answered a watch, in Unix nanoseconds.
 	reached atomic.Int64
 	cancel  context.CancelFunc
@@ -64,10 +77,11 @@
 
 // NewConfiguration returns a configuration with the initial document in force.
 func NewConfiguration(config ConfigurationConfig) *Configuration {
-	configuration := &Configuration{config: config}
+	configuration := &Configuration{config: config, history: rattanconfig.History{Limit: historyLimit}}
 	configuration.current.Store(&rattanconfig.Document{})
 	if config.Initial != nil {
 		configuration.current.Store(config.Initial)
+		configuration.history.Install(*config.Initial)
 	}
 	return configuration
 }
@@ -79,8 +93,18 @@
 
 // Handle serves pulls by other instances.
 func (c *Configuration) Handle(node *rattanpeer.Node) {
-	node.Handle(methodPullConfiguration, func(context.Context, string, []byte) ([]byte, error) {
-		return json.Marshal(c.Document())
+	node.Handle(methodPullConfiguration, func(_ context.Context, _ string, body []byte) ([]byte, error) {
+		var request pullConfiguration
+		if err := json.Unmarshal(body, &request); err != nil {
+			return nil, errors.Trace(err)
+		}
+		c.installing.Lock()
+		defer c.installing.Unlock()
+		delta, ok := c.history.Since(request.Revision)
+		if !ok {
+			return nil, errors.NotFoundf("revision above %d", request.Revision)
+		}
+		return json.Marshal(delta)
 	})
 }
 
@@ -91,7 +115,7 @@
 	}
 	c.installing.Lock()
 	defer c.installing.Unlock()
-	if document.Revision <= c.current.Load().Revision {
+	if !c.history.Install(*document) {
 		return nil
 	}
 	c.current.Store(document)
@@ -142,15 +166,25 @@
 	return nil
 }
 
+// pull gets the changes since the revision in force here from a peer.
 func (c *Configuration) pull(address string) error {
+	current := c.Document()
+	request, err := json.Marshal(pullConfiguration{Revision: current.Revision})
+	if err != nil {
+		return errors.Trace(err)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
-	body, err := c.config.Peers.Call(ctx, address, methodPullConfiguration, nil)
+	body, err := c.config.Peers.Call(ctx, address, methodPullConfiguration, request)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	var document rattanconfig.Document
-	if err := json.Unmarshal(body, &document); err != nil {
+	var delta rattanconfig.Delta
+	if err := json.Unmarshal(body, &delta); err != nil {
+		return errors.Trace(err)
+	}
+	document, err := rattanconfig.Apply(*current, delta)
+	if err != nil {
 		return errors.Trace(err)
 	}
 	return c.Install(&document)
