rattanmember: suspect a silent home when its witnesses may vote

The next owner of a silent home's pool was known to its zone after up to 4.4 s: the witnesses probed too long, and a home without witnesses announced its epoch only by chance. Witnesses suspect a home after a tenure and the margin if a probe is unanswered, and a new epoch is announced to up to 4 members of the zone at once.

The histories isolate homes whose acknowledgements are late.

--- a/rattanmember/epoch.go
+++ b/rattanmember/epoch.go
@@ -230,6 +230,7 @@
 	}
 	t.drain(now, t.inPhase(phaseCurrent))
 	pending.phase = phaseCurrent
+	t.announcing = true
 	t.self.Version++
 	t.counters.EpochsOpened++
 	t.emit(now, EventEpochOpened, pending)
--- a/rattanmember/gossip.go
+++ b/rattanmember/gossip.go
@@ -263,6 +263,25 @@
 	return receivers
 }
 
+// announced appends some members of the own availability zone once after a new
+// epoch has opened, because fronts there wait for it. The rest learns of it from
+// changes.
+func (t *Table) announced(receivers []Member) []Member {
+	if !t.announcing {
+		return receivers
+	}
+	t.announcing = false
+	limit := len(receivers) + maxWitnesses
+	for _, name := range t.order {
+		known := t.entries[name]
+		near := known.member.AvailabilityZone == t.self.AvailabilityZone
+		if near && known.member.Status == StatusAlive && len(receivers) < limit {
+			receivers = appendReceiver(receivers, known.member)
+		}
+	}
+	return receivers
+}
+
 // randomPeer appends one member or seed. Every member has its turn once in each
 // shuffled round, which bounds the time until a failure is noticed.
 func (t *Table) randomPeer(receivers []Member) []Member {
--- a/rattanmember/invariants_test.go
+++ b/rattanmember/invariants_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -90,6 +91,8 @@
 		f.unreachable(n, f.nodes[choose("other", len(f.nodes))])
 	case action == 30 && awake:
 		f.list(n)
+	case action == 31 && choose("isolated", 2) == 0:
+		return f.isolate()
 	case action == 31:
 		n.late = true
 	}
@@ -146,3 +149,46 @@
 		})
 	}
 }
+
+// TestResolution guards against jobs of a silent home that stay unresolved for
+// longer than 3 s, and against a zone that has no owner with a valid epoch by
+// then. A large margin shows that the check can fail.
+func TestResolution(t *testing.T) {
+	const bound = 3 * time.Second
+	for _, test := range []struct {
+		name   string
+		margin time.Duration
+		want   bool
+	}{
+		{"default", DefaultVerdictMargin, true},
+		{"injected fault", 5 * time.Second, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var slowest, slowestOwner time.Duration
+			for seed := range uint64(50) {
+				f := newFleet(seed, 9, 3, faults{config: func(c *Config) { c.VerdictMargin = test.margin }})
+				qt.Assert(t, f.run(20*time.Second), qt.IsNil)
+				epochs := f.witnessed()
+				epoch := epochs[len(epochs)-1]
+				home := f.node(epoch.ID.Home.Instance)
+				mate := f.nodes[(slices.Index(f.nodes, home)+3)%9]
+				f.kill(home, true)
+				killedAt, ownedAt := f.now, time.Duration(0)
+				for f.now < killedAt+2*bound && (ownedAt == 0 || !f.ended[epoch.ID]) {
+					qt.Assert(t, f.step(100*time.Millisecond), qt.IsNil)
+					if !f.ended[epoch.ID] {
+						qt.Assert(t, f.collect(mate, epoch), qt.IsNil)
+						slowest = max(slowest, f.now-killedAt)
+					}
+					owner, found := mate.table.Owner(f.local(mate), home.zone, 0)
+					if found && f.running[owner.Incarnation] && owner.Epoch.ID.Number > 0 && ownedAt == 0 {
+						ownedAt = f.now
+						slowestOwner = max(slowestOwner, ownedAt-killedAt)
+					}
+				}
+			}
+			t.Logf("verdict after at most %v, next owner after at most %v", slowest, slowestOwner)
+			qt.Assert(t, slowest <= bound && slowestOwner <= bound, qt.Equals, test.want)
+		})
+	}
+}
--- a/rattanmember/table.go
+++ b/rattanmember/table.go
@@ -132,6 +132,8 @@
 	refresh int
 	// probes holds members that have not answered yet.
 	probes []string
+	// announcing is set when the next heartbeats announce a new epoch.
+	announcing bool
 
 	epochs     []*homeEpoch
 	lastNumber uint32
@@ -251,6 +253,7 @@
 		receivers = t.witnesses(receivers)
 		receivers = t.probed(receivers)
 	}
+	receivers = t.announced(receivers)
 	gossipFrom := len(receivers)
 	if !now.Before(t.nextGossip) {
 		t.nextGossip = next(now, t.nextGossip, t.config.GossipInterval)
--- a/rattanmember/witness.go
+++ b/rattanmember/witness.go
@@ -112,12 +112,12 @@
 }
 
 // watchHomes probes homes that this member is a witness of and that have become
-// silent.
+// silent, and suspects them once it may vote.
 func (t *Table) watchHomes(now time.Time) {
 	var silent []*entry
 	for id, remembered := range t.grants {
 		silence := now.Sub(remembered.at)
-		if remembered.ended || silence < 2*t.config.HeartbeatInterval || silence > t.config.ForgetAfter {
+		if silence < 2*t.config.HeartbeatInterval || silence > t.config.ForgetAfter {
 			continue
 		}
 		known := t.entries[id.Home.Instance]
@@ -135,6 +135,10 @@
 	})
 	for _, known := range silent {
 		t.probe(known)
+		votes := now.Sub(known.heardAt) >= t.config.TenureDuration+t.config.VerdictMargin
+		if votes && !known.awaitingSince.IsZero() {
+			t.suspect(now, known)
+		}
 	}
 }
 
