--- a/rattanledger/history_test.go
+++ b/rattanledger/history_test.go
@@ -58,6 +58,7 @@
 type history struct {
 	ledger *Ledger
 	faults faults
+	bounds Config
 	now    time.Duration
 	fenced map[uint32]bool
 	epochs []time.Duration
@@ -67,12 +68,16 @@
 	sweptAt time.Duration
 }
 
-func newHistory(injected faults) *history {
-	config := bounds
+func newHistory(injected faults, roomy bool) *history {
+	h := &history{faults: injected, bounds: bounds, fenced: map[uint32]bool{}}
+	if roomy {
+		h.bounds.MaxRecords = 1_000
+	}
+	config := h.bounds
 	if injected.config != nil {
 		injected.config(&config)
 	}
-	h := &history{ledger: New(config), faults: injected, fenced: map[uint32]bool{}}
+	h.ledger = New(config)
 	h.open()
 	return h
 }
@@ -116,7 +121,7 @@
 		return nil
 	case j.starts > 0 || j.notRun:
 		return violation(errSecondStart, "%d starts, not run %v", j.starts, j.notRun)
-	case h.age(j)-j.key.IssuedAt >= bounds.KeyLifetime:
+	case h.age(j)-j.key.IssuedAt >= h.bounds.KeyLifetime:
 		return violation(errLateStart, "age of the key %v", h.age(j)-j.key.IssuedAt)
 	}
 	j.starts++
@@ -125,7 +130,7 @@
 }
 
 func (h *history) kept(j *job) bool {
-	return !j.final.State.Final() || h.age(j) < j.finishedAt+bounds.Retention
+	return !j.final.State.Final() || h.age(j) < j.finishedAt+h.bounds.Retention
 }
 
 // answered checks what any call may say of the job.
@@ -150,7 +155,7 @@
 	switch {
 	case final && h.kept(j) && answer.State != j.final.State:
 		return violation(errChanged, "%v in place of %v", answer.State, j.final.State)
-	case final && !h.crowded && h.age(j) < j.finishedAt+bounds.AnswerRetention && len(answer.Results) != len(j.final.Results):
+	case final && !h.crowded && h.age(j) < j.finishedAt+h.bounds.AnswerRetention && len(answer.Results) != len(j.final.Results):
 		return violation(errChanged, "results dropped early")
 	case len(answer.Results) > 0 && string(answer.Results[0].Payload) != string(j.final.Results[0].Payload):
 		return violation(errChanged, "results of another answer")
@@ -162,7 +167,7 @@
 
 // swept reports whether the results must be dropped by the latest sweep.
 func (h *history) swept(j *job) bool {
-	return h.epochs[j.key.Epoch.Number-1]+j.finishedAt+bounds.AnswerRetention <= h.sweptAt
+	return h.epochs[j.key.Epoch.Number-1]+j.finishedAt+h.bounds.AnswerRetention <= h.sweptAt
 }
 
 func (h *history) sweep(elapsed time.Duration) {
@@ -186,14 +191,14 @@
 	known := j.starts > 0 && h.kept(j) && !h.full() && !h.fenced[j.key.Epoch.Number]
 	second := j.final.State.Final()
 	differs := second && (j.final.State != answer.State || string(j.final.Results[0].Payload) != string(answer.Results[0].Payload))
-	resultsKept := !h.crowded && h.age(j) < j.finishedAt+bounds.AnswerRetention
+	resultsKept := !h.crowded && h.age(j) < j.finishedAt+h.bounds.AnswerRetention
 	switch {
 	case known && differs && resultsKept && !errors.Is(err, ErrAnswered):
 		return violation(errChanged, "second answer: %v", err)
 	case known && !second && err != nil:
 		return violation(errChanged, "first answer: %v", err)
 	}
-	h.crowded = h.crowded || h.ledger.Counters().AnswerBytes > bounds.MaxAnswerBytes-100
+	h.crowded = h.crowded || h.ledger.Counters().AnswerBytes > h.bounds.MaxAnswerBytes-100
 	if err == nil && !second {
 		j.final, j.finishedAt = answer, h.age(j)
 	}
@@ -242,13 +247,14 @@
 	return nil
 }
 
-func (h *history) fence() {
-	epoch := uint32(len(h.epochs))
+func (h *history) fence(epoch uint32) {
 	h.fenced[epoch] = true
 	if !h.faults.noFence {
 		h.ledger.FenceEpoch(h.at(), rattanjob.EpochID{Home: home, Number: epoch})
 	}
-	h.open()
+	if int(epoch) == len(h.epochs) {
+		h.open()
+	}
 }
 
 func (h *history) bounded() error {
@@ -261,7 +267,7 @@
 		}
 	}
 	counters := h.ledger.Counters()
-	if counters.Records > bounds.MaxRecords || counters.AnswerBytes > bounds.MaxAnswerBytes {
+	if counters.Records > h.bounds.MaxRecords || counters.AnswerBytes > h.bounds.MaxAnswerBytes {
 		return violation(errBounds, "%d records, %d bytes", counters.Records, counters.AnswerBytes)
 	}
 	return nil
@@ -270,7 +276,7 @@
 type chooser func(label string, n int) int
 
 func run(choose chooser, injected faults) error {
-	h := newHistory(injected)
+	h := newHistory(injected, choose("roomy", 2) == 0)
 	rate := 1 + choose("rate", 4)
 	for range 20 + choose("steps", 150) {
 		if err := h.act(choose, rate); err != nil {
@@ -312,8 +318,11 @@
 	case 10:
 		h.sweep(time.Duration(choose("minutes", 12)) * time.Minute)
 	case 11:
-		if choose("fence", 8) == 0 {
-			h.fence()
+		switch choose("epoch", 12) {
+		case 0:
+			h.fence(uint32(1 + choose("fenced", len(h.epochs))))
+		case 1:
+			h.open()
 		}
 	}
 	return nil
@@ -321,7 +330,7 @@
 
 // TestHistories guards against a second start of a key, a false "not run", an
 // answer that changes, is lost before its retention or reaches another caller,
-// an answer under a fenced epoch, and records beyond the bounds.
+// an answer under a fenced epoch, and records beyond the h.bounds.
 func TestHistories(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		choose := func(label string, n int) int { return rapid.IntRange(0, n-1).Draw(rt, label) }
