rattanmember: bury a young member once the list lag has passed

An instance that vanished from the list within ListLag of its start was not buried by later lists, because only the list before was compared. A member remembers whether any list has contained it.

--- a/rattanledger/ledger_test.go
+++ b/rattanledger/ledger_test.go
@@ -85,3 +85,58 @@
 	_, verdict = begin(1)
 	qt.Assert(t, verdict, qt.Equals, VerdictJoin)
 }
+
+// TestKeys guards against a key that starts at a home, in an epoch or at a time
+// that it was not issued for, and against a claim on it that is not certain.
+func TestKeys(t *testing.T) {
+	now := origin.Add(time.Hour)
+	changed := func(change func(*rattanjob.Key)) rattanjob.Key {
+		key := testKey(1, 1, time.Hour)
+		change(&key)
+		return key
+	}
+	issued := func(age time.Duration) rattanjob.Key { return testKey(1, 1, time.Hour-age) }
+	for _, test := range []struct {
+		name      string
+		key       rattanjob.Key
+		want      Verdict
+		execution rattanjob.Execution
+	}{
+		{"fresh", issued(0), VerdictStart, rattanjob.ExecutionMayHaveRun},
+		{"slightly ahead", issued(-issueAllowance), VerdictStart, rattanjob.ExecutionMayHaveRun},
+		{"far ahead", issued(-issueAllowance - time.Second), VerdictExpired, rattanjob.ExecutionMayHaveRun},
+		{"last moment", issued(bounds.KeyLifetime - 1), VerdictStart, rattanjob.ExecutionMayHaveRun},
+		{"expired", issued(bounds.KeyLifetime), VerdictExpired, rattanjob.ExecutionNotRun},
+		{"past retention", issued(bounds.Retention), VerdictExpired, rattanjob.ExecutionMayHaveRun},
+		{"former incarnation", changed(func(k *rattanjob.Key) { k.Epoch.Home.Number-- }), VerdictFenced, rattanjob.ExecutionMayHaveRun},
+		{"later incarnation", changed(func(k *rattanjob.Key) { k.Epoch.Home.Number++ }), VerdictForeign, rattanjob.ExecutionMayHaveRun},
+		{"other home", changed(func(k *rattanjob.Key) { k.Epoch.Home.Instance = "entry-2" }), VerdictForeign, rattanjob.ExecutionMayHaveRun},
+		{"epoch to come", changed(func(k *rattanjob.Key) { k.Epoch.Number = 2 }), VerdictForeign, rattanjob.ExecutionMayHaveRun},
+		{"no epoch", changed(func(k *rattanjob.Key) { k.Epoch.Number = 0 }), VerdictForeign, rattanjob.ExecutionMayHaveRun},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ledger := New(bounds)
+			ledger.OpenEpoch(origin, rattanjob.EpochID{Home: home, Number: 1}, origin)
+			answer, verdict := ledger.Begin(now, test.key, "counter", 1)
+			qt.Assert(t, verdict, qt.Equals, test.want)
+			qt.Assert(t, answer.Execution, qt.Equals, test.execution)
+		})
+	}
+}
+
+// TestShortRetention guards against a second start of a key whose record is past
+// its retention while the key is not past its lifetime.
+func TestShortRetention(t *testing.T) {
+	config := bounds
+	config.Retention = time.Second
+	ledger := New(config)
+	ledger.OpenEpoch(origin, rattanjob.EpochID{Home: home, Number: 1}, origin)
+	key := testKey(1, 1, 0)
+	_, verdict := ledger.Begin(origin, key, "counter", 1)
+	qt.Assert(t, verdict, qt.Equals, VerdictStart)
+	qt.Assert(t, ledger.Finish(origin, key, complete("first")), qt.IsNil)
+	now := origin.Add(config.KeyLifetime - time.Second)
+	ledger.Sweep(now)
+	_, verdict = ledger.Begin(now, key, "counter", 1)
+	qt.Assert(t, verdict, qt.Equals, VerdictFinal)
+}
--- a/rattanmember/gossip.go
+++ b/rattanmember/gossip.go
@@ -36,6 +36,8 @@
 	// transmissions is the number of messages that still carry the change.
 	transmissions int
 	queued        bool
+	// listed is set once an instance list has contained the instance.
+	listed bool
 }
 
 // takeIn merges a message's sender and changes. It returns false when the sender
@@ -92,7 +94,7 @@
 		return
 	}
 	if said.Incarnation != known.member.Incarnation {
-		*known = entry{queued: known.queued, probed: known.probed}
+		*known = entry{queued: known.queued, probed: known.probed, listed: known.listed}
 	}
 	t.set(now, known, said)
 	t.spread(known)
@@ -127,7 +129,8 @@
 
 func (t *Table) add(now time.Time, said Member) *entry {
 	name := said.Incarnation.Instance
-	known := &entry{}
+	_, listed := t.list.instances[name]
+	known := &entry{listed: listed}
 	t.entries[name] = known
 	t.addedAt = now
 	if said.AvailabilityZone == t.self.AvailabilityZone {
--- a/rattanmember/owner_test.go
+++ b/rattanmember/owner_test.go
@@ -158,3 +158,31 @@
 	})
 	qt.Assert(t, reply.Granted, qt.HasLen, 0)
 }
+
+// TestObserveInstances guards against a list that lags and takes a new
+// incarnation for ended, and against jobs of an instance that no member knows
+// any more and that stay unresolved.
+func TestObserveInstances(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	started := func(index int, ago time.Duration) Member {
+		member := testMember(index, "pest")
+		member.Incarnation.Number = uint64(now.Add(-ago).UnixMilli())
+		return member
+	}
+	old, young, stranger := started(1, time.Hour), started(2, time.Second), started(3, time.Hour)
+	table := New(now, Config{Self: started(0, time.Hour), Random: rand.New(rand.NewPCG(1, 1))})
+	table.merge(now, old)
+	table.merge(now, young)
+	qt.Assert(t, table.Proof(now, stranger.Incarnation), qt.Equals, ProofNone)
+	table.ObserveInstances(now, InstanceList{Revision: 2, Instances: []Member{table.Self(now), old, young, stranger}})
+	qt.Assert(t, table.Proof(now, stranger.Incarnation), qt.Equals, ProofNone)
+	table.ObserveInstances(now, InstanceList{Revision: 1})
+	qt.Assert(t, table.Proof(now, old.Incarnation), qt.Equals, ProofNone)
+	table.ObserveInstances(now, InstanceList{Revision: 3, Instances: []Member{table.Self(now)}})
+	qt.Assert(t, table.Proof(now, old.Incarnation), qt.Equals, ProofInstanceList)
+	qt.Assert(t, table.Proof(now, young.Incarnation), qt.Equals, ProofNone)
+	qt.Assert(t, table.Proof(now, stranger.Incarnation), qt.Equals, ProofInstanceList)
+	now = now.Add(DefaultListLag)
+	table.ObserveInstances(now, InstanceList{Revision: 4, Instances: []Member{table.Self(now)}})
+	qt.Assert(t, table.Proof(now, young.Incarnation), qt.Equals, ProofInstanceList)
+}
--- a/rattanmember/witness.go
+++ b/rattanmember/witness.go
@@ -157,26 +157,36 @@
 	observedAt time.Time
 	instances  map[string]Member
 	names      []string
+	// selfListed is set once a list has contained this member.
+	selfListed bool
 }
 
 // observe buries members that an earlier list contained and this one does not.
 func (t *Table) observe(now time.Time, list InstanceList) {
-	former := t.list
-	t.list = instanceList{revision: list.Revision, observedAt: now, instances: make(map[string]Member, len(list.Instances))}
+	t.list = instanceList{
+		revision:   list.Revision,
+		observedAt: now,
+		instances:  make(map[string]Member, len(list.Instances)),
+		selfListed: t.list.selfListed,
+	}
 	for _, listed := range list.Instances {
 		listed.Incarnation.Number = 0
-		t.list.instances[listed.Incarnation.Instance] = listed
-		t.list.names = append(t.list.names, listed.Incarnation.Instance)
-	}
-	for _, name := range former.names {
-		if _, listed := t.list.instances[name]; listed {
-			continue
+		name := listed.Incarnation.Instance
+		t.list.instances[name] = listed
+		t.list.names = append(t.list.names, name)
+		if known := t.entries[name]; known != nil {
+			known.listed = true
 		}
-		if name == t.self.Incarnation.Instance && t.unlisted(t.self.Incarnation) {
-			t.supersede(now)
+		if name == t.self.Incarnation.Instance {
+			t.list.selfListed = true
 		}
+	}
+	if t.list.selfListed && t.unlisted(t.self.Incarnation) {
+		t.supersede(now)
+	}
+	for _, name := range t.order {
 		known := t.entries[name]
-		if known != nil && known.member.Status != StatusDead && t.unlisted(known.member.Incarnation) {
+		if known.listed && known.member.Status != StatusDead && t.unlisted(known.member.Incarnation) {
 			t.bury(now, known, ProofInstanceList)
 		}
 	}
