Give long work its least share only while it is overdue

Long work that needs 10% of the slots could always take 20%. The simulation checks that no slot is idle while short work waits and can slow down targets.

--- a/rattanpool/longwork.go
+++ b/rattanpool/longwork.go
@@ -85,12 +85,11 @@
 // only the mean of short work is kept free.
 func (s *Scheduler) longLimit(v *service) int {
 	slots := float64(v.slots)
-	most := slots - overdueHeadroom*v.shortDemand.mean
+	most := max(slots-overdueHeadroom*v.shortDemand.mean, leastLongShare*slots)
 	limit := most
 	if !s.longOverdue(v) {
 		limit = max(slots-v.shortDemand.peak(), min(most, longHeadroom*v.longArrivals.slots()))
 	}
-	limit = max(limit, leastLongShare*slots)
 	return max(1, min(int(limit), s.longMost(v)))
 }
 
--- a/rattanpool/simulation_test.go
+++ b/rattanpool/simulation_test.go
@@ -166,6 +166,8 @@
 	running   map[JobID][]*simTask
 	jobs      map[JobID]*simJob
 	wake      time.Duration
+	// slow is the factor of run times by target, 1 where it has none.
+	slow map[string]float64
 }
 
 func simTargets(slots int) []Target {
@@ -181,8 +183,13 @@
 
 // simRun runs the jobs on targets with 8 slots each until all have ended.
 func simRun(config Config, slots int, jobs []*simJob) *Scheduler {
+	return simRunSlow(config, slots, jobs, nil)
+}
+
+// simRunSlow is simRun with targets on which tasks take longer.
+func simRunSlow(config Config, slots int, jobs []*simJob, slow map[string]float64) *Scheduler {
 	config.PanicOnViolation = true
-	sim := &simulation{scheduler: New(config), running: map[JobID][]*simTask{}, jobs: map[JobID]*simJob{}}
+	sim := &simulation{scheduler: New(config), running: map[JobID][]*simTask{}, jobs: map[JobID]*simJob{}, slow: slow}
 	sim.scheduler.SetTargets(simStart, simTargets(slots))
 	for _, j := range jobs {
 		j.end, j.left, j.stopped, j.expired, j.waits, j.runs = 0, j.Tasks, false, false, nil, nil
@@ -222,12 +229,26 @@
 		}
 		m.start(e.at, a)
 	}
+	if m.scheduler.idle() {
+		panic("a slot is idle although short work waits")
+	}
 	if wait, ok := m.scheduler.NextWake(now); ok && (m.wake <= e.at || e.at+wait < m.wake) {
 		m.wake = e.at + wait
 		m.push(simEvent{at: m.wake})
 	}
 }
 
+// idle says that short tasks wait although slots are free; all targets of a
+// simulation fit all tasks and never refuse.
+func (s *Scheduler) idle() bool {
+	for _, v := range s.services {
+		if s.shortWaiting(v) && v.held < v.slots {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *simulation) arrive(at time.Duration, j *simJob) {
 	j.Deadline = simStart.Add(at + j.deadline)
 	j.admission = m.scheduler.Admit(simStart.Add(at), j.Job)
@@ -241,7 +262,11 @@
 	t := &simTask{job: j, assignment: a, from: at}
 	j.waits = append(j.waits, a.Waited)
 	m.running[j.ID] = append(m.running[j.ID], t)
-	m.push(simEvent{at: at + j.times[a.Task], task: t})
+	run := j.times[a.Task]
+	if factor := m.slow[a.Target]; factor > 0 {
+		run = time.Duration(factor * float64(run))
+	}
+	m.push(simEvent{at: at + run, task: t})
 }
 
 func (m *simulation) finish(at time.Duration, t *simTask, outcome Outcome) {
