--- a/rattanpool/assign.go
+++ b/rattanpool/assign.go
@@ -196,17 +196,23 @@
 // reclassify moves the waiting jobs of a kind to the lane of its length class.
 func (s *Scheduler) reclassify(k *kind, long bool) {
 	k.long = long
-	for _, j := range s.jobs {
-		if j.kind != k {
-			continue
-		}
-		s.unqueue(j)
-		j.entry = s.entryOf(j.entry.caller, j.profile.lanes[laneIndex(long)])
-		s.queueJob(j)
-	}
 	for long && k.oldest != nil {
 		s.markLong(k.oldest)
 	}
+	for _, j := range s.jobs {
+		if j.kind == k {
+			s.moveJob(j, j.profile.lanes[laneIndex(long)])
+		}
+	}
+}
+
+func (s *Scheduler) moveJob(j *job, to *lane) {
+	waiting := j.waiting() + j.parked
+	s.unqueue(j)
+	j.entry.waiting -= waiting
+	j.entry = s.entryOf(j.entry.caller, to)
+	j.entry.waiting += waiting
+	s.queueJob(j)
 }
 
 // runningTask returns the running task of an assignment, nil if there is none.
--- a/rattanpool/backlog.go
+++ b/rattanpool/backlog.go
@@ -150,6 +150,7 @@
 	had := c.backlog > 0
 	c.waiting[k.id] += count
 	c.backlog += count
+	j.entry.waiting += count
 	k.waiting += count
 	s.waiting += count
 	switch has := c.backlog > 0; {
--- a/rattanpool/fairqueue.go
+++ b/rattanpool/fairqueue.go
@@ -35,6 +35,10 @@
 	caller *caller
 	lane   *lane
 	jobs   jobHeap
+	// waiting is the number of waiting and parked tasks, short the number of
+	// running tasks that do not count as long.
+	waiting int
+	short   int
 	// key and sequence are those of the first job.
 	key      time.Duration
 	sequence uint64
--- a/rattanpool/longwork.go
+++ b/rattanpool/longwork.go
@@ -116,16 +116,26 @@
 }
 
 // sampleDemand learns how many slots short work uses or waits for, and how many
-// long work needs.
+// long work needs. A caller counts with at most its share of the slots, so that
+// a flood of short work of one caller does not hold up long work of others.
 func (s *Scheduler) sampleDemand(now time.Duration, v *service) {
-	waiting := 0
-	for _, k := range v.kinds {
-		if !k.long {
-			waiting += k.waiting
-		}
+	tasks := 0
+	for _, c := range s.callers {
+		share := int(math.Ceil(float64(v.slots) * c.Weight / max(s.queue.weight, c.Weight)))
+		tasks += min(share, c.shortDemand(v))
 	}
 	v.longArrivals.sample(now)
-	v.shortDemand.sample(now, float64(v.held-v.longHeld+waiting))
+	v.shortDemand.sample(now, float64(tasks))
+}
+
+// shortDemand returns the number of short tasks that run or wait.
+func (c *caller) shortDemand(v *service) (tasks int) {
+	for _, e := range c.entries {
+		if !e.lane.long && e.lane.profile.service == v {
+			tasks += e.short + e.waiting
+		}
+	}
+	return tasks
 }
 
 func (s *Scheduler) shortPresent(now time.Duration, v *service) bool {
@@ -148,6 +158,7 @@
 		return
 	}
 	t.job.kind.link(t)
+	t.job.entry.short++
 }
 
 func (s *Scheduler) stopRunning(t *task) {
@@ -157,6 +168,7 @@
 		return
 	}
 	t.job.kind.unlink(t)
+	t.job.entry.short--
 }
 
 // markOverruns counts tasks as long that run far longer than expected.
@@ -178,6 +190,7 @@
 
 func (s *Scheduler) markLong(t *task) {
 	t.job.kind.unlink(t)
+	t.job.entry.short--
 	t.long = true
 	t.job.profile.service.longHeld++
 }
--- a/rattanpool/targets_test.go
+++ b/rattanpool/targets_test.go
@@ -67,15 +67,20 @@
 	return total
 }
 
-// transcript splits the load between short and long work, 3 to 2.
-func transcript(load float64, to time.Duration, deadline time.Duration) []simStream {
-	callers := callerNames(4)
+// workload returns the streams of one workload. The load of the transcript desk
+// is 60% short and 40% long work; long work has 4 times the deadline.
+func workload(name string, callers []string, load float64, to, deadline time.Duration) []simStream {
+	if name == "listaforge" {
+		return []simStream{{kinds: listaforge, callers: callers, load: load, to: to, deadline: deadline}}
+	}
 	return []simStream{
 		{kinds: transcriptShort, callers: callers, load: 0.6 * load, to: to, deadline: deadline},
-		{kinds: transcriptLong, callers: callers, load: 0.4 * load, to: to, deadline: deadline},
+		{kinds: transcriptLong, callers: callers, load: 0.4 * load, to: to, deadline: 4 * deadline},
 	}
 }
 
+var workloads = map[string]int{"listaforge": 8, "transcript": 4} // number of callers
+
 func generate(seed uint64, slots int, streams ...simStream) []*simJob {
 	random := rand.New(rand.NewPCG(seed, 7))
 	var all [][]*simJob
@@ -90,11 +95,8 @@
 func TestSlowdown(t *testing.T) {
 	for _, slots := range []int{136, 400} {
 		for seed := uint64(1); seed <= 3; seed++ {
-			workloads := map[string][]*simJob{
-				"listaforge": generate(seed, slots, simStream{kinds: listaforge, callers: callerNames(8), load: 0.8, to: simulatedTime, deadline: noDeadline}),
-				"transcript": generate(seed, slots, transcript(0.8, simulatedTime, noDeadline)...),
-			}
-			for name, jobs := range workloads {
+			for name, callers := range workloads {
+				jobs := generate(seed, slots, workload(name, callerNames(callers), 0.8, simulatedTime, noDeadline)...)
 				t.Run(fmt.Sprintf("%s/%d/%d", name, slots, seed), func(t *testing.T) {
 					median, p99, jobMedian, jobP99 := slowdown(Config{}, slots, jobs)
 					t.Logf("median %.3f p99 %.3f; by job median %.3f p99 %.3f (%d jobs)", median, p99, jobMedian, jobP99, len(jobs))
@@ -112,7 +114,7 @@
 	for _, slots := range []int{136, 400} {
 		for seed := uint64(1); seed <= 3; seed++ {
 			t.Run(fmt.Sprintf("%d/%d", slots, seed), func(t *testing.T) {
-				both := generate(seed, slots, transcript(0.8, simulatedTime, noDeadline)...)
+				both := generate(seed, slots, workload("transcript", callerNames(4), 0.8, simulatedTime, noDeadline)...)
 				isShort := func(j *simJob) bool { return j.Kind != "extract" }
 				without := simCopy(both, isShort)
 				simRun(Config{}, slots, both)
@@ -138,31 +140,36 @@
 }
 
 // TestFairness guards against a caller at 10 times its share that delays the
-// others.
+// others or gets them refused. An extract job of the transcript desk can take its
+// caller beyond its share for a while; such jobs may be refused, but no more of
+// all jobs than may miss their deadline.
 func TestFairness(t *testing.T) {
 	const callers = 8
-	for _, slots := range []int{136, 400} {
-		for seed := uint64(1); seed <= 3; seed++ {
-			t.Run(fmt.Sprintf("%d/%d", slots, seed), func(t *testing.T) {
-				names := callerNames(callers)
-				to, deadline := 30*time.Second, 10*time.Second
-				all := generate(seed, slots,
-					simStream{kinds: listaforge, callers: names[1:], load: 0.8 * (callers - 1) / callers, to: to, deadline: deadline},
-					simStream{kinds: listaforge, callers: names[:1], load: 10.0 / callers, to: to, deadline: deadline})
-				isOther := func(j *simJob) bool { return j.Caller != names[0] }
-				alone := simCopy(all, isOther)
-				simRun(Config{}, slots, all)
-				simRun(Config{}, slots, alone)
-				others := simCopy(all, isOther)
-				with, without := quantile(responses(others), 0.99), quantile(responses(alone), 0.99)
-				t.Logf("p99 %v with the greedy caller, %v alone; refused %d of %d, alone %d", with, without, refused(others), len(others), refused(alone))
-				if ratio(with, without) > boundFairness {
-					t.Errorf("p99 %v with the greedy caller, %v alone", with, without)
-				}
-				if refused(others) > refused(alone) {
-					t.Errorf("%d jobs of callers within their share refused, alone %d", refused(others), refused(alone))
-				}
-			})
+	for name := range workloads {
+		for _, slots := range []int{136, 400} {
+			for seed := uint64(1); seed <= 3; seed++ {
+				t.Run(fmt.Sprintf("%s/%d/%d", name, slots, seed), func(t *testing.T) {
+					names := callerNames(callers)
+					to, deadline := 30*time.Second, 10*time.Second
+					streams := workload(name, names[1:], 0.8*(callers-1)/callers, to, deadline)
+					streams = append(streams, workload(name, names[:1], 10.0/callers, to, deadline)...)
+					all := generate(seed, slots, streams...)
+					isOther := func(j *simJob) bool { return j.Caller != names[0] }
+					alone := simCopy(all, isOther)
+					simRun(Config{}, slots, all)
+					simRun(Config{}, slots, alone)
+					others := simCopy(all, isOther)
+					with, without := quantile(responses(others), 0.99), quantile(responses(alone), 0.99)
+					allowed := refused(alone)
+					if name == "transcript" {
+						allowed += int((1 - boundInDeadline) * float64(len(others)))
+					}
+					t.Logf("p99 %v with the greedy caller, %v alone; refused %d of %d, alone %d", with, without, refused(others), len(others), refused(alone))
+					if ratio(with, without) > boundFairness || refused(others) > allowed {
+						t.Errorf("p99 %v with the greedy caller, %v alone, refused %d, allowed %d", with, without, refused(others), allowed)
+					}
+				})
+			}
 		}
 	}
 }
@@ -222,29 +229,33 @@
 func TestCrest(t *testing.T) {
 	const from, to, end = 10 * time.Second, 15 * time.Second, 25 * time.Second
 	const seeds = 5
-	for _, slots := range []int{136, 400} {
-		for _, deadline := range []time.Duration{5 * time.Second, 10 * time.Second} {
-			t.Run(fmt.Sprintf("%d/%v", slots, deadline), func(t *testing.T) {
-				var f crestFigures
-				for seed := uint64(1); seed <= seeds; seed++ {
-					callers := callerNames(8)
-					jobs := generate(seed, slots,
-						simStream{kinds: listaforge, callers: callers, load: 0.5, to: end, deadline: deadline},
-						simStream{kinds: listaforge, callers: callers, load: 2.5, from: from, to: to, deadline: deadline, crest: true})
-					without := simCopy(jobs, func(j *simJob) bool { return !j.crest })
-					simRun(Config{}, slots, jobs)
-					simRun(Config{}, slots, without)
-					f.add(jobs, without, from, to)
-				}
-				capacity := float64(slots) * (to - from).Seconds() * seeds
-				raw := f.good.Seconds() / capacity
-				goodput := f.good.Seconds() / (capacity - f.hopeless.Seconds())
-				inDeadline := float64(f.met) / float64(f.accepted)
-				t.Logf("goodput %.4f (%.4f with hopeless jobs), in deadline %.4f of %d, refused %d of %d later than 1 s after", goodput, raw, inDeadline, f.accepted, f.late, f.after)
-				if goodput < boundGoodput || inDeadline < boundInDeadline || float64(f.late) > (1-boundInDeadline)*float64(f.after) {
-					t.Errorf("goodput %.4f (bound %.2f), in deadline %.4f (bound %.2f), %d late refusals", goodput, boundGoodput, inDeadline, boundInDeadline, f.late)
-				}
-			})
+	for name := range workloads {
+		for _, slots := range []int{136, 400} {
+			for _, deadline := range []time.Duration{5 * time.Second, 10 * time.Second} {
+				t.Run(fmt.Sprintf("%s/%d/%v", name, slots, deadline), func(t *testing.T) {
+					var f crestFigures
+					for seed := uint64(1); seed <= seeds; seed++ {
+						streams := workload(name, callerNames(8), 0.5, end, deadline)
+						for _, g := range workload(name, callerNames(8), 2.5, to, deadline) {
+							g.from, g.crest = from, true
+							streams = append(streams, g)
+						}
+						jobs := generate(seed, slots, streams...)
+						without := simCopy(jobs, func(j *simJob) bool { return !j.crest })
+						simRun(Config{}, slots, jobs)
+						simRun(Config{}, slots, without)
+						f.add(jobs, without, from, to)
+					}
+					capacity := float64(slots) * (to - from).Seconds() * seeds
+					raw := f.good.Seconds() / capacity
+					goodput := f.good.Seconds() / (capacity - f.hopeless.Seconds())
+					inDeadline := float64(f.met) / float64(f.accepted)
+					t.Logf("goodput %.4f (%.4f with hopeless jobs), in deadline %.4f of %d, refused %d of %d later than 1 s after", goodput, raw, inDeadline, f.accepted, f.late, f.after)
+					if goodput < boundGoodput || inDeadline < boundInDeadline || float64(f.late) > (1-boundInDeadline)*float64(f.after) {
+						t.Errorf("goodput %.4f (bound %.2f), in deadline %.4f (bound %.2f), %d late refusals", goodput, boundGoodput, inDeadline, boundInDeadline, f.late)
+					}
+				})
+			}
 		}
 	}
 }
