--- a/rattanpool/assign.go
+++ b/rattanpool/assign.go
@@ -94,7 +94,7 @@
 	s.reorder(j)
 	s.arrangeAll(j.entry.caller)
 	return Assignment{
-		Job: j.ID, Task: t.index, Target: on.Name, Attempt: t.attempt,
+		Job: j.ID, Task: int(t.index), Target: on.Name, Attempt: int(t.attempt),
 		Waited: waited, Choice: choice, Long: t.long,
 	}
 }
@@ -223,7 +223,7 @@
 		return nil
 	}
 	t := &j.tasks[ended.Task]
-	if !s.require(t.state == taskRunning && t.attempt == ended.Attempt, "task finished that does not run") {
+	if !s.require(t.state == taskRunning && int(t.attempt) == ended.Attempt, "task finished that does not run") {
 		return nil
 	}
 	return t
--- a/rattanpool/fairqueue.go
+++ b/rattanpool/fairqueue.go
@@ -138,11 +138,14 @@
 		return
 	}
 	within := e.caller.tag <= q.limit()
+	key, sequence := e.jobs[0].key, e.jobs[0].sequence
+	if e.index >= 0 && within && e.within && e.key == key && e.sequence == sequence {
+		return // the order within the share does not depend on the tag
+	}
 	if e.index >= 0 && e.within != within {
 		e.remove()
 	}
-	e.within = within
-	e.key, e.sequence = e.jobs[0].key, e.jobs[0].sequence
+	e.within, e.key, e.sequence = within, key, sequence
 	e.fix()
 }
 
--- a/rattanpool/job.go
+++ b/rattanpool/job.go
@@ -12,21 +12,21 @@
 	taskEnded
 )
 
-// task is one task of a job.
+// task is one task of a job. It fills one cache line of 64 bytes.
 type task struct {
-	job     *job
-	index   int
-	attempt int
-	state   taskState
-	// long says that the running task counts as long work.
-	long bool
+	job    *job
+	target *target
 	// since is when the task began to wait or to run.
 	since time.Duration
 	// charge is the run time that its caller was charged at the start.
 	charge time.Duration
-	target *target
 	// previous and next link the running tasks of a kind.
 	previous, next *task
+	index          int32
+	attempt        int32
+	state          taskState
+	// long says that the running task counts as long work.
+	long bool
 }
 
 // job is an admitted job.
@@ -41,7 +41,7 @@
 	// fresh is the index of the first task that was never assigned.
 	fresh int
 	// again holds the waiting tasks that were assigned before.
-	again   []int
+	again   []int32
 	parked  int
 	running int
 	// cancelled jobs get no further assignments.
@@ -86,7 +86,7 @@
 	}
 	*j = job{Job: submitted, tasks: tasks[:submitted.Tasks], again: j.again[:0], admitted: now, index: -1, lapseIndex: -1}
 	for i := range j.tasks {
-		j.tasks[i] = task{job: j, index: i, since: now}
+		j.tasks[i] = task{job: j, index: int32(i), since: now}
 	}
 }
 
