Wake for long work when its limit can change; test dead and slow targets

NextWake named only the end of the presence of short work, so that long work that became overdue started with the next event only. Sums of weights are reset when no caller is active, to drop rounding errors.

--- a/rattanpool/backlog.go
+++ b/rattanpool/backlog.go
@@ -159,6 +159,9 @@
 	case had && !has:
 		s.backlogWeight -= c.Weight
 	}
+	if s.waiting+len(s.parked) == 0 {
+		s.backlogWeight = 0 // drops rounding errors
+	}
 	s.require(c.waiting[k.id] >= 0 && k.waiting >= 0, "negative number of waiting tasks")
 }
 
--- a/rattanpool/fairqueue.go
+++ b/rattanpool/fairqueue.go
@@ -86,7 +86,9 @@
 type fairQueue struct {
 	// virtual is the virtual time: slot time charged per unit of active weight.
 	virtual float64
-	weight  float64
+	// active is the number of callers that have tasks, weight their weight.
+	active int
+	weight float64
 	// burst is the tolerance in slot time for all callers together, in seconds.
 	burst float64
 }
@@ -106,6 +108,7 @@
 		return
 	}
 	c.active = true
+	q.active++
 	c.tag = max(c.tag, q.virtual)
 	q.weight += c.Weight
 }
@@ -115,7 +118,11 @@
 		return
 	}
 	c.active = false
+	q.active--
 	q.weight -= c.Weight
+	if q.active == 0 {
+		q.weight = 0 // drops rounding errors
+	}
 }
 
 // charge moves the tag of a caller by slot time used.
--- a/rattanpool/longwork.go
+++ b/rattanpool/longwork.go
@@ -21,6 +21,8 @@
 	overdueHeadroom = 1.2
 	// longHeadroom is what long work may occupy relative to its learned arrivals.
 	longHeadroom = 1.2
+	// longPoll is how often waiting long work is looked at while slots are free.
+	longPoll = 100 * time.Millisecond
 	// leastLongShare is the share of slots that long work may always use, so
 	// that a flood of short work does not stop it.
 	leastLongShare = 0.2
@@ -115,6 +117,17 @@
 	return v.longHeld >= s.longLimit(v) && s.shortPresent(now, v)
 }
 
+// longWake returns when the limit of long work should be looked at again: when
+// short work no longer counts as present, when long work becomes overdue, or
+// after longPoll, since the learned demand falls with time.
+func (s *Scheduler) longWake(now time.Duration, v *service, head *entry) time.Duration {
+	wake := longPoll
+	if head.key > now {
+		wake = head.key - now
+	}
+	return min(wake, max(longPoll, v.shortSeen+s.config.ShortPresence-now))
+}
+
 // sampleDemand learns how many slots short work uses or waits for, and how many
 // long work needs. A caller counts with at most its share of the slots, so that
 // a flood of short work of one caller does not hold up long work of others.
--- a/rattanpool/scheduler.go
+++ b/rattanpool/scheduler.go
@@ -215,8 +215,8 @@
 		earliest(s.retries.wait(at))
 	}
 	for _, l := range s.lanes {
-		if v := l.profile.service; l.long && l.profile.free > 0 && !s.shortWaiting(v) && s.longBlocked(at, v) {
-			earliest(v.shortSeen + s.config.ShortPresence - at)
+		if head := l.head(); l.long && l.profile.free > 0 && head != nil {
+			earliest(s.longWake(at, l.profile.service, head))
 		}
 	}
 	return wake, found
--- a/rattanpool/targets_test.go
+++ b/rattanpool/targets_test.go
@@ -15,6 +15,7 @@
 	boundInDeadline   = 0.99
 	boundShortWait    = 2.0
 	boundFairness     = 1.2
+	boundWasted       = 0.05
 	boundBackToNormal = time.Second
 	noDeadline        = time.Hour
 	waitResolution    = time.Millisecond // a network round trip; shorter waits are not told apart
@@ -266,3 +267,47 @@
 	}
 	return total
 }
+
+// TestDeadTargets guards against dispatches wasted on targets that cannot be
+// reached, and against jobs that do not end because of them.
+func TestDeadTargets(t *testing.T) {
+	for _, slots := range []int{136, 400} {
+		dead := map[string]bool{}
+		for i := range slots / 8 / 8 {
+			dead[fmt.Sprintf("t%03d", 8*i)] = true
+		}
+		jobs := generate(1, slots, workload("listaforge", callerNames(8), 0.6, 30*time.Second, noDeadline)...)
+		sim := simRunFaulty(Config{}, slots, jobs, nil, dead)
+		tasks := 0
+		for _, j := range jobs {
+			tasks += j.Tasks
+			if j.end == 0 {
+				t.Errorf("job %d with %d slots did not end", j.ID, slots)
+			}
+		}
+		wasted := float64(sim.refusals) / float64(tasks)
+		t.Logf("%d of %d targets dead: %d dispatches wasted, %.4f a task", len(dead), slots/8, sim.refusals, wasted)
+		if wasted > boundWasted {
+			t.Errorf("%.4f dispatches wasted a task, bound %.2f", wasted, boundWasted)
+		}
+	}
+}
+
+// TestSlowTargets guards against slow targets that get work while others are
+// free. The bound is that of the median slowdown.
+func TestSlowTargets(t *testing.T) {
+	const slots = 136
+	slow := map[string]float64{"t003": 3, "t010": 3}
+	jobs := generate(1, slots, workload("listaforge", callerNames(8), 0.5, 30*time.Second, noDeadline)...)
+	withRanks := quantile(responses(simJobs(jobs, Config{}, slots, slow)), 0.5)
+	none := quantile(responses(simJobs(jobs, Config{}, slots, nil)), 0.5)
+	t.Logf("median %v with 2 of 17 targets 3 times slower, %v without", withRanks, none)
+	if ratio(withRanks, none) > boundMedian {
+		t.Errorf("median %v with slow targets, %v without", withRanks, none)
+	}
+}
+
+func simJobs(jobs []*simJob, config Config, slots int, slow map[string]float64) []*simJob {
+	simRunFaulty(config, slots, jobs, slow, nil)
+	return jobs
+}
