Order large jobs by size below MaxWait

The delay of large jobs was cut off at MaxWait, so that they ran in order of arrival. It now levels off.

--- a/rattanpool/admission.go
+++ b/rattanpool/admission.go
@@ -91,7 +91,7 @@
 // for the whole backlog if that ends earlier. Short jobs go before the caller's
 // long work, so only short work counts.
 func (s *Scheduler) expectedWait(now time.Duration, submitted *Job, k *kind, p *profile) (ahead, wait time.Duration, quota bool) {
-	c := s.callerOf(submitted.Caller)
+	c := s.callers[submitted.Caller]
 	own, all, tasks := s.backlogs(c, k)
 	free := max(0, min(p.slots, p.service.slots-p.service.held)-tasks)
 	each := k.expected().Seconds()
--- a/rattanpool/backlog.go
+++ b/rattanpool/backlog.go
@@ -131,14 +131,17 @@
 }
 
 // keyOf returns the place of a job among the jobs of its caller: its admission
-// plus a delay that grows with its expected remaining work up to MaxWait and to
-// its slack. Jobs admitted later than MaxWait after it therefore never overtake
-// it, and an order by size alone does not break the deadlines of large jobs.
+// plus a delay that grows with its expected remaining work and stays below
+// MaxWait and a part of its slack. Jobs admitted later than MaxWait after it
+// therefore never overtake it, and an order by size alone does not break the
+// deadlines of large jobs. The delay levels off instead of being cut off, so that
+// large jobs are still ordered by size.
 func (s *Scheduler) keyOf(j *job) time.Duration {
 	slots := max(1, j.profile.service.slots)
 	work := j.kind.expected().Seconds() * float64(j.waiting()) / float64(slots)
-	delay := time.Duration(s.config.SizeWeight * work * float64(time.Second))
-	return j.admitted + min(delay, s.config.MaxWait, j.slack/slackPart)
+	size := s.config.SizeWeight * work / s.config.MaxWait.Seconds()
+	delay := time.Duration(float64(s.config.MaxWait) * size / (1 + size))
+	return j.admitted + min(delay, j.slack/slackPart)
 }
 
 // noteWaiting adds to the number of waiting tasks of the job's kind and caller.
@@ -265,10 +268,6 @@
 	}
 }
 
-func (s *Scheduler) callerOf(name string) *caller {
-	return s.callers[name]
-}
-
 func (s *Scheduler) makeCaller(name string) *caller {
 	c := s.callers[name]
 	if c == nil {
--- a/rattanpool/config.go
+++ b/rattanpool/config.go
@@ -17,10 +17,11 @@
 	// that were admitted more than MaxWait after it. Default 3 s.
 	MaxWait time.Duration
 	// SizeWeight scales how much a job's expected remaining work, as a time of
-	// the whole service, delays it behind smaller jobs. Default 128.
+	// the whole service, delays it behind smaller jobs, as long as the delay is
+	// well below MaxWait. Default 128.
 	SizeWeight float64
 	// FairBurst is how far a caller may be ahead of its share before callers
-	// within their share go first, as a time of its share. Default 3 s.
+	// within their share go first, as a time of its share. Default 5 s.
 	FairBurst time.Duration
 	// LongTask is the learned 90th percentile of run times above which a job
 	// kind is long. Default 2 s.
@@ -51,7 +52,7 @@
 func (c *Config) setDefaults() {
 	setDefault(&c.MaxWait, 3*time.Second)
 	setDefault(&c.SizeWeight, 128)
-	setDefault(&c.FairBurst, 3*time.Second)
+	setDefault(&c.FairBurst, 5*time.Second)
 	setDefault(&c.LongTask, 2*time.Second)
 	setDefault(&c.LongShare, 0.7)
 	setDefault(&c.ShortPresence, 10*time.Second)
