Keep a target free for a task that waits for its resources

Small tasks took each slot that became free, so that a task that needs most of a target never started. After MaxWait one fitting target of the service is kept for it.

--- a/rattanpool/assign.go
+++ b/rattanpool/assign.go
@@ -89,6 +89,9 @@
 	s.retries.decay(now)
 	s.retries.started()
 	s.hold(now, on, j)
+	if reserved := j.profile.service.reserved; reserved != nil && reserved.reservedFor == j.profile {
+		s.endReservation(now, j.profile.service)
+	}
 	s.queue.charge(j.entry.caller, t.charge)
 	s.queue.advance(j.entry.caller, t.charge)
 	s.reorder(j)
--- a/rattanpool/placement.go
+++ b/rattanpool/placement.go
@@ -59,7 +59,9 @@
 	shortSeen time.Duration
 	hasShort  bool
 	probes    []*target
-	kinds     []*kind
+	// reserved is the target that is kept for one profile, nil for none.
+	reserved *target
+	kinds    []*kind
 }
 
 // profile is one combination of what tasks need, with the targets that have a
--- a/rattanpool/scheduler_test.go
+++ b/rattanpool/scheduler_test.go
@@ -453,3 +453,38 @@
 	share := float64(count[true]) / float64(count[true]+count[false])
 	qt.Assert(t, share > 0.7 && share < 0.8, qt.IsTrue, qt.Commentf("share %.3f", share))
 }
+
+// TestLargeTaskNotStarved guards against small tasks that take each slot that
+// becomes free before a task that needs a whole target. The bound is MaxWait
+// plus the time in which a target becomes free, twice the run time here.
+func TestLargeTaskNotStarved(t *testing.T) {
+	f := newFixture(targets(3)...)
+	var running []Assignment
+	small := func(j *Job) { j.Tasks, j.CoresPerTask, j.Deadline = 40, 4, f.now.Add(time.Hour) }
+	step := 25 * time.Millisecond
+	large := JobID(0)
+	var waited time.Duration
+	for round := 0; waited == 0; round++ {
+		if round%2 == 0 {
+			f.admit(small)
+		}
+		if round == 40 {
+			f.admit(func(j *Job) { j.CoresPerTask, j.Caller, j.Deadline = 16, "large", f.now.Add(time.Hour) })
+			large = f.id
+		}
+		if len(running) > 0 {
+			f.done(step*time.Duration(len(running)), running[0])
+			running = running[1:]
+		}
+		for _, a := range f.all() {
+			if a.Job == large {
+				waited = a.Waited
+			}
+			running = append(running, a)
+		}
+		f.pass(step)
+		qt.Assert(t, round < 1000, qt.IsTrue)
+	}
+	t.Logf("waited %v", waited)
+	qt.Assert(t, waited < 3*time.Second+2*12*step, qt.IsTrue)
+}
--- a/rattanpool/target.go
+++ b/rattanpool/target.go
@@ -50,6 +50,9 @@
 	memoryMB     int
 	accelerators int
 
+	// reservedFor is the only profile that may use the target, nil for all.
+	reservedFor *profile
+
 	// speed is the learned run time relative to the kind's, in octaves.
 	speed  float64
 	ran    int
@@ -160,7 +163,7 @@
 
 // classFor narrows a class that is not classNone down to a profile.
 func (t *target) classFor(p *profile, class rankClass) rankClass {
-	if !t.fits(p) {
+	if !t.fits(p) || t.reservedFor != nil && t.reservedFor != p {
 		return classNone
 	}
 	if p.accelerators == 0 && t.Accelerators > 0 && class < classAccelerated {
