--- a/rattanpool/bench_test.go
+++ b/rattanpool/bench_test.go
@@ -9,7 +9,7 @@
 
 // benchScheduler returns a scheduler with 220 callers whose jobs wait, and all
 // slots but a few held, so that each end of a task frees the next slot.
-func benchScheduler(b *testing.B, targets int) (*Scheduler, []Assignment) {
+func benchScheduler(b testing.TB, targets, decisions int) (*Scheduler, []Assignment) {
 	b.Helper()
 	s := New(Config{})
 	var list []Target
@@ -22,7 +22,7 @@
 	s.SetTargets(simStart, list)
 	random := rand.New(rand.NewPCG(1, 1))
 	id := JobID(0)
-	for tasks := 0; tasks < 8*targets+2*b.N+20_000; {
+	for tasks := 0; tasks < 8*targets+2*decisions+20_000; {
 		id++
 		j := Job{
 			ID: id, Caller: fmt.Sprintf("c%d", id%220), Kind: fmt.Sprintf("k%d", id%7), Service: "s",
@@ -48,7 +48,7 @@
 func BenchmarkDecision(b *testing.B) {
 	for _, targets := range []int{50, 500, 8700} {
 		b.Run(fmt.Sprint(targets), func(b *testing.B) {
-			s, running := benchScheduler(b, targets)
+			s, running := benchScheduler(b, targets, b.N)
 			random := rand.New(rand.NewPCG(2, 2))
 			now := simStart
 			b.ReportAllocs()
@@ -72,7 +72,7 @@
 
 // BenchmarkAdmit measures the decision on a job that is refused.
 func BenchmarkAdmit(b *testing.B) {
-	s, _ := benchScheduler(b, 8700)
+	s, _ := benchScheduler(b, 8700, 0)
 	j := Job{ID: 1 << 40, Caller: "c1", Kind: "k1", Service: "s", Tasks: 250, Deadline: simStart.Add(time.Millisecond)}
 	b.ReportAllocs()
 	for b.Loop() {
@@ -81,3 +81,24 @@
 		}
 	}
 }
+
+// TestDecisionAllocates guards against allocations on the path of every task.
+func TestDecisionAllocates(t *testing.T) {
+	const decisions = 20_000
+	s, running := benchScheduler(t, 50, decisions)
+	now, next := simStart, 0
+	allocations := testing.AllocsPerRun(decisions, func() {
+		now = now.Add(5 * time.Microsecond)
+		s.Finish(now, running[next], Report{Outcome: OutcomeDone, RunTime: time.Millisecond})
+		if a, ok := s.Next(now); ok {
+			running[next] = a
+			next = (next + 1) % len(running)
+			return
+		}
+		running = append(running[:next], running[next+1:]...)
+		next %= len(running)
+	})
+	if allocations > 0 {
+		t.Errorf("%v allocations a decision", allocations)
+	}
+}
