--- a/rattanpool/longwork.go
+++ b/rattanpool/longwork.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// overrunInterval is how often running tasks are checked for overruns and
-	// the demand of short work is sampled.
+	// overrunInterval is how often running tasks are checked for overruns, the
+	// demand of short work is sampled and reservations are updated.
 	overrunInterval = 10 * time.Millisecond
 	// demandWindow is the time constant over which the demand for slots by
 	// short work is learned.
@@ -21,6 +21,8 @@
 	overdueHeadroom = 1.2
 	// longHeadroom is what long work may occupy relative to its learned arrivals.
 	longHeadroom = 1.2
+	// longPoll is how often waiting long work is looked at while slots are free.
+	longPoll = 100 * time.Millisecond
 	// leastLongShare is the share of slots that long work may always use, so
 	// that a flood of short work does not stop it.
 	leastLongShare = 0.2
@@ -85,12 +87,11 @@
 // only the mean of short work is kept free.
 func (s *Scheduler) longLimit(v *service) int {
 	slots := float64(v.slots)
-	most := slots - overdueHeadroom*v.shortDemand.mean
+	most := max(slots-overdueHeadroom*v.shortDemand.mean, leastLongShare*slots)
 	limit := most
 	if !s.longOverdue(v) {
 		limit = max(slots-v.shortDemand.peak(), min(most, longHeadroom*v.longArrivals.slots()))
 	}
-	limit = max(limit, leastLongShare*slots)
 	return max(1, min(int(limit), s.longMost(v)))
 }
 
@@ -116,17 +117,38 @@
 	return v.longHeld >= s.longLimit(v) && s.shortPresent(now, v)
 }
 
+// longWake returns when the limit of long work should be looked at again: when
+// short work no longer counts as present, when long work becomes overdue, or
+// after longPoll, since the learned demand falls with time.
+func (s *Scheduler) longWake(now time.Duration, v *service, head *entry) time.Duration {
+	wake := longPoll
+	if head.key > now {
+		wake = head.key - now
+	}
+	return min(wake, max(longPoll, v.shortSeen+s.config.ShortPresence-now))
+}
+
 // sampleDemand learns how many slots short work uses or waits for, and how many
-// long work needs.
+// long work needs. A caller counts with at most its share of the slots, so that
+// a flood of short work of one caller does not hold up long work of others.
 func (s *Scheduler) sampleDemand(now time.Duration, v *service) {
-	waiting := 0
-	for _, k := range v.kinds {
-		if !k.long {
-			waiting += k.waiting
-		}
+	tasks := 0
+	for _, c := range s.callers {
+		share := int(math.Ceil(float64(v.slots) * c.Weight / max(s.queue.weight, c.Weight)))
+		tasks += min(share, c.shortDemand(v))
 	}
 	v.longArrivals.sample(now)
-	v.shortDemand.sample(now, float64(v.held-v.longHeld+waiting))
+	v.shortDemand.sample(now, float64(tasks))
+}
+
+// shortDemand returns the number of short tasks that run or wait.
+func (c *caller) shortDemand(v *service) (tasks int) {
+	for _, e := range c.entries {
+		if !e.lane.long && e.lane.profile.service == v {
+			tasks += e.short + e.waiting
+		}
+	}
+	return tasks
 }
 
 func (s *Scheduler) shortPresent(now time.Duration, v *service) bool {
@@ -149,6 +171,7 @@
 		return
 	}
 	t.job.kind.link(t)
+	t.job.entry.short++
 }
 
 func (s *Scheduler) stopRunning(t *task) {
@@ -158,6 +181,7 @@
 		return
 	}
 	t.job.kind.unlink(t)
+	t.job.entry.short--
 }
 
 // markOverruns counts tasks as long that run far longer than expected.
@@ -174,11 +198,13 @@
 	}
 	for _, v := range s.services {
 		s.sampleDemand(now, v)
+		s.updateReservation(now, v)
 	}
 }
 
 func (s *Scheduler) markLong(t *task) {
 	t.job.kind.unlink(t)
+	t.job.entry.short--
 	t.long = true
 	t.job.profile.service.longHeld++
 }
