Show that the checks of histories find injected faults

A dispatch sent twice, lost results, answers swapped between keys, "not run" said after a start, an authority that never expires and a ledger that forgets are each injected into the program and found; the same runs without the fault are clean. A null result counts as missing now.

--- a/rattancheck/check.go
+++ b/rattancheck/check.go
@@ -225,7 +225,7 @@
 		return InvariantWhole, fmt.Sprintf("%d results of %d", len(results), len(expected))
 	}
 	for i, result := range results {
-		if len(result.Payload) == 0 {
+		if missing(result.Payload) && !missing(expected[i]) {
 			return InvariantWhole, fmt.Sprintf("result %d is empty", i)
 		}
 		if !bytes.Equal(compact(result.Payload), compact(expected[i])) {
@@ -257,6 +257,11 @@
 	return answer.State.Final() && answer.Reason != rattanjob.ReasonConflict
 }
 
+// missing reports whether a payload is absent; JSON has null in its place.
+func missing(payload json.RawMessage) bool {
+	return len(payload) == 0 || string(payload) == "null"
+}
+
 func compact(data json.RawMessage) []byte {
 	var buffer bytes.Buffer
 	if json.Compact(&buffer, data) != nil {
--- a/rattanentry/home_test.go
+++ b/rattanentry/home_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rattanlever/rattanlever/rattancheck"
 	"github.com/rattanlever/rattanlever/rattanconfig"
 	"github.com/rattanlever/rattanlever/rattanjob"
 	"github.com/rattanlever/rattanlever/rattanjson"
@@ -152,3 +154,51 @@
 	close(home.runner.released)
 	c.Assert(home.submit(running, 5*time.Second).Key, qt.Equals, running.String())
 }
+
+// Guards the check of resubmissions: a home whose ledger forgets its records
+// must be found, and one whose ledger remembers must not.
+func TestForgettingLedgerIsFound(t *testing.T) {
+	for _, forgets := range []bool{false, true} {
+		t.Run(strconv.FormatBool(forgets), func(t *testing.T) {
+			c := qt.New(t)
+			home := newHomeUnderTest(c)
+			close(home.runner.released)
+			history := rattancheck.NewHistory()
+			key := home.key()
+			submission := &rattanjob.Submission{Key: key, Kind: "list", Tasks: []rattanjob.Task{{Payload: json.RawMessage(`1`)}}}
+			history.Submitted(*submission)
+			request := func(operation rattancheck.Operation, ask func() rattanjob.Answer) {
+				made := rattancheck.Request{Operation: operation, Key: key, Asked: time.Now(), Answered: true}
+				if operation == rattancheck.OperationSubmit {
+					made.Body = submission.Digest()
+				}
+				made.Answer = ask()
+				made.Received = time.Now()
+				history.Requested(made)
+			}
+			submit := func() rattanjob.Answer { return home.submit(key, time.Second) }
+			request(rattancheck.OperationSubmit, submit)
+			if forgets {
+				home.mutex.Lock()
+				home.config.Ledger = newLedger(rattansettings.Default().Home)
+				home.config.Ledger.OpenEpoch(time.Now(), home.epoch, time.Now())
+				home.mutex.Unlock()
+			}
+			request(rattancheck.OperationStatus, func() rattanjob.Answer {
+				return home.Status(context.Background(), time.Now(), "app", key, 0)
+			})
+			request(rattancheck.OperationSubmit, submit)
+			task := rattanjob.TaskID{Submission: key.ID(), Attempt: 1}
+			violations := history.Check(map[string]int{task.String(): int(home.runner.starts.Load())})
+			var found []rattancheck.Invariant
+			for _, violation := range violations {
+				found = append(found, violation.Invariant)
+			}
+			if !forgets {
+				c.Assert(found, qt.HasLen, 0)
+				return
+			}
+			c.Assert(found, qt.ContentEquals, []rattancheck.Invariant{rattancheck.InvariantSingleStart, rattancheck.InvariantRegister})
+		})
+	}
+}
--- a/rattansystem/history_test.go
+++ b/rattansystem/history_test.go
@@ -149,7 +149,19 @@
 	unkeyed   atomic.Int64
 }
 
-// options change a run to show that the checks can fail.
+// violated is the error of a run that broke invariants.
+type violated []rattancheck.Violation
+
+// Error describes the first violation.
+func (v violated) Error() string {
+	return fmt.Sprintf("%d violations, first %v %s: %s", len(v), v[0].Invariant, v[0].Submission, v[0].Detail)
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{MaxIdleConnsPerHost: 64, MaxIdleConns: 1024}
+}
+
+// historyOptions change a run to show that the checks can fail.
 type historyOptions struct {
 	newRunner func() rattanentry.TaskRunner
 	adjust    func(settings *rattansettings.Settings)
@@ -210,7 +222,7 @@
 		history:   rattancheck.NewHistory(),
 		totals:    totals,
 		began:     time.Now(),
-		transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxIdleConns: 1024},
+		transport: newTransport(),
 	}
 	defer run.transport.CloseIdleConnections()
 	faults.start()
@@ -244,7 +256,7 @@
 	case len(errs) > 0:
 		return fmt.Errorf("fault could not be injected: %w", <-errs)
 	case len(violations) > 0:
-		return fmt.Errorf("%d violations, first %v %s: %s", len(violations), violations[0].Invariant, violations[0].Submission, violations[0].Detail)
+		return violated(violations)
 	case r.busy():
 		return fmt.Errorf("jobs in progress after %v", resolveTimeout)
 	case len(reportedViolations()) > 0:
--- /dev/null
+++ b/rattansystem/injected_test.go
@@ -0,0 +1,188 @@
+package rattansystem_test
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattancheck"
+	"github.com/rattanlever/rattanlever/rattanentry"
+	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattanjson"
+	"github.com/rattanlever/rattanlever/rattansettings"
+	"github.com/rattanlever/rattanlever/rattanstandin"
+	"github.com/rattanlever/rattanlever/rattansystem"
+	"github.com/rattanlever/rattanlever/rattantarget"
+)
+
+// faultyRunner is the product's runner with an injected fault.
+type faultyRunner struct {
+	rattanentry.TaskRunner
+	run func(ctx context.Context, runner rattanentry.TaskRunner, dispatch rattantarget.Dispatch) (rattantarget.Result, error)
+}
+
+func (r *faultyRunner) Run(ctx context.Context, dispatch rattantarget.Dispatch) (rattantarget.Result, error) {
+	return r.run(ctx, r.TaskRunner, dispatch)
+}
+
+// runTwice sends each dispatch twice.
+func runTwice(ctx context.Context, runner rattanentry.TaskRunner, dispatch rattantarget.Dispatch) (rattantarget.Result, error) {
+	again := dispatch
+	_, _ = runner.Run(ctx, again)
+	return runner.Run(ctx, dispatch)
+}
+
+// runEmpty loses the results.
+func runEmpty(ctx context.Context, runner rattanentry.TaskRunner, dispatch rattantarget.Dispatch) (rattantarget.Result, error) {
+	result, err := runner.Run(ctx, dispatch)
+	result.Payload = nil
+	return result, err
+}
+
+// swapper gives each task the result of the task before it.
+type swapper struct {
+	mutex    sync.Mutex
+	previous json.RawMessage
+}
+
+func (s *swapper) run(ctx context.Context, runner rattanentry.TaskRunner, dispatch rattantarget.Dispatch) (rattantarget.Result, error) {
+	result, err := runner.Run(ctx, dispatch)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.previous != nil {
+		result.Payload, s.previous = s.previous, result.Payload
+		return result, err
+	}
+	s.previous = result.Payload
+	return result, err
+}
+
+// runUntruthfully runs each task once and says that it did not start.
+func runUntruthfully(ctx context.Context, runner rattanentry.TaskRunner, dispatch rattantarget.Dispatch) (rattantarget.Result, error) {
+	if strings.HasSuffix(dispatch.ID, "-1") {
+		_, _ = runner.Run(ctx, dispatch)
+	}
+	return rattantarget.Result{}, rattantarget.ErrNotStarted
+}
+
+// Guards the checks of the histories: each fault that is injected into the
+// program must be found.
+func TestInjectedFaultsAreFound(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		run      func(ctx context.Context, runner rattanentry.TaskRunner, dispatch rattantarget.Dispatch) (rattantarget.Result, error)
+		deadline time.Duration
+		want     rattancheck.Invariant
+	}{
+		{name: "dispatch sent twice", run: runTwice, want: rattancheck.InvariantSingleStart},
+		{name: "results lost", run: runEmpty, want: rattancheck.InvariantWhole},
+		{name: "answers swapped", run: (&swapper{}).run, want: rattancheck.InvariantOwnAnswer},
+		{name: "not run said after a start", run: runUntruthfully, deadline: 300 * time.Millisecond, want: rattancheck.InvariantNotRun},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			plan := historyPlan{Zones: 1, Entries: 2, Targets: 2, Slots: 8}
+			for range 5 {
+				plan.Jobs = append(plan.Jobs, jobPlan{Kind: "list", Tasks: 2, RunTime: 10 * time.Millisecond, Deadline: test.deadline})
+			}
+			newRunner := func() rattanentry.TaskRunner {
+				return &faultyRunner{TaskRunner: rattantarget.New(rattantarget.Options{}), run: test.run}
+			}
+			violations := violationsOf(c, plan, historyOptions{newRunner: newRunner})
+			c.Assert(slices.Contains(violations, test.want), qt.IsTrue, qt.Commentf("found %v", violations))
+			c.Assert(violationsOf(c, plan, historyOptions{}), qt.HasLen, 0)
+		})
+	}
+}
+
+// violationsOf runs a plan and returns the invariants that it broke.
+func violationsOf(c *qt.C, plan historyPlan, options historyOptions) []rattancheck.Invariant {
+	var totals historyTotals
+	var broken violated
+	err := runHistoryWith(plan, &totals, options)
+	if err == nil {
+		return nil
+	}
+	c.Assert(err, qt.ErrorAs, &broken)
+	var found []rattancheck.Invariant
+	for _, violation := range broken {
+		found = append(found, violation.Invariant)
+	}
+	return found
+}
+
+// isolateHome runs jobs, cuts the home off from its witnesses for longer than
+// a verdict takes, and asks for the answers through all instances meanwhile.
+func isolateHome(c *qt.C, tenure func(settings *rattansettings.Settings)) []rattancheck.Violation {
+	system, err := rattansystem.Start(rattansystem.Config{
+		Zones:          []string{"buda"},
+		EntriesPerZone: 3,
+		Fleets:         []rattanstandin.TargetFleetOptions{{Count: 2, Service: "planner", Target: rattanstandin.TargetOptions{Slots: 8, Echo: true}}},
+		Document:       historyDocument(),
+		AdjustSettings: tenure,
+	})
+	c.Assert(err, qt.IsNil)
+	defer system.Close()
+	run := &historyRun{system: system, history: rattancheck.NewHistory(), totals: &historyTotals{}, transport: newTransport()}
+	defer run.transport.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(context.Background(), resolveTimeout)
+	defer cancel()
+	var keys []rattanjob.Key
+	for len(keys) == 0 || len(keys[0].Witnesses) == 0 {
+		keys = run.keys(ctx, 0, 8)
+		c.Assert(keys, qt.HasLen, 8)
+	}
+	var jobs sync.WaitGroup
+	for _, key := range keys {
+		plan := jobPlan{Kind: "list", Tasks: 1, RunTime: 2500 * time.Millisecond}
+		sent := plan.submission(key, "")
+		run.history.Submitted(sent)
+		jobs.Go(func() { run.submit(ctx, 0, sent) })
+	}
+	waitFor(c, resolveTimeout, "starts", func() bool { return system.Log.Starts() == 8 })
+	system.Network.Isolate(keys[0].Epoch.Home.Instance)
+	for i := range 3 * len(keys) {
+		jobs.Go(func() {
+			for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				run.status(ctx, i%3, keys[i/3])
+			}
+		})
+	}
+	jobs.Wait()
+	system.Network.Heal()
+	return run.history.Check(system.Starts())
+}
+
+// Guards against a home that keeps its authority without the support of its
+// witnesses: callers would get contradicting answers. The check must find an
+// authority that never expires.
+func TestAuthorityExpires(t *testing.T) {
+	t.Run("sound", func(t *testing.T) {
+		t.Parallel()
+		c := qt.New(t)
+		c.Assert(isolateHome(c, adjustTimings), qt.HasLen, 0)
+	})
+	t.Run("never expires", func(t *testing.T) {
+		t.Parallel()
+		c := qt.New(t)
+		violations := isolateHome(c, func(settings *rattansettings.Settings) {
+			adjustTimings(settings)
+			if settings.Name == "buda-entry-1" {
+				settings.Home.TenureDuration = rattanjson.Duration(time.Minute)
+			}
+		})
+		var found []rattancheck.Invariant
+		for _, violation := range violations {
+			found = append(found, violation.Invariant)
+		}
+		c.Assert(slices.Contains(found, rattancheck.InvariantStable), qt.IsTrue, qt.Commentf("found %v", found))
+		c.Assert(slices.Contains(found, rattancheck.InvariantRegister), qt.IsTrue, qt.Commentf("found %v", found))
+	})
+}
