--- a/rattanmember/gossip.go
+++ b/rattanmember/gossip.go
@@ -10,8 +10,13 @@
 
 // Bounds of names in messages, and of what is kept.
 const (
+	maxWitnesses   = 4
 	maxNameSize    = 64
 	maxAddressSize = 128
+	// maxMembers and maxTenures bound what a received message may carry. They
+	// do not depend on the configuration, which may differ between instances.
+	maxMembers     = 64
+	maxTenures     = 64
 	forgetInterval = 10 * time.Second
 )
 
@@ -36,7 +41,7 @@
 // takeIn merges a message's sender and changes. It returns false when the sender
 // is an incarnation that has ended.
 func (t *Table) takeIn(now time.Time, from Member, changes []Member, payload []byte) bool {
-	if len(payload) > t.config.MaxPayload || len(changes) > 2*t.config.MaxChanges {
+	if len(payload) > t.config.MaxPayload || len(changes) > maxMembers {
 		t.counters.Malformed++
 		return false
 	}
@@ -69,7 +74,7 @@
 // same incarnation, a higher version over a lower one, and suspicion over any
 // other status of the same version.
 func (t *Table) merge(now time.Time, said Member) {
-	if !wellFormed(said, t.config.MaxWitnesses) {
+	if !wellFormed(said) {
 		t.counters.Malformed++
 		return
 	}
@@ -124,6 +129,10 @@
 	name := said.Incarnation.Instance
 	known := &entry{}
 	t.entries[name] = known
+	t.addedAt = now
+	if said.AvailabilityZone == t.self.AvailabilityZone {
+		t.joinedAt = now
+	}
 	t.set(now, known, said)
 	t.order = append(t.order, name)
 	if last, at := len(t.order)-1, t.nextOrder; at < last {
@@ -179,11 +188,12 @@
 	t.changed = append(t.changed, known.member.Incarnation.Instance)
 }
 
-// changesFor returns at most MaxChanges members for a message: the receiver
+// changesFor returns at most maxChanges members for a message: the receiver
 // itself if it is taken for silent, ended or replaced, then recent changes, then
 // up to refresh others in turn.
 func (t *Table) changesFor(now time.Time, incarnation rattanjob.Incarnation, refresh int) []Member {
 	receiver := incarnation.Instance
+	limit := t.maxChanges(now, refresh)
 	var changes []Member
 	add := func(known *entry) {
 		changes = append(changes, known.member.at(now.Sub(known.learnedAt)))
@@ -196,7 +206,7 @@
 		}
 	}
 	for range len(t.changed) {
-		if len(changes) >= t.config.MaxChanges {
+		if len(changes) >= limit {
 			return changes
 		}
 		name := t.changed[0]
@@ -214,7 +224,7 @@
 			add(known)
 		}
 	}
-	for range min(refresh, t.config.MaxChanges-len(changes), len(t.order)) {
+	for range min(refresh, limit-len(changes), len(t.order)) {
 		t.refresh = (t.refresh + 1) % len(t.order)
 		if name := t.order[t.refresh]; name != receiver {
 			add(t.entries[name])
@@ -223,6 +233,15 @@
 	return changes
 }
 
+// maxChanges is larger than MaxChanges while this member or the receiver learns
+// of many members, such as after a start of the whole fleet.
+func (t *Table) maxChanges(now time.Time, refresh int) int {
+	if refresh == joinChanges || now.Sub(t.addedAt) < t.config.JoinDuration {
+		return max(joinChanges, t.config.MaxChanges)
+	}
+	return t.config.MaxChanges
+}
+
 // witnesses appends the witnesses of all epochs of this home.
 func (t *Table) witnesses(receivers []Member) []Member {
 	for _, epoch := range t.epochs {
@@ -368,7 +387,7 @@
 	return append(receivers, receiver)
 }
 
-func wellFormed(said Member, maxWitnesses int) bool {
+func wellFormed(said Member) bool {
 	name := said.Incarnation.Instance
 	switch {
 	case name == "" || len(name) > maxNameSize || said.Incarnation.Number == 0:
