Scale gossip and joining with the heartbeat interval

Waiting for new members takes 2 s at each start since members wait for a quiet time before they claim a pool; histories with shorter heartbeats spent most of their time there.

--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -24,6 +24,10 @@
 	methodVote      = "Vote"
 	// memberTick is how often due heartbeats are looked for.
 	memberTick = 50 * time.Millisecond
+	// gossipHeartbeats and joinHeartbeats are the intervals of gossip and of
+	// joining in heartbeats: 1 s and 2 s with the default of 500 ms.
+	gossipHeartbeats = 2
+	joinHeartbeats   = 4
 	// heartbeatTimeout bounds the wait for an acknowledgement.
 	heartbeatTimeout = time.Second
 	voteTimeout      = 300 * time.Millisecond
@@ -93,6 +97,8 @@
 		Pools:             1,
 		Random:            rand.New(rand.NewPCG(config.Incarnation, uint64(len(settings.Name)))),
 		HeartbeatInterval: settings.Home.HeartbeatInterval.Std(),
+		GossipInterval:    gossipHeartbeats * settings.Home.HeartbeatInterval.Std(),
+		JoinDuration:      joinHeartbeats * settings.Home.HeartbeatInterval.Std(),
 		TenureDuration:    settings.Home.TenureDuration.Std(),
 		VerdictMargin:     settings.Home.VerdictMargin.Std(),
 	})
