Show that the checks of leaving targets and of revisions can fail

A target whose leaving is not read (outage of the platform) gets work after 3 s, and an instance whose revision falls is found. An answer that says Undelivered is checked against the starts.

--- a/rattancheck/check.go
+++ b/rattancheck/check.go
@@ -186,6 +186,9 @@
 			s.checkResults(seen, report)
 		}
 	}
+	if s.undelivered() && starts > 0 {
+		report(InvariantNotRun, "all answers say undelivered, %d tasks started", starts)
+	}
 	if !resolved {
 		report(InvariantResolved, "no final answer among %d", len(s.answers))
 	}
@@ -196,6 +199,22 @@
 	return violations
 }
 
+// undelivered reports whether the key was submitted and every submission was
+// answered with the statement that it reached no home.
+func (s *submission) undelivered() bool {
+	submitted := false
+	for _, request := range s.requests {
+		if request.Operation != OperationSubmit {
+			continue
+		}
+		submitted = true
+		if !request.Answered || !request.Answer.Undelivered {
+			return false
+		}
+	}
+	return submitted
+}
+
 func (s *submission) checkResults(seen observation, report func(Invariant, string, ...any)) {
 	results := seen.answer.Results
 	if len(results) == 0 && seen.answer.Detail != "" {
--- a/rattancheck/check_test.go
+++ b/rattancheck/check_test.go
@@ -67,6 +67,8 @@
 	failed := rattanjob.Answer{State: rattanjob.StateFailed, Reason: rattanjob.ReasonTaskFailed}
 	absent := rattanjob.Answer{Reason: rattanjob.ReasonKeyUnknown}
 	running := rattanjob.Answer{State: rattanjob.StateRunning}
+	undelivered := lost
+	undelivered.Undelivered = true
 	for _, test := range []struct {
 		name     string
 		requests []rattancheck.Request
@@ -80,6 +82,8 @@
 		{"result of another key", []rattancheck.Request{submitted(first, 0, 10, complete(`"b"`))}, ran, []rattancheck.Invariant{rattancheck.InvariantOwnAnswer}},
 		{"result of another body", []rattancheck.Request{submitted(other, 0, 10, complete(`"a"`))}, ran, []rattancheck.Invariant{rattancheck.InvariantOwnAnswer}},
 		{"not run after a start", []rattancheck.Request{submitted(first, 0, 10, cancelled)}, ran, []rattancheck.Invariant{rattancheck.InvariantNotRun}},
+		{"undelivered after a start", []rattancheck.Request{submitted(first, 0, 10, undelivered)}, ran, []rattancheck.Invariant{rattancheck.InvariantNotRun}},
+		{"undelivered the second time", []rattancheck.Request{submitted(first, 0, 10, running), submitted(first, 20, 30, undelivered)}, ran, nil},
 		{"no final answer", []rattancheck.Request{submitted(first, 0, 10, running)}, ran, []rattancheck.Invariant{rattancheck.InvariantResolved}},
 		{"lost after complete", []rattancheck.Request{submitted(first, 0, 10, complete(`"a"`)), asked(rattancheck.OperationStatus, first, 20, 30, lost)}, ran, nil},
 		{"complete after lost", []rattancheck.Request{asked(rattancheck.OperationStatus, first, 0, 10, lost), submitted(first, 20, 30, complete(`"a"`))}, ran, []rattancheck.Invariant{rattancheck.InvariantRegister, rattancheck.InvariantStable}},
--- a/rattansystem/fault_test.go
+++ b/rattansystem/fault_test.go
@@ -62,27 +62,38 @@
 // work after 3 s.
 const leaveBound = 3 * time.Second
 
-// Guards I6, also when the connections to the platform have gone silent.
+// Guards I6, also when the connections to the platform have gone silent. While
+// the list is not read the check must fail.
 func TestLeavingTargetGetsNoWork(t *testing.T) {
-	for _, silence := range []rattanstandin.Silence{rattanstandin.SilenceNone, rattanstandin.SilenceBoth} {
-		t.Run(silence.String(), func(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		silence rattanstandin.Silence
+		outage  rattanstandin.Outage
+		late    bool
+	}{
+		{name: "sound"},
+		{name: "silent connections", silence: rattanstandin.SilenceBoth},
+		{name: "list not read", outage: rattanstandin.OutageUnavailable, late: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
 			system := startSystem(c, "buda")
 			load := startLoad(system, "buda", 20, 4, 20*time.Millisecond)
 			target := system.Fleets[0].Targets[0]
-			waitFor(c, time.Second, "starts at the target", func() bool { return lastStart(system, target.Name()).After(time.Time{}) })
-			if silence != rattanstandin.SilenceNone {
-				system.Platform.SilenceConnections(silence)
+			waitFor(c, 5*time.Second, "starts at the target", func() bool { return !lastStart(system, target.Name()).IsZero() })
+			system.Platform.SetFaults(rattanstandin.Faults{Outage: test.outage})
+			if test.silence != rattanstandin.SilenceNone {
+				system.Platform.SilenceConnections(test.silence)
 			}
 			left := time.Now()
 			system.Platform.ChangeInstances(rattanstandin.InstanceChange{Leave: []string{target.Name()}})
 			time.Sleep(leaveBound + 700*time.Millisecond)
 			load.stop()
-			late := lastStart(system, target.Name()).Sub(left)
-			c.Logf("last start %v after the target began to leave", late)
-			c.Assert(late <= leaveBound, qt.IsTrue, qt.Commentf("last start after %v", late))
-			c.Assert(load.history.Check(system.Starts()), qt.HasLen, 0)
+			last := lastStart(system, target.Name()).Sub(left)
+			c.Logf("last start %v after the target began to leave", last)
+			c.Check(last > leaveBound, qt.Equals, test.late)
+			c.Check(load.history.Check(system.Starts()), qt.HasLen, 0)
 		})
 	}
 }
@@ -212,9 +223,21 @@
 	return least
 }
 
-// watchRevisions records any instance whose revision falls.
-func watchRevisions(system *rattansystem.System, done chan struct{}, reverted *atomic.Int64) {
-	highest := map[string]uint64{}
+// revisionWatch finds instances whose revision falls.
+type revisionWatch struct {
+	highest  map[string]uint64
+	reverted int
+}
+
+func (w *revisionWatch) observe(instance string, revision uint64) {
+	if revision < w.highest[instance] {
+		w.reverted++
+	}
+	w.highest[instance] = max(w.highest[instance], revision)
+}
+
+// run observes all instances until done is closed.
+func (w *revisionWatch) run(system *rattansystem.System, done chan struct{}) {
 	for {
 		select {
 		case <-done:
@@ -222,15 +245,24 @@
 		case <-time.After(time.Millisecond):
 		}
 		for _, entry := range system.Entries() {
-			revision := entry.Instance.Configuration.Document().Revision
-			if revision < highest[entry.Name] {
-				reverted.Add(1)
-			}
-			highest[entry.Name] = revision
+			w.observe(entry.Name, entry.Instance.Configuration.Document().Revision)
 		}
 	}
 }
 
+// Guards the check of I8: an instance that reverts must be found.
+func TestRevertedConfigurationIsFound(t *testing.T) {
+	c := qt.New(t)
+	watch := &revisionWatch{highest: map[string]uint64{}}
+	for _, revision := range []uint64{1, 3, 3, 4} {
+		watch.observe("a", revision)
+		watch.observe("b", 2)
+	}
+	c.Assert(watch.reverted, qt.Equals, 0)
+	watch.observe("a", 3)
+	c.Assert(watch.reverted, qt.Equals, 1)
+}
+
 // Guards I8: each change is in force on all nine instances within 2 s and is
 // never reverted, also when the connections to the platform have gone silent,
 // when operators race, and for an instance that starts during an outage.
@@ -239,9 +271,9 @@
 	c := qt.New(t)
 	system := startSystem(c, threeZones...)
 	done := make(chan struct{})
-	var reverted atomic.Int64
+	watch := &revisionWatch{highest: map[string]uint64{}}
 	var watching sync.WaitGroup
-	watching.Go(func() { watchRevisions(system, done, &reverted) })
+	watching.Go(func() { watch.run(system, done) })
 	change := func(what string) {
 		revision := raiseRevision(system, 2)
 		c.Assert(revision > 0, qt.IsTrue, qt.Commentf("%s: change not made", what))
@@ -274,7 +306,7 @@
 	change("after the outage")
 	close(done)
 	watching.Wait()
-	c.Assert(reverted.Load(), qt.Equals, int64(0))
+	c.Assert(watch.reverted, qt.Equals, 0)
 }
 
 // Guards against waves of cancellations: each of 2,000 at once gets a true,
