Serve for 500 ms after an instance reports that it is not ready

The instance now serves for 500 ms after it became not ready and lets connections end with their next response.

--- a/rattancmd/process_test.go
+++ b/rattancmd/process_test.go
@@ -509,6 +509,64 @@
 	cluster.checkHistory()
 }
 
+// Guards I7 under load: callers that leave an instance when it is not ready, as
+// the load balancer makes them, have no request cut off by its shutdown.
+func TestTerminationUnderLoad(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	cluster := startCluster(c, 3, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	home, others := cluster.home(cluster.keys(1)[0])
+	left := others[0]
+	var balanced atomic.Pointer[[]*process]
+	balanced.Store(&cluster.entries)
+	done := make(chan struct{})
+	var callers sync.WaitGroup
+	var complete, refused atomic.Int64
+	for i := range 30 {
+		callers.Go(func() {
+			for try := i; ; try++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				entries := *balanced.Load()
+				entry := entries[try%len(entries)]
+				keys, err := cluster.client(entry).Keys(ctx, 1)
+				if !c.Check(err, qt.IsNil) {
+					return
+				}
+				answer, err := cluster.submit(ctx, entry, cluster.submission(keys[0], 1, 10*time.Millisecond), 5*time.Second)
+				c.Check(err, qt.IsNil)
+				switch {
+				case answer.State == rattanjob.StateComplete:
+					complete.Add(1)
+				case answer.Execution == rattanjob.ExecutionNotRun:
+					refused.Add(1)
+				default:
+					c.Errorf("%+v", answer)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	c.Assert(left.command.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	for ready := true; ready; time.Sleep(20 * time.Millisecond) {
+		_, ready = cluster.health(left)
+	}
+	balanced.Store(&[]*process{home, others[1]})
+	<-left.ended
+	time.Sleep(200 * time.Millisecond)
+	close(done)
+	callers.Wait()
+	c.Logf("%d jobs complete, %d refused without a start", complete.Load(), refused.Load())
+	c.Check(left.err, qt.IsNil)
+	cluster.checkHistory()
+}
+
 // Guards against instances that need the platform to start: one that starts
 // during an outage gets the configuration and the targets from its peers, and
 // serves as the home when the others have died.
--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -282,7 +282,7 @@
 			return errors.Trace(err)
 		}
 	}
-	options := []khttp.ServerOption{khttp.Listener(i.config.CallerListener), khttp.Timeout(0)}
+	options := []khttp.ServerOption{khttp.Listener(i.config.CallerListener), khttp.Timeout(0), khttp.Filter(i.Operations.closing)}
 	if i.Keyring != nil {
 		options = append(options, khttp.TLSConfig(i.Keyring.callers()))
 	}
--- a/rattanentry/operations.go
+++ b/rattanentry/operations.go
@@ -18,6 +18,10 @@
 // reports itself as cut off from it.
 const cutOffAfter = 5 * time.Second
 
+// leavePause is the time for load balancers to notice that the instance is not
+// ready. A request that arrives while the listener closes is cut off.
+const leavePause = 500 * time.Millisecond
+
 // Condition is what an instance tells the load balancer about itself.
 type Condition int
 
@@ -81,10 +85,11 @@
 	return ConditionServing
 }
 
-// Drain makes the instance not ready, so that the load balancer sends no new
-// callers.
-func (o *Operations) Drain(context.Context) error {
+// Drain makes the instance not ready and goes on to serve for leavePause, so
+// that the load balancer sends no new callers by the time the listener closes.
+func (o *Operations) Drain(ctx context.Context) error {
 	o.draining.Store(true)
+	sleep(ctx, leavePause)
 	return nil
 }
 
