--- a/rattancmd/configcmd.go
+++ b/rattancmd/configcmd.go
@@ -73,6 +73,9 @@
 
 // Execute writes the document if the platform has none.
 func (o *configPutOptions) Execute([]string) error {
+	if err := checkAddress("--platform", o.Platform); err != nil {
+		return err
+	}
 	data, err := os.ReadFile(o.Args.File)
 	if err != nil {
 		return errors.Trace(err)
--- a/rattancmd/democmd.go
+++ b/rattancmd/democmd.go
@@ -1,6 +1,8 @@
 package rattancmd
 
 import (
+	"time"
+
 	"github.com/juju/errors"
 
 	"github.com/rattanlever/rattanlever/rattandemo"
@@ -10,9 +12,15 @@
 // untrue.
 const ErrDemo = errors.ConstError("the system broke a promise")
 
+const (
+	minDemoDuration = time.Second
+	maxDemoDuration = 10 * time.Minute
+)
+
 type demoOptions struct {
-	Seed  uint64 `long:"seed" value-name:"N" default:"1" description:"seed of the workload"`
-	Plant string `long:"plant" value-name:"FAULT" choice:"double" choice:"partial" choice:"untrue" description:"injects a fault that the demo must find"`
+	Seed     uint64        `long:"seed" value-name:"N" default:"1" description:"seed of the workload"`
+	Duration time.Duration `long:"duration" value-name:"DURATION" default:"10s" description:"how long jobs are submitted, 1s to 10m"`
+	Plant    string        `long:"plant" value-name:"FAULT" choice:"double" choice:"partial" choice:"untrue" description:"injects a fault that the demo must find"`
 
 	std *streams
 }
@@ -34,7 +42,10 @@
 	if err != nil {
 		return usageError("--plant: %v", err)
 	}
-	violations, err := rattandemo.Run(ctx, rattandemo.Options{Out: o.std.out, Seed: o.Seed, Fault: fault})
+	if o.Duration < minDemoDuration || o.Duration > maxDemoDuration {
+		return usageError("--duration: %v, want %v to %v", o.Duration, minDemoDuration, maxDemoDuration)
+	}
+	violations, err := rattandemo.Run(ctx, rattandemo.Options{Out: o.std.out, Seed: o.Seed, Duration: o.Duration, Fault: fault})
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/rattancmd/jobcmd.go
+++ b/rattancmd/jobcmd.go
@@ -134,6 +134,9 @@
 	if err := rattanjson.DecodeStrict(data, &submission); err != nil {
 		return submission, usageError("%s: %v", o.Args.File, err)
 	}
+	if err := submission.CheckBody(); err != nil {
+		return submission, usageError("%s: %v", o.Args.File, err)
+	}
 	return submission, nil
 }
 
--- a/rattancmd/keyscmd.go
+++ b/rattancmd/keyscmd.go
@@ -39,6 +39,10 @@
 
 // Execute writes a certificate, a key and the authority for each identity.
 func (o *keysMakeOptions) Execute([]string) error {
+	identities, err := parseIdentities(o.Args.Identities)
+	if err != nil {
+		return err
+	}
 	now := time.Now()
 	authority, err := rattankeys.MakeAuthority(now, "rattanlever trial", o.Lifetime)
 	if err != nil {
@@ -47,11 +51,8 @@
 	if err := os.MkdirAll(o.Directory, keysDirectoryMode); err != nil {
 		return errors.Annotate(err, "--directory")
 	}
-	for _, text := range o.Args.Identities {
-		identity, err := parseIdentity(text)
-		if err != nil {
-			return err
-		}
+	for i, identity := range identities {
+		text := o.Args.Identities[i]
 		pair, err := rattankeys.MakeCertificate(now, authority, rattankeys.Request{Identity: identity, Lifetime: o.Lifetime})
 		if err != nil {
 			return errors.Annotate(err, text)
@@ -65,6 +66,18 @@
 	return nil
 }
 
+func parseIdentities(texts []string) ([]rattankeys.Identity, error) {
+	identities := make([]rattankeys.Identity, 0, len(texts))
+	for _, text := range texts {
+		identity, err := parseIdentity(text)
+		if err != nil {
+			return nil, err
+		}
+		identities = append(identities, identity)
+	}
+	return identities, nil
+}
+
 // parseIdentity parses ROLE/NAME.
 func parseIdentity(text string) (rattankeys.Identity, error) {
 	var identity rattankeys.Identity
--- a/rattancmd/main.go
+++ b/rattancmd/main.go
@@ -51,6 +51,7 @@
 			return ExitFailed
 		}
 	}
+	parser.CommandHandler = execute
 	_, err := parser.ParseArgs(args)
 	return exitCode(err, out, errOut)
 }
@@ -95,6 +96,17 @@
 	return nil
 }
 
+// execute runs a command, unless arguments are left that it does not take.
+func execute(cmd flags.Commander, rest []string) error {
+	if len(rest) > 0 {
+		return usageError("%s: unexpected argument", rest[0])
+	}
+	if cmd == nil {
+		return nil
+	}
+	return cmd.Execute(nil)
+}
+
 func exitCode(err error, out, errOut io.Writer) int {
 	if err == nil {
 		return ExitOK
--- /dev/null
+++ b/rattancmd/main_test.go
@@ -0,0 +1,273 @@
+package rattancmd
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattanconfig"
+	"github.com/rattanlever/rattanlever/rattanjson"
+	"github.com/rattanlever/rattanlever/rattanstandin"
+	"github.com/rattanlever/rattanlever/rattansystem"
+)
+
+// invoke runs a command line and returns its exit code and what it wrote.
+func invoke(in string, args ...string) (code int, out, errOut string) {
+	var stdout, stderr bytes.Buffer
+	code = Main(args, strings.NewReader(in), &stdout, &stderr)
+	return code, stdout.String(), stderr.String()
+}
+
+// paths returns the arguments that name each command without subcommands.
+func paths(prefix []string, cmds []command) [][]string {
+	var all [][]string
+	for _, cmd := range cmds {
+		path := append(prefix[:len(prefix):len(prefix)], cmd.name)
+		if len(cmd.subs) == 0 {
+			all = append(all, path)
+		}
+		all = append(all, paths(path, cmd.subs)...)
+	}
+	return all
+}
+
+// Guards against a command whose help has no example, an example of another
+// command, or another exit code than 0.
+func TestHelp(t *testing.T) {
+	for _, path := range paths(nil, commands(&streams{})) {
+		t.Run(strings.Join(path, " "), func(t *testing.T) {
+			c := qt.New(t)
+			code, out, errOut := invoke("", append(path, "--help")...)
+			c.Assert(code, qt.Equals, ExitOK)
+			c.Assert(errOut, qt.Equals, "")
+			_, example, found := strings.Cut(out, "Example:\n")
+			c.Assert(found, qt.IsTrue, qt.Commentf(out))
+			c.Assert(strings.Join(strings.Fields(example), " "), qt.Matches, `.*(rattanlever|go run \.) `+strings.Join(path, " ")+`\b.*`)
+		})
+	}
+	c := qt.New(t)
+	code, out, _ := invoke("", "--help")
+	c.Assert(code, qt.Equals, ExitOK)
+	for _, cmd := range commands(&streams{}) {
+		c.Check(out, qt.Contains, cmd.name)
+	}
+}
+
+// Guards against faults in the arguments that are reported with another exit
+// code than 2, in more than one line, or without their place.
+func TestUsage(t *testing.T) {
+	body := func(text string) string { return `{"Kind":"list","Tasks":[` + text + `]}` }
+	task := `{"Payload":1}`
+	for _, test := range []struct {
+		args string
+		in   string
+		want string
+	}{
+		{"", "", "command"},
+		{"serve", "", "serve"},
+		{"job", "", "command"},
+		{"demo more", "", "more: unexpected argument"},
+		{"demo --plant none", "", "--plant"},
+		{"demo --duration 1ms", "", "--duration: 1ms, want 1s to 10m"},
+		{"demo --seed x", "", "--seed"},
+		{"entry", "", "--config"},
+		{"config check", "", "FILE"},
+		{"config put ../docs/examples/listaforge.json", "", "--platform"},
+		{"config put --platform here ../docs/examples/listaforge.json", "", `--platform: "here"`},
+		{"job submit", "", "FILE"},
+		{"job submit --entry", "", "--entry"},
+		{"job submit --timeout soon -", "", "--timeout"},
+		{"job submit --speed 3 -", "", "speed"},
+		{"job submit -", "", "-: "},
+		{"job submit -", `{"Kind":`, "-: "},
+		{"job submit -", `{"Kind":"list","Size":3}`, "Size"},
+		{"job submit -", body(`{"Payload":1,"Runtime":"1s"}`), "Tasks[0].Runtime"},
+		{"job submit -", body(`{"Payload":1,"RunTime":"-1s"}`), "Tasks[0].RunTime: -1s"},
+		{"job submit -", body(`{"Payload":1,"RunTime":1}`), "Tasks[0].RunTime"},
+		{"job submit -", `{"Kind":"list","Deadline":"-1s","Tasks":[{}]}`, "Deadline: -1s"},
+		{"job submit -", body(strings.Repeat(task+",", 250) + task), "Tasks: 251 tasks, want 1 to 250"},
+		{"job submit -", body(""), "Tasks: 0 tasks"},
+		{"job submit -", `{"Tasks":[{}]}`, "Kind: required"},
+		{"job submit --key abc -", body(task), `--key: "abc": not a submission key`},
+		{"job status abc", "", `KEY: "abc": not a submission key`},
+		{"job cancel abc", "", "KEY"},
+		{"job explain", "", "KEY"},
+		{"keys make", "", "ROLE/NAME"},
+		{"keys make --directory /dev/null/x Captain/app", "", "Captain/app"},
+		{"plan share app", "", "Share: empty"},
+		{"plan share app --weight heavy", "", "--weight"},
+		{"plan drain", "", "NAME"},
+		{"plan intent -", `{"Kind":"Drain"}`, "-: Name"},
+		{"plan intent -", `{"Kind":"Drian","Name":"a"}`, "line 1, column 9: Kind"},
+		{"confirm", "", "PLAN"},
+		{"report burn extra", "", "extra: unexpected argument"},
+		{"standin platform --address here", "", `--address: "here"`},
+		{"standin platform --target a=b", "", "--target a=b: want NAME="},
+		{"standin platform --target a=b,c,d,0", "", "SLOTS: want at least 1"},
+		{"standin target --count 0", "", "--count"},
+	} {
+		t.Run(test.args, func(t *testing.T) {
+			c := qt.New(t)
+			code, out, errOut := invoke(test.in, strings.Fields(test.args)...)
+			c.Assert(code, qt.Equals, ExitUsage, qt.Commentf("%s%s", out, errOut))
+			c.Assert(out, qt.Equals, "")
+			c.Assert(errOut, qt.Matches, `rattanlever: [^\n]+\n`)
+			c.Assert(errOut, qt.Contains, test.want)
+		})
+	}
+}
+
+// Guards against failed work that is reported with another exit code than 1 or
+// without the address, file or key at fault.
+func TestFailedWork(t *testing.T) {
+	missing := filepath.Join(t.TempDir(), "missing.json")
+	const nobody = "127.0.0.1:1"
+	for _, test := range []struct {
+		args string
+		want string
+	}{
+		{"config check " + missing, missing},
+		{"config put --platform " + nobody + " ../docs/examples/listaforge.json", nobody},
+		{"entry --config " + missing, missing},
+		{"job submit " + missing, missing},
+		{"plan intent " + missing, missing},
+		{"plan show p --entry " + nobody, nobody},
+		{"confirm p --entry " + nobody, nobody},
+		{"report burn --entry " + nobody, nobody},
+		{"report burn --certificate " + missing, missing},
+		{"keys make --directory /dev/null/x Caller/app", "--directory"},
+		{"standin platform --address 192.0.2.1:1", "--address"},
+		{"standin target --platform " + nobody, "--platform"},
+	} {
+		t.Run(test.args, func(t *testing.T) {
+			c := qt.New(t)
+			code, out, errOut := invoke("", strings.Fields(test.args)...)
+			c.Assert(code, qt.Equals, ExitFailed, qt.Commentf("%s%s", out, errOut))
+			c.Assert(errOut, qt.Matches, `rattanlever: [^\n]+\n`)
+			c.Assert(errOut, qt.Contains, test.want)
+		})
+	}
+}
+
+// Guards against settings and documents that pass with a fault, and against
+// errors that do not name the file and the key.
+func TestConfigCheck(t *testing.T) {
+	const settings, document = "../docs/examples/settings.json", "../docs/examples/transcript-desk.json"
+	for _, test := range []struct {
+		name, file, before, after, want string
+	}{
+		{"unknown setting", settings, `"LogLevel"`, `"Loglevel"`, "Loglevel"},
+		{"setting of another type", settings, `"2m"`, `2`, "Home.DrainTimeout"},
+		{"setting out of range", settings, `"2m"`, `"2ms"`, "Home.DrainTimeout"},
+		{"address of a peer", settings, `"10.20.1.11:9090"`, `"pest"`, "Peers[1].PeerAddress"},
+		{"unknown key", document, `"MaxTasks"`, `"Maxtasks"`, "JobKinds.extract-assembly.Maxtasks"},
+		{"missing service", document, `"Service": "registry"`, `"Service": "register"`, "JobKinds.rush-confirmation.Service"},
+		{"negative weight", document, `"Weight": 1`, `"Weight": -1`, "Callers.firm-arve.Weight"},
+		{"goal above one", document, `0.995`, `1.5`, "Objectives.confirmations-in-time.Goal"},
+		{"malformed", document, `{`, `[`, "line 2, column 13"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			data, err := os.ReadFile(test.file)
+			c.Assert(err, qt.IsNil)
+			code, out, errOut := invoke("", "config", "check", test.file)
+			c.Assert(code, qt.Equals, ExitOK, qt.Commentf(errOut))
+			c.Assert(out, qt.Equals, test.file+": valid\n")
+			file := filepath.Join(c.TempDir(), "changed.json")
+			changed := strings.Replace(string(data), test.before, test.after, 1)
+			c.Assert(changed, qt.Not(qt.Equals), string(data))
+			c.Assert(os.WriteFile(file, []byte(changed), 0o600), qt.IsNil)
+			code, _, errOut = invoke("", "config", "check", file)
+			c.Assert(code, qt.Equals, ExitFailed)
+			c.Assert(errOut, qt.Matches, `rattanlever: [^\n]+\n`)
+			c.Assert(errOut, qt.Contains, file+": ")
+			c.Assert(errOut, qt.Contains, test.want+": ")
+		})
+	}
+}
+
+// Guards against commands that do not agree with a running instance, and
+// against refusals that exit 0 or do not say that nothing was run.
+func TestAgainstInstance(t *testing.T) {
+	c := qt.New(t)
+	system, err := rattansystem.Start(rattansystem.Config{
+		Zones:          []string{"buda"},
+		EntriesPerZone: 1,
+		Fleets:         []rattanstandin.TargetFleetOptions{{Count: 1, Service: "planner", Target: rattanstandin.TargetOptions{Slots: 8, Echo: true}}},
+		Document: rattanconfig.Document{
+			Revision: 1,
+			Services: map[string]rattanconfig.Service{"planner": {}},
+			JobKinds: map[string]rattanconfig.JobKind{"list": {Service: "planner", MaxTasks: 5, Deadline: rattanjson.Duration(5e9)}},
+			Callers:  map[string]rattanconfig.Caller{"app": {Weight: 1}},
+		},
+	})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(system.Close)
+	entry := system.Addresses()[0]
+	run := func(in, line string) (int, string, string) {
+		return invoke(in, append(strings.Fields(line), "--entry", entry)...)
+	}
+	job := func(kind, tasks string) string { return `{"Kind":"` + kind + `","Tasks":[` + tasks + `]}` }
+
+	code, out, errOut := run(job("list", "{}"), "job submit --caller app -")
+	c.Assert(code, qt.Equals, ExitOK, qt.Commentf(errOut))
+	c.Assert(out, qt.Contains, `"State": "Complete"`)
+	key := strings.Fields(errOut)[1]
+	for _, test := range []struct {
+		in, args string
+		code     int
+		out, err string
+	}{
+		{"", "job status --caller app " + key, ExitOK, `"State": "Complete"`, ""},
+		{"", "job explain --caller app " + key, ExitOK, `"Kind": "list"`, ""},
+		{"", "job cancel --caller app " + key, ExitOK, `"State": "Complete"`, ""},
+		{"", "job explain --caller other " + key, ExitFailed, "", "KeyUnknown"},
+		{"", "job status --caller other " + key, ExitFailed, "", "KeyUnknown"},
+		{job("list", "{}"), "job submit --caller app --key " + key + " -", ExitOK, `"State": "Complete"`, ""},
+		{job("list", "{},{}"), "job submit --caller app --key " + key + " -", ExitFailed, "Conflict", "Conflict"},
+		{job("lst", "{}"), "job submit --caller app -", ExitFailed, "NotRun", "UnknownKind, NotRun"},
+		{job("list", "{}"), "job submit --caller ap -", ExitFailed, "NotRun", "UnknownCaller, NotRun"},
+		{job("list", "{}"), "job submit -", ExitFailed, "", "header Caller"},
+		{job("list", "{},{},{},{},{},{}"), "job submit --caller app -", ExitFailed, "want at most 5", "Invalid, NotRun"},
+		{"", "plan share ap --quota 3", ExitFailed, "", `Name: no \"ap\" in Callers`},
+		{"", "plan show p-none", ExitFailed, "", "404"},
+		{"", "report burn", ExitOK, "", ""},
+	} {
+		code, out, errOut := run(test.in, test.args)
+		comment := qt.Commentf("%s\n%s%s", test.args, out, errOut)
+		c.Check(code, qt.Equals, test.code, comment)
+		c.Check(out, qt.Contains, test.out, comment)
+		c.Check(errOut, qt.Contains, test.err, comment)
+	}
+	c.Assert(system.Log.Starts(), qt.Equals, uint64(1))
+
+	code, out, errOut = run("", "plan share app --quota 3")
+	c.Assert(code, qt.Equals, ExitOK, qt.Commentf(errOut))
+	plan := strings.Fields(out)[1]
+	code, _, errOut = run("", "confirm "+plan)
+	c.Assert(code, qt.Equals, ExitOK, qt.Commentf(errOut))
+	code, _, errOut = run("", "plan abandon "+plan)
+	c.Assert(code, qt.Equals, ExitFailed)
+	c.Assert(errOut, qt.Contains, "409")
+}
+
+// Guards the demo's checks: each planted fault must be found.
+func TestDemoPlanted(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts three whole systems")
+	}
+	for _, fault := range []string{"double", "partial", "untrue"} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			code, out, errOut := invoke("", "demo", "--duration", "1s", "--plant", fault)
+			c.Assert(code, qt.Equals, ExitFailed, qt.Commentf("%s%s", out, errOut))
+			c.Assert(out, qt.Contains, "VIOLATION")
+			c.Assert(errOut, qt.Matches, `rattanlever: \d+ violations?\n`)
+		})
+	}
+}
--- a/rattancmd/standincmd.go
+++ b/rattancmd/standincmd.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -60,6 +61,13 @@
 
 // Execute runs the stand-in until SIGINT or SIGTERM.
 func (o *standinPlatformOptions) Execute([]string) error {
+	if err := checkAddress("--address", o.Address); err != nil {
+		return err
+	}
+	instances, err := parseInstances(o.Instances)
+	if err != nil {
+		return err
+	}
 	platform, err := rattanstandin.NewPlatform(rattanstandin.PlatformOptions{
 		Address:         o.Address,
 		WriteLimit:      o.WriteLimit,
@@ -69,13 +77,7 @@
 	if err != nil {
 		return errors.Annotate(err, "--address")
 	}
-	for _, text := range o.Instances {
-		instance, err := parseInstance(text)
-		if err != nil {
-			return err
-		}
-		platform.SetInstances(instance)
-	}
+	platform.SetInstances(instances...)
 	_, _ = fmt.Fprintln(o.std.out, "platform", platform.Address())
 	ctx, cancel := interruptible()
 	defer cancel()
@@ -87,6 +89,12 @@
 	if o.Count < 1 || o.Slots < 1 {
 		return usageError("--count and --slots: want at least 1")
 	}
+	if err := checkAddress("--platform", o.Platform); err != nil {
+		return err
+	}
+	if err := checkAddress("--control", o.Control); err != nil {
+		return err
+	}
 	fleet, err := rattanstandin.NewTargetFleet(rattanstandin.TargetFleetOptions{
 		Count:            o.Count,
 		NamePrefix:       o.AvailabilityZone + "-" + o.Service,
@@ -113,6 +121,29 @@
 	return fleet.Run(ctx)
 }
 
+// checkAddress checks the value of a flag; an empty one is left out.
+func checkAddress(flag, address string) error {
+	if address == "" {
+		return nil
+	}
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return usageError("%s: %q, want an IP address and a port", flag, address)
+	}
+	return nil
+}
+
+func parseInstances(texts []string) ([]rattanplatform.Instance, error) {
+	instances := make([]rattanplatform.Instance, 0, len(texts))
+	for _, text := range texts {
+		instance, err := parseInstance(text)
+		if err != nil {
+			return nil, err
+		}
+		instances = append(instances, instance)
+	}
+	return instances, nil
+}
+
 // parseInstance parses NAME=ADDRESS,ZONE,SERVICE,SLOTS.
 func parseInstance(text string) (rattanplatform.Instance, error) {
 	var none rattanplatform.Instance
--- a/rattandemo/demo.go
+++ b/rattandemo/demo.go
@@ -25,8 +25,9 @@
 )
 
 const (
-	loadDuration = 10 * time.Second
-	killAfter    = 4 * time.Second
+	defaultDuration = 10 * time.Second
+	// killShare is the part of the duration after which an instance is killed.
+	killShare = 0.4
 	// resolveTimeout is the longest time for a final answer; an instance's
 	// death must be resolved within 3 s.
 	resolveTimeout = 12 * time.Second
@@ -41,6 +42,8 @@
 type Options struct {
 	Out  io.Writer
 	Seed uint64
+	// Duration is how long jobs are submitted; 0 takes 10 s.
+	Duration time.Duration
 	// Fault is injected into what was observed.
 	Fault Fault
 }
@@ -89,6 +92,9 @@
 // Run runs the demo and returns the number of broken invariants.
 func Run(ctx context.Context, options Options) (int, error) {
 	began := time.Now()
+	if options.Duration == 0 {
+		options.Duration = defaultDuration
+	}
 	system, err := rattansystem.Start(rattansystem.Config{
 		Zones:          zones,
 		EntriesPerZone: 3,
@@ -118,11 +124,11 @@
 // load submits jobs for a time and kills the home of one zone meanwhile.
 func (d *demo) load(ctx context.Context) {
 	random := rand.New(rand.NewPCG(d.options.Seed, 1))
-	kill := time.AfterFunc(killAfter, d.kill)
+	kill := time.AfterFunc(time.Duration(killShare*float64(d.options.Duration)), d.kill)
 	defer kill.Stop()
 	ticker := time.NewTicker(time.Second / jobsPerSecond)
 	defer ticker.Stop()
-	end := time.After(loadDuration)
+	end := time.After(d.options.Duration)
 	for {
 		select {
 		case <-ctx.Done():
--- a/rattanentry/front.go
+++ b/rattanentry/front.go
@@ -88,7 +88,9 @@
 	Key        rattanjob.Key
 	Wait       rattanjson.Duration   `json:",omitempty"`
 	Submission *rattanjob.Submission `json:",omitempty"`
-	Fault      *rattanjob.Answer     `json:",omitempty"`
+	// Digest is the ReceivedDigest of the submission.
+	Digest uint64            `json:",omitempty"`
+	Fault  *rattanjob.Answer `json:",omitempty"`
 }
 
 // KeysRequest asks for submission keys.
@@ -341,6 +343,7 @@
 
 func (f *Front) submitHere(ctx context.Context, request *forwarded) rattanjob.Answer {
 	request.Submission.Key = request.Key
+	request.Submission.ReceivedDigest = request.Digest
 	return f.config.Home.Submit(ctx, time.Now(), request.Caller, request.Submission, request.Fault, request.Wait.Std())
 }
 
@@ -374,7 +377,7 @@
 		err = submission.Check()
 	}
 	if err == nil {
-		return &forwarded{Key: submission.Key, Submission: submission}, nil
+		return &forwarded{Key: submission.Key, Submission: submission, Digest: submission.Digest()}, nil
 	}
 	fault := rattanjob.Refusal(rattanjob.ReasonInvalid, err.Error())
 	var readable struct{ Key rattanjob.Key }
--- a/rattanjob/key.go
+++ b/rattanjob/key.go
@@ -62,12 +62,12 @@
 func ParseKey(text string) (Key, error) {
 	data, err := base64.RawURLEncoding.DecodeString(text)
 	if err != nil {
-		return Key{}, errors.WithType(errors.Errorf("%.64q", text), ErrKey)
+		return Key{}, errors.WithType(errors.Errorf("%.64q: not a submission key", text), ErrKey)
 	}
 	reader := keyReader{data: data}
 	key := reader.key()
 	if reader.failed || len(reader.data) != 0 {
-		return Key{}, errors.WithType(errors.Errorf("%.64q", text), ErrKey)
+		return Key{}, errors.WithType(errors.Errorf("%.64q: not a submission key", text), ErrKey)
 	}
 	return key, nil
 }
--- a/rattanjob/submission.go
+++ b/rattanjob/submission.go
@@ -37,13 +37,23 @@
 	Deadline rattanjson.Duration `json:",omitempty"`
 	// Tasks has 1 to MaxTasks elements.
 	Tasks []Task
+	// ReceivedDigest is the digest of the body as its caller sent it; 0 means
+	// that Digest computes it. Encoding a submission again may change the
+	// spaces and escapes of payloads, and with them the computed digest.
+	ReceivedDigest uint64 `json:"-"`
 }
 
 // Check returns ErrSubmission with the key at fault, or nil.
 func (s *Submission) Check() error {
-	switch {
-	case len(s.Key.Epoch.Home.Instance) == 0:
+	if len(s.Key.Epoch.Home.Instance) == 0 {
 		return invalid("Key: required, get one from POST /v1/keys")
+	}
+	return s.CheckBody()
+}
+
+// CheckBody checks everything but the submission key.
+func (s *Submission) CheckBody() error {
+	switch {
 	case s.Kind == "":
 		return invalid("Kind: required")
 	case s.Deadline < 0 || s.Deadline.Std() > MaxDeadline:
@@ -62,9 +72,12 @@
 // Digest returns a hash of everything in the submission but the key. Two
 // submissions with one key and different digests are in conflict.
 func (s *Submission) Digest() uint64 {
+	if s.ReceivedDigest != 0 {
+		return s.ReceivedDigest
+	}
 	digest := xxhash.New()
 	_, _ = digest.WriteString(s.Kind)
-	_, _ = digest.WriteString(s.Deadline.String())
+	_, _ = digest.WriteString("\x00" + s.Deadline.String())
 	for _, task := range s.Tasks {
 		_, _ = digest.WriteString("\x00" + task.RunTime.String() + "\x00")
 		_, _ = digest.Write(task.Payload)
