--- a/rattanentry/front.go
+++ b/rattanentry/front.go
@@ -179,10 +179,6 @@
 	if refusal != nil {
 		return respond(ctx, *refusal)
 	}
-	wait, refusal := waitOf(ctx.Request())
-	if refusal != nil {
-		return respond(ctx, *refusal)
-	}
 	body, refusal := readBody(ctx)
 	if refusal != nil {
 		return respond(ctx, *refusal)
@@ -191,6 +187,11 @@
 	if refusal != nil {
 		return respond(ctx, *refusal)
 	}
+	wait, refusal := waitOf(ctx.Request())
+	if refusal != nil && request.Fault == nil {
+		// Only the home can say whether the key was used before.
+		request.Fault = refusal
+	}
 	request.Caller = caller
 	request.Wait = rattanjson.Duration(wait)
 	return respond(ctx, f.route(ctx, methodSubmit, request, f.submitHere))
@@ -235,24 +236,34 @@
 	return ctx.Blob(http.StatusOK, "application/json", facts)
 }
 
-// lookup parses a request about one key.
+// lookup parses a request about one key. Its refusals say nothing about the
+// execution of the job, which may have run.
 func (f *Front) lookup(ctx khttp.Context) (*forwarded, *rattanjob.Answer) {
+	text := ctx.Vars().Get("key")
 	caller, refusal := identify(ctx.Request())
 	if refusal != nil {
-		return nil, refusal
+		return nil, unanswered(text, *refusal)
 	}
 	wait, refusal := waitOf(ctx.Request())
 	if refusal != nil {
-		return nil, refusal
+		return nil, unanswered(text, *refusal)
 	}
-	key, err := rattanjob.ParseKey(ctx.Vars().Get("key"))
+	key, err := rattanjob.ParseKey(text)
 	if err != nil {
-		answer := rattanjob.Refusal(rattanjob.ReasonInvalid, err.Error())
-		return nil, &answer
+		return nil, unanswered("", rattanjob.Refusal(rattanjob.ReasonInvalid, err.Error()))
 	}
 	return &forwarded{Caller: caller, Key: key, Wait: rattanjson.Duration(wait)}, nil
 }
 
+// unanswered turns the refusal of a look-up into an answer that leaves open
+// what became of the job.
+func unanswered(key string, refusal rattanjob.Answer) *rattanjob.Answer {
+	refusal.Key = key
+	refusal.State = rattanjob.StateUnknown
+	refusal.Execution = rattanjob.ExecutionMayHaveRun
+	return &refusal
+}
+
 // route hands the request to the home that its key names, and delivers it
 // again when the link breaks. The answer says when the home has ended.
 func (f *Front) route(ctx context.Context, method string, request *forwarded, here func(context.Context, *forwarded) rattanjob.Answer) rattanjob.Answer {
--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -185,17 +185,13 @@
 	answer, verdict := h.config.Ledger.Lookup(now, key, caller)
 	switch verdict {
 	case rattanledger.VerdictUnknown:
-		cancelled := rattanjob.Answer{
-			Key:       key.String(),
-			State:     rattanjob.StateCancelled,
-			Execution: rattanjob.ExecutionNotRun,
-			Reason:    rattanjob.ReasonCancelled,
-			Detail:    "cancelled before it was submitted",
-		}
+		cancelled := rattanjob.Refusal(rattanjob.ReasonCancelled, "cancelled before it was submitted")
+		cancelled.Key = key.String()
 		if err := h.config.Ledger.Refuse(now, key, cancelled); err != nil {
 			return rattanjob.Uncertain(rattanjob.ReasonInternal, err.Error(), 0)
 		}
 		h.counts.cancelled.Inc()
+		cancelled.State = rattanjob.StateCancelled
 		return cancelled
 	case rattanledger.VerdictJoin:
 		current, ok := h.runs[key.Nonce]
@@ -370,6 +366,14 @@
 		}
 		h.violated("running record without a run")
 		return nil, rattanjob.Uncertain(rattanjob.ReasonInternal, "record without a run", 0)
+	case rattanledger.VerdictForeign:
+		// Final, because asking again cannot help.
+		return nil, rattanjob.Answer{
+			Key:    key.String(),
+			State:  rattanjob.StateRefused,
+			Reason: rattanjob.ReasonKeyUnknown,
+			Detail: "the key was not issued to this caller; nothing of this body was run",
+		}
 	default:
 		return nil, h.stated(answer, verdict, key)
 	}
@@ -516,6 +520,11 @@
 		}
 	case rattanledger.VerdictFenced:
 		return lost(key)
+	case rattanledger.VerdictFinal:
+		// The ledger keeps a cancellation before the submission as a refusal.
+		if answer.State == rattanjob.StateRefused && answer.Reason == rattanjob.ReasonCancelled {
+			answer.State = rattanjob.StateCancelled
+		}
 	case rattanledger.VerdictFull:
 		answer = rattanjob.Uncertain(rattanjob.ReasonOverloaded, "too many records; nothing was started now", rattanjson.Duration(time.Second))
 	}
--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"syscall"
@@ -280,7 +281,12 @@
 			return errors.Trace(err)
 		}
 	}
-	options := []khttp.ServerOption{khttp.Listener(i.config.CallerListener), khttp.Timeout(0)}
+	options := []khttp.ServerOption{
+		khttp.Listener(i.config.CallerListener),
+		khttp.Timeout(0),
+		khttp.NotFoundHandler(noRoute(http.StatusNotFound)),
+		khttp.MethodNotAllowedHandler(noRoute(http.StatusMethodNotAllowed)),
+	}
 	if i.Keyring != nil {
 		options = append(options, khttp.TLSConfig(i.Keyring.callers()))
 	}
--- a/rattanentry/respond.go
+++ b/rattanentry/respond.go
@@ -1,15 +1,21 @@
 package rattanentry
 
 import (
+	"encoding/json"
+	"fmt"
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/rattanlever/rattanlever/rattanjob"
 )
 
+// jobsPrefix is followed by a key in the paths of one job.
+const jobsPrefix = "/v1/jobs/"
+
 // respond writes the answer with its HTTP status.
 func respond(ctx khttp.Context, answer rattanjob.Answer) error {
 	if answer.RetryAfter > 0 {
@@ -19,6 +25,20 @@
 	return ctx.JSON(StatusCode(answer), answer)
 }
 
+// noRoute answers requests whose path or method no route has. A path of a job
+// says nothing about what became of the job.
+func noRoute(status int) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		answer := rattanjob.Refusal(rattanjob.ReasonInvalid, fmt.Sprintf("%.8s %.200s: no such route", request.Method, request.URL.Path))
+		if strings.HasPrefix(request.URL.Path, jobsPrefix) {
+			answer = *unanswered("", answer)
+		}
+		writer.Header().Set("Content-Type", "application/json")
+		writer.WriteHeader(status)
+		_ = json.NewEncoder(writer).Encode(answer)
+	})
+}
+
 // StatusCode returns the HTTP status of an answer.
 func StatusCode(answer rattanjob.Answer) int {
 	if code, ok := reasonCodes[answer.Reason]; ok {
