--- a/rattanentry/front.go
+++ b/rattanentry/front.go
@@ -88,7 +88,9 @@
 	Key        rattanjob.Key
 	Wait       rattanjson.Duration   `json:",omitempty"`
 	Submission *rattanjob.Submission `json:",omitempty"`
-	Fault      *rattanjob.Answer     `json:",omitempty"`
+	// Digest is the ReceivedDigest of the submission.
+	Digest uint64            `json:",omitempty"`
+	Fault  *rattanjob.Answer `json:",omitempty"`
 }
 
 // KeysRequest asks for submission keys.
@@ -177,10 +179,6 @@
 	if refusal != nil {
 		return respond(ctx, *refusal)
 	}
-	wait, refusal := waitOf(ctx.Request())
-	if refusal != nil {
-		return respond(ctx, *refusal)
-	}
 	body, refusal := readBody(ctx)
 	if refusal != nil {
 		return respond(ctx, *refusal)
@@ -189,6 +187,11 @@
 	if refusal != nil {
 		return respond(ctx, *refusal)
 	}
+	wait, refusal := waitOf(ctx.Request())
+	if refusal != nil && request.Fault == nil {
+		// Only the home can say whether the key was used before.
+		request.Fault = refusal
+	}
 	request.Caller = caller
 	request.Wait = rattanjson.Duration(wait)
 	return respond(ctx, f.route(ctx, methodSubmit, request, f.submitHere))
@@ -233,24 +236,34 @@
 	return ctx.Blob(http.StatusOK, "application/json", facts)
 }
 
-// lookup parses a request about one key.
+// lookup parses a request about one key. Its refusals say nothing about the
+// execution of the job, which may have run.
 func (f *Front) lookup(ctx khttp.Context) (*forwarded, *rattanjob.Answer) {
+	text := ctx.Vars().Get("key")
 	caller, refusal := identify(ctx.Request())
 	if refusal != nil {
-		return nil, refusal
+		return nil, unanswered(text, *refusal)
 	}
 	wait, refusal := waitOf(ctx.Request())
 	if refusal != nil {
-		return nil, refusal
+		return nil, unanswered(text, *refusal)
 	}
-	key, err := rattanjob.ParseKey(ctx.Vars().Get("key"))
+	key, err := rattanjob.ParseKey(text)
 	if err != nil {
-		answer := rattanjob.Refusal(rattanjob.ReasonInvalid, err.Error())
-		return nil, &answer
+		return nil, unanswered("", rattanjob.Refusal(rattanjob.ReasonInvalid, err.Error()))
 	}
 	return &forwarded{Caller: caller, Key: key, Wait: rattanjson.Duration(wait)}, nil
 }
 
+// unanswered turns the refusal of a look-up into an answer that leaves open
+// what became of the job.
+func unanswered(key string, refusal rattanjob.Answer) *rattanjob.Answer {
+	refusal.Key = key
+	refusal.State = rattanjob.StateUnknown
+	refusal.Execution = rattanjob.ExecutionMayHaveRun
+	return &refusal
+}
+
 // route hands the request to the home that its key names, and delivers it
 // again when the link breaks. The answer says when the home has ended.
 func (f *Front) route(ctx context.Context, method string, request *forwarded, here func(context.Context, *forwarded) rattanjob.Answer) rattanjob.Answer {
@@ -341,6 +354,7 @@
 
 func (f *Front) submitHere(ctx context.Context, request *forwarded) rattanjob.Answer {
 	request.Submission.Key = request.Key
+	request.Submission.ReceivedDigest = request.Digest
 	return f.config.Home.Submit(ctx, time.Now(), request.Caller, request.Submission, request.Fault, request.Wait.Std())
 }
 
@@ -374,7 +388,7 @@
 		err = submission.Check()
 	}
 	if err == nil {
-		return &forwarded{Key: submission.Key, Submission: submission}, nil
+		return &forwarded{Key: submission.Key, Submission: submission, Digest: submission.Digest()}, nil
 	}
 	fault := rattanjob.Refusal(rattanjob.ReasonInvalid, err.Error())
 	var readable struct{ Key rattanjob.Key }
--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -362,6 +362,14 @@
 			return current, rattanjob.Answer{}
 		}
 		return nil, h.missingRun(key)
+	case rattanledger.VerdictForeign:
+		// Final, because asking again cannot help.
+		return nil, rattanjob.Answer{
+			Key:    key.String(),
+			State:  rattanjob.StateRefused,
+			Reason: rattanjob.ReasonKeyUnknown,
+			Detail: "the key was not issued to this caller; nothing of this body was run",
+		}
 	default:
 		return nil, h.stated(answer, verdict, key)
 	}
@@ -535,6 +543,11 @@
 		}
 	case rattanledger.VerdictFenced:
 		return lost(key)
+	case rattanledger.VerdictFinal:
+		// The ledger keeps a cancellation before the submission as a refusal.
+		if answer.State == rattanjob.StateRefused && answer.Reason == rattanjob.ReasonCancelled {
+			answer.State = rattanjob.StateCancelled
+		}
 	case rattanledger.VerdictFull:
 		answer = rattanjob.Uncertain(rattanjob.ReasonOverloaded, "too many records; nothing was started now", rattanjson.Duration(time.Second))
 	}
--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"syscall"
@@ -289,7 +290,13 @@
 			return errors.Trace(err)
 		}
 	}
-	options := []khttp.ServerOption{khttp.Listener(i.config.CallerListener), khttp.Timeout(0), khttp.Filter(i.Operations.closing)}
+	options := []khttp.ServerOption{
+		khttp.Listener(i.config.CallerListener),
+		khttp.Timeout(0),
+		khttp.Filter(i.Operations.closing),
+		khttp.NotFoundHandler(noRoute(http.StatusNotFound)),
+		khttp.MethodNotAllowedHandler(noRoute(http.StatusMethodNotAllowed)),
+	}
 	if i.Keyring != nil {
 		options = append(options, khttp.TLSConfig(i.Keyring.callers()))
 	}
--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -39,10 +39,10 @@
 	// one stands in for it. The rest learn of changes from heartbeats.
 	watchersPerZone = 2
 	// smallSystem is the number of seeds up to which members contact a random
-	// peer only every smallGossipInterval; news reaches all of so few members
+	// peer more rarely by smallSystemFactor; news reaches all of so few members
 	// in one or two rounds.
-	smallSystem         = 12
-	smallGossipInterval = 2 * time.Second
+	smallSystem       = 12
+	smallSystemFactor = 2
 )
 
 // MembersConfig configures Members. All fields are required.
@@ -93,12 +93,11 @@
 			PeerAddress:      peer.PeerAddress,
 		})
 	}
-	gossipInterval := rattanmember.DefaultGossipInterval
+	gossipInterval := gossipHeartbeats * settings.Home.HeartbeatInterval.Std()
 	if len(seeds) <= smallSystem {
-		gossipInterval = smallGossipInterval
+		gossipInterval *= smallSystemFactor
 	}
 	table := rattanmember.New(now, rattanmember.Config{
-		GossipInterval: gossipInterval,
 		Self: rattanmember.Member{
 			Incarnation:      rattanjob.Incarnation{Instance: settings.Name, Number: config.Incarnation},
 			AvailabilityZone: settings.AvailabilityZone,
@@ -108,7 +107,7 @@
 		Pools:             1,
 		Random:            rand.New(rand.NewPCG(config.Incarnation, uint64(len(settings.Name)))),
 		HeartbeatInterval: settings.Home.HeartbeatInterval.Std(),
-		GossipInterval:    gossipHeartbeats * settings.Home.HeartbeatInterval.Std(),
+		GossipInterval:    gossipInterval,
 		JoinDuration:      joinHeartbeats * settings.Home.HeartbeatInterval.Std(),
 		TenureDuration:    settings.Home.TenureDuration.Std(),
 		VerdictMargin:     settings.Home.VerdictMargin.Std(),
