--- a/rattanbench/bench.go
+++ b/rattanbench/bench.go
@@ -124,7 +124,7 @@
 		{scenarios: []Scenario{ScenarioSlowdown}},
 		{workload: listaforge, scenarios: []Scenario{ScenarioCrest}},
 		{workload: transcriptDesk, scenarios: []Scenario{ScenarioCrest}},
-		{scenarios: []Scenario{ScenarioShortAlone, ScenarioShortLong}},
+		{scenarios: []Scenario{ScenarioShortAlone, ScenarioShortLong, ScenarioSlow}},
 		{workload: listaforge, scenarios: []Scenario{ScenarioFairAlone, ScenarioFairGreedy}},
 		{workload: transcriptDesk, scenarios: []Scenario{ScenarioFairAlone, ScenarioFairGreedy}},
 	}
@@ -185,7 +185,7 @@
 func (p plan) run(ctx context.Context, members []*cell, seed uint64) error {
 	if p.open == nil {
 		for _, member := range members {
-			member.seen = Simulate(member.policy.New(seed), member.experiment.Jobs, member.experiment.Callers(), member.experiment.Fleet)
+			member.seen = Simulate(member.policy.New(seed), member.experiment)
 		}
 		return nil
 	}
@@ -285,6 +285,8 @@
 		d.shortAlone = shortWaits(e, seen)
 	case ScenarioShortLong:
 		d.shortLong = shortWaits(e, seen)
+	case ScenarioSlow:
+		d.slowTargets = responses(e.counted(), seen.Outcomes)
 	case ScenarioFairAlone:
 		d.fairAlone = otherResponses(e, seen)
 		d.fairAloneMissed = otherMissed(e, seen)
--- a/rattanbench/entry.go
+++ b/rattanbench/entry.go
@@ -101,6 +101,9 @@
 		return nil, errors.Trace(err)
 	}
 	b.system = system
+	for _, slow := range system.Fleets[0].Targets[:e.SlowTargets] {
+		slow.SetBehaviour(rattanstandin.Behaviour{SlowFactor: slowFactor})
+	}
 	if err := b.prepare(ctx, e); err != nil {
 		b.Close()
 		return nil, err
--- a/rattanbench/experiment.go
+++ b/rattanbench/experiment.go
@@ -20,10 +20,19 @@
 	longLoad  = 0.65
 	// othersLoad is the load of all callers but the greedy one together.
 	othersLoad = 0.45
+	// slowLoad is the load of the experiment with slow targets, relative to the
+	// capacity without slowness.
+	slowLoad = 0.7
 	// greedyFactor is the load of the greedy caller relative to its share.
 	greedyFactor = 10
 )
 
+// The slow targets of ScenarioSlow, which take a ninth of the capacity away.
+const (
+	slowTargets = 3
+	slowFactor  = 3.0
+)
+
 // crestDuration is the length of the crest.
 const crestDuration = 5 * time.Second
 
@@ -39,6 +48,9 @@
 	ScenarioShortLong  Scenario = "ShortWithLong"
 	ScenarioFairAlone  Scenario = "OthersAlone"
 	ScenarioFairGreedy Scenario = "OthersWithGreedy"
+	// ScenarioSlow compares placements: some targets are slow. Quick runs leave
+	// it out.
+	ScenarioSlow Scenario = "SlowTargets"
 )
 
 // Experiment is a list of arrivals that every policy gets.
@@ -52,6 +64,9 @@
 	WarmUp time.Duration
 	// CrestBegin and CrestEnd are set for ScenarioCrest.
 	CrestBegin, CrestEnd time.Duration
+	// SlowTargets is the number of targets, the first ones, on which tasks take
+	// slowFactor times as long.
+	SlowTargets int
 }
 
 // Callers returns the callers of the jobs, all with the same weight.
@@ -92,6 +107,7 @@
 		[]Experiment{
 			slowdownExperiment(steady, workload, p.lengths, seed),
 			crestExperiment(base, scaled, p.lengths, seed),
+			slowExperiment(base, scaled, p.lengths, seed),
 		},
 		shortExperiments(base, scaled, p.lengths, seed),
 		fairExperiments(base, scaled, p.lengths, seed),
@@ -117,6 +133,14 @@
 	return e
 }
 
+func slowExperiment(e Experiment, workload Workload, lengths window, seed uint64) Experiment {
+	e.Scenario = ScenarioSlow
+	e.SlowTargets = slowTargets
+	segments := []Segment{{Duration: lengths.warmUp + lengths.pair, Load: slowLoad}}
+	e.Jobs = Arrivals(workload.Short(), segments, e.Fleet.Slots(), seed)
+	return e
+}
+
 func shortExperiments(e Experiment, workload Workload, lengths window, seed uint64) []Experiment {
 	duration := lengths.warmUp + lengths.pair
 	short := Arrivals(workload.Short(), []Segment{{Duration: duration, Load: shortLoad}}, e.Fleet.Slots(), seed)
--- a/rattanbench/measure_test.go
+++ b/rattanbench/measure_test.go
@@ -69,7 +69,7 @@
 	e := Experiment{Jobs: jobs, Fleet: fleet}
 	for _, policy := range Policies() {
 		t.Run(policy.Name, func(t *testing.T) {
-			seen := Simulate(policy.New(1), jobs, e.Callers(), fleet)
+			seen := Simulate(policy.New(1), e)
 			for _, job := range jobs {
 				qt.Assert(t, inTime(job, seen.Outcomes[job.Index]), qt.IsTrue, qt.Commentf("job %d: %+v", job.Index, seen.Outcomes[job.Index]))
 			}
--- a/rattanbench/report.go
+++ b/rattanbench/report.go
@@ -80,6 +80,8 @@
 	// pairs.
 	shortAlone, shortLong []time.Duration
 	fairAlone, fairGreedy []time.Duration
+	// slowTargets has the response times with slow targets.
+	slowTargets []time.Duration
 	// fairAloneMissed and fairGreedyMissed are the shares of the jobs in
 	// fairAlone and fairGreedy without a complete answer.
 	fairAloneMissed, fairGreedyMissed float64
@@ -272,6 +274,8 @@
 		{"others' p99 with greedy, ms", func(d details) string { return milliseconds(durationQuantile(d.fairGreedy, 99)) }},
 		{"others without answer, alone", func(d details) string { return fmt.Sprintf("%.2f%%", 100*d.fairAloneMissed) }},
 		{"others without answer, greedy", func(d details) string { return fmt.Sprintf("%.2f%%", 100*d.fairGreedyMissed) }},
+		{"slow targets: median, ms", func(d details) string { return milliseconds(durationQuantile(d.slowTargets, 50)) }},
+		{"slow targets: p99, ms", func(d details) string { return milliseconds(durationQuantile(d.slowTargets, 99)) }},
 		{"timers late, p99, ms", func(d details) string { return milliseconds(d.late.p99) }},
 		{"timers late, longest, ms", func(d details) string { return milliseconds(d.late.longest) }},
 		{"jobs submitted", func(d details) string { return fmt.Sprint(d.jobs) }},
--- a/rattanbench/virtual.go
+++ b/rattanbench/virtual.go
@@ -29,15 +29,18 @@
 	return f.Targets * f.SlotsPerTarget
 }
 
-// Simulate runs the jobs through the scheduler in virtual time, on targets
-// without any fault or overhead. It separates what the decisions of a
-// scheduler cost from what the path of dispatch costs in a real run.
-func Simulate(scheduler Scheduler, jobs []Job, callers []rattanpool.Caller, fleet Fleet) Observation {
-	loop := &virtualLoop{scheduler: scheduler, jobs: jobs, states: make([]virtualJob, len(jobs))}
-	loop.observation.Outcomes = make([]Outcome, len(jobs))
-	scheduler.SetTargets(virtualEpoch, poolTargets(fleet))
-	scheduler.SetCallers(virtualEpoch, callers)
-	for i, job := range jobs {
+// Simulate runs the experiment through the scheduler in virtual time, on targets
+// without any overhead. It separates what the decisions of a scheduler cost from
+// what the path of dispatch costs in a real run.
+func Simulate(scheduler Scheduler, e Experiment) Observation {
+	loop := &virtualLoop{scheduler: scheduler, jobs: e.Jobs, states: make([]virtualJob, len(e.Jobs)), slow: map[string]bool{}}
+	loop.observation.Outcomes = make([]Outcome, len(e.Jobs))
+	scheduler.SetTargets(virtualEpoch, poolTargets(e.Fleet))
+	scheduler.SetCallers(virtualEpoch, e.Callers())
+	for i := range e.SlowTargets {
+		loop.slow[targetName(i)] = true
+	}
+	for i, job := range e.Jobs {
 		loop.add(virtualEvent{at: job.At, kind: eventArrival, job: i})
 		loop.add(virtualEvent{at: job.At + job.Deadline, kind: eventDeadline, job: i})
 	}
@@ -101,6 +104,7 @@
 	sequence    int
 	wakeAt      time.Duration
 	expireAt    time.Duration
+	slow        map[string]bool
 	observation Observation
 }
 
@@ -194,6 +198,9 @@
 		job := int(assignment.Job) - 1
 		l.states[job].started++
 		runTime := l.jobs[job].RunTimes[assignment.Task]
+		if l.slow[assignment.Target] {
+			runTime = time.Duration(slowFactor * float64(runTime))
+		}
 		l.add(virtualEvent{at: at + runTime, kind: eventEnd, assignment: assignment, begin: at})
 	}
 	wake, ok := l.scheduler.NextWake(now)
