--- a/rattanbench/measure_test.go
+++ b/rattanbench/measure_test.go
@@ -101,3 +101,21 @@
 	qt.Assert(t, retried.Task, qt.Equals, first.Task)
 	qt.Assert(t, retried.Attempt, qt.Equals, 2)
 }
+
+// TestRefusalsNeverImproveARatio guards the ratios of the pairs of runs: a job
+// that was refused makes the numerator larger and is left out of the
+// denominator.
+func TestRefusalsNeverImproveARatio(t *testing.T) {
+	e := Experiment{Jobs: Merge([]Job{
+		{Deadline: time.Second, RunTimes: []time.Duration{ms}},
+		{At: ms, Deadline: 2 * time.Second, RunTimes: []time.Duration{ms, ms}},
+	})}
+	seen := Observation{
+		Outcomes: []Outcome{completed(10*ms, 1), refused(rattanjob.ReasonOverloaded)},
+		Starts:   []Start{{Job: 0, Begin: 5 * ms, End: 6 * ms}},
+	}
+	qt.Assert(t, answeredResponses(others(e), seen.Outcomes), qt.DeepEquals, []time.Duration{10 * ms})
+	qt.Assert(t, responses(others(e), seen.Outcomes), qt.DeepEquals, []time.Duration{10 * ms, 2 * time.Second})
+	qt.Assert(t, startedWaits(e, seen), qt.DeepEquals, []time.Duration{5 * ms})
+	qt.Assert(t, shortWaits(e, seen), qt.DeepEquals, []time.Duration{5 * ms, 2 * time.Second, 2 * time.Second})
+}
