--- a/rattanbench/report.go
+++ b/rattanbench/report.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -80,6 +81,8 @@
 	// pairs.
 	shortAlone, shortLong []time.Duration
 	fairAlone, fairGreedy []time.Duration
+	// slowTargets has the response times with slow targets.
+	slowTargets []time.Duration
 	// fairAloneMissed and fairGreedyMissed are the shares of the jobs in
 	// fairAlone and fairGreedy without a complete answer.
 	fairAloneMissed, fairGreedyMissed float64
@@ -88,6 +91,8 @@
 	jobs                              int
 	// late is the worst of all experiments.
 	late lateness
+	// dropped are the scenarios whose observations were dropped.
+	dropped []string
 	// waste is that of the run at steady load.
 	waste Waste
 }
@@ -192,17 +197,24 @@
 	return nil
 }
 
-// warning returns a line about a busy machine, or nothing.
+// warning returns a line about limits of the machine, or nothing.
 func (r Report) warning() string {
 	var worst lateness
+	var dropped []string
 	for _, row := range r.Runs {
 		worst = worst.worst(row.details.late)
+		dropped = append(dropped, row.details.dropped...)
 	}
-	if !worst.busy() {
-		return ""
+	var warnings []string
+	if worst.busy() {
+		warnings = append(warnings, fmt.Sprintf("The machine was busy: timers fired up to %.0f ms late (p99 %.1f ms), so short times are upper bounds.",
+			worst.longest.Seconds()*1000, worst.p99.Seconds()*1000))
 	}
-	return fmt.Sprintf("The machine was busy: timers fired up to %.0f ms late (p99 %.1f ms), so short times are upper bounds.",
-		worst.longest.Seconds()*1000, worst.p99.Seconds()*1000)
+	if len(dropped) > 0 {
+		slices.Sort(dropped)
+		warnings = append(warnings, fmt.Sprintf("Out of open files, not measured: %s.", strings.Join(slices.Compact(dropped), ", ")))
+	}
+	return strings.Join(warnings, " ")
 }
 
 // groups returns the runs by workload and seed, in the order of the runs.
@@ -272,6 +284,8 @@
 		{"others' p99 with greedy, ms", func(d details) string { return milliseconds(durationQuantile(d.fairGreedy, 99)) }},
 		{"others without answer, alone", func(d details) string { return fmt.Sprintf("%.2f%%", 100*d.fairAloneMissed) }},
 		{"others without answer, greedy", func(d details) string { return fmt.Sprintf("%.2f%%", 100*d.fairGreedyMissed) }},
+		{"slow targets: median, ms", func(d details) string { return milliseconds(durationQuantile(d.slowTargets, 50)) }},
+		{"slow targets: p99, ms", func(d details) string { return milliseconds(durationQuantile(d.slowTargets, 99)) }},
 		{"timers late, p99, ms", func(d details) string { return milliseconds(d.late.p99) }},
 		{"timers late, longest, ms", func(d details) string { return milliseconds(d.late.longest) }},
 		{"jobs submitted", func(d details) string { return fmt.Sprint(d.jobs) }},
