--- a/rattanbench/report.go
+++ b/rattanbench/report.go
@@ -271,6 +271,12 @@
 
 func notes() []note {
 	milliseconds := func(value time.Duration) string { return fmt.Sprintf("%.1f", value.Seconds()*1000) }
+	quantile := func(values []time.Duration, percent float64) string {
+		if len(values) == 0 {
+			return "-"
+		}
+		return milliseconds(durationQuantile(values, percent))
+	}
 	return []note{
 		{"waste: links, platform", func(d details) string { return fmt.Sprintf("%d, %d", d.waste.Links, d.waste.Platform) }},
 		{"waste: targets, callers", func(d details) string { return fmt.Sprintf("%d, %d", d.waste.Targets, d.waste.Callers) }},
@@ -278,14 +284,14 @@
 		{"ideal at p99", func(d details) string { return d.slowdown.p99By.String() }},
 		{"crest jobs accepted", func(d details) string { return fmt.Sprint(d.crest.accepted) }},
 		{"crest jobs refused", func(d details) string { return fmt.Sprint(d.crest.refusals) }},
-		{"short wait p99 alone, ms", func(d details) string { return milliseconds(durationQuantile(d.shortAlone, 99)) }},
-		{"short wait p99 with long, ms", func(d details) string { return milliseconds(durationQuantile(d.shortLong, 99)) }},
-		{"others' p99 alone, ms", func(d details) string { return milliseconds(durationQuantile(d.fairAlone, 99)) }},
-		{"others' p99 with greedy, ms", func(d details) string { return milliseconds(durationQuantile(d.fairGreedy, 99)) }},
+		{"short wait p99 alone, ms", func(d details) string { return quantile(d.shortAlone, 99) }},
+		{"short wait p99 with long, ms", func(d details) string { return quantile(d.shortLong, 99) }},
+		{"others' p99 alone, ms", func(d details) string { return quantile(d.fairAlone, 99) }},
+		{"others' p99 with greedy, ms", func(d details) string { return quantile(d.fairGreedy, 99) }},
 		{"others without answer, alone", func(d details) string { return fmt.Sprintf("%.2f%%", 100*d.fairAloneMissed) }},
 		{"others without answer, greedy", func(d details) string { return fmt.Sprintf("%.2f%%", 100*d.fairGreedyMissed) }},
-		{"slow targets: median, ms", func(d details) string { return milliseconds(durationQuantile(d.slowTargets, 50)) }},
-		{"slow targets: p99, ms", func(d details) string { return milliseconds(durationQuantile(d.slowTargets, 99)) }},
+		{"slow targets: median, ms", func(d details) string { return quantile(d.slowTargets, 50) }},
+		{"slow targets: p99, ms", func(d details) string { return quantile(d.slowTargets, 99) }},
 		{"timers late, p99, ms", func(d details) string { return milliseconds(d.late.p99) }},
 		{"timers late, longest, ms", func(d details) string { return milliseconds(d.late.longest) }},
 		{"jobs submitted", func(d details) string { return fmt.Sprint(d.jobs) }},
