--- a/rattanbench/bench_test.go
+++ b/rattanbench/bench_test.go
@@ -36,6 +36,9 @@
 
 func BenchmarkFull(b *testing.B) { report(b, Options{}) }
 
+// BenchmarkSlowdown makes the slowdown experiment of BenchmarkFull alone.
+func BenchmarkSlowdown(b *testing.B) { report(b, Options{Scenarios: []Scenario{ScenarioSlowdown}}) }
+
 // BenchmarkProduct runs the product's policy alone, with the longer windows and
 // fewer systems side by side.
 func BenchmarkProduct(b *testing.B) { report(b, Options{Policies: []string{ProductPolicy}}) }
--- a/rattanbench/entry.go
+++ b/rattanbench/entry.go
@@ -30,6 +30,8 @@
 	keyBatch = 100
 	// submitWait is the longest wait of one request.
 	submitWait = 60 * time.Second
+	// leastPause is the least time between two submissions of a job.
+	leastPause = 100 * time.Millisecond
 	// bothWays is the number of messages of a request and its response.
 	bothWays = 2
 )
@@ -229,8 +231,9 @@
 	return seen
 }
 
-// Submit submits the job through a random instance, and asks again as long as
-// the answer is not final.
+// Submit submits the job through a random instance, and submits it again with
+// the same key as long as the answer is not final: a home that never got the
+// submission knows nothing of the key.
 func (b *entryBed) Submit(ctx context.Context, job Job) Outcome {
 	client, key, forwarded := b.route(job)
 	b.forwarded.Add(forwarded)
@@ -238,8 +241,8 @@
 	b.forwarded.Add(forwarded)
 	for err == nil && !answer.State.Final() && ctx.Err() == nil {
 		b.asked.Add(1)
-		time.Sleep(answer.RetryAfter.Std())
-		answer, err = client.Status(ctx, key, submitWait)
+		time.Sleep(max(answer.RetryAfter.Std(), leastPause))
+		answer, err = client.Submit(ctx, submissionOf(job, key), submitWait)
 	}
 	if err != nil {
 		return Outcome{State: rattanjob.StateUnknown, Execution: rattanjob.ExecutionMayHaveRun, Detail: err.Error()}
