--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -38,11 +38,6 @@
 	// may read from the platform: the one that has run longest does, the other
 	// one stands in for it. The rest learn of changes from heartbeats.
 	watchersPerZone = 2
-	// smallSystem is the number of seeds up to which members contact a random
-	// peer more rarely by smallSystemFactor; news reaches all of so few members
-	// in one or two rounds.
-	smallSystem       = 12
-	smallSystemFactor = 2
 )
 
 // MembersConfig configures Members. All fields are required.
@@ -93,10 +88,6 @@
 			PeerAddress:      peer.PeerAddress,
 		})
 	}
-	gossipInterval := gossipHeartbeats * settings.Home.HeartbeatInterval.Std()
-	if len(seeds) <= smallSystem {
-		gossipInterval *= smallSystemFactor
-	}
 	table := rattanmember.New(now, rattanmember.Config{
 		Self: rattanmember.Member{
 			Incarnation:      rattanjob.Incarnation{Instance: settings.Name, Number: config.Incarnation},
@@ -107,7 +98,7 @@
 		Pools:             1,
 		Random:            rand.New(rand.NewPCG(config.Incarnation, uint64(len(settings.Name)))),
 		HeartbeatInterval: settings.Home.HeartbeatInterval.Std(),
-		GossipInterval:    gossipInterval,
+		GossipInterval:    gossipHeartbeats * settings.Home.HeartbeatInterval.Std(),
 		JoinDuration:      joinHeartbeats * settings.Home.HeartbeatInterval.Std(),
 		TenureDuration:    settings.Home.TenureDuration.Std(),
 		VerdictMargin:     settings.Home.VerdictMargin.Std(),
