rattanmember: tell a new member the owners of its zone

A member that restarted in a fleet of 300 claimed a pool before it had learned of the owner, and sent its witnesses up to 32 members per heartbeat: 53 KB/s.

--- a/rattanmember/gossip.go
+++ b/rattanmember/gossip.go
@@ -237,9 +237,10 @@
 }
 
 // maxChanges is larger than MaxChanges while this member or the receiver learns
-// of many members, such as after a start of the whole fleet.
+// of many members, such as after a start of the whole fleet. Heartbeats to
+// witnesses, which have no refresh, are too frequent for it.
 func (t *Table) maxChanges(now time.Time, refresh int) int {
-	if refresh == joinChanges || now.Sub(t.addedAt) < t.config.JoinDuration {
+	if refresh == joinChanges || refresh > 0 && now.Sub(t.addedAt) < t.config.JoinDuration {
 		return max(joinChanges, t.config.MaxChanges)
 	}
 	return t.config.MaxChanges
--- a/rattanmember/owner.go
+++ b/rattanmember/owner.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// maxOwners is the number of owners that a new member is told at once.
+const maxOwners = 16
+
 type ownerKey struct {
 	availabilityZone string
 	pool             int
@@ -33,6 +36,19 @@
 	return t.Member(now, value.member.Incarnation.Instance)
 }
 
+// appendOwners tells a new member the owners of its availability zone, so that
+// it does not claim a pool before it has learned of them.
+func (t *Table) appendOwners(now time.Time, changes []Member, availabilityZone string) []Member {
+	for pool := range maxOwners {
+		owner, found := t.Owner(now, availabilityZone, pool)
+		if !found || owner.Claim != pool+1 {
+			break
+		}
+		changes = append(changes, owner)
+	}
+	return changes
+}
+
 func (t *Table) owner(key ownerKey) (Member, bool) {
 	members := t.candidates(key.availabilityZone)
 	var unclaimed []Member
--- a/rattanmember/table.go
+++ b/rattanmember/table.go
@@ -281,7 +281,11 @@
 	if current && heartbeat.To == t.self.Incarnation && !t.superseded {
 		t.acknowledge(now, sender, heartbeat.Tenures, &reply)
 	}
-	reply.Changes = t.changesFor(now, sender, t.refreshFor(heartbeat))
+	refresh := t.refreshFor(heartbeat)
+	reply.Changes = t.changesFor(now, sender, refresh)
+	if refresh == joinChanges {
+		reply.Changes = t.appendOwners(now, reply.Changes, heartbeat.From.AvailabilityZone)
+	}
 	return reply
 }
 
