--- a/rattancheck/check.go
+++ b/rattancheck/check.go
@@ -198,7 +198,7 @@
 	}
 	s.checkStable(report)
 	if !s.linearizable() {
-		report(InvariantRegister, "%s", s.trace())
+		report(InvariantRegister, "no order of these requests is possible: %s", s.trace())
 	}
 	return violations
 }
--- a/rattancheck/register.go
+++ b/rattancheck/register.go
@@ -269,9 +269,9 @@
 		to := request.Received.Sub(requests[0].Asked).Round(time.Microsecond)
 		said := "no answer"
 		if request.Answered {
-			said = outcomeOf(request.Answer).String()
+			said = outcomeOf(request.Answer).String() + " " + request.Answer.Detail
 		}
 		lines = append(lines, fmt.Sprintf("%v..%v %v body %x through %s: %s", from, to, request.Operation, request.Body, request.Through, said))
 	}
-	return "no order of these requests is possible: " + strings.Join(lines, "; ")
+	return strings.Join(lines, "; ")
 }
--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -24,10 +24,9 @@
 	methodVote      = "Vote"
 	// memberTick is how often due heartbeats are looked for.
 	memberTick = 50 * time.Millisecond
-	// gossipHeartbeats and joinHeartbeats are the intervals of gossip and of
-	// joining in heartbeats: 1 s and 2 s with the default of 500 ms.
-	gossipHeartbeats = 2
-	joinHeartbeats   = 4
+	// joinHeartbeats is the time without a new member after which an instance
+	// may claim a pool, in heartbeats: 2 s with the default of 500 ms.
+	joinHeartbeats = 4
 	// heartbeatTimeout bounds the wait for an acknowledgement.
 	heartbeatTimeout = time.Second
 	voteTimeout      = 300 * time.Millisecond
@@ -38,11 +37,13 @@
 	// may read from the platform: the one that has run longest does, the other
 	// one stands in for it. The rest learn of changes from heartbeats.
 	watchersPerZone = 2
-	// smallSystem is the number of seeds up to which members contact a random
-	// peer only every smallGossipInterval; news reaches all of so few members
-	// in one or two rounds.
-	smallSystem         = 12
-	smallGossipInterval = 2 * time.Second
+	// gossipHeartbeats is the interval of contacts with a random peer, in
+	// heartbeats: 1 s with the default of 500 ms. Up to smallSystem seeds it is
+	// smallGossipHeartbeats; news reaches all of so few members in one or two
+	// rounds.
+	gossipHeartbeats      = 2
+	smallGossipHeartbeats = 4
+	smallSystem           = 12
 )
 
 // MembersConfig configures Members. All fields are required.
@@ -93,9 +94,10 @@
 			PeerAddress:      peer.PeerAddress,
 		})
 	}
-	gossipInterval := rattanmember.DefaultGossipInterval
+	heartbeatInterval := settings.Home.HeartbeatInterval.Std()
+	gossipInterval := gossipHeartbeats * heartbeatInterval
 	if len(seeds) <= smallSystem {
-		gossipInterval = smallGossipInterval
+		gossipInterval = smallGossipHeartbeats * heartbeatInterval
 	}
 	table := rattanmember.New(now, rattanmember.Config{
 		GossipInterval: gossipInterval,
@@ -107,9 +109,8 @@
 		Seeds:             seeds,
 		Pools:             1,
 		Random:            rand.New(rand.NewPCG(config.Incarnation, uint64(len(settings.Name)))),
-		HeartbeatInterval: settings.Home.HeartbeatInterval.Std(),
-		GossipInterval:    gossipHeartbeats * settings.Home.HeartbeatInterval.Std(),
-		JoinDuration:      joinHeartbeats * settings.Home.HeartbeatInterval.Std(),
+		HeartbeatInterval: heartbeatInterval,
+		JoinDuration:      joinHeartbeats * heartbeatInterval,
 		TenureDuration:    settings.Home.TenureDuration.Std(),
 		VerdictMargin:     settings.Home.VerdictMargin.Std(),
 	})
--- a/rattansystem/system.go
+++ b/rattansystem/system.go
@@ -181,11 +181,11 @@
 
 // StartEntry starts one more instance in the zone.
 func (s *System) StartEntry(zone, name string) (*Entry, error) {
-	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	callers, err := listen()
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	peers, err := listen()
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -201,7 +201,7 @@
 func (s *System) WaitReady(zones ...string) error {
 	deadline := time.Now().Add(readyTimeout)
 	for _, entry := range s.Entries(zones...) {
-		for !entry.Killed() && !entry.ready() {
+		for !entry.Killed() && !s.ready(entry) {
 			if time.Now().After(deadline) {
 				return errors.WithType(errors.Errorf("instance %s: %v", entry.Name, entry.Instance.Operations.Condition(time.Now())), ErrNotReady)
 			}
@@ -216,13 +216,22 @@
 	return e.killed.Load()
 }
 
-func (e *Entry) ready() bool {
+// ready reports whether the instance serves and knows all running instances
+// of its zone. The death of an instance that it never knew cannot be proved
+// to its callers.
+func (s *System) ready(entry *Entry) bool {
 	now := time.Now()
-	owner, ok := e.Instance.Members.Owner(now)
-	if !ok || owner.Epoch.ID.Number == 0 {
+	owner, ok := entry.Instance.Members.Owner(now)
+	if !ok || owner.Epoch.ID.Number == 0 || entry.Instance.Operations.Condition(now) != rattanentry.ConditionServing {
 		return false
 	}
-	return e.Instance.Operations.Condition(now) == rattanentry.ConditionServing
+	known := map[string]bool{}
+	for _, member := range entry.Instance.Members.Members(now) {
+		known[member.Incarnation.Instance] = true
+	}
+	return !slices.ContainsFunc(s.Entries(entry.AvailabilityZone), func(other *Entry) bool {
+		return !other.Killed() && !known[other.Name]
+	})
 }
 
 func (s *System) start() error {
@@ -286,11 +295,11 @@
 	var reserved []reservation
 	for number := range s.config.EntriesPerZone {
 		for _, zone := range s.config.Zones {
-			callers, err := net.Listen("tcp", "127.0.0.1:0")
+			callers, err := listen()
 			if err != nil {
 				return nil, errors.Trace(err)
 			}
-			peers, err := net.Listen("tcp", "127.0.0.1:0")
+			peers, err := listen()
 			if err != nil {
 				return nil, errors.Trace(err)
 			}
