--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -24,9 +24,10 @@
 	methodVote      = "Vote"
 	// memberTick is how often due heartbeats are looked for.
 	memberTick = 50 * time.Millisecond
-	// joinHeartbeats is the time without a new member after which an instance
-	// may claim a pool, in heartbeats: 2 s with the default of 500 ms.
-	joinHeartbeats = 4
+	// gossipHeartbeats and joinHeartbeats are the intervals of gossip and of
+	// joining in heartbeats: 1 s and 2 s with the default of 500 ms.
+	gossipHeartbeats = 2
+	joinHeartbeats   = 4
 	// heartbeatTimeout bounds the wait for an acknowledgement.
 	heartbeatTimeout = time.Second
 	voteTimeout      = 300 * time.Millisecond
@@ -37,13 +38,11 @@
 	// may read from the platform: the one that has run longest does, the other
 	// one stands in for it. The rest learn of changes from heartbeats.
 	watchersPerZone = 2
-	// gossipHeartbeats is the interval of contacts with a random peer, in
-	// heartbeats: 1 s with the default of 500 ms. Up to smallSystem seeds it is
-	// smallGossipHeartbeats; news reaches all of so few members in one or two
-	// rounds.
-	gossipHeartbeats      = 2
-	smallGossipHeartbeats = 4
-	smallSystem           = 12
+	// smallSystem is the number of seeds up to which members contact a random
+	// peer more rarely by smallSystemFactor; news reaches all of so few members
+	// in one or two rounds.
+	smallSystem       = 12
+	smallSystemFactor = 2
 )
 
 // MembersConfig configures Members. All fields are required.
@@ -94,13 +93,11 @@
 			PeerAddress:      peer.PeerAddress,
 		})
 	}
-	heartbeatInterval := settings.Home.HeartbeatInterval.Std()
-	gossipInterval := gossipHeartbeats * heartbeatInterval
+	gossipInterval := gossipHeartbeats * settings.Home.HeartbeatInterval.Std()
 	if len(seeds) <= smallSystem {
-		gossipInterval = smallGossipHeartbeats * heartbeatInterval
+		gossipInterval *= smallSystemFactor
 	}
 	table := rattanmember.New(now, rattanmember.Config{
-		GossipInterval: gossipInterval,
 		Self: rattanmember.Member{
 			Incarnation:      rattanjob.Incarnation{Instance: settings.Name, Number: config.Incarnation},
 			AvailabilityZone: settings.AvailabilityZone,
@@ -109,8 +106,9 @@
 		Seeds:             seeds,
 		Pools:             1,
 		Random:            rand.New(rand.NewPCG(config.Incarnation, uint64(len(settings.Name)))),
-		HeartbeatInterval: heartbeatInterval,
-		JoinDuration:      joinHeartbeats * heartbeatInterval,
+		HeartbeatInterval: settings.Home.HeartbeatInterval.Std(),
+		GossipInterval:    gossipInterval,
+		JoinDuration:      joinHeartbeats * settings.Home.HeartbeatInterval.Std(),
 		TenureDuration:    settings.Home.TenureDuration.Std(),
 		VerdictMargin:     settings.Home.VerdictMargin.Std(),
 	})
