--- a/rattanentry/counts.go
+++ b/rattanentry/counts.go
@@ -1,8 +1,8 @@
 package rattanentry
 
 import (
-	"fmt"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -35,47 +35,141 @@
 	}
 }
 
-// homeCounts are the counters of a home.
+// homeCounts are the metrics of a home. A nil value counts nothing.
 type homeCounts struct {
 	registry   *rattanmetric.Registry
+	submitted  *metrics.Counter
+	joined     *metrics.Counter
 	admitted   *metrics.Counter
 	borrowed   *metrics.Counter
-	joined     *metrics.Counter
 	started    *metrics.Counter
 	cancelled  *metrics.Counter
 	fenced     *metrics.Counter
 	settled    *metrics.Counter
 	violations *metrics.Counter
 	outcomes   [rattanpool.OutcomeStopped + 1]*metrics.Counter
+	// kinds holds the histograms of each job kind that was admitted; it is
+	// guarded by the home's mutex.
+	kinds map[string]kindHistograms
+}
+
+// kindHistograms are the histograms of one job kind.
+type kindHistograms struct {
+	wait     *metrics.Histogram
+	response *metrics.Histogram
 }
 
-func newHomeCounts(registry *rattanmetric.Registry) homeCounts {
-	counts := homeCounts{
+func newHomeCounts(registry *rattanmetric.Registry) *homeCounts {
+	if registry == nil {
+		return nil
+	}
+	counts := &homeCounts{
 		registry:   registry,
-		admitted:   registry.Counter("jobs_admitted_total"),
-		borrowed:   registry.Counter("slot_loans_total"),
-		joined:     registry.Counter("submissions_joined_total"),
-		started:    registry.Counter("tasks_started_total"),
-		cancelled:  registry.Counter("jobs_cancelled_total"),
-		fenced:     registry.Counter("jobs_fenced_total"),
-		settled:    registry.Counter("tasks_settled_total"),
-		violations: registry.Counter("invariant_violations_total"),
+		submitted:  registry.Counter(rattanmetric.JobsSubmittedTotal),
+		joined:     registry.Counter(rattanmetric.JobsJoinedTotal),
+		admitted:   registry.Counter(rattanmetric.JobsAdmittedTotal),
+		borrowed:   registry.Counter(rattanmetric.SlotLoansTotal),
+		started:    registry.Counter(rattanmetric.TasksStartedTotal),
+		cancelled:  registry.Counter(rattanmetric.JobsCancelledTotal),
+		fenced:     registry.Counter(rattanmetric.JobsFencedTotal),
+		settled:    registry.Counter(rattanmetric.TasksSettledTotal),
+		violations: registry.Counter(rattanmetric.InvariantBreachesTotal),
+		kinds:      map[string]kindHistograms{},
 	}
 	for outcome := range counts.outcomes {
-		name := fmt.Sprintf("tasks_ended_total{outcome=%q}", rattanpool.Outcome(outcome))
+		name := rattanmetric.With(rattanmetric.TasksEndedTotal, "outcome", rattanpool.Outcome(outcome).String())
 		counts.outcomes[outcome] = registry.Counter(name)
 	}
 	return counts
 }
 
-func (c *homeCounts) answered(answer rattanjob.Answer) {
-	c.registry.Counter(fmt.Sprintf("jobs_answered_total{state=%q,reason=%q}", answer.State, answer.Reason)).Inc()
+// jobEnded counts the end of an admitted job.
+func (c *homeCounts) jobEnded(kind string, took time.Duration, answer rattanjob.Answer) {
+	if c == nil {
+		return
+	}
+	c.registry.Counter(rattanmetric.With(rattanmetric.JobsAnsweredTotal, "state", answer.State.String(), "reason", answer.Reason.String())).Inc()
+	if answer.State == rattanjob.StateComplete {
+		c.ofKind(kind).response.Update(took.Seconds())
+	}
+}
+
+// taskStarted counts the start of a task.
+func (c *homeCounts) taskStarted(kind string, waited time.Duration) {
+	if c == nil {
+		return
+	}
+	c.started.Inc()
+	c.ofKind(kind).wait.Update(waited.Seconds())
 }
 
-func (c *homeCounts) outcome(outcome rattanpool.Outcome) {
-	c.outcomes[outcome].Inc()
+// taskEnded counts the end of a dispatch.
+func (c *homeCounts) taskEnded(outcome rattanpool.Outcome) {
+	if c != nil {
+		c.outcomes[outcome].Inc()
+	}
 }
 
 func (c *homeCounts) refused(reason rattanjob.Reason) {
-	c.registry.Counter(fmt.Sprintf("jobs_refused_total{reason=%q}", reason)).Inc()
+	if c != nil {
+		c.registry.Counter(rattanmetric.With(rattanmetric.JobsRefusedTotal, "reason", reason.String())).Inc()
+	}
+}
+
+// count adds 1 to the counter that the function selects.
+func (c *homeCounts) count(counter func(c *homeCounts) *metrics.Counter) {
+	if c != nil {
+		counter(c).Inc()
+	}
+}
+
+func (c *homeCounts) ofKind(kind string) kindHistograms {
+	known, ok := c.kinds[kind]
+	if !ok {
+		known = kindHistograms{
+			wait:     c.registry.Histogram(rattanmetric.With(rattanmetric.TaskWaitSeconds, "kind", kind)),
+			response: c.registry.Histogram(rattanmetric.With(rattanmetric.JobResponseSeconds, "kind", kind)),
+		}
+		c.kinds[kind] = known
+	}
+	return known
+}
+
+// registerMetrics registers what the parts of the instance count themselves.
+func (i *Instance) registerMetrics() {
+	gauge, counter := i.Metrics.Gauge, i.Metrics.CounterFunc
+	load := func() rattanpool.Load { return i.Home.Load(time.Now()).Pool }
+	gauge(rattanmetric.JobsInProgress, func() float64 { return float64(i.Home.Jobs()) })
+	gauge(rattanmetric.PoolSlots, func() float64 { return float64(load().Slots) })
+	gauge(rattanmetric.PoolBusySlots, func() float64 { return float64(load().BusySlots) })
+	gauge(rattanmetric.PoolBacklogSeconds, func() float64 { return load().Backlog.Seconds() })
+	gauge(rattanmetric.LedgerRecords, func() float64 { return float64(i.Home.LedgerCounters().Records) })
+	gauge(rattanmetric.LedgerAnswerBytes, func() float64 { return float64(i.Home.LedgerCounters().AnswerBytes) })
+	// The own instance is not among the table's members.
+	gauge(rattanmetric.MembersAlive, func() float64 { return float64(i.Members.Counters().Alive + 1) })
+	gauge(rattanmetric.ConfigurationRevision, func() float64 { return float64(i.Configuration.Document().Revision) })
+	if i.Keyring != nil {
+		gauge(rattanmetric.CertificateLifeSeconds, func() float64 { return time.Until(i.Keyring.store.NotAfter()).Seconds() })
+	}
+	counter(rattanmetric.EpochsOpenedTotal, func() uint64 { return i.Members.Counters().EpochsOpened })
+	counter(rattanmetric.EpochsFencedTotal, func() uint64 { return i.Members.Counters().EpochsFenced })
+	links := &i.Node.Counts
+	counter(rattanmetric.MessagesSentTotal, links.Sent.Load)
+	counter(rattanmetric.MessagesReceivedTotal, links.Received.Load)
+	counter(rattanmetric.MessageSentBytesTotal, links.BytesSent.Load)
+	counter(rattanmetric.PingsTotal, links.Pings.Load)
+	counter(rattanmetric.LateRepliesTotal, links.LateReplies.Load)
+	counter(rattanmetric.LinksSilentTotal, links.SilentLinks.Load)
+	platform := &i.Platform.Counters
+	for operation, calls := range map[string]*atomic.Uint64{
+		"Delete": &platform.Deletes, "Get": &platform.Gets, "Instances": &platform.Instances,
+		"Lease": &platform.Leases, "Put": &platform.Puts, "Watch": &platform.Watches,
+	} {
+		counter(rattanmetric.With(rattanmetric.PlatformCallsTotal, "operation", operation), calls.Load)
+	}
+	for kind, failures := range map[string]*atomic.Uint64{
+		"Conflict": &platform.Conflicts, "Unavailable": &platform.Unavailable, "Uncertain": &platform.Uncertain,
+	} {
+		counter(rattanmetric.With(rattanmetric.PlatformErrorsTotal, "error", kind), failures.Load)
+	}
 }
--- a/rattanentry/front.go
+++ b/rattanentry/front.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/juju/errors"
 
@@ -80,6 +81,13 @@
 	config FrontConfig
 	// issued counts keys; it spreads them over the pools.
 	issued atomic.Uint64
+	counts frontCounts
+}
+
+// frontCounts are the counters of a front.
+type frontCounts struct {
+	issued    *metrics.Counter
+	forwarded *metrics.Counter
 }
 
 // forwarded is the body of a request that a front hands to a home.
@@ -106,7 +114,10 @@
 
 // NewFront returns a front.
 func NewFront(config FrontConfig) *Front {
-	return &Front{config: config}
+	return &Front{config: config, counts: frontCounts{
+		issued:    config.Metrics.Counter(rattanmetric.KeysIssuedTotal),
+		forwarded: config.Metrics.Counter(rattanmetric.JobsForwardedTotal),
+	}}
 }
 
 // Handle serves the requests that other fronts forward to the home here.
@@ -146,6 +157,7 @@
 		}
 		_, _ = rand.Read(keys[i].Nonce[:])
 	}
+	f.counts.issued.Add(count)
 	return keys, true
 }
 
@@ -309,6 +321,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, request.Wait.Std()+forwardMargin)
 	defer cancel()
+	f.counts.forwarded.Inc()
 	reply, err := f.config.Peers.Call(ctx, address, method, body)
 	if err != nil {
 		return rattanjob.Answer{}, err
--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 
 	"github.com/rattanlever/rattanlever/rattanconfig"
@@ -110,7 +111,8 @@
 	Answer   rattanjob.Answer
 }
 
-// HomeConfig configures a Home. All fields but Recorder are required.
+// HomeConfig configures a Home. All fields but Metrics, Recorder and Fence are
+// required.
 type HomeConfig struct {
 	Scheduler Scheduler
 	Ledger    *rattanledger.Ledger
@@ -129,7 +131,7 @@
 // use.
 type Home struct {
 	config  HomeConfig
-	counts  homeCounts
+	counts  *homeCounts
 	stopped chan struct{}
 	loops   sync.WaitGroup
 
@@ -190,7 +192,7 @@
 		if err := h.config.Ledger.Refuse(now, key, cancelled); err != nil {
 			return rattanjob.Uncertain(rattanjob.ReasonInternal, err.Error(), 0)
 		}
-		h.counts.cancelled.Inc()
+		h.counts.count(func(c *homeCounts) *metrics.Counter { return c.cancelled })
 		cancelled.State = rattanjob.StateCancelled
 		return cancelled
 	case rattanledger.VerdictJoin:
@@ -199,7 +201,7 @@
 			h.violated("running record without a run")
 			return rattanjob.Uncertain(rattanjob.ReasonInternal, "record without a run", 0)
 		}
-		h.counts.cancelled.Inc()
+		h.counts.count(func(c *homeCounts) *metrics.Counter { return c.cancelled })
 		return h.end(now, current, rattanjob.StateCancelled, rattanjob.ReasonCancelled, "cancelled by its caller")
 	}
 	return h.stated(answer, verdict, key)
@@ -231,6 +233,13 @@
 	return len(h.runs)
 }
 
+// LedgerCounters returns the present values of the ledger's counters.
+func (h *Home) LedgerCounters() rattanledger.Counters {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.config.Ledger.Counters()
+}
+
 // Load returns the load of the home.
 func (h *Home) Load(now time.Time) HomeLoad {
 	h.mutex.Lock()
@@ -356,11 +365,12 @@
 	if !h.valid(now, key.Epoch) {
 		return nil, lost(key)
 	}
+	h.counts.count(func(c *homeCounts) *metrics.Counter { return c.submitted })
 	answer, verdict := h.config.Ledger.Begin(now, key, caller, submission.Digest())
 	switch verdict {
 	case rattanledger.VerdictStart:
 	case rattanledger.VerdictJoin:
-		h.counts.joined.Inc()
+		h.counts.count(func(c *homeCounts) *metrics.Counter { return c.joined })
 		if current, ok := h.runs[key.Nonce]; ok {
 			return current, rattanjob.Answer{}
 		}
@@ -439,7 +449,7 @@
 	h.demand[caller] += len(submission.Tasks)
 	h.queued[job.Service] += len(submission.Tasks)
 	h.jobs[caller]++
-	h.counts.admitted.Inc()
+	h.counts.count(func(c *homeCounts) *metrics.Counter { return c.admitted })
 	if h.config.Recorder != nil {
 		h.config.Recorder.Submitted(now, &current.Running, rattantrace.Submission{
 			Key:      submission.Key,
@@ -549,7 +559,7 @@
 	h.config.Ledger.FenceEpoch(now, epoch)
 	for _, current := range h.runs {
 		if current.Key.Epoch == epoch {
-			h.counts.fenced.Inc()
+			h.counts.count(func(c *homeCounts) *metrics.Counter { return c.fenced })
 			h.settle(now, current, lost(current.Key))
 		}
 	}
@@ -608,7 +618,7 @@
 }
 
 func (h *Home) violated(what string) {
-	h.counts.violations.Inc()
+	h.counts.count(func(c *homeCounts) *metrics.Counter { return c.violations })
 	violations.Add(1)
 	reportViolation(errors.WithType(errors.New(what), ErrInvariant))
 }
--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -258,6 +258,7 @@
 		Home:             i.Home,
 		Metrics:          i.Metrics,
 	})
+	i.registerMetrics()
 	return i.connect()
 }
 
--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -185,6 +185,13 @@
 	return append(m.table.Members(now), m.table.Self(now))
 }
 
+// Counters returns the present values of the table's counters.
+func (m *Members) Counters() rattanmember.Counters {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.table.Counters()
+}
+
 // Homes returns the other members that own a pool.
 func (m *Members) Homes(now time.Time) []rattanmember.Member {
 	m.mutex.Lock()
--- a/rattanentry/operations.go
+++ b/rattanentry/operations.go
@@ -133,6 +133,7 @@
 	ctx.Response().Header().Set("Content-Type", "text/plain; version=0.0.4")
 	ctx.Response().WriteHeader(http.StatusOK)
 	o.config.Metrics.Write(ctx.Response())
+	rattanmetric.WriteProcess(ctx.Response())
 	return nil
 }
 
--- a/rattanentry/run.go
+++ b/rattanentry/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 
 	"github.com/rattanlever/rattanlever/rattanjob"
@@ -85,7 +86,7 @@
 	current.started++
 	h.busy[assignment.Target]++
 	task := dispatched{Assignment: assignment}
-	h.counts.started.Inc()
+	h.counts.taskStarted(current.Kind, assignment.Waited)
 	if h.config.Recorder != nil {
 		task.ref = h.config.Recorder.Assigned(now, &current.Running, assignment)
 	}
@@ -108,7 +109,7 @@
 		InspectAfter: current.inspectAfter,
 	})
 	if errors.Is(err, rattantarget.ErrUnresolved) && ctx.Err() == nil {
-		h.counts.settled.Inc()
+		h.counts.count(func(c *homeCounts) *metrics.Counter { return c.settled })
 		result, err = h.config.Runner.Settle(ctx, address, id)
 	}
 	now := time.Now()
@@ -140,7 +141,7 @@
 	}
 	ref := current.running[assignment.Task].ref
 	delete(current.running, assignment.Task)
-	h.counts.outcome(report.Outcome)
+	h.counts.taskEnded(report.Outcome)
 	if report.Outcome == rattanpool.OutcomeNotStarted {
 		current.started--
 	}
@@ -244,7 +245,7 @@
 	for _, task := range current.running {
 		h.stop(current, task.Assignment)
 	}
-	h.counts.answered(answer)
+	h.counts.jobEnded(current.Kind, now.Sub(current.submitted), answer)
 	if h.config.Recorder != nil {
 		h.config.Recorder.Answered(now, Ended{
 			Running:  current.Running,
--- a/rattanmetric/registry.go
+++ b/rattanmetric/registry.go
@@ -36,6 +36,12 @@
 	r.set.GetOrCreateGauge(name, value)
 }
 
+// CounterFunc registers a function that returns the present value of a counter
+// that is kept elsewhere; see Gauge.
+func (r *Registry) CounterFunc(name string, value func() uint64) {
+	r.Gauge(name, func() float64 { return float64(value()) })
+}
+
 // Histogram returns the histogram with the name and labels, and creates it at
 // first use. It panics on a malformed name.
 func (r *Registry) Histogram(name string) *metrics.Histogram {
--- a/rattanmetric/registry_test.go
+++ b/rattanmetric/registry_test.go
@@ -54,13 +54,13 @@
 	first.Counter(refused).Add(3)
 	first.Counter(refused).Inc()
 	first.Gauge(PoolSlots, func() float64 { return 8 })
-	first.Histogram(RefusalSeconds).Update(0.25)
+	first.Histogram(JobResponseSeconds).Update(0.25)
 	second.Counter(refused).Inc()
-	c.Assert(text(first), qt.Matches, `(?s)rattanlever_jobs_refused_total\{reason="a\\"b\\n"\} 4
+	c.Assert(text(first), qt.Matches, `(?s)rattanlever_job_response_seconds_bucket\{vmrange="[^"]+"\} 1
+rattanlever_job_response_seconds_sum 0\.25
+rattanlever_job_response_seconds_count 1
+rattanlever_jobs_refused_total\{reason="a\\"b\\n"\} 4
 rattanlever_pool_slots 8
-rattanlever_refusal_seconds_bucket\{vmrange="[^"]+"\} 1
-rattanlever_refusal_seconds_sum 0\.25
-rattanlever_refusal_seconds_count 1
 `)
 	c.Assert(text(second), qt.Contains, "} 1\n")
 	first.Close()
@@ -96,7 +96,7 @@
 func BenchmarkStart(b *testing.B) {
 	registry := New()
 	started, ended := registry.Counter(TasksStartedTotal), registry.Counter(With(TasksEndedTotal, "outcome", "Done"))
-	waited, ran := registry.Histogram(With(TaskWaitSeconds, "kind", "list")), registry.Histogram(With(TaskRunSeconds, "kind", "list"))
+	waited, ran := registry.Histogram(With(TaskWaitSeconds, "kind", "list")), registry.Histogram(With(JobResponseSeconds, "kind", "list"))
 	b.ReportAllocs()
 	for b.Loop() {
 		started.Inc()
