--- a/rattanentry/plans.go
+++ b/rattanentry/plans.go
@@ -214,7 +214,8 @@
 		}
 		plan, err := operate(ctx, ctx.Vars().Get("id"), body)
 		if err != nil {
-			return ctx.JSON(planStatus(err), rattanjob.Answer{State: rattanjob.StateRefused, Reason: rattanjob.ReasonInvalid, Detail: err.Error()})
+			status := planStatus(err)
+			return ctx.JSON(status, rattanjob.Answer{State: rattanjob.StateRefused, Reason: planReasons[status], Detail: err.Error()})
 		}
 		reply := PlanReply{Plan: plan, Text: plan.Text()}
 		if plan.State == rattanplan.StateConfirmed {
@@ -225,6 +226,14 @@
 	}
 }
 
+// planReasons has the reason of each status that planStatus returns.
+var planReasons = map[int]rattanjob.Reason{
+	http.StatusBadRequest:         rattanjob.ReasonInvalid,
+	http.StatusConflict:           rattanjob.ReasonConflict,
+	http.StatusNotFound:           rattanjob.ReasonKeyUnknown,
+	http.StatusServiceUnavailable: rattanjob.ReasonNotReady,
+}
+
 // planStatus returns the HTTP status of an error of a plan.
 func planStatus(err error) int {
 	switch {
