--- a/rattanentry/counts.go
+++ b/rattanentry/counts.go
@@ -35,19 +35,41 @@
 	}
 }
 
+// homeEvent is an event that a home counts.
+type homeEvent int
+
+// The events of a home.
+const (
+	eventSubmitted homeEvent = iota
+	eventJoined
+	eventAdmitted
+	eventBorrowed
+	eventStarted
+	eventCancelled
+	eventFenced
+	eventSettled
+	eventViolated
+	eventCount
+)
+
+// homeEventNames are the names of the events' counters.
+var homeEventNames = [eventCount]string{
+	eventSubmitted: rattanmetric.JobsSubmittedTotal,
+	eventJoined:    rattanmetric.JobsJoinedTotal,
+	eventAdmitted:  rattanmetric.JobsAdmittedTotal,
+	eventBorrowed:  rattanmetric.SlotLoansTotal,
+	eventStarted:   rattanmetric.TasksStartedTotal,
+	eventCancelled: rattanmetric.JobsCancelledTotal,
+	eventFenced:    rattanmetric.JobsFencedTotal,
+	eventSettled:   rattanmetric.TasksSettledTotal,
+	eventViolated:  rattanmetric.InvariantBreachesTotal,
+}
+
 // homeCounts are the metrics of a home. A nil value counts nothing.
 type homeCounts struct {
-	registry   *rattanmetric.Registry
-	submitted  *metrics.Counter
-	joined     *metrics.Counter
-	admitted   *metrics.Counter
-	borrowed   *metrics.Counter
-	started    *metrics.Counter
-	cancelled  *metrics.Counter
-	fenced     *metrics.Counter
-	settled    *metrics.Counter
-	violations *metrics.Counter
-	outcomes   [rattanpool.OutcomeStopped + 1]*metrics.Counter
+	registry *rattanmetric.Registry
+	events   [eventCount]*metrics.Counter
+	outcomes [rattanpool.OutcomeStopped + 1]*metrics.Counter
 	// kinds holds the histograms of each job kind that was admitted; it is
 	// guarded by the home's mutex.
 	kinds map[string]kindHistograms
@@ -63,18 +85,9 @@
 	if registry == nil {
 		return nil
 	}
-	counts := &homeCounts{
-		registry:   registry,
-		submitted:  registry.Counter(rattanmetric.JobsSubmittedTotal),
-		joined:     registry.Counter(rattanmetric.JobsJoinedTotal),
-		admitted:   registry.Counter(rattanmetric.JobsAdmittedTotal),
-		borrowed:   registry.Counter(rattanmetric.SlotLoansTotal),
-		started:    registry.Counter(rattanmetric.TasksStartedTotal),
-		cancelled:  registry.Counter(rattanmetric.JobsCancelledTotal),
-		fenced:     registry.Counter(rattanmetric.JobsFencedTotal),
-		settled:    registry.Counter(rattanmetric.TasksSettledTotal),
-		violations: registry.Counter(rattanmetric.InvariantBreachesTotal),
-		kinds:      map[string]kindHistograms{},
+	counts := &homeCounts{registry: registry, kinds: map[string]kindHistograms{}}
+	for event, name := range homeEventNames {
+		counts.events[event] = registry.Counter(name)
 	}
 	for outcome := range counts.outcomes {
 		name := rattanmetric.With(rattanmetric.TasksEndedTotal, "outcome", rattanpool.Outcome(outcome).String())
@@ -99,7 +112,7 @@
 	if c == nil {
 		return
 	}
-	c.started.Inc()
+	c.events[eventStarted].Inc()
 	c.ofKind(kind).wait.Update(waited.Seconds())
 }
 
@@ -116,10 +129,10 @@
 	}
 }
 
-// count adds 1 to the counter that the function selects.
-func (c *homeCounts) count(counter func(c *homeCounts) *metrics.Counter) {
+// count adds 1 to the counter of an event.
+func (c *homeCounts) count(event homeEvent) {
 	if c != nil {
-		counter(c).Inc()
+		c.events[event].Inc()
 	}
 }
 
--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -13,7 +13,6 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 
 	"github.com/rattanlever/rattanlever/rattanconfig"
@@ -198,7 +197,7 @@
 		if !ok {
 			return h.missingRun(key)
 		}
-		h.counts.count(func(c *homeCounts) *metrics.Counter { return c.cancelled })
+		h.counts.count(eventCancelled)
 		return h.end(now, current, rattanjob.StateCancelled, rattanjob.ReasonCancelled, "cancelled by its caller")
 	}
 	return h.stated(answer, verdict, key)
@@ -362,12 +361,12 @@
 	if !h.valid(now, key.Epoch) {
 		return nil, lost(key)
 	}
-	h.counts.count(func(c *homeCounts) *metrics.Counter { return c.submitted })
+	h.counts.count(eventSubmitted)
 	answer, verdict := h.config.Ledger.Begin(now, key, caller, submission.Digest())
 	switch verdict {
 	case rattanledger.VerdictStart:
 	case rattanledger.VerdictJoin:
-		h.counts.count(func(c *homeCounts) *metrics.Counter { return c.joined })
+		h.counts.count(eventJoined)
 		if current, ok := h.runs[key.Nonce]; ok {
 			return current, rattanjob.Answer{}
 		}
@@ -437,7 +436,7 @@
 		answer.Key = key.String()
 		return answer
 	}
-	h.counts.count(func(c *homeCounts) *metrics.Counter { return c.cancelled })
+	h.counts.count(eventCancelled)
 	return cancelled
 }
 
@@ -472,7 +471,7 @@
 	h.demand[caller] += len(submission.Tasks)
 	h.queued[job.Service] += len(submission.Tasks)
 	h.jobs[caller]++
-	h.counts.count(func(c *homeCounts) *metrics.Counter { return c.admitted })
+	h.counts.count(eventAdmitted)
 	if h.config.Recorder != nil {
 		h.config.Recorder.Submitted(now, &current.Running, rattantrace.Submission{
 			Key:      submission.Key,
@@ -582,7 +581,7 @@
 	h.config.Ledger.FenceEpoch(now, epoch)
 	for _, current := range h.runs {
 		if current.Key.Epoch == epoch {
-			h.counts.count(func(c *homeCounts) *metrics.Counter { return c.fenced })
+			h.counts.count(eventFenced)
 			h.settle(now, current, lost(current.Key))
 		}
 	}
@@ -641,7 +640,7 @@
 }
 
 func (h *Home) violated(what string) {
-	h.counts.count(func(c *homeCounts) *metrics.Counter { return c.violations })
+	h.counts.count(eventViolated)
 	violations.Add(1)
 	reportViolation(errors.WithType(errors.New(what), ErrInvariant))
 }
--- a/rattanentry/loans.go
+++ b/rattanentry/loans.go
@@ -11,7 +11,7 @@
 	h.mutex.Lock()
 	h.loans.Borrow(now, lender, service, grants)
 	if len(grants) > 0 {
-		h.counts.borrowed.Add(len(grants))
+		h.counts.count(eventBorrowed)
 		h.applyTargets(now)
 	}
 	h.mutex.Unlock()
--- a/rattanentry/run.go
+++ b/rattanentry/run.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 
 	"github.com/rattanlever/rattanlever/rattanjob"
@@ -109,7 +108,7 @@
 		InspectAfter: current.inspectAfter,
 	})
 	if errors.Is(err, rattantarget.ErrUnresolved) && ctx.Err() == nil {
-		h.counts.count(func(c *homeCounts) *metrics.Counter { return c.settled })
+		h.counts.count(eventSettled)
 		result, err = h.config.Runner.Settle(ctx, address, id)
 	}
 	now := time.Now()
--- a/rattansystem/injected_test.go
+++ b/rattansystem/injected_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/rattanlever/rattanlever/rattancheck"
 	"github.com/rattanlever/rattanlever/rattanentry"
-	"github.com/rattanlever/rattanlever/rattanjob"
 	"github.com/rattanlever/rattanlever/rattanjson"
 	"github.com/rattanlever/rattanlever/rattansettings"
 	"github.com/rattanlever/rattanlever/rattanstandin"
@@ -134,8 +133,13 @@
 	defer run.transport.CloseIdleConnections()
 	ctx, cancel := context.WithTimeout(context.Background(), resolveTimeout)
 	defer cancel()
-	var keys []rattanjob.Key
-	for len(keys) == 0 || len(keys[0].Witnesses) == 0 {
+	keys := run.keys(ctx, 0, 8)
+	for started := time.Now(); len(keys[0].Witnesses) == 0; {
+		// A home that claimed the pool before it had heard of another member
+		// gains witnesses only with its next epoch; another start is shorter.
+		if time.Since(started) > 3*time.Second {
+			return isolateHome(c, tenure)
+		}
 		keys = run.keys(ctx, 0, 8)
 		c.Assert(keys, qt.HasLen, 8)
 	}
