--- a/rattancmd/process_test.go
+++ b/rattancmd/process_test.go
@@ -68,6 +68,8 @@
 type process struct {
 	name    string
 	address string
+	// file has the settings.
+	file    string
 	command *exec.Cmd
 	// ended is closed when the process has ended; err is its error.
 	ended  chan struct{}
@@ -193,9 +195,17 @@
 	s.c.Assert(err, qt.IsNil)
 	file := filepath.Join(s.directory, settings.Name+".json")
 	s.c.Assert(os.WriteFile(file, data, 0o600), qt.IsNil)
+	entry := s.run(settings.Name, settings.CallerAddress, file)
+	s.entries = append(s.entries, entry)
+	return entry
+}
+
+// run starts an entry process with a settings file.
+func (s *cluster) run(name, address, file string) *process {
 	entry := &process{
-		name:    settings.Name,
-		address: settings.CallerAddress,
+		name:    name,
+		address: address,
+		file:    file,
 		command: exec.Command(binary, "entry", "--config", file),
 		ended:   make(chan struct{}),
 	}
@@ -206,7 +216,6 @@
 		entry.err = entry.command.Wait()
 		close(entry.ended)
 	}()
-	s.entries = append(s.entries, entry)
 	s.c.Cleanup(func() {
 		_ = entry.command.Process.Kill()
 		<-entry.ended
@@ -273,10 +282,18 @@
 	return home, others
 }
 
+// keys gets keys, asking again while no home is known.
 func (s *cluster) keys(count int) []rattanjob.Key {
-	keys, err := s.client(s.entries...).Keys(context.Background(), count)
-	s.c.Assert(err, qt.IsNil)
-	return keys
+	client := s.client(s.entries...)
+	for deadline := time.Now().Add(startTimeout); ; time.Sleep(10 * time.Millisecond) {
+		keys, err := client.Keys(context.Background(), count)
+		if err == nil {
+			return keys
+		}
+		if time.Now().After(deadline) {
+			s.c.Fatalf("no keys after %v: %v", startTimeout, err)
+		}
+	}
 }
 
 // witnessedKeys returns keys of an epoch with witnesses. Only their votes prove
@@ -408,6 +425,50 @@
 	cluster.checkHistory()
 }
 
+// Guards the target value for a home that is killed and started again at once:
+// its address accepts connections, and the later incarnation proves that the
+// former one has ended.
+func TestRestartedHomeIsResolved(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	cluster := startCluster(c, 3, 0)
+	keys := cluster.keys(20)
+	home, others := cluster.home(keys[0])
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	var restartedAt, longest atomic.Int64
+	var mutex sync.Mutex
+	var jobs sync.WaitGroup
+	for i, key := range keys {
+		sent := cluster.submission(key, 2, 10*time.Second)
+		jobs.Go(func() {
+			var answer rattanjob.Answer
+			for try := i; !answer.State.Final() && ctx.Err() == nil; try++ {
+				// The caller asks the restarted instance too.
+				answer, _ = cluster.submit(ctx, cluster.entries[try%len(cluster.entries)], sent, 15*time.Second)
+				time.Sleep(20 * time.Millisecond)
+			}
+			c.Check(answer.Reason, qt.Equals, rattanjob.ReasonHomeLost, qt.Commentf("%+v", answer))
+			mutex.Lock()
+			defer mutex.Unlock()
+			longest.Store(max(longest.Load(), time.Now().UnixNano()-restartedAt.Load()))
+		})
+	}
+	cluster.waitJobs(home, len(keys), uint64(2*len(keys)))
+	restartedAt.Store(time.Now().UnixNano())
+	c.Assert(home.command.Process.Kill(), qt.IsNil)
+	<-home.ended
+	again := cluster.run(home.name, home.address, home.file)
+	jobs.Wait()
+	c.Logf("%d jobs of the former incarnation resolved after at most %v", len(keys), time.Duration(longest.Load()))
+	c.Check(time.Duration(longest.Load()) <= resolveBound, qt.IsTrue)
+	cluster.waitReady(again)
+	answer, err := cluster.submit(ctx, others[0], cluster.submission(cluster.keys(1)[0], 1, 10*time.Millisecond), 10*time.Second)
+	c.Check(err, qt.IsNil)
+	c.Check(answer.State, qt.Equals, rattanjob.StateComplete, qt.Commentf("%+v", answer))
+	cluster.checkHistory()
+}
+
 // Guards against a home that is paused for longer than its tenure and then
 // contradicts what callers were told: nothing but HomeLost follows HomeLost.
 // Each job is resolved within 3 s of the pause for a caller that asks again.
