--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -266,6 +266,7 @@
 		Home:             i.Home,
 		Metrics:          i.Metrics,
 	})
+	i.registerMetrics()
 	return i.connect()
 }
 
