--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -110,7 +110,8 @@
 	Answer   rattanjob.Answer
 }
 
-// HomeConfig configures a Home. All fields but Recorder are required.
+// HomeConfig configures a Home. All fields but Metrics, Recorder and Fence are
+// required.
 type HomeConfig struct {
 	Scheduler Scheduler
 	Ledger    *rattanledger.Ledger
@@ -129,7 +130,7 @@
 // use.
 type Home struct {
 	config  HomeConfig
-	counts  homeCounts
+	counts  *homeCounts
 	stopped chan struct{}
 	loops   sync.WaitGroup
 
@@ -196,7 +197,7 @@
 		if !ok {
 			return h.missingRun(key)
 		}
-		h.counts.cancelled.Inc()
+		h.counts.count(eventCancelled)
 		return h.end(now, current, rattanjob.StateCancelled, rattanjob.ReasonCancelled, "cancelled by its caller")
 	}
 	return h.stated(answer, verdict, key)
@@ -228,6 +229,13 @@
 	return len(h.runs)
 }
 
+// LedgerCounters returns the present values of the ledger's counters.
+func (h *Home) LedgerCounters() rattanledger.Counters {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.config.Ledger.Counters()
+}
+
 // Load returns the load of the home.
 func (h *Home) Load(now time.Time) HomeLoad {
 	h.mutex.Lock()
@@ -353,11 +361,12 @@
 	if !h.valid(now, key.Epoch) {
 		return nil, lost(key)
 	}
+	h.counts.count(eventSubmitted)
 	answer, verdict := h.config.Ledger.Begin(now, key, caller, submission.Digest())
 	switch verdict {
 	case rattanledger.VerdictStart:
 	case rattanledger.VerdictJoin:
-		h.counts.joined.Inc()
+		h.counts.count(eventJoined)
 		if current, ok := h.runs[key.Nonce]; ok {
 			return current, rattanjob.Answer{}
 		}
@@ -427,7 +436,7 @@
 		answer.Key = key.String()
 		return answer
 	}
-	h.counts.cancelled.Inc()
+	h.counts.count(eventCancelled)
 	return cancelled
 }
 
@@ -462,7 +471,7 @@
 	h.demand[caller] += len(submission.Tasks)
 	h.queued[job.Service] += len(submission.Tasks)
 	h.jobs[caller]++
-	h.counts.admitted.Inc()
+	h.counts.count(eventAdmitted)
 	if h.config.Recorder != nil {
 		h.config.Recorder.Submitted(now, &current.Running, rattantrace.Submission{
 			Key:      submission.Key,
@@ -572,7 +581,7 @@
 	h.config.Ledger.FenceEpoch(now, epoch)
 	for _, current := range h.runs {
 		if current.Key.Epoch == epoch {
-			h.counts.fenced.Inc()
+			h.counts.count(eventFenced)
 			h.settle(now, current, lost(current.Key))
 		}
 	}
@@ -631,7 +640,7 @@
 }
 
 func (h *Home) violated(what string) {
-	h.counts.violations.Inc()
+	h.counts.count(eventViolated)
 	violations.Add(1)
 	reportViolation(errors.WithType(errors.New(what), ErrInvariant))
 }
