Admit a job by the work that goes before it

The test of a refusal for a backlog now has one that really goes first, and a small job behind a large one must be admitted.

--- a/rattanpool/admission.go
+++ b/rattanpool/admission.go
@@ -88,11 +88,10 @@
 // expectedWait returns the expected time until the tasks ahead of the job have
 // started, the same for the last task of the job, and whether the caller's quota
 // is the cause. The job waits for its caller's backlog at the caller's share, or
-// for the whole backlog if that ends earlier. Short jobs go before the caller's
-// long work, so only short work counts.
+// for the whole backlog if that ends earlier.
 func (s *Scheduler) expectedWait(now time.Duration, submitted *Job, k *kind, p *profile) (ahead, wait time.Duration, quota bool) {
 	c := s.callers[submitted.Caller]
-	own, all, tasks := s.backlogs(c, k)
+	own, all, tasks := s.backlogAhead(now, submitted, c, k, p)
 	free := max(0, min(p.slots, p.service.slots-p.service.held)-tasks)
 	each := k.expected().Seconds()
 	work := each * float64(max(0, submitted.Tasks-free))
@@ -126,24 +125,56 @@
 	return time.Duration(value * float64(time.Second))
 }
 
-// backlogs returns the expected slot time of the waiting tasks that go before a
-// job of the kind, of the caller and of all callers, in seconds, and the number
-// of the latter tasks.
-func (s *Scheduler) backlogs(c *caller, k *kind) (own, all float64, tasks int) {
-	for _, other := range k.service.kinds {
-		if other.waiting == 0 || other.long && !k.long {
+// backlogAhead returns the expected slot time of the waiting tasks that go
+// before the submitted job, of its caller and of all callers, in seconds, and
+// the number of the latter tasks. Short jobs go before long ones, jobs with a
+// smaller key before others, and callers within their share before those beyond
+// it. To count the whole backlog would refuse small jobs that wait for little of
+// it: 8 to 11% of the small jobs at 80% load.
+func (s *Scheduler) backlogAhead(now time.Duration, submitted *Job, c *caller, k *kind, p *profile) (own, all float64, tasks int) {
+	room := max(0, s.room(now, submitted.Deadline)-s.critical(k, submitted.Tasks))
+	key := now + min(s.sizeDelay(k, p, submitted.Tasks), room/slackPart)
+	within := c == nil || !c.active || c.tag <= s.queue.limit()
+	for _, l := range s.lanes {
+		if l.profile.service != p.service || l.long && !k.long {
 			continue
 		}
-		each := other.expected().Seconds()
-		all += each * float64(other.waiting)
-		tasks += other.waiting
-		if c != nil && other.id < len(c.waiting) {
-			own += each * float64(c.waiting[other.id])
+		for _, e := range l.within {
+			work, count := e.ahead(key)
+			own, all, tasks = addAhead(e, c, work, own), all+work, tasks+count
+		}
+		for _, e := range l.beyond {
+			if within && e.caller != c {
+				continue
+			}
+			work, count := e.ahead(key)
+			own, all, tasks = addAhead(e, c, work, own), all+work, tasks+count
 		}
 	}
 	return own, all, tasks
 }
 
+// addAhead adds the work of an entry to that of the caller if it is its own.
+func addAhead(e *entry, c *caller, work, own float64) float64 {
+	if e.caller == c {
+		return own + work
+	}
+	return own
+}
+
+// ahead returns the expected slot time, in seconds, and the number of the
+// waiting tasks of jobs that go before a new job with the key.
+func (e *entry) ahead(key time.Duration) (work float64, tasks int) {
+	for _, j := range e.jobs {
+		if j.key <= key {
+			count := j.waiting()
+			work += j.kind.expected().Seconds() * float64(count)
+			tasks += count
+		}
+	}
+	return work, tasks
+}
+
 // serviceRate returns the number of slots that serve jobs of the kind.
 func (s *Scheduler) serviceRate(now time.Duration, k *kind, p *profile) float64 {
 	v := p.service
--- a/rattanpool/backlog.go
+++ b/rattanpool/backlog.go
@@ -137,11 +137,15 @@
 // deadlines of large jobs. The delay levels off instead of being cut off, so that
 // large jobs are still ordered by size.
 func (s *Scheduler) keyOf(j *job) time.Duration {
-	slots := max(1, j.profile.service.slots)
-	work := j.kind.expected().Seconds() * float64(j.waiting()) / float64(slots)
+	return j.admitted + min(s.sizeDelay(j.kind, j.profile, j.waiting()), j.slack/slackPart)
+}
+
+// sizeDelay returns the delay of a job with a number of waiting tasks behind
+// smaller jobs.
+func (s *Scheduler) sizeDelay(k *kind, p *profile, tasks int) time.Duration {
+	work := k.expected().Seconds() * float64(tasks) / float64(max(1, p.service.slots))
 	size := s.config.SizeWeight * work / s.config.MaxWait.Seconds()
-	delay := time.Duration(float64(s.config.MaxWait) * size / (1 + size))
-	return j.admitted + min(delay, j.slack/slackPart)
+	return time.Duration(float64(s.config.MaxWait) * size / (1 + size))
 }
 
 // noteWaiting adds to the number of waiting tasks of the job's kind and caller.
--- a/rattanpool/scheduler_test.go
+++ b/rattanpool/scheduler_test.go
@@ -124,9 +124,15 @@
 			job:    func(j *Job) { j.Deadline = simStart.Add(2 * time.Second) },
 			reason: rattanjob.ReasonDeadlineTooShort,
 		},
-		{name: "backlog", setup: func(f *fixture) {
+		{name: "small job behind a large one", setup: func(f *fixture) {
 			f.run(20, slow)
 			f.admit(func(j *Job) { j.Tasks = 250; j.Deadline = f.now.Add(time.Hour) })
+		}, job: func(j *Job) { j.Deadline = simStart.Add(30 * time.Second) }},
+		{name: "backlog", setup: func(f *fixture) {
+			f.run(20, slow)
+			for range 250 {
+				f.admit(func(j *Job) { j.Deadline = f.now.Add(time.Hour) })
+			}
 		}, job: func(j *Job) { j.Deadline = simStart.Add(30 * time.Second) }, reason: rattanjob.ReasonOverloaded, retry: true},
 		{name: "quota", setup: func(f *fixture) {
 			f.run(20, slow)
