--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -36,8 +36,10 @@
 // instance must be started anew.
 const ErrSuperseded = errors.ConstError("incarnation superseded")
 
-// stopTimeoutTotal bounds a graceful shutdown beyond the drain of jobs.
-const stopTimeoutTotal = 10 * time.Second
+// stopTimeoutTotal bounds a graceful shutdown beyond the drain of jobs. It
+// covers the longest wait of a request that was forwarded to another home: a
+// shutdown interrupts no request in progress.
+const stopTimeoutTotal = maxWait + 2*forwardMargin
 
 // Config configures an Instance.
 type Config struct {
@@ -88,7 +90,12 @@
 // gossip is the payload of heartbeats.
 type gossip struct {
 	// Revision is the configuration in force at the sender.
-	Revision uint64
+	Revision         uint64
+	AvailabilityZone string
+	// ListHash and ListAge tell the sender's instance list and the time since
+	// the platform gave it.
+	ListHash uint64              `json:",omitempty"`
+	ListAge  rattanjson.Duration `json:",omitempty"`
 }
 
 // New returns an instance whose listeners are open and that is not yet
@@ -190,7 +197,7 @@
 		Peers:     i.Node,
 		Logger:    i.config.Logger,
 		Initial:   initial,
-		Watches:   func(now time.Time) bool { return i.Members.Watches(now) },
+		Watches:   func(now time.Time) bool { return i.Inventory.Watches(now) },
 		Installed: i.installed,
 	})
 	i.Members = NewMembers(now, MembersConfig{
@@ -225,6 +232,7 @@
 		Documents:        i.Configuration,
 		Pools:            i.Members,
 		Observed:         i.Members.Observe,
+		Changed:          i.spread,
 	})
 	i.Front = NewFront(FrontConfig{
 		Instance:  settings.Name,
@@ -270,6 +278,7 @@
 	i.Members.Handle(i.Node)
 	i.Configuration.Handle(i.Node)
 	i.Inventory.Handle(i.Node)
+	i.Node.Handle(methodNews, i.handleNews)
 	i.Loads.Handle(i.Node)
 	i.Records.Handle(i.Node)
 	i.Spill.Handle(i.Node)
@@ -285,6 +294,7 @@
 	options := []khttp.ServerOption{
 		khttp.Listener(i.config.CallerListener),
 		khttp.Timeout(0),
+		khttp.Filter(i.Operations.closing),
 		khttp.NotFoundHandler(noRoute(http.StatusNotFound)),
 		khttp.MethodNotAllowedHandler(noRoute(http.StatusMethodNotAllowed)),
 	}
@@ -314,6 +324,7 @@
 	i.Home.SetCallers(now, DivideQuotas(document, i.Loads.All(now)))
 	i.burn.SetObjectives(now, *document)
 	i.applyDrain(document)
+	i.spread()
 	i.Inventory.Apply(now)
 }
 
@@ -379,7 +390,12 @@
 }
 
 func (i *Instance) payload() []byte {
-	payload, err := json.Marshal(gossip{Revision: i.Configuration.Document().Revision})
+	news := gossip{Revision: i.Configuration.Document().Revision, AvailabilityZone: i.config.Settings.AvailabilityZone}
+	if hash, reached := i.Inventory.Version(); !reached.IsZero() {
+		news.ListHash = hash
+		news.ListAge = rattanjson.Duration(time.Since(reached))
+	}
+	payload, err := json.Marshal(news)
 	if err != nil {
 		return nil
 	}
@@ -393,6 +409,9 @@
 		return
 	}
 	i.Configuration.PeerRevision(address, news.Revision)
+	if news.ListHash != 0 && news.AvailabilityZone == i.config.Settings.AvailabilityZone {
+		i.Inventory.PeerList(address, news.ListHash, time.Now().Add(-news.ListAge.Std()))
+	}
 }
 
 func (i *Instance) supersede() {
--- a/rattanentry/operations.go
+++ b/rattanentry/operations.go
@@ -18,12 +18,18 @@
 // reports itself as cut off from it.
 const cutOffAfter = 5 * time.Second
 
+// leavePause is the time for load balancers to notice that the instance is not
+// ready. A request that arrives while the listener closes is cut off.
+const leavePause = 500 * time.Millisecond
+
 // Condition is what an instance tells the load balancer about itself.
 type Condition int
 
 // The conditions of an instance. Serving and CutOff are ready.
 const (
-	// ConditionStarting says that no configuration or no home is known yet.
+	// ConditionStarting says that no configuration, no instance list or no home
+	// is known yet. An instance that was ready without a list would refuse all
+	// jobs if it became the home during an outage of the platform.
 	ConditionStarting Condition = iota
 	ConditionServing
 	// ConditionCutOff says that the platform does not answer; jobs are served
@@ -71,7 +77,7 @@
 	switch {
 	case o.draining.Load():
 		return ConditionDraining
-	case o.config.Configuration.Document().Revision == 0 || !owned:
+	case o.config.Configuration.Document().Revision == 0 || o.config.Inventory.Reached().IsZero() || !owned:
 		return ConditionStarting
 	case now.Sub(o.config.Inventory.Reached()) > cutOffAfter:
 		return ConditionCutOff
@@ -79,10 +85,11 @@
 	return ConditionServing
 }
 
-// Drain makes the instance not ready, so that the load balancer sends no new
-// callers.
-func (o *Operations) Drain(context.Context) error {
+// Drain makes the instance not ready and goes on to serve for leavePause, so
+// that the load balancer sends no new callers by the time the listener closes.
+func (o *Operations) Drain(ctx context.Context) error {
 	o.draining.Store(true)
+	sleep(ctx, leavePause)
 	return nil
 }
 
--- a/rattanmember/gossip.go
+++ b/rattanmember/gossip.go
@@ -36,6 +36,8 @@
 	// transmissions is the number of messages that still carry the change.
 	transmissions int
 	queued        bool
+	// listed is set once an instance list has contained the instance.
+	listed bool
 }
 
 // takeIn merges a message's sender and changes. It returns false when the sender
@@ -92,7 +94,7 @@
 		return
 	}
 	if said.Incarnation != known.member.Incarnation {
-		*known = entry{queued: known.queued, probed: known.probed}
+		*known = entry{queued: known.queued, probed: known.probed, listed: known.listed}
 	}
 	t.set(now, known, said)
 	t.spread(known)
@@ -127,8 +129,13 @@
 
 func (t *Table) add(now time.Time, said Member) *entry {
 	name := said.Incarnation.Instance
-	known := &entry{}
+	_, listed := t.list.instances[name]
+	known := &entry{listed: listed}
 	t.entries[name] = known
+	t.addedAt = now
+	if said.AvailabilityZone == t.self.AvailabilityZone {
+		t.joinedAt = now
+	}
 	t.set(now, known, said)
 	t.order = append(t.order, name)
 	if last, at := len(t.order)-1, t.nextOrder; at < last {
@@ -184,11 +191,12 @@
 	t.changed = append(t.changed, known.member.Incarnation.Instance)
 }
 
-// changesFor returns at most MaxChanges members for a message: the receiver
+// changesFor returns at most maxChanges members for a message: the receiver
 // itself if it is taken for silent, ended or replaced, then recent changes, then
 // up to refresh others in turn.
 func (t *Table) changesFor(now time.Time, incarnation rattanjob.Incarnation, refresh int) []Member {
 	receiver := incarnation.Instance
+	limit := t.maxChanges(now, refresh)
 	var changes []Member
 	add := func(known *entry) {
 		changes = append(changes, known.member.at(now.Sub(known.learnedAt)))
@@ -201,7 +209,7 @@
 		}
 	}
 	for range len(t.changed) {
-		if len(changes) >= t.config.MaxChanges {
+		if len(changes) >= limit {
 			return changes
 		}
 		name := t.changed[0]
@@ -219,7 +227,7 @@
 			add(known)
 		}
 	}
-	for range min(refresh, t.config.MaxChanges-len(changes), len(t.order)) {
+	for range min(refresh, limit-len(changes), len(t.order)) {
 		t.refresh = (t.refresh + 1) % len(t.order)
 		if name := t.order[t.refresh]; name != receiver {
 			add(t.entries[name])
@@ -228,6 +236,16 @@
 	return changes
 }
 
+// maxChanges is larger than MaxChanges while this member or the receiver learns
+// of many members, such as after a start of the whole fleet. Heartbeats to
+// witnesses, which have no refresh, are too frequent for it.
+func (t *Table) maxChanges(now time.Time, refresh int) int {
+	if refresh == joinChanges || refresh > 0 && now.Sub(t.addedAt) < t.config.JoinDuration {
+		return max(joinChanges, t.config.MaxChanges)
+	}
+	return t.config.MaxChanges
+}
+
 // witnesses appends the witnesses of all epochs of this home.
 func (t *Table) witnesses(receivers []Member) []Member {
 	for _, epoch := range t.epochs {
@@ -249,6 +267,25 @@
 	return receivers
 }
 
+// announced appends some members of the own availability zone once after a new
+// epoch has opened, because fronts there wait for it. The rest learns of it from
+// changes.
+func (t *Table) announced(receivers []Member) []Member {
+	if !t.announcing {
+		return receivers
+	}
+	t.announcing = false
+	limit := len(receivers) + maxWitnesses
+	for _, name := range t.order {
+		known := t.entries[name]
+		near := known.member.AvailabilityZone == t.self.AvailabilityZone
+		if near && known.member.Status == StatusAlive && len(receivers) < limit {
+			receivers = appendReceiver(receivers, known.member)
+		}
+	}
+	return receivers
+}
+
 // randomPeer appends one member or seed. Every member has its turn once in each
 // shuffled round, which bounds the time until a failure is noticed.
 func (t *Table) randomPeer(receivers []Member) []Member {
--- a/rattanmember/owner.go
+++ b/rattanmember/owner.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// maxOwners is the number of owners that a new member is told at once.
+const maxOwners = 16
+
 type ownerKey struct {
 	availabilityZone string
 	pool             int
@@ -33,6 +36,19 @@
 	return t.Member(now, value.member.Incarnation.Instance)
 }
 
+// appendOwners tells a new member the owners of its availability zone, so that
+// it does not claim a pool before it has learned of them.
+func (t *Table) appendOwners(now time.Time, changes []Member, availabilityZone string) []Member {
+	for pool := range maxOwners {
+		owner, found := t.Owner(now, availabilityZone, pool)
+		if !found || owner.Claim != pool+1 {
+			break
+		}
+		changes = append(changes, owner)
+	}
+	return changes
+}
+
 func (t *Table) owner(key ownerKey) (Member, bool) {
 	members := t.candidates(key.availabilityZone)
 	var unclaimed []Member
@@ -89,7 +105,7 @@
 		}
 		t.setClaim(now, 0)
 	}
-	if now.Sub(t.startedAt) < t.config.JoinDuration && len(t.unknownSeeds()) > 0 {
+	if t.joining(now) {
 		return
 	}
 	for pool := range t.pools {
@@ -101,6 +117,15 @@
 	}
 }
 
+// joining reports whether a member with seeds still learns who else is in its
+// availability zone. A claim too early opens an epoch that must drain.
+func (t *Table) joining(now time.Time) bool {
+	if len(t.config.Seeds) == 0 || now.Sub(t.startedAt) >= 5*t.config.JoinDuration {
+		return false
+	}
+	return now.Sub(t.joinedAt) < t.config.JoinDuration
+}
+
 // setClaim changes the claim and lets the current epoch drain when it ends.
 func (t *Table) setClaim(now time.Time, claim int) {
 	t.self.Claim = claim
--- a/rattanpool/fairqueue.go
+++ b/rattanpool/fairqueue.go
@@ -35,8 +35,15 @@
 	caller *caller
 	lane   *lane
 	jobs   jobHeap
-	within bool
-	index  int // in lane.within or lane.beyond, or -1
+	// waiting is the number of waiting and parked tasks, short the number of
+	// running tasks that do not count as long.
+	waiting int
+	short   int
+	// key and sequence are those of the first job.
+	key      time.Duration
+	sequence uint64
+	within   bool
+	index    int // in lane.within or lane.beyond, or -1
 }
 
 // lane holds the waiting jobs that have the same needs and length class.
@@ -67,7 +74,7 @@
 		return e.within
 	}
 	if e.within || e.caller == other.caller {
-		return e.jobs[0].key < other.jobs[0].key
+		return e.key < other.key
 	}
 	return e.caller.tag < other.caller.tag
 }
@@ -79,7 +86,9 @@
 type fairQueue struct {
 	// virtual is the virtual time: slot time charged per unit of active weight.
 	virtual float64
-	weight  float64
+	// active is the number of callers that have tasks, weight their weight.
+	active int
+	weight float64
 	// burst is the tolerance in slot time for all callers together, in seconds.
 	burst float64
 }
@@ -99,6 +108,7 @@
 		return
 	}
 	c.active = true
+	q.active++
 	c.tag = max(c.tag, q.virtual)
 	q.weight += c.Weight
 }
@@ -108,7 +118,11 @@
 		return
 	}
 	c.active = false
+	q.active--
 	q.weight -= c.Weight
+	if q.active == 0 {
+		q.weight = 0 // drops rounding errors
+	}
 }
 
 // charge moves the tag of a caller by slot time used.
@@ -131,10 +145,14 @@
 		return
 	}
 	within := e.caller.tag <= q.limit()
+	key, sequence := e.jobs[0].key, e.jobs[0].sequence
+	if e.index >= 0 && within && e.within && e.key == key && e.sequence == sequence {
+		return // the order within the share does not depend on the tag
+	}
 	if e.index >= 0 && e.within != within {
 		e.remove()
 	}
-	e.within = within
+	e.within, e.key, e.sequence = within, key, sequence
 	e.fix()
 }
 
@@ -173,11 +191,10 @@
 func (h withinHeap) Len() int { return len(h) }
 
 func (h withinHeap) Less(a, b int) bool {
-	first, second := h[a].jobs[0], h[b].jobs[0]
-	if first.key != second.key {
-		return first.key < second.key
+	if h[a].key != h[b].key {
+		return h[a].key < h[b].key
 	}
-	return first.sequence < second.sequence
+	return h[a].sequence < h[b].sequence
 }
 
 func (h withinHeap) Swap(a, b int) { swapEntries(h, a, b) }
--- a/rattanpool/placement.go
+++ b/rattanpool/placement.go
@@ -49,15 +49,19 @@
 	slots int
 	held  int
 	// longHeld is the number of slots that long work occupies.
-	longHeld int
-	ejected  int
-	broken   int
-	rateSum  float64 // of the failure rates of listed targets
+	longHeld     int
+	shortDemand  demand
+	longArrivals arrivals
+	ejected      int
+	broken       int
+	rateSum      float64 // of the failure rates of listed targets
 	// shortSeen is when short work was last present.
 	shortSeen time.Duration
 	hasShort  bool
 	probes    []*target
-	kinds     []*kind
+	// reserved is the target that is kept for one profile, nil for none.
+	reserved *target
+	kinds    []*kind
 }
 
 // profile is one combination of what tasks need, with the targets that have a
