--- a/rattanentry/respond.go
+++ b/rattanentry/respond.go
@@ -52,6 +52,9 @@
 	case rattanjob.StateRefused:
 		return http.StatusTooManyRequests
 	case rattanjob.StateFailed:
+		if answer.Reason == rattanjob.ReasonDeadlinePassed {
+			return http.StatusGatewayTimeout
+		}
 		return http.StatusBadGateway
 	default:
 		return http.StatusServiceUnavailable
@@ -60,15 +63,14 @@
 
 // reasonCodes has the reasons that decide the status whatever the state.
 var reasonCodes = map[rattanjob.Reason]int{
-	rattanjob.ReasonBodyTooLarge:   http.StatusRequestEntityTooLarge,
-	rattanjob.ReasonConflict:       http.StatusConflict,
-	rattanjob.ReasonDeadlinePassed: http.StatusGatewayTimeout,
-	rattanjob.ReasonHomeLost:       http.StatusGone,
-	rattanjob.ReasonInvalid:        http.StatusBadRequest,
-	rattanjob.ReasonKeyExpired:     http.StatusGone,
-	rattanjob.ReasonKeyUnknown:     http.StatusNotFound,
-	rattanjob.ReasonNeverRunnable:  http.StatusUnprocessableEntity,
-	rattanjob.ReasonUnauthorized:   http.StatusUnauthorized,
-	rattanjob.ReasonUnknownCaller:  http.StatusForbidden,
-	rattanjob.ReasonUnknownKind:    http.StatusUnprocessableEntity,
+	rattanjob.ReasonBodyTooLarge:  http.StatusRequestEntityTooLarge,
+	rattanjob.ReasonConflict:      http.StatusConflict,
+	rattanjob.ReasonHomeLost:      http.StatusGone,
+	rattanjob.ReasonInvalid:       http.StatusBadRequest,
+	rattanjob.ReasonKeyExpired:    http.StatusGone,
+	rattanjob.ReasonKeyUnknown:    http.StatusNotFound,
+	rattanjob.ReasonNeverRunnable: http.StatusUnprocessableEntity,
+	rattanjob.ReasonUnauthorized:  http.StatusUnauthorized,
+	rattanjob.ReasonUnknownCaller: http.StatusForbidden,
+	rattanjob.ReasonUnknownKind:   http.StatusUnprocessableEntity,
 }
