--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -424,19 +424,15 @@
 // cancelUnsubmitted makes a cancellation the final answer of a key that was not
 // submitted yet.
 func (h *Home) cancelUnsubmitted(now time.Time, key rattanjob.Key) rattanjob.Answer {
-	cancelled := rattanjob.Answer{
-		Key:       key.String(),
-		State:     rattanjob.StateCancelled,
-		Execution: rattanjob.ExecutionNotRun,
-		Reason:    rattanjob.ReasonCancelled,
-		Detail:    "cancelled before it was submitted",
-	}
+	cancelled := rattanjob.Refusal(rattanjob.ReasonCancelled, "cancelled before it was submitted")
+	cancelled.Key = key.String()
 	if err := h.config.Ledger.Refuse(now, key, cancelled); err != nil {
 		answer := rattanjob.Uncertain(rattanjob.ReasonInternal, err.Error(), 0)
 		answer.Key = key.String()
 		return answer
 	}
 	h.counts.count(eventCancelled)
+	cancelled.State = rattanjob.StateCancelled
 	return cancelled
 }
 
