--- a/rattansystem/history_test.go
+++ b/rattansystem/history_test.go
@@ -27,7 +27,8 @@
 
 const (
 	// historiesVariable is the number of histories to run; each has a seed of
-	// its own, counted up from seedVariable.
+	// its own, counted up from seedVariable. 1,000 take about 10 minutes and
+	// need a longer -timeout.
 	historiesVariable = "RATTAN_HISTORIES"
 	seedVariable      = "RATTAN_SEED"
 	// shrinkVariable makes rapid search for a smaller plan that fails.
