--- a/rattancmd/jobcmd.go
+++ b/rattancmd/jobcmd.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"os"
 	"time"
 
 	"github.com/juju/errors"
@@ -121,15 +119,9 @@
 
 func (o *jobSubmitOptions) read() (rattanjob.Submission, error) {
 	var submission rattanjob.Submission
-	var data []byte
-	var err error
-	if o.Args.File == "-" {
-		data, err = io.ReadAll(o.std.in)
-	} else {
-		data, err = os.ReadFile(o.Args.File)
-	}
+	data, err := o.std.read(o.Args.File)
 	if err != nil {
-		return submission, errors.Trace(err)
+		return submission, err
 	}
 	if err := rattanjson.DecodeStrict(data, &submission); err != nil {
 		return submission, usageError("%s: %v", o.Args.File, err)
--- a/rattancmd/main.go
+++ b/rattancmd/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"strings"
 	"syscall"
@@ -30,6 +31,16 @@
 	err io.Writer
 }
 
+// read returns the content of a file, or of the standard input for "-".
+func (s *streams) read(path string) ([]byte, error) {
+	if path == "-" {
+		data, err := io.ReadAll(s.in)
+		return data, errors.Trace(err)
+	}
+	data, err := os.ReadFile(path)
+	return data, errors.Trace(err)
+}
+
 // command is one command of the tree; group commands have subcommands only.
 type command struct {
 	name    string
--- a/rattancmd/plancmd.go
+++ b/rattancmd/plancmd.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
-	"os"
 
 	"github.com/juju/errors"
 
@@ -101,15 +99,9 @@
 
 // Execute makes the plan.
 func (o *planFileOptions) Execute([]string) error {
-	var data []byte
-	var err error
-	if o.Args.File == "-" {
-		data, err = io.ReadAll(o.std.in)
-	} else {
-		data, err = os.ReadFile(o.Args.File)
-	}
+	data, err := o.std.read(o.Args.File)
 	if err != nil {
-		return errors.Trace(err)
+		return err
 	}
 	intent, err := rattanplan.ParseIntent(data)
 	if err != nil {
--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"maps"
 	"sync"
 	"time"
@@ -17,7 +16,6 @@
 
 	"github.com/rattanlever/rattanlever/rattanconfig"
 	"github.com/rattanlever/rattanlever/rattanjob"
-	"github.com/rattanlever/rattanlever/rattanjson"
 	"github.com/rattanlever/rattanlever/rattanledger"
 	"github.com/rattanlever/rattanlever/rattanloan"
 	"github.com/rattanlever/rattanlever/rattanmetric"
@@ -134,13 +132,14 @@
 	stopped chan struct{}
 	loops   sync.WaitGroup
 
-	mutex     sync.Mutex
-	draining  bool
-	dead      bool
-	waiting   int
-	nextID    rattanpool.JobID
-	runs      map[rattanjob.Nonce]*run
-	byID      map[rattanpool.JobID]*run
+	mutex    sync.Mutex
+	draining bool
+	dead     bool
+	waiting  int
+	nextID   rattanpool.JobID
+	runs     map[rattanjob.Nonce]*run
+	byID     map[rattanpool.JobID]*run
+	// addresses holds the addresses of all targets in use, by name.
 	addresses map[string]string
 	// demand is the number of tasks without a result, by caller, and jobs the
 	// number of jobs in progress.
@@ -152,11 +151,13 @@
 	// the number of assignments in progress, by target.
 	queued map[string]int
 	busy   map[string]int
-	// own are the targets of the pool, without loans.
-	own       []rattanpool.Target
-	loans     *rattanloan.Book
-	wake      *time.Timer
-	lastSweep time.Time
+	// own are the targets of the pool, without loans, and ownAddresses their
+	// addresses by name.
+	own          []rattanpool.Target
+	ownAddresses map[string]string
+	loans        *rattanloan.Book
+	wake         *time.Timer
+	lastSweep    time.Time
 }
 
 // NewHome returns a home without targets.
@@ -272,7 +273,7 @@
 func (h *Home) SetTargets(now time.Time, targets []rattanpool.Target, addresses map[string]string) {
 	h.mutex.Lock()
 	h.own = targets
-	maps.Copy(h.addresses, addresses)
+	h.ownAddresses = addresses
 	h.services = map[string]int{}
 	for _, target := range targets {
 		if !target.Leaving {
@@ -288,7 +289,14 @@
 // lent, and the borrowed ones.
 func (h *Home) applyTargets(now time.Time) {
 	borrowed, addresses := h.loans.Borrowed(now)
-	maps.Copy(h.addresses, addresses)
+	maps.Copy(addresses, h.ownAddresses)
+	for name := range h.busy {
+		// A target that has left the list may still run tasks to be stopped.
+		if _, ok := addresses[name]; !ok {
+			addresses[name] = h.addresses[name]
+		}
+	}
+	h.addresses = addresses
 	targets := make([]rattanpool.Target, 0, len(h.own)+len(borrowed))
 	for _, target := range h.own {
 		lent := h.loans.LentSlots(now, target.Name)
@@ -353,213 +361,6 @@
 	h.dead = true
 }
 
-// begin decides on a submission and returns its run, or its answer.
-func (h *Home) begin(now time.Time, caller string, submission *rattanjob.Submission, fault *rattanjob.Answer) (*run, rattanjob.Answer) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	key := submission.Key
-	if !h.valid(now, key.Epoch) {
-		return nil, lost(key)
-	}
-	h.counts.count(eventSubmitted)
-	answer, verdict := h.config.Ledger.Begin(now, key, caller, submission.Digest())
-	switch verdict {
-	case rattanledger.VerdictStart:
-	case rattanledger.VerdictJoin:
-		h.counts.count(eventJoined)
-		if current, ok := h.runs[key.Nonce]; ok {
-			return current, rattanjob.Answer{}
-		}
-		return nil, h.missingRun(key)
-	case rattanledger.VerdictForeign:
-		// Final, because asking again cannot help.
-		return nil, rattanjob.Answer{
-			Key:    key.String(),
-			State:  rattanjob.StateRefused,
-			Reason: rattanjob.ReasonKeyUnknown,
-			Detail: "the key was not issued to this caller; nothing of this body was run",
-		}
-	default:
-		return nil, h.stated(answer, verdict, key)
-	}
-	if fault != nil {
-		return nil, h.refuse(now, Running{Key: key, Caller: caller, Kind: submission.Kind}, *fault)
-	}
-	job, expected, refusal := h.accept(now, caller, submission)
-	if refusal != nil {
-		return nil, h.refuse(now, Running{Key: key, Caller: caller, Kind: submission.Kind}, *refusal)
-	}
-	return h.launch(now, caller, submission, job, expected), rattanjob.Answer{}
-}
-
-// accept checks the submission against the configuration and the load. It
-// returns the job and its expected time to the end, or a refusal.
-func (h *Home) accept(now time.Time, caller string, submission *rattanjob.Submission) (rattanpool.Job, time.Duration, *rattanjob.Answer) {
-	if h.draining {
-		refusal := rattanjob.Refusal(rattanjob.ReasonShuttingDown, "the instance is shutting down")
-		refusal.RetryAfter = rattanjson.Duration(100 * time.Millisecond)
-		return rattanpool.Job{}, 0, &refusal
-	}
-	document := h.config.Documents.Document()
-	job, refusal := describeJob(now, document, caller, submission)
-	if refusal != nil {
-		return job, 0, refusal
-	}
-	if limit := document.Callers[caller].MaxJobs; limit > 0 && h.jobs[caller] >= limit {
-		refusal := rattanjob.Refusal(rattanjob.ReasonOverQuota, fmt.Sprintf("%d jobs in progress, the limit of caller %s", limit, caller))
-		refusal.RetryAfter = rattanjson.Duration(job.RunTime)
-		return job, 0, &refusal
-	}
-	h.nextID++
-	job.ID = h.nextID
-	admission := h.config.Scheduler.Admit(now, job)
-	if admission.Admitted {
-		return job, admission.Expected, nil
-	}
-	rejected := rattanjob.Refusal(admission.Reason, admission.Detail)
-	rejected.RetryAfter = rattanjson.Duration(admission.RetryAfter)
-	return job, 0, &rejected
-}
-
-// cancelUnsubmitted makes a cancellation the final answer of a key that was not
-// submitted yet.
-func (h *Home) cancelUnsubmitted(now time.Time, key rattanjob.Key) rattanjob.Answer {
-	cancelled := rattanjob.Refusal(rattanjob.ReasonCancelled, "cancelled before it was submitted")
-	cancelled.Key = key.String()
-	if err := h.config.Ledger.Refuse(now, key, cancelled); err != nil {
-		answer := rattanjob.Uncertain(rattanjob.ReasonInternal, err.Error(), 0)
-		answer.Key = key.String()
-		return answer
-	}
-	h.counts.count(eventCancelled)
-	cancelled.State = rattanjob.StateCancelled
-	return cancelled
-}
-
-// missingRun reports a record in state Running that has no run.
-func (h *Home) missingRun(key rattanjob.Key) rattanjob.Answer {
-	h.violated("running record without a run")
-	answer := rattanjob.Uncertain(rattanjob.ReasonInternal, "record without a run", 0)
-	answer.Key = key.String()
-	return answer
-}
-
-// launch registers the run of an admitted job.
-func (h *Home) launch(now time.Time, caller string, submission *rattanjob.Submission, job rattanpool.Job, expected time.Duration) *run {
-	current := &run{
-		id:         job.ID,
-		service:    job.Service,
-		waiting:    len(submission.Tasks),
-		Running:    Running{Key: submission.Key, Caller: caller, Kind: submission.Kind},
-		submission: submission.Key.ID(),
-		tasks:      submission.Tasks,
-		submitted:  now,
-		deadline:   job.Deadline,
-		results:    make([]rattanjob.Result, len(submission.Tasks)),
-		remaining:  len(submission.Tasks),
-		running:    make(map[int]dispatched),
-		done:       make(chan struct{}),
-	}
-	current.inspectAfter = min(max(inspectFactor*job.RunTime, minInspectAfter), maxInspectAfter)
-	current.timer = time.AfterFunc(job.Deadline.Sub(now), func() { h.pastDeadline(current) })
-	h.runs[current.Key.Nonce] = current
-	h.byID[current.id] = current
-	h.demand[caller] += len(submission.Tasks)
-	h.queued[job.Service] += len(submission.Tasks)
-	h.jobs[caller]++
-	h.counts.count(eventAdmitted)
-	if h.config.Recorder != nil {
-		h.config.Recorder.Submitted(now, &current.Running, rattantrace.Submission{
-			Key:      submission.Key,
-			Caller:   caller,
-			Kind:     submission.Kind,
-			Tasks:    len(submission.Tasks),
-			Deadline: job.Deadline.Sub(now),
-		}, expected)
-	}
-	return current
-}
-
-// refuse records a refusal as the final answer of a key that began just now.
-func (h *Home) refuse(now time.Time, job Running, refusal rattanjob.Answer) rattanjob.Answer {
-	refusal.Key = job.Key.String()
-	if err := h.config.Ledger.Refuse(now, job.Key, refusal); err != nil {
-		h.violated(err.Error())
-	}
-	h.counts.refused(refusal.Reason)
-	if h.config.Recorder != nil {
-		h.config.Recorder.Answered(now, Ended{Running: job, Answer: refusal})
-	}
-	return refusal
-}
-
-// await waits for the end of the run. The answer is given only while the
-// epoch is valid: a home that was paused may have been declared ended.
-func (h *Home) await(ctx context.Context, current *run, caller string, wait time.Duration) rattanjob.Answer {
-	if caller != current.Caller {
-		return h.stated(rattanjob.Answer{}, rattanledger.VerdictForeign, current.Key)
-	}
-	h.mutex.Lock()
-	h.waiting++
-	h.mutex.Unlock()
-	defer func() {
-		h.mutex.Lock()
-		h.waiting--
-		h.mutex.Unlock()
-	}()
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-current.done:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if !h.valid(time.Now(), current.Key.Epoch) {
-		return lost(current.Key)
-	}
-	if current.ended {
-		return current.answer
-	}
-	return rattanjob.Answer{
-		Key:        current.Key.String(),
-		State:      rattanjob.StateRunning,
-		Started:    current.started,
-		RetryAfter: rattanjson.Duration(100 * time.Millisecond),
-	}
-}
-
-// stated turns a verdict of the ledger into an answer.
-func (h *Home) stated(answer rattanjob.Answer, verdict rattanledger.Verdict, key rattanjob.Key) rattanjob.Answer {
-	switch verdict {
-	case rattanledger.VerdictConflict:
-		answer = rattanjob.Answer{
-			State:     rattanjob.StateRefused,
-			Execution: rattanjob.ExecutionMayHaveRun,
-			Reason:    rattanjob.ReasonConflict,
-			Detail:    "the key was used with another body; nothing of this body was run",
-		}
-	case rattanledger.VerdictUnknown, rattanledger.VerdictForeign:
-		answer = rattanjob.Answer{
-			State:  rattanjob.StateUnknown,
-			Reason: rattanjob.ReasonKeyUnknown,
-			Detail: "no such key for this caller",
-		}
-	case rattanledger.VerdictFenced:
-		return lost(key)
-	case rattanledger.VerdictFinal:
-		// The ledger keeps a cancellation before the submission as a refusal.
-		if answer.State == rattanjob.StateRefused && answer.Reason == rattanjob.ReasonCancelled {
-			answer.State = rattanjob.StateCancelled
-		}
-	case rattanledger.VerdictFull:
-		answer = rattanjob.Uncertain(rattanjob.ReasonOverloaded, "too many records; nothing was started now", rattanjson.Duration(time.Second))
-	}
-	answer.Key = key.String()
-	return answer
-}
-
 // valid reports whether the home may act for the epoch now; it fences the
 // epoch when it may not.
 func (h *Home) valid(now time.Time, epoch rattanjob.EpochID) bool {
@@ -641,80 +442,6 @@
 	reportViolation(errors.WithType(errors.New(what), ErrInvariant))
 }
 
-// describeJob checks a submission against the configuration.
-func describeJob(now time.Time, document *rattanconfig.Document, caller string, submission *rattanjob.Submission) (rattanpool.Job, *rattanjob.Answer) {
-	kind, ok := document.JobKinds[submission.Kind]
-	if !ok || kind.Retired || document.Services[kind.Service].Retired {
-		return refuseJob(rattanjob.ReasonUnknownKind, "Kind: %q is not an accepted job kind", submission.Kind)
-	}
-	party, ok := document.Callers[caller]
-	if !ok || party.Retired {
-		return refuseJob(rattanjob.ReasonUnknownCaller, "caller %q is not configured", caller)
-	}
-	if len(submission.Tasks) > kind.MaxTasks {
-		return refuseJob(rattanjob.ReasonInvalid, "Tasks: %d tasks, want at most %d for kind %s", len(submission.Tasks), kind.MaxTasks, submission.Kind)
-	}
-	deadline := submission.Deadline.Std()
-	if deadline == 0 {
-		deadline = kind.Deadline.Std()
-	}
-	if deadline > kind.Deadline.Std() {
-		return refuseJob(rattanjob.ReasonInvalid, "Deadline: %v, want at most %v for kind %s", deadline, kind.Deadline, submission.Kind)
-	}
-	if refusal := checkPayloads(kind, submission.Tasks); refusal != nil {
-		return rattanpool.Job{}, refusal
-	}
-	return rattanpool.Job{
-		Caller:              caller,
-		Kind:                submission.Kind,
-		Service:             kind.Service,
-		Tasks:               len(submission.Tasks),
-		RunTime:             declaredRunTime(kind, submission.Tasks),
-		Deadline:            now.Add(deadline),
-		Idempotent:          kind.Idempotent,
-		CoresPerTask:        kind.CoresPerTask,
-		MemoryMBPerTask:     kind.MemoryMBPerTask,
-		AcceleratorsPerTask: kind.AcceleratorsPerTask,
-	}, nil
-}
-
-func checkPayloads(kind rattanconfig.JobKind, tasks []rattanjob.Task) *rattanjob.Answer {
-	if kind.MaxPayloadBytes == 0 {
-		return nil
-	}
-	for i, task := range tasks {
-		if len(task.Payload) > kind.MaxPayloadBytes {
-			_, refusal := refuseJob(rattanjob.ReasonInvalid, "Tasks[%d].Payload: %d bytes, want at most %d", i, len(task.Payload), kind.MaxPayloadBytes)
-			return refusal
-		}
-	}
-	return nil
-}
-
-// declaredRunTime is the mean of the tasks' declared run times, or the kind's.
-func declaredRunTime(kind rattanconfig.JobKind, tasks []rattanjob.Task) time.Duration {
-	var total time.Duration
-	for _, task := range tasks {
-		declared := task.RunTime.Std()
-		if declared == 0 {
-			declared = kind.RunTime.Std()
-		}
-		total += declared
-	}
-	return total / time.Duration(len(tasks))
-}
-
-func refuseJob(reason rattanjob.Reason, format string, args ...any) (rattanpool.Job, *rattanjob.Answer) {
-	refusal := rattanjob.Refusal(reason, errors.Errorf(format, args...).Error())
-	return rattanpool.Job{}, &refusal
-}
-
-func lost(key rattanjob.Key) rattanjob.Answer {
-	answer := rattanjob.Lost("the home of the job has lost its record; tasks may have run")
-	answer.Key = key.String()
-	return answer
-}
-
 // taskPayload is never empty, because targets take any JSON value.
 func taskPayload(task rattanjob.Task) json.RawMessage {
 	if len(task.Payload) == 0 {
