--- a/rattanentry/configuration.go
+++ b/rattanentry/configuration.go
@@ -21,7 +21,7 @@
 	// against the platform's rates. A connection can go silent without an
 	// error, so the wait and watchMargin bound the time until a change is seen
 	// on a new connection; a change must be in force everywhere within 2 s.
-	watchWait   = 700 * time.Millisecond
+	watchWait   = time.Second
 	watchMargin = 400 * time.Millisecond
 	watchRetry  = 250 * time.Millisecond
 	pullTimeout = time.Second
