--- a/rattanentry/accept.go
+++ b/rattanentry/accept.go
@@ -41,7 +41,7 @@
 			Detail: "the key was not issued to this caller; nothing of this body was run",
 		}
 	default:
-		return nil, h.stated(answer, verdict, key)
+		return nil, h.answerFor(answer, verdict, key)
 	}
 	if fault != nil {
 		return nil, h.refuse(now, Running{Key: key, Caller: caller, Kind: submission.Kind}, *fault)
--- a/rattanentry/configuration.go
+++ b/rattanentry/configuration.go
@@ -129,8 +129,8 @@
 	return "Configuration"
 }
 
-// PeerRevision tells that the peer at the address has a document of the
-// revision, and pulls it when it is newer than the one in force.
+// PeerRevision takes in that the peer at the address has a document of the
+// revision, and pulls the changes when it is newer than the one in force.
 func (c *Configuration) PeerRevision(address string, revision uint64) {
 	if revision <= c.Document().Revision || !c.pulling.CompareAndSwap(false, true) {
 		return
--- a/rattanentry/front.go
+++ b/rattanentry/front.go
@@ -43,7 +43,7 @@
 	methodExplain = "Explain"
 )
 
-// Directory tells where homes are.
+// Directory locates homes.
 type Directory interface {
 	// Owners returns the homes of this instance's own availability zone that
 	// issue keys.
--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -65,7 +65,7 @@
 	Stop(ctx context.Context, address, id string) (rattantarget.Stopping, error)
 }
 
-// Authority tells whether this instance may act for an epoch.
+// Authority reports whether this instance may act for an epoch.
 type Authority interface {
 	EpochValid(now time.Time, epoch rattanjob.EpochID) bool
 }
@@ -201,7 +201,7 @@
 		h.counts.count(eventCancelled)
 		return h.end(now, current, rattanjob.StateCancelled, rattanjob.ReasonCancelled, "cancelled by its caller")
 	}
-	return h.stated(answer, verdict, key)
+	return h.answerFor(answer, verdict, key)
 }
 
 // Drain waits until all jobs in progress have ended and their waiting callers
@@ -326,7 +326,7 @@
 	answer, verdict := h.config.Ledger.Lookup(now, key, caller)
 	current := h.runs[key.Nonce]
 	if verdict != rattanledger.VerdictJoin || current == nil {
-		answer = h.stated(answer, verdict, key)
+		answer = h.answerFor(answer, verdict, key)
 		h.mutex.Unlock()
 		return answer
 	}
--- a/rattanentry/inventory.go
+++ b/rattanentry/inventory.go
@@ -42,13 +42,13 @@
 // close to an ideal single queue, and one instance can carry their starts.
 const PoolSlots = 1024
 
-// Pools tells which pool of its zone this instance owns.
+// Pools reports which pool of its zone this instance owns.
 type Pools interface {
 	Pool(now time.Time) (pool, pools int, owned bool)
 	SetPools(pools int)
 }
 
-// Watchers tells which members read from the platform for the others.
+// Watchers lists the members that read from the platform for the others.
 type Watchers interface {
 	// Others returns the members that may be alive.
 	Others(now time.Time) []rattanmember.Member
@@ -216,8 +216,8 @@
 	return false
 }
 
-// PeerList tells that a peer of this zone has a list with the hash that the
-// platform gave at reached. A list that is newer and another is pulled.
+// PeerList takes in that a peer of this zone has a list with the hash that the
+// platform gave at reached, and pulls a list that is newer and differs.
 func (i *Inventory) PeerList(address string, hash uint64, reached time.Time) {
 	i.mutex.Lock()
 	newer := reached.After(i.reached)
--- a/rattanentry/loads.go
+++ b/rattanentry/loads.go
@@ -26,7 +26,7 @@
 	loadLifetime = 30 * time.Second
 )
 
-// HomeLoad is the load of one home as it tells it to others.
+// HomeLoad is the load of one home as it is sent to others.
 type HomeLoad struct {
 	Instance         string
 	AvailabilityZone string
--- a/rattanentry/news.go
+++ b/rattanentry/news.go
@@ -13,15 +13,15 @@
 
 const (
 	methodNews = "News"
-	// newsFanout is the number of members that an instance tells of a change
-	// at once. Each of them tells as many, so that a change reaches all members
+	// newsFanout is the number of members that an instance notifies of a change
+	// at once. Each of them notifies as many, so that a change reaches all members
 	// in a few round trips, and the messages of one instance for one change
 	// stay the same however many instances there are.
 	newsFanout  = 4
 	newsTimeout = time.Second
 )
 
-// news tells a peer that something has changed at the sender.
+// news notifies a peer that something has changed at the sender.
 type news struct {
 	// PeerAddress is that of the sender, from which the change is pulled.
 	PeerAddress string
@@ -31,15 +31,15 @@
 
 // handleNews takes in the news of a peer.
 func (i *Instance) handleNews(_ context.Context, _ string, body []byte) ([]byte, error) {
-	var told news
-	if err := json.Unmarshal(body, &told); err != nil {
+	var received news
+	if err := json.Unmarshal(body, &received); err != nil {
 		return nil, errors.Trace(err)
 	}
-	i.received(told.PeerAddress, told.Payload)
+	i.received(received.PeerAddress, received.Payload)
 	return nil, nil
 }
 
-// spread tells a few members of a change, first those of the same zone.
+// spread notifies a few members of a change, first those of the same zone.
 func (i *Instance) spread() {
 	body, err := json.Marshal(news{PeerAddress: i.config.Settings.PeerAddress, Payload: i.payload()})
 	if err != nil {
--- a/rattanentry/operations.go
+++ b/rattanentry/operations.go
@@ -22,7 +22,7 @@
 // ready. A request that arrives while the listener closes is cut off.
 const leavePause = 500 * time.Millisecond
 
-// Condition is what an instance tells the load balancer about itself.
+// Condition is what an instance reports about itself to the load balancer.
 type Condition int
 
 // The conditions of an instance. Serving and CutOff are ready.
--- a/rattanentry/statement.go
+++ b/rattanentry/statement.go
@@ -13,7 +13,7 @@
 // epoch is valid: a home that was paused may have been declared ended.
 func (h *Home) await(ctx context.Context, current *run, caller string, wait time.Duration) rattanjob.Answer {
 	if caller != current.Caller {
-		return h.stated(rattanjob.Answer{}, rattanledger.VerdictForeign, current.Key)
+		return h.answerFor(rattanjob.Answer{}, rattanledger.VerdictForeign, current.Key)
 	}
 	h.mutex.Lock()
 	h.waiting++
@@ -46,8 +46,8 @@
 	}
 }
 
-// stated turns a verdict of the ledger into an answer.
-func (h *Home) stated(answer rattanjob.Answer, verdict rattanledger.Verdict, key rattanjob.Key) rattanjob.Answer {
+// answerFor turns a verdict of the ledger into an answer.
+func (h *Home) answerFor(answer rattanjob.Answer, verdict rattanledger.Verdict, key rattanjob.Key) rattanjob.Answer {
 	switch verdict {
 	case rattanledger.VerdictConflict:
 		answer = rattanjob.Answer{
