Send requests to peers and collect replies through one function

Marshalling, calling and decoding stood five times, and asking all members twice, in Loads and Records. callPeer and callMembers serve both; an inventory pull reads its hash and list through its own accessors.

--- a/rattanentry/configuration.go
+++ b/rattanentry/configuration.go
@@ -169,19 +169,11 @@
 // pull gets the changes since the revision in force here from a peer.
 func (c *Configuration) pull(address string) error {
 	current := c.Document()
-	request, err := json.Marshal(pullConfiguration{Revision: current.Revision})
-	if err != nil {
-		return errors.Trace(err)
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
-	body, err := c.config.Peers.Call(ctx, address, methodPullConfiguration, request)
+	delta, err := callPeer[rattanconfig.Delta](ctx, c.config.Peers, address, methodPullConfiguration, pullConfiguration{Revision: current.Revision})
 	if err != nil {
-		return errors.Trace(err)
-	}
-	var delta rattanconfig.Delta
-	if err := json.Unmarshal(body, &delta); err != nil {
-		return errors.Trace(err)
+		return err
 	}
 	document, err := rattanconfig.Apply(*current, delta)
 	if err != nil {
--- a/rattanentry/inventory.go
+++ b/rattanentry/inventory.go
@@ -288,26 +288,15 @@
 func (i *Inventory) pull(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, inventoryTimeout/2)
 	defer cancel()
-	i.mutex.Lock()
-	request, err := json.Marshal(pullInstances{Hash: i.hash})
-	i.mutex.Unlock()
-	if err != nil {
-		return errors.Trace(err)
-	}
-	body, err := i.config.Peers.Call(ctx, address, methodPullInstances, request)
+	hash, _ := i.Version()
+	reply, err := callPeer[instanceList](ctx, i.config.Peers, address, methodPullInstances, pullInstances{Hash: hash})
 	if err != nil {
-		return errors.Trace(err)
-	}
-	var reply instanceList
-	if err := json.Unmarshal(body, &reply); err != nil {
-		return errors.Trace(err)
+		return err
 	}
 	now := time.Now()
 	reached := now.Add(-reply.Age.Std())
 	if reply.Unchanged {
-		i.mutex.Lock()
-		reply.Instances = i.instances
-		i.mutex.Unlock()
+		reply.Instances = i.Instances()
 	}
 	i.install(now, reached, reply.Instances)
 	return nil
--- a/rattanentry/loads.go
+++ b/rattanentry/loads.go
@@ -91,29 +91,11 @@
 // Collect asks all other instances for their loads and returns those of the
 // ones that answer, this instance's first.
 func (l *Loads) Collect(ctx context.Context, now time.Time) []HomeLoad {
-	all := []HomeLoad{l.config.Local(now)}
-	body, err := json.Marshal(all[0])
-	if err != nil {
-		return all
-	}
+	own := l.config.Local(now)
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	var calls sync.WaitGroup
-	var mutex sync.Mutex
-	for _, member := range l.config.Members.Others(now) {
-		calls.Go(func() {
-			var load HomeLoad
-			reply, err := l.config.Peers.Call(ctx, member.PeerAddress, methodLoad, body)
-			if err != nil || json.Unmarshal(reply, &load) != nil {
-				return
-			}
-			mutex.Lock()
-			all = append(all, load)
-			mutex.Unlock()
-		})
-	}
-	calls.Wait()
-	return all
+	others := callMembers[HomeLoad](ctx, l.config.Peers, l.config.Members.Others(now), methodLoad, own)
+	return append([]HomeLoad{own}, others...)
 }
 
 // Handle serves the exchange.
--- a/rattanentry/records.go
+++ b/rattanentry/records.go
@@ -4,14 +4,12 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"sync"
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/rattanlever/rattanlever/rattanburn"
 	"github.com/rattanlever/rattanlever/rattanjob"
-	"github.com/rattanlever/rattanlever/rattanmember"
 	"github.com/rattanlever/rattanlever/rattanpeer"
 	"github.com/rattanlever/rattanlever/rattanpool"
 	"github.com/rattanlever/rattanlever/rattantrace"
@@ -78,22 +76,11 @@
 
 // Burn returns the counts of all instances that answer.
 func (r *Records) Burn(ctx context.Context, now time.Time) rattanburn.Snapshot {
-	snapshots := []rattanburn.Snapshot{r.config.Burn.Snapshot(now)}
+	own := r.config.Burn.Snapshot(now)
 	ctx, cancel := context.WithTimeout(ctx, burnTimeout)
 	defer cancel()
-	var calls sync.WaitGroup
-	var mutex sync.Mutex
-	for _, member := range r.config.Members.Others(now) {
-		calls.Go(func() {
-			if snapshot, ok := r.ask(ctx, member); ok {
-				mutex.Lock()
-				snapshots = append(snapshots, snapshot)
-				mutex.Unlock()
-			}
-		})
-	}
-	calls.Wait()
-	return rattanburn.Merge(snapshots...)
+	others := callMembers[rattanburn.Snapshot](ctx, r.config.Peers, r.config.Members.Others(now), methodBurn, nil)
+	return rattanburn.Merge(append(others, own)...)
 }
 
 // Explain returns the trace of the caller's job.
@@ -142,15 +129,6 @@
 	return false
 }
 
-func (r *Records) ask(ctx context.Context, member rattanmember.Member) (rattanburn.Snapshot, bool) {
-	var snapshot rattanburn.Snapshot
-	reply, err := r.config.Peers.Call(ctx, member.PeerAddress, methodBurn, nil)
-	if err != nil {
-		return snapshot, false
-	}
-	return snapshot, json.Unmarshal(reply, &snapshot) == nil
-}
-
 func (r *Records) text(ctx khttp.Context) error {
 	if _, refusal := identifyOperator(ctx.Request()); refusal != nil {
 		return respond(ctx, *refusal)
--- a/rattanentry/spill.go
+++ b/rattanentry/spill.go
@@ -137,18 +137,10 @@
 func (s *Spill) ask(ctx context.Context, lender rattanmember.Member, request rattanloan.Request) []rattanloan.Grant {
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
-	body, err := json.Marshal(request)
+	grants, err := callPeer[[]rattanloan.Grant](ctx, s.config.Peers, lender.PeerAddress, methodBorrow, request)
 	if err != nil {
 		return nil
 	}
-	reply, err := s.config.Peers.Call(ctx, lender.PeerAddress, methodBorrow, body)
-	if err != nil {
-		return nil
-	}
-	var grants []rattanloan.Grant
-	if json.Unmarshal(reply, &grants) != nil {
-		return nil
-	}
 	return grants
 }
 
