--- a/rattancmd/process_test.go
+++ b/rattancmd/process_test.go
@@ -218,18 +218,24 @@
 	s.c.Assert(err, qt.IsNil)
 	file := filepath.Join(s.directory, settings.Name+".json")
 	s.c.Assert(os.WriteFile(file, data, 0o600), qt.IsNil)
-	entry := s.run(settings.Name, settings.CallerAddress, file)
+	entry := s.runEntry(settings.Name, settings.CallerAddress, file)
 	s.entries = append(s.entries, entry)
 	return entry
 }
 
-// run starts an entry process with a settings file.
-func (s *cluster) run(name, address, file string) *process {
+// runEntry starts an entry process with a settings file.
+func (s *cluster) runEntry(name, address, file string) *process {
+	entry := s.run(name, address, "entry", "--config", file)
+	entry.file = file
+	return entry
+}
+
+// run starts a process of the program and keeps its output.
+func (s *cluster) run(name, address string, arguments ...string) *process {
 	entry := &process{
 		name:    name,
 		address: address,
-		file:    file,
-		command: exec.Command(binary, "entry", "--config", file),
+		command: exec.Command(binary, arguments...),
 		ended:   make(chan struct{}),
 	}
 	entry.command.Stdout = &entry.output
@@ -277,10 +283,14 @@
 				return
 			}
 		}
+		select {
+		case <-entry.ended:
+			s.c.Fatalf("%s has ended: %v", entry.name, entry.err)
+		case <-time.After(10 * time.Millisecond):
+		}
 		if time.Now().After(deadline) {
-			s.c.Fatalf("%s not ready after %v: %s", entry.name, startTimeout, lastPart(entry.output.String()))
+			s.c.Fatalf("%s not ready after %v", entry.name, startTimeout)
 		}
-		time.Sleep(10 * time.Millisecond)
 	}
 }
 
@@ -481,7 +491,7 @@
 	restartedAt.Store(time.Now().UnixNano())
 	c.Assert(home.command.Process.Kill(), qt.IsNil)
 	<-home.ended
-	again := cluster.run(home.name, home.address, home.file)
+	again := cluster.runEntry(home.name, home.address, home.file)
 	jobs.Wait()
 	c.Logf("%d jobs of the former incarnation resolved after at most %v", len(keys), time.Duration(longest.Load()))
 	c.Check(time.Duration(longest.Load()) <= resolveBound, qt.IsTrue)
@@ -738,38 +748,30 @@
 func TestAllProcesses(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	var addresses []string
-	for _, reserved := range reserve(3) {
-		addresses = append(addresses, release(reserved))
-	}
-	run := func(args ...string) {
-		command := exec.Command(binary, args...)
-		c.Assert(command.Start(), qt.IsNil)
-		c.Cleanup(func() {
-			_ = command.Process.Kill()
-			_ = command.Wait()
-		})
-	}
-	run("standin", "platform", "--address", addresses[0], "--instance-list-lag", "0s")
+	reserved := reserve(3)
 	cluster := &cluster{c: c, transport: &http.Transport{}, directory: c.Mkdir()}
-	waitListening(c, addresses[0])
-	run("standin", "target", "--count", strconv.Itoa(2), "--zone", "buda", "--service", "planner", "--platform", addresses[0])
+	platform := release(reserved[0])
+	cluster.run("platform", platform, "standin", "platform", "--address", platform, "--instance-list-lag", "0s")
+	waitListening(c, platform)
+	cluster.run("targets", "", "standin", "target", "--count", strconv.Itoa(2), "--zone", "buda", "--service", "planner", "--platform", platform)
 	document := filepath.Join(cluster.directory, "document.json")
 	c.Assert(os.WriteFile(document, []byte(`{"Revision":1,"Services":{"planner":{}},"JobKinds":{"list":{"Service":"planner","MaxTasks":10,"RunTime":"10ms","Deadline":"5s"}},"Callers":{"app":{"Weight":1}}}`), 0o600), qt.IsNil)
 	settings := rattansettings.Default()
 	settings.Name = "buda-entry-1"
 	settings.AvailabilityZone = "buda"
-	settings.CallerAddress, settings.PeerAddress, settings.PlatformAddress = addresses[1], addresses[2], addresses[0]
+	settings.CallerAddress = release(reserved[1])
+	settings.PeerAddress = release(reserved[2])
+	settings.PlatformAddress = platform
 	settings.Document = document
 	data, err := json.Marshal(settings)
 	c.Assert(err, qt.IsNil)
 	file := filepath.Join(cluster.directory, "entry.json")
 	c.Assert(os.WriteFile(file, data, 0o600), qt.IsNil)
-	run("entry", "--config", file)
-	cluster.waitReady(&process{name: "buda-entry-1", address: addresses[1]})
+	entry := cluster.run(settings.Name, settings.CallerAddress, "entry", "--config", file)
+	cluster.waitReady(entry)
 	var output []byte
 	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		submit := exec.Command(binary, "job", "submit", "--entry", addresses[1], "--caller", "app", "-")
+		submit := exec.Command(binary, "job", "submit", "--entry", entry.address, "--caller", "app", "-")
 		submit.Stdin = bytes.NewReader([]byte(`{"Kind":"list","Tasks":[{"Payload":"a"},{"Payload":"b"}]}`))
 		output, err = submit.Output()
 		if err == nil {
--- a/rattansystem/system.go
+++ b/rattansystem/system.go
@@ -197,7 +197,8 @@
 	return s.Log.Counts()
 }
 
-// WaitReady waits until the instances of the zones, or all, are ready.
+// WaitReady waits until the instances of the zones, or all, are ready and name
+// the same home as the others of their zone.
 func (s *System) WaitReady(zones ...string) error {
 	deadline := time.Now().Add(readyTimeout)
 	for _, entry := range s.Entries(zones...) {
@@ -216,9 +217,10 @@
 	return e.killed.Load()
 }
 
-// ready reports whether the instance serves and knows all running instances
-// of its zone. The death of an instance that it never knew cannot be proved
-// to its callers.
+// ready reports whether the instance serves, knows all running instances of its
+// zone and names the same epoch as they do. The death of an instance that it
+// never knew cannot be proved to its callers, and after a cold start two
+// instances may own the pool for a moment, of which Home would name only one.
 func (s *System) ready(entry *Entry) bool {
 	now := time.Now()
 	owner, ok := entry.Instance.Members.Owner(now)
@@ -229,9 +231,16 @@
 	for _, member := range entry.Instance.Members.Members(now) {
 		known[member.Incarnation.Instance] = true
 	}
-	return !slices.ContainsFunc(s.Entries(entry.AvailabilityZone), func(other *Entry) bool {
-		return !other.Killed() && !known[other.Name]
-	})
+	for _, other := range s.Entries(entry.AvailabilityZone) {
+		if other.Killed() {
+			continue
+		}
+		named, _ := other.Instance.Members.Owner(now)
+		if !known[other.Name] || named.Epoch.ID != owner.Epoch.ID {
+			return false
+		}
+	}
+	return true
 }
 
 func (s *System) start() error {
