State in errors of plans whether the change may be in force

During an outage 'plan drain' printed the JSON of an answer that said Refused and MayHaveRun at once, and a second 'config put' named its key three times.

Change: a plan that the platform refused is Refused and NotRun, one whose write may have taken effect is Unknown and MayHaveRun. The client prints the reason and the detail of an answer in one line. Errors of the platform's client have its text without JSON, once.

--- a/rattanclient/client.go
+++ b/rattanclient/client.go
@@ -161,7 +161,7 @@
 
 func parseKeys(status int, data []byte) ([]rattanjob.Key, error) {
 	if status != http.StatusOK {
-		return nil, errors.WithType(errors.Errorf("/v1/keys: status %d: %s", status, bytes.TrimSpace(data)), ErrStatus)
+		return nil, statusError("/v1/keys", status, data)
 	}
 	var reply rattanentry.KeysReply
 	if err := json.Unmarshal(data, &reply); err != nil {
@@ -176,11 +176,21 @@
 		return nil, err
 	}
 	if status != http.StatusOK {
-		return data, errors.WithType(errors.Errorf("%s: status %d: %s", path, status, bytes.TrimSpace(data)), ErrStatus)
+		return data, statusError(path, status, data)
 	}
 	return data, nil
 }
 
+// statusError describes a response other than the wanted one; error bodies of
+// instances are Answers.
+func statusError(path string, status int, data []byte) error {
+	var answer rattanjob.Answer
+	if json.Unmarshal(data, &answer) != nil || answer.Detail == "" {
+		return errors.WithType(errors.Errorf("%s: status %d: %.200s", path, status, bytes.TrimSpace(data)), ErrStatus)
+	}
+	return errors.WithType(errors.Errorf("%s: %v, %v: %s", path, answer.State, answer.Reason, answer.Detail), ErrStatus)
+}
+
 func (c *Client) send(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
 	address := c.config.Addresses[c.next.Add(1)%uint64(len(c.config.Addresses))]
 	request, err := http.NewRequestWithContext(ctx, method, c.config.Scheme+"://"+address+path, bytes.NewReader(body))
--- /dev/null
+++ b/rattanclient/client_test.go
@@ -0,0 +1,28 @@
+package rattanclient
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/juju/errors"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against error lines that show the JSON of an answer to people.
+func TestStatusError(t *testing.T) {
+	for _, test := range []struct {
+		name, body, want string
+	}{
+		{"Answer", `{"State":"Refused","Execution":"NotRun","Reason":"NotReady","Detail":"key \"Config\": outage"}`, `/v1/plans: Refused, NotReady: key "Config": outage`},
+		{"Other body", "no such page\n", "/v1/plans: status 503: no such page"},
+		{"Answer without detail", `{"State":"Refused"}`, `/v1/plans: status 503: {"State":"Refused"}`},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			err := statusError("/v1/plans", http.StatusServiceUnavailable, []byte(test.body))
+			c.Assert(err.Error(), qt.Equals, test.want)
+			c.Assert(errors.Is(err, ErrStatus), qt.IsTrue)
+		})
+	}
+}
--- a/rattancmd/configcmd.go
+++ b/rattancmd/configcmd.go
@@ -92,8 +92,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	platform := rattanplatform.New(rattanplatform.Options{Address: o.Platform})
-	if _, err := platform.Put(ctx, rattanconfig.PlatformKey, value, rattanplatform.NoRevision, rattanplatform.NoLease); err != nil {
-		return errors.Annotatef(err, "key %s", rattanconfig.PlatformKey)
+	_, err = platform.Put(ctx, rattanconfig.PlatformKey, value, rattanplatform.NoRevision, rattanplatform.NoLease)
+	if errors.Is(err, rattanplatform.ErrConflict) {
+		return errors.Annotate(err, "the platform has a configuration already; change it by plans")
+	}
+	if err != nil {
+		return errors.Trace(err)
 	}
 	_, err = fmt.Fprintln(o.std.out, "revision 1 installed")
 	return errors.Trace(err)
--- a/rattanentry/plans.go
+++ b/rattanentry/plans.go
@@ -166,7 +166,7 @@
 func (p *Plans) document(ctx context.Context) (rattanconfig.Document, int64, error) {
 	entry, err := p.config.Store.Get(ctx, rattanconfig.PlatformKey)
 	if err != nil {
-		return rattanconfig.Document{}, 0, errors.Annotatef(err, "key %s", rattanconfig.PlatformKey)
+		return rattanconfig.Document{}, 0, errors.Trace(err)
 	}
 	document, err := rattanconfig.Parse(entry.Value)
 	return document, entry.Revision, errors.Annotatef(err, "key %s", rattanconfig.PlatformKey)
@@ -214,8 +214,7 @@
 		}
 		plan, err := operate(ctx, ctx.Vars().Get("id"), body)
 		if err != nil {
-			status := planStatus(err)
-			return ctx.JSON(status, rattanjob.Answer{State: rattanjob.StateRefused, Reason: planReasons[status], Detail: err.Error()})
+			return ctx.JSON(planStatus(err), planFailure(err))
 		}
 		reply := PlanReply{Plan: plan, Text: plan.Text()}
 		if plan.State == rattanplan.StateConfirmed {
@@ -226,6 +225,15 @@
 	}
 }
 
+// planFailure states whether the change may have taken effect nevertheless.
+func planFailure(err error) rattanjob.Answer {
+	reason := planReasons[planStatus(err)]
+	if errors.Is(err, rattanplatform.ErrUncertain) || errors.Is(err, context.DeadlineExceeded) {
+		return rattanjob.Uncertain(reason, err.Error(), retryUnknown)
+	}
+	return rattanjob.Refusal(reason, err.Error())
+}
+
 // planReasons has the reason of each status that planStatus returns.
 var planReasons = map[int]rattanjob.Reason{
 	http.StatusBadRequest:         rattanjob.ReasonInvalid,
--- a/rattanplatform/client.go
+++ b/rattanplatform/client.go
@@ -251,7 +251,10 @@
 		return lost(err, call.write)
 	}
 	if err := statusError(response.StatusCode, call.write); err != nil {
-		return errors.Annotatef(err, "status %d: %s", response.StatusCode, bytes.TrimSpace(body[:min(len(body), 200)]))
+		if text := failureText(body); text != err.Error() {
+			return errors.Annotatef(err, "status %d: %s", response.StatusCode, text)
+		}
+		return errors.Trace(err)
 	}
 	if answer == nil {
 		return nil
@@ -299,6 +302,15 @@
 	return errors.WithType(err, ErrUnavailable)
 }
 
+// failureText returns the text in the body of an error response.
+func failureText(body []byte) string {
+	var failure struct{ Error string }
+	if json.Unmarshal(body, &failure) == nil && failure.Error != "" {
+		return failure.Error
+	}
+	return string(bytes.TrimSpace(body[:min(len(body), 200)]))
+}
+
 func statusError(status int, write bool) error {
 	switch {
 	case status == http.StatusOK:
