Let services find each other through the kernel by name

Cause: the kernel could find services, but nothing used it, and it had no tests.

Change: a service that uses others implements Connect and names its needs; the kernel connects all services once they are registered. Passive serves services that only answer requests.

--- a/rattankernel/kernel.go
+++ b/rattankernel/kernel.go
@@ -33,6 +33,13 @@
 	Drain(ctx context.Context) error
 }
 
+// Connector is a service that uses other services.
+type Connector interface {
+	// Connect finds the services that this one uses. It is called once, when all
+	// services are registered and none is started.
+	Connect(kernel *Kernel) error
+}
+
 // Kernel holds the services of one instance. It is safe for concurrent use
 // once all services are registered.
 type Kernel struct {
@@ -46,6 +53,21 @@
 	return &Kernel{byName: map[string]Service{}}
 }
 
+// Connect lets the services find each other, in the order of registration. The
+// error names the service that lacks another one.
+func (k *Kernel) Connect() error {
+	for _, service := range k.services {
+		connector, ok := service.(Connector)
+		if !ok {
+			continue
+		}
+		if err := connector.Connect(k); err != nil {
+			return errors.Annotatef(err, "service %s", service.Name())
+		}
+	}
+	return nil
+}
+
 // Drain drains the started services in reverse order of registration and
 // returns the first error.
 func (k *Kernel) Drain(ctx context.Context) error {
@@ -98,6 +120,41 @@
 	return first
 }
 
+// Need is a service that another one uses.
+type Need func(k *Kernel) error
+
+// Named needs the service with the name and puts it into place, which is a
+// pointer to a variable of the service's type or of an interface that it has.
+func Named[T any](name string, place *T) Need {
+	return func(k *Kernel) error {
+		found, err := Find[T](k, name)
+		if err != nil {
+			return err
+		}
+		*place = found
+		return nil
+	}
+}
+
+// Resolve meets all needs, or returns the first error.
+func (k *Kernel) Resolve(needs ...Need) error {
+	for _, need := range needs {
+		if err := need(k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Passive is embedded in services that only answer requests.
+type Passive struct{}
+
+// Start does nothing.
+func (Passive) Start(context.Context) error { return nil }
+
+// Stop does nothing.
+func (Passive) Stop(context.Context) error { return nil }
+
 // Find returns the service with the name as a T. It returns ErrNoService or
 // ErrWrongType.
 func Find[T any](k *Kernel, name string) (T, error) {
