Wire the services of an instance through the kernel

Cause: the house style asks for a micro-kernel whose services find each other by name; the instance passed pointers to each constructor instead.

Change: each service names the services that it uses in Connect. Front, Plans and Records are services too. Instance.build passes settings and callbacks only.

--- a/rattanentry/configuration.go
+++ b/rattanentry/configuration.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/rattanlever/rattanlever/rattanconfig"
+	"github.com/rattanlever/rattanlever/rattankernel"
 	"github.com/rattanlever/rattanlever/rattanpeer"
 	"github.com/rattanlever/rattanlever/rattanplatform"
 )
@@ -44,7 +45,7 @@
 	Watch(ctx context.Context, prefix string, afterRevision int64, wait time.Duration) (rattanplatform.Changes, error)
 }
 
-// ConfigurationConfig configures a Configuration.
+// ConfigurationConfig configures a Configuration. Connect sets Peers.
 type ConfigurationConfig struct {
 	Platform KeyWatcher
 	Peers    PeerCaller
@@ -86,6 +87,13 @@
 	return configuration
 }
 
+// Connect finds the services that this one uses.
+func (c *Configuration) Connect(kernel *rattankernel.Kernel) error {
+	return kernel.Resolve(
+		rattankernel.Named(serviceLinks, &c.config.Peers),
+	)
+}
+
 // Document returns the document in force; revision 0 means none.
 func (c *Configuration) Document() *rattanconfig.Document {
 	return c.current.Load()
@@ -126,7 +134,7 @@
 
 // Name returns the name of the service in the kernel.
 func (c *Configuration) Name() string {
-	return "Configuration"
+	return serviceConfiguration
 }
 
 // PeerRevision takes in that the peer at the address has a document of the
--- a/rattanentry/front.go
+++ b/rattanentry/front.go
@@ -16,6 +16,7 @@
 
 	"github.com/rattanlever/rattanlever/rattanjob"
 	"github.com/rattanlever/rattanlever/rattanjson"
+	"github.com/rattanlever/rattanlever/rattankernel"
 	"github.com/rattanlever/rattanlever/rattanmember"
 	"github.com/rattanlever/rattanlever/rattanmetric"
 	"github.com/rattanlever/rattanlever/rattanpeer"
@@ -63,7 +64,13 @@
 	Call(ctx context.Context, address, method string, body []byte) ([]byte, error)
 }
 
-// FrontConfig configures a Front. All fields are required.
+// Explainer tells what is known here of a job.
+type Explainer interface {
+	Explain(key rattanjob.Key, caller string) (json.RawMessage, bool)
+}
+
+// FrontConfig configures a Front. All fields are required. Connect sets those
+// of other services.
 type FrontConfig struct {
 	// Instance is the name of this instance.
 	Instance string
@@ -73,13 +80,14 @@
 	Directory   Directory
 	Peers       PeerCaller
 	Metrics     *rattanmetric.Registry
-	// Explain returns what is known here of a job.
-	Explain func(key rattanjob.Key, caller string) (json.RawMessage, bool)
+	Explainer   Explainer
 }
 
 // Front serves callers: it issues keys, and hands submissions, look-ups and
 // cancellations to the homes that their keys name.
 type Front struct {
+	rattankernel.Passive
+
 	config FrontConfig
 	// issued counts keys; it spreads them over the pools.
 	issued atomic.Uint64
@@ -122,6 +130,16 @@
 	}}
 }
 
+// Connect finds the services that this one uses.
+func (f *Front) Connect(kernel *rattankernel.Kernel) error {
+	return kernel.Resolve(
+		rattankernel.Named(serviceHome, &f.config.Home),
+		rattankernel.Named(serviceMembers, &f.config.Directory),
+		rattankernel.Named(serviceLinks, &f.config.Peers),
+		rattankernel.Named(serviceRecords, &f.config.Explainer),
+	)
+}
+
 // Handle serves the requests that other fronts forward to the home here.
 func (f *Front) Handle(node *rattanpeer.Node) {
 	node.Handle(methodSubmit, f.serve(f.submitHere))
@@ -130,6 +148,11 @@
 	node.Handle(methodExplain, f.explainHere)
 }
 
+// Name returns the name of the service in the kernel.
+func (f *Front) Name() string {
+	return serviceFront
+}
+
 // Routes adds the callers' routes to the server.
 func (f *Front) Routes(server *khttp.Server) {
 	route := server.Route("/v1")
@@ -403,7 +426,7 @@
 	if err := json.Unmarshal(body, &request); err != nil {
 		return nil, errors.Trace(err)
 	}
-	facts, ok := f.config.Explain(request.Key, request.Caller)
+	facts, ok := f.config.Explainer.Explain(request.Key, request.Caller)
 	if !ok {
 		return nil, errors.NotFoundf("job")
 	}
--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -16,6 +16,7 @@
 
 	"github.com/rattanlever/rattanlever/rattanconfig"
 	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattankernel"
 	"github.com/rattanlever/rattanlever/rattanledger"
 	"github.com/rattanlever/rattanlever/rattanloan"
 	"github.com/rattanlever/rattanlever/rattanmetric"
@@ -109,7 +110,7 @@
 }
 
 // HomeConfig configures a Home. All fields but Metrics, Recorder and Fence are
-// required.
+// required. Connect sets those of other services.
 type HomeConfig struct {
 	Scheduler Scheduler
 	Ledger    *rattanledger.Ledger
@@ -179,6 +180,15 @@
 	return home
 }
 
+// Connect finds the services that this one uses.
+func (h *Home) Connect(kernel *rattankernel.Kernel) error {
+	return kernel.Resolve(
+		rattankernel.Named(serviceMembers, &h.config.Authority),
+		rattankernel.Named(serviceConfiguration, &h.config.Documents),
+		rattankernel.Named(serviceRecords, &h.config.Recorder),
+	)
+}
+
 // Cancel ends the job of the key. A key that was not submitted yet is refused
 // from now on, so that a delayed submission cannot run after the cancellation.
 func (h *Home) Cancel(now time.Time, caller string, key rattanjob.Key) rattanjob.Answer {
@@ -258,7 +268,7 @@
 
 // Name returns the name of the service in the kernel.
 func (h *Home) Name() string {
-	return "Home"
+	return serviceHome
 }
 
 // SetCallers sets the callers of the pool.
--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -184,7 +184,7 @@
 	return nil
 }
 
-// build makes the services and connects them.
+// build makes the services, which find each other through the kernel.
 func (i *Instance) build() error {
 	settings := i.config.Settings
 	initial, err := initialDocument(settings.Document)
@@ -194,7 +194,6 @@
 	now := time.Now()
 	i.Configuration = NewConfiguration(ConfigurationConfig{
 		Platform:  i.Platform,
-		Peers:     i.Node,
 		Logger:    i.config.Logger,
 		Initial:   initial,
 		Watches:   func(now time.Time) bool { return i.Inventory.Watches(now) },
@@ -203,7 +202,6 @@
 	i.Members = NewMembers(now, MembersConfig{
 		Settings:    settings,
 		Incarnation: uint64(now.UnixMilli()),
-		Peers:       i.Node,
 		Logger:      i.config.Logger,
 		Opened:      i.opened,
 		Fenced:      func(now time.Time, epoch rattanjob.EpochID) { i.Home.Fence(now, epoch) },
@@ -212,78 +210,48 @@
 		Received:    i.received,
 	})
 	i.burn = rattanburn.New()
-	i.Records = NewRecords(RecordsConfig{Members: i.Members, Peers: i.Node, Burn: i.burn, Tracer: rattantrace.New(rattantrace.Options{})})
+	i.Records = NewRecords(RecordsConfig{Burn: i.burn, Tracer: rattantrace.New(rattantrace.Options{})})
 	i.Home = NewHome(HomeConfig{
 		Scheduler:    i.config.NewScheduler(),
 		Ledger:       newLedger(settings.Home),
 		Runner:       i.config.Runner,
-		Authority:    i.Members,
-		Documents:    i.Configuration,
 		Metrics:      i.Metrics,
-		Recorder:     i.Records,
 		DrainTimeout: settings.Home.DrainTimeout.Std(),
 	})
 	i.Inventory = NewInventory(InventoryConfig{
 		Platform:         i.Platform,
-		Peers:            i.Node,
-		Watchers:         i.Members,
 		AvailabilityZone: settings.AvailabilityZone,
-		Home:             i.Home,
-		Documents:        i.Configuration,
-		Pools:            i.Members,
 		Observed:         i.Members.Observe,
 		Changed:          i.spread,
 	})
 	i.Front = NewFront(FrontConfig{
 		Instance:    settings.Name,
 		Incarnation: uint64(now.UnixMilli()),
-		Home:        i.Home,
-		Directory:   i.Members,
-		Peers:       i.Node,
 		Metrics:     i.Metrics,
-		Explain:     i.Records.Explain,
-	})
-	i.Loads = NewLoads(LoadsConfig{
-		Instance:  settings.Name,
-		Home:      i.Home,
-		Members:   i.Members,
-		Peers:     i.Node,
-		Documents: i.Configuration,
-		Local:     i.load,
-	})
-	i.Spill = NewSpill(SpillConfig{Instance: settings.Name, Home: i.Home, Members: i.Members, Loads: i.Loads, Peers: i.Node})
-	i.Plans = NewPlans(PlansConfig{
-		Store:         i.Platform,
-		Configuration: i.Configuration,
-		Facts:         i.facts,
-		Logger:        i.config.Logger,
 	})
+	i.Loads = NewLoads(LoadsConfig{Instance: settings.Name, Local: i.load})
+	i.Spill = NewSpill(SpillConfig{Instance: settings.Name})
+	i.Plans = NewPlans(PlansConfig{Store: i.Platform, Facts: i.facts, Logger: i.config.Logger})
 	i.Operations = NewOperations(OperationsConfig{
 		Name:             settings.Name,
 		AvailabilityZone: settings.AvailabilityZone,
-		Configuration:    i.Configuration,
-		Inventory:        i.Inventory,
-		Directory:        i.Members,
-		Home:             i.Home,
 		Metrics:          i.Metrics,
 	})
 	i.registerMetrics()
-	return i.connect()
+	if err := i.register(); err != nil {
+		return err
+	}
+	i.serve()
+	return nil
 }
 
-// connect registers the services in the order of their start. They drain in
-// the reverse order: the instance first becomes not ready, then leaves its
-// pool, then finishes its jobs.
-func (i *Instance) connect() error {
-	i.Front.Handle(i.Node)
-	i.Members.Handle(i.Node)
-	i.Configuration.Handle(i.Node)
-	i.Inventory.Handle(i.Node)
-	i.Node.Handle(methodNews, i.handleNews)
-	i.Loads.Handle(i.Node)
-	i.Records.Handle(i.Node)
-	i.Spill.Handle(i.Node)
-	services := []rattankernel.Service{i.Node, i.Home, i.Members, i.Configuration, i.Inventory, i.Loads, i.Spill, i.Operations}
+// register registers the services in the order of their start and connects
+// them. They drain in the reverse order: the instance first becomes not ready,
+// then leaves its pool, then finishes its jobs.
+func (i *Instance) register() error {
+	services := []rattankernel.Service{
+		i.Node, i.Records, i.Home, i.Members, i.Configuration, i.Inventory, i.Loads, i.Spill, i.Front, i.Plans, i.Operations,
+	}
 	if i.Keyring != nil {
 		services = append(services, i.Keyring)
 	}
@@ -292,6 +260,20 @@
 			return errors.Trace(err)
 		}
 	}
+	return i.kernel.Connect()
+}
+
+// serve adds the handlers of other instances' requests and the routes of
+// callers and operators.
+func (i *Instance) serve() {
+	i.Front.Handle(i.Node)
+	i.Members.Handle(i.Node)
+	i.Configuration.Handle(i.Node)
+	i.Inventory.Handle(i.Node)
+	i.Node.Handle(methodNews, i.handleNews)
+	i.Loads.Handle(i.Node)
+	i.Records.Handle(i.Node)
+	i.Spill.Handle(i.Node)
 	options := []khttp.ServerOption{
 		khttp.Listener(i.config.CallerListener),
 		khttp.Timeout(0),
@@ -316,7 +298,6 @@
 		kratos.BeforeStop(i.kernel.Drain),
 		kratos.AfterStop(i.kernel.Stop),
 	)
-	return nil
 }
 
 // installed tells the services of a document that came into force.
--- a/rattanentry/inventory.go
+++ b/rattanentry/inventory.go
@@ -13,6 +13,7 @@
 
 	"github.com/rattanlever/rattanlever/rattanconfig"
 	"github.com/rattanlever/rattanlever/rattanjson"
+	"github.com/rattanlever/rattanlever/rattankernel"
 	"github.com/rattanlever/rattanlever/rattanmember"
 	"github.com/rattanlever/rattanlever/rattanpeer"
 	"github.com/rattanlever/rattanlever/rattanplatform"
@@ -57,7 +58,8 @@
 	Watchers(now time.Time) []rattanmember.Member
 }
 
-// InventoryConfig configures an Inventory. All fields are required.
+// InventoryConfig configures an Inventory. All fields are required. Connect
+// sets those of other services.
 type InventoryConfig struct {
 	Platform         InstanceLister
 	Peers            PeerCaller
@@ -132,6 +134,17 @@
 	i.config.Home.SetTargets(now, targets, addresses)
 }
 
+// Connect finds the services that this one uses.
+func (i *Inventory) Connect(kernel *rattankernel.Kernel) error {
+	return kernel.Resolve(
+		rattankernel.Named(serviceLinks, &i.config.Peers),
+		rattankernel.Named(serviceMembers, &i.config.Watchers),
+		rattankernel.Named(serviceHome, &i.config.Home),
+		rattankernel.Named(serviceConfiguration, &i.config.Documents),
+		rattankernel.Named(serviceMembers, &i.config.Pools),
+	)
+}
+
 // PoolOf returns the pool of a target by rendezvous hashing, so that a change
 // of the number of pools moves as few targets as possible.
 func PoolOf(target string, pools int) int {
@@ -168,7 +181,7 @@
 
 // Name returns the name of the service in the kernel.
 func (i *Inventory) Name() string {
-	return "Inventory"
+	return serviceInventory
 }
 
 // Reached returns when the platform last gave the instance list.
--- a/rattanentry/keyring.go
+++ b/rattanentry/keyring.go
@@ -27,7 +27,7 @@
 
 // Name returns the name of the service in the kernel.
 func (k *Keyring) Name() string {
-	return "Keyring"
+	return serviceKeyring
 }
 
 // Start begins to look for changed files.
--- a/rattanentry/loads.go
+++ b/rattanentry/loads.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/rattanlever/rattanlever/rattanconfig"
+	"github.com/rattanlever/rattanlever/rattankernel"
 	"github.com/rattanlever/rattanlever/rattanmember"
 	"github.com/rattanlever/rattanlever/rattanpeer"
 	"github.com/rattanlever/rattanlever/rattanpool"
@@ -48,7 +49,8 @@
 	at   time.Time
 }
 
-// LoadsConfig configures Loads. All fields are required.
+// LoadsConfig configures Loads. All fields are required. Connect
+// sets those of other services.
 type LoadsConfig struct {
 	Instance  string
 	Home      *Home
@@ -98,6 +100,16 @@
 	return append([]HomeLoad{own}, others...)
 }
 
+// Connect finds the services that this one uses.
+func (l *Loads) Connect(kernel *rattankernel.Kernel) error {
+	return kernel.Resolve(
+		rattankernel.Named(serviceHome, &l.config.Home),
+		rattankernel.Named(serviceMembers, &l.config.Members),
+		rattankernel.Named(serviceLinks, &l.config.Peers),
+		rattankernel.Named(serviceConfiguration, &l.config.Documents),
+	)
+}
+
 // Handle serves the exchange.
 func (l *Loads) Handle(node *rattanpeer.Node) {
 	node.Handle(methodLoad, func(_ context.Context, _ string, body []byte) ([]byte, error) {
@@ -111,7 +123,7 @@
 
 // Name returns the name of the service in the kernel.
 func (l *Loads) Name() string {
-	return "Loads"
+	return serviceLoads
 }
 
 // Start begins to exchange loads while this instance is a home.
--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattankernel"
 	"github.com/rattanlever/rattanlever/rattanmember"
 	"github.com/rattanlever/rattanlever/rattanpeer"
 	"github.com/rattanlever/rattanlever/rattanplatform"
@@ -40,7 +41,8 @@
 	watchersPerZone = 2
 )
 
-// MembersConfig configures Members. All fields are required.
+// MembersConfig configures Members. All fields are required. Connect
+// sets those of other services.
 type MembersConfig struct {
 	Settings    rattansettings.Settings
 	Incarnation uint64
@@ -106,6 +108,13 @@
 	return &Members{config: config, table: table, pools: 1}
 }
 
+// Connect finds the services that this one uses.
+func (m *Members) Connect(kernel *rattankernel.Kernel) error {
+	return kernel.Resolve(
+		rattankernel.Named(serviceLinks, &m.config.Peers),
+	)
+}
+
 // Drain gives up the pool and waits until another member of the zone has taken
 // it, so that keys can be issued throughout. The home still accepts jobs
 // meanwhile.
@@ -214,7 +223,7 @@
 
 // Name returns the name of the service in the kernel.
 func (m *Members) Name() string {
-	return "Members"
+	return serviceMembers
 }
 
 // Observe takes in the platform's instance list.
--- a/rattanentry/operations.go
+++ b/rattanentry/operations.go
@@ -9,6 +9,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattankernel"
 	"github.com/rattanlever/rattanlever/rattanmetric"
 )
 
@@ -49,7 +50,8 @@
 	Jobs int
 }
 
-// OperationsConfig configures Operations. All fields are required.
+// OperationsConfig configures Operations. All fields are required. Connect
+// sets those of other services.
 type OperationsConfig struct {
 	Name             string
 	AvailabilityZone string
@@ -62,6 +64,8 @@
 
 // Operations serves operators and the load balancer.
 type Operations struct {
+	rattankernel.Passive
+
 	config   OperationsConfig
 	draining atomic.Bool
 }
@@ -85,6 +89,16 @@
 	return ConditionServing
 }
 
+// Connect finds the services that this one uses.
+func (o *Operations) Connect(kernel *rattankernel.Kernel) error {
+	return kernel.Resolve(
+		rattankernel.Named(serviceConfiguration, &o.config.Configuration),
+		rattankernel.Named(serviceInventory, &o.config.Inventory),
+		rattankernel.Named(serviceMembers, &o.config.Directory),
+		rattankernel.Named(serviceHome, &o.config.Home),
+	)
+}
+
 // Drain makes the instance not ready and goes on to serve for leavePause, so
 // that the load balancer sends no new callers by the time the listener closes.
 func (o *Operations) Drain(ctx context.Context) error {
@@ -95,7 +109,7 @@
 
 // Name returns the name of the service in the kernel.
 func (o *Operations) Name() string {
-	return "Operations"
+	return serviceOperations
 }
 
 // Routes adds the routes of operators and of the load balancer to the server.
@@ -107,12 +121,6 @@
 	route.GET("/v1/config", o.document)
 }
 
-// Start does nothing.
-func (o *Operations) Start(context.Context) error { return nil }
-
-// Stop does nothing.
-func (o *Operations) Stop(context.Context) error { return nil }
-
 func (o *Operations) describe(now time.Time) Health {
 	return Health{
 		Condition:        o.Condition(now).String(),
--- a/rattanentry/plans.go
+++ b/rattanentry/plans.go
@@ -12,6 +12,7 @@
 
 	"github.com/rattanlever/rattanlever/rattanconfig"
 	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattankernel"
 	"github.com/rattanlever/rattanlever/rattanplan"
 	"github.com/rattanlever/rattanlever/rattanplatform"
 )
@@ -28,7 +29,8 @@
 	Put(ctx context.Context, key string, value []byte, ifRevision, lease int64) (int64, error)
 }
 
-// PlansConfig configures Plans. All fields are required.
+// PlansConfig configures Plans. All fields are required. Connect
+// sets those of other services.
 type PlansConfig struct {
 	Store         KeyStore
 	Configuration *Configuration
@@ -39,6 +41,8 @@
 // Plans serves operators' intents: it makes plans, keeps them in the platform,
 // and puts confirmed ones in force.
 type Plans struct {
+	rattankernel.Passive
+
 	config PlansConfig
 }
 
@@ -54,6 +58,11 @@
 	return &Plans{config: config}
 }
 
+// Name returns the name of the service in the kernel.
+func (p *Plans) Name() string {
+	return servicePlans
+}
+
 // Routes adds the routes of plans to the server.
 func (p *Plans) Routes(server *khttp.Server) {
 	route := server.Route("/v1")
@@ -88,6 +97,13 @@
 	return abandoned, p.store(ctx, abandoned, revision)
 }
 
+// Connect finds the services that this one uses.
+func (p *Plans) Connect(kernel *rattankernel.Kernel) error {
+	return kernel.Resolve(
+		rattankernel.Named(serviceConfiguration, &p.config.Configuration),
+	)
+}
+
 // Confirm puts a plan in force by compare-and-swap. A write whose answer was
 // lost is read back by the plan's ID before anything is said or tried again.
 func (p *Plans) Confirm(ctx context.Context, now time.Time, id string) (rattanplan.Plan, error) {
--- a/rattanentry/records.go
+++ b/rattanentry/records.go
@@ -10,6 +10,7 @@
 
 	"github.com/rattanlever/rattanlever/rattanburn"
 	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattankernel"
 	"github.com/rattanlever/rattanlever/rattanpeer"
 	"github.com/rattanlever/rattanlever/rattanpool"
 	"github.com/rattanlever/rattanlever/rattantrace"
@@ -20,7 +21,8 @@
 	burnTimeout = time.Second
 )
 
-// RecordsConfig configures Records. All fields are required.
+// RecordsConfig configures Records. All fields are required. Connect
+// sets those of other services.
 type RecordsConfig struct {
 	Members *Members
 	Peers   PeerCaller
@@ -31,6 +33,8 @@
 // Records keeps what happened to jobs here and how well they were served. It implements
 // Recorder.
 type Records struct {
+	rattankernel.Passive
+
 	config RecordsConfig
 }
 
@@ -83,6 +87,14 @@
 	return rattanburn.Merge(append(others, own)...)
 }
 
+// Connect finds the services that this one uses.
+func (r *Records) Connect(kernel *rattankernel.Kernel) error {
+	return kernel.Resolve(
+		rattankernel.Named(serviceMembers, &r.config.Members),
+		rattankernel.Named(serviceLinks, &r.config.Peers),
+	)
+}
+
 // Explain returns the trace of the caller's job.
 func (r *Records) Explain(key rattanjob.Key, caller string) (json.RawMessage, bool) {
 	trace, err := r.config.Tracer.Explain(key)
@@ -100,6 +112,11 @@
 	})
 }
 
+// Name returns the name of the service in the kernel.
+func (r *Records) Name() string {
+	return serviceRecords
+}
+
 // Routes adds the routes of the report to the server.
 func (r *Records) Routes(server *khttp.Server) {
 	route := server.Route("/v1/report")
--- a/rattanentry/spill.go
+++ b/rattanentry/spill.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/rattanlever/rattanlever/rattankernel"
 	"github.com/rattanlever/rattanlever/rattanloan"
 	"github.com/rattanlever/rattanlever/rattanmember"
 	"github.com/rattanlever/rattanlever/rattanpeer"
@@ -27,7 +28,8 @@
 	returnAfter = 100 * time.Millisecond
 )
 
-// SpillConfig configures Spill. All fields are required.
+// SpillConfig configures Spill. All fields are required. Connect
+// sets those of other services.
 type SpillConfig struct {
 	Instance string
 	Home     *Home
@@ -56,6 +58,16 @@
 	return &Spill{config: config, idleSince: map[string]time.Time{}}
 }
 
+// Connect finds the services that this one uses.
+func (s *Spill) Connect(kernel *rattankernel.Kernel) error {
+	return kernel.Resolve(
+		rattankernel.Named(serviceHome, &s.config.Home),
+		rattankernel.Named(serviceMembers, &s.config.Members),
+		rattankernel.Named(serviceLoads, &s.config.Loads),
+		rattankernel.Named(serviceLinks, &s.config.Peers),
+	)
+}
+
 // Handle serves the borrowers of other zones.
 func (s *Spill) Handle(node *rattanpeer.Node) {
 	node.Handle(methodBorrow, func(_ context.Context, _ string, body []byte) ([]byte, error) {
@@ -77,7 +89,7 @@
 
 // Name returns the name of the service in the kernel.
 func (s *Spill) Name() string {
-	return "Spill"
+	return serviceSpill
 }
 
 // Start begins to look for waiting tasks.
