Decide requests by the time that is read under the home's lock

Cause: Submit, Status and Cancel were given a time that the front read before it waited for the home's lock. A request that was held up there (a pause, or contention) was decided by an old time after others had been decided by a later one. Besides, a submission between the announcement of an epoch by Members and its opening at the home was refused for good, and ran when it was sent again.

Change: the time is read under the lock. A submission for a valid epoch that is not open yet is answered Unknown with a time to ask again.

Conclusion: the window between reading the time and taking the lock is closed.

--- a/rattanentry/accept.go
+++ b/rattanentry/accept.go
@@ -15,9 +15,10 @@
 )
 
 // begin decides on a submission and returns its run, or its answer.
-func (h *Home) begin(now time.Time, caller string, submission *rattanjob.Submission, fault *rattanjob.Answer) (*run, rattanjob.Answer) {
+func (h *Home) begin(caller string, submission *rattanjob.Submission, fault *rattanjob.Answer) (*run, rattanjob.Answer) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	now := time.Now()
 	key := submission.Key
 	if !h.valid(now, key.Epoch) {
 		return nil, lost(key)
@@ -33,6 +34,13 @@
 		}
 		return nil, h.missingRun(key)
 	case rattanledger.VerdictForeign:
+		if key.CallerHash == rattanjob.HashCaller(caller) {
+			// The members announce a valid epoch just before its records are
+			// opened here, so that its first keys may arrive too early.
+			answer = rattanjob.Uncertain(rattanjob.ReasonNotReady, "the epoch of the key is not open yet; nothing was started now", retryUnknown)
+			answer.Key = key.String()
+			return nil, answer
+		}
 		// Final, because asking again cannot help.
 		return nil, rattanjob.Answer{
 			Key:    key.String(),
--- a/rattanentry/bench_test.go
+++ b/rattanentry/bench_test.go
@@ -63,7 +63,7 @@
 				key := rattanjob.Key{Epoch: benchmarkEpoch, CallerHash: rattanjob.HashCaller("app")}
 				key.Nonce = rattanjob.Nonce{byte(i), byte(i >> 8), byte(i >> 16), byte(i >> 24)}
 				sent := &rattanjob.Submission{Key: key, Kind: "list", Tasks: make([]rattanjob.Task, tasks)}
-				if answer := home.Submit(context.Background(), time.Now(), "app", sent, nil, time.Minute); answer.State != rattanjob.StateComplete {
+				if answer := home.Submit(context.Background(), "app", sent, nil, time.Minute); answer.State != rattanjob.StateComplete {
 					b.Fatalf("%+v", answer)
 				}
 			}
--- a/rattanentry/front.go
+++ b/rattanentry/front.go
@@ -387,15 +387,15 @@
 func (f *Front) submitHere(ctx context.Context, request *forwarded) rattanjob.Answer {
 	request.Submission.Key = request.Key
 	request.Submission.ReceivedDigest = request.Digest
-	return f.config.Home.Submit(ctx, time.Now(), request.Caller, request.Submission, request.Fault, request.Wait.Std())
+	return f.config.Home.Submit(ctx, request.Caller, request.Submission, request.Fault, request.Wait.Std())
 }
 
 func (f *Front) statusHere(ctx context.Context, request *forwarded) rattanjob.Answer {
-	return f.config.Home.Status(ctx, time.Now(), request.Caller, request.Key, request.Wait.Std())
+	return f.config.Home.Status(ctx, request.Caller, request.Key, request.Wait.Std())
 }
 
 func (f *Front) cancelHere(_ context.Context, request *forwarded) rattanjob.Answer {
-	return f.config.Home.Cancel(time.Now(), request.Caller, request.Key)
+	return f.config.Home.Cancel(request.Caller, request.Key)
 }
 
 func (f *Front) explainHere(_ context.Context, _ string, body []byte) ([]byte, error) {
--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -125,7 +125,10 @@
 }
 
 // Home runs the jobs whose keys name this instance. It is safe for concurrent
-// use.
+// use. Requests of callers are decided by the time that is read under the lock:
+// one that was held up before it would otherwise be decided by a time at which
+// the epoch was still valid, or its key not yet expired, after others were
+// decided by a later one.
 type Home struct {
 	config  HomeConfig
 	counts  *homeCounts
@@ -181,9 +184,10 @@
 
 // Cancel ends the job of the key. A key that was not submitted yet is refused
 // from now on, so that a delayed submission cannot run after the cancellation.
-func (h *Home) Cancel(now time.Time, caller string, key rattanjob.Key) rattanjob.Answer {
+func (h *Home) Cancel(caller string, key rattanjob.Key) rattanjob.Answer {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	now := time.Now()
 	// A home that was paused may have been declared ended, and its answer
 	// would contradict what callers were told meanwhile.
 	if !h.valid(now, key.Epoch) {
@@ -317,8 +321,9 @@
 }
 
 // Status returns the answer for the key, waiting up to wait for a final one.
-func (h *Home) Status(ctx context.Context, now time.Time, caller string, key rattanjob.Key, wait time.Duration) rattanjob.Answer {
+func (h *Home) Status(ctx context.Context, caller string, key rattanjob.Key, wait time.Duration) rattanjob.Answer {
 	h.mutex.Lock()
+	now := time.Now()
 	if !h.valid(now, key.Epoch) {
 		h.mutex.Unlock()
 		return lost(key)
@@ -345,8 +350,8 @@
 // Submit starts the job unless its key was used before, and waits up to wait
 // for a final answer. A fault is why the submission cannot be accepted; it is
 // recorded as the refusal of the key if the key is new.
-func (h *Home) Submit(ctx context.Context, now time.Time, caller string, submission *rattanjob.Submission, fault *rattanjob.Answer, wait time.Duration) rattanjob.Answer {
-	current, answer := h.begin(now, caller, submission, fault)
+func (h *Home) Submit(ctx context.Context, caller string, submission *rattanjob.Submission, fault *rattanjob.Answer, wait time.Duration) rattanjob.Answer {
+	current, answer := h.begin(caller, submission, fault)
 	if current == nil {
 		return answer
 	}
--- a/rattanentry/home_test.go
+++ b/rattanentry/home_test.go
@@ -101,7 +101,7 @@
 
 func (h *homeUnderTest) submit(key rattanjob.Key, wait time.Duration) rattanjob.Answer {
 	submission := &rattanjob.Submission{Key: key, Kind: "list", Tasks: []rattanjob.Task{{Payload: json.RawMessage(`1`)}}}
-	return h.Submit(context.Background(), time.Now(), "app", submission, nil, wait)
+	return h.Submit(context.Background(), "app", submission, nil, wait)
 }
 
 // Guards I4 against a submission that is delayed on its way and arrives after
@@ -111,7 +111,7 @@
 	home := newHomeUnderTest(c)
 	close(home.runner.released)
 	key := home.key()
-	cancelled := home.Cancel(time.Now(), "app", key)
+	cancelled := home.Cancel("app", key)
 	c.Assert(cancelled.State, qt.Equals, rattanjob.StateCancelled)
 	c.Assert(cancelled.Execution, qt.Equals, rattanjob.ExecutionNotRun)
 	c.Assert(cancelled.Key, qt.Equals, key.String())
@@ -130,7 +130,7 @@
 	c.Assert(home.submit(running, 0).State, qt.Equals, rattanjob.StateRunning)
 	home.authority.revoked.Store(true)
 	for _, key := range []rattanjob.Key{running, absent} {
-		answer := home.Cancel(time.Now(), "app", key)
+		answer := home.Cancel("app", key)
 		c.Assert(answer.Reason, qt.Equals, rattanjob.ReasonHomeLost)
 		c.Assert(answer.Execution, qt.Equals, rattanjob.ExecutionMayHaveRun)
 		c.Assert(answer.Key, qt.Equals, key.String())
@@ -146,11 +146,11 @@
 	running := home.key()
 	c.Assert(home.submit(running, 0).Key, qt.Equals, running.String())
 	other := &rattanjob.Submission{Key: running, Kind: "list", Tasks: []rattanjob.Task{{Payload: json.RawMessage(`2`)}}}
-	c.Assert(home.Submit(context.Background(), time.Now(), "app", other, nil, 0).Key, qt.Equals, running.String())
-	c.Assert(home.Status(context.Background(), time.Now(), "other", running, 0).Key, qt.Equals, running.String())
-	c.Assert(home.Status(context.Background(), time.Now(), "app", running, 0).Key, qt.Equals, running.String())
+	c.Assert(home.Submit(context.Background(), "app", other, nil, 0).Key, qt.Equals, running.String())
+	c.Assert(home.Status(context.Background(), "other", running, 0).Key, qt.Equals, running.String())
+	c.Assert(home.Status(context.Background(), "app", running, 0).Key, qt.Equals, running.String())
 	absent := home.key()
-	c.Assert(home.Status(context.Background(), time.Now(), "app", absent, 0).Key, qt.Equals, absent.String())
+	c.Assert(home.Status(context.Background(), "app", absent, 0).Key, qt.Equals, absent.String())
 	close(home.runner.released)
 	c.Assert(home.submit(running, 5*time.Second).Key, qt.Equals, running.String())
 }
@@ -185,7 +185,7 @@
 				home.mutex.Unlock()
 			}
 			request(rattancheck.OperationStatus, func() rattanjob.Answer {
-				return home.Status(context.Background(), time.Now(), "app", key, 0)
+				return home.Status(context.Background(), "app", key, 0)
 			})
 			request(rattancheck.OperationSubmit, submit)
 			task := rattanjob.TaskID{Submission: key.ID(), Attempt: 1}
