Draw more faults in the histories, and check I7 and I8 in each of them

Cause: of section 2's faults the histories did not draw paused instances, losses in one direction only, links between instances that go silent while new ones work, a graceful shutdown followed by a start under the same name, zones of which all targets fail, several targets that die at once, operators who race through different instances (also with answers lost after the effect), declared run times that are far off, stragglers and jobs that no target can run. I7 and I8 were checked in focused tests only.

Requests that fail although they were sent before a graceful shutdown began, revisions that are made twice, reverted or not in force everywhere fail a history. Each new check has a bug that it finds; a table in injected_test.go lists them.

Conclusion: every fault of section 2 is drawn, and every invariant's check is shown to fail on a bug.

--- a/rattansystem/history_test.go
+++ b/rattansystem/history_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -146,8 +148,12 @@
 	totals    *historyTotals
 	began     time.Time
 	transport *http.Transport
+	faults    *injector
+	revisions *revisionWatch
 	jobs      sync.WaitGroup
 	unkeyed   atomic.Int64
+	// cutOff counts requests that a graceful shutdown interrupted.
+	cutOff atomic.Int64
 }
 
 // violated is the error of a run that broke invariants.
@@ -166,6 +172,8 @@
 type historyOptions struct {
 	newRunner func() rattanentry.TaskRunner
 	adjust    func(settings *rattansettings.Settings)
+	leave     func(system *rattansystem.System, entry *rattansystem.Entry) error
+	operate   func(system *rattansystem.System) []uint64
 }
 
 func historyDocument() rattanconfig.Document {
@@ -173,6 +181,13 @@
 	list := made.JobKinds["list"]
 	list.Deadline = rattanjson.Duration(3 * time.Second)
 	made.JobKinds["list"] = list
+	// No target runs the service of this kind, so that its jobs can never run.
+	made.Services["missing"] = rattanconfig.Service{Description: "without targets"}
+	made.JobKinds["orphan"] = rattanconfig.JobKind{
+		Service: "missing", MaxTasks: 250,
+		RunTime:  rattanjson.Duration(20 * time.Millisecond),
+		Deadline: rattanjson.Duration(time.Second),
+	}
 	made.JobKinds["rush"] = rattanconfig.JobKind{
 		Service: "planner", MaxTasks: 250,
 		RunTime:  rattanjson.Duration(20 * time.Millisecond),
@@ -195,7 +210,7 @@
 // runHistoryWith runs a plan and returns what it broke.
 func runHistoryWith(plan historyPlan, totals *historyTotals, options historyOptions) error {
 	zones := []string{"buda", "pest", "csepel"}[:plan.Zones]
-	faults := &injector{zones: zones, faults: plan.Faults, errs: make(chan error, 16)}
+	faults := &injector{zones: zones, faults: plan.Faults, errs: make(chan error, 16), leave: options.leave, operate: options.operate}
 	newRunner := options.newRunner
 	if newRunner == nil {
 		newRunner = hookRunners(faults.hook)
@@ -210,6 +225,7 @@
 		Fleets:         []rattanstandin.TargetFleetOptions{{Count: plan.Targets, Service: "planner", Target: rattanstandin.TargetOptions{Slots: plan.Slots, Echo: true}}},
 		Document:       historyDocument(),
 		NewRunner:      newRunner,
+		NewScheduler:   faults.newScheduler,
 		AdjustSettings: adjust,
 	})
 	if err != nil {
@@ -224,12 +240,50 @@
 		totals:    totals,
 		began:     time.Now(),
 		transport: newTransport(),
+		faults:    faults,
+		revisions: &revisionWatch{highest: map[string]uint64{}},
 	}
 	defer run.transport.CloseIdleConnections()
+	done := make(chan struct{})
+	var watching sync.WaitGroup
+	watching.Go(func() { run.revisions.run(system, done) })
 	faults.start()
 	run.load()
 	faults.work.Wait()
-	return run.check(faults.errs)
+	err = run.check(faults.errs)
+	close(done)
+	watching.Wait()
+	if err == nil && run.revisions.reverted > 0 {
+		return errReverted
+	}
+	return err
+}
+
+// Errors of a run that broke I7 or I8.
+var (
+	errCutOff    = errors.New("requests in progress interrupted by a graceful shutdown")
+	errReverted  = errors.New("a configuration was reverted")
+	errSplit     = errors.New("two operators were told that they made the same revision")
+	errNotSpread = errors.New("an accepted configuration is not in force everywhere")
+)
+
+// checkConfiguration checks I8: no revision is made twice, and the highest one
+// is in force everywhere within the time. The target value of 2 s holds without faults; here
+// the change may have been made while an instance was cut off.
+func (r *historyRun) checkConfiguration(within time.Duration) error {
+	made := r.faults.revisionsMade()
+	if len(made) == 0 {
+		return nil
+	}
+	if len(slices.Compact(slices.Clone(made))) != len(made) {
+		return errSplit
+	}
+	for deadline := time.Now().Add(within); revisions(r.system) < made[len(made)-1]; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			return errNotSpread
+		}
+	}
+	return nil
 }
 
 // load runs all jobs and waits for their end.
@@ -262,8 +316,10 @@
 		return fmt.Errorf("jobs in progress after %v", resolveTimeout)
 	case len(reportedViolations()) > 0:
 		return fmt.Errorf("reported by the program: %w", reportedViolations()[0])
+	case r.cutOff.Load() > 0:
+		return fmt.Errorf("%w: %d", errCutOff, r.cutOff.Load())
 	}
-	return nil
+	return r.checkConfiguration(resolveTimeout)
 }
 
 func (r *historyRun) busy() bool {
@@ -275,10 +331,17 @@
 	return false
 }
 
-// client returns a client of one instance, counted from entry over all.
-func (r *historyRun) client(entry int) *rattanclient.Client {
+// address returns the address of one instance, counted from entry over all.
+func (r *historyRun) address(entry int) string {
 	entries := r.system.Entries()
-	address := entries[entry%len(entries)].Instance.CallerAddress()
+	return entries[entry%len(entries)].Instance.CallerAddress()
+}
+
+func (r *historyRun) client(entry int) *rattanclient.Client {
+	return r.clientOf(r.address(entry))
+}
+
+func (r *historyRun) clientOf(address string) *rattanclient.Client {
 	return rattanclient.New(rattanclient.Config{Addresses: []string{address}, Caller: "app", Transport: r.transport})
 }
 
@@ -370,8 +433,13 @@
 	made.Kind = p.Kind
 	made.Deadline = rattanjson.Duration(p.Deadline)
 	for i := range made.Tasks {
-		payload := fmt.Sprintf(`{"RunTime":%q,"Token":"%s-%d-%s"}`, p.RunTime, key.ID(), i, body)
+		runTime := p.RunTime
+		if p.Straggles && i == 0 {
+			runTime = stragglerRunTime
+		}
+		payload := fmt.Sprintf(`{"RunTime":%q,"Token":"%s-%d-%s"}`, runTime, key.ID(), i, body)
 		made.Tasks[i].Payload = []byte(payload)
+		made.Tasks[i].RunTime = rattanjson.Duration(p.Declared)
 	}
 	return made
 }
@@ -404,9 +472,13 @@
 	ctx, cancel := context.WithTimeout(ctx, 8*time.Second)
 	defer cancel()
 	request.Through = fmt.Sprintf("entry %d", entry%len(r.system.Entries()))
+	address := r.address(entry)
 	request.Asked = time.Now()
-	answer, err := send(ctx, r.client(entry))
+	answer, err := send(ctx, r.clientOf(address))
 	request.Received = time.Now()
+	if err != nil && ctx.Err() == nil && r.faults != nil && r.faults.cutOff(address, request.Asked) {
+		r.cutOff.Add(1)
+	}
 	request.Answered = err == nil
 	request.Answer = answer
 	r.history.Requested(request)
--- a/rattansystem/injected_test.go
+++ b/rattansystem/injected_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -12,14 +13,37 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/rattanlever/rattanlever/rattancheck"
+	"github.com/rattanlever/rattanlever/rattanconfig"
 	"github.com/rattanlever/rattanlever/rattanentry"
 	"github.com/rattanlever/rattanlever/rattanjson"
+	"github.com/rattanlever/rattanlever/rattanplatform"
 	"github.com/rattanlever/rattanlever/rattansettings"
 	"github.com/rattanlever/rattanlever/rattanstandin"
 	"github.com/rattanlever/rattanlever/rattansystem"
 	"github.com/rattanlever/rattanlever/rattantarget"
 )
 
+// Each invariant of section 2 of the design page, the check that guards it in
+// the histories and in focused tests, and the bug that is injected to show that
+// the check can fail:
+//
+//	I1  starts by task, rattancheck        a dispatch is sent twice; a ledger forgets its records
+//	                                       (rattanentry, TestForgettingLedgerIsFound)
+//	I2  results against tasks, rattancheck results are lost
+//	I3  results against payloads,          answers are swapped
+//	    rattancheck
+//	I4  "not run" against starts,          "not run" is said after a start; a cancellation leaves no
+//	    rattancheck                        record (rattanledger, TestInjectedFaults)
+//	I5  as I1, for the kind "rush"         a dispatch is sent twice
+//	I6  last start after the departure,    the instance list is not read
+//	    TestLeavingTargetGetsNoWork
+//	I7  failed requests of an instance     an instance ends at once in place of a graceful shutdown
+//	    that shuts down, historyRun
+//	I8  revisions, historyRun              operators write without compare-and-swap; an instance
+//	                                       reverts; a zone does not hear of a change
+//	    stability of final answers and     a home's authority never expires
+//	    linearizability, rattancheck
+
 // faultyRunner is the product's runner with an injected fault.
 type faultyRunner struct {
 	rattanentry.TaskRunner
@@ -101,6 +125,113 @@
 	}
 }
 
+// Guards the check of I5: a task of a kind that is not idempotent must be found
+// when it is sent twice.
+func TestRepeatedRushIsFound(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	plan := historyPlan{Zones: 1, Entries: 2, Targets: 2, Slots: 8, Jobs: []jobPlan{{Kind: "rush", Tasks: 1, RunTime: 10 * time.Millisecond}}}
+	newRunner := func() rattanentry.TaskRunner {
+		return &faultyRunner{TaskRunner: rattantarget.New(rattantarget.Options{}), run: runTwice}
+	}
+	violations := violationsOf(c, plan, historyOptions{newRunner: newRunner})
+	c.Assert(violations, qt.DeepEquals, []rattancheck.Invariant{rattancheck.InvariantSingleStart})
+}
+
+// kill ends an instance at once where a graceful shutdown is due.
+func kill(system *rattansystem.System, entry *rattansystem.Entry) error {
+	system.Kill(entry)
+	return nil
+}
+
+// Guards the check of I7 in the histories: a shutdown that interrupts requests
+// in progress must be found.
+func TestInterruptedRequestsAreFound(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		leave func(system *rattansystem.System, entry *rattansystem.Entry) error
+		want  error
+	}{
+		{"graceful", nil, nil},
+		{"at once", kill, errCutOff},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			plan := historyPlan{
+				Zones: 1, Entries: 2, Targets: 2, Slots: 8,
+				Faults: []faultPlan{{Kind: faultShutdownFront, At: 200 * time.Millisecond}},
+			}
+			for entry := range 8 {
+				plan.Jobs = append(plan.Jobs, jobPlan{Kind: "list", Entry: entry, Tasks: 2, RunTime: 600 * time.Millisecond})
+			}
+			var totals historyTotals
+			err := runHistoryWith(plan, &totals, historyOptions{leave: test.leave})
+			c.Assert(errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
+
+// operateBlindly lets two operators replace the same document without
+// compare-and-swap.
+func operateBlindly(system *rattansystem.System) []uint64 {
+	client := rattanplatform.New(rattanplatform.Options{Address: system.Platform.Address()})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	entry, err := client.Get(ctx, rattanconfig.PlatformKey)
+	if err != nil {
+		return nil
+	}
+	var changed rattanconfig.Document
+	if json.Unmarshal(entry.Value, &changed) != nil {
+		return nil
+	}
+	changed.Revision++
+	var made []uint64
+	for weight := range 2 {
+		changed.Callers["counter"] = rattanconfig.Caller{Weight: float64(weight + 1)}
+		value, err := json.Marshal(changed)
+		if err != nil {
+			return nil
+		}
+		if _, err := client.Put(ctx, rattanconfig.PlatformKey, value, rattanplatform.AnyRevision, rattanplatform.NoLease); err == nil {
+			made = append(made, changed.Revision)
+		}
+	}
+	return made
+}
+
+// Guards the check of I8 in the histories: operators who overwrite each other
+// must be found, and so must a change that does not arrive everywhere.
+func TestLostConfigurationIsFound(t *testing.T) {
+	t.Run("overwritten", func(t *testing.T) {
+		t.Parallel()
+		c := qt.New(t)
+		plan := historyPlan{
+			Zones: 1, Entries: 2, Targets: 1, Slots: 8,
+			Jobs:   []jobPlan{{Kind: "list", Tasks: 1, RunTime: 10 * time.Millisecond}},
+			Faults: []faultPlan{{Kind: faultConfigurationRace, At: 50 * time.Millisecond}},
+		}
+		var totals historyTotals
+		c.Assert(runHistoryWith(plan, &totals, historyOptions{}), qt.IsNil)
+		err := runHistoryWith(plan, &totals, historyOptions{operate: operateBlindly})
+		c.Assert(errors.Is(err, errSplit), qt.IsTrue, qt.Commentf("%v", err))
+	})
+	t.Run("not spread", func(t *testing.T) {
+		t.Parallel()
+		c := qt.New(t)
+		system := startSystem(c, "buda", "pest")
+		system.Network.Cut("pest")
+		made := raiseRevision(system, 2)
+		c.Assert(made > 0, qt.IsTrue)
+		run := &historyRun{system: system, faults: &injector{made: []uint64{made}}}
+		c.Assert(run.checkConfiguration(inForceBound), qt.Equals, errNotSpread)
+		system.Network.Heal()
+		c.Assert(run.checkConfiguration(resolveTimeout), qt.IsNil)
+	})
+}
+
 // violationsOf runs a plan and returns the invariants that it broke.
 func violationsOf(c *qt.C, plan historyPlan, options historyOptions) []rattancheck.Invariant {
 	var totals historyTotals
--- a/rattansystem/network.go
+++ b/rattansystem/network.go
@@ -12,6 +12,9 @@
 // platformZone is the name of the platform's place in the network.
 const platformZone = "platform"
 
+// pausePoll is how often held input and output looks for the end of a pause.
+const pausePoll = 2 * time.Millisecond
+
 // Network carries the connections between instances and to the platform, and
 // can cut availability zones and single instances off. A cut drops everything
 // without an error, on open connections and on new ones.
@@ -20,6 +23,14 @@
 	places   map[string]place
 	zones    map[string]bool
 	isolated map[string]bool
+	// mute and deaf are the instances whose messages to others are lost, and
+	// those that no message of others reaches.
+	mute map[string]bool
+	deaf map[string]bool
+	// paused are the instances whose input and output is held.
+	paused map[string]int
+	// generation grows when all open connections go silent.
+	generation int
 }
 
 // place is where an end of a connection is.
@@ -29,7 +40,9 @@
 
 // NewNetwork returns a network without cuts.
 func NewNetwork() *Network {
-	return &Network{places: map[string]place{}, zones: map[string]bool{}, isolated: map[string]bool{}}
+	made := &Network{places: map[string]place{}, paused: map[string]int{}}
+	made.Heal()
+	return made
 }
 
 // Cut cuts the zone off from all other zones and from the platform.
@@ -39,6 +52,13 @@
 	n.zones[zone] = true
 }
 
+// Deafen loses what others send to the instance; what it sends arrives.
+func (n *Network) Deafen(instance string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.deaf[instance] = true
+}
+
 // Dial returns the function by which an instance of the zone reaches others.
 func (n *Network) Dial(zone, instance string) rattanpeer.DialFunc {
 	return func(ctx context.Context, address string) (net.Conn, error) {
@@ -63,6 +83,13 @@
 	defer n.mutex.Unlock()
 	n.zones = map[string]bool{}
 	n.isolated = map[string]bool{}
+	n.mute = map[string]bool{}
+	n.deaf = map[string]bool{}
+}
+
+// Hold waits while the instance is paused.
+func (n *Network) Hold(instance string) {
+	n.hold(instance, nil)
 }
 
 // Isolate cuts one instance off from all others and from the platform. Its
@@ -73,6 +100,28 @@
 	n.isolated[instance] = true
 }
 
+// Listen returns a listener of the instance whose connections are held while
+// the instance is paused.
+func (n *Network) Listen(instance string, inner net.Listener) net.Listener {
+	return &heldListener{Listener: inner, network: n, instance: instance}
+}
+
+// Mute loses what the instance sends to others; what they send arrives.
+func (n *Network) Mute(instance string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.mute[instance] = true
+}
+
+// Pause holds all input and output of the instance until Resume. Nothing is
+// lost: as with a stopped process, what was sent to it is read afterwards, and
+// what it decided before is sent afterwards. Pauses of one instance add up.
+func (n *Network) Pause(instance string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.paused[instance]++
+}
+
 // Place tells the zone and the instance of an address.
 func (n *Network) Place(address, zone, instance string) {
 	n.mutex.Lock()
@@ -80,17 +129,56 @@
 	n.places[address] = place{zone: zone, instance: instance}
 }
 
+// Resume ends a Pause.
+func (n *Network) Resume(instance string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.paused[instance]--
+}
+
+// Silence makes the open connections go silent for good. New ones work.
+func (n *Network) Silence() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.generation++
+}
+
+func (n *Network) hold(instance string, closed <-chan struct{}) {
+	for n.isPaused(instance) {
+		select {
+		case <-closed:
+			return
+		case <-time.After(pausePoll):
+		}
+	}
+}
+
+func (n *Network) isPaused(instance string) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.paused[instance] > 0
+}
+
+// cut reports whether what is sent in one direction is lost.
 func (n *Network) cut(from, to place) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if from.zone != to.zone && (n.zones[from.zone] || n.zones[to.zone]) {
 		return true
 	}
-	return from.instance != to.instance && (n.isolated[from.instance] || n.isolated[to.instance])
+	if from.instance == to.instance {
+		return false
+	}
+	return n.isolated[from.instance] || n.isolated[to.instance] || n.mute[from.instance] || n.deaf[to.instance]
 }
 
 func (n *Network) dial(ctx context.Context, from, to place, address string) (net.Conn, error) {
-	if n.cut(from, to) {
+	n.hold(from.instance, ctx.Done())
+	n.mutex.Lock()
+	generation := n.generation
+	n.mutex.Unlock()
+	// A connection needs both directions to open.
+	if n.cut(from, to) || n.cut(to, from) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -98,23 +186,84 @@
 	if err != nil {
 		return nil, err
 	}
-	return &cutConn{Conn: conn, network: n, from: from, to: to}, nil
+	return &cutConn{
+		heldConn:   heldConn{Conn: conn, network: n, instance: from.instance, closed: make(chan struct{})},
+		from:       from,
+		to:         to,
+		generation: generation,
+	}, nil
 }
 
-// cutConn is a connection that goes silent for good once its path is cut.
-type cutConn struct {
+// heldListener accepts connections that are held while the instance is paused.
+type heldListener struct {
+	net.Listener
+	network  *Network
+	instance string
+}
+
+// Accept accepts a connection.
+func (l *heldListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldConn{Conn: conn, network: l.network, instance: l.instance, closed: make(chan struct{})}, nil
+}
+
+// heldConn is a connection whose input and output waits while its
+// instance is paused.
+type heldConn struct {
 	net.Conn
 	network  *Network
-	from, to place
-	mutex    sync.Mutex
-	silent   bool
+	instance string
+	closing  sync.Once
+	closed   chan struct{}
 }
 
+// Close closes the connection.
+func (c *heldConn) Close() error {
+	c.closing.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// Read delivers what has arrived once the instance is not paused.
+func (c *heldConn) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	c.network.hold(c.instance, c.closed)
+	return count, err
+}
+
+// Write writes once the instance is not paused.
+func (c *heldConn) Write(buffer []byte) (int, error) {
+	c.network.hold(c.instance, c.closed)
+	return c.Conn.Write(buffer)
+}
+
+// cutConn is a connection of which a direction goes silent for good once its
+// path is cut.
+type cutConn struct {
+	heldConn
+	from, to   place
+	generation int
+
+	mutex sync.Mutex
+	// lost has the directions that are silent.
+	lost [2]bool
+}
+
+// direction is that of a connection's bytes, seen from the end that dialled.
+type direction int
+
+const (
+	directionOut direction = iota
+	directionIn
+)
+
 // Read discards what arrives on a silent connection.
 func (c *cutConn) Read(buffer []byte) (int, error) {
 	for {
-		count, err := c.Conn.Read(buffer)
-		if err != nil || !c.silenced() {
+		count, err := c.heldConn.Read(buffer)
+		if err != nil || !c.silenced(directionIn, c.to, c.from) {
 			return count, err
 		}
 		time.Sleep(time.Millisecond)
@@ -123,15 +272,18 @@
 
 // Write swallows what is written to a silent connection.
 func (c *cutConn) Write(buffer []byte) (int, error) {
-	if c.silenced() {
+	if c.silenced(directionOut, c.from, c.to) {
 		return len(buffer), nil
 	}
-	return c.Conn.Write(buffer)
+	return c.heldConn.Write(buffer)
 }
 
-func (c *cutConn) silenced() bool {
+func (c *cutConn) silenced(way direction, from, to place) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.silent = c.silent || c.network.cut(c.from, c.to)
-	return c.silent
+	c.network.mutex.Lock()
+	old := c.generation != c.network.generation
+	c.network.mutex.Unlock()
+	c.lost[way] = c.lost[way] || old || c.network.cut(from, to)
+	return c.lost[way]
 }
--- a/rattansystem/plan_test.go
+++ b/rattansystem/plan_test.go
@@ -38,6 +38,19 @@
 	faultTargetLeaves       faultKind = "target leaves"
 	faultTargetUnlisted     faultKind = "target leaves the list"
 	faultConfigurationRace  faultKind = "configuration race"
+
+	faultShutdownRestartHome  faultKind = "shut down home and start it again"
+	faultShutdownRestartFront faultKind = "shut down front and start it again"
+	faultPauseHome            faultKind = "pause home"
+	faultPauseFront           faultKind = "pause front"
+	faultMuteHome             faultKind = "messages of home lost"
+	faultDeafenHome           faultKind = "messages to home lost"
+	faultMuteFront            faultKind = "messages of front lost"
+	faultLinksSilent          faultKind = "open links silent"
+	faultTargetsFailFast      faultKind = "all targets of a zone fail fast"
+	faultRackDies             faultKind = "half of the targets of a zone die"
+	faultOperatorsRace        faultKind = "operators race through instances"
+	faultOperatorsRaceLost    faultKind = "operators race and answers are lost"
 )
 
 var faultKinds = []faultKind{
@@ -49,6 +62,11 @@
 	faultTargetFailsFast, faultTargetRefuses, faultTargetSlow, faultTargetSilent,
 	faultTargetMute, faultTargetDies, faultTargetLeaves, faultTargetUnlisted,
 	faultConfigurationRace,
+	faultShutdownRestartHome, faultShutdownRestartFront,
+	faultPauseHome, faultPauseFront,
+	faultMuteHome, faultDeafenHome, faultMuteFront, faultLinksSilent,
+	faultTargetsFailFast, faultRackDies,
+	faultOperatorsRace, faultOperatorsRaceLost,
 }
 
 // faultPlan is one fault at a time after the start of the load.
@@ -83,15 +101,22 @@
 
 // jobPlan is one job.
 type jobPlan struct {
-	At       time.Duration
-	Kind     string
-	Entry    int
-	Tasks    int
-	RunTime  time.Duration
-	Deadline time.Duration
-	Requests []requestPlan
+	At      time.Duration
+	Kind    string
+	Entry   int
+	Tasks   int
+	RunTime time.Duration
+	// Declared is the run time that the submission states; 0 states none.
+	Declared time.Duration
+	// Straggles makes the first task run for stragglerRunTime.
+	Straggles bool
+	Deadline  time.Duration
+	Requests  []requestPlan
 }
 
+// stragglerRunTime is many times as long as that of other tasks.
+const stragglerRunTime = 1500 * time.Millisecond
+
 // historyPlan is one run: the system, its load and its faults.
 type historyPlan struct {
 	Zones   int
@@ -127,13 +152,15 @@
 var jobPlans = rapid.Custom(func(t *rapid.T) jobPlan {
 	deadlines := []time.Duration{0, 0, 0, 20 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond}
 	return jobPlan{
-		At:       milliseconds(t, 0, 700, "at"),
-		Kind:     rapid.SampledFrom([]string{"list", "list", "rush", "rush", "unknown"}).Draw(t, "kind"),
-		Entry:    rapid.IntRange(0, 100).Draw(t, "entry"),
-		Tasks:    rapid.IntRange(1, 12).Draw(t, "tasks"),
-		RunTime:  milliseconds(t, 0, 120, "run time"),
-		Deadline: rapid.SampledFrom(deadlines).Draw(t, "deadline"),
-		Requests: rapid.SliceOfN(requestPlans, 0, 4).Draw(t, "requests"),
+		At:        milliseconds(t, 0, 700, "at"),
+		Kind:      rapid.SampledFrom([]string{"list", "list", "list", "rush", "rush", "rush", "unknown", "orphan"}).Draw(t, "kind"),
+		Entry:     rapid.IntRange(0, 100).Draw(t, "entry"),
+		Tasks:     rapid.IntRange(1, 12).Draw(t, "tasks"),
+		RunTime:   milliseconds(t, 0, 120, "run time"),
+		Declared:  rapid.SampledFrom([]time.Duration{0, 0, time.Millisecond, 2 * time.Second}).Draw(t, "declared"),
+		Straggles: rapid.IntRange(0, 9).Draw(t, "straggles") == 9,
+		Deadline:  rapid.SampledFrom(deadlines).Draw(t, "deadline"),
+		Requests:  rapid.SliceOfN(requestPlans, 0, 4).Draw(t, "requests"),
 	}
 })
 
--- a/rattansystem/system.go
+++ b/rattansystem/system.go
@@ -338,8 +338,8 @@
 		Settings:       settings,
 		Logger:         s.logger,
 		NewScheduler:   s.config.NewScheduler,
-		CallerListener: callers,
-		PeerListener:   peers,
+		CallerListener: s.Network.Listen(name, callers),
+		PeerListener:   s.Network.Listen(name, peers),
 		DialPeer:       s.Network.Dial(zone, name),
 		Platform: rattanplatform.New(rattanplatform.Options{
 			Address: s.Platform.Address(),
