Report a plan as uncertain when its lost write may be behind other changes

Cause: Confirm reads the document back after a write whose answer was lost, and finds its own change by the request ID of the latest revision. When another plan had been made for and confirmed after the lost write, the operator was told 409 (conflict), although the plan had taken effect.

Change: when the answer to a write was lost and more than one revision has followed the plan's, the answer is ErrUncertain (503) and says so. With exactly one other revision the conflict is certain, because the write was conditional.

Conclusion: no conflict is reported for a change that may be in force.

--- a/rattanentry/plans.go
+++ b/rattanentry/plans.go
@@ -90,11 +90,15 @@
 
 // Confirm puts a plan in force by compare-and-swap. A write whose answer was
 // lost is read back by the plan's ID before anything is said or tried again.
+// The document names only its latest change: when more than one has followed
+// the plan's revision, a lost write may be among them, and the answer is
+// ErrUncertain in place of a conflict.
 func (p *Plans) Confirm(ctx context.Context, now time.Time, id string) (rattanplan.Plan, error) {
 	plan, planRevision, err := p.load(ctx, id)
 	if err != nil {
 		return plan, err
 	}
+	lost := false
 	for range confirmTries {
 		current, revision, err := p.document(ctx)
 		if err != nil {
@@ -104,12 +108,18 @@
 		if errors.Is(err, rattanplan.ErrConfirmed) {
 			return p.confirmed(ctx, now, plan, planRevision, current)
 		}
+		if errors.Is(err, rattanplan.ErrStale) && lost && current.Revision > plan.Revision+1 {
+			return plan, errors.WithType(errors.Errorf("plan %s: the answer to its write was lost and other changes followed, so it may have been in force: %v", id, err), rattanplatform.ErrUncertain)
+		}
 		if err != nil {
 			return plan, errors.Trace(err)
 		}
-		if err := p.write(ctx, next, revision); err == nil {
+		err = p.write(ctx, next, revision)
+		if err == nil {
 			return p.confirmed(ctx, now, plan, planRevision, next)
-		} else if !errors.Is(err, rattanplatform.ErrUncertain) && !errors.Is(err, rattanplatform.ErrConflict) {
+		}
+		lost = lost || errors.Is(err, rattanplatform.ErrUncertain)
+		if !errors.Is(err, rattanplatform.ErrUncertain) && !errors.Is(err, rattanplatform.ErrConflict) {
 			return plan, errors.Annotatef(err, "plan %s: not confirmed", id)
 		}
 	}
