Print an operator's conflict with all its changes in one line

Cause: the error line of the command ended at the first line of the detail, so that the changes since a stale plan were cut off; before, they stood in the JSON that was printed.

Change: lines of a detail are joined.

--- a/rattanclient/client.go
+++ b/rattanclient/client.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -188,7 +189,14 @@
 	if json.Unmarshal(data, &answer) != nil || answer.Detail == "" {
 		return errors.WithType(errors.Errorf("%s: status %d: %.200s", path, status, bytes.TrimSpace(data)), ErrStatus)
 	}
-	return errors.WithType(errors.Errorf("%s: %v, %v: %s", path, answer.State, answer.Reason, answer.Detail), ErrStatus)
+	return errors.WithType(errors.Errorf("%s: %v, %v: %s", path, answer.State, answer.Reason, oneLine(answer.Detail)), ErrStatus)
+}
+
+// oneLine joins lines, such as those of the changes since a stale plan, because
+// errors are printed as one line.
+func oneLine(text string) string {
+	joined := strings.ReplaceAll(strings.TrimSpace(text), "\n", "; ")
+	return strings.ReplaceAll(joined, ":; ", ": ")
 }
 
 func (c *Client) send(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
--- a/rattanclient/client_test.go
+++ b/rattanclient/client_test.go
@@ -15,6 +15,7 @@
 		name, body, want string
 	}{
 		{"Answer", `{"State":"Refused","Execution":"NotRun","Reason":"NotReady","Detail":"key \"Config\": outage"}`, `/v1/plans: Refused, NotReady: key "Config": outage`},
+		{"Several lines", `{"State":"Refused","Execution":"NotRun","Reason":"Conflict","Detail":"Changes since:\nA: 1\nB: 2\n"}`, "/v1/plans: Refused, Conflict: Changes since: A: 1; B: 2"},
 		{"Other body", "no such page\n", "/v1/plans: status 503: no such page"},
 		{"Answer without detail", `{"State":"Refused"}`, `/v1/plans: status 503: {"State":"Refused"}`},
 	} {
