--- a/rattancmd/main_test.go
+++ b/rattancmd/main_test.go
@@ -252,7 +252,7 @@
 	c.Assert(code, qt.Equals, ExitOK, qt.Commentf(errOut))
 	code, _, errOut = run("", "plan abandon "+plan)
 	c.Assert(code, qt.Equals, ExitFailed)
-	c.Assert(errOut, qt.Contains, "409")
+	c.Assert(errOut, qt.Contains, "Refused, Conflict: plan "+plan)
 }
 
 // Guards the demo's checks: each planted fault must be found.
