--- a/rattansystem/bench_test.go
+++ b/rattansystem/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -108,6 +109,59 @@
 	startsPerSecond(b, nil)
 }
 
+// Measures the processor time that a job of 30 tasks costs more when it is
+// submitted at another instance than its home, for the front and the home
+// together. Batches through both are run in turn, and their medians compared.
+func BenchmarkForwardedJob(b *testing.B) {
+	const (
+		tasks     = 30
+		batchJobs = 100
+		batches   = 21
+	)
+	system, err := rattansystem.Start(rattansystem.Config{
+		Zones:          []string{"buda"},
+		EntriesPerZone: 3,
+		Fleets:         []rattanstandin.TargetFleetOptions{{Count: 17, Service: "planner", Target: rattanstandin.TargetOptions{Slots: 60, Echo: true}}},
+		Document:       document(),
+		NewRunner:      func() rattanentry.TaskRunner { return instantRunner{} },
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(system.Close)
+	home := system.Home("buda")
+	clients := make([]*rattanclient.Client, 2)
+	for _, entry := range system.Entries("buda") {
+		forwards := 1
+		if entry == home {
+			forwards = 0
+		}
+		clients[forwards] = rattanclient.New(rattanclient.Config{Addresses: []string{entry.Instance.CallerAddress()}, Caller: "app"})
+	}
+	perJob := make([][]float64, len(clients))
+	for range batches {
+		for forwards, client := range clients {
+			keys, err := client.Keys(b.Context(), batchJobs)
+			if err != nil {
+				b.Fatal(err)
+			}
+			before := processorTime()
+			for _, key := range keys {
+				answer, err := client.Do(b.Context(), submission(key, tasks, 0))
+				if err != nil || answer.State != rattanjob.StateComplete {
+					b.Fatalf("%+v %v", answer, err)
+				}
+			}
+			perJob[forwards] = append(perJob[forwards], float64((processorTime()-before).Microseconds())/batchJobs)
+		}
+	}
+	for _, samples := range perJob {
+		slices.Sort(samples)
+	}
+	b.ReportMetric(perJob[0][batches/2], "at-home-CPU-us/job")
+	b.ReportMetric(perJob[1][batches/2]-perJob[0][batches/2], "forwarding-CPU-us/job")
+}
+
 // Measures the latency that the entry instance adds to a direct call of a
 // target; the target is a median under 1 ms.
 func BenchmarkAddedLatency(b *testing.B) {
