Do not wait for the jobs of a killed home

Cause: an instance that a test has killed waited for its abandoned jobs for up to DrainTimeout (2 minutes) when its system was closed, with its loops running.

Change: Drain returns at once for a killed home.

Conclusion: closed systems end sooner.

--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -392,11 +392,12 @@
 	}
 }
 
-// drained waits until no job is in progress and no request waits.
+// drained waits until no job is in progress and no request waits. A home that
+// was killed has nothing to wait for.
 func (h *Home) drained(ctx context.Context) error {
 	for {
 		h.mutex.Lock()
-		idle := len(h.runs) == 0 && h.waiting == 0
+		idle := h.dead || len(h.runs) == 0 && h.waiting == 0
 		h.mutex.Unlock()
 		if idle {
 			return nil
