Take in nothing that is meant for another instance

Cause: an instance took in heartbeats and news that were sent to its address for another one. Instances go on to contact the addresses of members that have ended; when another system has taken over such an address and its members have the same names, their later incarnations were proof that live homes had ended. The tests of rattansystem and rattancmd took ports from the same range and used the same names, so that runs side by side could meet in this way; it is the only path found to the answer Complete after HomeLost that was seen once in the paused-home test. That run itself is not proved to have had this cause.

Change: heartbeats and news for another instance are refused (rattanentry, members.go and news.go). Names of processes under test differ between clusters.

Conclusion: an address that is used again proves nothing about homes.

--- a/rattancmd/process_test.go
+++ b/rattancmd/process_test.go
@@ -178,7 +178,7 @@
 	})
 	made.putDocument()
 	for i := range count + spare {
-		made.peers = append(made.peers, rattansettings.Peer{Name: entryName(i), AvailabilityZone: "buda", PeerAddress: made.reserved[2*i+1].Addr().String()})
+		made.peers = append(made.peers, rattansettings.Peer{Name: made.entryName(i), AvailabilityZone: "buda", PeerAddress: made.reserved[2*i+1].Addr().String()})
 	}
 	for range count {
 		made.startEntry()
@@ -212,8 +212,13 @@
 	}
 }
 
-func entryName(number int) string {
-	return fmt.Sprintf("buda-entry-%d", number+1)
+// entryName returns a name that no other cluster has. An instance of another
+// cluster that still contacts a port of a killed one could otherwise be taken
+// for a later incarnation of an instance here.
+func (s *cluster) entryName(number int) string {
+	_, port, err := net.SplitHostPort(s.reserved[1].Addr().String())
+	s.c.Assert(err, qt.IsNil)
+	return fmt.Sprintf("buda-%s-entry-%d", port, number+1)
 }
 
 func (s *cluster) putDocument() {
@@ -237,7 +242,7 @@
 func (s *cluster) startEntry() *process {
 	number := len(s.entries)
 	settings := rattansettings.Default()
-	settings.Name = entryName(number)
+	settings.Name = s.entryName(number)
 	settings.AvailabilityZone = "buda"
 	settings.CallerAddress = release(s.reserved[2*number])
 	settings.PeerAddress = release(s.reserved[2*number+1])
--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -426,6 +426,11 @@
 	if err := json.Unmarshal(body, &heartbeat); err != nil {
 		return nil, errors.Trace(err)
 	}
+	// A sender that looks for another instance here may belong to another
+	// system that had this address. Its members may have the names of ours.
+	if name := heartbeat.To.Instance; name != m.config.Settings.Name {
+		return nil, errors.Errorf("%s does not run at %s", name, m.config.Settings.Name)
+	}
 	m.mutex.Lock()
 	acknowledgement := m.table.HandleHeartbeat(time.Now(), heartbeat)
 	m.mutex.Unlock()
--- a/rattanentry/news.go
+++ b/rattanentry/news.go
@@ -23,6 +23,9 @@
 
 // news notifies a peer that something has changed at the sender.
 type news struct {
+	// To names the receiver. Another instance that has its address now, perhaps
+	// one of another system, takes in nothing.
+	To string
 	// PeerAddress is that of the sender, from which the change is pulled.
 	PeerAddress string
 	// Payload is that of a heartbeat.
@@ -35,18 +38,22 @@
 	if err := json.Unmarshal(body, &received); err != nil {
 		return nil, errors.Trace(err)
 	}
+	if received.To != i.config.Settings.Name {
+		return nil, errors.Errorf("%s does not run at %s", received.To, i.config.Settings.Name)
+	}
 	i.received(received.PeerAddress, received.Payload)
 	return nil, nil
 }
 
 // spread notifies a few members of a change, first those of the same zone.
 func (i *Instance) spread() {
-	body, err := json.Marshal(news{PeerAddress: i.config.Settings.PeerAddress, Payload: i.payload()})
-	if err != nil {
-		return
-	}
+	payload := i.payload()
 	for _, member := range i.newsReceivers(time.Now()) {
 		go func() {
+			body, err := json.Marshal(news{To: member.Incarnation.Instance, PeerAddress: i.config.Settings.PeerAddress, Payload: payload})
+			if err != nil {
+				return
+			}
 			ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
 			defer cancel()
 			_, _ = i.Node.Call(ctx, member.PeerAddress, methodNews, body)
