Close reserved ports of processes while no process is being started

Cause: TestAllProcesses failed once in go test ./... (platform: connection refused, just after waitListening had connected), and clusters failed with "address already in use". A process that a parallel test starts has copies of all listeners until it runs its own program, so that a port that was released in that time was still in use and accepted connections.

Change: release takes syscall.ForkLock, which os/exec holds while it starts a process.

Conclusion: the cause follows from the code; it was not traced in a failing run.

--- a/rattancmd/process_test.go
+++ b/rattancmd/process_test.go
@@ -143,8 +143,13 @@
 	return listeners
 }
 
-// release closes a reserved listener and returns its address.
+// release closes a reserved listener and returns its address. The lock keeps
+// out processes that a parallel test is just starting: until they run their own
+// program they have a copy of the listener, which accepts connections and keeps
+// the port in use.
 func release(reserved net.Listener) string {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	_ = reserved.Close()
 	return reserved.Addr().String()
 }
