Measure the cost of the instance list at 500, 2,000 and 9,000 instances

Cause: docs/CAPACITY.md says that reading the list does not fit at the two-year size, without a command that measures it.

Change: BenchmarkInventory measures one reading by a watcher and one pull by a member, with 0, 1 and 40 instances changed since the last one.

--- /dev/null
+++ b/rattanentry/inventory_bench_test.go
@@ -0,0 +1,225 @@
+package rattanentry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rattanlever/rattanlever/rattanmember"
+	"github.com/rattanlever/rattanlever/rattanplatform"
+)
+
+// Sizes of the benchmarks of the instance list: the changes of a day are those
+// of docs/design.md, section 2, over the whole system, and a rack is the
+// largest group that leaves at once.
+const (
+	changesPerDay = 1_600
+	largestRack   = 40
+	inventoryZone = "zone-0"
+)
+
+// listServer serves an instance list from bodies that were encoded before, so
+// that a benchmark measures its reader only.
+type listServer struct {
+	instances []rattanplatform.Instance
+	bodies    map[string][]byte
+	tags      map[string]string
+}
+
+// benchmarkInstances returns a list of targets in five zones.
+func benchmarkInstances(count int) []rattanplatform.Instance {
+	instances := make([]rattanplatform.Instance, count)
+	for i := range instances {
+		instances[i] = rattanplatform.Instance{
+			Name:             fmt.Sprintf("target-%05d", i),
+			Address:          fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250),
+			AvailabilityZone: fmt.Sprintf("zone-%d", i%5),
+			Rack:             fmt.Sprintf("rack-%d", i/largestRack),
+			Role:             rattanplatform.RoleTarget,
+			Service:          "planner",
+			Slots:            8,
+			Cores:            30,
+			MemoryMB:         130_000,
+			Accelerators:     2,
+		}
+	}
+	return instances
+}
+
+// change lets the next state of the first instances of the first zone begin.
+func (s *listServer) change(count int) {
+	for i := 0; count > 0 && i < len(s.instances); i++ {
+		if s.instances[i].AvailabilityZone == inventoryZone {
+			s.instances[i].Slots ^= 1
+			count--
+		}
+	}
+	s.encode()
+}
+
+func (s *listServer) encode() {
+	parts := map[string][]rattanplatform.Instance{"": s.instances}
+	for _, instance := range s.instances {
+		parts[instance.AvailabilityZone] = append(parts[instance.AvailabilityZone], instance)
+	}
+	former := s.bodies
+	s.bodies = map[string][]byte{}
+	for zone, part := range parts {
+		s.bodies[zone], _ = json.Marshal(part)
+		if string(s.bodies[zone]) != string(former[zone]) {
+			s.tags[zone] = strconv.Quote(strconv.FormatInt(time.Now().UnixNano(), 10))
+		}
+	}
+}
+
+func (s *listServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	zone := r.URL.Query().Get("AvailabilityZone")
+	w.Header().Set("ETag", s.tags[zone])
+	if r.Header.Get("If-None-Match") == s.tags[zone] {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	_, _ = w.Write(s.bodies[zone])
+}
+
+// countedConn counts the bytes in both directions.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+type noWatchers struct{}
+
+func (noWatchers) Others(time.Time) []rattanmember.Member   { return nil }
+func (noWatchers) Watchers(time.Time) []rattanmember.Member { return nil }
+
+type onePool struct{}
+
+func (onePool) Pool(time.Time) (pool, pools int, owned bool) { return 0, 1, true }
+func (onePool) SetPools(int)                                 {}
+
+// servingPeer passes calls to the handler of another inventory and counts the
+// bytes of their bodies.
+type servingPeer struct {
+	serve func(ctx context.Context, peer string, body []byte) ([]byte, error)
+	bytes atomic.Int64
+}
+
+func (p *servingPeer) Call(ctx context.Context, _, _ string, body []byte) ([]byte, error) {
+	reply, err := p.serve(ctx, "", body)
+	p.bytes.Add(int64(len(body) + len(reply)))
+	return reply, err
+}
+
+func testInventory(platform InstanceLister, peers PeerCaller) *Inventory {
+	return NewInventory(InventoryConfig{
+		Platform:         platform,
+		Peers:            peers,
+		Watchers:         noWatchers{},
+		AvailabilityZone: inventoryZone,
+		Home:             benchmarkHome(false, false),
+		Documents:        fakeDocuments{},
+		Pools:            onePool{},
+		Observed:         func(time.Time, []rattanplatform.Instance) {},
+		Changed:          func() {},
+	})
+}
+
+// BenchmarkInventory measures one reading of the instance list by a watcher and
+// one pull of it by a member, with no change, with one instance changed and
+// with a rack changed since the last one. The time of a watcher contains that
+// of the loopback and of the server's writes.
+func BenchmarkInventory(b *testing.B) {
+	for _, size := range []int{500, 2_000, 9_000} {
+		for _, changed := range []int{0, 1, largestRack} {
+			name := fmt.Sprintf("instances=%d/changed=%d", size, changed)
+			b.Run("watcher/"+name, func(b *testing.B) { benchmarkWatcher(b, size, changed) })
+			b.Run("member/"+name, func(b *testing.B) { benchmarkMember(b, size, changed) })
+		}
+	}
+}
+
+func newListServer(b *testing.B, size int) (*listServer, InstanceLister, *atomic.Int64) {
+	lists := &listServer{instances: benchmarkInstances(size), tags: map[string]string{}}
+	lists.encode()
+	server := httptest.NewServer(lists)
+	b.Cleanup(server.Close)
+	bytes := &atomic.Int64{}
+	client := rattanplatform.New(rattanplatform.Options{
+		Address: server.Listener.Addr().String(),
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			return countedConn{conn, bytes}, err
+		},
+	})
+	b.Cleanup(client.Close)
+	return lists, client, bytes
+}
+
+func benchmarkWatcher(b *testing.B, size, changed int) {
+	lists, client, bytes := newListServer(b, size)
+	watcher := testInventory(client, nil)
+	mustAsk(b, watcher)
+	mustAsk(b, watcher)
+	bytes.Store(0)
+	for b.Loop() {
+		b.StopTimer()
+		if changed > 0 {
+			lists.change(changed)
+		}
+		b.StartTimer()
+		mustAsk(b, watcher)
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "B/reading")
+}
+
+func benchmarkMember(b *testing.B, size, changed int) {
+	lists, client, _ := newListServer(b, size)
+	watcher := testInventory(client, nil)
+	peer := &servingPeer{serve: watcher.serve}
+	member := testInventory(nil, peer)
+	mustAsk(b, watcher)
+	mustPull(b, member)
+	peer.bytes.Store(0)
+	for b.Loop() {
+		b.StopTimer()
+		if changed > 0 {
+			lists.change(changed)
+		}
+		mustAsk(b, watcher)
+		b.StartTimer()
+		mustPull(b, member)
+	}
+	b.ReportMetric(float64(peer.bytes.Load())/float64(b.N), "B/pull")
+}
+
+func mustAsk(b *testing.B, inventory *Inventory) {
+	if err := inventory.ask(context.Background()); err != nil {
+		b.Fatal(err)
+	}
+}
+
+func mustPull(b *testing.B, inventory *Inventory) {
+	if err := inventory.pull(context.Background(), "watcher"); err != nil {
+		b.Fatal(err)
+	}
+}
