Read the instance list conditionally and pull differences of it

Cause: a watcher read the whole list each second, and a member pulled the whole list for each change. A short list of the platform was put in use as it was.

Change: the platform's client and the stand-in have conditional reads (If-None-Match, 304) of the list or of one zone's part. A watcher asks for the parts of all zones at once, and for the whole list once an hour, so that a new zone is found. It needs all zones: operators' plans name targets of every zone, and an unlisted entry instance is a proof of failure that must not be old. A member pulls the difference from its own list; when the result has another hash than promised it pulls the whole list. The stand-in can leave a share of the instances out.

--- a/rattanentry/inventory.go
+++ b/rattanentry/inventory.go
@@ -10,8 +10,10 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/rattanlever/rattanlever/rattanconfig"
+	"github.com/rattanlever/rattanlever/rattaninventory"
 	"github.com/rattanlever/rattanlever/rattanjson"
 	"github.com/rattanlever/rattanlever/rattanmember"
 	"github.com/rattanlever/rattanlever/rattanpeer"
@@ -35,7 +37,7 @@
 
 // InstanceLister is the part of the platform's client that Inventory uses.
 type InstanceLister interface {
-	Instances(ctx context.Context) ([]rattanplatform.Instance, error)
+	Instances(ctx context.Context, query rattanplatform.InstanceQuery) (rattanplatform.InstanceReply, error)
 }
 
 // PoolSlots is the most slots of a pool. One queue over this many slots is
@@ -66,6 +68,8 @@
 	Home             *Home
 	Documents        Documents
 	Pools            Pools
+	// Logger gets a line when instances are kept that the platform does not list.
+	Logger *logrus.Logger
 	// Observed is called with each instance list that the platform gave.
 	Observed func(now time.Time, instances []rattanplatform.Instance)
 	// Changed is called after a list came in use that differs from the former.
@@ -73,7 +77,8 @@
 }
 
 // Inventory keeps the last known instance list and tells the home its
-// targets. While the platform is down the last list stays in use.
+// targets. While the platform is down the last list stays in use. What is read,
+// believed, pulled and remembered is decided by rattaninventory.
 type Inventory struct {
 	config InventoryConfig
 	cancel context.CancelFunc
@@ -81,14 +86,16 @@
 
 	pulling atomic.Bool
 
-	mutex     sync.Mutex
-	instances []rattanplatform.Instance
-	// reached is when the platform gave the list, and hash that of its JSON.
-	reached time.Time
-	hash    uint64
+	// reader and kept belong to the loop that reads from the platform.
+	reader *rattaninventory.Reader
+	kept   int
+
+	mutex   sync.Mutex
+	history rattaninventory.History
 }
 
-// pullInstances asks for the instance list if its hash is another.
+// pullInstances asks for the changes since the list with the hash; 0 asks for
+// the whole list.
 type pullInstances struct {
 	Hash uint64
 }
@@ -96,14 +103,15 @@
 // instanceList is the reply to a pull.
 type instanceList struct {
 	// Age is the time since the platform gave the list.
-	Age       rattanjson.Duration
-	Unchanged bool                      `json:",omitempty"`
-	Instances []rattanplatform.Instance `json:",omitempty"`
+	Age rattanjson.Duration
+	// Difference leads from the list of the request, or from none, to the list
+	// in use at the sender. Both are the same when nothing has changed.
+	Difference rattaninventory.Difference
 }
 
 // NewInventory returns an empty inventory.
 func NewInventory(config InventoryConfig) *Inventory {
-	return &Inventory{config: config}
+	return &Inventory{config: config, reader: rattaninventory.NewReader()}
 }
 
 // Apply tells the home the targets of its pool anew, after a change of the
@@ -163,7 +171,7 @@
 func (i *Inventory) Instances() []rattanplatform.Instance {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	return i.instances
+	return i.history.List().Instances
 }
 
 // Name returns the name of the service in the kernel.
@@ -173,9 +181,8 @@
 
 // Reached returns when the platform last gave the instance list.
 func (i *Inventory) Reached() time.Time {
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	return i.reached
+	_, reached := i.Version()
+	return reached
 }
 
 // Start begins to read the instance list.
@@ -220,13 +227,9 @@
 // platform gave at reached, and pulls a list that is newer and differs.
 func (i *Inventory) PeerList(address string, hash uint64, reached time.Time) {
 	i.mutex.Lock()
-	newer := reached.After(i.reached)
-	same := hash == i.hash
-	if newer && same {
-		i.reached = reached
-	}
+	wanted := i.history.Wants(time.Now(), rattaninventory.Version{Hash: hash, Reached: reached})
 	i.mutex.Unlock()
-	if !newer || same || !i.pulling.CompareAndSwap(false, true) {
+	if !wanted || !i.pulling.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
@@ -239,7 +242,8 @@
 func (i *Inventory) Version() (hash uint64, reached time.Time) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	return i.hash, i.reached
+	version := i.history.Version()
+	return version.Hash, version.Reached
 }
 
 // read gets the instance list from the platform, or from a watcher where this
@@ -273,77 +277,110 @@
 	return err
 }
 
-// ask gets the instance list from the platform.
+// ask gets the parts of the instance list that have changed from the platform.
+// The list counts from the time of asking, which is no later than that at which
+// the platform gave it.
 func (i *Inventory) ask(ctx context.Context) error {
-	instances, err := i.config.Platform.Instances(ctx)
+	sent := time.Now()
+	inUse := i.list()
+	queries := i.reader.Queries(sent, inUse)
+	replies, err := i.askEach(ctx, queries)
 	if err != nil {
 		return errors.Trace(err)
 	}
 	now := time.Now()
-	i.install(now, now, instances)
+	list, kept := i.reader.Merge(now, inUse, queries, replies)
+	if (kept > 0) != (i.kept > 0) {
+		i.config.Logger.WithField("Kept", kept).Warn("number of instances in use that the platform does not list")
+	}
+	i.kept = kept
+	i.install(now, sent, list)
 	return nil
 }
 
-// pull gets the instance list from a watcher if it has changed.
+// askEach sends the queries at once, so that a slow platform delays them only
+// once, and returns the replies in the order of the queries.
+func (i *Inventory) askEach(ctx context.Context, queries []rattanplatform.InstanceQuery) ([]rattanplatform.InstanceReply, error) {
+	replies := make([]rattanplatform.InstanceReply, len(queries))
+	errs := make([]error, len(queries))
+	var calls sync.WaitGroup
+	for index, query := range queries {
+		calls.Go(func() {
+			replies[index], errs[index] = i.config.Platform.Instances(ctx, query)
+		})
+	}
+	calls.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return nil, err
+		}
+	}
+	return replies, nil
+}
+
+// pull gets the changes of the instance list from a peer. A difference that
+// does not lead to the list that it promises is followed by a pull of the whole
+// list.
 func (i *Inventory) pull(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, inventoryTimeout/2)
 	defer cancel()
-	hash, _ := i.Version()
-	reply, err := callPeer[instanceList](ctx, i.config.Peers, address, methodPullInstances, pullInstances{Hash: hash})
+	inUse := i.list()
+	err := i.pullSince(ctx, address, inUse)
+	if errors.Is(err, rattaninventory.ErrCorrupt) && inUse.Hash != 0 {
+		err = i.pullSince(ctx, address, rattaninventory.List{})
+	}
+	return err
+}
+
+// pullSince gets the changes since a list from a peer.
+func (i *Inventory) pullSince(ctx context.Context, address string, since rattaninventory.List) error {
+	sent := time.Now()
+	reply, err := callPeer[instanceList](ctx, i.config.Peers, address, methodPullInstances, pullInstances{Hash: since.Hash})
 	if err != nil {
 		return err
 	}
-	now := time.Now()
-	reached := now.Add(-reply.Age.Std())
-	if reply.Unchanged {
-		reply.Instances = i.Instances()
+	list, err := rattaninventory.Apply(since, reply.Difference)
+	if err != nil {
+		return errors.Annotatef(err, "instance list of %s", address)
 	}
-	i.install(now, reached, reply.Instances)
+	i.install(time.Now(), rattaninventory.ReachedAt(sent, reply.Age.Std()), list)
 	return nil
 }
 
-// install puts a list in use unless a later one is.
-func (i *Inventory) install(now, reached time.Time, instances []rattanplatform.Instance) {
-	data, err := json.Marshal(instances)
-	if err != nil {
-		return
-	}
-	hash := xxhash.Sum64(data)
+// install puts a list in use unless one that is as new is.
+func (i *Inventory) install(now, reached time.Time, list rattaninventory.List) {
 	i.mutex.Lock()
-	if !reached.After(i.reached) {
-		i.mutex.Unlock()
+	installed, changed := i.history.Install(now, list, reached)
+	i.mutex.Unlock()
+	if !installed {
 		return
 	}
-	changed := hash != i.hash
-	i.instances = instances
-	i.reached = reached
-	i.hash = hash
-	i.mutex.Unlock()
-	i.config.Observed(now, instances)
+	i.config.Observed(now, list.Instances)
 	if changed {
 		i.Apply(now)
 		i.config.Changed()
 	}
 }
 
-// serve answers a pull with this instance's own list.
+func (i *Inventory) list() rattaninventory.List {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.history.List()
+}
+
+// serve answers a pull with the changes that lead to this instance's own list.
 func (i *Inventory) serve(_ context.Context, _ string, body []byte) ([]byte, error) {
 	var request pullInstances
 	if err := json.Unmarshal(body, &request); err != nil {
 		return nil, errors.Trace(err)
 	}
 	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	if i.reached.IsZero() {
+	version, difference := i.history.Version(), i.history.Since(request.Hash)
+	i.mutex.Unlock()
+	if version.Hash == 0 {
 		return nil, errors.NotFoundf("instance list")
 	}
-	reply := instanceList{Age: rattanjson.Duration(time.Since(i.reached))}
-	if request.Hash == i.hash {
-		reply.Unchanged = true
-	} else {
-		reply.Instances = i.instances
-	}
-	return json.Marshal(reply)
+	return json.Marshal(instanceList{Age: rattanjson.Duration(time.Since(version.Reached)), Difference: difference})
 }
 
 func describeTarget(document *rattanconfig.Document, instance rattanplatform.Instance) rattanpool.Target {
--- a/rattanentry/inventory_bench_test.go
+++ b/rattanentry/inventory_bench_test.go
@@ -9,9 +9,12 @@
 	"net/http/httptest"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/rattanlever/rattanlever/rattanmember"
 	"github.com/rattanlever/rattanlever/rattanplatform"
 )
@@ -139,6 +142,7 @@
 		Home:             benchmarkHome(false, false),
 		Documents:        fakeDocuments{},
 		Pools:            onePool{},
+		Logger:           logrus.New(),
 		Observed:         func(time.Time, []rattanplatform.Instance) {},
 		Changed:          func() {},
 	})
@@ -147,7 +151,8 @@
 // BenchmarkInventory measures one reading of the instance list by a watcher and
 // one pull of it by a member, with no change, with one instance changed and
 // with a rack changed since the last one. The time of a watcher contains that
-// of the loopback and of the server's writes.
+// of the server, which has the encoded list at hand; the time of a member
+// contains that of the peer's reply.
 func BenchmarkInventory(b *testing.B) {
 	for _, size := range []int{500, 2_000, 9_000} {
 		for _, changed := range []int{0, 1, largestRack} {
@@ -158,7 +163,16 @@
 	}
 }
 
-func newListServer(b *testing.B, size int) (*listServer, InstanceLister, *atomic.Int64) {
+// processorTime returns the processor time of the process.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func newListServer(b testing.TB, size int) (*listServer, InstanceLister, *atomic.Int64) {
 	lists := &listServer{instances: benchmarkInstances(size), tags: map[string]string{}}
 	lists.encode()
 	server := httptest.NewServer(lists)
@@ -181,14 +195,18 @@
 	mustAsk(b, watcher)
 	mustAsk(b, watcher)
 	bytes.Store(0)
+	processor := time.Duration(0)
 	for b.Loop() {
 		b.StopTimer()
 		if changed > 0 {
 			lists.change(changed)
 		}
 		b.StartTimer()
+		used := processorTime()
 		mustAsk(b, watcher)
+		processor += processorTime() - used
 	}
+	b.ReportMetric(float64(processor.Microseconds())/float64(b.N), "processor-us/reading")
 	b.ReportMetric(float64(bytes.Load())/float64(b.N), "B/reading")
 }
 
@@ -200,6 +218,7 @@
 	mustAsk(b, watcher)
 	mustPull(b, member)
 	peer.bytes.Store(0)
+	processor := time.Duration(0)
 	for b.Loop() {
 		b.StopTimer()
 		if changed > 0 {
@@ -207,8 +226,11 @@
 		}
 		mustAsk(b, watcher)
 		b.StartTimer()
+		used := processorTime()
 		mustPull(b, member)
+		processor += processorTime() - used
 	}
+	b.ReportMetric(float64(processor.Microseconds())/float64(b.N), "processor-us/pull")
 	b.ReportMetric(float64(peer.bytes.Load())/float64(b.N), "B/pull")
 }
 
--- a/rattanplatform/client.go
+++ b/rattanplatform/client.go
@@ -39,6 +39,9 @@
 	ErrRejected = errors.ConstError("call rejected")
 )
 
+// errNotModified says that the ETag of a conditional read still holds.
+const errNotModified = errors.ConstError("not modified")
+
 // Defaults of Options.
 const (
 	DefaultTimeout     = 2 * time.Second
@@ -130,12 +133,20 @@
 	return lease, errors.Trace(err)
 }
 
-// Instances returns the instance list. The list lags behind the instances.
-func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+// Instances returns the instance list or one availability zone's part of it,
+// unless the query's ETag still holds. The list lags behind the instances.
+func (c *Client) Instances(ctx context.Context, query InstanceQuery) (InstanceReply, error) {
 	c.Counters.Instances.Add(1)
-	var instances []Instance
-	err := c.do(ctx, call{method: http.MethodGet, path: "/v1/instances"}, &instances)
-	return instances, errors.Annotate(err, "instance list")
+	var reply InstanceReply
+	read := call{method: http.MethodGet, path: "/v1/instances", query: url.Values{}, ifNoneMatch: query.ETag, etag: &reply.ETag}
+	if query.AvailabilityZone != "" {
+		read.query.Set("AvailabilityZone", query.AvailabilityZone)
+	}
+	err := c.do(ctx, read, &reply.Instances)
+	if errors.Is(err, errNotModified) {
+		return InstanceReply{ETag: query.ETag, NotModified: true}, nil
+	}
+	return reply, errors.Annotate(err, "instance list")
 }
 
 // Put writes a key if it has the revision, and binds it to the lease unless
@@ -214,6 +225,11 @@
 	// wait is the time that the platform may hold the answer back.
 	wait  time.Duration
 	write bool
+	// ifNoneMatch is sent as the header of that name unless it is empty; an
+	// answer with status 304 is then errNotModified.
+	ifNoneMatch string
+	// etag takes the ETag of the answer unless it is nil.
+	etag *string
 }
 
 func (c *Client) do(ctx context.Context, call call, answer any) error {
@@ -250,9 +266,15 @@
 	if err != nil {
 		return lost(err, call.write)
 	}
+	if response.StatusCode == http.StatusNotModified && call.ifNoneMatch != "" {
+		return errNotModified
+	}
 	if err := statusError(response.StatusCode, call.write); err != nil {
 		return errors.Annotatef(err, "status %d: %s", response.StatusCode, bytes.TrimSpace(body[:min(len(body), 200)]))
 	}
+	if call.etag != nil {
+		*call.etag = response.Header.Get("ETag")
+	}
 	if answer == nil {
 		return nil
 	}
@@ -272,6 +294,9 @@
 		Header:     http.Header{},
 		Host:       c.options.Address,
 	}
+	if call.ifNoneMatch != "" {
+		request.Header.Set("If-None-Match", call.ifNoneMatch)
+	}
 	if len(call.body) > 0 {
 		// GetBody stays nil, so that the transport cannot send the body again.
 		request.Body = io.NopCloser(bytes.NewReader(call.body))
--- a/rattanplatform/client_test.go
+++ b/rattanplatform/client_test.go
@@ -220,11 +220,42 @@
 		State:            rattanplatform.StateLeaving,
 	}
 	platform.SetInstances(want)
-	instances, err := client.Instances(context.Background())
+	reply, err := client.Instances(context.Background(), rattanplatform.InstanceQuery{})
 	c.Assert(err, qt.IsNil)
-	c.Assert(instances, qt.DeepEquals, []rattanplatform.Instance{want})
+	c.Assert(reply.Instances, qt.DeepEquals, []rattanplatform.Instance{want})
 	encoded, err := json.Marshal(want)
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(encoded), qt.Equals, `{"Name":"buda-1","Address":"127.0.0.1:9000","AvailabilityZone":"buda",`+
 		`"Rack":"buda-rack-1","Role":"Target","Service":"Lists","Slots":8,"Cores":30,"MemoryMB":130000,"State":"Leaving"}`)
 }
+
+// TestConditionalInstances guards against a list that is sent again although it
+// has not changed, against a change that a conditional read does not see, and
+// against instances of another availability zone in a zone's part.
+func TestConditionalInstances(t *testing.T) {
+	c := qt.New(t)
+	platform, client := newPlatform(t, rattanstandin.PlatformOptions{})
+	buda := rattanplatform.Instance{Name: "a", AvailabilityZone: "buda"}
+	pest := rattanplatform.Instance{Name: "b", AvailabilityZone: "pest"}
+	platform.SetInstances(buda, pest)
+	read := func(zone, etag string) rattanplatform.InstanceReply {
+		reply, err := client.Instances(context.Background(), rattanplatform.InstanceQuery{AvailabilityZone: zone, ETag: etag})
+		c.Assert(err, qt.IsNil)
+		return reply
+	}
+	first := read("buda", "")
+	c.Check(first.Instances, qt.DeepEquals, []rattanplatform.Instance{buda})
+	c.Check(read("", "").Instances, qt.DeepEquals, []rattanplatform.Instance{buda, pest})
+	c.Check(read("csepel", "").Instances, qt.HasLen, 0)
+	platform.ChangeInstances(rattanstandin.InstanceChange{Remove: []string{"b"}})
+	c.Check(read("buda", first.ETag), qt.DeepEquals, rattanplatform.InstanceReply{ETag: first.ETag, NotModified: true})
+	platform.ChangeInstances(rattanstandin.InstanceChange{Leave: []string{"a"}})
+	second := read("buda", first.ETag)
+	c.Check(second.NotModified, qt.IsFalse)
+	c.Check(second.ETag, qt.Not(qt.Equals), first.ETag)
+	c.Assert(second.Instances, qt.HasLen, 1)
+	c.Check(second.Instances[0].State, qt.Equals, rattanplatform.StateLeaving)
+	platform.SetFaults(rattanstandin.Faults{Outage: rattanstandin.OutageUnavailable})
+	_, err := client.Instances(context.Background(), rattanplatform.InstanceQuery{ETag: second.ETag})
+	c.Check(err, qt.ErrorIs, rattanplatform.ErrUnavailable)
+}
--- a/rattanstandin/faults.go
+++ b/rattanstandin/faults.go
@@ -35,6 +35,9 @@
 	LostAnswers float64
 	// InstanceListLag is added to the lag of the instance list.
 	InstanceListLag rattanjson.Duration
+	// MissingInstances is the share, from 0 to 1, of the instances that are
+	// left out of the instance list although they are there.
+	MissingInstances float64
 	// WriteLimit and ReadLimit are calls per second; 0 takes the limits of the
 	// options.
 	WriteLimit float64
--- a/rattanstandin/instances.go
+++ b/rattanstandin/instances.go
@@ -1,11 +1,15 @@
 package rattanstandin
 
 import (
+	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/rattanlever/rattanlever/rattanplatform"
 )
 
@@ -30,6 +34,14 @@
 	at time.Time
 	// instances are sorted by name.
 	instances []rattanplatform.Instance
+	// parts caches the encoded parts by availability zone; "" stands for all.
+	parts map[string]instancePart
+}
+
+// instancePart is the encoded answer to a read of the list.
+type instancePart struct {
+	body []byte
+	etag string
 }
 
 // change adds a version.
@@ -52,7 +64,7 @@
 	for _, name := range change.Remove {
 		delete(byName, name)
 	}
-	version := instanceVersion{at: now, instances: make([]rattanplatform.Instance, 0, len(byName))}
+	version := instanceVersion{at: now, instances: make([]rattanplatform.Instance, 0, len(byName)), parts: map[string]instancePart{}}
 	for _, instance := range byName {
 		version.instances = append(version.instances, instance)
 	}
@@ -71,17 +83,45 @@
 	return l.versions[len(l.versions)-1].instances
 }
 
-// at returns the list as it was one lag ago.
-func (l *instanceList) at(now time.Time, lag time.Duration) []rattanplatform.Instance {
+// at returns the part of an availability zone, or the whole list for "", as it
+// was one lag ago.
+func (l *instanceList) at(now time.Time, lag time.Duration, zone string) instancePart {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	seen := now.Add(-lag)
 	for i := len(l.versions) - 1; i >= 0; i-- {
 		if !l.versions[i].at.After(seen) {
-			return l.versions[i].instances
+			return l.versions[i].part(zone)
+		}
+	}
+	return encodePart(nil, zone)
+}
+
+// part returns the encoded part of an availability zone.
+func (v *instanceVersion) part(zone string) instancePart {
+	if _, ok := v.parts[zone]; !ok {
+		v.parts[zone] = encodePart(v.instances, zone)
+	}
+	return v.parts[zone]
+}
+
+func encodePart(instances []rattanplatform.Instance, zone string) instancePart {
+	listed := []rattanplatform.Instance{}
+	for _, instance := range instances {
+		if zone == "" || instance.AvailabilityZone == zone {
+			listed = append(listed, instance)
 		}
 	}
-	return []rattanplatform.Instance{}
+	// Instances hold only text and numbers, which always encode.
+	body, _ := json.Marshal(listed)
+	return instancePart{body: body, etag: fmt.Sprintf("\"%016x\"", xxhash.Sum64(body))}
+}
+
+// without returns the part without a share of its instances, the first ones.
+func (p instancePart) without(share float64) instancePart {
+	var instances []rattanplatform.Instance
+	_ = json.Unmarshal(p.body, &instances)
+	return encodePart(instances[int(min(share, 1)*float64(len(instances))):], "")
 }
 
 // maxInstanceLag bounds the versions that are kept.
--- a/rattanstandin/platformhttp.go
+++ b/rattanstandin/platformhttp.go
@@ -45,6 +45,10 @@
 type reply struct {
 	body any
 	err  error
+	// etag is sent with the answer unless it is empty, and unchanged says that
+	// the client has the contents already.
+	etag      string
+	unchanged bool
 }
 
 // failure is the body of an answer that is an error.
@@ -80,6 +84,13 @@
 		if faults := p.Faults(); kind.IsWrite() && faults.loses() {
 			panic(http.ErrAbortHandler)
 		}
+		if reply.etag != "" {
+			w.Header().Set("ETag", reply.etag)
+		}
+		if reply.unchanged {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
 		status, body := reply.render()
 		answer(w, status, body)
 	}
@@ -148,7 +159,7 @@
 
 func (p *Platform) serveGet(r *http.Request) reply {
 	entry, err := p.store.get(r.PathValue("key"))
-	return reply{entry, err}
+	return reply{body: entry, err: err}
 }
 
 func (p *Platform) servePut(r *http.Request) reply {
@@ -166,7 +177,7 @@
 		return reply{err: bodyError(err)}
 	}
 	revision, err := p.store.put(r.PathValue("key"), value, ifRevision, lease)
-	return reply{rattanplatform.Written{Revision: revision}, err}
+	return reply{body: rattanplatform.Written{Revision: revision}, err: err}
 }
 
 func (p *Platform) serveDelete(r *http.Request) reply {
@@ -175,7 +186,7 @@
 		return reply{err: err}
 	}
 	revision, err := p.store.remove(r.PathValue("key"), ifRevision)
-	return reply{rattanplatform.Written{Revision: revision}, err}
+	return reply{body: rattanplatform.Written{Revision: revision}, err: err}
 }
 
 func (p *Platform) serveWatch(r *http.Request) reply {
@@ -228,12 +239,20 @@
 		return reply{err: errors.WithType(err, rattanplatform.ErrNotFound)}
 	}
 	lease, err := p.store.renew(time.Now(), id)
-	return reply{lease, err}
+	return reply{body: lease, err: err}
 }
 
-func (p *Platform) serveInstances(*http.Request) reply {
-	lag := p.options.InstanceListLag + p.Faults().InstanceListLag
-	return reply{body: p.instances.at(time.Now(), lag.Std())}
+// serveInstances answers a read of the instance list. ETags are strong, and
+// If-None-Match holds one of them.
+func (p *Platform) serveInstances(r *http.Request) reply {
+	faults := p.Faults()
+	zone := r.URL.Query().Get("AvailabilityZone")
+	lag := p.options.InstanceListLag + faults.InstanceListLag
+	part := p.instances.at(time.Now(), lag.Std(), zone)
+	if faults.MissingInstances > 0 {
+		part = part.without(faults.MissingInstances)
+	}
+	return reply{body: json.RawMessage(part.body), etag: part.etag, unchanged: r.Header.Get("If-None-Match") == part.etag}
 }
 
 func (p *Platform) serveCounts(w http.ResponseWriter, _ *http.Request) {
--- a/rattanstandin/standin_test.go
+++ b/rattanstandin/standin_test.go
@@ -135,9 +135,9 @@
 	changed := time.Now()
 	platform.SetInstances(rattanplatform.Instance{Name: "a"})
 	for {
-		instances, err := client.Instances(context.Background())
+		reply, err := client.Instances(context.Background(), rattanplatform.InstanceQuery{})
 		c.Assert(err, qt.IsNil)
-		if len(instances) > 0 {
+		if len(reply.Instances) > 0 {
 			break
 		}
 		c.Assert(time.Since(changed) < 10*lag, qt.IsTrue)
@@ -145,9 +145,9 @@
 	}
 	c.Assert(time.Since(changed) >= lag, qt.IsTrue)
 	platform.SetFaults(rattanstandin.Faults{InstanceListLag: rattanjson.Duration(time.Minute)})
-	instances, err := client.Instances(context.Background())
+	reply, err := client.Instances(context.Background(), rattanplatform.InstanceQuery{})
 	c.Assert(err, qt.IsNil)
-	c.Assert(instances, qt.HasLen, 0)
+	c.Assert(reply.Instances, qt.HasLen, 0)
 }
 
 // fleetTest is a fleet of one target with its client.
--- a/rattansystem/fault_test.go
+++ b/rattansystem/fault_test.go
@@ -99,6 +99,49 @@
 	}
 }
 
+// Guards against a home that drops its targets because the platform serves an
+// empty or much shorter instance list for a while, and against a leaving target
+// that gets new work because the list that says so is short.
+func TestFaultyInstanceList(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		missing float64
+	}{
+		{"empty", 1},
+		{"half", 0.5},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			system := startSystem(c, "buda")
+			load := startLoad(system, "buda", 20, 4, 20*time.Millisecond)
+			time.Sleep(time.Second)
+			load.next()
+			system.Platform.SetFaults(rattanstandin.Faults{MissingInstances: test.missing})
+			targets := system.Fleets[0].Targets
+			left := time.Now()
+			target := targets[len(targets)-1]
+			system.Platform.ChangeInstances(rattanstandin.InstanceChange{Leave: []string{target.Name()}})
+			time.Sleep(leaveBound + 700*time.Millisecond)
+			missing := lastStart(system, targets[0].Name())
+			system.Platform.SetFaults(rattanstandin.Faults{})
+			load.next()
+			time.Sleep(leaveBound)
+			load.stop()
+			faulty := load.windows[1]
+			c.Check(faulty.goodput() >= goodputBound*load.windows[0].goodput(), qt.IsTrue, qt.Commentf("%+v", faulty))
+			c.Check(load.history.Check(system.Starts()), qt.HasLen, 0)
+			// A list that leaves the target out says nothing of its leaving.
+			from := left
+			if test.missing == 1 {
+				from = left.Add(leaveBound + 700*time.Millisecond)
+			}
+			c.Check(lastStart(system, target.Name()).Sub(from) <= leaveBound, qt.IsTrue)
+			c.Check(missing.Sub(left) > leaveBound, qt.IsTrue, qt.Commentf("last start at a missing target %v after the fault", missing.Sub(left)))
+		})
+	}
+}
+
 // lastStart returns the time of the last start at a target.
 func lastStart(system *rattansystem.System, target string) time.Time {
 	var last time.Time
