Decide the spread of changes in a pure package and simulate it

Cause: whom a member notifies, who reads from the platform and when a member pulls was decided in rattanentry, so that the time until a configuration change is in force could only be measured with whole instances (9 of them).

--- a/rattancmd/benchcmd.go
+++ b/rattancmd/benchcmd.go
@@ -15,6 +15,7 @@
 	HTML     string   `long:"html" value-name:"FILE" description:"write the report as a page with plots"`
 	Virtual  bool     `long:"virtual" description:"run the schedulers alone, in virtual time"`
 	Capacity bool     `long:"capacity" description:"measure the slopes that docs/CAPACITY.md is worked out from"`
+	Spread   bool     `long:"spread" description:"simulate how configuration changes reach 9 to 300 members"`
 	Seed     uint64   `long:"seed" value-name:"N" default:"1" description:"seed of the arrivals"`
 	Policies []string `long:"policy" value-name:"NAME" description:"policy to run, repeatable; the default is all"`
 
@@ -41,6 +42,9 @@
 		}
 		return errors.Trace(report.WriteText(o.std.out))
 	}
+	if o.Spread {
+		return errors.Trace(rattanbench.WriteSpreads(o.std.out, rattanbench.Spreads(o.Seed)))
+	}
 	report, err := rattanbench.Run(ctx, rattanbench.Options{
 		Quick:    o.Quick,
 		Virtual:  o.Virtual,
--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -28,6 +28,7 @@
 	"github.com/rattanlever/rattanlever/rattanplatform"
 	"github.com/rattanlever/rattanlever/rattanpool"
 	"github.com/rattanlever/rattanlever/rattansettings"
+	"github.com/rattanlever/rattanlever/rattanspread"
 	"github.com/rattanlever/rattanlever/rattantarget"
 	"github.com/rattanlever/rattanlever/rattantrace"
 )
@@ -87,17 +88,6 @@
 	drained    atomic.Bool
 }
 
-// gossip is the payload of heartbeats.
-type gossip struct {
-	// Revision is the configuration in force at the sender.
-	Revision         uint64
-	AvailabilityZone string
-	// ListHash and ListAge tell the sender's instance list and the time since
-	// the platform gave it.
-	ListHash uint64              `json:",omitempty"`
-	ListAge  rattanjson.Duration `json:",omitempty"`
-}
-
 // New returns an instance whose listeners are open and that is not yet
 // running.
 func New(config Config) (*Instance, error) {
@@ -392,7 +382,7 @@
 }
 
 func (i *Instance) payload() []byte {
-	news := gossip{Revision: i.Configuration.Document().Revision, AvailabilityZone: i.config.Settings.AvailabilityZone}
+	news := rattanspread.Payload{Revision: i.Configuration.Document().Revision, AvailabilityZone: i.config.Settings.AvailabilityZone}
 	if hash, reached := i.Inventory.Version(); !reached.IsZero() {
 		news.ListHash = hash
 		news.ListAge = rattanjson.Duration(time.Since(reached))
@@ -406,7 +396,7 @@
 
 // received takes in the payload of a peer's heartbeat.
 func (i *Instance) received(address string, payload []byte) {
-	var news gossip
+	var news rattanspread.Payload
 	if json.Unmarshal(payload, &news) != nil {
 		return
 	}
--- a/rattanentry/inventory.go
+++ b/rattanentry/inventory.go
@@ -19,6 +19,7 @@
 	"github.com/rattanlever/rattanlever/rattanpeer"
 	"github.com/rattanlever/rattanlever/rattanplatform"
 	"github.com/rattanlever/rattanlever/rattanpool"
+	"github.com/rattanlever/rattanlever/rattanspread"
 )
 
 // inventoryInterval is how often the instance list is read, and
@@ -28,9 +29,6 @@
 const (
 	inventoryInterval = time.Second
 	inventoryTimeout  = time.Second
-	// standInAfter is the age of the list at which the second watcher reads
-	// from the platform in place of the first.
-	standInAfter = 2 * time.Second
 )
 
 const methodPullInstances = "PullInstances"
@@ -210,17 +208,9 @@
 	return nil
 }
 
-// Watches reports whether this instance reads from the platform for its zone:
-// the first watcher always, the second while the first has no recent list. The
-// calls of the platform thus do not grow with the number of instances.
+// Watches reports whether this instance reads from the platform for its zone.
 func (i *Inventory) Watches(now time.Time) bool {
-	switch rank := len(i.config.Watchers.Watchers(now)); {
-	case rank == 0:
-		return true
-	case rank < watchersPerZone:
-		return now.Sub(i.Reached()) >= standInAfter
-	}
-	return false
+	return rattanspread.Watches(now, len(i.config.Watchers.Watchers(now)), i.Reached())
 }
 
 // PeerList takes in that a peer of this zone has a list with the hash that the
@@ -260,7 +250,7 @@
 	}
 	watchers := i.config.Watchers.Watchers(now)
 	_, _, home := i.config.Pools.Pool(now)
-	if i.Reached().IsZero() || (home && len(watchers) == watchersPerZone) {
+	if i.Reached().IsZero() || (home && len(watchers) == rattanspread.WatchersPerZone) {
 		return i.pullFrom(ctx, watchers)
 	}
 	return nil
--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -17,6 +17,7 @@
 	"github.com/rattanlever/rattanlever/rattanpeer"
 	"github.com/rattanlever/rattanlever/rattanplatform"
 	"github.com/rattanlever/rattanlever/rattansettings"
+	"github.com/rattanlever/rattanlever/rattanspread"
 )
 
 const (
@@ -34,10 +35,6 @@
 	// handoverTimeout is the longest time that a leaving home waits for
 	// another member to take its pool.
 	handoverTimeout = 4 * time.Second
-	// watchersPerZone is the number of members of an availability zone that
-	// may read from the platform: the one that has run longest does, the other
-	// one stands in for it. The rest learn of changes from heartbeats.
-	watchersPerZone = 2
 )
 
 // MembersConfig configures Members. All fields are required.
@@ -323,7 +320,7 @@
 }
 
 // Watchers returns the members of this zone that run longer than this one, the
-// oldest first, and at most watchersPerZone of them. The number of them is the
+// oldest first, and at most rattanspread.WatchersPerZone of them. The number of them is the
 // rank of this instance among the watchers of its zone.
 func (m *Members) Watchers(now time.Time) []rattanmember.Member {
 	m.mutex.Lock()
@@ -338,7 +335,7 @@
 	slices.SortFunc(senior, func(a, b rattanmember.Member) int {
 		return cmp.Or(cmp.Compare(a.Incarnation.Number, b.Incarnation.Number), cmp.Compare(a.Incarnation.Instance, b.Incarnation.Instance))
 	})
-	return senior[:min(len(senior), watchersPerZone)]
+	return senior[:min(len(senior), rattanspread.WatchersPerZone)]
 }
 
 // zoneHasOthers reports whether another member of the zone is alive.
--- a/rattanentry/news.go
+++ b/rattanentry/news.go
@@ -8,30 +8,22 @@
 
 	"github.com/juju/errors"
 
-	"github.com/rattanlever/rattanlever/rattanmember"
+	"github.com/rattanlever/rattanlever/rattanspread"
 )
 
 const (
-	methodNews = "News"
-	// newsFanout is the number of members that an instance notifies of a change
-	// at once. Each of them notifies as many, so that a change reaches all members
-	// in a few round trips, and the messages of one instance for one change
-	// stay the same however many instances there are.
-	newsFanout  = 4
+	methodNews  = "News"
 	newsTimeout = time.Second
 )
 
-// news notifies a peer that something has changed at the sender.
-type news struct {
-	// PeerAddress is that of the sender, from which the change is pulled.
-	PeerAddress string
-	// Payload is that of a heartbeat.
-	Payload []byte
-}
+// processRandom is the random source of the process, for rattanspread.
+type processRandom struct{}
+
+func (processRandom) Uint64() uint64 { return rand.Uint64() }
 
 // handleNews takes in the news of a peer.
 func (i *Instance) handleNews(_ context.Context, _ string, body []byte) ([]byte, error) {
-	var received news
+	var received rattanspread.News
 	if err := json.Unmarshal(body, &received); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -39,13 +31,14 @@
 	return nil, nil
 }
 
-// spread notifies a few members of a change, first those of the same zone.
+// spread notifies a few members of a change.
 func (i *Instance) spread() {
-	body, err := json.Marshal(news{PeerAddress: i.config.Settings.PeerAddress, Payload: i.payload()})
+	body, err := json.Marshal(rattanspread.News{PeerAddress: i.config.Settings.PeerAddress, Payload: i.payload()})
 	if err != nil {
 		return
 	}
-	for _, member := range i.newsReceivers(time.Now()) {
+	others := i.Members.Others(time.Now())
+	for _, member := range rattanspread.Receivers(rand.New(processRandom{}), i.config.Settings.AvailabilityZone, others) {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
 			defer cancel()
@@ -53,20 +46,3 @@
 		}()
 	}
 }
-
-// newsReceivers returns members at random, at most one of another zone unless
-// this zone has too few.
-func (i *Instance) newsReceivers(now time.Time) []rattanmember.Member {
-	var near, far []rattanmember.Member
-	for _, member := range i.Members.Others(now) {
-		if member.AvailabilityZone == i.config.Settings.AvailabilityZone {
-			near = append(near, member)
-		} else {
-			far = append(far, member)
-		}
-	}
-	rand.Shuffle(len(near), func(a, b int) { near[a], near[b] = near[b], near[a] })
-	rand.Shuffle(len(far), func(a, b int) { far[a], far[b] = far[b], far[a] })
-	near = near[:min(len(near), newsFanout-1)]
-	return append(near, far[:min(len(far), newsFanout-len(near))]...)
-}
--- /dev/null
+++ b/rattanspread/spread.go
@@ -0,0 +1,73 @@
+// Package rattanspread decides how changes of the configuration and of the
+// instance list reach all members: who reads from the platform, whom a member
+// notifies, and from whom it pulls.
+package rattanspread
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/rattanlever/rattanlever/rattanjson"
+	"github.com/rattanlever/rattanlever/rattanmember"
+)
+
+const (
+	// Fanout is the number of members that an instance notifies of a change at
+	// once. Each of them notifies as many, so that a change reaches all members
+	// in a few round trips, and the messages of one instance for one change
+	// stay the same however many instances there are.
+	Fanout = 4
+	// WatchersPerZone is the number of members of an availability zone that may
+	// read from the platform: the one that has run longest does, the other one
+	// stands in for it. The rest learn of changes from other members.
+	WatchersPerZone = 2
+	// StandInAfter is the age of the instance list at which the second watcher
+	// reads from the platform in place of the first.
+	StandInAfter = 2 * time.Second
+)
+
+// News notifies a peer that something has changed at the sender.
+type News struct {
+	// PeerAddress is that of the sender, from which the change is pulled.
+	PeerAddress string
+	// Payload is that of a heartbeat, a Payload in JSON.
+	Payload []byte
+}
+
+// Payload says in each heartbeat what the sender has.
+type Payload struct {
+	// Revision is the configuration in force at the sender.
+	Revision         uint64
+	AvailabilityZone string
+	// ListHash and ListAge tell the sender's instance list and the time since
+	// the platform gave it.
+	ListHash uint64              `json:",omitempty"`
+	ListAge  rattanjson.Duration `json:",omitempty"`
+}
+
+// Receivers returns the members that a member of an availability zone notifies
+// of a change: Fanout of the others at random, and at most one of another zone
+// unless this zone has too few.
+func Receivers(random *rand.Rand, zone string, others []rattanmember.Member) []rattanmember.Member {
+	var near, far []rattanmember.Member
+	for _, member := range others {
+		if member.AvailabilityZone == zone {
+			near = append(near, member)
+		} else {
+			far = append(far, member)
+		}
+	}
+	random.Shuffle(len(near), func(a, b int) { near[a], near[b] = near[b], near[a] })
+	random.Shuffle(len(far), func(a, b int) { far[a], far[b] = far[b], far[a] })
+	near = near[:min(len(near), Fanout-1)]
+	return append(near, far[:min(len(far), Fanout-len(near))]...)
+}
+
+// Watches reports whether a member reads from the platform for its zone, by its
+// rank among the watchers of the zone and the time at which the platform gave
+// its instance list: the first watcher always, the second while the first has
+// no recent list. The calls of the platform thus do not grow with the number of
+// instances.
+func Watches(now time.Time, rank int, reached time.Time) bool {
+	return rank == 0 || (rank < WatchersPerZone && now.Sub(reached) >= StandInAfter)
+}
