Pull a change from another peer when the first one is slow

Cause: a member that pulled from a peer over a silent link waited for 1 s, and dropped what other peers offered meanwhile; it then waited for a heartbeat. With 1% of calls lost and 5% of links silent 9 members took up to 3.5 s for a change (target 2 s).

Change: a pull that takes longer than 200 ms gives up its place to the last offer that came meanwhile, and so does one that has ended. The configuration and the instance list use the same rule. TestSpread holds the simulated spread to the targets of 2 s at 9 members and 11 s above.

--- a/rattanbench/spread.go
+++ b/rattanbench/spread.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -30,6 +31,8 @@
 	// spreadSilence is the time from the first call on a silent link until the
 	// link is closed and replaced.
 	spreadSilence = 2 * time.Second
+	// spreadsAtOnce bounds the processors that a run takes.
+	spreadsAtOnce = 4
 	// spreadWarmUp lets the watchers of cut-off zones find their stand-ins.
 	spreadWarmUp = 10 * time.Second
 )
@@ -72,7 +75,7 @@
 // without faults, with lost messages and silent links, with a fifth of the
 // members cut off from the platform, and with all of that, for each seed.
 func Spreads(seeds ...uint64) []Spread {
-	var spreads []Spread
+	var options []SpreadOptions
 	for _, size := range []struct{ members, changes int }{{9, 300}, {30, 100}, {100, 30}, {300, 10}} {
 		for _, faults := range []SpreadOptions{
 			{},
@@ -82,10 +85,21 @@
 		} {
 			faults.Members, faults.Changes, faults.Interval = size.members, size.changes, spreadInterval
 			for _, faults.Seed = range seeds {
-				spreads = append(spreads, RunSpread(faults))
+				options = append(options, faults)
 			}
 		}
 	}
+	spreads := make([]Spread, len(options))
+	running := make(chan struct{}, spreadsAtOnce)
+	var runs sync.WaitGroup
+	for i := range options {
+		runs.Go(func() {
+			running <- struct{}{}
+			spreads[i] = RunSpread(options[i])
+			<-running
+		})
+	}
+	runs.Wait()
 	return spreads
 }
 
@@ -149,7 +163,7 @@
 	cutOff  bool
 	others  []rattanmember.Member
 	history rattanconfig.History
-	pulls   rattanspread.Pulls
+	pulls   rattanspread.Pulls[*spreadMember]
 	// reached is when the platform gave the instance list.
 	reached time.Duration
 	// waiting is set while a watch waits for a change after revision seen.
@@ -333,13 +347,16 @@
 	if m.member.AvailabilityZone == peer.member.AvailabilityZone {
 		m.reached = max(m.reached, peer.reached)
 	}
-	if peer.history.Current().Revision > m.history.Current().Revision && m.pulls.Offer(s.time(), peer.member.PeerAddress) {
-		s.pull(m, peer)
+	if peer.history.Current().Revision <= m.history.Current().Revision {
+		return
+	}
+	if number, begin := m.pulls.Offer(s.time(), peer); begin {
+		s.pull(m, peer, number)
 	}
 }
 
 // pull gets the changes from a peer.
-func (s *spreadRun) pull(m, peer *spreadMember) {
+func (s *spreadRun) pull(m, peer *spreadMember, number int) {
 	from := m.history.Current()
 	s.count(map[string]uint64{"Revision": from.Revision})
 	var delta rattanconfig.Delta
@@ -350,15 +367,19 @@
 		}
 	}, func(ok bool) {
 		if ok && found {
-			if document, err := rattanconfig.Apply(m.history.Current(), delta); err == nil {
+			if document, err := rattanconfig.Apply(from, delta); err == nil {
 				s.install(m, document)
 			}
 		}
-		next := m.pulls.Ended(s.time(), ok)
-		if next != "" {
-			s.learn(m, s.byAddress[next])
-		}
+		s.release(m, number, true)
 	})
+	s.after(rattanspread.PullPatience, func() { s.release(m, number, false) })
+}
+
+func (s *spreadRun) release(m *spreadMember, number int, ended bool) {
+	if next, found := m.pulls.Release(s.time(), number, ended); found {
+		s.learn(m, next)
+	}
 }
 
 // install puts a document in force and notifies other members.
--- a/rattanentry/configuration.go
+++ b/rattanentry/configuration.go
@@ -72,12 +72,21 @@
 	loops   sync.WaitGroup
 	// installing orders installations.
 	installing sync.Mutex
-	pulling    atomic.Bool
+	puller     puller[peerRevision]
+}
+
+// peerRevision says that the peer at the address has a document of the
+// revision.
+type peerRevision struct {
+	address  string
+	revision uint64
 }
 
 // NewConfiguration returns a configuration with the initial document in force.
 func NewConfiguration(config ConfigurationConfig) *Configuration {
 	configuration := &Configuration{config: config, history: rattanconfig.History{Limit: historyLimit}}
+	configuration.puller.pull = configuration.pullOffered
+	configuration.puller.consider = func(offer peerRevision) { configuration.PeerRevision(offer.address, offer.revision) }
 	configuration.current.Store(&rattanconfig.Document{})
 	if config.Initial != nil {
 		configuration.current.Store(config.Initial)
@@ -132,15 +141,9 @@
 // PeerRevision takes in that the peer at the address has a document of the
 // revision, and pulls the changes when it is newer than the one in force.
 func (c *Configuration) PeerRevision(address string, revision uint64) {
-	if revision <= c.Document().Revision || !c.pulling.CompareAndSwap(false, true) {
-		return
+	if revision > c.Document().Revision {
+		c.puller.offer(peerRevision{address: address, revision: revision})
 	}
-	go func() {
-		defer c.pulling.Store(false)
-		if err := c.pull(address); err != nil {
-			c.config.Logger.WithError(err).Debug("configuration not pulled")
-		}
-	}()
 }
 
 // PlatformReached returns when the platform last answered.
@@ -166,6 +169,12 @@
 	return nil
 }
 
+func (c *Configuration) pullOffered(offer peerRevision) {
+	if err := c.pull(offer.address); err != nil {
+		c.config.Logger.WithError(err).Debug("configuration not pulled")
+	}
+}
+
 // pull gets the changes since the revision in force here from a peer.
 func (c *Configuration) pull(address string) error {
 	current := c.Document()
--- a/rattanentry/inventory.go
+++ b/rattanentry/inventory.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -82,7 +81,7 @@
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
 
-	pulling atomic.Bool
+	puller puller[peerList]
 
 	// reader and kept belong to the loop that reads from the platform.
 	reader *rattaninventory.Reader
@@ -92,6 +91,12 @@
 	history rattaninventory.History
 }
 
+// peerList says which list the peer at the address has.
+type peerList struct {
+	address string
+	version rattaninventory.Version
+}
+
 // pullInstances asks for the changes since the list with the hash; 0 asks for
 // the whole list.
 type pullInstances struct {
@@ -109,7 +114,10 @@
 
 // NewInventory returns an empty inventory.
 func NewInventory(config InventoryConfig) *Inventory {
-	return &Inventory{config: config, reader: rattaninventory.NewReader()}
+	inventory := &Inventory{config: config, reader: rattaninventory.NewReader()}
+	inventory.puller.pull = func(offer peerList) { _ = inventory.pull(context.Background(), offer.address) }
+	inventory.puller.consider = inventory.consider
+	return inventory
 }
 
 // Apply tells the home the targets of its pool anew, after a change of the
@@ -216,16 +224,7 @@
 // PeerList takes in that a peer of this zone has a list with the hash that the
 // platform gave at reached, and pulls a list that is newer and differs.
 func (i *Inventory) PeerList(address string, hash uint64, reached time.Time) {
-	i.mutex.Lock()
-	wanted := i.history.Wants(time.Now(), rattaninventory.Version{Hash: hash, Reached: reached})
-	i.mutex.Unlock()
-	if !wanted || !i.pulling.CompareAndSwap(false, true) {
-		return
-	}
-	go func() {
-		defer i.pulling.Store(false)
-		_ = i.pull(context.Background(), address)
-	}()
+	i.consider(peerList{address: address, version: rattaninventory.Version{Hash: hash, Reached: reached}})
 }
 
 // Version returns the hash of the list and when the platform gave it.
@@ -352,6 +351,16 @@
 	}
 }
 
+// consider pulls the list of a peer if it is wanted.
+func (i *Inventory) consider(offer peerList) {
+	i.mutex.Lock()
+	wanted := i.history.Wants(time.Now(), offer.version)
+	i.mutex.Unlock()
+	if wanted {
+		i.puller.offer(offer)
+	}
+}
+
 func (i *Inventory) list() rattaninventory.List {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
--- /dev/null
+++ b/rattanspread/spread_test.go
@@ -0,0 +1,81 @@
+package rattanspread_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattanmember"
+	"github.com/rattanlever/rattanlever/rattanspread"
+)
+
+// TestPulls guards against a change that many peers send at once, against a
+// member that waits for a silent peer while another one has the change, and
+// against an old pull that frees the place of a later one.
+func TestPulls(t *testing.T) {
+	c := qt.New(t)
+	var pulls rattanspread.Pulls[string]
+	now := time.Unix(1_000, 0)
+	first, begin := pulls.Offer(now, "silent")
+	c.Check(begin, qt.IsTrue)
+	for _, peer := range []string{"b", "c"} {
+		_, begin = pulls.Offer(now, peer)
+		c.Check(begin, qt.IsFalse)
+	}
+	_, found := pulls.Release(now.Add(rattanspread.PullPatience/2), first, false)
+	c.Check(found, qt.IsFalse)
+	now = now.Add(rattanspread.PullPatience)
+	next, found := pulls.Release(now, first, false)
+	c.Check(found, qt.IsTrue)
+	c.Check(next, qt.Equals, "c")
+	second, begin := pulls.Offer(now, next)
+	c.Check(begin, qt.IsTrue)
+	_, _ = pulls.Offer(now, "d")
+	_, found = pulls.Release(now.Add(time.Second), first, true)
+	c.Check(found, qt.IsFalse)
+	next, _ = pulls.Release(now, second, true)
+	c.Check(next, qt.Equals, "d")
+	_, found = pulls.Release(now, second, true)
+	c.Check(found, qt.IsFalse)
+}
+
+// TestReceivers guards against a change that stays in one availability zone, and
+// against messages that grow with the number of members.
+func TestReceivers(t *testing.T) {
+	for _, test := range []struct{ zone, other, near, far int }{
+		{0, 0, 0, 0}, {2, 6, 2, 2}, {59, 240, 3, 1}, {59, 0, 3, 0}, {0, 2, 0, 2},
+	} {
+		c := qt.New(t)
+		var others []rattanmember.Member
+		for i := range test.zone + test.other {
+			zone := "own"
+			if i >= test.zone {
+				zone = "other"
+			}
+			others = append(others, rattanmember.Member{AvailabilityZone: zone, PeerAddress: fmt.Sprint(i)})
+		}
+		near, seen := 0, map[string]bool{}
+		for _, member := range rattanspread.Receivers(rand.New(rand.NewPCG(1, 1)), "own", others) {
+			seen[member.PeerAddress] = true
+			if member.AvailabilityZone == "own" {
+				near++
+			}
+		}
+		c.Check([]int{near, len(seen) - near}, qt.DeepEquals, []int{test.near, test.far})
+	}
+}
+
+// TestWatches guards against calls to the platform that grow with the number of
+// instances, and against a zone that nobody reads for.
+func TestWatches(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_000, 0)
+	recent, old := now.Add(-time.Second), now.Add(-rattanspread.StandInAfter)
+	c.Check(rattanspread.Watches(now, 0, recent), qt.IsTrue)
+	c.Check(rattanspread.Watches(now, 1, recent), qt.IsFalse)
+	c.Check(rattanspread.Watches(now, 1, old), qt.IsTrue)
+	c.Check(rattanspread.Watches(now, 2, old), qt.IsFalse)
+}
