Compress large configuration documents in the platform

Cause: a watcher reads the whole document for each change.

Change: a document above 16 KB is stored as gzip, and Parse reads both forms. A smaller one stays JSON. An instance of an earlier version cannot read a compressed document from the platform; it gets the changes from its peers. The benchmark has irregular names and numbers, so that it does not compress too well.

--- a/rattancmd/configcmd.go
+++ b/rattancmd/configcmd.go
@@ -85,7 +85,7 @@
 		return errors.Annotate(err, o.Args.File)
 	}
 	document.Revision = 1
-	value, err := json.Marshal(document)
+	value, err := rattanconfig.Pack(document)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/rattanconfig/check.go
+++ b/rattanconfig/check.go
@@ -48,9 +48,13 @@
 	maxDocumentBytes = 900_000
 )
 
-// Parse decodes and checks a document. The errors are those of
-// rattanjson.DecodeStrict and of Check.
+// Parse decodes and checks a document in JSON, or one from Pack. The errors are
+// those of rattanjson.DecodeStrict and of Check.
 func Parse(data []byte) (Document, error) {
+	data, err := unpack(data)
+	if err != nil {
+		return Document{}, err
+	}
 	if len(data) > maxDocumentBytes {
 		return Document{}, invalid("document: %d bytes, want at most %d", len(data), maxDocumentBytes)
 	}
--- a/rattanentry/configuration_bench_test.go
+++ b/rattanentry/configuration_bench_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/rattanlever/rattanlever/rattanconfig"
 	"github.com/rattanlever/rattanlever/rattaninventory"
 	"github.com/rattanlever/rattanlever/rattanjson"
+	"github.com/rattanlever/rattanlever/rattanplatform"
 )
 
 // manyPools says that the instance owns the first of the 14 pools of a zone.
@@ -21,15 +23,22 @@
 func (manyPools) Pool(time.Time) (pool, pools int, owned bool) { return 0, 14, true }
 func (manyPools) SetPools(int)                                 {}
 
+// benchmarkDocument returns a document with irregular names and numbers, so that
+// it does not compress better than operators' documents do.
 func benchmarkDocument(callers, kinds int) rattanconfig.Document {
+	random := rand.New(rand.NewPCG(1, 1))
 	document := *fakeDocuments{}.Document()
 	for i := range callers {
-		document.Callers[fmt.Sprintf("team-%03d", i)] = rattanconfig.Caller{Weight: 1, Quota: 100, MaxJobs: 1_000}
+		name := fmt.Sprintf("team-%03d", i)
+		if i > 0 {
+			name += fmt.Sprintf("-%08x", random.Uint32())
+		}
+		document.Callers[name] = rattanconfig.Caller{Weight: float64(random.IntN(100) + 1), Quota: random.IntN(10_000), MaxJobs: random.IntN(10_000)}
 	}
-	for i := range kinds {
-		document.JobKinds[fmt.Sprintf("kind-%03d", i)] = rattanconfig.JobKind{
-			Service: "planner", MaxTasks: 250, RunTime: rattanjson.Duration(300 * time.Millisecond),
-			Deadline: rattanjson.Duration(10 * time.Second), Idempotent: true, CoresPerTask: 1, MemoryMBPerTask: 500,
+	for range kinds {
+		document.JobKinds[fmt.Sprintf("kind-%016x", random.Uint64())] = rattanconfig.JobKind{
+			Service: "planner", MaxTasks: random.IntN(250) + 1, RunTime: rattanjson.Duration(time.Duration(random.IntN(5_000)) * time.Millisecond),
+			Deadline: rattanjson.Duration(10 * time.Second), Idempotent: random.IntN(2) == 0, CoresPerTask: random.IntN(8), MemoryMBPerTask: random.IntN(4_000),
 		}
 	}
 	return document
@@ -87,7 +96,8 @@
 		b.StopTimer()
 		next := changed(document)
 		if whole {
-			sent, _ = json.Marshal(next)
+			value, _ := rattanconfig.Pack(next)
+			sent, _ = json.Marshal(rattanplatform.Changes{Entries: []rattanplatform.Entry{{Key: rattanconfig.PlatformKey, Value: value}}})
 		} else {
 			sent, _ = json.Marshal(rattanconfig.Difference(document, next))
 		}
@@ -111,11 +121,9 @@
 		}
 		return
 	}
-	document, err := rattanconfig.Parse(sent)
-	if err == nil {
-		err = member.Install(&document)
-	}
-	if err != nil {
+	var changes rattanplatform.Changes
+	if err := json.Unmarshal(sent, &changes); err != nil {
 		b.Fatal(err)
 	}
+	member.receive(changes.Entries[0])
 }
--- a/rattanentry/plans.go
+++ b/rattanentry/plans.go
@@ -173,7 +173,7 @@
 }
 
 func (p *Plans) write(ctx context.Context, document rattanconfig.Document, revision int64) error {
-	value, err := rattanconfig.Encode(document)
+	value, err := rattanconfig.Pack(document)
 	if err != nil {
 		return errors.Trace(err)
 	}
