Cut the watchers of whole zones off in the simulated spread

Change: members are cut off zone by zone, the watchers of a zone first, as a partition of a zone from the platform does.

--- a/rattanbench/spread.go
+++ b/rattanbench/spread.go
@@ -52,7 +52,8 @@
 	// SilentLinks is the share of the links, and of the connections to the
 	// platform, that have gone silent when a change is made.
 	SilentLinks float64
-	// CutOff is the share of members that cannot reach the platform.
+	// CutOff is the share of members that cannot reach the platform: zone by
+	// zone, the watchers of a zone first.
 	CutOff float64
 	Seed   uint64
 }
@@ -219,9 +220,7 @@
 		s.members = append(s.members, added)
 		s.byAddress[added.member.PeerAddress] = added
 	}
-	for _, index := range s.random.Perm(options.Members)[:int(options.CutOff*float64(options.Members))] {
-		s.members[index].cutOff = true
-	}
+	s.cutOff(zones)
 	for _, m := range s.members {
 		for _, other := range s.members {
 			if other != m {
@@ -235,6 +234,17 @@
 	return s
 }
 
+// cutOff cuts the members of the first zones off from the platform.
+func (s *spreadRun) cutOff(zones int) {
+	remaining := int(s.options.CutOff * float64(s.options.Members))
+	for zone := range zones {
+		for index := zone; index < len(s.members) && remaining > 0; index += zones {
+			s.members[index].cutOff = true
+			remaining--
+		}
+	}
+}
+
 // spreadDocument returns a document to change.
 func spreadDocument() rattanconfig.Document {
 	document := rattanconfig.Document{Revision: 1, Callers: map[string]rattanconfig.Caller{}}
