Make the slots of a pool a setting and test three pools of a zone

Cause: the number of slots of a pool was a constant of 1,024, so that no test on one machine had more than one pool in a zone. Change: setting Home.PoolSlots, 8 to 16384, default 1024. A test runs load over three pools of about 16 slots while the home of one of them is killed, submits each key through two fronts and checks the history. Before: one pool in each test.

--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -231,6 +231,7 @@
 		Home:             i.Home,
 		Documents:        i.Configuration,
 		Pools:            i.Members,
+		PoolSlots:        settings.Home.PoolSlots,
 		Observed:         i.Members.Observe,
 		Changed:          i.spread,
 	})
--- a/rattanentry/inventory.go
+++ b/rattanentry/inventory.go
@@ -38,10 +38,6 @@
 	Instances(ctx context.Context) ([]rattanplatform.Instance, error)
 }
 
-// PoolSlots is the most slots of a pool. One queue over this many slots is
-// close to an ideal single queue, and one instance can carry their starts.
-const PoolSlots = 1024
-
 // Pools reports which pool of its zone this instance owns.
 type Pools interface {
 	Pool(now time.Time) (pool, pools int, owned bool)
@@ -66,6 +62,8 @@
 	Home             *Home
 	Documents        Documents
 	Pools            Pools
+	// PoolSlots is the most slots of a pool.
+	PoolSlots int
 	// Observed is called with each instance list that the platform gave.
 	Observed func(now time.Time, instances []rattanplatform.Instance)
 	// Changed is called after a list came in use that differs from the former.
@@ -117,7 +115,7 @@
 	for _, instance := range zone {
 		slots += instance.Slots
 	}
-	pools := max(1, (slots+PoolSlots-1)/PoolSlots)
+	pools := max(1, (slots+i.config.PoolSlots-1)/i.config.PoolSlots)
 	i.config.Pools.SetPools(pools)
 	own, _, owned := i.config.Pools.Pool(now)
 	var targets []rattanpool.Target
--- a/rattansettings/load_test.go
+++ b/rattansettings/load_test.go
@@ -27,6 +27,7 @@
 			AnswerRetention:   rattanjson.Duration(time.Minute),
 			MaxRecords:        1_000_000,
 			MaxAnswerBytes:    64 << 20,
+			PoolSlots:         1024,
 			DrainTimeout:      rattanjson.Duration(2 * time.Minute),
 		},
 	})
--- a/rattansettings/settings.go
+++ b/rattansettings/settings.go
@@ -51,6 +51,9 @@
 	AnswerRetention   rattanjson.Duration
 	MaxRecords        int
 	MaxAnswerBytes    int64
+	// PoolSlots is the most slots of a pool. It is the same at all instances of
+	// an availability zone.
+	PoolSlots int
 	// DrainTimeout is the longest time that a graceful shutdown waits.
 	DrainTimeout rattanjson.Duration
 }
--- a/rattansettings/table.go
+++ b/rattansettings/table.go
@@ -72,6 +72,7 @@
 	{Key: "Home.AnswerRetention", Type: TypeDuration, Default: "1m0s", Min: "1s", Max: "24h0m0s", Description: "Time that the results of an answered job are kept. At most Retention."},
 	{Key: "Home.MaxRecords", Type: TypeInteger, Unit: "records", Default: "1000000", Min: "1000", Max: "100000000", Description: "Most records in the ledger."},
 	{Key: "Home.MaxAnswerBytes", Type: TypeInteger, Unit: "bytes", Default: "67108864", Min: "1048576", Max: "68719476736", Description: "Most bytes of results in the ledger; the oldest are dropped first."},
+	{Key: "Home.PoolSlots", Type: TypeInteger, Unit: "slots", Default: "1024", Min: "8", Max: "16384", Description: "Most slots of a pool; a zone with more slots is divided into several pools, each with a home of its own. The same at all instances of an availability zone."},
 	{Key: "Home.DrainTimeout", Type: TypeDuration, Default: "2m0s", Min: "1s", Max: "1h0m0s", Description: "Longest time that a graceful shutdown waits for running jobs."},
 }
 
--- /dev/null
+++ b/rattansystem/pools_test.go
@@ -0,0 +1,139 @@
+package rattansystem_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattancheck"
+	"github.com/rattanlever/rattanlever/rattanclient"
+	"github.com/rattanlever/rattanlever/rattanentry"
+	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattansettings"
+	"github.com/rattanlever/rattanlever/rattanstandin"
+	"github.com/rattanlever/rattanlever/rattansystem"
+)
+
+const testPools = 3
+
+// startPools starts a zone of three pools with about 16 slots each and two
+// instances without a pool.
+func startPools(c *qt.C) *rattansystem.System {
+	c.Cleanup(func() { c.Check(reportedViolations(), qt.HasLen, 0) })
+	system, err := rattansystem.Start(rattansystem.Config{
+		Zones:          []string{"buda"},
+		EntriesPerZone: testPools + 2,
+		Fleets:         []rattanstandin.TargetFleetOptions{{Count: 24, Service: "planner", Target: rattanstandin.TargetOptions{Slots: 2, Echo: true}}},
+		Document:       document(),
+		AdjustSettings: func(settings *rattansettings.Settings) { settings.Home.PoolSlots = 16 },
+	})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(system.Close)
+	waitFor(c, 20*time.Second, "a home of each pool", func() bool { return poolsOwned(system) })
+	return system
+}
+
+// poolsOwned reports whether all running instances name the same home of each
+// pool, and no home knows another number of pools.
+func poolsOwned(system *rattansystem.System) bool {
+	epochs := map[rattanjob.EpochID]int{}
+	running := 0
+	for _, entry := range system.Entries() {
+		if entry.Killed() {
+			continue
+		}
+		running++
+		for _, owner := range entry.Instance.Members.Owners(time.Now()) {
+			epochs[owner.Epoch.ID]++
+		}
+	}
+	if len(epochs) != testPools {
+		return false
+	}
+	for _, count := range epochs {
+		if count != running {
+			return false
+		}
+	}
+	return true
+}
+
+// homeOf returns the running instance that owns the pool.
+func homeOf(system *rattansystem.System, pool int) *rattansystem.Entry {
+	for _, entry := range system.Entries() {
+		own, _, owned := entry.Instance.Members.Pool(time.Now())
+		if owned && own == pool && !entry.Killed() {
+			return entry
+		}
+	}
+	return nil
+}
+
+// Guards I1 to I4 in a zone with several pools while the home of one pool dies:
+// the jobs of the other pools complete, those of the dead home are answered as
+// lost, and resubmissions through other fronts start nothing twice.
+func TestPoolsOfOneZone(t *testing.T) {
+	c := qt.New(t)
+	system := startPools(c)
+	history := rattancheck.NewHistory()
+	victim := homeOf(system, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	clients := poolClients(system, victim)
+	random := rand.New(rand.NewPCG(1, 1))
+	var jobs sync.WaitGroup
+	var mutex sync.Mutex
+	answers := map[rattanjob.Reason]int{}
+	for i := range 150 {
+		if i == 60 {
+			system.Kill(victim)
+		}
+		time.Sleep(20 * time.Millisecond)
+		first, second := clients[random.IntN(len(clients))], clients[random.IntN(len(clients))]
+		keys, err := first.Keys(ctx, 1)
+		c.Assert(err, qt.IsNil)
+		sent := submission(keys[0], 1+random.IntN(12), 40*time.Millisecond)
+		history.Submitted(sent)
+		for _, client := range []*rattanclient.Client{first, second} {
+			jobs.Go(func() {
+				asked := time.Now()
+				answer, err := client.Do(ctx, sent)
+				if !c.Check(err, qt.IsNil) {
+					return
+				}
+				history.Answered(sent.Key, asked, time.Now(), answer)
+				lost := answer.Reason == rattanjob.ReasonHomeLost && sent.Key.Epoch.Home.Instance == victim.Name
+				c.Check(answer.State == rattanjob.StateComplete || lost, qt.IsTrue, qt.Commentf("%+v", answer))
+				mutex.Lock()
+				answers[answer.Reason]++
+				mutex.Unlock()
+			})
+		}
+	}
+	jobs.Wait()
+	c.Logf("answers by reason %v", answers)
+	c.Check(history.Check(system.Starts()), qt.HasLen, 0)
+	waitFor(c, 5*time.Second, "a new home of the pool", func() bool { return poolsOwned(system) })
+	used := map[int]bool{}
+	for id := range system.Starts() {
+		for _, start := range system.Log.Times(id) {
+			used[rattanentry.PoolOf(start.Target, testPools)] = true
+		}
+	}
+	c.Check(used, qt.HasLen, testPools)
+}
+
+// poolClients returns a client of each instance but one.
+func poolClients(system *rattansystem.System, but *rattansystem.Entry) []*rattanclient.Client {
+	var clients []*rattanclient.Client
+	for _, entry := range system.Entries() {
+		if entry != but {
+			clients = append(clients, rattanclient.New(rattanclient.Config{Addresses: []string{entry.Instance.CallerAddress()}, Caller: "app"}))
+		}
+	}
+	return clients
+}
