Ask lenders of the own zone first and keep own targets apart from loans

Cause: slots were borrowed from any home with idle slots, the most idle first, so that a pool borrowed across zones while the next pool of its zone was idle. A target that moved to the borrower's own pool when the number of pools changed was taken for a loan: the scheduler used only the borrowed slots, and none once the loan ended. The home leaves borrowed targets out that are its own.

--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -307,7 +307,14 @@
 		}
 		targets = append(targets, target)
 	}
-	h.config.Scheduler.SetTargets(now, append(targets, borrowed...))
+	for _, target := range borrowed {
+		// A target that is borrowed from another pool of the zone may move to
+		// this pool when the number of pools changes; it is an own one then.
+		if _, own := h.ownAddresses[target.Name]; !own {
+			targets = append(targets, target)
+		}
+	}
+	h.config.Scheduler.SetTargets(now, targets)
 }
 
 // Start starts the maintenance of the home.
--- a/rattanentry/loads.go
+++ b/rattanentry/loads.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/rattanlever/rattanlever/rattanconfig"
+	"github.com/rattanlever/rattanlever/rattanload"
 	"github.com/rattanlever/rattanlever/rattanmember"
 	"github.com/rattanlever/rattanlever/rattanpeer"
 	"github.com/rattanlever/rattanlever/rattanpool"
@@ -109,6 +110,19 @@
 	})
 }
 
+// Lenders returns the homes to borrow slots of a service from, in the order in
+// which to ask them.
+func (l *Loads) Lenders(now time.Time, service string) []rattanload.Lender {
+	all := l.All(now)
+	var homes []rattanload.Lender
+	for _, load := range all[1:] {
+		if load.ServiceSlots[service] > 0 {
+			homes = append(homes, rattanload.Lender{Instance: load.Instance, AvailabilityZone: load.AvailabilityZone, Idle: load.Pool.Slots - load.Pool.BusySlots})
+		}
+	}
+	return rattanload.ChooseLenders(all[0].Instance, all[0].AvailabilityZone, homes)
+}
+
 // Name returns the name of the service in the kernel.
 func (l *Loads) Name() string {
 	return "Loads"
--- a/rattanentry/loans.go
+++ b/rattanentry/loans.go
@@ -40,7 +40,7 @@
 	return idle
 }
 
-// Lend grants idle slots to a home of another zone.
+// Lend grants idle slots to another home.
 func (h *Home) Lend(now time.Time, request rattanloan.Request) []rattanloan.Grant {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/rattanentry/spill.go
+++ b/rattanentry/spill.go
@@ -1,7 +1,6 @@
 package rattanentry
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
@@ -36,7 +35,7 @@
 	Peers    PeerCaller
 }
 
-// Spill borrows idle slots of other availability zones while tasks wait.
+// Spill borrows idle slots of other pools while tasks wait.
 type Spill struct {
 	config SpillConfig
 	cancel context.CancelFunc
@@ -56,7 +55,7 @@
 	return &Spill{config: config, idleSince: map[string]time.Time{}}
 }
 
-// Handle serves the borrowers of other zones.
+// Handle serves borrowers.
 func (s *Spill) Handle(node *rattanpeer.Node) {
 	node.Handle(methodBorrow, func(_ context.Context, _ string, body []byte) ([]byte, error) {
 		var request rattanloan.Request
@@ -118,8 +117,7 @@
 	}
 }
 
-// borrow asks the lenders, those with the most idle slots first, until the
-// need is met.
+// borrow asks the lenders in their order until the need is met.
 func (s *Spill) borrow(ctx context.Context, service string, slots int) {
 	for _, lender := range s.lenders(time.Now(), service) {
 		if slots < 1 {
@@ -144,22 +142,20 @@
 	return grants
 }
 
-// lenders returns the homes that are known to have idle slots, the ones with
-// most first.
+// lenders returns the homes that are known to have idle slots, those of this
+// zone first.
 func (s *Spill) lenders(now time.Time, service string) []rattanmember.Member {
-	idle := map[string]int{}
-	for _, load := range s.config.Loads.All(now)[1:] {
-		if load.ServiceSlots[service] > 0 {
-			idle[load.Instance] = load.Pool.Slots - load.Pool.BusySlots
+	homes := map[string]rattanmember.Member{}
+	for _, home := range s.config.Members.Homes(now) {
+		homes[home.Incarnation.Instance] = home
+	}
+	var lenders []rattanmember.Member
+	for _, chosen := range s.config.Loads.Lenders(now, service) {
+		if home, ok := homes[chosen.Instance]; ok {
+			lenders = append(lenders, home)
 		}
 	}
-	homes := slices.DeleteFunc(s.config.Members.Homes(now), func(home rattanmember.Member) bool {
-		return idle[home.Incarnation.Instance] <= 0
-	})
-	slices.SortFunc(homes, func(a, b rattanmember.Member) int {
-		return cmp.Compare(idle[b.Incarnation.Instance], idle[a.Incarnation.Instance])
-	})
-	return homes
+	return lenders
 }
 
 // giveBack repays the loans of a service. A message that is lost does no harm:
--- a/rattanloan/book.go
+++ b/rattanloan/book.go
@@ -1,5 +1,5 @@
-// Package rattanloan keeps a home's book of slots that it lends to homes of
-// other availability zones and borrows from them. It is pure: the present time
+// Package rattanloan keeps a home's book of slots that it lends to the homes of
+// other pools and borrows from them. It is pure: the present time
 // is an argument. A loan ends by itself when its lease lapses, so no message
 // that is lost can lose a slot for good; a borrower stops using a slot before
 // the lender counts on it again, and a target refuses tasks beyond its slots.
--- a/rattanmetric/table.go
+++ b/rattanmetric/table.go
@@ -84,7 +84,7 @@
 	{PoolSlots, KindGauge, nil, "Slots of the pool's targets in use."},
 	{PoolBusySlots, KindGauge, nil, "Slots that hold a task."},
 	{PoolBacklogSeconds, KindGauge, nil, "Expected slot time of all waiting tasks."},
-	{SlotLoansTotal, KindCounter, nil, "Loans of slots taken from homes of other availability zones."},
+	{SlotLoansTotal, KindCounter, nil, "Loans of slots taken from the homes of other pools."},
 	{LedgerRecords, KindGauge, nil, "Records of submissions in the ledger."},
 	{LedgerAnswerBytes, KindGauge, nil, "Bytes of results in the ledger."},
 	{EpochsOpenedTotal, KindCounter, nil, "Epochs that the home opened."},
--- a/rattansystem/pools_test.go
+++ b/rattansystem/pools_test.go
@@ -137,3 +137,50 @@
 	}
 	return clients
 }
+
+// Guards the use of other pools' idle slots: a job of more tasks than its pool
+// has slots must not need as many rounds as the pool alone, and the loans must
+// not start a task twice.
+func TestBurstBorrowsSlotsOfOtherPools(t *testing.T) {
+	c := qt.New(t)
+	system := startPools(c)
+	home := homeOf(system, 1)
+	waitFor(c, 10*time.Second, "lenders of the other pools", func() bool {
+		return len(home.Instance.Loads.Lenders(time.Now(), "planner")) == testPools-1
+	})
+	history := rattancheck.NewHistory()
+	client := rattanclient.New(rattanclient.Config{Addresses: system.Addresses(), Caller: "app"})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	key := keyOf(ctx, c, client, home.Name)
+	own := home.Instance.Home.Load(time.Now()).Pool.Slots
+	const tasks, runTime = 42, 400 * time.Millisecond
+	rounds := (tasks + own - 1) / own
+	sent := submission(key, tasks, runTime)
+	history.Submitted(sent)
+	asked := time.Now()
+	answer, err := client.Do(ctx, sent)
+	took := time.Since(asked)
+	c.Assert(err, qt.IsNil)
+	history.Answered(sent.Key, asked, time.Now(), answer)
+	c.Assert(answer.State, qt.Equals, rattanjob.StateComplete, qt.Commentf("%+v", answer))
+	c.Assert(history.Check(system.Starts()), qt.HasLen, 0)
+	c.Logf("%d slots of %d, %d rounds alone, took %v", own, 48, rounds, took)
+	c.Assert(rounds > 1, qt.IsTrue)
+	c.Assert(took < time.Duration(rounds)*runTime, qt.IsTrue)
+}
+
+// keyOf returns a key that names the home.
+func keyOf(ctx context.Context, c *qt.C, client *rattanclient.Client, home string) rattanjob.Key {
+	for ctx.Err() == nil {
+		keys, err := client.Keys(ctx, 2*testPools)
+		c.Assert(err, qt.IsNil)
+		for _, key := range keys {
+			if key.Epoch.Home.Instance == home {
+				return key
+			}
+		}
+	}
+	c.Fatalf("no key of %s", home)
+	return rattanjob.Key{}
+}
