Exchange loads through one aggregator per zone

Cause: each pair of homes exchanged loads of up to 8 KB once a second. Change: a home reports to the home with the first pool of its zone once a second (Report); aggregators exchange once a second (ZoneLoad); the replies carry the shares of quotas and at most 8 lenders for each service. Load asks all members for operators' plans, as before. Parts follow demand more slowly than before (about 2 s), because a larger part waits until all other homes have counted it.

--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -245,12 +245,14 @@
 		Explain:     i.Records.Explain,
 	})
 	i.Loads = NewLoads(LoadsConfig{
-		Instance:  settings.Name,
-		Home:      i.Home,
-		Members:   i.Members,
-		Peers:     i.Node,
-		Documents: i.Configuration,
-		Local:     i.load,
+		Instance:         settings.Name,
+		AvailabilityZone: settings.AvailabilityZone,
+		Incarnation:      uint64(now.UnixMilli()),
+		Home:             i.Home,
+		Members:          i.Members,
+		Peers:            i.Node,
+		Documents:        i.Configuration,
+		Local:            i.load,
 	})
 	i.Spill = NewSpill(SpillConfig{Instance: settings.Name, Home: i.Home, Members: i.Members, Loads: i.Loads, Peers: i.Node})
 	i.Plans = NewPlans(PlansConfig{
@@ -323,7 +325,7 @@
 // installed tells the services of a document that came into force.
 func (i *Instance) installed(document *rattanconfig.Document) {
 	now := time.Now()
-	i.Home.SetCallers(now, DivideQuotas(document, i.Loads.All(now)))
+	i.Home.SetCallers(now, i.Loads.Callers(now, document))
 	i.burn.SetObjectives(now, *document)
 	i.applyDrain(document)
 	i.spread()
@@ -356,7 +358,6 @@
 	load := i.Home.Load(now)
 	load.Instance = i.config.Settings.Name
 	load.AvailabilityZone = i.config.Settings.AvailabilityZone
-	load.OwnsPool = i.Members.OwnsPool(now)
 	load.Revision = i.Configuration.Document().Revision
 	return load
 }
--- a/rattanentry/loads.go
+++ b/rattanentry/loads.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/rattanlever/rattanlever/rattanconfig"
+	"github.com/rattanlever/rattanlever/rattanjob"
 	"github.com/rattanlever/rattanlever/rattanload"
 	"github.com/rattanlever/rattanlever/rattanmember"
 	"github.com/rattanlever/rattanlever/rattanpeer"
@@ -17,22 +18,22 @@
 )
 
 const (
-	methodLoad = "Load"
-	// loadInterval is how often homes exchange their loads; quotas follow
-	// demand within about twice this time.
+	methodLoad     = "Load"
+	methodReport   = "Report"
+	methodZoneLoad = "ZoneLoad"
+	// loadInterval is how often loads are exchanged; quotas follow demand
+	// within about three times this time, because a larger part waits until
+	// all other homes have counted it.
 	loadInterval = time.Second
 	loadTimeout  = 500 * time.Millisecond
-	// loadLifetime is how long a home's load counts after it was received. It
-	// outlasts short partitions, so that quotas do not jump with them.
-	loadLifetime = 30 * time.Second
+	// reportTries lets a home answer a request for a full report at once.
+	reportTries = 2
 )
 
-// HomeLoad is the load of one home as it is sent to others.
+// HomeLoad is the load of one instance as operators' plans collect it.
 type HomeLoad struct {
 	Instance         string
 	AvailabilityZone string
-	// OwnsPool says that the instance is a home; only homes share quotas.
-	OwnsPool bool
 	// Revision is the configuration in force at the home.
 	Revision uint64
 	Jobs     int
@@ -43,50 +44,58 @@
 	ServiceSlots map[string]int
 }
 
-// receivedLoad is a load with the time of its arrival.
-type receivedLoad struct {
-	load HomeLoad
-	at   time.Time
-}
-
 // LoadsConfig configures Loads. All fields are required.
 type LoadsConfig struct {
-	Instance  string
-	Home      *Home
-	Members   *Members
-	Peers     PeerCaller
-	Documents Documents
+	Instance         string
+	AvailabilityZone string
+	// Incarnation is the number of this run of the instance.
+	Incarnation uint64
+	Home        *Home
+	Members     *Members
+	Peers       PeerCaller
+	Documents   Documents
 	// Local describes this instance's own load.
 	Local func(now time.Time) HomeLoad
 }
 
-// Loads exchanges loads between homes and divides quotas by demand. It is safe
-// for concurrent use.
+// Loads exchanges loads with the aggregator of the availability zone, and with
+// those of the other zones while this instance is the aggregator. It is safe for
+// concurrent use.
 type Loads struct {
 	config LoadsConfig
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
 
-	mutex    sync.Mutex
-	received map[string]receivedLoad
+	mutex sync.Mutex
+	home  *rattanload.Home
+	// aggregator is nil while another home is the aggregator.
+	aggregator *rattanload.Aggregator
 }
 
 // NewLoads returns an exchange that knows no other home.
 func NewLoads(config LoadsConfig) *Loads {
-	return &Loads{config: config, received: map[string]receivedLoad{}}
+	// Reports of a later incarnation must count as later.
+	return &Loads{config: config, home: rattanload.NewHome(config.Instance, config.Incarnation)}
 }
 
-// All returns the loads of all known homes, this instance's first.
-func (l *Loads) All(now time.Time) []HomeLoad {
-	all := []HomeLoad{l.config.Local(now)}
+// Callers returns the callers of the document with the parts of their quotas
+// that this home may use.
+func (l *Loads) Callers(now time.Time, document *rattanconfig.Document) []rattanpool.Caller {
+	homes := len(l.config.Members.Homes(now)) + 1
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	for _, known := range l.received {
-		if now.Sub(known.at) < loadLifetime {
-			all = append(all, known.load)
+	callers := make([]rattanpool.Caller, 0, len(document.Callers))
+	for name, caller := range document.Callers {
+		if caller.Retired {
+			continue
 		}
+		share := rattanpool.Caller{Name: name, Weight: caller.Weight, Quota: caller.Quota}
+		if caller.Quota > 0 {
+			share.Quota = l.home.Part(now, rattanload.IdentifyCaller(name), caller.Quota, homes)
+		}
+		callers = append(callers, share)
 	}
-	return all
+	return callers
 }
 
 // Collect asks all other instances for their loads and returns those of the
@@ -95,32 +104,45 @@
 	own := l.config.Local(now)
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	others := callMembers[HomeLoad](ctx, l.config.Peers, l.config.Members.Others(now), methodLoad, own)
+	others := callMembers[HomeLoad](ctx, l.config.Peers, l.config.Members.Others(now), methodLoad, nil)
 	return append([]HomeLoad{own}, others...)
 }
 
 // Handle serves the exchange.
 func (l *Loads) Handle(node *rattanpeer.Node) {
-	node.Handle(methodLoad, func(_ context.Context, _ string, body []byte) ([]byte, error) {
-		now := time.Now()
-		if err := l.take(now, body); err != nil {
+	node.Handle(methodLoad, func(context.Context, string, []byte) ([]byte, error) {
+		return json.Marshal(l.config.Local(time.Now()))
+	})
+	node.Handle(methodReport, func(_ context.Context, _ string, body []byte) ([]byte, error) {
+		var report rattanload.Report
+		if err := json.Unmarshal(body, &report); err != nil {
 			return nil, errors.Trace(err)
 		}
-		return json.Marshal(l.config.Local(now))
+		reply, err := l.takeReport(time.Now(), report)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		return json.Marshal(reply)
+	})
+	node.Handle(methodZoneLoad, func(_ context.Context, _ string, body []byte) ([]byte, error) {
+		var load rattanload.ZoneLoad
+		if err := json.Unmarshal(body, &load); err != nil {
+			return nil, errors.Trace(err)
+		}
+		reply, err := l.takeZone(time.Now(), load)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		return json.Marshal(reply)
 	})
 }
 
 // Lenders returns the homes to borrow slots of a service from, in the order in
 // which to ask them.
-func (l *Loads) Lenders(now time.Time, service string) []rattanload.Lender {
-	all := l.All(now)
-	var homes []rattanload.Lender
-	for _, load := range all[1:] {
-		if load.ServiceSlots[service] > 0 {
-			homes = append(homes, rattanload.Lender{Instance: load.Instance, AvailabilityZone: load.AvailabilityZone, Idle: load.Pool.Slots - load.Pool.BusySlots})
-		}
-	}
-	return rattanload.ChooseLenders(all[0].Instance, all[0].AvailabilityZone, homes)
+func (l *Loads) Lenders(now time.Time, service string) []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.home.Lenders(now, service)
 }
 
 // Name returns the name of the service in the kernel.
@@ -148,82 +170,176 @@
 	return nil
 }
 
-// exchange sends this home's load to the homes that come after it in the order
-// of names; each pair then exchanges once an interval.
+// exchange reports the load of this home and, as the aggregator, exchanges the
+// sums with the zones that come after this one in the order of names; each pair
+// of zones then exchanges once an interval.
 func (l *Loads) exchange(ctx context.Context, now time.Time) {
-	if !l.config.Members.OwnsPool(now) {
-		return
-	}
-	body, err := json.Marshal(l.config.Local(now))
-	if err != nil {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
+	leaders := l.leaders(now)
+	l.lead(now, leaders)
+	if !l.config.Members.OwnsPool(now) && l.config.Home.Jobs() == 0 {
+		return
+	}
+	l.report(ctx, now, leaders[l.config.AvailabilityZone])
 	var calls sync.WaitGroup
-	for _, home := range l.config.Members.Homes(now) {
-		if home.Incarnation.Instance > l.config.Instance {
-			calls.Go(func() { l.exchangeWith(ctx, home, body) })
+	for zone, leader := range leaders {
+		if zone > l.config.AvailabilityZone {
+			calls.Go(func() { l.exchangeZone(ctx, now, zone, leader.PeerAddress) })
 		}
 	}
 	calls.Wait()
-	l.config.Home.SetCallers(now, l.callers(now))
+	now = time.Now()
+	l.config.Home.SetCallers(now, l.Callers(now, l.config.Documents.Document()))
+}
+
+// report sends the load of this home to the aggregator of its zone.
+func (l *Loads) report(ctx context.Context, now time.Time, leader rattanmember.Member) {
+	load := l.load(now)
+	for range reportTries {
+		l.mutex.Lock()
+		report := l.home.Report(now, leader.Incarnation.Instance, load)
+		l.mutex.Unlock()
+		reply, err := l.sendReport(ctx, leader, report)
+		if err != nil {
+			return
+		}
+		l.mutex.Lock()
+		l.home.Take(time.Now(), reply)
+		l.mutex.Unlock()
+		if !reply.Resend {
+			return
+		}
+	}
 }
 
-func (l *Loads) exchangeWith(ctx context.Context, home rattanmember.Member, body []byte) {
-	reply, err := l.config.Peers.Call(ctx, home.PeerAddress, methodLoad, body)
+func (l *Loads) sendReport(ctx context.Context, leader rattanmember.Member, report rattanload.Report) (rattanload.Reply, error) {
+	if leader.Incarnation.Instance == l.config.Instance {
+		return l.takeReport(time.Now(), report)
+	}
+	return callPeer[rattanload.Reply](ctx, l.config.Peers, leader.PeerAddress, methodReport, report)
+}
+
+// exchangeZone exchanges loads with the aggregator of another zone.
+func (l *Loads) exchangeZone(ctx context.Context, now time.Time, zone, address string) {
+	load, ok := l.zoneLoad(now, zone)
+	if !ok {
+		return
+	}
+	reply, err := callPeer[rattanload.ZoneLoad](ctx, l.config.Peers, address, methodZoneLoad, load)
 	if err != nil {
 		return
 	}
-	_ = l.take(time.Now(), reply)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.aggregator != nil {
+		l.aggregator.TakeZone(time.Now(), reply)
+	}
 }
 
-func (l *Loads) take(now time.Time, body []byte) error {
-	var load HomeLoad
-	if err := json.Unmarshal(body, &load); err != nil {
-		return errors.Trace(err)
+// zoneLoad returns the load to send to another zone. It reports false while
+// this instance is not the aggregator or has not heard from all homes.
+func (l *Loads) zoneLoad(now time.Time, zone string) (rattanload.ZoneLoad, bool) {
+	live := l.live(now)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.aggregator == nil {
+		return rattanload.ZoneLoad{}, false
 	}
-	if !load.OwnsPool {
-		return nil
+	return l.aggregator.ZoneLoad(now, zone, live)
+}
+
+// takeReport takes in the report of a home of this zone.
+func (l *Loads) takeReport(now time.Time, report rattanload.Report) (rattanload.Reply, error) {
+	l.lead(now, l.leaders(now))
+	live := l.live(now)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.aggregator == nil {
+		return rattanload.Reply{}, errors.Errorf("%s is not the aggregator", l.config.Instance)
 	}
+	return l.aggregator.TakeReport(now, report, live), nil
+}
+
+// takeZone takes in the load of another zone and returns that of this one.
+func (l *Loads) takeZone(now time.Time, load rattanload.ZoneLoad) (rattanload.ZoneLoad, error) {
+	l.lead(now, l.leaders(now))
+	l.mutex.Lock()
+	if l.aggregator != nil {
+		l.aggregator.TakeZone(now, load)
+	}
+	l.mutex.Unlock()
+	reply, ok := l.zoneLoad(now, load.Zone)
+	if !ok {
+		return reply, errors.Errorf("%s has no loads of its zone", l.config.Instance)
+	}
+	return reply, nil
+}
+
+// lead takes or gives up the role of the aggregator.
+func (l *Loads) lead(now time.Time, leaders map[string]rattanmember.Member) {
+	leads := leaders[l.config.AvailabilityZone].Incarnation.Instance == l.config.Instance
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.received[load.Instance] = receivedLoad{load: load, at: now}
-	maps.DeleteFunc(l.received, func(_ string, known receivedLoad) bool { return now.Sub(known.at) >= loadLifetime })
-	return nil
+	switch {
+	case !leads:
+		l.aggregator = nil
+	case l.aggregator == nil:
+		l.aggregator = rattanload.NewAggregator(now, l.config.AvailabilityZone, l.home.Term(), rand.Uint32())
+	}
 }
 
-// callers returns the callers of the document with this home's parts of their
-// quotas.
-func (l *Loads) callers(now time.Time) []rattanpool.Caller {
-	return DivideQuotas(l.config.Documents.Document(), l.All(now))
+// leaders returns the aggregator of each zone: the home with the first pool.
+func (l *Loads) leaders(now time.Time) map[string]rattanmember.Member {
+	leaders := map[string]rattanmember.Member{}
+	for _, home := range l.homes(now) {
+		leader, known := leaders[home.AvailabilityZone]
+		earlier := home.Claim < leader.Claim || (home.Claim == leader.Claim && home.Incarnation.Instance < leader.Incarnation.Instance)
+		if !known || earlier {
+			leaders[home.AvailabilityZone] = home
+		}
+	}
+	return leaders
 }
 
-// DivideQuotas returns the callers of the document with the part of their
-// quotas that the first home may use. A quota is divided in proportion to
-// demand; a home without demand keeps a small part, so that a first job need
-// not wait for an exchange. The parts add up to at most the quota plus one
-// slot for each home.
-func DivideQuotas(document *rattanconfig.Document, homes []HomeLoad) []rattanpool.Caller {
-	callers := make([]rattanpool.Caller, 0, len(document.Callers))
-	for name, caller := range document.Callers {
-		if caller.Retired {
-			continue
+// live returns the homes of this zone and the other zones that have homes.
+func (l *Loads) live(now time.Time) rattanload.Live {
+	var live rattanload.Live
+	zones := map[string]bool{l.config.AvailabilityZone: true}
+	for _, home := range l.homes(now) {
+		if home.AvailabilityZone == l.config.AvailabilityZone {
+			live.Homes = append(live.Homes, home.Incarnation.Instance)
 		}
-		share := rattanpool.Caller{Name: name, Weight: caller.Weight, Quota: caller.Quota}
-		if caller.Quota > 0 {
-			share.Quota = divideQuota(caller.Quota, name, homes)
+		if !zones[home.AvailabilityZone] {
+			zones[home.AvailabilityZone] = true
+			live.Zones = append(live.Zones, home.AvailabilityZone)
 		}
-		callers = append(callers, share)
 	}
-	return callers
+	return live
 }
 
-func divideQuota(quota int, caller string, homes []HomeLoad) int {
-	total := 0
-	for _, home := range homes {
-		total += home.Demand[caller] + 1
+// homes returns all homes, this instance included if it is one.
+func (l *Loads) homes(now time.Time) []rattanmember.Member {
+	homes := l.config.Members.Homes(now)
+	pool, _, owned := l.config.Members.Pool(now)
+	if owned {
+		homes = append(homes, rattanmember.Member{
+			Incarnation:      rattanjob.Incarnation{Instance: l.config.Instance, Number: l.config.Incarnation},
+			AvailabilityZone: l.config.AvailabilityZone,
+			Claim:            pool + 1,
+		})
+	}
+	return homes
+}
+
+// load returns the load to report. Only callers with a quota matter to others.
+func (l *Loads) load(now time.Time) rattanload.Load {
+	document := l.config.Documents.Document()
+	load := rattanload.Load{Demand: map[rattanload.CallerID]int{}, Idle: l.config.Home.IdleSlots(now)}
+	for caller, demand := range l.config.Local(now).Demand {
+		if document.Callers[caller].Quota > 0 {
+			load.Demand[rattanload.IdentifyCaller(caller)] += demand
+		}
 	}
-	own := homes[0].Demand[caller] + 1
-	return max(1, quota*own/total)
+	return load
 }
--- a/rattanentry/loans.go
+++ b/rattanentry/loans.go
@@ -40,6 +40,24 @@
 	return idle
 }
 
+// IdleSlots returns the number of own slots that are neither in use nor lent, by
+// service, without the services of which tasks wait.
+func (h *Home) IdleSlots(now time.Time) map[string]int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	idle := map[string]int{}
+	if h.draining {
+		return idle
+	}
+	for _, target := range h.own {
+		free := target.Slots - h.busy[target.Name] - h.loans.LentSlots(now, target.Name)
+		if !target.Leaving && free > 0 && h.queued[target.Service] == 0 {
+			idle[target.Service] += free
+		}
+	}
+	return idle
+}
+
 // Lend grants idle slots to another home.
 func (h *Home) Lend(now time.Time, request rattanloan.Request) []rattanloan.Grant {
 	h.mutex.Lock()
--- a/rattanentry/spill.go
+++ b/rattanentry/spill.go
@@ -150,8 +150,8 @@
 		homes[home.Incarnation.Instance] = home
 	}
 	var lenders []rattanmember.Member
-	for _, chosen := range s.config.Loads.Lenders(now, service) {
-		if home, ok := homes[chosen.Instance]; ok {
+	for _, name := range s.config.Loads.Lenders(now, service) {
+		if home, ok := homes[name]; ok {
 			lenders = append(lenders, home)
 		}
 	}
--- a/rattanload/lender.go
+++ b/rattanload/lender.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 )
 
@@ -19,7 +20,8 @@
 
 // ChooseLenders returns at most MaxLenders of the homes that have idle slots:
 // those of the borrower's own zone first, and within a zone those with the most
-// idle slots. The borrower itself is left out.
+// idle slots. Numbers of slots with the same power of two count as equal, so
+// that the list changes rarely. The borrower itself is left out.
 func ChooseLenders(borrower, zone string, homes []Lender) []Lender {
 	chosen := slices.DeleteFunc(slices.Clone(homes), func(home Lender) bool {
 		return home.Idle <= 0 || home.Instance == borrower
@@ -27,7 +29,7 @@
 	slices.SortFunc(chosen, func(a, b Lender) int {
 		return cmp.Or(
 			cmp.Compare(elsewhere(a, zone), elsewhere(b, zone)),
-			cmp.Compare(b.Idle, a.Idle),
+			cmp.Compare(bits.Len(uint(b.Idle)), bits.Len(uint(a.Idle))),
 			cmp.Compare(a.Instance, b.Instance),
 		)
 	})
