Choose the pool of a key by two random choices

Cause: keys were spread evenly over the pools of a zone, whatever their load. Change: replies to forwarded submissions carry the load of the home's pool: the share of its slots in use and the waiting work in seconds per slot. A front takes the less loaded of two random homes; a load older than 2 s counts as unknown.

--- a/rattanentry/front.go
+++ b/rattanentry/front.go
@@ -5,9 +5,10 @@
 	"crypto/rand"
 	"encoding/json"
 	"io"
+	mathrand "math/rand/v2"
 	"net/http"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -16,6 +17,7 @@
 
 	"github.com/rattanlever/rattanlever/rattanjob"
 	"github.com/rattanlever/rattanlever/rattanjson"
+	"github.com/rattanlever/rattanlever/rattanload"
 	"github.com/rattanlever/rattanlever/rattanmember"
 	"github.com/rattanlever/rattanlever/rattanmetric"
 	"github.com/rattanlever/rattanlever/rattanpeer"
@@ -81,9 +83,10 @@
 // cancellations to the homes that their keys name.
 type Front struct {
 	config FrontConfig
-	// issued counts keys; it spreads them over the pools.
-	issued atomic.Uint64
 	counts frontCounts
+
+	mutex  sync.Mutex
+	choice *rattanload.PoolChoice
 }
 
 // frontCounts are the counters of a front.
@@ -103,6 +106,13 @@
 	Fault  *rattanjob.Answer `json:",omitempty"`
 }
 
+// delivered is the reply to a request that a front has handed to a home.
+type delivered struct {
+	rattanjob.Answer
+	// Load is the load of the home's pool, in replies to submissions.
+	Load *float64 `json:",omitempty"`
+}
+
 // KeysRequest asks for submission keys.
 type KeysRequest struct {
 	// Count is 1 to 1000; 0 means 1.
@@ -116,7 +126,7 @@
 
 // NewFront returns a front.
 func NewFront(config FrontConfig) *Front {
-	return &Front{config: config, counts: frontCounts{
+	return &Front{config: config, choice: rattanload.NewPoolChoice(), counts: frontCounts{
 		issued:    config.Metrics.Counter(rattanmetric.KeysIssuedTotal),
 		forwarded: config.Metrics.Counter(rattanmetric.JobsForwardedTotal),
 	}}
@@ -124,9 +134,9 @@
 
 // Handle serves the requests that other fronts forward to the home here.
 func (f *Front) Handle(node *rattanpeer.Node) {
-	node.Handle(methodSubmit, f.serve(f.submitHere))
-	node.Handle(methodStatus, f.serve(f.statusHere))
-	node.Handle(methodCancel, f.serve(f.cancelHere))
+	node.Handle(methodSubmit, f.serve(f.submitHere, f.config.Home.PoolLoad))
+	node.Handle(methodStatus, f.serve(f.statusHere, nil))
+	node.Handle(methodCancel, f.serve(f.cancelHere, nil))
 	node.Handle(methodExplain, f.explainHere)
 }
 
@@ -141,16 +151,22 @@
 }
 
 // IssueKeys returns count keys for the caller that name homes of this
-// instance's availability zone, spread evenly over its pools. It sends no
-// message.
+// instance's availability zone, chosen by the loads that are known here. It
+// sends no message.
 func (f *Front) IssueKeys(now time.Time, caller string, count int) ([]rattanjob.Key, bool) {
 	owners := f.config.Directory.Owners(now)
 	if len(owners) == 0 {
 		return nil, false
 	}
+	names := make([]string, len(owners))
+	for i, owner := range owners {
+		names[i] = owner.Incarnation.Instance
+	}
 	keys := make([]rattanjob.Key, count)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	for i := range keys {
-		owner := owners[f.issued.Add(1)%uint64(len(owners))]
+		owner := owners[f.choice.Choose(now, names, mathrand.IntN)]
 		keys[i] = rattanjob.Key{
 			Epoch:      owner.Epoch.ID,
 			Witnesses:  owner.Epoch.Witnesses,
@@ -334,9 +350,13 @@
 	if err != nil {
 		return rattanjob.Answer{}, err
 	}
-	var answer rattanjob.Answer
-	if err := json.Unmarshal(reply, &answer); err != nil {
-		return answer, errors.Trace(err)
+	var decoded delivered
+	if err := json.Unmarshal(reply, &decoded); err != nil {
+		return decoded.Answer, errors.Trace(err)
+	}
+	answer := decoded.Answer
+	if decoded.Load != nil {
+		f.observe(request.Key.Epoch.Home.Instance, *decoded.Load)
 	}
 	if answer.Key != request.Key.String() {
 		reportViolation(errors.WithType(errors.Errorf("answer for key %s to a request for %s", answer.Key, request.Key), ErrInvariant))
@@ -345,6 +365,13 @@
 	return answer, nil
 }
 
+// observe takes in the load of a home for the choice of pools.
+func (f *Front) observe(home string, load float64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.choice.Observe(time.Now(), home, load)
+}
+
 // judge decides what a failed delivery proves about the home.
 func (f *Front) judge(ctx context.Context, key rattanjob.Key, err error) rattanjob.Answer {
 	refused := errors.Is(err, rattanpeer.ErrRefused)
@@ -362,8 +389,9 @@
 	return errors.Is(err, rattanpeer.ErrRefused) || errors.Is(err, rattanpeer.ErrUnreachable)
 }
 
-// serve adapts a method of the home to a handler of the links.
-func (f *Front) serve(here func(context.Context, *forwarded) rattanjob.Answer) rattanpeer.Handler {
+// serve adapts a method of the home to a handler of the links. The reply holds
+// the load if it is not nil.
+func (f *Front) serve(here func(context.Context, *forwarded) rattanjob.Answer, load func(now time.Time) float64) rattanpeer.Handler {
 	return func(ctx context.Context, _ string, body []byte) ([]byte, error) {
 		request := &forwarded{}
 		if err := json.Unmarshal(body, request); err != nil {
@@ -372,7 +400,12 @@
 		if home := request.Key.Epoch.Home; !f.isHere(home) {
 			return nil, errors.Errorf("%s does not run at %s", home.Instance, f.config.Instance)
 		}
-		return json.Marshal(here(ctx, request))
+		reply := delivered{Answer: here(ctx, request)}
+		if load != nil {
+			present := load(time.Now())
+			reply.Load = &present
+		}
+		return json.Marshal(reply)
 	}
 }
 
@@ -387,7 +420,9 @@
 func (f *Front) submitHere(ctx context.Context, request *forwarded) rattanjob.Answer {
 	request.Submission.Key = request.Key
 	request.Submission.ReceivedDigest = request.Digest
-	return f.config.Home.Submit(ctx, time.Now(), request.Caller, request.Submission, request.Fault, request.Wait.Std())
+	answer := f.config.Home.Submit(ctx, time.Now(), request.Caller, request.Submission, request.Fault, request.Wait.Std())
+	f.observe(f.config.Instance, f.config.Home.PoolLoad(time.Now()))
+	return answer
 }
 
 func (f *Front) statusHere(ctx context.Context, request *forwarded) rattanjob.Answer {
--- a/rattanentry/front_test.go
+++ b/rattanentry/front_test.go
@@ -34,7 +34,7 @@
 		request := &forwarded{Caller: "app", Key: key}
 		body, err := json.Marshal(request)
 		c.Assert(err, qt.IsNil)
-		reply, err := front.serve(front.statusHere)(context.Background(), "buda-3", body)
+		reply, err := front.serve(front.statusHere, nil)(context.Background(), "buda-3", body)
 		c.Check(err == nil, qt.Equals, test.lost, qt.Commentf("%+v: %s", test.home, reply))
 		if test.home.Instance != "buda-1" {
 			continue
--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -17,6 +17,7 @@
 	"github.com/rattanlever/rattanlever/rattanconfig"
 	"github.com/rattanlever/rattanlever/rattanjob"
 	"github.com/rattanlever/rattanlever/rattanledger"
+	"github.com/rattanlever/rattanlever/rattanload"
 	"github.com/rattanlever/rattanlever/rattanloan"
 	"github.com/rattanlever/rattanlever/rattanmetric"
 	"github.com/rattanlever/rattanlever/rattanpool"
@@ -156,8 +157,12 @@
 	own          []rattanpool.Target
 	ownAddresses map[string]string
 	loans        *rattanloan.Book
-	wake         *time.Timer
-	lastSweep    time.Time
+	// load is the load of the pool at loadAt. It is not worked out for each
+	// submission, because that visits all targets.
+	load      float64
+	loadAt    time.Time
+	wake      *time.Timer
+	lastSweep time.Time
 }
 
 // NewHome returns a home without targets.
@@ -249,6 +254,18 @@
 	}
 }
 
+// PoolLoad returns the load of the pool for the choice of pools.
+func (h *Home) PoolLoad(now time.Time) float64 {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if now.Sub(h.loadAt) >= maintenanceInterval {
+		load := h.config.Scheduler.Load(now)
+		h.load = rattanload.PoolLoad(load.Slots, load.BusySlots, load.Backlog)
+		h.loadAt = now
+	}
+	return h.load
+}
+
 // OpenEpoch accepts submissions for a new epoch of this instance.
 func (h *Home) OpenEpoch(now time.Time, epoch rattanjob.EpochID, start time.Time) {
 	h.mutex.Lock()
