Send fewer changes of loads

Change: a weight falls only to the highest demand of 4 reports, sums that rise get a headroom of 1/16 and small decreases are sent every 4 s, lists of lenders too; other zones are told 2 lenders of a service; IDs have 24 bits.

--- a/rattanload/aggregator.go
+++ b/rattanload/aggregator.go
@@ -22,11 +22,21 @@
 type sentShare struct {
 	Share
 	version uint64
+	// at is when Rest was set.
+	at time.Time
+}
+
+// announced is a sum of weights as other zones were told.
+type announced struct {
+	value   int
+	version uint64
+	at      time.Time
 }
 
 type sentLenders struct {
 	names   []string
 	version uint64
+	at      time.Time
 }
 
 // zone is what an aggregator knows of another availability zone.
@@ -67,10 +77,10 @@
 	term, version uint64
 	homes         map[string]*member
 	zones         map[string]*zone
-	// total holds the sums of the zone's weights, changed the version of their
-	// last change, and elsewhere the sums of the other zones' weights.
+	// total holds the sums of the zone's weights, announced what other zones
+	// were told of them, and elsewhere the sums of the other zones' weights.
 	total     map[CallerID]int
-	changed   map[CallerID]uint64
+	announced map[CallerID]announced
 	elsewhere map[CallerID]int
 }
 
@@ -123,7 +133,7 @@
 	reply.Version = a.version
 	reply.Base = base
 	reply.Shares = a.shares(now, report.Instance, home, base)
-	reply.Lenders = a.lenders(report.Instance, home, base)
+	reply.Lenders = a.lenders(now, report.Instance, home, base)
 	return reply
 }
 
@@ -178,6 +188,7 @@
 	if !a.ready && !a.heardHomes(now, live) {
 		return ZoneLoad{}, false
 	}
+	a.announce(now)
 	load := ZoneLoad{Zone: a.zone, Term: a.term, Version: a.version, Weights: Values{}, Lenders: a.idle()}
 	if other, known := a.zones[to]; known {
 		load.Base = other.held
@@ -185,14 +196,39 @@
 		load.Held = other.version
 		load.Confirmed = a.confirmed(now, other)
 	}
-	for caller, version := range a.changed {
-		if version > load.Base && (load.Base > 0 || a.total[caller] > 0) {
-			load.Weights[caller] = a.total[caller]
+	for caller, told := range a.announced {
+		if told.version > load.Base && (load.Base > 0 || told.value > 0) {
+			load.Weights[caller] = told.value
 		}
 	}
 	return load, true
 }
 
+// announce sets what other zones are told of the sums. It begins a version,
+// because the present one may have been sent already.
+func (a *Aggregator) announce(now time.Time) {
+	a.version++
+	for caller, total := range a.total {
+		told := a.announced[caller]
+		if value := steady(told.value, total, now.Sub(told.at)); value != told.value {
+			a.announced[caller] = announced{value: value, version: a.version, at: now}
+		}
+	}
+}
+
+// steady returns the sum to send after one that was sent some time ago. A sum
+// that is too high only makes parts smaller, so it is sent with some headroom,
+// and small decreases are sent rarely.
+func steady(sent, sum int, age time.Duration) int {
+	switch {
+	case sum > sent && sent > 0:
+		return sum + sum/sumHeadroom
+	case sum > sent, sum == 0, age >= sumAge, sent-sum > sent/weightFall:
+		return sum
+	}
+	return sent
+}
+
 // join adds a home. Shares of former terms count at least the weights that it
 // still holds.
 func (a *Aggregator) join(report Report) *member {
@@ -214,7 +250,7 @@
 	a.homes = map[string]*member{}
 	a.zones = map[string]*zone{}
 	a.total = map[CallerID]int{}
-	a.changed = map[CallerID]uint64{}
+	a.announced = map[CallerID]announced{}
 	a.elsewhere = map[CallerID]int{}
 }
 
@@ -269,7 +305,6 @@
 		return
 	}
 	a.total[caller] += weight
-	a.changed[caller] = a.version
 }
 
 func (a *Aggregator) forgetZone(other *zone) {
@@ -348,10 +383,15 @@
 		if len(weights) == 0 {
 			delete(home.weights, caller)
 		}
-		share := Share{Own: weights.least(from), Rest: a.total[caller] - weights.last() + a.elsewhere[caller]}
 		last := home.shares[caller]
+		rest := a.total[caller] - weights.last() + a.elsewhere[caller]
+		share := Share{Own: weights.least(from), Rest: steady(last.Rest, rest, now.Sub(last.at))}
 		if share != last.Share {
-			last = sentShare{Share: share, version: a.version}
+			if share.Rest != last.Rest {
+				last.at = now
+			}
+			last.Share = share
+			last.version = a.version
 			home.shares[caller] = last
 		}
 		if last.version > base && (base > 0 || share != Share{}) {
@@ -375,7 +415,7 @@
 }
 
 // lenders returns the lists of lenders that have changed since the base.
-func (a *Aggregator) lenders(name string, home *member, base uint64) map[string][]string {
+func (a *Aggregator) lenders(now time.Time, name string, home *member, base uint64) map[string][]string {
 	candidates := map[string][]Lender{}
 	for instance, each := range a.homes {
 		for service, slots := range each.idle {
@@ -399,8 +439,9 @@
 			names = append(names, chosen.Instance)
 		}
 		last, sent := home.lenders[service]
-		if !sent || !slices.Equal(last.names, names) {
-			last = sentLenders{names: names, version: a.version}
+		due := len(last.names) == 0 || now.Sub(last.at) >= lendersAge
+		if !sent || due && !slices.Equal(last.names, names) {
+			last = sentLenders{names: names, version: a.version, at: now}
 			home.lenders[service] = last
 		}
 		if last.version > base {
@@ -421,7 +462,9 @@
 	lenders := map[string][]Idle{}
 	for service, homes := range candidates {
 		for _, chosen := range ChooseLenders("", a.zone, homes) {
-			lenders[service] = append(lenders[service], Idle{Instance: chosen.Instance, Slots: chosen.Idle})
+			if len(lenders[service]) < zoneLenders {
+				lenders[service] = append(lenders[service], Idle{Instance: chosen.Instance, Slots: chosen.Idle})
+			}
 		}
 	}
 	return lenders
--- a/rattanload/home.go
+++ b/rattanload/home.go
@@ -27,6 +27,8 @@
 	// the Own values in use.
 	weights map[CallerID]reported
 	pending map[CallerID][]reported
+	// peaks are the highest demands of the current windows.
+	peaks map[CallerID]int
 	// answered is the report that the shares in use answer.
 	answered uint64
 	term     uint64
@@ -46,6 +48,7 @@
 		sequence: first,
 		weights:  map[CallerID]reported{},
 		pending:  map[CallerID][]reported{},
+		peaks:    map[CallerID]int{},
 		shares:   Shares{},
 		lenders:  map[string][]string{},
 	}
@@ -204,16 +207,22 @@
 	}
 }
 
-// next returns the weight that follows the reported one at a demand.
+// next returns the weight that follows the reported one at a demand. The
+// windows of callers end in different reports, which spreads the messages.
 func (h *Home) next(caller CallerID, demand int) int {
 	last := h.weights[caller].value
-	if demand < last {
-		demand = max(demand, last-max(1, last/weightDecay))
+	peak := max(h.peaks[caller], demand)
+	h.peaks[caller] = peak
+	if (h.sequence+uint64(caller))%weightWindow == 0 {
+		delete(h.peaks, caller)
+		if last-peak > last/weightFall {
+			return peak
+		}
 	}
-	if change := demand - last; change < 0 && demand > 0 && -change*weightStep <= last || change > 0 && change*weightStep <= last {
-		return last
+	if demand-last > last/weightRise {
+		return demand
 	}
-	return demand
+	return last
 }
 
 func (h *Home) set(caller CallerID, value int) {
--- a/rattanload/load.go
+++ b/rattanload/load.go
@@ -28,13 +28,24 @@
 	// goneAfter is the silence after which a home is dropped that membership no
 	// longer lists as a home.
 	goneAfter = 2 * time.Second
-	// weightDecay is the part of a weight by which it falls at most in one
-	// report. A home's part follows the least of its recent weights, so a
-	// weight that fell with each pause of a caller would leave quota unused.
-	weightDecay = 4
-	// weightStep is the part of a weight below which a change is not reported;
-	// it saves most messages of callers with steady demand.
-	weightStep = 8
+	// weightWindow is the number of reports whose highest demand a weight falls
+	// to. A home's part follows the least of its recent weights, so a weight
+	// that fell with each pause of a caller would leave quota unused.
+	weightWindow = 4
+	// A weight is kept while the demand exceeds it by at most an eighth, and
+	// while the highest demand of a window is at least three quarters of it;
+	// this saves most messages of callers whose demand varies little.
+	weightRise, weightFall = 8, 4
+	// sumHeadroom is the part of a sum that is added when it rises, and sumAge
+	// how long a sum is kept that is a little too high.
+	sumHeadroom = 16
+	sumAge      = 4 * time.Second
+	// lendersAge is how long a list of lenders is kept. Idle slots change many
+	// times a second, so that a list sent each second would be hardly better.
+	lendersAge = 4 * time.Second
+	// zoneLenders is the number of lenders of a service that other zones are
+	// told; with 4 other zones that makes MaxLenders.
+	zoneLenders = 2
 )
 
 // baseCaller stands for a weight of 1 that each home adds for each caller, so
--- a/rattanload/message.go
+++ b/rattanload/message.go
@@ -14,12 +14,17 @@
 const ErrMessage = errors.ConstError("malformed load")
 
 // CallerID is a hash of a caller's name. Two callers with the same hash share
-// their weights, and both get smaller parts of their quotas.
+// their weights, so that their parts may not follow their demand; no quota is
+// exceeded.
 type CallerID uint32
 
+// callerBits is the size of a CallerID. At 220 callers two of them have the same
+// ID in about one of 700 systems; each bit is sent with each weight.
+const callerBits = 24
+
 // IdentifyCaller returns the ID of a caller.
 func IdentifyCaller(name string) CallerID {
-	return max(CallerID(uint32(xxhash.Sum64String(name))), 1)
+	return max(CallerID(xxhash.Sum64String(name)>>(64-callerBits)), 1)
 }
 
 // Values are numbers by caller. Their JSON form is a string of varints in
