Test joining homes and that a takeover keeps the parts of quotas

Cause: the property test had no home that joins, and nothing failed when a full report left out the weights in use. Change: homes join in the property test; a test requires that no part shrinks while a new aggregator learns the loads.

--- a/rattanload/exchange_test.go
+++ b/rattanload/exchange_test.go
@@ -27,6 +27,7 @@
 	exchanged map[string]time.Time
 	queue     []func()
 	nonce     uint32
+	joined    int
 	lose      func() bool
 	delay     func() bool
 }
@@ -50,15 +51,21 @@
 	for z := range zones {
 		name := fmt.Sprintf("zone-%d", z)
 		made.zones = append(made.zones, name)
-		for h := range homes {
-			instance := fmt.Sprintf("%s-%d", name, h)
-			made.homes[name] = append(made.homes[name], &homeUnderTest{Home: NewHome(instance, 0), name: instance})
+		for range homes {
+			made.join(name)
 		}
 		made.elect(name)
 	}
 	return made
 }
 
+// join adds a home to the zone.
+func (e *exchange) join(zone string) {
+	e.joined++
+	instance := fmt.Sprintf("%s-%d", zone, e.joined)
+	e.homes[zone] = append(e.homes[zone], &homeUnderTest{Home: NewHome(instance, 0), name: instance})
+}
+
 // elect makes the first home of the zone its aggregator.
 func (e *exchange) elect(zone string) {
 	e.nonce++
@@ -191,7 +198,7 @@
 }
 
 // Guards against quotas that are exceeded while all parts are connected: with
-// messages that are lost, late and reordered, and aggregators that die, the
+// messages that are lost, late and reordered, aggregators that die and homes that join, the
 // parts of all homes add up to at most the quota and one slot for each home.
 // After that the whole quota must be in use again.
 func TestPartsWithinQuota(t *testing.T) {
@@ -218,6 +225,8 @@
 				if len(e.homes[zone]) > 1 && e.ready() && rapid.IntRange(0, 3).Draw(t, "dies") == 0 {
 					e.homes[zone] = e.homes[zone][1:]
 					e.elect(zone)
+				} else if rapid.IntRange(0, 9).Draw(t, "joins") == 0 {
+					e.join(zone)
 				}
 			case 4, 5:
 				for len(e.queue) > 0 {
@@ -277,3 +286,24 @@
 	rounds(10)
 	c.Assert(part(), qt.Equals, 100)
 }
+
+// Guards against a pause of callers when an aggregator dies: the homes' parts
+// must not shrink while the new one learns the loads.
+func TestTakeoverKeepsParts(t *testing.T) {
+	c := qt.New(t)
+	e := newExchange(2, 3)
+	home := e.homes["zone-0"][1]
+	home.demand = 100
+	for range 10 {
+		e.round()
+	}
+	part := func() int { return home.Part(e.now, testCaller, 400, 6) }
+	before := part()
+	c.Assert(before > 300, qt.IsTrue)
+	e.homes["zone-0"] = e.homes["zone-0"][1:]
+	e.elect("zone-0")
+	for range 10 {
+		e.round()
+		c.Assert(part() >= before, qt.IsTrue, qt.Commentf("%d before, %d after", before, part()))
+	}
+}
