--- a/rattanentry/configuration_bench_test.go
+++ b/rattanentry/configuration_bench_test.go
@@ -74,6 +74,7 @@
 	logger.SetOutput(io.Discard)
 	inventory := testInventory(nil, nil)
 	home := inventory.config.Home
+	loads := NewLoads(LoadsConfig{Instance: "buda-entry-1", Incarnation: 1})
 	initial, peer := document, &servingPeer{}
 	member := NewConfiguration(ConfigurationConfig{
 		Peers:   peer,
@@ -81,7 +82,7 @@
 		Initial: &initial,
 		Installed: func(document *rattanconfig.Document) {
 			now := time.Now()
-			home.SetCallers(now, DivideQuotas(document, []HomeLoad{home.Load(now)}))
+			home.SetCallers(now, loads.callers(now, document, 1))
 			inventory.Apply(now)
 		},
 	})
--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -18,6 +18,7 @@
 	"github.com/rattanlever/rattanlever/rattanjob"
 	"github.com/rattanlever/rattanlever/rattankernel"
 	"github.com/rattanlever/rattanlever/rattanledger"
+	"github.com/rattanlever/rattanlever/rattanload"
 	"github.com/rattanlever/rattanlever/rattanloan"
 	"github.com/rattanlever/rattanlever/rattanmetric"
 	"github.com/rattanlever/rattanlever/rattanpool"
@@ -160,8 +161,12 @@
 	own          []rattanpool.Target
 	ownAddresses map[string]string
 	loans        *rattanloan.Book
-	wake         *time.Timer
-	lastSweep    time.Time
+	// load is the load of the pool at loadAt. It is not worked out for each
+	// submission, because that visits all targets.
+	load      float64
+	loadAt    time.Time
+	wake      *time.Timer
+	lastSweep time.Time
 }
 
 // NewHome returns a home without targets.
@@ -263,6 +268,18 @@
 	}
 }
 
+// PoolLoad returns the load of the pool for the choice of pools.
+func (h *Home) PoolLoad(now time.Time) float64 {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if now.Sub(h.loadAt) >= maintenanceInterval {
+		load := h.config.Scheduler.Load(now)
+		h.load = rattanload.PoolLoad(load.Slots, load.BusySlots, load.Backlog)
+		h.loadAt = now
+	}
+	return h.load
+}
+
 // OpenEpoch accepts submissions for a new epoch of this instance.
 func (h *Home) OpenEpoch(now time.Time, epoch rattanjob.EpochID, start time.Time) {
 	h.mutex.Lock()
@@ -321,7 +338,14 @@
 		}
 		targets = append(targets, target)
 	}
-	h.config.Scheduler.SetTargets(now, append(targets, borrowed...))
+	for _, target := range borrowed {
+		// A target that is borrowed from another pool of the zone may move to
+		// this pool when the number of pools changes; it is an own one then.
+		if _, own := h.ownAddresses[target.Name]; !own {
+			targets = append(targets, target)
+		}
+	}
+	h.config.Scheduler.SetTargets(now, targets)
 }
 
 // Start starts the maintenance of the home.
--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -211,6 +211,7 @@
 	i.Inventory = NewInventory(InventoryConfig{
 		Platform:         i.Platform,
 		AvailabilityZone: settings.AvailabilityZone,
+		PoolSlots:        settings.Home.PoolSlots,
 		Logger:           i.config.Logger,
 		Observed:         i.Members.Observe,
 		Changed:          i.spread,
@@ -220,7 +221,12 @@
 		Incarnation: uint64(now.UnixMilli()),
 		Metrics:     i.Metrics,
 	})
-	i.Loads = NewLoads(LoadsConfig{Instance: settings.Name, Local: i.load})
+	i.Loads = NewLoads(LoadsConfig{
+		Instance:         settings.Name,
+		AvailabilityZone: settings.AvailabilityZone,
+		Incarnation:      uint64(now.UnixMilli()),
+		Local:            i.load,
+	})
 	i.Spill = NewSpill(SpillConfig{Instance: settings.Name})
 	i.Plans = NewPlans(PlansConfig{Store: i.Platform, Facts: i.facts, Logger: i.config.Logger})
 	i.Operations = NewOperations(OperationsConfig{
@@ -294,7 +300,7 @@
 // installed tells the services of a document that came into force.
 func (i *Instance) installed(document *rattanconfig.Document) {
 	now := time.Now()
-	i.Home.SetCallers(now, DivideQuotas(document, i.Loads.All(now)))
+	i.Home.SetCallers(now, i.Loads.Callers(now, document))
 	i.burn.SetObjectives(now, *document)
 	i.applyDrain(document)
 	i.spread()
@@ -327,7 +333,6 @@
 	load := i.Home.Load(now)
 	load.Instance = i.config.Settings.Name
 	load.AvailabilityZone = i.config.Settings.AvailabilityZone
-	load.OwnsPool = i.Members.OwnsPool(now)
 	load.Revision = i.Configuration.Document().Revision
 	return load
 }
--- a/rattanentry/inventory.go
+++ b/rattanentry/inventory.go
@@ -38,10 +38,6 @@
 	Instances(ctx context.Context, query rattanplatform.InstanceQuery) (rattanplatform.InstanceReply, error)
 }
 
-// PoolSlots is the most slots of a pool. One queue over this many slots is
-// close to an ideal single queue, and one instance can carry their starts.
-const PoolSlots = 1024
-
 // Pools reports which pool of its zone this instance owns.
 type Pools interface {
 	Pool(now time.Time) (pool, pools int, owned bool)
@@ -69,6 +65,8 @@
 	Pools            Pools
 	// Logger gets a line when instances are kept that the platform does not list.
 	Logger *logrus.Logger
+	// PoolSlots is the most slots of a pool.
+	PoolSlots int
 	// Observed is called with each instance list that the platform gave.
 	Observed func(now time.Time, instances []rattanplatform.Instance)
 	// Changed is called after a list came in use that differs from the former.
@@ -150,7 +148,7 @@
 	defer i.applying.Unlock()
 	document := i.config.Documents.Document()
 	i.selectZone(i.list())
-	pools := max(1, (i.zoneSlots+PoolSlots-1)/PoolSlots)
+	pools := max(1, (i.zoneSlots+i.config.PoolSlots-1)/i.config.PoolSlots)
 	i.config.Pools.SetPools(pools)
 	own, _, owned := i.config.Pools.Pool(now)
 	i.selectPool(ownPool{pools: pools, own: own, owned: owned})
--- a/rattanentry/inventory_bench_test.go
+++ b/rattanentry/inventory_bench_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/rattanlever/rattanlever/rattanmember"
 	"github.com/rattanlever/rattanlever/rattanplatform"
+	"github.com/rattanlever/rattanlever/rattansettings"
 )
 
 // Sizes of the benchmarks of the instance list: the changes of a day are those
@@ -135,6 +136,7 @@
 
 func testInventory(platform InstanceLister, peers PeerCaller) *Inventory {
 	return NewInventory(InventoryConfig{
+		PoolSlots:        rattansettings.Default().Home.PoolSlots,
 		Platform:         platform,
 		Peers:            peers,
 		Watchers:         noWatchers{},
