Let a starting member ask the peers of its zone before it claims a pool

Cause: a joining member contacted one random peer a second, so that it claimed a pool before it knew more senior members of its zone. News of the owners waited behind hundreds of new members in the queue of changes.

Change: a joining member asks the seeds of its own zone at each heartbeat interval. It claims a pool when it has heard from a majority of them and of no more senior member for JoinDuration, 1.5 heartbeat intervals after it has heard from all of them, or after 5 times JoinDuration. Pauses do not count as waiting. Replies to joining members name the owners and the senior members of the zone, and owners go first in the queue of changes. A home without witnesses rolls over as soon as it has two reachable members.

--- a/rattanmember/epoch.go
+++ b/rattanmember/epoch.go
@@ -141,8 +141,9 @@
 	if t.lostWitness(current) {
 		return elapsed >= t.config.TenureDuration
 	}
+	// Without a witness, silence of this home never proves that it has ended.
 	if len(current.witnesses) == 0 {
-		return elapsed >= 2*t.config.TenureDuration
+		return true
 	}
 	return len(witnesses) > len(current.witnesses) && elapsed >= t.config.GrowthInterval
 }
--- a/rattanmember/gossip.go
+++ b/rattanmember/gossip.go
@@ -18,6 +18,8 @@
 	maxMembers     = 64
 	maxTenures     = 64
 	forgetInterval = 10 * time.Second
+	// maxJoinPeers bounds the seeds that a joining member contacts at once.
+	maxJoinPeers = 8
 )
 
 // entry is what this table keeps of another member.
@@ -133,8 +135,11 @@
 	known := &entry{listed: listed}
 	t.entries[name] = known
 	t.addedAt = now
-	if said.AvailabilityZone == t.self.AvailabilityZone {
-		t.joinedAt = now
+	if t.ownZone(said) {
+		t.zoneMembers++
+		if t.zoneMembers <= t.config.MaxWitnesses || said.compare(&t.self) < 0 {
+			t.joinedAt = now
+		}
 	}
 	t.set(now, known, said)
 	t.order = append(t.order, name)
@@ -188,7 +193,33 @@
 		return
 	}
 	known.queued = true
-	t.changed = append(t.changed, known.member.Incarnation.Instance)
+	t.enqueue(known)
+}
+
+// enqueue lets owners of pools go before other members. After the start of a
+// whole fleet hundreds of members wait, and everyone must learn the owners.
+func (t *Table) enqueue(known *entry) {
+	queue := &t.changed
+	if known.member.Claim > 0 {
+		queue = &t.urgent
+	}
+	*queue = append(*queue, known.member.Incarnation.Instance)
+}
+
+// dequeue returns the next name of a queue of changes, urgent ones first, if
+// one of the first count is left.
+func (t *Table) dequeue(urgent, changed *int) (string, bool) {
+	queue, left := &t.urgent, urgent
+	if *urgent == 0 {
+		queue, left = &t.changed, changed
+	}
+	if *left == 0 {
+		return "", false
+	}
+	*left--
+	name := (*queue)[0]
+	*queue = (*queue)[1:]
+	return name, true
 }
 
 // changesFor returns at most maxChanges members for a message: the receiver
@@ -208,12 +239,15 @@
 			add(known)
 		}
 	}
-	for range len(t.changed) {
+	urgent, changed := len(t.urgent), len(t.changed)
+	for {
 		if len(changes) >= limit {
 			return changes
 		}
-		name := t.changed[0]
-		t.changed = t.changed[1:]
+		name, left := t.dequeue(&urgent, &changed)
+		if !left {
+			break
+		}
 		known := t.entries[name]
 		if known == nil {
 			continue
@@ -221,7 +255,7 @@
 		known.transmissions--
 		known.queued = known.transmissions > 0
 		if known.queued {
-			t.changed = append(t.changed, name)
+			t.enqueue(known)
 		}
 		if name != receiver {
 			add(known)
@@ -309,6 +343,34 @@
 	return appendReceiver(receivers, receiver)
 }
 
+// joinPeers appends the seeds of the own availability zone that a joining member
+// has not heard from, or any seeds if there are none of its zone. A member that
+// would claim a pool asks the others again too, because more senior members may
+// have answered them since.
+func (t *Table) joinPeers(now time.Time, receivers []Member) []Member {
+	if t.joined {
+		return receivers
+	}
+	_, named := t.heardFromNamed()
+	_, claims := t.vacantPool(now)
+	limit := len(receivers) + maxJoinPeers
+	for i := range t.config.Seeds {
+		seed := t.config.Seeds[(t.nextSeed+i)%len(t.config.Seeds)]
+		if len(receivers) >= limit || named > 0 && !t.ownZone(seed) || seed.Incarnation.Instance == t.self.Incarnation.Instance {
+			continue
+		}
+		known := t.entries[seed.Incarnation.Instance]
+		switch {
+		case known == nil:
+			receivers = appendReceiver(receivers, seed)
+		case known.heardAt.IsZero() || claims && known.member.Status == StatusAlive:
+			receivers = appendReceiver(receivers, known.member)
+		}
+	}
+	t.nextSeed = (t.nextSeed + maxJoinPeers) % max(1, len(t.config.Seeds))
+	return receivers
+}
+
 // unknownSeeds returns the seeds and the listed instances that are not known as
 // members.
 func (t *Table) unknownSeeds() []Member {
@@ -371,6 +433,9 @@
 
 // noticePause forgives missing answers after a pause of this member itself.
 func (t *Table) noticePause(now time.Time) {
+	if !t.joined && now.Sub(t.lastTick) >= t.config.HeartbeatInterval/2 {
+		t.joinedAt = now
+	}
 	if now.Sub(t.lastTick) < t.config.TenureDuration {
 		return
 	}
@@ -398,6 +463,7 @@
 		t.order = removeName(t.order, name)
 		t.probes = removeName(t.probes, name)
 		t.changed = removeName(t.changed, name)
+		t.urgent = removeName(t.urgent, name)
 	}
 }
 
--- a/rattanmember/table.go
+++ b/rattanmember/table.go
@@ -65,8 +65,9 @@
 	// DrainDuration is the time after a rollover for which the old epoch is kept.
 	DrainDuration time.Duration
 	// JoinDuration is the time without a new member of the availability zone
-	// after which a member with seeds claims a pool. It waits at most 5 times
-	// as long.
+	// after which a member with seeds claims a pool, once it has heard from a
+	// majority of the seeds of its zone. It waits at most 5 times as long, and
+	// 1.5 HeartbeatIntervals when it has heard from all of them.
 	JoinDuration time.Duration
 	// GrowthInterval is the shortest time between rollovers that only gain
 	// witnesses.
@@ -120,18 +121,28 @@
 	startedAt  time.Time
 	// addedAt is when the last member was added.
 	addedAt time.Time
-	// joinedAt is when the last member of the own availability zone was added.
+	// joinedAt is when the last member of the own availability zone was added
+	// that is more senior or that may be needed as a witness.
 	joinedAt time.Time
-	payload  []byte
-	pools    int
+	// zoneMembers counts the members of the own availability zone that were
+	// added.
+	zoneMembers int
+	// joined is set when this member may claim a pool; see joining.
+	joined  bool
+	payload []byte
+	pools   int
 
 	entries map[string]*entry
 	// order holds the names in the order in which they are contacted next.
 	order     []string
 	nextOrder int
-	// changed holds the names with transmissions left.
+	// changed and urgent hold the names with transmissions left; those of
+	// members with a claim are in urgent.
 	changed []string
+	urgent  []string
 	refresh int
+	// nextSeed is the index of the seed that a joining member contacts next.
+	nextSeed int
 	// probes holds members that have not answered yet.
 	probes []string
 	// announcing is set when the next heartbeats announce a new epoch.
@@ -254,6 +265,7 @@
 		t.nextHeartbeat = next(now, t.nextHeartbeat, t.config.HeartbeatInterval)
 		receivers = t.witnesses(receivers)
 		receivers = t.probed(receivers)
+		receivers = t.joinPeers(now, receivers)
 	}
 	receivers = t.announced(receivers)
 	gossipFrom := len(receivers)
@@ -283,8 +295,8 @@
 	}
 	refresh := t.refreshFor(heartbeat)
 	reply.Changes = t.changesFor(now, sender, refresh)
-	if refresh == joinChanges {
-		reply.Changes = t.appendOwners(now, reply.Changes, heartbeat.From.AvailabilityZone)
+	if refresh == joinChanges || heartbeat.Joining {
+		reply.Changes = t.appendOwners(now, reply.Changes, heartbeat.From)
 	}
 	return reply
 }
@@ -432,6 +444,7 @@
 		From:    t.Self(now),
 		To:      receiver.Incarnation,
 		Known:   len(t.entries),
+		Joining: !t.joined,
 		Payload: t.payload,
 		Changes: t.changesFor(now, receiver.Incarnation, refresh),
 	}
