Stop a process whose name another process still uses

Cause: a second process of a name ended the epochs of the first one as soon as it was announced, because a later incarnation proves that the earlier one has ended; the first one started anew and ended the second one in turn.

If an earlier incarnation answers at another address, the process stops with an error that names that address. Until then heartbeats and votes are answered with an error. What a joining member learns later, from messages or from the instance list, is checked before it claims a pool.

A process whose former incarnation is stopped (SIGSTOP) becomes ready, and the former one ends with the same error when it resumes.

If an earlier process resumes while the later one joins, both may stop; nothing runs twice then.

--- a/rattancmd/process_test.go
+++ b/rattancmd/process_test.go
@@ -206,9 +206,14 @@
 
 // startEntry starts the next entry process from a generated settings file.
 func (s *cluster) startEntry() *process {
+	return s.startNamed(entryName(len(s.entries)))
+}
+
+// startNamed starts the next entry process with a name of choice.
+func (s *cluster) startNamed(name string) *process {
 	number := len(s.entries)
 	settings := rattansettings.Default()
-	settings.Name = entryName(number)
+	settings.Name = name
 	settings.AvailabilityZone = "buda"
 	settings.CallerAddress = release(s.reserved[2*number])
 	settings.PeerAddress = release(s.reserved[2*number+1])
@@ -216,7 +221,7 @@
 	settings.Peers = s.peers
 	data, err := json.Marshal(settings)
 	s.c.Assert(err, qt.IsNil)
-	file := filepath.Join(s.directory, settings.Name+".json")
+	file := filepath.Join(s.directory, fmt.Sprintf("entry-%d.json", number))
 	s.c.Assert(os.WriteFile(file, data, 0o600), qt.IsNil)
 	entry := s.runEntry(settings.Name, settings.CallerAddress, file)
 	s.entries = append(s.entries, entry)
@@ -315,6 +320,13 @@
 	return home, others
 }
 
+// keysOf gets a key from one process.
+func (s *cluster) keysOf(entry *process) rattanjob.Key {
+	keys, err := s.client(entry).Keys(context.Background(), 1)
+	s.c.Assert(err, qt.IsNil)
+	return keys[0]
+}
+
 // keys gets keys, asking again while no home is known.
 func (s *cluster) keys(count int) []rattanjob.Key {
 	client := s.client(s.entries...)
@@ -743,6 +755,42 @@
 	}
 }
 
+// Guards against a second process of a name that ends the epochs of the first
+// one, against a replacement that does not start although its former incarnation
+// has ended or is silent, and against two processes that replace each other
+// forever.
+func TestNameInUse(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	cluster := startCluster(c, 3, 0)
+	cluster.reserved = append(cluster.reserved, reserve(6)...)
+	home, _ := cluster.home(cluster.keys(1)[0])
+	ends := func(entry *process) {
+		select {
+		case <-entry.ended:
+			c.Check(entry.err, qt.ErrorMatches, "exit status 1")
+			c.Check(entry.output.String(), qt.Contains, "name in use")
+		case <-time.After(startTimeout):
+			c.Errorf("%s at %s has not ended", entry.name, entry.address)
+		}
+	}
+	before := cluster.keys(1)[0].Epoch
+	second := cluster.startNamed(home.name)
+	ends(second)
+	c.Check(cluster.entries[0].output.String(), qt.Not(qt.Contains), "Superseded")
+	c.Check(cluster.keysOf(home).Epoch, qt.Equals, before)
+
+	c.Assert(home.command.Process.Signal(syscall.SIGSTOP), qt.IsNil)
+	third := cluster.startNamed(home.name)
+	cluster.waitReady(third)
+	c.Assert(home.command.Process.Signal(syscall.SIGCONT), qt.IsNil)
+	ends(home)
+
+	c.Assert(third.command.Process.Kill(), qt.IsNil)
+	<-third.ended
+	cluster.waitReady(cluster.startNamed(home.name))
+}
+
 // Guards the stand-in commands and the callers' commands as processes: a job
 // goes from the command line through the entry instance to a target and back.
 func TestAllProcesses(t *testing.T) {
--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -84,7 +84,9 @@
 	server     *khttp.Server
 	app        *kratos.App
 	superseded atomic.Bool
-	drained    atomic.Bool
+	// failure is why the instance stops itself, if it does.
+	failure atomic.Pointer[error]
+	drained atomic.Bool
 }
 
 // gossip is the payload of heartbeats.
@@ -161,6 +163,9 @@
 	if err := i.app.Run(); err != nil {
 		return errors.Annotatef(err, "instance %s", i.config.Settings.Name)
 	}
+	if failure := i.failure.Load(); failure != nil {
+		return errors.Annotatef(*failure, "instance %s", i.config.Settings.Name)
+	}
 	if i.superseded.Load() {
 		return ErrSuperseded
 	}
@@ -208,6 +213,7 @@
 		Opened:      i.opened,
 		Fenced:      func(now time.Time, epoch rattanjob.EpochID) { i.Home.Fence(now, epoch) },
 		Superseded:  i.supersede,
+		NameInUse:   i.stopFor,
 		Payload:     i.payload,
 		Received:    i.received,
 	})
@@ -415,6 +421,13 @@
 	}
 }
 
+// stopFor stops the instance with an error.
+func (i *Instance) stopFor(failure error) {
+	if i.failure.CompareAndSwap(nil, &failure) {
+		go func() { _ = i.app.Stop() }()
+	}
+}
+
 func (i *Instance) supersede() {
 	if i.superseded.CompareAndSwap(false, true) {
 		go func() { _ = i.app.Stop() }()
--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -52,6 +53,8 @@
 	Fenced func(now time.Time, epoch rattanjob.EpochID)
 	// Superseded is called when the others take this incarnation for dead.
 	Superseded func()
+	// NameInUse is called with an ErrNameInUse that was found after the start.
+	NameInUse func(error)
 	// Payload returns what heartbeats carry for other services.
 	Payload func() []byte
 	// Received is called with the payload of the peer at the address.
@@ -64,6 +67,9 @@
 	config MembersConfig
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
+	// announced is set when the name is checked and others may learn of this
+	// incarnation.
+	announced atomic.Bool
 
 	mutex sync.Mutex
 	table *rattanmember.Table
@@ -166,6 +172,7 @@
 // Handle serves heartbeats and votes.
 func (m *Members) Handle(node *rattanpeer.Node) {
 	node.Handle(methodHeartbeat, m.handleHeartbeat)
+	node.Handle(methodIdentify, m.handleIdentify)
 	node.Handle(methodVote, m.handleVote)
 }
 
@@ -298,8 +305,13 @@
 	m.table.SetPools(pools)
 }
 
-// Start begins to send heartbeats.
-func (m *Members) Start(context.Context) error {
+// Start begins to send heartbeats. It returns ErrNameInUse if another process
+// with the name of this instance answers.
+func (m *Members) Start(ctx context.Context) error {
+	if err := m.checkName(ctx); err != nil {
+		return err
+	}
+	m.announced.Store(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
 	m.loops.Go(func() { m.beat(ctx) })
@@ -376,7 +388,11 @@
 		events := m.table.Roll(now)
 		m.table.SetPayload(payload)
 		outgoing := m.table.Heartbeats(now)
+		namesake, found := m.table.Namesake()
 		m.mutex.Unlock()
+		if found {
+			go m.checkLateNamesake(ctx, namesake)
+		}
 		m.act(now, events)
 		for _, heartbeat := range outgoing {
 			go m.send(ctx, now, heartbeat)
@@ -422,6 +438,9 @@
 }
 
 func (m *Members) handleHeartbeat(_ context.Context, _ string, body []byte) ([]byte, error) {
+	if !m.announced.Load() {
+		return nil, errStarting
+	}
 	var heartbeat rattanmember.Heartbeat
 	if err := json.Unmarshal(body, &heartbeat); err != nil {
 		return nil, errors.Trace(err)
@@ -434,6 +453,9 @@
 }
 
 func (m *Members) handleVote(_ context.Context, _ string, body []byte) ([]byte, error) {
+	if !m.announced.Load() {
+		return nil, errStarting
+	}
 	var request voteRequest
 	if err := json.Unmarshal(body, &request); err != nil {
 		return nil, errors.Trace(err)
--- a/rattanmember/gossip.go
+++ b/rattanmember/gossip.go
@@ -121,6 +121,7 @@
 func (t *Table) mergeSelf(now time.Time, said Member) {
 	switch {
 	case said.Incarnation.Number < t.self.Incarnation.Number:
+		t.noticeNamesake(said)
 	case said.Incarnation.Number > t.self.Incarnation.Number || said.Status == StatusDead:
 		t.supersede(now)
 	case said.Status == StatusSuspect && said.Version >= t.self.Version:
--- /dev/null
+++ b/rattanmember/namesake.go
@@ -0,0 +1,36 @@
+package rattanmember
+
+// maxSettled bounds the addresses that are remembered as settled.
+const maxSettled = 16
+
+// Namesake returns a member of this member's name at another address that was
+// learned of while this member joins. No pool is claimed until
+// SettleNamesake is called, so that a process with a name that is in use can
+// still stop without harm. Each address is returned once.
+func (t *Table) Namesake() (Member, bool) {
+	address := t.namesake.PeerAddress
+	if address == "" || t.settled[address] {
+		return Member{}, false
+	}
+	t.settled[address] = true
+	return t.namesake, true
+}
+
+// SettleNamesake takes in that no process of this member's name answers at the
+// address.
+func (t *Table) SettleNamesake(address string) {
+	if t.namesake.PeerAddress == address {
+		t.namesake = Member{}
+	}
+}
+
+// noticeNamesake takes in what is said of an earlier incarnation, or of this
+// instance by the instance list. Once this member has joined it is too late: the
+// others take the earlier incarnation for ended.
+func (t *Table) noticeNamesake(said Member) {
+	elsewhere := said.PeerAddress != "" && said.PeerAddress != t.self.PeerAddress
+	known := t.settled[said.PeerAddress] || len(t.settled) >= maxSettled || t.namesake.PeerAddress != ""
+	if elsewhere && !known && said.Status != StatusDead && t.self.Claim == 0 && !t.joined {
+		t.namesake = said
+	}
+}
--- a/rattanmember/owner.go
+++ b/rattanmember/owner.go
@@ -122,7 +122,7 @@
 		}
 		t.setClaim(now, 0)
 	}
-	if t.joining(now) {
+	if t.joining(now) || t.namesake.PeerAddress != "" {
 		return
 	}
 	if pool, vacant := t.vacantPool(now); vacant {
--- a/rattanmember/table.go
+++ b/rattanmember/table.go
@@ -127,6 +127,10 @@
 	// zoneMembers counts the members of the own availability zone that were
 	// added.
 	zoneMembers int
+	// namesake is another process of the same instance at another address, and
+	// settled the addresses at which none answers.
+	namesake Member
+	settled  map[string]bool
 	// joined is set when this member may claim a pool; see joining.
 	joined  bool
 	payload []byte
@@ -181,6 +185,7 @@
 		nextGossip:    now,
 		nextForget:    now.Add(forgetInterval),
 		owners:        map[ownerKey]ownerValue{},
+		settled:       map[string]bool{},
 	}
 	t.self.Status = StatusAlive
 	t.self.Version = 1
--- a/rattanmember/witness.go
+++ b/rattanmember/witness.go
@@ -178,6 +178,7 @@
 			known.listed = true
 		}
 		if name == t.self.Incarnation.Instance {
+			t.noticeNamesake(listed)
 			t.list.selfListed = true
 		}
 	}
