Close a draining epoch when the ledger has no record of it

Cause: an epoch was kept for 21 minutes after a rollover, the longest time for which a record can exist: lifetime of the key, longest deadline, retention. Records usually end after 10 minutes. Each epoch takes heartbeats to its witnesses and one of 16 places.

Change: after the retention, a draining epoch is closed as soon as the ledger has no record of it. It is not closed earlier, because until then the ledger can still answer for a key that was never submitted that it was not run. The longest time now follows from the settings of key lifetime and retention.

--- a/rattanentry/home.go
+++ b/rattanentry/home.go
@@ -215,6 +215,13 @@
 	return h.drained(ctx)
 }
 
+// EpochEmpty reports whether no record of a job of the epoch is kept.
+func (h *Home) EpochEmpty(epoch rattanjob.EpochID) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.config.Ledger.EpochEmpty(epoch)
+}
+
 // Fence ends all jobs of the epoch: no further task is started, and their
 // answer is Lost. Their tasks are stopped at the targets.
 func (h *Home) Fence(now time.Time, epoch rattanjob.EpochID) {
--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -212,6 +212,7 @@
 		Logger:      i.config.Logger,
 		Opened:      i.opened,
 		Fenced:      func(now time.Time, epoch rattanjob.EpochID) { i.Home.Fence(now, epoch) },
+		Empty:       func(epoch rattanjob.EpochID) bool { return i.Home.EpochEmpty(epoch) },
 		Superseded:  i.supersede,
 		NameInUse:   i.stopFor,
 		Payload:     i.payload,
--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -51,6 +51,8 @@
 	// ends.
 	Opened func(now time.Time, epoch rattanjob.EpochID, start time.Time)
 	Fenced func(now time.Time, epoch rattanjob.EpochID)
+	// Empty reports whether no record of a job of the epoch is kept.
+	Empty func(epoch rattanjob.EpochID) bool
 	// Superseded is called when the others take this incarnation for dead.
 	Superseded func()
 	// NameInUse is called with an ErrNameInUse that was found after the start.
@@ -106,6 +108,8 @@
 		HeartbeatInterval: settings.Home.HeartbeatInterval.Std(),
 		GossipInterval:    gossipHeartbeats * settings.Home.HeartbeatInterval.Std(),
 		JoinDuration:      joinHeartbeats * settings.Home.HeartbeatInterval.Std(),
+		DrainDuration:     settings.Home.KeyLifetime.Std() + rattanjob.MaxDeadline + settings.Home.Retention.Std(),
+		Retention:         settings.Home.Retention.Std(),
 		TenureDuration:    settings.Home.TenureDuration.Std(),
 		VerdictMargin:     settings.Home.VerdictMargin.Std(),
 	})
@@ -394,12 +398,28 @@
 			go m.checkLateNamesake(ctx, namesake)
 		}
 		m.act(now, events)
+		m.closeDrained(now)
 		for _, heartbeat := range outgoing {
 			go m.send(ctx, now, heartbeat)
 		}
 	}
 }
 
+// closeDrained closes the draining epochs of which no record is kept. They take
+// heartbeats, and places among the epochs that may be open at the same time.
+func (m *Members) closeDrained(now time.Time) {
+	m.mutex.Lock()
+	drained := m.table.Drained(now)
+	m.mutex.Unlock()
+	for _, epoch := range drained {
+		if m.config.Empty(epoch) {
+			m.mutex.Lock()
+			m.table.Close(now, epoch)
+			m.mutex.Unlock()
+		}
+	}
+}
+
 func (m *Members) act(now time.Time, events []rattanmember.Event) {
 	for _, event := range events {
 		m.config.Logger.WithFields(logrus.Fields{"Event": event.Kind.String(), "Epoch": event.Epoch.ID.Number}).Info("epoch changed")
--- a/rattanmember/epoch.go
+++ b/rattanmember/epoch.go
@@ -28,8 +28,8 @@
 	// each witness.
 	sent []time.Time
 	// ended marks witnesses that will never acknowledge again.
-	ended      []bool
-	drainUntil time.Time
+	ended         []bool
+	drainingSince time.Time
 }
 
 func (e *homeEpoch) announced(now time.Time) Epoch {
@@ -79,7 +79,7 @@
 		case !epoch.valid(now, t.config.TenureDuration):
 			t.counters.EpochsFenced++
 			t.end(now, epoch, EventEpochFenced)
-		case epoch.phase == phaseDraining && !now.Before(epoch.drainUntil):
+		case epoch.phase == phaseDraining && now.Sub(epoch.drainingSince) >= t.config.DrainDuration:
 			t.end(now, epoch, EventEpochClosed)
 		default:
 			i++
@@ -242,7 +242,7 @@
 		return
 	}
 	epoch.phase = phaseDraining
-	epoch.drainUntil = now.Add(t.config.DrainDuration)
+	epoch.drainingSince = now
 	t.self.Version++
 	t.emit(now, EventEpochDraining, epoch)
 }
--- a/rattanmember/table.go
+++ b/rattanmember/table.go
@@ -16,6 +16,7 @@
 	// DefaultDrainDuration covers the lifetime of a key, the longest deadline
 	// and the retention of the record.
 	DefaultDrainDuration  = 21 * time.Minute
+	DefaultRetention      = 10 * time.Minute
 	DefaultJoinDuration   = 2 * time.Second
 	DefaultGrowthInterval = 10 * time.Second
 	DefaultForgetAfter    = time.Hour
@@ -62,8 +63,14 @@
 	// VerdictMargin is the time by which a witness waits longer than
 	// TenureDuration before it votes.
 	VerdictMargin time.Duration
-	// DrainDuration is the time after a rollover for which the old epoch is kept.
+	// DrainDuration is the longest time after a rollover for which the old epoch
+	// is kept: a key may be submitted at the end of its lifetime, run until the
+	// longest deadline, and its record is kept for Retention then.
 	DrainDuration time.Duration
+	// Retention is the shortest time for which it is kept. Until then the ledger
+	// may hold a record of it, and can answer for a key that was never submitted
+	// that it was not run; see Drained.
+	Retention time.Duration
 	// JoinDuration is the time without a new member of the availability zone
 	// after which a member with seeds claims a pool, once it has heard from a
 	// majority of the seeds of its zone. It waits at most 5 times as long, and
@@ -385,6 +392,19 @@
 	return events
 }
 
+// Drained returns the epochs that have been draining for Retention. The caller
+// closes those of which it has no record any more.
+func (t *Table) Drained(now time.Time) []rattanjob.EpochID {
+	t.advance(now)
+	var drained []rattanjob.EpochID
+	for _, epoch := range t.epochs {
+		if epoch.phase == phaseDraining && now.Sub(epoch.drainingSince) >= t.config.Retention {
+			drained = append(drained, epoch.id)
+		}
+	}
+	return drained
+}
+
 // Close ends a draining epoch before its drain time, when it has no records.
 func (t *Table) Close(now time.Time, id rattanjob.EpochID) {
 	t.advance(now)
@@ -476,6 +496,7 @@
 	setDefault(&c.TenureDuration, DefaultTenureDuration)
 	setDefault(&c.VerdictMargin, DefaultVerdictMargin)
 	setDefault(&c.DrainDuration, DefaultDrainDuration)
+	setDefault(&c.Retention, DefaultRetention)
 	setDefault(&c.JoinDuration, DefaultJoinDuration)
 	setDefault(&c.GrowthInterval, DefaultGrowthInterval)
 	setDefault(&c.ForgetAfter, DefaultForgetAfter)
--- /dev/null
+++ b/rattansystem/epoch_test.go
@@ -0,0 +1,63 @@
+package rattansystem_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattanclient"
+	"github.com/rattanlever/rattanlever/rattanjob"
+	"github.com/rattanlever/rattanlever/rattanjson"
+	"github.com/rattanlever/rattanlever/rattansettings"
+	"github.com/rattanlever/rattanlever/rattanstandin"
+	"github.com/rattanlever/rattanlever/rattansystem"
+)
+
+// Guards against a draining epoch that is closed while the ledger holds a record
+// of it, and against one that is kept for much longer.
+func TestDrainedEpochIsClosed(t *testing.T) {
+	c := qt.New(t)
+	const retention = 2 * time.Second
+	system, err := rattansystem.Start(rattansystem.Config{
+		Zones:          []string{"buda"},
+		EntriesPerZone: 1,
+		Fleets:         []rattanstandin.TargetFleetOptions{{Count: 1, Service: "planner", Target: rattanstandin.TargetOptions{Slots: 8, Echo: true}}},
+		Document:       document(),
+		AdjustSettings: func(settings *rattansettings.Settings) {
+			settings.Home.KeyLifetime = rattanjson.Duration(time.Second)
+			settings.Home.AnswerRetention = rattanjson.Duration(time.Second)
+			settings.Home.Retention = rattanjson.Duration(retention)
+		},
+	})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(system.Close)
+	home := system.Home("buda")
+	client := rattanclient.New(rattanclient.Config{Addresses: system.Addresses(), Caller: "app"})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	keys, err := client.Keys(ctx, 1)
+	c.Assert(err, qt.IsNil)
+	// Two more members make the home roll over to an epoch with witnesses.
+	for _, name := range []string{"buda-entry-2", "buda-entry-3"} {
+		_, err := system.StartEntry("buda", name)
+		c.Assert(err, qt.IsNil)
+	}
+	epochs := func() int { return home.Instance.Members.Counters().Epochs }
+	for epochs() != 2 && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	began := time.Now()
+	answer, err := client.Do(ctx, submission(keys[0], 1, 1200*time.Millisecond))
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.State, qt.Equals, rattanjob.StateComplete)
+	ended := time.Now()
+	for epochs() != 1 && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Logf("the old epoch was closed %v after the rollover and %v after the answer", time.Since(began), time.Since(ended))
+	c.Check(time.Since(ended) >= retention-100*time.Millisecond, qt.IsTrue)
+	// Records are dropped once a second.
+	c.Check(time.Since(ended) <= retention+2*time.Second, qt.IsTrue)
+}
