--- a/rattanentry/instance.go
+++ b/rattanentry/instance.go
@@ -85,7 +85,9 @@
 	server     *khttp.Server
 	app        *kratos.App
 	superseded atomic.Bool
-	drained    atomic.Bool
+	// failure is why the instance stops itself, if it does.
+	failure atomic.Pointer[error]
+	drained atomic.Bool
 }
 
 // New returns an instance whose listeners are open and that is not yet
@@ -151,6 +153,9 @@
 	if err := i.app.Run(); err != nil {
 		return errors.Annotatef(err, "instance %s", i.config.Settings.Name)
 	}
+	if failure := i.failure.Load(); failure != nil {
+		return errors.Annotatef(*failure, "instance %s", i.config.Settings.Name)
+	}
 	if i.superseded.Load() {
 		return ErrSuperseded
 	}
@@ -195,7 +200,9 @@
 		Logger:      i.config.Logger,
 		Opened:      i.opened,
 		Fenced:      func(now time.Time, epoch rattanjob.EpochID) { i.Home.Fence(now, epoch) },
+		Empty:       func(epoch rattanjob.EpochID) bool { return i.Home.EpochEmpty(epoch) },
 		Superseded:  i.supersede,
+		NameInUse:   i.stopFor,
 		Payload:     i.payload,
 		Received:    i.received,
 	})
@@ -392,6 +399,13 @@
 	}
 }
 
+// stopFor stops the instance with an error.
+func (i *Instance) stopFor(failure error) {
+	if i.failure.CompareAndSwap(nil, &failure) {
+		go func() { _ = i.app.Stop() }()
+	}
+}
+
 func (i *Instance) supersede() {
 	if i.superseded.CompareAndSwap(false, true) {
 		go func() { _ = i.app.Stop() }()
--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -49,8 +50,12 @@
 	// ends.
 	Opened func(now time.Time, epoch rattanjob.EpochID, start time.Time)
 	Fenced func(now time.Time, epoch rattanjob.EpochID)
+	// Empty reports whether no record of a job of the epoch is kept.
+	Empty func(epoch rattanjob.EpochID) bool
 	// Superseded is called when the others take this incarnation for dead.
 	Superseded func()
+	// NameInUse is called with an ErrNameInUse that was found after the start.
+	NameInUse func(error)
 	// Payload returns what heartbeats carry for other services.
 	Payload func() []byte
 	// Received is called with the payload of the peer at the address.
@@ -63,6 +68,9 @@
 	config MembersConfig
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
+	// announced is set when the name is checked and others may learn of this
+	// incarnation.
+	announced atomic.Bool
 
 	mutex sync.Mutex
 	table *rattanmember.Table
@@ -99,6 +107,8 @@
 		HeartbeatInterval: settings.Home.HeartbeatInterval.Std(),
 		GossipInterval:    gossipHeartbeats * settings.Home.HeartbeatInterval.Std(),
 		JoinDuration:      joinHeartbeats * settings.Home.HeartbeatInterval.Std(),
+		DrainDuration:     settings.Home.KeyLifetime.Std() + rattanjob.MaxDeadline + settings.Home.Retention.Std(),
+		Retention:         settings.Home.Retention.Std(),
 		TenureDuration:    settings.Home.TenureDuration.Std(),
 		VerdictMargin:     settings.Home.VerdictMargin.Std(),
 	})
@@ -172,6 +182,7 @@
 // Handle serves heartbeats and votes.
 func (m *Members) Handle(node *rattanpeer.Node) {
 	node.Handle(methodHeartbeat, m.handleHeartbeat)
+	node.Handle(methodIdentify, m.handleIdentify)
 	node.Handle(methodVote, m.handleVote)
 }
 
@@ -304,8 +315,13 @@
 	m.table.SetPools(pools)
 }
 
-// Start begins to send heartbeats.
-func (m *Members) Start(context.Context) error {
+// Start begins to send heartbeats. It returns ErrNameInUse if another process
+// with the name of this instance answers.
+func (m *Members) Start(ctx context.Context) error {
+	if err := m.checkName(ctx); err != nil {
+		return err
+	}
+	m.announced.Store(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
 	m.loops.Go(func() { m.beat(ctx) })
@@ -382,14 +398,34 @@
 		events := m.table.Roll(now)
 		m.table.SetPayload(payload)
 		outgoing := m.table.Heartbeats(now)
+		namesake, found := m.table.Namesake()
 		m.mutex.Unlock()
+		if found {
+			go m.checkLateNamesake(ctx, namesake)
+		}
 		m.act(now, events)
+		m.closeDrained(now)
 		for _, heartbeat := range outgoing {
 			go m.send(ctx, now, heartbeat)
 		}
 	}
 }
 
+// closeDrained closes the draining epochs of which no record is kept. They take
+// heartbeats, and places among the epochs that may be open at the same time.
+func (m *Members) closeDrained(now time.Time) {
+	m.mutex.Lock()
+	drained := m.table.Drained(now)
+	m.mutex.Unlock()
+	for _, epoch := range drained {
+		if m.config.Empty(epoch) {
+			m.mutex.Lock()
+			m.table.Close(now, epoch)
+			m.mutex.Unlock()
+		}
+	}
+}
+
 func (m *Members) act(now time.Time, events []rattanmember.Event) {
 	for _, event := range events {
 		m.config.Logger.WithFields(logrus.Fields{"Event": event.Kind.String(), "Epoch": event.Epoch.ID.Number}).Info("epoch changed")
@@ -428,6 +464,9 @@
 }
 
 func (m *Members) handleHeartbeat(_ context.Context, _ string, body []byte) ([]byte, error) {
+	if !m.announced.Load() {
+		return nil, errStarting
+	}
 	var heartbeat rattanmember.Heartbeat
 	if err := json.Unmarshal(body, &heartbeat); err != nil {
 		return nil, errors.Trace(err)
@@ -445,6 +484,9 @@
 }
 
 func (m *Members) handleVote(_ context.Context, _ string, body []byte) ([]byte, error) {
+	if !m.announced.Load() {
+		return nil, errStarting
+	}
 	var request voteRequest
 	if err := json.Unmarshal(body, &request); err != nil {
 		return nil, errors.Trace(err)
--- a/rattanmember/table.go
+++ b/rattanmember/table.go
@@ -16,6 +16,7 @@
 	// DefaultDrainDuration covers the lifetime of a key, the longest deadline
 	// and the retention of the record.
 	DefaultDrainDuration  = 21 * time.Minute
+	DefaultRetention      = 10 * time.Minute
 	DefaultJoinDuration   = 2 * time.Second
 	DefaultGrowthInterval = 10 * time.Second
 	DefaultForgetAfter    = time.Hour
@@ -62,11 +63,18 @@
 	// VerdictMargin is the time by which a witness waits longer than
 	// TenureDuration before it votes.
 	VerdictMargin time.Duration
-	// DrainDuration is the time after a rollover for which the old epoch is kept.
+	// DrainDuration is the longest time after a rollover for which the old epoch
+	// is kept: a key may be submitted at the end of its lifetime, run until the
+	// longest deadline, and its record is kept for Retention then.
 	DrainDuration time.Duration
+	// Retention is the shortest time for which it is kept. Until then the ledger
+	// may hold a record of it, and can answer for a key that was never submitted
+	// that it was not run; see Drained.
+	Retention time.Duration
 	// JoinDuration is the time without a new member of the availability zone
-	// after which a member with seeds claims a pool. It waits at most 5 times
-	// as long.
+	// after which a member with seeds claims a pool, once it has heard from a
+	// majority of the seeds of its zone. It waits at most 5 times as long, and
+	// 1.5 HeartbeatIntervals when it has heard from all of them.
 	JoinDuration time.Duration
 	// GrowthInterval is the shortest time between rollovers that only gain
 	// witnesses.
@@ -120,18 +128,32 @@
 	startedAt  time.Time
 	// addedAt is when the last member was added.
 	addedAt time.Time
-	// joinedAt is when the last member of the own availability zone was added.
+	// joinedAt is when the last member of the own availability zone was added
+	// that is more senior or that may be needed as a witness.
 	joinedAt time.Time
-	payload  []byte
-	pools    int
+	// zoneMembers counts the members of the own availability zone that were
+	// added.
+	zoneMembers int
+	// namesake is another process of the same instance at another address, and
+	// settled the addresses at which none answers.
+	namesake Member
+	settled  map[string]bool
+	// joined is set when this member may claim a pool; see joining.
+	joined  bool
+	payload []byte
+	pools   int
 
 	entries map[string]*entry
 	// order holds the names in the order in which they are contacted next.
 	order     []string
 	nextOrder int
-	// changed holds the names with transmissions left.
+	// changed and urgent hold the names with transmissions left; those of
+	// members with a claim are in urgent.
 	changed []string
+	urgent  []string
 	refresh int
+	// nextSeed is the index of the seed that a joining member contacts next.
+	nextSeed int
 	// probes holds members that have not answered yet.
 	probes []string
 	// announcing is set when the next heartbeats announce a new epoch.
@@ -170,6 +192,7 @@
 		nextGossip:    now,
 		nextForget:    now.Add(forgetInterval),
 		owners:        map[ownerKey]ownerValue{},
+		settled:       map[string]bool{},
 	}
 	t.self.Status = StatusAlive
 	t.self.Version = 1
@@ -254,6 +277,7 @@
 		t.nextHeartbeat = next(now, t.nextHeartbeat, t.config.HeartbeatInterval)
 		receivers = t.witnesses(receivers)
 		receivers = t.probed(receivers)
+		receivers = t.joinPeers(now, receivers)
 	}
 	receivers = t.announced(receivers)
 	gossipFrom := len(receivers)
@@ -283,8 +307,8 @@
 	}
 	refresh := t.refreshFor(heartbeat)
 	reply.Changes = t.changesFor(now, sender, refresh)
-	if refresh == joinChanges {
-		reply.Changes = t.appendOwners(now, reply.Changes, heartbeat.From.AvailabilityZone)
+	if refresh == joinChanges || heartbeat.Joining {
+		reply.Changes = t.appendOwners(now, reply.Changes, heartbeat.From)
 	}
 	return reply
 }
@@ -368,6 +392,19 @@
 	return events
 }
 
+// Drained returns the epochs that have been draining for Retention. The caller
+// closes those of which it has no record any more.
+func (t *Table) Drained(now time.Time) []rattanjob.EpochID {
+	t.advance(now)
+	var drained []rattanjob.EpochID
+	for _, epoch := range t.epochs {
+		if epoch.phase == phaseDraining && now.Sub(epoch.drainingSince) >= t.config.Retention {
+			drained = append(drained, epoch.id)
+		}
+	}
+	return drained
+}
+
 // Close ends a draining epoch before its drain time, when it has no records.
 func (t *Table) Close(now time.Time, id rattanjob.EpochID) {
 	t.advance(now)
@@ -432,6 +469,7 @@
 		From:    t.Self(now),
 		To:      receiver.Incarnation,
 		Known:   len(t.entries),
+		Joining: !t.joined,
 		Payload: t.payload,
 		Changes: t.changesFor(now, receiver.Incarnation, refresh),
 	}
@@ -458,6 +496,7 @@
 	setDefault(&c.TenureDuration, DefaultTenureDuration)
 	setDefault(&c.VerdictMargin, DefaultVerdictMargin)
 	setDefault(&c.DrainDuration, DefaultDrainDuration)
+	setDefault(&c.Retention, DefaultRetention)
 	setDefault(&c.JoinDuration, DefaultJoinDuration)
 	setDefault(&c.GrowthInterval, DefaultGrowthInterval)
 	setDefault(&c.ForgetAfter, DefaultForgetAfter)
