Place an instance in the test network before others can dial it

A trace showed an epoch without witnesses after the cut: the links inside the zone were cut, because they had been opened before the test network knew the zone of the other end.

Change: addresses are placed when they are reserved.

--- a/rattansystem/system.go
+++ b/rattansystem/system.go
@@ -189,6 +189,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	s.Network.Place(peers.Addr().String(), zone, name)
 	return s.startEntry(zone, name, callers, peers)
 }
 
@@ -314,6 +315,9 @@
 			}
 			name := fmt.Sprintf("%s-entry-%d", zone, number+1)
 			reserved = append(reserved, reservation{zone: zone, name: name, callers: callers, peers: peers})
+			// An instance may dial one that is not started yet, and the connection
+			// is cut by the zones of both.
+			s.Network.Place(peers.Addr().String(), zone, name)
 			s.peers = append(s.peers, rattansettings.Peer{Name: name, AvailabilityZone: zone, PeerAddress: peers.Addr().String()})
 		}
 	}
@@ -333,7 +337,6 @@
 	if s.config.AdjustSettings != nil {
 		s.config.AdjustSettings(&settings)
 	}
-	s.Network.Place(peers.Addr().String(), zone, name)
 	config := rattanentry.Config{
 		Settings:       settings,
 		Logger:         s.logger,
