--- a/rattansystem/injected_test.go
+++ b/rattansystem/injected_test.go
@@ -147,6 +147,7 @@
 // Guards the check of I7 in the histories: a shutdown that interrupts requests
 // in progress must be found.
 func TestInterruptedRequestsAreFound(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name  string
 		leave func(system *rattansystem.System, entry *rattansystem.Entry) error
@@ -205,6 +206,7 @@
 // Guards the check of I8 in the histories: operators who overwrite each other
 // must be found, and so must a change that does not arrive everywhere.
 func TestLostConfigurationIsFound(t *testing.T) {
+	t.Parallel()
 	t.Run("overwritten", func(t *testing.T) {
 		t.Parallel()
 		c := qt.New(t)
