Test the cost of the stand-in fleet by processor time

The number of starts in 2 s depends on what else runs. TestTerminationUnderLoad failed once at load 18: a caller chose its instance once for two requests, and the second one could come after the 500 ms in which a leaving instance still serves.

The test's load balancer chooses for each request, as one does.

--- a/rattancmd/process_test.go
+++ b/rattancmd/process_test.go
@@ -694,13 +694,17 @@
 					return
 				default:
 				}
-				entries := *balanced.Load()
-				entry := entries[try%len(entries)]
-				keys, err := cluster.client(entry).Keys(ctx, 1)
+				// A load balancer chooses for each request. A choice for both would
+				// be older than leavePause on a busy machine.
+				choose := func() *process {
+					entries := *balanced.Load()
+					return entries[try%len(entries)]
+				}
+				keys, err := cluster.client(choose()).Keys(ctx, 1)
 				if !c.Check(err, qt.IsNil) {
 					return
 				}
-				answer, err := cluster.submit(ctx, entry, cluster.submission(keys[0], 1, 10*time.Millisecond), 5*time.Second)
+				answer, err := cluster.submit(ctx, choose(), cluster.submission(keys[0], 1, 10*time.Millisecond), 5*time.Second)
 				c.Check(err, qt.IsNil)
 				switch {
 				case answer.State == rattanjob.StateComplete:
--- a/rattanstandin/standin_test.go
+++ b/rattanstandin/standin_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -297,7 +298,9 @@
 }
 
 // TestFleetLoad guards against a fleet that cannot keep 400 slots busy beside
-// everything else: it has to reach 90% of the starts that its slots allow.
+// everything else: with its client it has to need at most two cores for the
+// starts that its slots allow. The number of starts itself depends on what else
+// runs on the machine.
 func TestFleetLoad(t *testing.T) {
 	if testing.Short() {
 		t.Skip("the race detector distorts times")
@@ -308,6 +311,9 @@
 		slots    = 8
 		runTime  = 100 * time.Millisecond
 		duration = 2 * time.Second
+		// twoCores is the processor time of a start that takes two cores at the
+		// rate that the slots allow, 4,000 a second.
+		twoCores = 2 * runTime / (targets * slots)
 	)
 	fleet, err := rattanstandin.NewTargetFleet(rattanstandin.TargetFleetOptions{
 		Count:  targets,
@@ -319,6 +325,7 @@
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), duration)
 	defer cancel()
+	before := processorTime()
 	var running sync.WaitGroup
 	for worker := range targets * slots {
 		running.Go(func() {
@@ -333,8 +340,16 @@
 		})
 	}
 	running.Wait()
-	const possible = targets * slots * int(duration/runTime)
-	t.Logf("%d starts of %d possible", fleet.Log().Starts(), possible)
-	c.Check(int(fleet.Log().Starts()) >= possible*9/10, qt.IsTrue)
+	starts := int(fleet.Log().Starts())
+	perStart := (processorTime() - before) / time.Duration(max(starts, 1))
+	t.Logf("%d starts of %d possible, %v of processor time a start", starts, targets*slots*int(duration/runTime), perStart)
+	c.Check(perStart <= twoCores, qt.IsTrue)
 	c.Check(fleet.Log().DoubleStarts(), qt.Equals, uint64(0))
 }
+
+// processorTime returns the processor time of the process.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
