Let small jobs overtake waiting jobs for half of their slack

Cause: at 80% load, status lookups and counter lists wait behind catalogues and extracts that have waited for a quarter of their slack, about 2 s.

Change: later jobs may use half of the slack, and the bound of ageing of jobs that are not long is 4 s. Long jobs and jobs that wait for resources keep 3 s.

--- a/rattanpool/backlog.go
+++ b/rattanpool/backlog.go
@@ -8,9 +8,9 @@
 
 const (
 	// slackPart is the part of a job's slack that jobs admitted later may use
-	// by going before it. At a crest of 3 times capacity the jobs that arrive in
-	// a quarter of the slack use up three quarters of it.
-	slackPart = 4
+	// by going before it. With 4, large jobs that have waited for a second or two
+	// hold up small ones, and the p99 slowdown of single jobs is up to 20.
+	slackPart = 2
 	// spareJobs bounds the number of ended jobs whose memory is kept.
 	spareJobs = 1024
 )
@@ -132,9 +132,9 @@
 
 // keyOf returns the place of a job among the jobs of its caller: its admission
 // plus a delay that grows with its expected remaining work and stays below
-// MaxWait and a part of its slack. Jobs admitted later than MaxWait after it
-// therefore never overtake it, and an order by size alone does not break the
-// deadlines of large jobs. The delay levels off instead of being cut off, so that
+// the bound of ageing and a part of its slack. Jobs admitted later than the bound
+// after it therefore never overtake it, and an order by size alone does not break
+// the deadlines of large jobs. The delay levels off instead of being cut off, so that
 // large jobs are still ordered by size.
 func (s *Scheduler) keyOf(j *job) time.Duration {
 	return j.admitted + min(s.sizeDelay(j.kind, j.profile, j.waiting()), j.slack/slackPart)
@@ -144,8 +144,12 @@
 // smaller jobs.
 func (s *Scheduler) sizeDelay(k *kind, p *profile, tasks int) time.Duration {
 	work := k.expected().Seconds() * float64(tasks) / float64(max(1, p.service.slots))
-	size := s.config.SizeWeight * work / s.config.MaxWait.Seconds()
-	return time.Duration(float64(s.config.MaxWait) * size / (1 + size))
+	most := s.config.MaxOvertaking
+	if k.long {
+		most = s.config.MaxWait
+	}
+	size := s.config.SizeWeight * work / most.Seconds()
+	return time.Duration(float64(most) * size / (1 + size))
 }
 
 // noteWaiting adds to the number of waiting tasks of the job's kind and caller.
--- a/rattanpool/config.go
+++ b/rattanpool/config.go
@@ -13,12 +13,16 @@
 
 // Config sets up a Scheduler. Zero values of fields stand for the defaults.
 type Config struct {
-	// MaxWait bounds ageing: a job is never overtaken by jobs of its caller
-	// that were admitted more than MaxWait after it. Default 3 s.
+	// MaxWait bounds ageing of long jobs: a long job is never overtaken by jobs
+	// of its caller that were admitted more than MaxWait after it. It is also how
+	// long a job waits for resources before a target is kept free for it.
+	// Default 3 s.
 	MaxWait time.Duration
+	// MaxOvertaking is the bound of ageing for other jobs. Default 4 s.
+	MaxOvertaking time.Duration
 	// SizeWeight scales how much a job's expected remaining work, as a time of
 	// the whole service, delays it behind smaller jobs, as long as the delay is
-	// well below MaxWait. Default 128.
+	// well below its bound. Default 128.
 	SizeWeight float64
 	// FairBurst is how far a caller may be ahead of its share before callers
 	// within their share go first, as a time of its share. Default 5 s.
@@ -51,6 +55,7 @@
 
 func (c *Config) setDefaults() {
 	setDefault(&c.MaxWait, 3*time.Second)
+	setDefault(&c.MaxOvertaking, 4*time.Second)
 	setDefault(&c.SizeWeight, 128)
 	setDefault(&c.FairBurst, 5*time.Second)
 	setDefault(&c.LongTask, 2*time.Second)
