Probe members of the own zone that another zone calls silent, and bound changes

Homes that were not cut off rolled over up to 24 times between two witnesses and none, and used up their places for epochs; other members claimed their pools. After a partition each of some 20 messages a second between a home and its witnesses carried 8 changes.

Change: a member probes a member of its own zone that another zone calls silent. Messages to witnesses carry at most 2 changes, of owners; otherwise a member sends at most 16 a second, except just after its start.

Agreement at 300 members and single seconds above 30 KB remain open.

--- a/rattanmember/coldstart_test.go
+++ b/rattanmember/coldstart_test.go
@@ -1,6 +1,7 @@
 package rattanmember
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -20,6 +21,10 @@
 	opened      map[string]int
 	delayed     []delayedCall
 	unreachable time.Duration
+	// cut reports whether messages of one node to another are lost.
+	cut func(from, to *startNode) bool
+	// bytes counts, if it is set, the JSON sent and received by each node.
+	bytes map[string]int
 }
 
 type startNode struct {
@@ -52,6 +57,7 @@
 		zones:       given.zones,
 		opened:      map[string]int{},
 		unreachable: time.Second,
+		cut:         func(*startNode, *startNode) bool { return false },
 	}
 	var seeds []Member
 	for i := range max(2, given.seeds*given.zones) {
@@ -118,23 +124,43 @@
 		panic(err)
 	}
 	receiver, sent := s.nodes[index], s.now
+	silent := delayedCall{s.now.Add(s.unreachable), func() {
+		if s.cut(sender, receiver) || s.cut(receiver, sender) || s.paused(receiver) {
+			sender.table.HandleUnreachable(s.now, out.To.Incarnation, false)
+		}
+	}}
 	switch {
 	case receiver.table == nil:
 		sender.table.HandleUnreachable(s.now, out.To.Incarnation, true)
+	case s.cut(sender, receiver):
+		s.delayed = append(s.delayed, silent)
+	case s.cut(receiver, sender):
+		receiver.table.HandleHeartbeat(s.now, out.Heartbeat)
+		s.delayed = append(s.delayed, silent)
 	case s.paused(receiver):
 		s.delayed = append(s.delayed, delayedCall{receiver.resumeAt, func() {
 			reply := receiver.table.HandleHeartbeat(s.now, out.Heartbeat)
 			sender.table.HandleAcknowledgement(s.now, sent, reply)
 		}})
-		s.delayed = append(s.delayed, delayedCall{s.now.Add(s.unreachable), func() {
-			if s.paused(receiver) {
-				sender.table.HandleUnreachable(s.now, out.To.Incarnation, false)
-			}
-		}})
+		s.delayed = append(s.delayed, silent)
 	default:
 		reply := receiver.table.HandleHeartbeat(s.now, out.Heartbeat)
 		sender.table.HandleAcknowledgement(s.now, s.now, reply)
+		s.count(sender, receiver, out.Heartbeat)
+		s.count(sender, receiver, reply)
+	}
+}
+
+func (s *startup) count(from, to *startNode, message any) {
+	if s.bytes == nil {
+		return
+	}
+	data, err := json.Marshal(message)
+	if err != nil {
+		panic(err)
 	}
+	s.bytes[from.config.Self.Incarnation.Instance] += len(data)
+	s.bytes[to.config.Self.Incarnation.Instance] += len(data)
 }
 
 // agreed reports whether every member names the same owner with an epoch for
--- a/rattanmember/fleet_test.go
+++ b/rattanmember/fleet_test.go
@@ -19,6 +19,7 @@
 	errFalseEnd      = errors.ConstError("epoch ended without a majority or a proof")
 	errRevived       = errors.ConstError("an ended incarnation is current again")
 	errDiverged      = errors.ConstError("no convergence after the heal")
+	errTwoCurrent    = errors.ConstError("a home has two current epochs")
 	errStranded      = errors.ConstError("the single survivor has no epoch")
 )
 
@@ -33,6 +34,8 @@
 	noRoll          bool // the caller stops rolling epochs after the run
 	doubleVotes     bool // one vote is counted for two witnesses
 	revive          bool // a table forgets that an incarnation has ended
+	twoCurrent      bool // a draining epoch becomes current again
+	keepCut         bool // partitions do not heal
 }
 
 type node struct {
@@ -79,6 +82,10 @@
 	lists    []InstanceList
 	observed map[observation]Member
 	verdicts int
+	// cut holds pairs of zones; messages from the first to the second are lost.
+	cut map[[2]string]bool
+	// bytes counts, if it is set, the JSON sent and received by each node.
+	bytes map[*node]int
 }
 
 func newFleet(seed uint64, size, zones int, injected faults) *fleet {
@@ -165,6 +172,10 @@
 	if to, from := f.node(m.to.Instance), f.node(m.from.Instance); to.group != from.group || to.deafTo == from {
 		return
 	}
+	if to, from := f.node(m.to.Instance), f.node(m.from.Instance); f.cut[[2]string{from.zone, to.zone}] {
+		return
+	}
+	f.count(m)
 	if f.faults.noChanges && m.heartbeat != nil {
 		m.heartbeat.Changes = nil
 	}
@@ -296,6 +307,9 @@
 		}
 	}
 	for _, n := range f.active() {
+		if n.table.currentEpochs() > 1 {
+			return errors.WithType(errors.Errorf("%v at %v", n.incarnation, f.now), errTwoCurrent)
+		}
 		for _, member := range n.table.Members(f.local(n)) {
 			key := observation{observer: n.incarnation, instance: member.Incarnation.Instance}
 			before, known := f.observed[key]
@@ -362,7 +376,19 @@
 
 // heal ends all faults and checks that the fleet converges.
 func (f *fleet) heal() error {
+	f.mend()
+	if err := f.run(40 * time.Second); err != nil {
+		return err
+	}
+	return f.converged()
+}
+
+// mend ends all faults.
+func (f *fleet) mend() {
 	f.loss = 0
+	if !f.faults.keepCut {
+		f.cut = nil
+	}
 	for i, n := range f.nodes {
 		n.group, n.pausedUntil, n.deafTo, n.late = 0, 0, nil, false
 		if n.leaving && n.up {
@@ -377,10 +403,6 @@
 			f.list(n)
 		}
 	}
-	if err := f.run(40 * time.Second); err != nil {
-		return err
-	}
-	return f.converged()
 }
 
 // connected reports whether every running node can be found from every other
--- a/rattanmember/gossip.go
+++ b/rattanmember/gossip.go
@@ -38,6 +38,8 @@
 	// transmissions is the number of messages that still carry the change.
 	transmissions int
 	queued        bool
+	// digest is the memberDigest of member.
+	digest uint64
 	// listed is set once an instance list has contained the instance.
 	listed bool
 }
@@ -50,7 +52,7 @@
 		return false
 	}
 	for _, change := range changes {
-		t.merge(now, change)
+		t.merge(now, t.checked(from, change))
 	}
 	if from.Incarnation.Instance == t.self.Incarnation.Instance {
 		t.mergeSelf(now, from)
@@ -73,6 +75,24 @@
 	return true
 }
 
+// checked returns what is said of a member, without the suspicion of a member of
+// the own availability zone that a member of another zone tells of. That one may
+// be cut off from this zone in one direction only; a home that believed it would
+// change its witnesses, and its zone the owner, again and again. The suspected
+// member is probed instead.
+func (t *Table) checked(from, said Member) Member {
+	if said.Status != StatusSuspect || !t.ownZone(said) || from.AvailabilityZone == t.self.AvailabilityZone {
+		return said
+	}
+	known := t.entries[said.Incarnation.Instance]
+	if known == nil || known.member.Incarnation != said.Incarnation || known.member.Status != StatusAlive {
+		return said
+	}
+	t.probe(known)
+	said.Status = StatusAlive
+	return said
+}
+
 // merge applies what is said of a member, if it is later than what is known. A
 // later incarnation wins over an earlier one, death over everything else of the
 // same incarnation, a higher version over a lower one, and suspicion over any
@@ -156,6 +176,7 @@
 		known.awaitingSince = time.Time{}
 	}
 	known.member = said
+	known.digest = memberDigest(&said)
 	known.learnedAt = now
 	known.changedAt = now
 	if said.Status == StatusDead {
@@ -186,7 +207,8 @@
 	t.spread(known)
 }
 
-// spread queues a member for the next messages. The number of transmissions
+// spread queues a member for the next messages, before those that were sent
+// already, so that news passes on at once although many members wait. The number of transmissions
 // grows with the logarithm of the fleet, so that a change reaches everyone.
 func (t *Table) spread(known *entry) {
 	known.transmissions = 3 * bits.Len(uint(len(t.entries)+1))
@@ -194,17 +216,18 @@
 		return
 	}
 	known.queued = true
-	t.enqueue(known)
+	queue := t.queueOf(known)
+	*queue = slices.Insert(*queue, 0, known.member.Incarnation.Instance)
 }
 
-// enqueue lets owners of pools go before other members. After the start of a
-// whole fleet hundreds of members wait, and everyone must learn the owners.
-func (t *Table) enqueue(known *entry) {
-	queue := &t.changed
+// queueOf lets owners of pools go before other members. After the start of a
+// whole fleet or a partition hundreds of members wait, and everyone must learn
+// the owners.
+func (t *Table) queueOf(known *entry) *[]string {
 	if known.member.Claim > 0 {
-		queue = &t.urgent
+		return &t.urgent
 	}
-	*queue = append(*queue, known.member.Incarnation.Instance)
+	return &t.changed
 }
 
 // dequeue returns the next name of a queue of changes, urgent ones first, if
@@ -241,9 +264,12 @@
 		}
 	}
 	urgent, changed := len(t.urgent), len(t.changed)
+	if refresh == 0 {
+		changed = 0
+	}
 	for {
 		if len(changes) >= limit {
-			return changes
+			break
 		}
 		name, left := t.dequeue(&urgent, &changed)
 		if !left {
@@ -256,29 +282,47 @@
 		known.transmissions--
 		known.queued = known.transmissions > 0
 		if known.queued {
-			t.enqueue(known)
+			queue := t.queueOf(known)
+			*queue = append(*queue, name)
 		}
 		if name != receiver {
 			add(known)
 		}
 	}
-	for range min(refresh, limit-len(changes), len(t.order)) {
+	for range min(refresh, max(0, limit-len(changes)), len(t.order)) {
 		t.refresh = (t.refresh + 1) % len(t.order)
 		if name := t.order[t.refresh]; name != receiver {
 			add(t.entries[name])
 		}
 	}
+	if refresh > 0 {
+		t.allowance = max(0, t.allowance-float64(len(changes)))
+	}
 	return changes
 }
 
-// maxChanges is larger than MaxChanges while this member or the receiver learns
-// of many members, such as after a start of the whole fleet. Heartbeats to
-// witnesses, which have no refresh, are too frequent for it.
+// maxChanges returns how many members a message may carry. Heartbeats to
+// witnesses and their replies, which have no refresh, carry only few changes and
+// only of owners: a home exchanges some 20 of them in a second, and with
+// MaxChanges in each it spent up to 60 KB/s after a partition. Otherwise a member
+// sends at most changesPerSecond, except just after its own start, which may be
+// that of the whole fleet. Replies to members that know few have more.
 func (t *Table) maxChanges(now time.Time, refresh int) int {
-	if refresh == joinChanges || refresh > 0 && now.Sub(t.addedAt) < t.config.JoinDuration {
+	if refresh == 0 {
+		return min(witnessChanges, t.config.MaxChanges)
+	}
+	if elapsed := now.Sub(t.refilledAt); elapsed > 0 {
+		t.allowance = min(joinChanges, t.allowance+changesPerSecond*elapsed.Seconds())
+		t.refilledAt = now
+	}
+	started := now.Sub(t.startedAt) < joinLimit*t.config.JoinDuration
+	switch {
+	case started && now.Sub(t.addedAt) < t.config.JoinDuration:
 		return max(joinChanges, t.config.MaxChanges)
+	case refresh == joinChanges:
+		return max(int(t.allowance), min(witnessChanges, t.config.MaxChanges))
 	}
-	return t.config.MaxChanges
+	return min(t.config.MaxChanges, max(witnessChanges, int(t.allowance)))
 }
 
 // witnesses appends the witnesses of all epochs of this home.
@@ -321,15 +365,15 @@
 	return receivers
 }
 
-// randomPeer appends one member or seed. Every member has its turn once in each
-// shuffled round, which bounds the time until a failure is noticed.
-func (t *Table) randomPeer(receivers []Member) []Member {
+// randomPeer returns one member or seed, or none. Every member has its turn once
+// in each shuffled round, which bounds the time until a failure is noticed.
+func (t *Table) randomPeer() Member {
 	seeds := t.unknownSeeds()
 	if choice := t.config.Random.IntN(len(t.order) + len(seeds) + 1); choice < len(seeds) {
-		return appendReceiver(receivers, seeds[choice])
+		return seeds[choice]
 	}
 	if len(t.order) == 0 {
-		return receivers
+		return Member{}
 	}
 	if t.nextOrder >= len(t.order) {
 		t.shuffle()
@@ -341,7 +385,7 @@
 	if receiver.Status == StatusDead {
 		receiver.Incarnation.Number = 0
 	}
-	return appendReceiver(receivers, receiver)
+	return receiver
 }
 
 // joinPeers appends the seeds of the own availability zone that a joining member
--- a/rattanmember/message.go
+++ b/rattanmember/message.go
@@ -17,6 +17,8 @@
 	// Known is the number of members that the sender knows. A receiver that
 	// knows many more sends more of them, so that a new member learns fast.
 	Known int `json:",omitempty"`
+	// Digest is that of the sender's view, in random heartbeats; see viewDigest.
+	Digest uint64 `json:",omitempty"`
 	// Joining is set while the sender learns who is in its availability zone.
 	Joining bool `json:",omitempty"`
 	// Tenures are the epochs of the sender that the receiver is a witness of.
--- a/rattanmember/table.go
+++ b/rattanmember/table.go
@@ -34,6 +34,12 @@
 	// refreshChanges is the number of unchanged members in a random heartbeat
 	// and its reply. They let members converge that missed a change.
 	refreshChanges = 4
+	// witnessChanges is the number of members in a heartbeat to a witness and in
+	// its reply.
+	witnessChanges = 2
+	// changesPerSecond is the number of members that one member sends in random
+	// heartbeats and their replies. At about 250 bytes each they are 4 KB/s.
+	changesPerSecond = 16
 	// joinChanges is the number of members in a message while many are new, and
 	// in the reply to a member that knows fewer than nine tenths of what the
 	// receiver knows.
@@ -85,8 +91,8 @@
 	ListLag time.Duration
 	// MaxWitnesses is at most 4, the limit of a key.
 	MaxWitnesses int
-	// MaxChanges bounds the members in one message, except while many members
-	// are new; then it is 32.
+	// MaxChanges bounds the members in one message, except just after the start
+	// and for a receiver that knows few members; then it is 32.
 	MaxChanges int
 	MaxPayload int
 	// MaxEpochs bounds the epochs that are open at the same time through
@@ -151,7 +157,11 @@
 	// members with a claim are in urgent.
 	changed []string
 	urgent  []string
-	refresh int
+	// allowance is the number of members that may be sent at once, as of
+	// refilledAt.
+	allowance  float64
+	refilledAt time.Time
+	refresh    int
 	// nextSeed is the index of the seed that a joining member contacts next.
 	nextSeed int
 	// probes holds members that have not answered yet.
@@ -280,15 +290,19 @@
 		receivers = t.joinPeers(now, receivers)
 	}
 	receivers = t.announced(receivers)
-	gossipFrom := len(receivers)
+	// The peer may be a witness too, above all in a small zone; its heartbeat
+	// then carries the changes that others get.
+	var peer Member
 	if !now.Before(t.nextGossip) {
 		t.nextGossip = next(now, t.nextGossip, t.config.GossipInterval)
-		receivers = t.randomPeer(receivers)
+		if peer = t.randomPeer(); peer.Incarnation.Instance != "" {
+			receivers = appendReceiver(receivers, peer)
+		}
 	}
 	outgoing := make([]Outgoing, 0, len(receivers))
-	for i, receiver := range receivers {
+	for _, receiver := range receivers {
 		refresh := 0
-		if i >= gossipFrom {
+		if receiver.Incarnation.Instance == peer.Incarnation.Instance {
 			refresh = refreshChanges
 		}
 		outgoing = append(outgoing, t.heartbeat(now, receiver, refresh))
@@ -473,6 +487,9 @@
 		Payload: t.payload,
 		Changes: t.changesFor(now, receiver.Incarnation, refresh),
 	}
+	if refresh > 0 {
+		message.Digest = t.viewDigest()
+	}
 	for _, epoch := range t.epochs {
 		if contains(epoch.witnesses, receiver.Incarnation) {
 			message.Tenures = append(message.Tenures, Tenure{ID: epoch.id, Age: now.Sub(epoch.start)})
@@ -521,7 +538,9 @@
 	switch {
 	case 10*heartbeat.Known < 9*len(t.entries)-10:
 		return joinChanges
-	case len(heartbeat.Tenures) == 0:
+	case heartbeat.Digest != 0 && heartbeat.Digest != t.viewDigest():
+		return t.config.MaxChanges
+	case heartbeat.Digest != 0 || len(heartbeat.Tenures) == 0:
 		return refreshChanges
 	}
 	return 0
--- a/rattansystem/system.go
+++ b/rattansystem/system.go
@@ -313,6 +313,10 @@
 				return nil, errors.Trace(err)
 			}
 			name := fmt.Sprintf("%s-entry-%d", zone, number+1)
+			// An instance connects to the others as soon as it starts; a
+			// connection to an address without a place would count as one to
+			// another zone.
+			s.Network.Place(peers.Addr().String(), zone, name)
 			reserved = append(reserved, reservation{zone: zone, name: name, callers: callers, peers: peers})
 			s.peers = append(s.peers, rattansettings.Peer{Name: name, AvailabilityZone: zone, PeerAddress: peers.Addr().String()})
 		}
