Let the overload test see a limit that applies to all callers

Cause: with the limit applied to callers within their share, TestOverloadWait still passed, because the caller's waiting work was below the limit.

Change: the caller has 300 ms of its own work waiting.

--- a/rattanpool/overload_test.go
+++ b/rattanpool/overload_test.go
@@ -52,8 +52,9 @@
 	qt.Assert(t, got.Reason, qt.Equals, rattanjob.ReasonOverloaded)
 	backlog := f.Load(f.now).Backlog
 	qt.Assert(t, backlog < 40*(offerWindow+overloadWait), qt.IsTrue, qt.Commentf("%v", backlog))
-	qt.Assert(t, offer("small", 100).Admitted, qt.IsTrue)
-	qt.Assert(t, offer("small", 1).Admitted, qt.IsTrue)
+	// The second job waits for the first, for 300 ms at the share of the caller.
+	qt.Assert(t, offer("small", 600).Admitted, qt.IsTrue)
+	qt.Assert(t, offer("small", 600).Admitted, qt.IsTrue)
 	f.pass(3 * time.Second)
 	qt.Assert(t, offer("greedy", 400).Admitted, qt.IsTrue)
 	f.pass(time.Minute)
