Let another member than the aggregator read from the platform in large zones

Cause: worked out in docs/CAPACITY.md, the most senior member of a zone of 14 pools would be aggregator and watcher at once and move 46 KB/s; the target is 30.

Change: in a zone of several pools the home of the first pool comes last in the order of watchers. The order is decided in rattanspread.

Tests of rattansystem and rattancmd pass.

--- a/rattanentry/members.go
+++ b/rattanentry/members.go
@@ -1,11 +1,9 @@
 package rattanentry
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -344,23 +342,12 @@
 	return m.table.Proof(now, incarnation) != rattanmember.ProofNone
 }
 
-// Watchers returns the members of this zone that run longer than this one, the
-// oldest first, and at most rattanspread.WatchersPerZone of them. The number of them is the
-// rank of this instance among the watchers of its zone.
+// Watchers returns the members of this zone that come before this one in the
+// order in which they read from the platform; see rattanspread.Before.
 func (m *Members) Watchers(now time.Time) []rattanmember.Member {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	self := m.table.Self(now)
-	var senior []rattanmember.Member
-	for _, member := range m.table.Members(now) {
-		if member.AvailabilityZone == self.AvailabilityZone && member.Status == rattanmember.StatusAlive && before(member, self) {
-			senior = append(senior, member)
-		}
-	}
-	slices.SortFunc(senior, func(a, b rattanmember.Member) int {
-		return cmp.Or(cmp.Compare(a.Incarnation.Number, b.Incarnation.Number), cmp.Compare(a.Incarnation.Instance, b.Incarnation.Instance))
-	})
-	return senior[:min(len(senior), rattanspread.WatchersPerZone)]
+	return rattanspread.Before(m.table.Self(now), m.table.Members(now), m.pools)
 }
 
 // zoneHasOthers reports whether another member of the zone is alive.
@@ -373,14 +360,6 @@
 	return false
 }
 
-// before reports whether a started before b.
-func before(a, b rattanmember.Member) bool {
-	if a.Incarnation.Number != b.Incarnation.Number {
-		return a.Incarnation.Number != 0 && a.Incarnation.Number < b.Incarnation.Number
-	}
-	return a.Incarnation.Instance < b.Incarnation.Instance
-}
-
 func (m *Members) beat(ctx context.Context) {
 	ticker := time.NewTicker(memberTick)
 	defer ticker.Stop()
--- a/rattanspread/spread.go
+++ b/rattanspread/spread.go
@@ -4,7 +4,9 @@
 package rattanspread
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rattanlever/rattanlever/rattanjson"
@@ -66,6 +68,31 @@
 	return append(near, far[:min(len(far), Fanout-len(near))]...)
 }
 
+// Before returns the members of self's availability zone that come before it in
+// the order in which members read from the platform, at most WatchersPerZone of
+// them; their number is the rank of self for Watches. Members that have run
+// longer come first. In a zone of several pools the home of the first pool, which
+// sums up the loads of the zone, comes last: with the reads and the list as well
+// it would move 46 KB/s in a zone of 14 pools.
+func Before(self rattanmember.Member, others []rattanmember.Member, pools int) []rattanmember.Member {
+	order := func(a, b rattanmember.Member) int {
+		return cmp.Or(
+			compareBool(pools > 1 && a.Claim == 1, pools > 1 && b.Claim == 1),
+			compareBool(a.Incarnation.Number == 0, b.Incarnation.Number == 0),
+			cmp.Compare(a.Incarnation.Number, b.Incarnation.Number),
+			cmp.Compare(a.Incarnation.Instance, b.Incarnation.Instance),
+		)
+	}
+	var before []rattanmember.Member
+	for _, member := range others {
+		if member.AvailabilityZone == self.AvailabilityZone && member.Status == rattanmember.StatusAlive && order(member, self) < 0 {
+			before = append(before, member)
+		}
+	}
+	slices.SortFunc(before, order)
+	return before[:min(len(before), WatchersPerZone)]
+}
+
 // Watches reports whether a member reads from the platform for its zone, by its
 // rank among the watchers of the zone and the time at which the platform gave
 // its instance list: the first watcher always, the second while the first has
@@ -74,3 +101,14 @@
 func Watches(now time.Time, rank int, reached time.Time) bool {
 	return rank == 0 || (rank < WatchersPerZone && now.Sub(reached) >= StandInAfter)
 }
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- a/rattanspread/spread_test.go
+++ b/rattanspread/spread_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rattanlever/rattanlever/rattanjob"
 	"github.com/rattanlever/rattanlever/rattanmember"
 	"github.com/rattanlever/rattanlever/rattanspread"
 )
@@ -79,3 +81,30 @@
 	c.Check(rattanspread.Watches(now, 1, old), qt.IsTrue)
 	c.Check(rattanspread.Watches(now, 2, old), qt.IsFalse)
 }
+
+// TestBefore guards against a zone in which nobody or two members read from the
+// platform, and against an aggregator of many pools that reads too.
+func TestBefore(t *testing.T) {
+	zone := []rattanmember.Member{{Claim: 1}, {Claim: 2}, {}, {}}
+	for i := range zone {
+		zone[i].Incarnation = rattanjob.Incarnation{Instance: fmt.Sprintf("buda-%d", i+1), Number: uint64(i + 1)}
+		zone[i].AvailabilityZone = "buda"
+		zone[i].Status = rattanmember.StatusAlive
+	}
+	other := rattanmember.Member{AvailabilityZone: "pest", Status: rattanmember.StatusAlive}
+	for _, test := range []struct {
+		pools int
+		ranks []int
+	}{
+		{1, []int{0, 1, 2, 2}},
+		{2, []int{2, 0, 1, 2}},
+	} {
+		t.Run(fmt.Sprintf("%d pools", test.pools), func(t *testing.T) {
+			c := qt.New(t)
+			for i, self := range zone {
+				others := append([]rattanmember.Member{other}, slices.Delete(slices.Clone(zone), i, i+1)...)
+				c.Check(rattanspread.Before(self, others, test.pools), qt.HasLen, test.ranks[i], qt.Commentf("%v", self.Incarnation))
+			}
+		})
+	}
+}
