--- a/rattancmd/democmd.go
+++ b/rattancmd/democmd.go
@@ -19,7 +19,7 @@
 
 type demoOptions struct {
 	Seed     uint64        `long:"seed" value-name:"N" default:"1" description:"seed of the workload"`
-	Duration time.Duration `long:"duration" value-name:"DURATION" default:"6s" description:"how long jobs are submitted, 1s to 10m"`
+	Duration time.Duration `long:"duration" value-name:"DURATION" default:"4s" description:"how long jobs are submitted, 1s to 10m"`
 	Plant    string        `long:"plant" value-name:"FAULT" choice:"double" choice:"partial" choice:"untrue" description:"injects a fault that the demo must find"`
 
 	std *streams
--- a/rattandemo/demo.go
+++ b/rattandemo/demo.go
@@ -21,7 +21,7 @@
 
 const (
 	// DefaultDuration keeps the demo and the build from a clean clone under 30 s.
-	DefaultDuration = 6 * time.Second
+	DefaultDuration = 4 * time.Second
 	// killShare is the part of the duration after which an instance is killed.
 	killShare = 0.4
 	// resolveTimeout is the longest time for a final answer; an instance's
