Use one order of seniority, and drop what nothing calls

The order of watchers repeated the order of seniority of rattanmember, with a case for members without an incarnation number, which the table never holds; it now calls Member.Compare. Configuration.PlatformReached with the time it returned, and Network.Hold, had no callers. Behaviour is unchanged.

--- a/rattanentry/configuration.go
+++ b/rattanentry/configuration.go
@@ -67,8 +67,6 @@
 	// history holds the last changes for peers that are behind; it is guarded
 	// by installing.
 	history rattanconfig.History
-	// reached is when the platform last answered a watch, in Unix nanoseconds.
-	reached atomic.Int64
 	cancel  context.CancelFunc
 	loops   sync.WaitGroup
 	// installing orders installations.
@@ -154,11 +152,6 @@
 	}
 }
 
-// PlatformReached returns when the platform last answered.
-func (c *Configuration) PlatformReached() time.Time {
-	return time.Unix(0, c.reached.Load())
-}
-
 // Start begins to watch the platform.
 func (c *Configuration) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -220,7 +213,6 @@
 			}
 			continue
 		}
-		c.reached.Store(time.Now().UnixNano())
 		revision = changes.Revision
 		for _, entry := range changes.Entries {
 			c.receive(entry)
--- a/rattanmember/epoch.go
+++ b/rattanmember/epoch.go
@@ -197,7 +197,7 @@
 		return cmp.Or(
 			cmp.Compare(kept(a), kept(b)),
 			cmp.Compare(min(a.member.Claim, 1), min(b.member.Claim, 1)),
-			a.member.compare(&b.member),
+			a.member.Compare(&b.member),
 		)
 	})
 	count := min(len(candidates), t.config.MaxWitnesses)
--- a/rattanmember/gossip.go
+++ b/rattanmember/gossip.go
@@ -158,7 +158,7 @@
 	t.addedAt = now
 	if t.ownZone(said) {
 		t.zoneMembers++
-		if t.zoneMembers <= t.config.MaxWitnesses || said.compare(&t.self) < 0 {
+		if t.zoneMembers <= t.config.MaxWitnesses || said.Compare(&t.self) < 0 {
 			t.joinedAt = now
 		}
 	}
--- a/rattanmember/member.go
+++ b/rattanmember/member.go
@@ -49,8 +49,8 @@
 	Age time.Duration
 }
 
-// compare orders members by seniority: the earliest start first, then by name.
-func (m *Member) compare(other *Member) int {
+// Compare orders members by seniority: the earliest start first, then by name.
+func (m *Member) Compare(other *Member) int {
 	return cmp.Or(
 		cmp.Compare(m.Incarnation.Number, other.Incarnation.Number),
 		cmp.Compare(m.Incarnation.Instance, other.Incarnation.Instance),
--- a/rattanmember/owner.go
+++ b/rattanmember/owner.go
@@ -56,7 +56,7 @@
 	}
 	senior := t.candidates(joining.AvailabilityZone)
 	for _, member := range senior[:min(len(senior), maxSenior)] {
-		if member.compare(&joining) >= 0 {
+		if member.Compare(&joining) >= 0 {
 			break
 		}
 		if member.Claim == 0 {
@@ -105,7 +105,7 @@
 			members = append(members, known.member)
 		}
 	}
-	slices.SortFunc(members, func(a, b Member) int { return a.compare(&b) })
+	slices.SortFunc(members, func(a, b Member) int { return a.Compare(&b) })
 	return members
 }
 
--- a/rattanspread/spread.go
+++ b/rattanspread/spread.go
@@ -4,7 +4,6 @@
 package rattanspread
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -76,12 +75,13 @@
 // it would move 46 KB/s in a zone of 14 pools.
 func Before(self rattanmember.Member, others []rattanmember.Member, pools int) []rattanmember.Member {
 	order := func(a, b rattanmember.Member) int {
-		return cmp.Or(
-			compareBool(pools > 1 && a.Claim == 1, pools > 1 && b.Claim == 1),
-			compareBool(a.Incarnation.Number == 0, b.Incarnation.Number == 0),
-			cmp.Compare(a.Incarnation.Number, b.Incarnation.Number),
-			cmp.Compare(a.Incarnation.Instance, b.Incarnation.Instance),
-		)
+		if last := pools > 1 && a.Claim == 1; last != (pools > 1 && b.Claim == 1) {
+			if last {
+				return 1
+			}
+			return -1
+		}
+		return a.Compare(&b)
 	}
 	var before []rattanmember.Member
 	for _, member := range others {
@@ -101,14 +101,3 @@
 func Watches(now time.Time, rank int, reached time.Time) bool {
 	return rank == 0 || (rank < WatchersPerZone && now.Sub(reached) >= StandInAfter)
 }
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
--- a/rattansystem/network.go
+++ b/rattansystem/network.go
@@ -87,11 +87,6 @@
 	n.deaf = map[string]bool{}
 }
 
-// Hold waits while the instance is paused.
-func (n *Network) Hold(instance string) {
-	n.hold(instance, nil)
-}
-
 // Isolate cuts one instance off from all others and from the platform. Its
 // callers and its targets still reach it, as when its peers' network fails.
 func (n *Network) Isolate(instance string) {
@@ -143,6 +138,7 @@
 	n.generation++
 }
 
+// hold waits while the instance is paused, or until closed.
 func (n *Network) hold(instance string, closed <-chan struct{}) {
 	for n.isPaused(instance) {
 		select {
