--- a/rattancmd/main.go
+++ b/rattancmd/main.go
@@ -79,6 +79,7 @@
 		keysCommand(std),
 		planCommand(std),
 		reportCommand(std),
+		serveCommand(std),
 		standinCommand(std),
 	}
 }
--- /dev/null
+++ b/rattancmd/servecmd.go
@@ -0,0 +1,57 @@
+package rattancmd
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/rattanlever/rattanlever/platform"
+	"github.com/rattanlever/rattanlever/rattanlog"
+	"github.com/rattanlever/rattanlever/rattanmetric"
+	"github.com/rattanlever/rattanlever/rattannode"
+)
+
+type serveOptions struct {
+	Settings string `long:"settings" value-name:"FILE" description:"settings file of the platform; the default is the file that RATTANLEVER_NODE_FILE names"`
+	LogLevel string `long:"log-level" value-name:"LEVEL" default:"info" description:"least severe level of lines that are written"`
+
+	std *streams
+}
+
+func serveCommand(std *streams) command {
+	return command{
+		name:    "serve",
+		short:   "Run one instance on the users' platform",
+		example: "RATTANLEVER_NODE_FILE=/etc/rattanlever/boot.json rattanlever serve",
+		data:    &serveOptions{std: std},
+	}
+}
+
+// Execute runs the instance until SIGINT or SIGTERM.
+func (o *serveOptions) Execute([]string) error {
+	output := rattanlog.NewBounded(o.std.out)
+	defer output.Close()
+	logger, err := rattanlog.New(output, o.LogLevel)
+	if err != nil {
+		return errors.Annotate(err, "log-level")
+	}
+	rattanlog.SetGlobal(logger)
+	settings, err := platform.ReadSettings(o.Settings)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	registry := rattanmetric.New()
+	registry.CounterFunc(rattanmetric.LogLinesDroppedTotal, output.Dropped.Load)
+	registry.CounterFunc(rattanmetric.LogLinesTotal, output.Written.Load)
+	node, err := rattannode.New(rattannode.Config{
+		Settings:     settings,
+		SettingsPath: o.Settings,
+		Logger:       logger,
+		Registry:     registry,
+		Clock:        time.Now,
+	})
+	if err != nil {
+		return errors.Annotatef(err, "instance %s", settings.Instance)
+	}
+	return node.Run()
+}
--- /dev/null
+++ b/rattanfront/submission.go
@@ -0,0 +1,193 @@
+package rattanfront
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/rattanlever/rattanlever/platform"
+	"github.com/rattanlever/rattanlever/rattanhome"
+	"github.com/rattanlever/rattanlever/rattanscheduler"
+	"github.com/rattanlever/rattanlever/rattanwork"
+	"github.com/rattanlever/rattanlever/rattanzone"
+)
+
+const (
+	// presentPause is the pause before a job is presented again to a home that
+	// did not answer.
+	presentPause = 40 * time.Millisecond
+	// homelessLimit is how long a job that no home has seen waits for one.
+	homelessLimit = 400 * time.Millisecond
+)
+
+// submission is one job of a caller of this instance.
+type submission struct {
+	front   *Front
+	state   *rattanwork.DesiredState
+	route   *rattanwork.Route
+	id      string
+	job     *rattanwork.Job
+	arrived time.Time
+
+	objective time.Time
+	lateUntil time.Time
+	deadline  time.Time
+	// presented counts the homes that may know of the job.
+	presented int
+	home      string
+}
+
+// verdict is how a submission is answered.
+type verdict struct {
+	status     int
+	body       []byte
+	retryAfter time.Duration
+	reason     string
+}
+
+func (v verdict) write(w http.ResponseWriter, s *submission) {
+	s.journal(v.status, v.reason)
+	switch {
+	case v.status == 0:
+		// The caller has left.
+	case v.retryAfter > 0:
+		refuse(w, v.status, v.retryAfter, v.reason)
+	default:
+		respond(w, v.status, v.body)
+	}
+}
+
+func (s *submission) journal(status int, reason string) {
+	s.front.config.Journal.Answered(Answer{
+		JobID:     s.id,
+		Route:     s.route.Name,
+		Status:    status,
+		Reason:    reason,
+		Home:      s.home,
+		Presented: s.presented,
+		Elapsed:   s.front.config.Clock().Sub(s.arrived),
+		Version:   s.state.Version,
+	})
+}
+
+// setTimes derives the job's times from its route and its caller's patience.
+func (s *submission) setTimes(header http.Header) {
+	objective := s.route.Latency + time.Duration(s.route.Slack*float64(s.job.CriticalPath()))
+	patience := s.route.Timeout
+	if timeout, ok := platform.CallerTimeout(header); ok && (patience <= 0 || timeout < patience) {
+		patience = timeout
+	}
+	s.objective = s.arrived.Add(objective)
+	s.lateUntil = s.arrived.Add(lateFactor * objective)
+	s.deadline = s.arrived.Add(patience)
+}
+
+// run presents the job to the home of the zone until one tells its outcome.
+func (s *submission) run(ctx context.Context) verdict {
+	ctx, cancel := context.WithDeadlineCause(ctx, s.deadline, errDeadline)
+	defer cancel()
+	for {
+		claim, ok, changed := s.front.config.Homes.Home(s.front.config.Self.Zone)
+		if !ok {
+			if s.presented == 0 && s.front.config.Clock().Sub(s.arrived) > homelessLimit {
+				return verdict{status: http.StatusServiceUnavailable, retryAfter: homeRetry, reason: "zone has no home"}
+			}
+			s.wait(ctx, changed)
+		} else if v, final := s.attempt(ctx, claim, changed); final {
+			return v
+		}
+		if ctx.Err() != nil {
+			return s.interrupted(ctx)
+		}
+	}
+}
+
+const errDeadline = errors.ConstError("deadline exceeded")
+
+// attempt presents the job to one home.
+func (s *submission) attempt(ctx context.Context, claim rattanzone.Claim, changed <-chan struct{}) (verdict, bool) {
+	request := s.request()
+	s.presented++
+	s.home = claim.Name
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// A home that was given up may never answer.
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-stop:
+		}
+	}()
+	reply, err := s.front.present(callCtx, claim, request)
+	if ctx.Err() != nil {
+		go s.front.withdraw(claim, s.job.ID)
+		return s.interrupted(ctx), true
+	}
+	if err != nil || reply.Moved {
+		s.wait(ctx, nil)
+		return verdict{}, false
+	}
+	return ended(reply.Ended), true
+}
+
+func (s *submission) request() *rattanhome.Request {
+	now := s.front.config.Clock()
+	return &rattanhome.Request{
+		Holder:      s.front.config.Self.Name,
+		Incarnation: s.front.config.Self.Incarnation,
+		Job:         s.job,
+		Service:     s.route.Service,
+		Priority:    s.route.Priority,
+		MaxAttempts: s.route.MaxAttempts,
+		Objective:   s.objective.Sub(now),
+		LateUntil:   s.lateUntil.Sub(now),
+		Deadline:    s.deadline.Sub(now),
+		Resumed:     s.presented > 0,
+	}
+}
+
+func (s *submission) wait(ctx context.Context, changed <-chan struct{}) {
+	timer := time.NewTimer(presentPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
+// interrupted is the answer when the time is over or the caller has left.
+func (s *submission) interrupted(ctx context.Context) verdict {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errDeadline) && s.presented == 0:
+		return verdict{status: http.StatusServiceUnavailable, retryAfter: homeRetry, reason: "zone has no home"}
+	case errors.Is(cause, errDeadline):
+		return verdict{status: http.StatusGatewayTimeout, body: platform.ErrorBody("not complete in time"), reason: "deadline exceeded"}
+	case errors.Is(cause, errCancelled):
+		return verdict{status: http.StatusOK, body: platform.BodyCancelled, reason: "cancelled"}
+	default:
+		return verdict{reason: "caller left"}
+	}
+}
+
+// ended translates the outcome of a job.
+func ended(end rattanscheduler.Ended) verdict {
+	switch end.Outcome {
+	case rattanscheduler.Succeeded:
+		return verdict{status: http.StatusOK, body: platform.BodySucceeded, reason: end.Reason}
+	case rattanscheduler.Failed:
+		return verdict{status: http.StatusOK, body: platform.BodyFailed, reason: end.Reason}
+	case rattanscheduler.Refused:
+		return verdict{status: http.StatusServiceUnavailable, retryAfter: max(end.RetryAfter, time.Second), reason: end.Reason}
+	case rattanscheduler.Cancelled:
+		return verdict{status: http.StatusOK, body: platform.BodyCancelled, reason: end.Reason}
+	default:
+		return verdict{status: http.StatusGatewayTimeout, body: platform.ErrorBody("not complete in time"), reason: end.Reason}
+	}
+}
--- /dev/null
+++ b/rattanhome/home.go
@@ -0,0 +1,284 @@
+// Package rattanhome runs the jobs of one availability zone: it carries out the
+// scheduler's decisions on the targets, keeps the leases of their runs and
+// gives each waiting caller the outcome of its job.
+package rattanhome
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/rattanlever/rattanlever/rattanscheduler"
+	"github.com/rattanlever/rattanlever/rattanwork"
+)
+
+// ErrDeposed says that the home has lost authority over its targets; its jobs
+// go on under another home.
+const ErrDeposed = errors.ConstError("home was deposed")
+
+// Targets carries out orders on targets.
+type Targets interface {
+	Start(ctx context.Context, target *rattanwork.Target, order rattanwork.StartOrder) (rattanwork.StartResult, int64)
+	Stop(ctx context.Context, target *rattanwork.Target, task string, attempt int, fence int64) error
+	Lease(ctx context.Context, target *rattanwork.Target, order rattanwork.LeaseOrder) (*rattanwork.Listing, error)
+}
+
+// Journal receives what the home decides.
+type Journal interface {
+	JobEnded(ended rattanscheduler.Ended)
+	TargetSilent(target string, err error)
+	TargetBack(target string, silence time.Duration)
+	Deposed(target string)
+}
+
+// Config configures a Home.
+type Config struct {
+	// Fence is the fencing token of all orders of this home.
+	Fence         int64
+	MaxLease      time.Duration
+	RemotePenalty float64
+	Targets       Targets
+	Journal       Journal
+	Clock         func() time.Time
+}
+
+// Home has authority over the targets of a zone until it is deposed or closed.
+// It is safe for concurrent use.
+type Home struct {
+	config Config
+	ctx    context.Context
+	cancel context.CancelFunc
+	wake   chan struct{}
+	// deposed is closed when a target follows another home.
+	deposed chan struct{}
+
+	mutex     sync.Mutex
+	scheduler *rattanscheduler.Scheduler
+	waiters   map[string][]chan rattanscheduler.Ended
+	// results holds the outcome of ended jobs for copies that come later.
+	results map[string]result
+	leases  map[string]*lease
+	closed  bool
+}
+
+type result struct {
+	ended rattanscheduler.Ended
+	until time.Time
+}
+
+// resultRetention is how long a copy of a submission finds the outcome.
+const resultRetention = 4 * time.Second
+
+// New returns a home and starts its loops.
+func New(config Config) *Home {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Home{
+		config:  config,
+		ctx:     ctx,
+		cancel:  cancel,
+		wake:    make(chan struct{}, 1),
+		deposed: make(chan struct{}),
+		scheduler: rattanscheduler.New(rattanscheduler.Config{
+			MaxLease:      config.MaxLease,
+			RemotePenalty: config.RemotePenalty,
+			TakenOver:     config.Clock(),
+		}),
+		waiters: map[string][]chan rattanscheduler.Ended{},
+		results: map[string]result{},
+		leases:  map[string]*lease{},
+	}
+	go h.tick()
+	return h
+}
+
+// Fence returns the fencing token of the home.
+func (h *Home) Fence() int64 {
+	return h.config.Fence
+}
+
+// Deposed is closed when the home has lost its authority.
+func (h *Home) Deposed() <-chan struct{} {
+	return h.deposed
+}
+
+// Close ends all loops; jobs in progress get ErrDeposed and their runs go on
+// until their leases expire or another home adopts them.
+func (h *Home) Close() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.close()
+}
+
+func (h *Home) close() {
+	if h.closed {
+		return
+	}
+	h.closed = true
+	h.cancel()
+	for _, list := range h.waiters {
+		for _, waiter := range list {
+			close(waiter)
+		}
+	}
+	h.waiters = map[string][]chan rattanscheduler.Ended{}
+	close(h.deposed)
+}
+
+// Load describes how busy the home is.
+type Load struct {
+	FreeMilliCPU int
+	WaitingTasks int
+	Jobs         int
+}
+
+// Load returns the present load.
+func (h *Home) Load() Load {
+	now := h.config.Clock()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return Load{FreeMilliCPU: h.scheduler.FreeMilliCPU(now), WaitingTasks: h.scheduler.WaitingTasks(), Jobs: h.scheduler.Jobs()}
+}
+
+// UpdateTargets takes in the zone's targets.
+func (h *Home) UpdateTargets(listed []rattanwork.Target) {
+	now := h.config.Clock()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.closed {
+		return
+	}
+	h.scheduler.UpdateTargets(listed, now)
+	for i := range listed {
+		id := listed[i].ID
+		if _, ok := h.leases[id]; !ok {
+			l := newLease(h, id)
+			h.leases[id] = l
+			go l.run()
+		}
+	}
+	h.flush(now)
+}
+
+// Submit waits for the outcome of a job, which is started unless it is known
+// already. ErrDeposed says that the job must be presented to another home; on
+// the end of ctx the job goes on.
+func (h *Home) Submit(ctx context.Context, submission rattanscheduler.Submission) (rattanscheduler.Ended, error) {
+	waiter := make(chan rattanscheduler.Ended, 1)
+	id := submission.Job.ID
+	now := h.config.Clock()
+	h.mutex.Lock()
+	if h.closed {
+		h.mutex.Unlock()
+		return rattanscheduler.Ended{}, ErrDeposed
+	}
+	if known, ok := h.results[id]; ok && now.Before(known.until) {
+		h.mutex.Unlock()
+		return known.ended, nil
+	}
+	h.waiters[id] = append(h.waiters[id], waiter)
+	h.scheduler.Submit(submission, now)
+	h.scheduler.Tick(now)
+	h.flush(now)
+	h.mutex.Unlock()
+	select {
+	case ended, ok := <-waiter:
+		if !ok {
+			return rattanscheduler.Ended{}, ErrDeposed
+		}
+		return ended, nil
+	case <-ctx.Done():
+		return rattanscheduler.Ended{}, errors.Trace(ctx.Err())
+	}
+}
+
+// Cancel ends a job that nobody waits for and reports whether it was known.
+func (h *Home) Cancel(jobID string) bool {
+	now := h.config.Clock()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.closed {
+		return false
+	}
+	found := h.scheduler.Cancel(jobID, now)
+	h.flush(now)
+	return found
+}
+
+// flush carries out the scheduler's decisions. The caller holds the mutex.
+func (h *Home) flush(now time.Time) {
+	output := h.scheduler.Take()
+	for _, order := range output.Starts {
+		h.leases[order.Target.ID].startRun(order, now)
+	}
+	for _, order := range output.Stops {
+		h.leases[order.Target.ID].stopRun(order)
+	}
+	for _, ended := range output.Ended {
+		h.ended(ended, now)
+	}
+}
+
+func (h *Home) ended(ended rattanscheduler.Ended, now time.Time) {
+	h.config.Journal.JobEnded(ended)
+	if ended.Outcome == rattanscheduler.Succeeded || ended.Outcome == rattanscheduler.Failed {
+		h.results[ended.JobID] = result{ended: ended, until: now.Add(resultRetention)}
+	}
+	for _, waiter := range h.waiters[ended.JobID] {
+		waiter <- ended
+	}
+	delete(h.waiters, ended.JobID)
+}
+
+// depose ends the home because a target follows another one.
+func (h *Home) depose(target string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.closed {
+		return
+	}
+	h.config.Journal.Deposed(target)
+	h.close()
+}
+
+const (
+	// tickBusy is how often time-driven decisions are taken while there are
+	// jobs, tickIdle while there are none.
+	tickBusy = 20 * time.Millisecond
+	tickIdle = 250 * time.Millisecond
+)
+
+// tick takes the decisions that depend on time alone.
+func (h *Home) tick() {
+	timer := time.NewTimer(tickIdle)
+	defer timer.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-timer.C:
+		}
+		timer.Reset(h.onTick())
+	}
+}
+
+func (h *Home) onTick() time.Duration {
+	now := h.config.Clock()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.closed {
+		return tickIdle
+	}
+	h.scheduler.Tick(now)
+	h.flush(now)
+	for id, known := range h.results {
+		if now.After(known.until) {
+			delete(h.results, id)
+		}
+	}
+	if h.scheduler.WaitingTasks() > 0 {
+		return tickBusy
+	}
+	return tickIdle
+}
--- /dev/null
+++ b/rattanhome/lease.go
@@ -0,0 +1,267 @@
+package rattanhome
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/rattanlever/rattanlever/rattanscheduler"
+	"github.com/rattanlever/rattanlever/rattanwork"
+)
+
+const (
+	// leaseWait is how long a target may hold its answer until a run ends. It
+	// bounds the time between renewals.
+	leaseWait = 300 * time.Millisecond
+	// leaseWaitIdle is the same for targets without runs.
+	leaseWaitIdle = 450 * time.Millisecond
+	// leaseSlack is how much shorter than allowed leases are ordered, because
+	// the target's clock is known to a few milliseconds only.
+	leaseSlack = 20 * time.Millisecond
+	// orderTimeout is how long an order to start or stop may take; targets in
+	// the zone answer within a millisecond or two.
+	orderTimeout = 80 * time.Millisecond
+	// leaseTimeout is added to the wait for the answer to a renewal.
+	leaseTimeout = 250 * time.Millisecond
+	retryPause   = 60 * time.Millisecond
+	settlePause  = 3 * time.Millisecond
+	// slowClockPercent covers targets whose clock runs 2% slow.
+	slowClockPercent = 103
+)
+
+// lease renews the leases of the runs of one target and follows their ends.
+type lease struct {
+	home *Home
+	id   string
+	look chan struct{}
+
+	// The fields below are guarded by the home's mutex.
+
+	// clock is the target's time at clockAt, 0 if unknown.
+	clock   int64
+	clockAt time.Time
+	// expires is when, by the home's clock, all leases of the target have
+	// certainly expired.
+	expires time.Time
+	silent  time.Time
+}
+
+func newLease(home *Home, id string) *lease {
+	return &lease{home: home, id: id, look: make(chan struct{}, 1)}
+}
+
+// run renews until the home is closed or the target is forgotten.
+func (l *lease) run() {
+	go l.settle()
+	for l.home.ctx.Err() == nil {
+		target, known := l.target()
+		if !known {
+			return
+		}
+		if err := l.renew(&target, false); err != nil {
+			l.pause(retryPause)
+		}
+	}
+}
+
+// settle asks for the list again at once while it is unknown whether a run is
+// there: the answer of the renewal under way may be held back.
+func (l *lease) settle() {
+	for {
+		select {
+		case <-l.home.ctx.Done():
+			return
+		case <-l.look:
+		}
+		for l.settling() {
+			target, known := l.target()
+			if !known || l.renew(&target, true) != nil {
+				break
+			}
+			l.pause(settlePause)
+		}
+	}
+}
+
+func (l *lease) settling() bool {
+	l.home.mutex.Lock()
+	defer l.home.mutex.Unlock()
+	return !l.home.closed && l.home.scheduler.Settling(l.id)
+}
+
+// target returns the target, and removes the lease if it is forgotten.
+func (l *lease) target() (rattanwork.Target, bool) {
+	l.home.mutex.Lock()
+	defer l.home.mutex.Unlock()
+	target, known := l.home.scheduler.Target(l.id)
+	if !known {
+		delete(l.home.leases, l.id)
+	}
+	return target, known
+}
+
+func (l *lease) pause(duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-l.home.ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// renew orders one renewal and takes in the target's lists.
+func (l *lease) renew(target *rattanwork.Target, atOnce bool) error {
+	h := l.home
+	h.mutex.Lock()
+	sent := h.config.Clock()
+	wait := leaseWaitIdle
+	if h.scheduler.Busy(l.id) {
+		wait = leaseWait
+	}
+	if atOnce {
+		wait = 0
+	}
+	order := rattanwork.LeaseOrder{
+		ExpiresMillis: l.expiry(sent),
+		Fence:         h.config.Fence,
+		Acknowledged:  h.scheduler.Sequence(l.id),
+		Wait:          wait,
+	}
+	h.mutex.Unlock()
+
+	ctx, cancel := context.WithTimeout(h.ctx, wait+leaseTimeout)
+	defer cancel()
+	listing, err := h.config.Targets.Lease(ctx, target, order)
+	now := h.config.Clock()
+	if errors.Is(err, rattanwork.ErrFenced) {
+		h.depose(l.id)
+		return err
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.closed {
+		return ErrDeposed
+	}
+	if err != nil {
+		l.lost(err, now)
+	} else {
+		l.listed(listing, sent, now)
+	}
+	h.flush(now)
+	return err
+}
+
+func (l *lease) lost(err error, now time.Time) {
+	if l.silent.IsZero() {
+		l.silent = now
+		l.home.config.Journal.TargetSilent(l.id, err)
+	}
+	l.home.scheduler.Silent(l.id, now.After(l.expires), now)
+}
+
+func (l *lease) listed(listing *rattanwork.Listing, sent, now time.Time) {
+	if !l.silent.IsZero() {
+		l.home.config.Journal.TargetBack(l.id, now.Sub(l.silent))
+		l.silent = time.Time{}
+	}
+	l.sawClock(listing.ClockMillis, now)
+	l.home.scheduler.Listed(l.id, listing, sent, now)
+	if l.home.scheduler.Settling(l.id) {
+		l.nudge()
+	}
+}
+
+func (l *lease) nudge() {
+	select {
+	case l.look <- struct{}{}:
+	default:
+	}
+}
+
+// sawClock takes in a reading of the target's clock that arrived at now.
+func (l *lease) sawClock(millis int64, now time.Time) {
+	if millis == 0 {
+		return
+	}
+	l.clock = millis
+	l.clockAt = now
+}
+
+// expiry returns the end of a lease that begins now, on the target's clock; 0
+// if its clock is unknown. The reading was under way before it arrived, so the
+// target's clock shows at least this time.
+func (l *lease) expiry(now time.Time) int64 {
+	if l.clock == 0 {
+		return 0
+	}
+	length := l.home.config.MaxLease
+	l.expires = now.Add(length * slowClockPercent / 100)
+	return l.clock + (now.Sub(l.clockAt) + length - leaseSlack).Milliseconds()
+}
+
+// startRun sends the order to start a run. The caller holds the home's mutex.
+func (l *lease) startRun(order rattanscheduler.StartOrder, now time.Time) {
+	wire := rattanwork.StartOrder{
+		Task:          order.Task,
+		Attempt:       order.Attempt,
+		Spec:          order.Spec,
+		ExpiresMillis: l.expiry(now),
+		Fence:         l.home.config.Fence,
+		Checkpoint:    order.Checkpoint,
+	}
+	target := *order.Target
+	go l.sendStart(&target, wire)
+}
+
+func (l *lease) sendStart(target *rattanwork.Target, order rattanwork.StartOrder) {
+	h := l.home
+	ctx, cancel := context.WithTimeout(h.ctx, orderTimeout)
+	defer cancel()
+	result, clock := h.config.Targets.Start(ctx, target, order)
+	if result == rattanwork.StartFenced {
+		h.depose(l.id)
+		return
+	}
+	now := h.config.Clock()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.closed {
+		return
+	}
+	l.sawClock(clock, now)
+	h.scheduler.StartAnswered(l.id, order.Task, order.Attempt, result, now)
+	if result == rattanwork.StartUnknown {
+		l.nudge()
+	}
+	h.flush(now)
+}
+
+// stopRun sends the order to stop a run.
+func (l *lease) stopRun(order rattanscheduler.StopOrder) {
+	target := *order.Target
+	go l.sendStop(&target, order)
+}
+
+func (l *lease) sendStop(target *rattanwork.Target, order rattanscheduler.StopOrder) {
+	h := l.home
+	ctx, cancel := context.WithTimeout(h.ctx, orderTimeout)
+	defer cancel()
+	err := h.config.Targets.Stop(ctx, target, order.Task, order.Attempt, h.config.Fence)
+	if errors.Is(err, rattanwork.ErrFenced) {
+		h.depose(l.id)
+		return
+	}
+	if err != nil {
+		return
+	}
+	now := h.config.Clock()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.closed {
+		return
+	}
+	h.scheduler.StopAnswered(l.id, order.Task, order.Attempt, now)
+	l.nudge()
+	h.flush(now)
+}
--- a/rattanmetric/table.go
+++ b/rattanmetric/table.go
@@ -43,6 +43,16 @@
 	ConfigurationRevision  = "rattanlever_configuration_revision"
 	CertificateLifeSeconds = "rattanlever_certificate_life_seconds"
 	InvariantBreachesTotal = "rattanlever_invariant_breaches_total"
+	RequestsTotal          = "rattanlever_requests_total"
+	RequestSeconds         = "rattanlever_request_seconds"
+	JobOutcomesTotal       = "rattanlever_job_outcomes_total"
+	JobStartWaitSeconds    = "rattanlever_job_start_wait_seconds"
+	TargetsSilentTotal     = "rattanlever_targets_silent_total"
+	HomeChangesTotal       = "rattanlever_home_changes_total"
+	HomesDeposedTotal      = "rattanlever_homes_deposed_total"
+	StoreCallsTotal        = "rattanlever_store_calls_total"
+	LogLinesTotal          = "rattanlever_log_lines_total"
+	LogLinesDroppedTotal   = "rattanlever_log_lines_dropped_total"
 )
 
 // Kind is the kind of a metric, as the documentation names it.
@@ -101,6 +111,16 @@
 	{ConfigurationRevision, KindGauge, nil, "Revision of the configuration in force."},
 	{CertificateLifeSeconds, KindGauge, nil, "Time to the end of the own certificate; only with TLS."},
 	{InvariantBreachesTotal, KindCounter, nil, "Breaches of invariants found by the program's own checks; 0 in a correct system."},
+	{RequestsTotal, KindCounter, []string{"status"}, "Submissions of callers on the users' platform by status class of the answer; none if the caller left."},
+	{RequestSeconds, KindHistogram, nil, "Time from a submission's arrival to its answer, on the users' platform."},
+	{JobOutcomesTotal, KindCounter, []string{"outcome"}, "Jobs of the own home that ended, by outcome."},
+	{JobStartWaitSeconds, KindHistogram, nil, "Time from a job's arrival at its home to the order of its first run."},
+	{TargetsSilentTotal, KindCounter, nil, "Times that a target stopped answering its home."},
+	{HomeChangesTotal, KindCounter, nil, "Changes of the zone's home that this instance has seen."},
+	{HomesDeposedTotal, KindCounter, nil, "Times that the own home lost its authority to another instance."},
+	{StoreCallsTotal, KindCounter, nil, "Calls to the platform's metadata store."},
+	{LogLinesTotal, KindCounter, nil, "Log lines taken in for writing."},
+	{LogLinesDroppedTotal, KindCounter, nil, "Log lines dropped because the output was too slow."},
 }
 
 const pageHead = `# Metrics
--- /dev/null
+++ b/rattanscheduler/job.go
@@ -0,0 +1,123 @@
+package rattanscheduler
+
+import (
+	"time"
+
+	"github.com/rattanlever/rattanlever/rattanwork"
+)
+
+type taskState int
+
+const (
+	taskWaiting taskState = iota
+	taskActive
+	taskDone
+)
+
+// task is one task of a job; it has at most one run that may be under way.
+type task struct {
+	job   *job
+	step  int
+	name  string
+	state taskState
+	// attempt is the highest attempt that was ordered.
+	attempt    int
+	failures   int
+	checkpoint string
+	run        *run
+	// avoid is the target of the last run that failed or was lost.
+	avoid *target
+}
+
+func (t *task) need() rattanwork.Room {
+	return t.job.submission.Job.Steps[t.step].Need
+}
+
+// job is a submission in progress.
+type job struct {
+	submission Submission
+	submitted  time.Time
+	tasks      []*task
+	// ready are the tasks that may start now.
+	ready   []*task
+	queued  bool
+	outcome Outcome
+	// wasStarted says that a run may have been started, so that the job cannot
+	// be refused.
+	wasStarted bool
+	runs       int
+	failures   int
+	firstStart time.Duration
+}
+
+func newJob(submission Submission, now time.Time) *job {
+	j := &job{submission: submission, submitted: now, wasStarted: submission.Resumed}
+	j.tasks = make([]*task, 0, submission.Job.Tasks())
+	for step := range submission.Job.Steps {
+		for index := range submission.Job.Steps[step].Count {
+			name := rattanwork.TaskName{Job: submission.Job.ID, Step: step, Index: index}
+			j.tasks = append(j.tasks, &task{job: j, step: step, name: name.String()})
+		}
+	}
+	return j
+}
+
+// started reports whether a run of the job may have started.
+func (j *job) started() bool {
+	return j.wasStarted
+}
+
+func (j *job) complete() bool {
+	for _, t := range j.tasks {
+		if t.state != taskDone {
+			return false
+		}
+	}
+	return true
+}
+
+// refresh recomputes the tasks that may start.
+func (j *job) refresh() {
+	open := make([]bool, len(j.submission.Job.Steps))
+	for _, t := range j.tasks {
+		if t.state != taskDone {
+			open[t.step] = true
+		}
+	}
+	j.ready = j.ready[:0]
+	for _, t := range j.tasks {
+		if t.state == taskWaiting && !j.blocked(t.step, open) {
+			j.ready = append(j.ready, t)
+		}
+	}
+}
+
+func (j *job) blocked(step int, open []bool) bool {
+	for _, earlier := range j.submission.Job.Steps[step].After {
+		if open[earlier] {
+			return true
+		}
+	}
+	return false
+}
+
+// remove takes a task off the ready list.
+func (j *job) remove(t *task) {
+	for i, other := range j.ready {
+		if other == t {
+			j.ready = append(j.ready[:i], j.ready[i+1:]...)
+			return
+		}
+	}
+}
+
+// onTarget counts the active tasks of a step on a target.
+func (j *job) onTarget(step int, t *target) int {
+	count := 0
+	for _, other := range j.tasks {
+		if other.step == step && other.run != nil && other.run.target == t {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/rattanscheduler/rates.go
@@ -0,0 +1,52 @@
+package rattanscheduler
+
+import "time"
+
+const (
+	rateWeight = 0.1
+	rateLeast  = 0.2
+	rateMost   = 5.0
+)
+
+// rates learns by how much declared run times are off, by service and priority.
+type rates struct {
+	ratios map[rateKey]float64
+}
+
+type rateKey struct {
+	service  string
+	priority int
+}
+
+func newRates() rates {
+	return rates{ratios: map[rateKey]float64{}}
+}
+
+func keyOf(j *job) rateKey {
+	return rateKey{j.submission.Service, j.submission.Priority}
+}
+
+// observe takes in the run time of a run that ended as done.
+func (r *rates) observe(j *job, step int, done *run, now time.Time) {
+	estimate := j.submission.Job.Steps[step].Estimate
+	if estimate <= 0 || done.orphan {
+		return
+	}
+	ratio := float64(now.Sub(done.known)) / float64(estimate)
+	ratio = min(max(ratio, rateLeast), rateMost)
+	key := keyOf(j)
+	old, ok := r.ratios[key]
+	if !ok {
+		old = 1
+	}
+	r.ratios[key] = old + rateWeight*(ratio-old)
+}
+
+// expected returns the expected run time of a task of the step.
+func (r *rates) expected(j *job, step int) time.Duration {
+	ratio, ok := r.ratios[keyOf(j)]
+	if !ok {
+		ratio = 1
+	}
+	return time.Duration(ratio * float64(j.submission.Job.Steps[step].Estimate))
+}
--- /dev/null
+++ b/rattanscheduler/runs.go
@@ -0,0 +1,347 @@
+package rattanscheduler
+
+import (
+	"time"
+
+	"github.com/rattanlever/rattanlever/rattanwork"
+)
+
+const (
+	// stopRepeat is how long a stop may stay unanswered before it is sent
+	// again.
+	stopRepeat = 150 * time.Millisecond
+	// uncertainLimit is the longest that an unanswered order may be under way;
+	// after it, the order's lease has expired as well.
+	uncertainLimit = 15 * time.Second
+	// refusalPause keeps a target that refused an order from the next ones.
+	refusalPause = 250 * time.Millisecond
+)
+
+// start orders a run of a task.
+func (s *Scheduler) start(t *task, on *target, now time.Time) {
+	t.attempt++
+	t.state = taskActive
+	r := &run{target: on, name: t.name, attempt: t.attempt, need: t.need(), task: t, known: now}
+	t.run = r
+	on.runs[runKey{t.name, t.attempt}] = r
+	on.take(r.need)
+	j := t.job
+	if j.runs == 0 {
+		j.firstStart = now.Sub(j.submitted)
+	}
+	j.runs++
+	j.wasStarted = true
+	s.output.Starts = append(s.output.Starts, StartOrder{
+		Target:     &on.info,
+		Task:       t.name,
+		Attempt:    t.attempt,
+		Spec:       j.submission.Job.Spec,
+		Checkpoint: t.checkpoint,
+	})
+}
+
+// StartAnswered takes in a target's answer to the order to start a run.
+func (s *Scheduler) StartAnswered(targetID, name string, attempt int, result rattanwork.StartResult, now time.Time) {
+	on, ok := s.targets[targetID]
+	if !ok {
+		return
+	}
+	r, ok := on.runs[runKey{name, attempt}]
+	if !ok || (r.state != runOrdered && r.state != runStopping) {
+		return
+	}
+	switch {
+	case result == rattanwork.StartAccepted:
+		r.confirmed = now
+		if r.state == runOrdered {
+			r.state = runConfirmed
+		}
+	case result == rattanwork.StartUnknown:
+		r.uncertain = now
+		if r.state == runOrdered {
+			r.state = runUncertain
+		}
+	default:
+		s.drop(r)
+		on.suspendedUntil = now.Add(refusalPause)
+		s.requeue(r, now)
+	}
+	s.schedule(now)
+}
+
+// StopAnswered takes in that a target accepted the order to stop a run.
+func (s *Scheduler) StopAnswered(targetID, name string, attempt int, now time.Time) {
+	if on, ok := s.targets[targetID]; ok {
+		if r, ok := on.runs[runKey{name, attempt}]; ok {
+			r.stopAcked = now
+		}
+	}
+}
+
+// Settling reports whether a run waits for a list that tells whether it is
+// there.
+func (s *Scheduler) Settling(targetID string) bool {
+	on, ok := s.targets[targetID]
+	if !ok {
+		return false
+	}
+	for _, r := range on.runs {
+		if !r.stopAcked.IsZero() || (r.state == runUncertain && r.stopSent.IsZero()) {
+			return true
+		}
+	}
+	return false
+}
+
+// Silent takes in that a target does not answer. It takes no new work until it
+// has listed its runs again. When its leases have certainly expired, its
+// confirmed runs are lost and their tasks may start elsewhere.
+func (s *Scheduler) Silent(targetID string, expired bool, now time.Time) {
+	on, ok := s.targets[targetID]
+	if !ok {
+		return
+	}
+	on.silent = true
+	if !expired {
+		return
+	}
+	for _, r := range on.snapshot() {
+		if r.state == runConfirmed || (r.state == runStopping && !r.confirmed.IsZero()) || r.orphan {
+			s.drop(r)
+			s.requeue(r, now)
+			continue
+		}
+		// An order without an answer keeps its room, but its task need not
+		// wait: the order's lease has expired too.
+		s.detach(r, now)
+	}
+	s.schedule(now)
+}
+
+// Listed takes in a target's list of runs, asked for at sent.
+func (s *Scheduler) Listed(targetID string, listing *rattanwork.Listing, sent, now time.Time) {
+	on, ok := s.targets[targetID]
+	if !ok {
+		return
+	}
+	if on.born != listing.Born {
+		s.reborn(on, now)
+		on.born = listing.Born
+	}
+	on.silent = false
+	for _, end := range listing.Ended {
+		if end.Sequence > on.sequence {
+			on.sequence = end.Sequence
+			s.runEnded(on, end, now)
+		}
+	}
+	running := make(map[runKey]bool, len(listing.Running))
+	for _, row := range listing.Running {
+		key := runKey{row.Task, row.Attempt}
+		running[key] = true
+		s.runListed(on, key, row, now)
+	}
+	for _, r := range on.snapshot() {
+		if running[runKey{r.name, r.attempt}] {
+			continue
+		}
+		if r.goneBy(sent) {
+			s.drop(r)
+			s.requeue(r, now)
+			continue
+		}
+		if r.state == runUncertain && r.stopSent.IsZero() && r.uncertain.Before(sent) {
+			s.orderStop(r, now)
+		}
+	}
+	on.reconciled = true
+	s.schedule(now)
+}
+
+// goneBy reports whether a run that a list asked for at sent does not contain
+// is gone for good.
+func (r *run) goneBy(sent time.Time) bool {
+	switch {
+	case r.orphan:
+		return true
+	case !r.confirmed.IsZero() && r.confirmed.Before(sent):
+		return true
+	case !r.stopAcked.IsZero() && r.stopAcked.Before(sent):
+		return true
+	default:
+		return r.state != runOrdered && sent.Sub(r.known) > uncertainLimit
+	}
+}
+
+// reborn drops what ran in the former life of a target. Orders without an
+// answer may still arrive in the new one.
+func (s *Scheduler) reborn(on *target, now time.Time) {
+	first := on.born == 0 && on.sequence == 0
+	on.sequence = 0
+	if first {
+		return
+	}
+	for _, r := range on.snapshot() {
+		if r.confirmed.IsZero() && !r.orphan {
+			r.stopAcked = time.Time{}
+			continue
+		}
+		s.drop(r)
+		s.requeue(r, now)
+	}
+}
+
+func (s *Scheduler) runListed(on *target, key runKey, row rattanwork.Run, now time.Time) {
+	r, ok := on.runs[key]
+	if !ok {
+		r = &run{target: on, name: key.name, attempt: key.attempt, state: runConfirmed, known: now, confirmed: now, orphan: true}
+		on.runs[key] = r
+		on.orphans++
+		s.orphans[key.name] = r
+		return
+	}
+	if r.confirmed.IsZero() {
+		r.confirmed = now
+	}
+	if r.state == runOrdered || (r.state == runUncertain && r.stopSent.IsZero()) {
+		r.state = runConfirmed
+	}
+	if r.task != nil && row.Checkpoint != "" {
+		r.task.checkpoint = row.Checkpoint
+	}
+}
+
+func (s *Scheduler) runEnded(on *target, end rattanwork.End, now time.Time) {
+	r, ok := on.runs[runKey{end.Task, end.Attempt}]
+	if !ok || r.orphan {
+		if end.Kind == rattanwork.EndDone {
+			s.ended[end.Task] = now.Add(endedRetention)
+		}
+		if ok {
+			s.drop(r)
+		}
+		return
+	}
+	s.drop(r)
+	t := r.task
+	if t == nil || t.run != r {
+		return
+	}
+	if end.Checkpoint != "" && t.job.submission.Job.Steps[t.step].SavesProgress {
+		t.checkpoint = end.Checkpoint
+	}
+	switch end.Kind {
+	case rattanwork.EndDone:
+		s.taskDone(t, r, now)
+	case rattanwork.EndFailed:
+		s.taskFailed(t, r, now)
+	default:
+		s.requeue(r, now)
+	}
+}
+
+func (s *Scheduler) taskDone(t *task, r *run, now time.Time) {
+	t.run = nil
+	t.state = taskDone
+	r.target.health.succeeded()
+	s.rates.observe(t.job, t.step, r, now)
+	s.advance(t.job, now)
+}
+
+func (s *Scheduler) taskFailed(t *task, r *run, now time.Time) {
+	t.failures++
+	t.job.failures++
+	if pause := r.target.health.failed(t.job); pause > 0 {
+		r.target.suspendedUntil = now.Add(pause)
+	}
+	if t.failures >= t.job.submission.MaxAttempts {
+		t.run = nil
+		s.end(t.job, Failed, "a task failed too often", 0, now)
+		return
+	}
+	s.requeue(r, now)
+}
+
+// drop forgets a run and frees its room.
+func (s *Scheduler) drop(r *run) {
+	delete(r.target.runs, runKey{r.name, r.attempt})
+	if !r.orphan || r.task != nil {
+		r.target.release(r.need)
+		return
+	}
+	r.target.orphans--
+	if s.orphans[r.name] == r {
+		delete(s.orphans, r.name)
+	}
+}
+
+// requeue makes the task of a run that is gone wait again.
+func (s *Scheduler) requeue(r *run, now time.Time) {
+	t := r.task
+	if t == nil || t.run != r {
+		return
+	}
+	t.run = nil
+	t.avoid = r.target
+	t.state = taskWaiting
+	s.advance(t.job, now)
+}
+
+// detach lets the task of an uncertain run start elsewhere; the run keeps its
+// room until it is settled.
+func (s *Scheduler) detach(r *run, now time.Time) {
+	if r.task == nil {
+		return
+	}
+	s.requeue(r, now)
+	r.task = nil
+	r.state = runStopping
+}
+
+// stop ends a run of an ended job.
+func (s *Scheduler) stop(r *run, now time.Time) {
+	r.task.run = nil
+	r.task = nil
+	r.state = runStopping
+	if r.orphan {
+		r.orphan = false
+	}
+	s.orderStop(r, now)
+}
+
+func (s *Scheduler) orderStop(r *run, now time.Time) {
+	r.stopSent = now
+	s.output.Stops = append(s.output.Stops, StopOrder{Target: &r.target.info, Task: r.name, Attempt: r.attempt})
+}
+
+// stopOrphans ends runs of an earlier home whose job nobody presents.
+func (s *Scheduler) stopOrphans(now time.Time) {
+	for _, r := range s.orphans {
+		if r.state != runStopping && now.Sub(r.known) > orphanGrace {
+			r.state = runStopping
+			s.orderStop(r, now)
+		}
+	}
+}
+
+// repeatStops sends stops again that were not answered.
+func (s *Scheduler) repeatStops(now time.Time) {
+	for _, t := range s.targets {
+		if t.silent {
+			continue
+		}
+		for _, r := range t.runs {
+			if !r.stopSent.IsZero() && r.stopAcked.IsZero() && now.Sub(r.stopSent) > stopRepeat {
+				s.orderStop(r, now)
+			}
+		}
+	}
+}
+
+func (t *target) snapshot() []*run {
+	runs := make([]*run, 0, len(t.runs))
+	for _, r := range t.runs {
+		runs = append(runs, r)
+	}
+	return runs
+}
--- /dev/null
+++ b/rattanscheduler/scheduler.go
@@ -0,0 +1,324 @@
+// Package rattanscheduler decides which task of which job starts when and on
+// which target of one availability zone. It is pure: it keeps the state of the
+// jobs, runs and targets, takes the time as an argument and returns orders; it
+// knows nothing of connections or clocks. It is not safe for concurrent use.
+package rattanscheduler
+
+import (
+	"time"
+
+	"github.com/rattanlever/rattanlever/rattanwork"
+)
+
+//go:generate go tool stringer -type=Outcome,runState -output=enum_string.go
+
+// Outcome tells how a job ended.
+type Outcome int
+
+// Outcomes of a job.
+const (
+	// Open says that the job has not ended.
+	Open Outcome = iota
+	Succeeded
+	// Failed says that a task failed as often as its route allows.
+	Failed
+	// Refused says that no task of the job has started or ever will.
+	Refused
+	// Expired says that the job cannot be completed in time any more; tasks of
+	// it may have run.
+	Expired
+	// Cancelled says that nobody waits for the job any more.
+	Cancelled
+)
+
+// Submission is a job with what its route says of it.
+type Submission struct {
+	Job         *rattanwork.Job
+	Service     string
+	Priority    int
+	MaxAttempts int
+	// Objective is when the answer loses most of its worth, LateUntil when it
+	// loses the rest, and Deadline when the caller has left.
+	Objective time.Time
+	LateUntil time.Time
+	Deadline  time.Time
+	// Resumed says that an earlier home may have started tasks of the job.
+	Resumed bool
+}
+
+// StartOrder is the decision to start a run.
+type StartOrder struct {
+	Target     *rattanwork.Target
+	Task       string
+	Attempt    int
+	Spec       string
+	Checkpoint string
+}
+
+// StopOrder is the decision to end a run, or to keep it from starting.
+type StopOrder struct {
+	Target  *rattanwork.Target
+	Task    string
+	Attempt int
+}
+
+// Ended reports the end of a job.
+type Ended struct {
+	JobID   string
+	Outcome Outcome
+	// RetryAfter is when a refused job is likely to be served.
+	RetryAfter time.Duration
+	// Reason says in a few words what decided the outcome.
+	Reason string
+	// Runs is the number of runs that were ordered, Failures of those that
+	// failed.
+	Runs     int
+	Failures int
+	// FirstStart is the wait until the first run was ordered.
+	FirstStart time.Duration
+	// Elapsed is the time since the submission.
+	Elapsed time.Duration
+}
+
+// Output holds the decisions that were taken since the last call of Take.
+type Output struct {
+	Starts []StartOrder
+	Stops  []StopOrder
+	Ended  []Ended
+}
+
+// Config configures a Scheduler.
+type Config struct {
+	// MaxLease is the longest lease of a run on a target.
+	MaxLease time.Duration
+	// RemotePenalty multiplies the run time of a task away from its data.
+	RemotePenalty float64
+	// TakenOver is when authority over the targets was claimed. Until the
+	// leases of the earlier home have run out, jobs that it may have started
+	// wait for the lists of all targets.
+	TakenOver time.Time
+}
+
+// Scheduler is the state of one home.
+type Scheduler struct {
+	config  Config
+	targets map[string]*target
+	jobs    map[string]*job
+	// waiting holds the jobs with tasks to start, in order of submission.
+	waiting []*job
+	// orphans are runs of jobs that no caller has presented, by task.
+	orphans map[string]*run
+	// ended holds tasks that ended as done without a job, until the time.
+	ended  map[string]time.Time
+	rates  rates
+	output Output
+}
+
+// New returns a scheduler without targets.
+func New(config Config) *Scheduler {
+	return &Scheduler{
+		config:  config,
+		targets: map[string]*target{},
+		jobs:    map[string]*job{},
+		orphans: map[string]*run{},
+		ended:   map[string]time.Time{},
+		rates:   newRates(),
+	}
+}
+
+// Take returns the decisions since the last call.
+func (s *Scheduler) Take() Output {
+	output := s.output
+	s.output = Output{}
+	return output
+}
+
+// Jobs returns the number of jobs that have not ended.
+func (s *Scheduler) Jobs() int {
+	return len(s.jobs)
+}
+
+// WaitingTasks returns the number of tasks that wait for a target.
+func (s *Scheduler) WaitingTasks() int {
+	count := 0
+	for _, j := range s.waiting {
+		count += len(j.ready)
+	}
+	return count
+}
+
+// FreeMilliCPU returns the processor room that is free on usable targets.
+func (s *Scheduler) FreeMilliCPU(now time.Time) int {
+	free := 0
+	for _, t := range s.targets {
+		if t.usable(now) {
+			free += max(0, t.free.MilliCPU)
+		}
+	}
+	return free
+}
+
+// Submit takes in a job, or finds the job of that ID, and reports whether it is
+// new. A job that no target can ever run is refused at once.
+func (s *Scheduler) Submit(submission Submission, now time.Time) (isNew bool) {
+	if _, ok := s.jobs[submission.Job.ID]; ok {
+		return false
+	}
+	j := newJob(submission, now)
+	s.jobs[submission.Job.ID] = j
+	s.adopt(j)
+	if !j.started() && !s.servable(j) {
+		s.end(j, Refused, "no target for it", noTargetRetry, now)
+		return true
+	}
+	s.advance(j, now)
+	return true
+}
+
+// Cancel ends a job that nobody waits for.
+func (s *Scheduler) Cancel(jobID string, now time.Time) bool {
+	j, ok := s.jobs[jobID]
+	if !ok {
+		return false
+	}
+	s.end(j, Cancelled, "cancelled", 0, now)
+	return true
+}
+
+// Tick advances everything that depends on time alone and starts what it can.
+func (s *Scheduler) Tick(now time.Time) {
+	s.stopOrphans(now)
+	s.repeatStops(now)
+	s.dropHopeless(now)
+	s.schedule(now)
+	for name, until := range s.ended {
+		if now.After(until) {
+			delete(s.ended, name)
+		}
+	}
+}
+
+// RefuseWaiting refuses all jobs of which nothing has started, because this
+// home gives up its targets.
+func (s *Scheduler) RefuseWaiting(reason string, now time.Time) {
+	for _, j := range append([]*job(nil), s.waiting...) {
+		if !j.started() {
+			s.end(j, Refused, reason, noTargetRetry, now)
+		}
+	}
+}
+
+const (
+	// noTargetRetry is how soon a target may be back: targets announce
+	// themselves within a second or two of their start.
+	noTargetRetry = 2 * time.Second
+	// endedRetention bounds how long the end of a run is kept for a caller
+	// that presents its job again after a change of the home.
+	endedRetention = 5 * time.Second
+	// orphanGrace is how long runs of an earlier home may go on before their
+	// job must have been presented again.
+	orphanGrace = 700 * time.Millisecond
+)
+
+// servable reports whether some known target could run each step when empty.
+func (s *Scheduler) servable(j *job) bool {
+	for i := range j.submission.Job.Steps {
+		step := &j.submission.Job.Steps[i]
+		found := false
+		for _, t := range s.targets {
+			if t.canHost(j, step) {
+				found = true
+				break
+			}
+		}
+		if !found {
+			return false
+		}
+	}
+	return true
+}
+
+// adopt binds the runs and ends that an earlier home left behind.
+func (s *Scheduler) adopt(j *job) {
+	for _, t := range j.tasks {
+		if _, ok := s.ended[t.name]; ok {
+			delete(s.ended, t.name)
+			t.state = taskDone
+			j.wasStarted = true
+			continue
+		}
+		r, ok := s.orphans[t.name]
+		if !ok || r.state == runStopping {
+			continue
+		}
+		delete(s.orphans, t.name)
+		s.bind(r, t)
+	}
+}
+
+func (s *Scheduler) bind(r *run, t *task) {
+	r.task = t
+	t.run = r
+	t.state = taskActive
+	t.attempt = max(t.attempt, r.attempt)
+	t.job.wasStarted = true
+	r.need = t.need()
+	r.target.orphans--
+	r.target.take(r.need)
+}
+
+// advance recomputes which tasks of a job may start, and ends it when all are
+// done.
+func (s *Scheduler) advance(j *job, now time.Time) {
+	if j.outcome != Open {
+		return
+	}
+	j.refresh()
+	if j.complete() {
+		s.end(j, Succeeded, "complete", 0, now)
+		return
+	}
+	if len(j.ready) > 0 && !j.queued {
+		j.queued = true
+		s.waiting = append(s.waiting, j)
+	}
+}
+
+// end ends a job: its runs are stopped, and the caller is told at once.
+func (s *Scheduler) end(j *job, outcome Outcome, reason string, retryAfter time.Duration, now time.Time) {
+	if j.outcome != Open {
+		return
+	}
+	j.outcome = outcome
+	j.ready = nil
+	delete(s.jobs, j.submission.Job.ID)
+	s.dequeue(j)
+	for _, t := range j.tasks {
+		if t.run != nil {
+			s.stop(t.run, now)
+		}
+	}
+	s.output.Ended = append(s.output.Ended, Ended{
+		JobID:      j.submission.Job.ID,
+		Outcome:    outcome,
+		RetryAfter: retryAfter,
+		Reason:     reason,
+		Runs:       j.runs,
+		Failures:   j.failures,
+		FirstStart: j.firstStart,
+		Elapsed:    now.Sub(j.submitted),
+	})
+}
+
+func (s *Scheduler) dequeue(j *job) {
+	if !j.queued {
+		return
+	}
+	j.queued = false
+	for i, other := range s.waiting {
+		if other == j {
+			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/rattanscheduler/target.go
@@ -0,0 +1,142 @@
+package rattanscheduler
+
+import (
+	"time"
+
+	"github.com/rattanlever/rattanlever/rattanwork"
+)
+
+// runState tells what is known of a run.
+type runState int
+
+const (
+	// runOrdered says that the order has no answer yet.
+	runOrdered runState = iota
+	runConfirmed
+	// runUncertain says that the order's answer did not come: the run may be
+	// there, may come later, or may never come.
+	runUncertain
+	// runStopping says that the run is to end; its room is taken until it is
+	// proved to be gone.
+	runStopping
+)
+
+// run is one run that takes room, or may, on a target.
+type run struct {
+	target  *target
+	name    string
+	attempt int
+	need    rattanwork.Room
+	state   runState
+	// task is nil for runs of an earlier home and of ended jobs.
+	task *task
+	// known is when the run was ordered or first listed, confirmed when the
+	// target told that it runs.
+	known     time.Time
+	confirmed time.Time
+	// uncertain is when the order's answer was given up.
+	uncertain time.Time
+	// stopSent is when the last stop was ordered, stopAcked when the target
+	// accepted one; zero if not.
+	stopSent  time.Time
+	stopAcked time.Time
+	// orphan says that the need is unknown.
+	orphan bool
+}
+
+type runKey struct {
+	name    string
+	attempt int
+}
+
+// target is one worker and what takes room on it.
+type target struct {
+	info rattanwork.Target
+	// free is the room that no run takes; runs of unknown need are counted in
+	// orphans instead and keep the target from taking work.
+	free    rattanwork.Room
+	orphans int
+	runs    map[runKey]*run
+	// reconciled says that the target has listed its runs to this home.
+	reconciled bool
+	// born is the life that the lists are from, sequence the highest processed
+	// end of that life.
+	born     int64
+	sequence int64
+	// silent says that the target has not answered since the last list.
+	silent bool
+	// suspendedUntil is when a target that failed work is tried again.
+	suspendedUntil time.Time
+	health         health
+}
+
+func (t *target) take(need rattanwork.Room) {
+	t.free = t.free.Sub(need)
+}
+
+func (t *target) release(need rattanwork.Room) {
+	t.free = t.free.Add(need)
+}
+
+// usable reports whether the target may take new work.
+func (t *target) usable(now time.Time) bool {
+	return t.reconciled && !t.silent && !t.info.Draining && t.orphans == 0 && !now.Before(t.suspendedUntil)
+}
+
+// canHost reports whether the target could run a task of the step when empty.
+func (t *target) canHost(j *job, step *rattanwork.Step) bool {
+	return !t.info.Draining && t.info.Service == j.submission.Service && t.info.HasLabel(step.Label) && step.Need.Fits(t.info.Room)
+}
+
+// UpdateTargets takes in the targets of the zone. Targets that are not listed
+// take no new work; they are forgotten once nothing runs there.
+func (s *Scheduler) UpdateTargets(listed []rattanwork.Target, now time.Time) {
+	seen := make(map[string]bool, len(listed))
+	for i := range listed {
+		seen[listed[i].ID] = true
+		s.updateTarget(listed[i], now)
+	}
+	for id, t := range s.targets {
+		if seen[id] {
+			continue
+		}
+		t.info.Draining = true
+		if len(t.runs) == 0 {
+			delete(s.targets, id)
+		}
+	}
+	s.schedule(now)
+}
+
+func (s *Scheduler) updateTarget(info rattanwork.Target, _ time.Time) {
+	t, ok := s.targets[info.ID]
+	if !ok {
+		s.targets[info.ID] = &target{info: info, free: info.Room, runs: map[runKey]*run{}}
+		return
+	}
+	t.free = t.free.Add(info.Room.Sub(t.info.Room))
+	t.info = info
+}
+
+// Target returns the description of a known target.
+func (s *Scheduler) Target(id string) (rattanwork.Target, bool) {
+	t, ok := s.targets[id]
+	if !ok {
+		return rattanwork.Target{}, false
+	}
+	return t.info, true
+}
+
+// Busy reports whether a target has, or may have, runs.
+func (s *Scheduler) Busy(id string) bool {
+	t, ok := s.targets[id]
+	return ok && len(t.runs) > 0
+}
+
+// Sequence returns the highest processed end of a target's present life.
+func (s *Scheduler) Sequence(id string) int64 {
+	if t, ok := s.targets[id]; ok {
+		return t.sequence
+	}
+	return 0
+}
--- /dev/null
+++ b/rattanwork/desired.go
@@ -0,0 +1,64 @@
+package rattanwork
+
+import (
+	"strings"
+	"time"
+)
+
+// Route is a queue that callers submit jobs to.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	// Service names the targets that run the route's tasks.
+	Service string
+	// Timeout is the longest that a request may take.
+	Timeout time.Duration
+	// Priority 0 is the most urgent.
+	Priority int
+	// MaxAttempts is how many runs of a task may fail before its job does.
+	MaxAttempts int
+	// Latency and Slack define a job's objective: Latency plus Slack times the
+	// run time of its longest chain.
+	Latency time.Duration
+	Slack   float64
+	// NeedsAdvice says that only some targets may run a step of the route.
+	NeedsAdvice bool
+}
+
+// Service is a group of targets.
+type Service struct {
+	Name string
+}
+
+// Limits bound what a caller's connection may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// DesiredState is one version of the operator's configuration.
+type DesiredState struct {
+	// Version grows with each change.
+	Version  int64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+}
+
+// Match returns the route of the host with the longest prefix of the path.
+func (d *DesiredState) Match(host, path string) (*Route, bool) {
+	var best *Route
+	for i := range d.Routes {
+		route := &d.Routes[i]
+		if route.Host != host || !strings.HasPrefix(path, route.Prefix) {
+			continue
+		}
+		if best == nil || len(route.Prefix) > len(best.Prefix) {
+			best = route
+		}
+	}
+	return best, best != nil
+}
--- /dev/null
+++ b/rattanzone/election.go
@@ -0,0 +1,242 @@
+package rattanzone
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/rattanlever/rattanlever/rattanhome"
+)
+
+const (
+	// settleTime is how long a starting instance looks for peers before it
+	// claims a zone that it knows no home of.
+	settleTime = 400 * time.Millisecond
+	// rankDelay is how long each instance waits for the one before it.
+	rankDelay = 250 * time.Millisecond
+	// rankTimeout bounds the beats that find out which members answer.
+	rankTimeout = 100 * time.Millisecond
+	// barFirst is how long an instance that was deposed by a home which it
+	// cannot reach does not compete with it; each time it doubles.
+	barFirst   = 2 * time.Second
+	barLongest = 8 * time.Second
+	// fenceBits are the low bits of a fencing token that name the instance;
+	// the bits above hold the time in milliseconds. The sum stays below 2^53.
+	fenceBits = 12
+)
+
+// ErrNotReady says that an instance cannot take a zone over.
+const ErrNotReady = errors.ConstError("cannot take over")
+
+// electionRound looks for a home of the zone and claims it if this instance
+// is the first of those that answer.
+func (a *Agent) electionRound(now time.Time) {
+	answering := a.probeZone()
+	a.mutex.Lock()
+	vacant := a.vacant
+	rank := 0
+	for name := range answering {
+		if name < a.config.Self.Name {
+			rank++
+		}
+	}
+	wait := time.Duration(rank) * rankDelay
+	known := a.homes[a.config.Self.Zone] != nil
+	if !known {
+		wait += settleTime
+	}
+	mayClaim := !vacant.IsZero() && !a.terminating && now.Sub(vacant) >= wait && !now.Before(a.barredUntil) && !a.heardByOthers(answering)
+	a.mutex.Unlock()
+	if mayClaim {
+		a.claim("no home answers", now)
+	}
+}
+
+// heardByOthers reports whether a member still hears the home that this
+// instance misses.
+func (a *Agent) heardByOthers(answering map[string]View) bool {
+	b := a.homes[a.config.Self.Zone]
+	if b == nil {
+		return false
+	}
+	for _, view := range answering {
+		for _, claim := range view.Claims {
+			if claim.Zone == a.config.Self.Zone && claim.Fence >= b.claim.Fence && claim.Age < silenceLimit {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// probeZone beats all members of the zone and the seeds, and returns the views
+// of the members of the zone that answer and do not shut down.
+func (a *Agent) probeZone() map[string]View {
+	addresses := map[string]bool{}
+	for _, m := range a.zoneMembers() {
+		addresses[m.Address] = true
+	}
+	for _, seed := range a.config.Seeds {
+		addresses[seed] = true
+	}
+	delete(addresses, a.config.Self.Address)
+	ctx, cancel := context.WithTimeout(a.ctx, rankTimeout)
+	defer cancel()
+	body := encode(a.view())
+	var mutex sync.Mutex
+	views := map[string]View{}
+	var group sync.WaitGroup
+	for address := range addresses {
+		group.Go(func() {
+			answer, err := a.config.Peers.Call(ctx, address, methodBeat, body)
+			if err != nil {
+				return
+			}
+			var view View
+			if json.Unmarshal(answer, &view) != nil {
+				return
+			}
+			a.merge(&view)
+			if view.Sender.Zone != a.config.Self.Zone || view.Terminating || view.Sender.Name == a.config.Self.Name {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			views[view.Sender.Name] = view
+		})
+	}
+	group.Wait()
+	return views
+}
+
+// claim makes this instance the home of its zone.
+func (a *Agent) claim(reason string, now time.Time) {
+	a.mutex.Lock()
+	if a.own != nil || a.terminating {
+		a.mutex.Unlock()
+		return
+	}
+	self := a.config.Self
+	claim := Claim{Zone: self.Zone, Name: self.Name, Address: self.Address, Fence: a.nextFence(now)}
+	a.homes[self.Zone] = &belief{claim: claim, heard: now, direct: true}
+	a.vacant = time.Time{}
+	a.own = a.config.NewHome(claim.Fence)
+	own := a.own
+	a.lastZone = time.Time{}
+	a.notify()
+	a.mutex.Unlock()
+	a.config.Journal.HomeChanged(claim, reason)
+	own.UpdateTargets(a.config.Inventory.Zone(self.Zone))
+	a.config.Inventory.Kick()
+	a.homeRound(now)
+}
+
+// nextFence returns a token above all known ones that no other instance uses.
+// The caller holds the mutex.
+func (a *Agent) nextFence(now time.Time) int64 {
+	number := instanceNumber(a.config.Self.Address)
+	fence := now.UnixMilli()<<fenceBits | number
+	b := a.homes[a.config.Self.Zone]
+	if b != nil && fence <= b.claim.Fence {
+		fence = (b.claim.Fence>>fenceBits+1)<<fenceBits | number
+	}
+	return fence
+}
+
+// instanceNumber returns the low bits of the instance's IP number.
+func instanceNumber(address string) int64 {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return 0
+	}
+	ip := net.ParseIP(host).To4()
+	if ip == nil {
+		return 0
+	}
+	return (int64(ip[2])<<8 | int64(ip[3])) & (1<<fenceBits - 1)
+}
+
+// touchOwn keeps the own claim fresh.
+func (a *Agent) touchOwn(load rattanhome.Load, fence int64, now time.Time) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	b := a.homes[a.config.Self.Zone]
+	if b != nil && b.claim.Fence == fence {
+		b.heard = now
+		b.claim.Load = load
+	}
+}
+
+// checkOwn gives up a home that a target has deposed.
+func (a *Agent) checkOwn() {
+	own := a.Own()
+	if own == nil {
+		return
+	}
+	select {
+	case <-own.Deposed():
+	default:
+		return
+	}
+	now := a.config.Clock()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.own != own {
+		return
+	}
+	a.own = nil
+	a.vacant = now
+	a.barred = min(max(barFirst, 2*a.barred), barLongest)
+	a.barredUntil = now.Add(a.barred)
+	a.notify()
+}
+
+// Resign hands the zone to another member before this instance stops.
+func (a *Agent) Resign(ctx context.Context) {
+	a.mutex.Lock()
+	a.terminating = true
+	own := a.own
+	a.mutex.Unlock()
+	for _, m := range a.zoneMembers() {
+		if own == nil {
+			break
+		}
+		if a.isTerminating(m.Name) {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, beatTimeout)
+		_, err := a.config.Peers.Call(callCtx, m.Address, methodTakeOver, encode(a.view()))
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+}
+
+func (a *Agent) isTerminating(name string) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	m, ok := a.members[name]
+	return !ok || m.terminating
+}
+
+// onTakeOver claims the zone because its home shuts down.
+func (a *Agent) onTakeOver(_ context.Context, sender string, body []byte) ([]byte, error) {
+	var view View
+	if err := json.Unmarshal(body, &view); err != nil {
+		return nil, errors.Annotate(err, "view")
+	}
+	a.merge(&view)
+	a.mutex.Lock()
+	terminating := a.terminating
+	a.mutex.Unlock()
+	if terminating {
+		return nil, ErrNotReady
+	}
+	a.claim("handed over by "+sender, a.config.Clock())
+	return encode(a.view()), nil
+}
