Bind runs that are listed after their job, and give lost jobs up early

Ruled out: leases of the earlier home (all targets had answered the new one). Change: listed runs and ends are bound to waiting jobs, the first list of a target is asked for without a wait, and a job ends when a run's progress proves that it cannot be complete in time.

--- a/rattanhome/lease.go
+++ b/rattanhome/lease.go
@@ -119,7 +119,7 @@
 	if h.scheduler.Busy(l.id) {
 		wait = leaseWait
 	}
-	if atOnce {
+	if atOnce || !h.scheduler.Reconciled(l.id) {
 		wait = 0
 	}
 	order := rattanwork.LeaseOrder{
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -73,6 +73,8 @@
 		"Job":          ended.JobID,
 		"Outcome":      ended.Outcome.String(),
 		"Reason":       ended.Reason,
+		"Tasks":        ended.Tasks,
+		"EstimateMS":   milliseconds(ended.Estimate),
 		"Runs":         ended.Runs,
 		"Failures":     ended.Failures,
 		"FirstStartMS": milliseconds(ended.FirstStart),
--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -67,6 +67,16 @@
 	return j.wasStarted
 }
 
+// task returns the task with the name, or nil.
+func (j *job) task(name string) *task {
+	for _, t := range j.tasks {
+		if t.name == name {
+			return t
+		}
+	}
+	return nil
+}
+
 func (j *job) complete() bool {
 	for _, t := range j.tasks {
 		if t.state != taskDone {
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -197,6 +197,11 @@
 		r = &run{target: on, name: key.name, attempt: key.attempt, state: runConfirmed, known: now, confirmed: now, orphan: true}
 		on.runs[key] = r
 		on.orphans++
+		if t := s.waitingTask(key.name); t != nil {
+			s.bind(r, t)
+			s.advance(t.job, now)
+			return
+		}
 		s.orphans[key.name] = r
 		return
 	}
@@ -206,16 +211,38 @@
 	if r.state == runOrdered || (r.state == runUncertain && r.stopSent.IsZero()) {
 		r.state = runConfirmed
 	}
-	if r.task != nil && row.Checkpoint != "" {
+	if r.task == nil {
+		return
+	}
+	if row.Checkpoint != "" {
 		r.task.checkpoint = row.Checkpoint
 	}
+	s.progressed(r, row.Percent, now)
+}
+
+// progressed ends a job as soon as the progress of a run shows that it cannot
+// be complete before its caller leaves, so that the caller learns it early and
+// the room serves others.
+func (s *Scheduler) progressed(r *run, percent int, now time.Time) {
+	elapsed := now.Sub(r.known)
+	if r.orphan || elapsed < progressLeast {
+		return
+	}
+	shortest := time.Duration(float64(elapsed) * 100 / float64(percent+1))
+	if r.known.Add(shortest).After(r.task.job.submission.Deadline) {
+		s.end(r.task.job, Expired, "a task is too slow to end in time", 0, now)
+	}
 }
 
+// progressLeast is the age of a run below which its progress tells nothing:
+// runs take a moment to begin, and progress is rounded down to whole percents.
+const progressLeast = 100 * time.Millisecond
+
 func (s *Scheduler) runEnded(on *target, end rattanwork.End, now time.Time) {
 	r, ok := on.runs[runKey{end.Task, end.Attempt}]
-	if !ok || r.orphan {
+	if !ok || (r.orphan && r.task == nil) {
 		if end.Kind == rattanwork.EndDone {
-			s.ended[end.Task] = now.Add(endedRetention)
+			s.doneBefore(end.Task, now)
 		}
 		if ok {
 			s.drop(r)
@@ -240,6 +267,18 @@
 	}
 }
 
+// doneBefore takes in that a task ended under an earlier home.
+func (s *Scheduler) doneBefore(name string, now time.Time) {
+	t := s.waitingTask(name)
+	if t == nil {
+		s.ended[name] = now.Add(endedRetention)
+		return
+	}
+	t.state = taskDone
+	t.job.wasStarted = true
+	s.advance(t.job, now)
+}
+
 func (s *Scheduler) taskDone(t *task, r *run, now time.Time) {
 	t.run = nil
 	t.state = taskDone
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -5,6 +5,7 @@
 package rattanscheduler
 
 import (
+	"strings"
 	"time"
 
 	"github.com/rattanlever/rattanlever/rattanwork"
@@ -70,6 +71,10 @@
 	RetryAfter time.Duration
 	// Reason says in a few words what decided the outcome.
 	Reason string
+	// Tasks is the number of the job's tasks, Estimate the declared run time of
+	// its longest chain.
+	Tasks    int
+	Estimate time.Duration
 	// Runs is the number of runs that were ordered, Failures of those that
 	// failed.
 	Runs     int
@@ -256,6 +261,21 @@
 	}
 }
 
+// waitingTask returns the task with the name if its job is known and it has no
+// run.
+func (s *Scheduler) waitingTask(name string) *task {
+	jobID, _, _ := strings.Cut(name, ".")
+	j, ok := s.jobs[jobID]
+	if !ok {
+		return nil
+	}
+	t := j.task(name)
+	if t == nil || t.state != taskWaiting {
+		return nil
+	}
+	return t
+}
+
 func (s *Scheduler) bind(r *run, t *task) {
 	r.task = t
 	t.run = r
@@ -303,6 +323,8 @@
 		Outcome:    outcome,
 		RetryAfter: retryAfter,
 		Reason:     reason,
+		Tasks:      len(j.tasks),
+		Estimate:   j.submission.Job.CriticalPath(),
 		Runs:       j.runs,
 		Failures:   j.failures,
 		FirstStart: j.firstStart,
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -127,6 +127,12 @@
 	return t.info, true
 }
 
+// Reconciled reports whether a target has listed its runs.
+func (s *Scheduler) Reconciled(id string) bool {
+	t, ok := s.targets[id]
+	return ok && t.reconciled
+}
+
 // Busy reports whether a target has, or may have, runs.
 func (s *Scheduler) Busy(id string) bool {
 	t, ok := s.targets[id]
