--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -72,11 +72,13 @@
 	})
 }
 
-// setTimes derives the job's times from its route and its caller's patience.
+// setTimes derives the times of a job from its route and from how long its
+// caller waits, which goes before the timeout of the route: long jobs have
+// objectives beyond it.
 func (s *submission) setTimes(header http.Header) {
 	objective := s.route.Latency + time.Duration(s.route.Slack*float64(s.job.CriticalPath()))
 	patience := s.route.Timeout
-	if timeout, ok := platform.CallerTimeout(header); ok && (patience <= 0 || timeout < patience) {
+	if timeout, ok := platform.CallerTimeout(header); ok {
 		patience = timeout
 	}
 	s.objective = s.arrived.Add(objective)
