Refuse jobs that may outlast a stopping instance, and answer the rest

Ruled out: cut by the listener's end (the instance was still waiting for a job of 8 s). Change: after SIGTERM, a job that may not end before the instance is refused; keep-alive ends when the ingress has turned away; what is left at the end is answered.

--- a/rattanfront/front.go
+++ b/rattanfront/front.go
@@ -87,26 +87,42 @@
 // Front is the handler of callers' requests.
 type Front struct {
 	config Config
-	// closing says that connections are to be closed after their answer.
-	closing atomic.Bool
-	active  atomic.Int64
+	active atomic.Int64
+	// until is when the instance ends, nil while it does not shut down.
+	until atomic.Pointer[time.Time]
 
 	mutex sync.Mutex
 	// pending holds the jobs of this instance's callers.
 	pending map[string]context.CancelCauseFunc
 }
 
-// errCancelled says that the caller cancelled its job by a request.
-const errCancelled = errors.ConstError("cancelled by its caller")
+// Causes of the end of a submission.
+const (
+	// errCancelled says that the caller cancelled its job by a request.
+	errCancelled = errors.ConstError("cancelled by its caller")
+	errStopping  = errors.ConstError("instance stops")
+	errDeadline  = errors.ConstError("deadline exceeded")
+)
 
 // New returns a front.
 func New(config Config) *Front {
 	return &Front{config: config, pending: map[string]context.CancelCauseFunc{}}
 }
 
-// Close makes all further answers close their connection.
-func (f *Front) Close() {
-	f.closing.Store(true)
+// Close makes all further answers close their connection. Jobs that may not end
+// before the instance does are refused.
+func (f *Front) Close(until time.Time) {
+	f.until.Store(&until)
+}
+
+// Abandon answers all requests in progress: their callers may send them again
+// elsewhere.
+func (f *Front) Abandon() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, cancel := range f.pending {
+		cancel(errStopping)
+	}
 }
 
 // Active returns the number of requests in progress.
@@ -119,7 +135,7 @@
 	f.active.Add(1)
 	defer f.active.Add(-1)
 	arrived := f.config.Clock()
-	if f.closing.Load() {
+	if f.until.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	state := f.config.States.State()
@@ -194,6 +210,11 @@
 		return
 	}
 	s.setTimes(r.Header)
+	if until := f.until.Load(); until != nil && s.lateUntil.After(*until) {
+		s.journal(http.StatusServiceUnavailable, "instance stops")
+		refuse(w, http.StatusServiceUnavailable, homeRetry, "instance stops")
+		return
+	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	f.remember(job.ID, cancel)
--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -106,8 +106,6 @@
 	}
 }
 
-const errDeadline = errors.ConstError("deadline exceeded")
-
 // attempt presents the job to one home.
 func (s *submission) attempt(ctx context.Context, claim rattanzone.Claim, changed <-chan struct{}) (verdict, bool) {
 	request := s.request()
@@ -167,8 +165,10 @@
 func (s *submission) interrupted(ctx context.Context) verdict {
 	cause := context.Cause(ctx)
 	switch {
-	case errors.Is(cause, errDeadline) && s.presented == 0:
+	case (errors.Is(cause, errDeadline) || errors.Is(cause, errStopping)) && s.presented == 0:
 		return verdict{status: http.StatusServiceUnavailable, retryAfter: homeRetry, reason: "zone has no home"}
+	case errors.Is(cause, errStopping):
+		return verdict{status: http.StatusGatewayTimeout, body: platform.ErrorBody("instance stops"), reason: "instance stops"}
 	case errors.Is(cause, errDeadline):
 		return verdict{status: http.StatusGatewayTimeout, body: platform.ErrorBody("not complete in time"), reason: "deadline exceeded"}
 	case errors.Is(cause, errCancelled):
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -65,6 +65,7 @@
 	front    *rattanfront.Front
 	store    *platform.Store
 	runs     *platform.Runs
+	callers  *khttp.Server
 	// closing says that the instance shuts down.
 	closing atomic.Bool
 	app     *kratos.App
@@ -159,6 +160,7 @@
 	if err != nil {
 		return errors.Annotate(err, "metrics")
 	}
+	n.callers = callers
 	n.app = kratos.New(
 		kratos.Name(settings.Instance),
 		kratos.Signal(syscall.SIGINT, syscall.SIGTERM),
@@ -210,16 +212,21 @@
 // ingress stops sending connections, before the listeners are closed.
 func (n *Node) drain(ctx context.Context) error {
 	began := n.config.Clock()
+	limit := began.Add(n.config.Settings.Grace - stopMargin)
 	n.closing.Store(true)
-	n.front.Close()
+	n.front.Close(limit)
 	n.config.Logger.WithField("Active", n.front.Active()).Info("stopping")
 	n.agent.Resign(ctx)
-	limit := began.Add(n.config.Settings.Grace - stopMargin)
-	for {
-		now := n.config.Clock()
-		if now.After(limit) || (now.Sub(began) > rotationTime && n.front.Active() == 0) {
-			return nil
-		}
+	n.await(began.Add(rotationTime), func() bool { return false })
+	n.callers.SetKeepAlivesEnabled(false)
+	n.await(limit, func() bool { return n.front.Active() == 0 })
+	n.front.Abandon()
+	return nil
+}
+
+// await returns when the condition holds or the time has come.
+func (n *Node) await(limit time.Time, condition func() bool) {
+	for n.config.Clock().Before(limit) && !condition() {
 		time.Sleep(drainPoll)
 	}
 }
