Let a task wait for the end of its earlier run, and give others time after a pause

Callers were told cancelled although they waited. Ruled out: leases (both runs were ordered by the same home). Change: tasks wait while a run of their name may be under way; after a gap in its own checks a home counts silence anew; a front presents a job again that was cancelled without its caller's wish.

--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -128,7 +128,9 @@
 		go s.front.withdraw(claim, s.job.ID)
 		return s.interrupted(ctx), true
 	}
-	if err != nil || reply.Moved {
+	// A home cancels jobs of an instance that it takes for dead; the caller of
+	// this one still waits.
+	if err != nil || reply.Moved || reply.Ended.Outcome == rattanscheduler.Cancelled {
 		s.wait(ctx, nil)
 		return verdict{}, false
 	}
@@ -172,7 +174,7 @@
 	case errors.Is(cause, errDeadline):
 		return verdict{status: http.StatusGatewayTimeout, body: platform.ErrorBody("not complete in time"), reason: "deadline exceeded"}
 	case errors.Is(cause, errCancelled):
-		return verdict{status: http.StatusOK, body: platform.BodyCancelled, reason: "cancelled"}
+		return verdict{status: http.StatusGatewayTimeout, body: platform.ErrorBody("cancelled"), reason: "cancelled"}
 	default:
 		return verdict{reason: "caller left"}
 	}
@@ -187,8 +189,6 @@
 		return verdict{status: http.StatusOK, body: platform.BodyFailed, reason: end.Reason}
 	case rattanscheduler.Refused:
 		return verdict{status: http.StatusServiceUnavailable, retryAfter: max(end.RetryAfter, time.Second), reason: end.Reason}
-	case rattanscheduler.Cancelled:
-		return verdict{status: http.StatusOK, body: platform.BodyCancelled, reason: end.Reason}
 	default:
 		return verdict{status: http.StatusGatewayTimeout, body: platform.ErrorBody("not complete in time"), reason: end.Reason}
 	}
--- a/rattanhome/service.go
+++ b/rattanhome/service.go
@@ -75,6 +75,10 @@
 	cancel   context.CancelFunc
 
 	mutex sync.Mutex
+	// checked is when holders were last checked, resumed when this instance
+	// last found that it had been paused.
+	checked time.Time
+	resumed time.Time
 	// holders maps jobs to the instances whose callers wait for them.
 	holders map[string]map[string]holder
 }
@@ -203,6 +207,12 @@
 func (s *Service) gone(now time.Time) []Cancellation {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if now.Sub(s.checked) > 2*holderCheck {
+		// The instance was paused itself: what others sent meanwhile has yet
+		// to be read.
+		s.resumed = now
+	}
+	s.checked = now
 	var list []Cancellation
 	for jobID, jobHolders := range s.holders {
 		for name, h := range jobHolders {
@@ -210,8 +220,10 @@
 				continue
 			}
 			heard, incarnation := s.presence.LastHeard(name)
-			if heard.Before(h.since) {
-				heard = h.since
+			for _, since := range [...]time.Time{h.since, s.resumed} {
+				if heard.Before(since) {
+					heard = since
+				}
 			}
 			if now.Sub(heard) > holderSilence || incarnation > h.incarnation {
 				list = append(list, Cancellation{JobID: jobID, Holder: name})
--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -86,8 +86,9 @@
 	return true
 }
 
-// refresh recomputes the tasks that may start.
-func (j *job) refresh() {
+// refresh recomputes the tasks that may start. A task with a run of an earlier
+// submission of the job still present must wait for its end.
+func (j *job) refresh(present map[string]int) {
 	open := make([]bool, len(j.submission.Job.Steps))
 	for _, t := range j.tasks {
 		if t.state != taskDone {
@@ -96,7 +97,7 @@
 	}
 	j.ready = j.ready[:0]
 	for _, t := range j.tasks {
-		if t.state == taskWaiting && !j.blocked(t.step, open) {
+		if t.state == taskWaiting && present[t.name] == 0 && !j.blocked(t.step, open) {
 			j.ready = append(j.ready, t)
 		}
 	}
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -23,7 +23,7 @@
 	t.state = taskActive
 	r := &run{target: on, name: t.name, attempt: t.attempt, need: t.need(), task: t, known: now}
 	t.run = r
-	on.runs[runKey{t.name, t.attempt}] = r
+	s.add(r)
 	on.take(r.need)
 	j := t.job
 	if j.runs == 0 {
@@ -195,7 +195,7 @@
 	r, ok := on.runs[key]
 	if !ok {
 		r = &run{target: on, name: key.name, attempt: key.attempt, state: runConfirmed, known: now, confirmed: now, orphan: true}
-		on.runs[key] = r
+		s.add(r)
 		on.orphans++
 		if t := s.waitingTask(key.name); t != nil {
 			s.bind(r, t)
@@ -246,12 +246,14 @@
 		}
 		if ok {
 			s.drop(r)
+			s.freed(r.name, now)
 		}
 		return
 	}
 	s.drop(r)
 	t := r.task
 	if t == nil || t.run != r {
+		s.freed(r.name, now)
 		return
 	}
 	if end.Checkpoint != "" && t.job.submission.Job.Steps[t.step].SavesProgress {
@@ -301,9 +303,28 @@
 	s.requeue(r, now)
 }
 
+// add takes in a run that may be under way.
+func (s *Scheduler) add(r *run) {
+	r.target.runs[runKey{r.name, r.attempt}] = r
+	s.present[r.name]++
+}
+
+// absent takes in that a run is not under way any more.
+func (s *Scheduler) absent(r *run) {
+	if r.absent {
+		return
+	}
+	r.absent = true
+	s.present[r.name]--
+	if s.present[r.name] <= 0 {
+		delete(s.present, r.name)
+	}
+}
+
 // drop forgets a run and frees its room.
 func (s *Scheduler) drop(r *run) {
 	delete(r.target.runs, runKey{r.name, r.attempt})
+	s.absent(r)
 	if !r.orphan || r.task != nil {
 		r.target.release(r.need)
 		return
@@ -318,6 +339,7 @@
 func (s *Scheduler) requeue(r *run, now time.Time) {
 	t := r.task
 	if t == nil || t.run != r {
+		s.freed(r.name, now)
 		return
 	}
 	t.run = nil
@@ -326,12 +348,17 @@
 	s.advance(t.job, now)
 }
 
+// freed lets a task start that waited for the end of an earlier run.
+func (s *Scheduler) freed(name string, now time.Time) {
+	if t := s.waitingTask(name); t != nil {
+		s.advance(t.job, now)
+	}
+}
+
 // detach lets the task of an uncertain run start elsewhere; the run keeps its
 // room until it is settled.
 func (s *Scheduler) detach(r *run, now time.Time) {
-	if r.task == nil {
-		return
-	}
+	s.absent(r)
 	s.requeue(r, now)
 	r.task = nil
 	r.state = runStopping
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -113,6 +113,8 @@
 	waiting []*job
 	// orphans are runs of jobs that no caller has presented, by task.
 	orphans map[string]*run
+	// present counts, by task, the runs that may be under way on some target.
+	present map[string]int
 	// ended holds tasks that ended as done without a job, until the time.
 	ended  map[string]time.Time
 	rates  rates
@@ -126,6 +128,7 @@
 		targets: map[string]*target{},
 		jobs:    map[string]*job{},
 		orphans: map[string]*run{},
+		present: map[string]int{},
 		ended:   map[string]time.Time{},
 		rates:   newRates(),
 	}
@@ -293,7 +296,7 @@
 	if j.outcome != Open {
 		return
 	}
-	j.refresh()
+	j.refresh(s.present)
 	if j.complete() {
 		s.end(j, Succeeded, "complete", 0, now)
 		return
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -40,8 +40,11 @@
 	// accepted one; zero if not.
 	stopSent  time.Time
 	stopAcked time.Time
-	// orphan says that the need is unknown.
+	// orphan says that an earlier home started the run.
 	orphan bool
+	// absent says that the run cannot be under way any more, though its order
+	// may still arrive.
+	absent bool
 }
 
 type runKey struct {
