--- /dev/null
+++ b/rattanscheduler/scheduler_test.go
@@ -0,0 +1,384 @@
+package rattanscheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattanwork"
+)
+
+const (
+	testService = "service"
+	jobA        = "00000000000000aa"
+	jobB        = "00000000000000bb"
+)
+
+// zone drives a scheduler in virtual time.
+type zone struct {
+	*qt.C
+	scheduler *Scheduler
+	now       time.Time
+}
+
+func newZone(c *qt.C, targets int) *zone {
+	z := &zone{C: c, now: time.Unix(1_800_000_000, 0)}
+	z.scheduler = New(Config{MaxLease: time.Second, RemotePenalty: 1.5, TakenOver: z.now})
+	var list []rattanwork.Target
+	for i := range targets {
+		list = append(list, testTarget(i))
+	}
+	z.scheduler.UpdateTargets(list, z.now)
+	return z
+}
+
+// newListedZone returns a zone whose targets have all listed their runs.
+func newListedZone(c *qt.C, targets int) *zone {
+	z := newZone(c, targets)
+	for i := range targets {
+		z.list(i, rattanwork.Listing{})
+	}
+	return z
+}
+
+func testTarget(i int) rattanwork.Target {
+	return rattanwork.Target{
+		ID:      fmt.Sprintf("t%d", i),
+		Service: testService,
+		Room:    rattanwork.Room{MilliCPU: 32000, MemoryMB: 1000},
+		Labels:  []string{"a", fmt.Sprintf("r%d", i/2)},
+	}
+}
+
+func (z *zone) pass(d time.Duration) {
+	z.now = z.now.Add(d)
+	z.scheduler.Tick(z.now)
+}
+
+func (z *zone) list(i int, listing rattanwork.Listing) {
+	z.scheduler.Listed(fmt.Sprintf("t%d", i), &listing, z.now, z.now.Add(time.Millisecond))
+	z.now = z.now.Add(2 * time.Millisecond)
+}
+
+func (z *zone) submission(id string, tasks int) Submission {
+	return Submission{
+		Job: &rattanwork.Job{ID: id, Steps: []rattanwork.Step{{
+			Count:    tasks,
+			Need:     rattanwork.Room{MilliCPU: 14000, MemoryMB: 64},
+			Estimate: 100 * time.Millisecond,
+		}}},
+		Service:     testService,
+		MaxAttempts: 3,
+		Objective:   z.now.Add(300 * time.Millisecond),
+		LateUntil:   z.now.Add(900 * time.Millisecond),
+		Deadline:    z.now.Add(2 * time.Second),
+	}
+}
+
+func (z *zone) accept(order StartOrder) {
+	z.scheduler.StartAnswered(order.Target.ID, order.Task, order.Attempt, rattanwork.StartAccepted, z.now)
+	z.now = z.now.Add(time.Millisecond)
+}
+
+func running(orders ...StartOrder) []rattanwork.Run {
+	var list []rattanwork.Run
+	for _, order := range orders {
+		list = append(list, rattanwork.Run{Task: order.Task, Attempt: order.Attempt, Percent: 50})
+	}
+	return list
+}
+
+// TestCompletes guards against a job that is not answered when all its tasks
+// have ended.
+func TestCompletes(t *testing.T) {
+	z := newListedZone(qt.New(t), 1)
+	z.scheduler.Submit(z.submission(jobA, 2), z.now)
+	z.scheduler.Tick(z.now)
+	starts := z.scheduler.Take().Starts
+	z.Assert(starts, qt.HasLen, 2)
+	z.accept(starts[0])
+	z.accept(starts[1])
+	z.list(0, rattanwork.Listing{Ended: []rattanwork.End{
+		{Sequence: 1, Task: starts[0].Task, Attempt: 1, Kind: rattanwork.EndDone},
+	}, Running: running(starts[1])})
+	z.Assert(z.scheduler.Take().Ended, qt.HasLen, 0)
+	z.list(0, rattanwork.Listing{Ended: []rattanwork.End{
+		{Sequence: 2, Task: starts[1].Task, Attempt: 1, Kind: rattanwork.EndDone},
+	}})
+	ended := z.scheduler.Take().Ended
+	z.Assert(ended, qt.HasLen, 1)
+	z.Assert(ended[0].Outcome, qt.Equals, Succeeded)
+	z.Assert(z.scheduler.targets["t0"].free, qt.Equals, testTarget(0).Room)
+}
+
+// TestRoomIsNeverOverrun guards against a start on a target whose room is
+// taken by an order without an answer.
+func TestRoomIsNeverOverrun(t *testing.T) {
+	z := newListedZone(qt.New(t), 1)
+	z.scheduler.Submit(z.submission(jobA, 2), z.now)
+	z.scheduler.Tick(z.now)
+	starts := z.scheduler.Take().Starts
+	z.Assert(starts, qt.HasLen, 2)
+	for _, order := range starts {
+		z.scheduler.StartAnswered("t0", order.Task, order.Attempt, rattanwork.StartUnknown, z.now)
+	}
+	z.pass(time.Millisecond)
+	z.scheduler.Submit(z.submission(jobB, 1), z.now)
+	z.list(0, rattanwork.Listing{})
+	output := z.scheduler.Take()
+	z.Assert(output.Starts, qt.HasLen, 0)
+	z.Assert(output.Stops, qt.HasLen, 2)
+	// The stops are accepted: the orders can do nothing any more.
+	for _, order := range output.Stops {
+		z.scheduler.StopAnswered("t0", order.Task, order.Attempt, z.now)
+	}
+	z.pass(time.Millisecond)
+	z.list(0, rattanwork.Listing{})
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 2)
+}
+
+// TestUncertainRunIsKept guards against stopping a run whose answer was lost
+// although the target lists it.
+func TestUncertainRunIsKept(t *testing.T) {
+	z := newListedZone(qt.New(t), 1)
+	z.scheduler.Submit(z.submission(jobA, 1), z.now)
+	z.scheduler.Tick(z.now)
+	starts := z.scheduler.Take().Starts
+	z.scheduler.StartAnswered("t0", starts[0].Task, 1, rattanwork.StartUnknown, z.now)
+	z.Assert(z.scheduler.Settling("t0"), qt.IsTrue)
+	z.pass(time.Millisecond)
+	z.list(0, rattanwork.Listing{Running: running(starts...)})
+	z.Assert(z.scheduler.Settling("t0"), qt.IsFalse)
+	output := z.scheduler.Take()
+	z.Assert(output.Stops, qt.HasLen, 0)
+	z.Assert(output.Starts, qt.HasLen, 0)
+}
+
+// TestListedRunIsBoundToItsJob guards against a second run of a task after a
+// change of the home, when the job is presented before its run is listed.
+func TestListedRunIsBoundToItsJob(t *testing.T) {
+	z := newZone(qt.New(t), 2)
+	z.list(1, rattanwork.Listing{})
+	submission := z.submission(jobA, 1)
+	submission.Resumed = true
+	z.scheduler.Submit(submission, z.now)
+	z.pass(10 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	name := jobA + ".0.0.0"
+	z.list(0, rattanwork.Listing{Running: []rattanwork.Run{{Task: name, Attempt: 4, Percent: 10}}})
+	z.pass(10 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	z.list(0, rattanwork.Listing{Ended: []rattanwork.End{{Sequence: 1, Task: name, Attempt: 4, Kind: rattanwork.EndDone}}})
+	ended := z.scheduler.Take().Ended
+	z.Assert(ended, qt.HasLen, 1)
+	z.Assert(ended[0].Outcome, qt.Equals, Succeeded)
+	z.Assert(z.scheduler.targets["t0"].free, qt.Equals, testTarget(0).Room)
+}
+
+// TestEndBeforePresentation guards against a second run of a task that ended
+// between two homes.
+func TestEndBeforePresentation(t *testing.T) {
+	z := newZone(qt.New(t), 1)
+	name := jobA + ".0.0.0"
+	z.list(0, rattanwork.Listing{Ended: []rattanwork.End{{Sequence: 1, Task: name, Attempt: 1, Kind: rattanwork.EndDone}}})
+	submission := z.submission(jobA, 1)
+	submission.Resumed = true
+	z.scheduler.Submit(submission, z.now)
+	z.scheduler.Tick(z.now)
+	output := z.scheduler.Take()
+	z.Assert(output.Starts, qt.HasLen, 0)
+	z.Assert(output.Ended, qt.HasLen, 1)
+	z.Assert(output.Ended[0].Outcome, qt.Equals, Succeeded)
+}
+
+// TestSecondSubmissionWaitsForFirstRuns guards against two runs of a task when
+// a job is presented again while its cancelled runs are still being stopped.
+func TestSecondSubmissionWaitsForFirstRuns(t *testing.T) {
+	z := newListedZone(qt.New(t), 2)
+	z.scheduler.Submit(z.submission(jobA, 1), z.now)
+	z.scheduler.Tick(z.now)
+	starts := z.scheduler.Take().Starts
+	z.accept(starts[0])
+	z.scheduler.Cancel(jobA, z.now)
+	z.scheduler.Submit(z.submission(jobA, 1), z.now)
+	z.pass(time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	index := 0
+	if starts[0].Target.ID == "t1" {
+		index = 1
+	}
+	z.list(index, rattanwork.Listing{Ended: []rattanwork.End{{Sequence: 1, Task: starts[0].Task, Attempt: 1, Kind: rattanwork.EndStopped}}})
+	z.pass(time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 1)
+}
+
+// TestRebornTarget guards against keeping the runs of a former life, and
+// against freeing the room of orders that may still arrive in the new one.
+func TestRebornTarget(t *testing.T) {
+	z := newListedZone(qt.New(t), 1)
+	z.list(0, rattanwork.Listing{Born: 10})
+	z.scheduler.Submit(z.submission(jobA, 2), z.now)
+	z.scheduler.Tick(z.now)
+	starts := z.scheduler.Take().Starts
+	z.Assert(starts, qt.HasLen, 2)
+	z.accept(starts[0])
+	z.scheduler.StartAnswered("t0", starts[1].Task, 1, rattanwork.StartUnknown, z.now)
+	z.pass(time.Millisecond)
+	z.list(0, rattanwork.Listing{Born: 20})
+	output := z.scheduler.Take()
+	z.Assert(output.Starts, qt.HasLen, 1)
+	z.Assert(output.Starts[0].Task, qt.Equals, starts[0].Task)
+	z.Assert(output.Starts[0].Attempt, qt.Equals, 2)
+	z.Assert(output.Stops, qt.HasLen, 1)
+	z.Assert(output.Stops[0].Task, qt.Equals, starts[1].Task)
+}
+
+// TestRefusedOnlyIfNothingStarted guards against telling a caller that its job
+// has not run when a task of it may have.
+func TestRefusedOnlyIfNothingStarted(t *testing.T) {
+	tests := map[string]struct {
+		resumed bool
+		want    Outcome
+	}{
+		"never presented":             {resumed: false, want: Refused},
+		"presented to another before": {resumed: true, want: Expired},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			z := newZone(qt.New(t), 1)
+			submission := z.submission(jobA, 1)
+			submission.Resumed = test.resumed
+			z.scheduler.Submit(submission, z.now)
+			z.pass(time.Second)
+			ended := z.scheduler.Take().Ended
+			z.Assert(ended, qt.HasLen, 1)
+			z.Assert(ended[0].Outcome, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestUnservableIsRefusedAtOnce guards against holding a job that no target can
+// ever run.
+func TestUnservableIsRefusedAtOnce(t *testing.T) {
+	z := newListedZone(qt.New(t), 1)
+	submission := z.submission(jobA, 1)
+	submission.Job.Steps[0].Need.MilliCPU = 40000
+	z.scheduler.Submit(submission, z.now)
+	ended := z.scheduler.Take().Ended
+	z.Assert(ended, qt.HasLen, 1)
+	z.Assert(ended[0].Outcome, qt.Equals, Refused)
+	z.Assert(ended[0].RetryAfter > 0, qt.IsTrue)
+}
+
+// TestSlowRunIsGivenUpEarly guards against holding a caller and the room of a
+// run that cannot end before the caller leaves.
+func TestSlowRunIsGivenUpEarly(t *testing.T) {
+	z := newListedZone(qt.New(t), 1)
+	z.scheduler.Submit(z.submission(jobA, 1), z.now)
+	z.scheduler.Tick(z.now)
+	starts := z.scheduler.Take().Starts
+	z.accept(starts[0])
+	z.pass(300 * time.Millisecond)
+	z.list(0, rattanwork.Listing{Running: []rattanwork.Run{{Task: starts[0].Task, Attempt: 1, Percent: 5}}})
+	output := z.scheduler.Take()
+	z.Assert(output.Ended, qt.HasLen, 1)
+	z.Assert(output.Ended[0].Outcome, qt.Equals, Expired)
+	z.Assert(output.Stops, qt.HasLen, 1)
+}
+
+// TestSilentTargetKeepsRoomOfUncertainOrders guards against a second run on a
+// target that carries an order out late.
+func TestSilentTargetKeepsRoomOfUncertainOrders(t *testing.T) {
+	z := newListedZone(qt.New(t), 2)
+	z.scheduler.Submit(z.submission(jobA, 1), z.now)
+	z.scheduler.Tick(z.now)
+	start := z.scheduler.Take().Starts[0]
+	z.scheduler.StartAnswered(start.Target.ID, start.Task, 1, rattanwork.StartUnknown, z.now)
+	z.scheduler.Silent(start.Target.ID, false, z.now)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	z.scheduler.Silent(start.Target.ID, true, z.now)
+	again := z.scheduler.Take().Starts
+	z.Assert(again, qt.HasLen, 1)
+	z.Assert(again[0].Target.ID, qt.Not(qt.Equals), start.Target.ID)
+	z.Assert(z.scheduler.targets[start.Target.ID].free, qt.Not(qt.Equals), testTarget(0).Room)
+}
+
+// TestFailingTargetIsSuspended guards against sending more work to a target
+// that fails all it starts.
+func TestFailingTargetIsSuspended(t *testing.T) {
+	z := newListedZone(qt.New(t), 1)
+	sequence := int64(0)
+	for _, id := range []string{jobA, jobB} {
+		z.scheduler.Submit(z.submission(id, 1), z.now)
+		z.scheduler.Tick(z.now)
+		start := z.scheduler.Take().Starts[0]
+		z.accept(start)
+		sequence++
+		z.list(0, rattanwork.Listing{Ended: []rattanwork.End{{Sequence: sequence, Task: start.Task, Attempt: start.Attempt, Kind: rattanwork.EndFailed}}})
+		z.scheduler.Cancel(id, z.now)
+		z.scheduler.Take()
+	}
+	z.Assert(z.scheduler.targets["t0"].usable(z.now), qt.IsFalse)
+	z.Assert(z.scheduler.targets["t0"].usable(z.now.Add(suspensionFirst)), qt.IsTrue)
+}
+
+// TestFailsAfterMaxAttempts guards against endless retries of a job that can
+// never be done.
+func TestFailsAfterMaxAttempts(t *testing.T) {
+	z := newListedZone(qt.New(t), 4)
+	z.scheduler.Submit(z.submission(jobA, 1), z.now)
+	z.scheduler.Tick(z.now)
+	sequences := map[string]int64{}
+	for attempt := 1; attempt <= 3; attempt++ {
+		start := z.scheduler.Take().Starts[0]
+		z.accept(start)
+		sequences[start.Target.ID]++
+		z.scheduler.Listed(start.Target.ID, &rattanwork.Listing{Ended: []rattanwork.End{
+			{Sequence: sequences[start.Target.ID], Task: start.Task, Attempt: start.Attempt, Kind: rattanwork.EndFailed},
+		}}, z.now, z.now)
+	}
+	output := z.scheduler.Take()
+	z.Assert(output.Starts, qt.HasLen, 0)
+	z.Assert(output.Ended, qt.HasLen, 1)
+	z.Assert(output.Ended[0].Outcome, qt.Equals, Failed)
+}
+
+// TestStepsAndLabels guards against a start before earlier steps are done, on a
+// target without the label, or beyond the limit of tasks on one target.
+func TestStepsAndLabels(t *testing.T) {
+	z := newListedZone(qt.New(t), 4)
+	submission := z.submission(jobA, 1)
+	first := submission.Job.Steps[0]
+	first.Label = "r1"
+	second := first
+	second.Label = ""
+	second.Count = 2
+	second.PerTarget = 1
+	second.After = []int{0}
+	submission.Job.Steps = []rattanwork.Step{first, second}
+	z.scheduler.Submit(submission, z.now)
+	z.scheduler.Tick(z.now)
+	starts := z.scheduler.Take().Starts
+	z.Assert(starts, qt.HasLen, 1)
+	z.Assert(starts[0].Target.HasLabel("r1"), qt.IsTrue)
+	z.accept(starts[0])
+	z.scheduler.Listed(starts[0].Target.ID, &rattanwork.Listing{Ended: []rattanwork.End{
+		{Sequence: 1, Task: starts[0].Task, Attempt: 1, Kind: rattanwork.EndDone},
+	}}, z.now, z.now)
+	starts = z.scheduler.Take().Starts
+	z.Assert(starts, qt.HasLen, 2)
+	z.Assert(starts[0].Target.ID, qt.Not(qt.Equals), starts[1].Target.ID)
+}
+
+// TestOrphanIsStopped guards against runs that nobody waits for.
+func TestOrphanIsStopped(t *testing.T) {
+	z := newZone(qt.New(t), 1)
+	z.list(0, rattanwork.Listing{Running: []rattanwork.Run{{Task: jobA + ".0.0.0", Attempt: 1}}})
+	z.scheduler.Submit(z.submission(jobB, 1), z.now)
+	z.pass(orphanGrace / 2)
+	z.Assert(z.scheduler.Take().Stops, qt.HasLen, 0)
+	z.pass(orphanGrace)
+	z.Assert(z.scheduler.Take().Stops, qt.HasLen, 1)
+}
