Prefer the most powerful machine of a zone as its home

Change: members announce their processor share; elections and handovers go by it, and a home yields to a machine with at least half as much again.

--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -96,6 +96,7 @@
 		Zone:        settings.Zone,
 		Address:     settings.Peers,
 		Incarnation: n.config.Clock().UnixNano(),
+		Power:       settings.Power,
 	}
 	peers := rattanpeer.New(rattanpeer.Config{Name: self.Name, Listener: peerListener, Silence: peerSilence})
 	n.desired = rattanzone.NewDesired(rattanzone.DesiredConfig{
--- a/rattanzone/beat.go
+++ b/rattanzone/beat.go
@@ -65,6 +65,7 @@
 		for _, m := range a.zoneMembers() {
 			go a.beat(m.Address, m.Name)
 		}
+		go a.yield()
 	}
 	if now.Sub(a.lastOthers) >= othersInterval {
 		a.lastOthers = now
--- a/rattanzone/election.go
+++ b/rattanzone/election.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/rattanlever/rattanlever/rattanhome"
+	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
 const (
@@ -36,8 +38,8 @@
 	a.mutex.Lock()
 	vacant := a.vacant
 	rank := 0
-	for name := range answering {
-		if name < a.config.Self.Name {
+	for _, view := range answering {
+		if view.Sender.Precedes(&a.config.Self) {
 			rank++
 		}
 	}
@@ -199,29 +201,69 @@
 	a.terminating = true
 	own := a.own
 	a.mutex.Unlock()
-	for _, m := range a.zoneMembers() {
-		if own == nil {
-			break
-		}
-		if a.isTerminating(m.Name) {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, beatTimeout)
-		_, err := a.config.Peers.Call(callCtx, m.Address, methodTakeOver, encode(a.view()))
-		cancel()
-		if err == nil {
+	if own == nil {
+		return
+	}
+	for _, successor := range a.successors() {
+		if a.handOver(ctx, successor) == nil {
 			return
 		}
 	}
 }
 
-func (a *Agent) isTerminating(name string) bool {
+// successors returns the members of the zone that may become its home, the
+// best first.
+func (a *Agent) successors() []rattanwork.Member {
+	now := a.config.Clock()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	m, ok := a.members[name]
-	return !ok || m.terminating
+	var list []rattanwork.Member
+	for _, m := range a.members {
+		if m.Zone == a.config.Self.Zone && !m.terminating && now.Sub(m.heard) < silenceLimit {
+			list = append(list, m.Member)
+		}
+	}
+	slices.SortFunc(list, func(x, y rattanwork.Member) int {
+		if x.Precedes(&y) {
+			return -1
+		}
+		return 1
+	})
+	return list
 }
 
+// handOver asks a member to become the home in place of this instance.
+func (a *Agent) handOver(ctx context.Context, successor rattanwork.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	body, err := a.config.Peers.Call(ctx, successor.Address, methodTakeOver, encode(a.view()))
+	if err != nil {
+		return err
+	}
+	var view View
+	if err := json.Unmarshal(body, &view); err != nil {
+		return errors.Annotatef(err, "view of %s", successor.Name)
+	}
+	a.merge(&view)
+	return nil
+}
+
+// yield hands the zone to a member on a much more powerful machine.
+func (a *Agent) yield() {
+	list := a.successors()
+	if len(list) == 0 || list[0].Power*yieldDenominator < a.config.Self.Power*yieldNumerator {
+		return
+	}
+	// On failure this instance stays the home and tries again.
+	_ = a.handOver(a.ctx, list[0])
+}
+
+// A home yields to a machine with at least 3/2 of its processor share.
+const (
+	yieldNumerator   = 3
+	yieldDenominator = 2
+)
+
 // onTakeOver claims the zone because its home shuts down.
 func (a *Agent) onTakeOver(_ context.Context, sender string, body []byte) ([]byte, error) {
 	var view View
