--- a/rattancmd/serve_test.go
+++ b/rattancmd/serve_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/rattanlever/rattanlever/platform"
+	"github.com/rattanlever/rattanlever/rattanmetric"
 	"github.com/rattanlever/rattanlever/rattansite"
 )
 
@@ -365,6 +367,24 @@
 	s.checkGet(sitePrefix, http.StatusOK, `{"pending":0}`)
 	s.checkGet(sitePrefix+"00000000000000aa", http.StatusGone, "")
 	s.checkGet("/none/", http.StatusNotFound, "")
+	s.checkMetrics()
+}
+
+// checkMetrics checks that the home has each metric of docs/metrics.md that a
+// calm day touches.
+func (s *site) checkMetrics() {
+	s.Helper()
+	response, err := http.Get("http://" + s.homeOf("a").ip + ":7735/metrics")
+	s.Assert(err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	page, err := io.ReadAll(response.Body)
+	s.Assert(err, qt.IsNil)
+	faults := []string{rattanmetric.TargetsSilentTotal, rattanmetric.HomesDeposedTotal}
+	for _, row := range rattanmetric.ServeRows() {
+		if !slices.Contains(faults, row.Name) {
+			s.Check(string(page), qt.Contains, row.Name)
+		}
+	}
 }
 
 func (s *site) checkGet(path string, status int, body string) {
--- a/rattancmd/servecmd.go
+++ b/rattancmd/servecmd.go
@@ -37,6 +37,9 @@
 	}
 	rattanlog.SetGlobal(logger)
 	settings, err := platform.ReadSettings(o.Settings)
+	if errors.Is(err, platform.ErrNoSettings) {
+		return usageError("--settings: %v", err)
+	}
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/rattanmetric/registry.go
+++ b/rattanmetric/registry.go
@@ -97,7 +97,7 @@
 
 func documented(name string) bool {
 	base, labels, _ := strings.Cut(name, "{")
-	for _, row := range table {
+	for _, row := range slices.Concat(table, serveTable) {
 		if row.Name == base {
 			return slices.EqualFunc(row.Labels, splitLabels(labels), func(label, pair string) bool {
 				return strings.HasPrefix(pair, label+"=")
--- a/rattanmetric/table.go
+++ b/rattanmetric/table.go
@@ -111,6 +111,10 @@
 	{ConfigurationRevision, KindGauge, nil, "Revision of the configuration in force."},
 	{CertificateLifeSeconds, KindGauge, nil, "Time to the end of the own certificate; only with TLS."},
 	{InvariantBreachesTotal, KindCounter, nil, "Breaches of invariants found by the program's own checks; 0 in a correct system."},
+}
+
+// serveTable holds the metrics of the command serve.
+var serveTable = []Row{
 	{RequestsTotal, KindCounter, []string{"status"}, "Submissions of callers on the users' platform by status class of the answer; none if the caller left."},
 	{RequestSeconds, KindHistogram, nil, "Time from a submission's arrival to its answer, on the users' platform."},
 	{JobOutcomesTotal, KindCounter, []string{"outcome"}, "Jobs of the own home that ended, by outcome."},
@@ -131,17 +135,37 @@
 |---|---|---|---|
 `
 
-// Rows returns the table of all metrics.
+const serveHead = `
+## Metrics of the command serve
+
+One instance on the users' platform serves these at port 7735.
+
+| name | kind | labels | description |
+|---|---|---|---|
+`
+
+// Rows returns the table of the metrics of an entry instance.
 func Rows() []Row {
 	return slices.Clone(table)
 }
 
+// ServeRows returns the table of the metrics of the command serve.
+func ServeRows() []Row {
+	return slices.Clone(serveTable)
+}
+
 // Page returns the documentation of all metrics in Markdown.
 func Page() string {
 	var page strings.Builder
 	page.WriteString(pageHead)
-	for _, row := range table {
+	writeRows(&page, table)
+	page.WriteString(serveHead)
+	writeRows(&page, serveTable)
+	return page.String()
+}
+
+func writeRows(page *strings.Builder, rows []Row) {
+	for _, row := range rows {
 		page.WriteString("| `" + row.Name + "` | " + string(row.Kind) + " | " + strings.Join(row.Labels, ", ") + " | " + row.Description + " |\n")
 	}
-	return page.String()
 }
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -118,6 +118,8 @@
 	// ended holds tasks that ended as done without a job, until the time.
 	ended  map[string]time.Time
 	rates  rates
+	// informed says that the targets of the zone are known.
+	informed bool
 	output Output
 }
 
@@ -175,7 +177,7 @@
 	j := newJob(submission, now)
 	s.jobs[submission.Job.ID] = j
 	s.adopt(j)
-	if !j.started() && !s.servable(j) {
+	if !j.started() && s.informed && !s.servable(j) {
 		s.end(j, Refused, "no target for it", noTargetRetry, now)
 		return true
 	}
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -92,6 +92,7 @@
 // UpdateTargets takes in the targets of the zone. Targets that are not listed
 // take no new work; they are forgotten once nothing runs there.
 func (s *Scheduler) UpdateTargets(listed []rattanwork.Target, now time.Time) {
+	s.informed = s.informed || len(listed) > 0
 	seen := make(map[string]bool, len(listed))
 	for i := range listed {
 		seen[listed[i].ID] = true
--- a/rattanzone/election.go
+++ b/rattanzone/election.go
@@ -251,13 +251,17 @@
 // yield hands the zone to a member on a much more powerful machine.
 func (a *Agent) yield() {
 	list := a.successors()
-	if len(list) == 0 || list[0].Power*yieldDenominator < a.config.Self.Power*yieldNumerator {
+	if len(list) == 0 || !muchMorePowerful(&list[0], &a.config.Self) {
 		return
 	}
 	// On failure this instance stays the home and tries again.
 	_ = a.handOver(a.ctx, list[0])
 }
 
+func muchMorePowerful(candidate, home *rattanwork.Member) bool {
+	return candidate.Power > home.Power && candidate.Power*yieldDenominator >= home.Power*yieldNumerator
+}
+
 // A home yields to a machine with at least 3/2 of its processor share.
 const (
 	yieldNumerator   = 3
