Explain a request from the logs of instances

explain ID reads log lines and tells the request's way through front and home and the cause of its answer; jobs that did not go as planned log the history of their runs. The row of the usage test that took serve for an unknown command uses another word, and serve without settings got a row of its own.

--- /dev/null
+++ b/rattancmd/explain_test.go
@@ -0,0 +1,51 @@
+package rattancmd
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestExplain guards against an explanation that misses the cause of an answer
+// or mixes in other requests.
+func TestExplain(t *testing.T) {
+	const other = `{"Job":"00000000000000bb","Message":"request answered","Reason":"complete","Status":200,"Presented":1,"Time":"2026-12-04T08:00:00Z"}` + "\n"
+	tests := map[string]struct {
+		log  string
+		want []string
+	}{
+		"refused": {
+			`  1.5 front-a {"Job":"00000000000000aa","Message":"request answered","Reason":"cannot start in time","Status":503,"Presented":1,"Home":"front-b","ElapsedMS":80,"Time":"2026-12-04T08:00:01Z"}` + "\n" +
+				`{"Job":"00000000000000aa","Message":"job ended","Outcome":"Refused","Reason":"cannot start in time","Tasks":8,"Time":"2026-12-04T08:00:00Z"}` + "\n",
+			[]string{"home: Refused", "status 503", "cause: cannot start in time; no task was started"},
+		},
+		"presented again": {
+			`{"Job":"00000000000000aa","Message":"request answered","Reason":"complete","Status":200,"Presented":2,"Time":"2026-12-04T08:00:01Z"}` + "\n",
+			[]string{"cause: complete; the job was presented 2 times"},
+		},
+		"failed runs": {
+			`{"Job":"00000000000000aa","Message":"job ended","Outcome":"Failed","Reason":"a task failed too often","Tasks":1,"Runs":3,"Failures":3,"History":["a run"],"Time":"2026-12-04T08:00:00Z"}` + "\n" +
+				`{"Job":"00000000000000aa","Message":"request answered","Reason":"a task failed too often","Status":200,"Presented":1,"Time":"2026-12-04T08:00:01Z"}` + "\n",
+			[]string{"    a run", "cause: a task failed too often; 3 runs were needed for 1 tasks"},
+		},
+		"front missing": {
+			`{"Job":"00000000000000aa","Message":"job ended","Outcome":"Cancelled","Reason":"cancelled","Time":"2026-12-04T08:00:00Z"}` + "\n",
+			[]string{"no front tells of an answer"},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			code, out, errOut := invoke(other+test.log, "explain", "00000000000000aa")
+			c.Assert(code, qt.Equals, 0, qt.Commentf("%s", errOut))
+			for _, want := range test.want {
+				c.Check(out, qt.Contains, want)
+			}
+			c.Check(out, qt.Not(qt.Contains), "00000000000000bb")
+		})
+	}
+	c := qt.New(t)
+	code, _, errOut := invoke(other, "explain", "00000000000000aa")
+	c.Assert(code, qt.Equals, 1)
+	c.Assert(errOut, qt.Contains, "00000000000000aa")
+}
--- a/rattancmd/main.go
+++ b/rattancmd/main.go
@@ -75,6 +75,7 @@
 		confirmCommand(std),
 		demoCommand(std),
 		entryCommand(std),
+		explainCommand(std),
 		jobCommand(std),
 		keysCommand(std),
 		planCommand(std),
--- a/rattancmd/main_test.go
+++ b/rattancmd/main_test.go
@@ -68,7 +68,9 @@
 		want string
 	}{
 		{"", "", "command"},
-		{"serve", "", "serve"},
+		{"sreve", "", "sreve"},
+		{"serve", "", "serve: --settings: RATTANLEVER_NODE_FILE is not set"},
+		{"explain", "", "ID"},
 		{"job", "", "command"},
 		{"demo more", "", "more: unexpected argument"},
 		{"demo --plant none", "", "--plant"},
--- a/rattancmd/servecmd.go
+++ b/rattancmd/servecmd.go
@@ -38,7 +38,7 @@
 	rattanlog.SetGlobal(logger)
 	settings, err := platform.ReadSettings(o.Settings)
 	if errors.Is(err, platform.ErrNoSettings) {
-		return usageError("--settings: %v", err)
+		return usageError("serve: --settings: %v", err)
 	}
 	if err != nil {
 		return errors.Trace(err)
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -1,6 +1,7 @@
 package rattannode
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -69,7 +70,7 @@
 func (j *Journal) JobEnded(ended rattanscheduler.Ended) {
 	j.wait.Update(ended.FirstStart.Seconds())
 	j.registry.Counter(rattanmetric.With(rattanmetric.JobOutcomesTotal, "outcome", ended.Outcome.String())).Inc()
-	j.logger.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"Job":          ended.JobID,
 		"Outcome":      ended.Outcome.String(),
 		"Reason":       ended.Reason,
@@ -79,7 +80,27 @@
 		"Failures":     ended.Failures,
 		"FirstStartMS": milliseconds(ended.FirstStart),
 		"ElapsedMS":    milliseconds(ended.Elapsed),
-	}).Info("job ended")
+	}
+	if len(ended.History) > 0 {
+		fields["History"] = historyText(ended.History)
+	}
+	j.logger.WithFields(fields).Info("job ended")
+}
+
+// historyLimit bounds how many runs of a job one line tells of.
+const historyLimit = 24
+
+func historyText(history []rattanscheduler.RunRecord) []string {
+	lines := make([]string, 0, min(len(history), historyLimit))
+	for _, run := range history[max(0, len(history)-historyLimit):] {
+		how := run.How
+		if how == "" {
+			how = "not ended"
+		}
+		lines = append(lines, fmt.Sprintf("%s attempt %d on %s: ordered at %s, %s at %s", run.Task, run.Attempt, run.Target,
+			run.Ordered.Round(time.Millisecond), how, run.Ended.Round(time.Millisecond)))
+	}
+	return lines
 }
 
 // TargetSilent records that a target does not answer.
--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -48,6 +48,32 @@
 	runs       int
 	failures   int
 	firstStart time.Duration
+	history    []RunRecord
+}
+
+// record returns the history of a job that did not go as planned.
+func (j *job) record(outcome Outcome) []RunRecord {
+	if outcome == Succeeded && j.runs == len(j.tasks) {
+		return nil
+	}
+	return j.history
+}
+
+// ordered records that a run was ordered.
+func (j *job) ordered(r *run, now time.Time) {
+	j.history = append(j.history, RunRecord{Task: r.name, Target: r.target.info.ID, Attempt: r.attempt, Ordered: now.Sub(j.submitted)})
+}
+
+// ran records how a run ended.
+func (j *job) ran(r *run, how string, now time.Time) {
+	for i := len(j.history) - 1; i >= 0; i-- {
+		entry := &j.history[i]
+		if entry.Task == r.name && entry.Attempt == r.attempt && entry.How == "" {
+			entry.Ended = now.Sub(j.submitted)
+			entry.How = how
+			return
+		}
+	}
 }
 
 func newJob(submission Submission, now time.Time) *job {
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -28,6 +28,7 @@
 	}
 	j.runs++
 	j.wasStarted = true
+	j.ordered(r, now)
 	s.output.Starts = append(s.output.Starts, StartOrder{
 		Target:     &on.info,
 		Task:       t.name,
@@ -61,6 +62,9 @@
 		}
 	default:
 		s.drop(r)
+		if r.task != nil {
+			r.task.job.ran(r, result.String(), now)
+		}
 		if result != rattanwork.StartFenced {
 			on.suspendedUntil = now.Add(refusalPause)
 		}
@@ -253,6 +257,7 @@
 		s.freed(r.name, now)
 		return
 	}
+	t.job.ran(r, end.Kind.String(), now)
 	if end.Checkpoint != "" && t.job.submission.Job.Steps[t.step].SavesProgress {
 		t.checkpoint = end.Checkpoint
 	}
@@ -339,6 +344,7 @@
 		s.freed(r.name, now)
 		return
 	}
+	t.job.ran(r, "Lost", now)
 	t.run = nil
 	t.avoid = r.target
 	t.state = taskWaiting
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -83,6 +83,20 @@
 	FirstStart time.Duration
 	// Elapsed is the time since the submission.
 	Elapsed time.Duration
+	// History tells of all runs, unless the job went as planned.
+	History []RunRecord
+}
+
+// RunRecord tells what became of one run of a job. Times are since the job's
+// submission.
+type RunRecord struct {
+	Task    string
+	Target  string
+	Attempt int
+	Ordered time.Duration
+	// Ended is 0 while the run has not ended; How says in a word how it did.
+	Ended time.Duration
+	How   string
 }
 
 // Output holds the decisions that were taken since the last call of Take.
@@ -116,11 +130,11 @@
 	// present counts, by task, the runs that may be under way on some target.
 	present map[string]int
 	// ended holds tasks that ended as done without a job, until the time.
-	ended  map[string]time.Time
-	rates  rates
+	ended map[string]time.Time
+	rates rates
 	// informed says that the targets of the zone are known.
 	informed bool
-	output Output
+	output   Output
 }
 
 // New returns a scheduler without targets.
@@ -334,6 +348,7 @@
 		Failures:   j.failures,
 		FirstStart: j.firstStart,
 		Elapsed:    now.Sub(j.submitted),
+		History:    j.record(outcome),
 	})
 }
 
