--- a/rattanscheduler/order.go
+++ b/rattanscheduler/order.go
@@ -21,6 +21,8 @@
 type candidate struct {
 	job   *job
 	band  band
+	// begun is 0 for a job of which a run was ordered, 1 for others.
+	begun int
 	slack time.Duration
 }
 
@@ -38,6 +40,9 @@
 	submission := &j.submission
 	finish := now.Add(rest)
 	c := candidate{job: j, slack: submission.Objective.Sub(finish)}
+	if j.runs == 0 {
+		c.begun = 1
+	}
 	switch {
 	case c.slack >= 0:
 		c.band = bandOnTime
@@ -49,8 +54,10 @@
 	return c
 }
 
-// candidates returns the waiting jobs in the order in which they may start:
-// on time before late, and the one with the least time to spare first.
+// candidates returns the waiting jobs in the order in which they may start: on
+// time before late, begun before others, because a job that stays incomplete
+// wastes what was done of it, then by priority, and the one with the least time
+// to spare first.
 func (s *Scheduler) candidates(now time.Time) []candidate {
 	list := make([]candidate, 0, len(s.waiting))
 	for _, j := range s.waiting {
@@ -60,7 +67,7 @@
 		list = append(list, s.classify(j, now))
 	}
 	slices.SortStableFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.band, b.band), cmp.Compare(a.slack, b.slack))
+		return cmp.Or(cmp.Compare(a.band, b.band), cmp.Compare(a.begun, b.begun), cmp.Compare(a.job.submission.Priority, b.job.submission.Priority), cmp.Compare(a.slack, b.slack))
 	})
 	return list
 }
@@ -83,6 +90,52 @@
 // the last renewal was under way.
 const leaseMarginPercent = 115
 
+// refuseCrowded refuses jobs that have not begun and cannot begin in time
+// behind the work that goes before them.
+func (s *Scheduler) refuseCrowded(now time.Time) {
+	if len(s.waiting) == 0 {
+		return
+	}
+	capacity := s.capacity(now)
+	if capacity == 0 {
+		return
+	}
+	ahead := 0.0
+	for _, c := range s.candidates(now) {
+		wait := time.Duration(ahead / capacity)
+		if c.begun == 1 && !c.job.started() && wait > max(c.slack, 0)+crowdTolerance {
+			s.end(c.job, Refused, "too much work before it", s.backlog(now), now)
+			continue
+		}
+		ahead += s.waitingWork(c.job)
+	}
+}
+
+// crowdTolerance is how much later than its objective a job may be expected to
+// end before it is refused: the estimate of the wait is rough.
+const crowdTolerance = 20 * time.Millisecond
+
+// capacity returns the processor room of all usable targets.
+func (s *Scheduler) capacity(now time.Time) float64 {
+	room := 0
+	for _, t := range s.targets {
+		if t.usable(now) {
+			room += t.info.Room.MilliCPU
+		}
+	}
+	return float64(room)
+}
+
+// waitingWork returns the expected run time of a job's waiting tasks times
+// their processor need.
+func (s *Scheduler) waitingWork(j *job) float64 {
+	work := 0.0
+	for _, t := range j.ready {
+		work += float64(s.rates.expected(j, t.step)) * float64(t.need().MilliCPU)
+	}
+	return work
+}
+
 // dropHopeless ends the jobs whose answer would be worth nothing.
 func (s *Scheduler) dropHopeless(now time.Time) {
 	for _, j := range append([]*job(nil), s.waiting...) {
@@ -118,18 +171,11 @@
 func (s *Scheduler) backlog(now time.Time) time.Duration {
 	work := 0.0
 	for _, j := range s.waiting {
-		for _, t := range j.ready {
-			work += float64(s.rates.expected(j, t.step)) * float64(t.need().MilliCPU)
-		}
-	}
-	room := 0
-	for _, t := range s.targets {
-		if t.usable(now) {
-			room += t.info.Room.MilliCPU
-		}
+		work += s.waitingWork(j)
 	}
-	if room == 0 {
+	capacity := s.capacity(now)
+	if capacity == 0 {
 		return noTargetRetry
 	}
-	return max(time.Second, time.Duration(work/float64(room)))
+	return max(time.Second, time.Duration(work/capacity))
 }
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -215,6 +215,7 @@
 	s.repeatStops(now)
 	s.dropHopeless(now)
 	s.schedule(now)
+	s.refuseCrowded(now)
 	for name, until := range s.ended {
 		if now.After(until) {
 			delete(s.ended, name)
--- a/rattanscheduler/scheduler_test.go
+++ b/rattanscheduler/scheduler_test.go
@@ -380,3 +380,43 @@
 	z.pass(orphanGrace)
 	z.Assert(z.scheduler.Take().Stops, qt.HasLen, 1)
 }
+
+// TestBegunJobsGoFirst guards against jobs that stay incomplete at the crest
+// because others of which nothing has run overtake them.
+func TestBegunJobsGoFirst(t *testing.T) {
+	z := newListedZone(qt.New(t), 1)
+	z.scheduler.Submit(z.submission(jobA, 3), z.now)
+	z.scheduler.Tick(z.now)
+	starts := z.scheduler.Take().Starts
+	z.Assert(starts, qt.HasLen, 2)
+	z.accept(starts[0])
+	z.accept(starts[1])
+	urgent := z.submission(jobB, 1)
+	urgent.Objective = z.now.Add(250 * time.Millisecond)
+	z.scheduler.Submit(urgent, z.now)
+	z.list(0, rattanwork.Listing{Running: running(starts[1]), Ended: []rattanwork.End{
+		{Sequence: 1, Task: starts[0].Task, Attempt: 1, Kind: rattanwork.EndDone},
+	}})
+	next := z.scheduler.Take().Starts
+	z.Assert(next, qt.HasLen, 1)
+	z.Assert(next[0].Task, qt.Equals, jobA+".0.0.2")
+}
+
+// TestCrowdedJobIsRefusedAtOnce guards against holding a caller although the
+// work that goes before its job already takes longer than the job can wait.
+func TestCrowdedJobIsRefusedAtOnce(t *testing.T) {
+	z := newListedZone(qt.New(t), 1)
+	for i := range 12 {
+		z.scheduler.Submit(z.submission(fmt.Sprintf("%016x", i), 2), z.now)
+		z.scheduler.Tick(z.now)
+	}
+	refused := 0
+	for _, ended := range z.scheduler.Take().Ended {
+		z.Check(ended.Outcome, qt.Equals, Refused)
+		z.Check(ended.Elapsed, qt.Equals, time.Duration(0))
+		refused++
+	}
+	// Two tasks run at a time for 100 ms each, and jobs may wait for 200 ms:
+	// one job runs, and two to four wait.
+	z.Check(refused >= 7 && refused <= 9, qt.IsTrue, qt.Commentf("%d refused", refused))
+}
