--- a/rattancmd/serve_test.go
+++ b/rattancmd/serve_test.go
@@ -551,3 +551,34 @@
 	l.end()
 	s.Check(l.other.Load(), qt.Equals, int64(0))
 }
+
+// TestServeOtherZone guards against refusing jobs that another zone has room
+// for, and against runs that go on there after their caller's instance was
+// killed.
+func TestServeOtherZone(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, []string{"a", "b"}, 2, 4)
+	for _, target := range s.targets[:3] {
+		s.Assert(target.Drain(), qt.IsNil)
+	}
+	time.Sleep(2 * time.Second)
+	all := s.instances
+	s.instances = all[:2]
+	l := s.load(4)
+	l.waitGood(time.Now())
+	time.Sleep(2 * time.Second)
+	s.kill(all[0], syscall.SIGKILL)
+	time.Sleep(time.Second)
+	s.start(all[0])
+	time.Sleep(time.Second)
+	l.end()
+	s.instances = all
+	s.Check(l.other.Load(), qt.Equals, int64(0))
+	s.Check(l.succeeded.Load() > 5*l.refused.Load(), qt.IsTrue, qt.Commentf("%d succeeded, %d refused", l.succeeded.Load(), l.refused.Load()))
+	time.Sleep(300 * time.Millisecond)
+	moved := 0
+	for _, instance := range all[:2] {
+		moved += strings.Count(instance.output.String(), `"Zone":"b"`)
+	}
+	s.Check(moved > 0, qt.IsTrue)
+}
--- a/rattanfront/front.go
+++ b/rattanfront/front.go
@@ -35,6 +35,8 @@
 // Homes finds the home of a zone.
 type Homes interface {
 	Home(zone string) (rattanzone.Claim, bool, <-chan struct{})
+	// Contact keeps the instance at the address informed that this one lives.
+	Contact(address string) (release func())
 }
 
 // Local takes jobs if this instance is the home.
@@ -65,8 +67,9 @@
 	Status int
 	Reason string
 	// Home is the instance that decided, Presented how often the job was
-	// presented to a home.
+	// presented to a home, Zone the zone of that home.
 	Home      string
+	Zone      string
 	Presented int
 	Elapsed   time.Duration
 	// Version is that of the desired state which the request was handled by.
--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -20,6 +20,9 @@
 	presentPause = 40 * time.Millisecond
 	// homelessLimit is how long a job that no home has seen waits for one.
 	homelessLimit = 400 * time.Millisecond
+	// remoteLimit is how long the home of another zone may be out of reach
+	// before its job is given up.
+	remoteLimit = 2 * time.Second
 )
 
 // submission is one job of a caller of this instance.
@@ -37,6 +40,12 @@
 	// presented counts the homes that may know of the job.
 	presented int
 	home      string
+	// zone is where the job is presented, redirected says that its own zone had
+	// no room for it.
+	zone       string
+	redirected bool
+	// reached is when a home of the zone last answered or was first asked.
+	reached time.Time
 }
 
 // verdict is how a submission is answered.
@@ -66,6 +75,7 @@
 		Status:    status,
 		Reason:    reason,
 		Home:      s.home,
+		Zone:      s.zone,
 		Presented: s.presented,
 		Elapsed:   s.front.config.Clock().Sub(s.arrived),
 		Version:   s.state.Version,
@@ -90,8 +100,9 @@
 func (s *submission) run(ctx context.Context) verdict {
 	ctx, cancel := context.WithDeadlineCause(ctx, s.deadline, errDeadline)
 	defer cancel()
+	s.zone = s.front.config.Self.Zone
 	for {
-		claim, ok, changed := s.front.config.Homes.Home(s.front.config.Self.Zone)
+		claim, ok, changed := s.front.config.Homes.Home(s.zone)
 		if !ok {
 			if s.presented == 0 && s.front.config.Clock().Sub(s.arrived) > homelessLimit {
 				return verdict{status: http.StatusServiceUnavailable, retryAfter: homeRetry, reason: "zone has no home"}
@@ -111,6 +122,9 @@
 	request := s.request()
 	s.presented++
 	s.home = claim.Name
+	if s.redirected {
+		defer s.front.config.Homes.Contact(claim.Address)()
+	}
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// A home that was given up may never answer.
@@ -128,6 +142,16 @@
 		go s.front.withdraw(claim, s.job.ID)
 		return s.interrupted(ctx), true
 	}
+	if reply.Ended.Outcome == rattanscheduler.Redirected {
+		s.zone = reply.Ended.Zone
+		s.redirected = true
+		s.presented = 0
+		s.reached = s.front.config.Clock()
+		return verdict{}, false
+	}
+	if s.redirected && err != nil && s.front.config.Clock().Sub(s.reached) > remoteLimit {
+		return verdict{status: http.StatusGatewayTimeout, body: platform.ErrorBody("not complete in time"), reason: "other zone out of reach"}, true
+	}
 	// A home cancels jobs of an instance that it takes for dead; the caller of
 	// this one still waits.
 	if err != nil || reply.Moved || reply.Ended.Outcome == rattanscheduler.Cancelled {
@@ -150,6 +174,7 @@
 		LateUntil:   s.lateUntil.Sub(now),
 		Deadline:    s.deadline.Sub(now),
 		Resumed:     s.presented > 0,
+		MayMove:     s.presented == 0 && !s.redirected,
 	}
 }
 
--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -170,6 +170,13 @@
 	h.flush(now)
 }
 
+// SetElsewhere takes in the room of other availability zones.
+func (h *Home) SetElsewhere(list []rattanscheduler.Elsewhere) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.scheduler.SetElsewhere(list)
+}
+
 // Submit waits for the outcome of a job, which is started unless it is known
 // already. ErrDeposed says that the job must be presented to another home; on
 // the end of ctx the job goes on.
--- a/rattanhome/service.go
+++ b/rattanhome/service.go
@@ -41,6 +41,7 @@
 	LateUntil   time.Duration
 	Deadline    time.Duration
 	Resumed     bool
+	MayMove     bool
 }
 
 // Reply is the outcome of a request.
@@ -158,6 +159,7 @@
 		LateUntil:   now.Add(r.LateUntil),
 		Deadline:    now.Add(r.Deadline),
 		Resumed:     r.Resumed,
+		MayMove:     r.MayMove,
 	}
 }
 
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -47,6 +47,7 @@
 		"Status":    answer.Status,
 		"Reason":    answer.Reason,
 		"Home":      answer.Home,
+		"Zone":      answer.Zone,
 		"Presented": answer.Presented,
 		"ElapsedMS": milliseconds(answer.Elapsed),
 		"Desired":   answer.Version,
--- a/rattanscheduler/enum_string.go
+++ b/rattanscheduler/enum_string.go
@@ -14,11 +14,12 @@
 	_ = x[Refused-3]
 	_ = x[Expired-4]
 	_ = x[Cancelled-5]
+	_ = x[Redirected-6]
 }
 
-const _Outcome_name = "OpenSucceededFailedRefusedExpiredCancelled"
+const _Outcome_name = "OpenSucceededFailedRefusedExpiredCancelledRedirected"
 
-var _Outcome_index = [...]uint8{0, 4, 13, 19, 26, 33, 42}
+var _Outcome_index = [...]uint8{0, 4, 13, 19, 26, 33, 42, 52}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/rattanscheduler/order.go
+++ b/rattanscheduler/order.go
@@ -19,8 +19,8 @@
 
 // candidate is a waiting job with the values that order it.
 type candidate struct {
-	job   *job
-	band  band
+	job  *job
+	band band
 	// begun is 0 for a job of which a run was ordered, 1 for others.
 	begun int
 	slack time.Duration
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -30,6 +30,9 @@
 	Expired
 	// Cancelled says that nobody waits for the job any more.
 	Cancelled
+	// Redirected says that no task of the job has started here and that
+	// another availability zone has room for it.
+	Redirected
 )
 
 // Submission is a job with what its route says of it.
@@ -45,6 +48,14 @@
 	Deadline  time.Time
 	// Resumed says that an earlier home may have started tasks of the job.
 	Resumed bool
+	// MayMove says that the job may be redirected to another availability zone.
+	MayMove bool
+}
+
+// Elsewhere is the room of another availability zone.
+type Elsewhere struct {
+	Zone         string
+	FreeMilliCPU int
 }
 
 // StartOrder is the decision to start a run.
@@ -67,6 +78,8 @@
 type Ended struct {
 	JobID   string
 	Outcome Outcome
+	// Zone is where a redirected job is to be presented.
+	Zone string
 	// RetryAfter is when a refused job is likely to be served.
 	RetryAfter time.Duration
 	// Reason says in a few words what decided the outcome.
@@ -132,6 +145,8 @@
 	// ended holds tasks that ended as done without a job, until the time.
 	ended map[string]time.Time
 	rates rates
+	// elsewhere holds the room of other zones, less what was redirected since.
+	elsewhere []Elsewhere
 	// informed says that the targets of the zone are known.
 	informed bool
 	output   Output
@@ -215,6 +230,7 @@
 	s.repeatStops(now)
 	s.dropHopeless(now)
 	s.schedule(now)
+	s.redirect(now)
 	s.refuseCrowded(now)
 	for name, until := range s.ended {
 		if now.After(until) {
@@ -329,6 +345,13 @@
 	if j.outcome != Open {
 		return
 	}
+	zone := ""
+	if outcome == Refused {
+		zone = s.zoneFor(j)
+	}
+	if zone != "" {
+		outcome = Redirected
+	}
 	j.outcome = outcome
 	j.ready = nil
 	delete(s.jobs, j.submission.Job.ID)
@@ -341,6 +364,7 @@
 	s.output.Ended = append(s.output.Ended, Ended{
 		JobID:      j.submission.Job.ID,
 		Outcome:    outcome,
+		Zone:       zone,
 		RetryAfter: retryAfter,
 		Reason:     reason,
 		Tasks:      len(j.tasks),
--- a/rattanscheduler/scheduler_test.go
+++ b/rattanscheduler/scheduler_test.go
@@ -420,3 +420,34 @@
 	// one job runs, and two to four wait.
 	z.Check(refused >= 7 && refused <= 9, qt.IsTrue, qt.Commentf("%d refused", refused))
 }
+
+// TestRedirect guards against refusing or holding a job that another zone has
+// room for, against sending more there than fits, and against moving a job
+// twice or after it may have started.
+func TestRedirect(t *testing.T) {
+	z := newListedZone(qt.New(t), 1)
+	z.scheduler.SetElsewhere([]Elsewhere{{Zone: "b", FreeMilliCPU: 60000}, {Zone: "c", FreeMilliCPU: 200000}})
+	z.scheduler.Submit(z.submission(jobA, 2), z.now)
+	z.scheduler.Tick(z.now)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 2)
+	submit := func(id string, change func(*Submission)) {
+		submission := z.submission(id, 4)
+		submission.MayMove = true
+		change(&submission)
+		z.scheduler.Submit(submission, z.now)
+	}
+	submit("0000000000000001", func(*Submission) {})
+	submit("0000000000000002", func(*Submission) {})
+	submit("0000000000000003", func(s *Submission) { s.MayMove = false })
+	submit("0000000000000004", func(s *Submission) { s.Resumed = true })
+	z.Assert(z.scheduler.Take().Ended, qt.HasLen, 0)
+	z.pass(redirectWait)
+	var redirected []string
+	for _, ended := range z.scheduler.Take().Ended {
+		if ended.Outcome == Redirected {
+			redirected = append(redirected, ended.JobID+ended.Zone)
+		}
+	}
+	// Zone c has room for twice a job of 56000 until two have gone there.
+	z.Assert(redirected, qt.DeepEquals, []string{"0000000000000001c", "0000000000000002c"})
+}
--- a/rattanzone/agent.go
+++ b/rattanzone/agent.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -10,6 +12,7 @@
 
 	"github.com/rattanlever/rattanlever/rattanhome"
 	"github.com/rattanlever/rattanlever/rattanpeer"
+	"github.com/rattanlever/rattanlever/rattanscheduler"
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
@@ -89,6 +92,8 @@
 	started     time.Time
 	// changed is closed and replaced when the home of the own zone changes.
 	changed chan struct{}
+	// contacts counts, by address, the jobs that homes of other zones hold.
+	contacts map[string]int
 	// lastRounds are the times of the last beats by kind.
 	lastZone   time.Time
 	lastOthers time.Time
@@ -115,9 +120,11 @@
 		cancel:  cancel,
 		members: map[string]*member{},
 		homes:   map[string]*belief{},
-		vacant:  now,
-		started: now,
-		changed: make(chan struct{}),
+
+		contacts: map[string]int{},
+		vacant:   now,
+		started:  now,
+		changed:  make(chan struct{}),
 	}
 	config.Peers.Handle(methodBeat, a.onBeat)
 	config.Peers.Handle(methodTakeOver, a.onTakeOver)
@@ -173,18 +180,43 @@
 	return b.claim, true, a.changed
 }
 
-// Homes returns the claims of other zones whose home was heard of lately.
-func (a *Agent) Homes() []Claim {
-	now := a.config.Clock()
+// elsewhere returns the room of other zones whose home was heard lately.
+func (a *Agent) elsewhere(now time.Time) []rattanscheduler.Elsewhere {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	var claims []Claim
+	var list []rattanscheduler.Elsewhere
 	for zone, b := range a.homes {
-		if zone != a.config.Self.Zone && b.age(now) < otherZoneFresh {
-			claims = append(claims, b.claim)
+		if zone != a.config.Self.Zone && b.age(now) < loadFresh && b.claim.Load.WaitingTasks == 0 {
+			list = append(list, rattanscheduler.Elsewhere{Zone: zone, FreeMilliCPU: b.claim.Load.FreeMilliCPU})
+		}
+	}
+	slices.SortFunc(list, func(x, y rattanscheduler.Elsewhere) int { return strings.Compare(x.Zone, y.Zone) })
+	return list
+}
+
+// Contact keeps an instance of another zone informed that this one lives until
+// the returned function is called.
+func (a *Agent) Contact(address string) (release func()) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.contacts[address]++
+	return func() {
+		a.mutex.Lock()
+		defer a.mutex.Unlock()
+		a.contacts[address]--
+		if a.contacts[address] == 0 {
+			delete(a.contacts, address)
 		}
 	}
-	return claims
+}
+
+// beatContacts beats the instances that hold jobs of this one's callers.
+func (a *Agent) beatContacts() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for address := range a.contacts {
+		go a.beat(address, "")
+	}
 }
 
 // LastHeard returns when an instance was last heard of and its incarnation.
--- a/rattanzone/beat.go
+++ b/rattanzone/beat.go
@@ -20,7 +20,10 @@
 	// zoneInterval is how often a home talks to all members of its zone.
 	zoneInterval = 600 * time.Millisecond
 	// othersInterval is how often a home talks to the other zones.
-	othersInterval = 200 * time.Millisecond
+	othersInterval = 140 * time.Millisecond
+	// loadFresh is how old the load of another zone's home may be for work to
+	// be sent there.
+	loadFresh = 400 * time.Millisecond
 	// beatTimeout bounds one beat.
 	beatTimeout = 250 * time.Millisecond
 	// silenceLimit is how long a home may be silent before it is suspected.
@@ -45,7 +48,9 @@
 func (a *Agent) round() time.Duration {
 	a.checkOwn()
 	now := a.config.Clock()
-	if a.Own() != nil {
+	a.beatContacts()
+	if own := a.Own(); own != nil {
+		own.SetElsewhere(a.elsewhere(now))
 		a.homeRound(now)
 		return beatInterval
 	}
