--- a/rattanwork/desired.go
+++ b/rattanwork/desired.go
@@ -3,8 +3,13 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/juju/errors"
 )
 
+// ErrNoDesired says that the operator has written no desired state yet.
+const ErrNoDesired = errors.ConstError("no desired state yet")
+
 // Route is a queue that callers submit jobs to.
 type Route struct {
 	Name   string
--- a/rattanzone/desired.go
+++ b/rattanzone/desired.go
@@ -136,7 +136,11 @@
 		if ctx.Err() != nil {
 			return
 		}
-		d.failed(err)
+		if errors.Is(err, rattanwork.ErrNoDesired) {
+			d.answered()
+		} else {
+			d.failed(err)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(watchRetry):
