Move tasks away from slow targets

Cause: on targets whose tasks stand still or crawl, jobs were ended as too slow 0.1 s after a run without progress, or waited for it, while others had room; slow runs did not count against their target. Change: a run that is three times slower than expected counts against its target like a failure; its task starts anew elsewhere, at most twice, if it could not end in time there or the target is suspended.

--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -23,6 +23,7 @@
 	// attempt is the highest attempt that was ordered.
 	attempt    int
 	failures   int
+	restarts   int
 	checkpoint string
 	run        *run
 	// avoid is the target of the last run that failed or was lost.
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -221,24 +221,6 @@
 	s.progressed(r, row.Percent, now)
 }
 
-// progressed ends a job as soon as the progress of a run shows that it cannot
-// be complete before its caller leaves, so that the caller learns it early and
-// the room serves others.
-func (s *Scheduler) progressed(r *run, percent int, now time.Time) {
-	elapsed := now.Sub(r.known)
-	if r.orphan || elapsed < progressLeast {
-		return
-	}
-	shortest := time.Duration(float64(elapsed) * 100 / float64(percent+1))
-	if r.known.Add(shortest).After(r.task.job.submission.Deadline) {
-		s.end(r.task.job, Expired, "a task is too slow to end in time", 0, now)
-	}
-}
-
-// progressLeast is the age of a run below which its progress tells nothing:
-// runs take a moment to begin, and progress is rounded down to whole percents.
-const progressLeast = 100 * time.Millisecond
-
 func (s *Scheduler) runEnded(on *target, end rattanwork.End, now time.Time) {
 	r, ok := on.runs[runKey{end.Task, end.Attempt}]
 	if !ok || (r.orphan && r.task == nil) {
@@ -286,7 +268,11 @@
 func (s *Scheduler) taskDone(t *task, r *run, now time.Time) {
 	t.run = nil
 	t.state = taskDone
-	r.target.health.succeeded()
+	if s.tooSlow(r, now.Sub(r.known)) {
+		s.suspectSlow(r, now)
+	} else {
+		r.target.health.succeeded()
+	}
 	s.rates.observe(t.job, t.step, r, now)
 	s.advance(t.job, now)
 }
--- a/rattanscheduler/scheduler_test.go
+++ b/rattanscheduler/scheduler_test.go
@@ -274,7 +274,11 @@
 // run that cannot end before the caller leaves.
 func TestSlowRunIsGivenUpEarly(t *testing.T) {
 	z := newListedZone(qt.New(t), 1)
-	z.scheduler.Submit(z.submission(jobA, 1), z.now)
+	submission := z.submission(jobA, 1)
+	submission.Job.Steps[0].Estimate = 2500 * time.Millisecond
+	submission.Objective = z.now.Add(4 * time.Second)
+	submission.LateUntil = z.now.Add(12 * time.Second)
+	z.scheduler.Submit(submission, z.now)
 	z.scheduler.Tick(z.now)
 	starts := z.scheduler.Take().Starts
 	z.accept(starts[0])
@@ -451,3 +455,27 @@
 	// Zone c has room for twice a job of 56000 until two have gone there.
 	z.Assert(redirected, qt.DeepEquals, []string{"0000000000000001c", "0000000000000002c"})
 }
+
+// TestSlowTargetIsLeft guards against waiting for a task that stands still on
+// its target while another target could complete it, and against sending more
+// work to such a target.
+func TestSlowTargetIsLeft(t *testing.T) {
+	z := newListedZone(qt.New(t), 2)
+	z.scheduler.Submit(z.submission(jobA, 1), z.now)
+	z.scheduler.Tick(z.now)
+	start := z.scheduler.Take().Starts[0]
+	z.accept(start)
+	z.pass(200 * time.Millisecond)
+	index := int(start.Target.ID[1] - '0')
+	z.list(index, rattanwork.Listing{Running: []rattanwork.Run{{Task: start.Task, Attempt: 1}}})
+	output := z.scheduler.Take()
+	z.Assert(output.Ended, qt.HasLen, 0)
+	z.Assert(output.Stops, qt.HasLen, 1)
+	z.list(index, rattanwork.Listing{Ended: []rattanwork.End{{Sequence: 1, Task: start.Task, Attempt: 1, Kind: rattanwork.EndStopped}}})
+	again := z.scheduler.Take().Starts
+	z.Assert(again, qt.HasLen, 1)
+	z.Assert(again[0].Target.ID, qt.Not(qt.Equals), start.Target.ID)
+	// A second job that stands still there convicts the target.
+	z.scheduler.suspectSlow(&run{target: z.scheduler.targets[start.Target.ID], task: &task{job: &job{}}}, z.now)
+	z.Assert(z.scheduler.targets[start.Target.ID].usable(z.now), qt.IsFalse)
+}
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -40,6 +40,8 @@
 	stopAcked time.Time
 	// orphan says that an earlier home started the run.
 	orphan bool
+	// suspected says that the run has been counted as slow.
+	suspected bool
 	// absent says that the run cannot be under way any more, though its order
 	// may still arrive.
 	absent bool
