--- a/rattancmd/servecmd.go
+++ b/rattancmd/servecmd.go
@@ -12,7 +12,7 @@
 )
 
 type serveOptions struct {
-	Settings string `long:"settings" value-name:"FILE" description:"settings file of the platform; the default is the file that RATTANLEVER_NODE_FILE names"`
+	Settings string `long:"settings" value-name:"FILE" description:"settings file of the platform; the default is the one that the platform names in the environment"`
 	LogLevel string `long:"log-level" value-name:"LEVEL" default:"info" description:"least severe level of lines that are written"`
 
 	std *streams
@@ -22,7 +22,7 @@
 	return command{
 		name:    "serve",
 		short:   "Run one instance on the users' platform",
-		example: "RATTANLEVER_NODE_FILE=/etc/rattanlever/boot.json rattanlever serve",
+		example: "rattanlever serve --settings boot.json",
 		data:    &serveOptions{std: std},
 	}
 }
--- a/rattanfront/front.go
+++ b/rattanfront/front.go
@@ -181,7 +181,7 @@
 
 // submit reads a job, has it run and answers.
 func (f *Front) submit(w http.ResponseWriter, r *http.Request, s *submission) {
-	limit := s.state.Limits.BodyBytes
+	limit := s.state.MaxBody
 	if limit <= 0 {
 		limit = maxBody
 	}
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -239,16 +239,6 @@
 	}
 }
 
-// RefuseWaiting refuses all jobs of which nothing has started, because this
-// home gives up its targets.
-func (s *Scheduler) RefuseWaiting(reason string, now time.Time) {
-	for _, j := range append([]*job(nil), s.waiting...) {
-		if !j.started() {
-			s.end(j, Refused, reason, noTargetRetry, now)
-		}
-	}
-}
-
 const (
 	// noTargetRetry is how soon a target may be back: targets announce
 	// themselves within a second or two of their start.
--- a/rattanwork/desired.go
+++ b/rattanwork/desired.go
@@ -31,26 +31,13 @@
 	NeedsAdvice bool
 }
 
-// Service is a group of targets.
-type Service struct {
-	Name string
-}
-
-// Limits bound what a caller's connection may send.
-type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
-
 // DesiredState is one version of the operator's configuration.
 type DesiredState struct {
 	// Version grows with each change.
-	Version  int64
-	Routes   []Route
-	Services map[string]Service
-	Limits   Limits
+	Version int64
+	Routes  []Route
+	// MaxBody is the largest body of a request in bytes, 0 if not stated.
+	MaxBody int64
 }
 
 // Match returns the route of the host with the longest prefix of the path.
--- a/rattanzone/agent.go
+++ b/rattanzone/agent.go
@@ -94,7 +94,7 @@
 	changed chan struct{}
 	// contacts counts, by address, the jobs that homes of other zones hold.
 	contacts map[string]int
-	// lastRounds are the times of the last beats by kind.
+	// lastZone and lastOthers are when a home last beat its zone and the others.
 	lastZone   time.Time
 	lastOthers time.Time
 }
@@ -102,8 +102,6 @@
 type member struct {
 	rattanwork.Member
 	terminating bool
-	// failed is since when calls have failed, zero if the last one did not.
-	failed time.Time
 	// heard is when the member last sent a view.
 	heard time.Time
 	// listed is when the directory last named the member.
@@ -115,12 +113,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	now := config.Clock()
 	a := &Agent{
-		config:  config,
-		ctx:     ctx,
-		cancel:  cancel,
-		members: map[string]*member{},
-		homes:   map[string]*belief{},
-
+		config:   config,
+		ctx:      ctx,
+		cancel:   cancel,
+		members:  map[string]*member{},
+		homes:    map[string]*belief{},
 		contacts: map[string]int{},
 		vacant:   now,
 		started:  now,
@@ -215,7 +212,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	for address := range a.contacts {
-		go a.beat(address, "")
+		go a.beat(address)
 	}
 }
 
--- a/rattanzone/beat.go
+++ b/rattanzone/beat.go
@@ -68,7 +68,7 @@
 	if now.Sub(a.lastZone) >= zoneInterval {
 		a.lastZone = now
 		for _, m := range a.zoneMembers() {
-			go a.beat(m.Address, m.Name)
+			go a.beat(m.Address)
 		}
 		go a.yield()
 	}
@@ -99,13 +99,13 @@
 	}
 	a.mutex.Unlock()
 	for _, address := range addresses {
-		go a.beat(address, "")
+		go a.beat(address)
 	}
 }
 
 // followerRound beats the home and suspects it if it is gone or silent.
 func (a *Agent) followerRound(claim Claim) {
-	err := a.beat(claim.Address, claim.Name)
+	err := a.beat(claim.Address)
 	now := a.config.Clock()
 	if err == nil {
 		return
@@ -132,12 +132,11 @@
 }
 
 // beat exchanges views with the instance at the address.
-func (a *Agent) beat(address, name string) error {
+func (a *Agent) beat(address string) error {
 	ctx, cancel := context.WithTimeout(a.ctx, beatTimeout)
 	defer cancel()
 	body, err := a.config.Peers.Call(ctx, address, methodBeat, encode(a.view()))
 	if err != nil {
-		a.beatFailed(name)
 		return err
 	}
 	var view View
@@ -148,15 +147,6 @@
 	return nil
 }
 
-func (a *Agent) beatFailed(name string) {
-	now := a.config.Clock()
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	if m, ok := a.members[name]; ok && m.failed.IsZero() {
-		m.failed = now
-	}
-}
-
 func (a *Agent) onBeat(_ context.Context, _ string, body []byte) ([]byte, error) {
 	var view View
 	if err := json.Unmarshal(body, &view); err != nil {
@@ -250,7 +240,7 @@
 	if claim.Name == a.config.Self.Name || claim.Age > silenceLimit {
 		return
 	}
-	a.homes[claim.Zone] = &belief{claim: claim, heard: heard, direct: direct}
+	a.homes[claim.Zone] = &belief{claim: claim, heard: heard}
 	if claim.Zone != a.config.Self.Zone {
 		return
 	}
@@ -267,7 +257,6 @@
 		b.heard = heard
 		b.claim.Load = claim.Load
 	}
-	b.direct = b.direct || direct
 	if own && direct && !a.vacant.IsZero() && a.own == nil && b.age(now) < silenceLimit {
 		a.follow(claim, "answers again")
 	}
--- a/rattanzone/election.go
+++ b/rattanzone/election.go
@@ -121,7 +121,7 @@
 	}
 	self := a.config.Self
 	claim := Claim{Zone: self.Zone, Name: self.Name, Address: self.Address, Fence: a.nextFence(now)}
-	a.homes[self.Zone] = &belief{claim: claim, heard: now, direct: true}
+	a.homes[self.Zone] = &belief{claim: claim, heard: now}
 	a.vacant = time.Time{}
 	a.own = a.config.NewHome(claim.Fence)
 	own := a.own
--- a/rattanzone/view.go
+++ b/rattanzone/view.go
@@ -45,8 +45,6 @@
 type belief struct {
 	claim Claim
 	heard time.Time
-	// direct says that the home itself was heard, not only of it.
-	direct bool
 }
 
 func (b *belief) age(now time.Time) time.Duration {
