Keep a resubmitted job where runs of its first copy may be under way

Cause (found by reading): a job submitted again while the runs of its cancelled first copy were being stopped could be redirected to another zone once one of its tasks was ready, and the task still under way here could then run there as well. It could also be refused as not run.

Change: a job of which runs are present counts as started, so it is neither moved nor refused. TestRedirectWaitsForFirstRuns failed before. Also: Submit returns nothing that nobody reads, and the candidate says begun as a bool.

--- a/rattanscheduler/order.go
+++ b/rattanscheduler/order.go
@@ -21,11 +21,34 @@
 type candidate struct {
 	job  *job
 	band band
-	// begun is 0 for a job of which a run was ordered, 1 for others.
-	begun int
+	// begun says that a run of the job was ordered.
+	begun bool
 	slack time.Duration
 }
 
+// compare orders candidates: on time before late, begun before others,
+// because a job that stays incomplete wastes what was done of it, then by
+// priority, and the one with the least time to spare first.
+func (c candidate) compare(other candidate) int {
+	return cmp.Or(
+		cmp.Compare(c.band, other.band),
+		compareTrueFirst(c.begun, other.begun),
+		cmp.Compare(c.job.submission.Priority, other.job.submission.Priority),
+		cmp.Compare(c.slack, other.slack),
+	)
+}
+
+func compareTrueFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // expectedRest returns the expected run time of the longest waiting task.
 func (s *Scheduler) expectedRest(j *job) time.Duration {
 	rest := time.Duration(0)
@@ -39,10 +62,7 @@
 	rest := s.expectedRest(j)
 	submission := &j.submission
 	finish := now.Add(rest)
-	c := candidate{job: j, slack: submission.Objective.Sub(finish)}
-	if j.runs == 0 {
-		c.begun = 1
-	}
+	c := candidate{job: j, begun: j.runs > 0, slack: submission.Objective.Sub(finish)}
 	switch {
 	case c.slack >= 0:
 		c.band = bandOnTime
@@ -54,10 +74,7 @@
 	return c
 }
 
-// candidates returns the waiting jobs in the order in which they may start: on
-// time before late, begun before others, because a job that stays incomplete
-// wastes what was done of it, then by priority, and the one with the least time
-// to spare first.
+// candidates returns the waiting jobs in the order in which they may start.
 func (s *Scheduler) candidates(now time.Time) []candidate {
 	list := make([]candidate, 0, len(s.waiting))
 	for _, j := range s.waiting {
@@ -66,9 +83,7 @@
 		}
 		list = append(list, s.classify(j, now))
 	}
-	slices.SortStableFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.band, b.band), cmp.Compare(a.begun, b.begun), cmp.Compare(a.job.submission.Priority, b.job.submission.Priority), cmp.Compare(a.slack, b.slack))
-	})
+	slices.SortStableFunc(list, candidate.compare)
 	return list
 }
 
@@ -103,7 +118,7 @@
 	ahead := 0.0
 	for _, c := range s.candidates(now) {
 		wait := time.Duration(ahead / capacity)
-		if c.begun == 1 && !c.job.started() && wait > max(c.slack, 0)+crowdTolerance {
+		if !c.begun && !c.job.started() && wait > max(c.slack, 0)+crowdTolerance {
 			s.end(c.job, Refused, "too much work before it", s.backlog(now), now)
 			continue
 		}
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -197,21 +197,20 @@
 	return free
 }
 
-// Submit takes in a job, or finds the job of that ID, and reports whether it is
-// new. A job that no target can ever run is refused at once.
-func (s *Scheduler) Submit(submission Submission, now time.Time) (isNew bool) {
+// Submit takes in a job unless one of that ID is known. A job that no target
+// can ever run is refused at once.
+func (s *Scheduler) Submit(submission Submission, now time.Time) {
 	if _, ok := s.jobs[submission.Job.ID]; ok {
-		return false
+		return
 	}
 	j := newJob(submission, now)
 	s.jobs[submission.Job.ID] = j
 	s.adopt(j)
 	if !j.started() && s.informed && !s.servable(j) {
 		s.end(j, Refused, "no target for it", noTargetRetry, now)
-		return true
+		return
 	}
 	s.advance(j, now)
-	return true
 }
 
 // Cancel ends a job that nobody waits for.
@@ -269,9 +268,14 @@
 	return true
 }
 
-// adopt binds the runs and ends that an earlier home left behind.
+// adopt binds the runs and ends that an earlier home left behind. A job of
+// which runs of an earlier submission may still be under way has started: it
+// can neither be refused nor go to another zone.
 func (s *Scheduler) adopt(j *job) {
 	for _, t := range j.tasks {
+		if s.present[t.name] > 0 {
+			j.wasStarted = true
+		}
 		if _, ok := s.ended[t.name]; ok {
 			delete(s.ended, t.name)
 			t.state = taskDone
--- a/rattanscheduler/scheduler_test.go
+++ b/rattanscheduler/scheduler_test.go
@@ -479,3 +479,32 @@
 	z.scheduler.suspectSlow(&run{target: z.scheduler.targets[start.Target.ID], task: &task{job: &job{}}}, z.now)
 	z.Assert(z.scheduler.targets[start.Target.ID].usable(z.now), qt.IsFalse)
 }
+
+// TestRedirectWaitsForFirstRuns guards against two runs of a task in two zones:
+// a job that is submitted again must stay where runs of its cancelled first
+// copy may still be under way.
+func TestRedirectWaitsForFirstRuns(t *testing.T) {
+	z := newListedZone(qt.New(t), 1)
+	z.scheduler.SetElsewhere([]Elsewhere{{Zone: "b", FreeMilliCPU: 200000}})
+	z.scheduler.Submit(z.submission(jobA, 2), z.now)
+	z.scheduler.Tick(z.now)
+	starts := z.scheduler.Take().Starts
+	z.Assert(starts, qt.HasLen, 2)
+	for _, start := range starts {
+		z.accept(start)
+	}
+	z.scheduler.Cancel(jobA, z.now)
+	again := z.submission(jobA, 2)
+	again.MayMove = true
+	again.Priority = 1
+	z.scheduler.Submit(again, z.now)
+	z.scheduler.Submit(z.submission(jobB, 1), z.now)
+	z.list(0, rattanwork.Listing{Running: running(starts[1]), Ended: []rattanwork.End{
+		{Sequence: 1, Task: starts[0].Task, Attempt: 1, Kind: rattanwork.EndStopped},
+	}})
+	z.scheduler.Take()
+	z.pass(redirectWait)
+	for _, ended := range z.scheduler.Take().Ended {
+		z.Check(ended.Outcome, qt.Not(qt.Equals), Redirected)
+	}
+}
