Measure run times only between lists that were answered

Cause (logs of late-orders-reborn): when the list that tells of an end gets lost, the end is learnt up to 450 ms late. The run then counted as slow, which suspended its target, and the learnt run times rose, so that jobs were refused as crowded.

Ruled out: silent targets (146 in 16 s over 48 targets).

Change: after a lost list a run's length is taken up to the last list before it, and is not learnt from. TestLostListsAreNoSlowness failed before.

--- a/rattanhome/lease.go
+++ b/rattanhome/lease.go
@@ -172,6 +172,7 @@
 	}
 	if err != nil {
 		l.lastError = err
+		h.scheduler.Unanswered(l.id)
 		return err
 	}
 	l.listed(listing, sent, void, now)
--- a/rattanscheduler/rates.go
+++ b/rattanscheduler/rates.go
@@ -27,12 +27,12 @@
 }
 
 // observe takes in the run time of a run that ended as done.
-func (r *rates) observe(j *job, step int, done *run, now time.Time) {
+func (r *rates) observe(j *job, step int, done *run, length time.Duration) {
 	estimate := j.submission.Job.Steps[step].Estimate
 	if estimate <= 0 || done.orphan {
 		return
 	}
-	ratio := float64(now.Sub(done.known)) / float64(estimate)
+	ratio := float64(length) / float64(estimate)
 	ratio = min(max(ratio, rateLeast), rateMost)
 	key := keyOf(j)
 	old, ok := r.ratios[key]
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -97,6 +97,13 @@
 	return false
 }
 
+// Unanswered takes in that an order to list runs got no answer.
+func (s *Scheduler) Unanswered(targetID string) {
+	if on, ok := s.targets[targetID]; ok {
+		on.unanswered = true
+	}
+}
+
 // Silent takes in that a target does not answer. It takes no new work until it
 // has listed its runs again. When its leases have certainly expired, its
 // confirmed runs are lost and their tasks may start elsewhere.
@@ -156,6 +163,8 @@
 		}
 	}
 	on.reconciled = true
+	on.listed = now
+	on.unanswered = false
 	s.schedule(now)
 }
 
@@ -268,12 +277,15 @@
 func (s *Scheduler) taskDone(t *task, r *run, now time.Time) {
 	t.run = nil
 	t.state = taskDone
-	if s.tooSlow(r, now.Sub(r.known)) {
+	length, exact := r.length(now)
+	if s.tooSlow(r, length) {
 		s.suspectSlow(r, now)
 	} else {
 		r.target.health.succeeded()
 	}
-	s.rates.observe(t.job, t.step, r, now)
+	if exact {
+		s.rates.observe(t.job, t.step, r, length)
+	}
 	s.advance(t.job, now)
 }
 
@@ -291,6 +303,16 @@
 	s.requeue(r, now)
 }
 
+// length returns how long a run that has ended took at least, and whether that
+// is exact: when a list was lost, the run may have ended right after the one
+// before it.
+func (r *run) length(now time.Time) (length time.Duration, exact bool) {
+	if !r.target.unanswered {
+		return now.Sub(r.known), true
+	}
+	return max(0, r.target.listed.Sub(r.known)), false
+}
+
 // add takes in a run that may be under way.
 func (s *Scheduler) add(r *run) {
 	r.target.runs[runKey{r.name, r.attempt}] = r
--- a/rattanscheduler/scheduler_test.go
+++ b/rattanscheduler/scheduler_test.go
@@ -508,3 +508,22 @@
 		z.Check(ended.Outcome, qt.Not(qt.Equals), Redirected)
 	}
 }
+
+// TestLostListsAreNoSlowness guards against suspending a target, and against
+// learning longer run times, because the list that tells of an end got lost.
+func TestLostListsAreNoSlowness(t *testing.T) {
+	z := newListedZone(qt.New(t), 1)
+	for i, id := range []string{jobA, jobB} {
+		z.scheduler.Submit(z.submission(id, 1), z.now)
+		z.scheduler.Tick(z.now)
+		start := z.scheduler.Take().Starts[0]
+		z.accept(start)
+		z.scheduler.Unanswered("t0")
+		z.pass(450 * time.Millisecond)
+		z.list(0, rattanwork.Listing{Ended: []rattanwork.End{{Sequence: int64(i + 1), Task: start.Task, Attempt: 1, Kind: rattanwork.EndDone}}})
+		z.Assert(z.scheduler.Take().Ended, qt.HasLen, 1)
+	}
+	z.Assert(z.scheduler.targets["t0"].usable(z.now), qt.IsTrue)
+	z.scheduler.Submit(z.submission("00000000000000cc", 1), z.now)
+	z.Assert(z.scheduler.rates.expected(z.scheduler.jobs["00000000000000cc"], 0), qt.Equals, 100*time.Millisecond)
+}
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -66,6 +66,11 @@
 	// end of that life.
 	born     int64
 	sequence int64
+	// listed is when the last list arrived, unanswered says that an order to
+	// list got no answer since: what the next list tells may be as old as the
+	// last one.
+	listed     time.Time
+	unanswered bool
 	// silent says that the target has not answered since the last list.
 	silent bool
 	// suspendedUntil is when a target that failed work is tried again.
