Renew leases more often while answers of a target are lost

Change: for 1 s after a lost answer a target is asked with a wait of 60 ms and a timeout of 110 ms, also while idle, because a run may start during the wait.

--- /dev/null
+++ b/rattanhome/home_test.go
@@ -0,0 +1,151 @@
+package rattanhome
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattanscheduler"
+	"github.com/rattanlever/rattanlever/rattanwork"
+)
+
+// fakeTargets runs tasks in memory for a fixed time. Answers can get lost.
+type fakeTargets struct {
+	runTime time.Duration
+	// loses decides, by the number of the order, whether the answer of an order
+	// to list gets lost; nil loses none.
+	loses func(order int) bool
+
+	mutex   sync.Mutex
+	orders  int
+	lists   map[string]*rattanwork.Listing
+	changed chan struct{}
+}
+
+func newFakeTargets(runTime time.Duration) *fakeTargets {
+	return &fakeTargets{runTime: runTime, lists: map[string]*rattanwork.Listing{}, changed: make(chan struct{})}
+}
+
+func (f *fakeTargets) list(id string) *rattanwork.Listing {
+	list, ok := f.lists[id]
+	if !ok {
+		list = &rattanwork.Listing{Born: 1, ClockMillis: 1}
+		f.lists[id] = list
+	}
+	return list
+}
+
+func (f *fakeTargets) Start(_ context.Context, target *rattanwork.Target, order rattanwork.StartOrder) (rattanwork.StartResult, int64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	list := f.list(target.ID)
+	list.Running = append(list.Running, rattanwork.Run{Task: order.Task, Attempt: order.Attempt})
+	id := target.ID
+	time.AfterFunc(f.runTime, func() { f.end(id, order.Task, order.Attempt, rattanwork.EndDone) })
+	return rattanwork.StartAccepted, 1
+}
+
+func (f *fakeTargets) Stop(_ context.Context, target *rattanwork.Target, task string, attempt int, _ int64) error {
+	f.end(target.ID, task, attempt, rattanwork.EndStopped)
+	return nil
+}
+
+func (f *fakeTargets) end(id, task string, attempt int, kind rattanwork.EndKind) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	list := f.list(id)
+	for i, run := range list.Running {
+		if run.Task == task && run.Attempt == attempt {
+			list.Running = append(list.Running[:i:i], list.Running[i+1:]...)
+			list.Ended = append(list.Ended, rattanwork.End{Sequence: int64(len(list.Ended) + 1), Task: task, Attempt: attempt, Kind: kind})
+			close(f.changed)
+			f.changed = make(chan struct{})
+			return
+		}
+	}
+}
+
+func (f *fakeTargets) Lease(ctx context.Context, target *rattanwork.Target, order rattanwork.LeaseOrder) (*rattanwork.Listing, error) {
+	f.mutex.Lock()
+	f.orders++
+	lost := f.loses != nil && f.loses(f.orders)
+	f.mutex.Unlock()
+	if lost {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	timer := time.NewTimer(order.Wait)
+	defer timer.Stop()
+	for {
+		f.mutex.Lock()
+		list := *f.list(target.ID)
+		changed := f.changed
+		f.mutex.Unlock()
+		if order.Wait == 0 || int64(len(list.Ended)) > order.Acknowledged {
+			list.Running = append([]rattanwork.Run(nil), list.Running...)
+			list.Ended = append([]rattanwork.End(nil), list.Ended...)
+			return &list, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-timer.C:
+			order.Wait = 0
+		case <-changed:
+		}
+	}
+}
+
+// silentJournal ignores what the home decides.
+type silentJournal struct{}
+
+func (silentJournal) JobEnded(rattanscheduler.Ended)   {}
+func (silentJournal) TargetSilent(string, error)       {}
+func (silentJournal) TargetBack(string, time.Duration) {}
+func (silentJournal) Deposed(string)                   {}
+
+func newTestHome(c *qt.C, targets *fakeTargets) *Home {
+	h := New(Config{Fence: FenceStep, MaxLease: time.Second, RemotePenalty: 1.5, Targets: targets, Journal: silentJournal{}, Clock: time.Now})
+	c.Cleanup(h.Close)
+	h.UpdateTargets([]rattanwork.Target{{ID: "t0", Service: "service", Room: rattanwork.Room{MilliCPU: 1000, MemoryMB: 100}}})
+	return h
+}
+
+func testSubmission(id int) rattanscheduler.Submission {
+	now := time.Now()
+	return rattanscheduler.Submission{
+		Job: &rattanwork.Job{ID: fmt.Sprintf("%016x", id), Steps: []rattanwork.Step{{
+			Count: 1, Need: rattanwork.Room{MilliCPU: 1000}, Estimate: 20 * time.Millisecond,
+		}}},
+		Service:     "service",
+		MaxAttempts: 3,
+		Objective:   now.Add(5 * time.Second),
+		LateUntil:   now.Add(10 * time.Second),
+		Deadline:    now.Add(10 * time.Second),
+	}
+}
+
+// TestLostListsDelayLittle guards against room that stays taken for the whole
+// wait of a renewal when the answer that tells of an end gets lost: while
+// answers are being lost, targets are asked more often.
+func TestLostListsDelayLittle(t *testing.T) {
+	c := qt.New(t)
+	targets := newFakeTargets(20 * time.Millisecond)
+	targets.loses = func(order int) bool { return order > 4 && order%2 == 0 }
+	h := newTestHome(c, targets)
+	const jobs = 8
+	began := time.Now()
+	for i := range jobs {
+		ended, err := h.Submit(context.Background(), testSubmission(i))
+		c.Assert(err, qt.IsNil)
+		c.Assert(ended.Outcome, qt.Equals, rattanscheduler.Succeeded)
+	}
+	// Each job loses one list at most. With the usual wait alone a lost list
+	// costs 400 ms, 3.2 s in all.
+	elapsed := time.Since(began)
+	c.Assert(elapsed < jobs*200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", elapsed))
+}
--- a/rattanhome/lease.go
+++ b/rattanhome/lease.go
@@ -19,11 +19,18 @@
 	// leaseSlack is how much shorter than allowed leases are ordered, because
 	// the target's clock is known to a few milliseconds only.
 	leaseSlack = 20 * time.Millisecond
+	// leaseWaitLossy is the same for targets of which answers were lost less
+	// than lossMemory ago: the end of a run whose list is lost keeps its room
+	// until the next list.
+	leaseWaitLossy = 60 * time.Millisecond
+	lossMemory     = 1 * time.Second
 	// orderTimeout is how long an order to start or stop may take; targets in
 	// the zone answer within a millisecond or two.
 	orderTimeout = 50 * time.Millisecond
-	// leaseTimeout is added to the wait for the answer to a renewal.
-	leaseTimeout = 100 * time.Millisecond
+	// leaseTimeout is added to the wait for the answer to a renewal,
+	// leaseTimeoutLossy while answers are being lost.
+	leaseTimeout      = 100 * time.Millisecond
+	leaseTimeoutLossy = 50 * time.Millisecond
 	// quickRetries is how often a lost renewal is repeated at once.
 	quickRetries = 2
 	retryPause   = 60 * time.Millisecond
@@ -53,6 +60,8 @@
 	fence  int64
 	raises int
 	raised time.Time
+	// lost is when an order last got no answer.
+	lost time.Time
 	// silent is since when the target does not answer, lastError why.
 	silent    time.Time
 	lastError error
@@ -138,13 +147,7 @@
 	h := l.home
 	h.mutex.Lock()
 	sent := h.config.Clock()
-	wait := leaseWaitIdle
-	if h.scheduler.Busy(l.id) {
-		wait = leaseWait
-	}
-	if atOnce || !h.scheduler.Reconciled(l.id) {
-		wait = 0
-	}
+	wait, timeout := l.patience(atOnce, sent)
 	order := rattanwork.LeaseOrder{
 		ExpiresMillis: l.expiry(sent),
 		Fence:         l.fence,
@@ -154,10 +157,6 @@
 	void := l.raised
 	h.mutex.Unlock()
 
-	timeout := wait + leaseTimeout
-	if atOnce {
-		timeout = orderTimeout
-	}
 	ctx, cancel := context.WithTimeout(h.ctx, timeout)
 	defer cancel()
 	listing, err := h.config.Targets.Lease(ctx, target, order)
@@ -172,6 +171,7 @@
 	}
 	if err != nil {
 		l.lastError = err
+		l.lost = now
 		h.scheduler.Unanswered(l.id)
 		return err
 	}
@@ -180,6 +180,23 @@
 	return nil
 }
 
+// patience returns how long the target may hold its answer to a renewal, and
+// how long to wait for that answer. The caller holds the home's mutex.
+func (l *lease) patience(atOnce bool, now time.Time) (wait, timeout time.Duration) {
+	switch {
+	case atOnce:
+		return 0, orderTimeout
+	case !l.home.scheduler.Reconciled(l.id):
+		return 0, leaseTimeout
+	case now.Sub(l.lost) < lossMemory:
+		return leaseWaitLossy, leaseWaitLossy + leaseTimeoutLossy
+	case !l.home.scheduler.Busy(l.id):
+		return leaseWaitIdle, leaseWaitIdle + leaseTimeout
+	default:
+		return leaseWait, leaseWait + leaseTimeout
+	}
+}
+
 // silent takes in that a target does not answer.
 func (h *Home) silent(l *lease) {
 	now := h.config.Clock()
@@ -267,6 +284,7 @@
 	l.sawClock(clock, now)
 	h.scheduler.StartAnswered(l.id, order.Task, order.Attempt, result, now)
 	if result == rattanwork.StartUnknown {
+		l.lost = now
 		l.raise(now)
 		l.nudge()
 	}
