Ask again at once while an order is unsettled

Cause (histories of ended jobs on late-orders-reborn): a run without an answer stayed unsettled for up to 270 ms. The list asked for at once was lost as well, and the loop then waited for the next renewal.

Change: the loop asks again until the order is settled or the target counts as silent.

--- a/rattanhome/home_test.go
+++ b/rattanhome/home_test.go
@@ -16,12 +16,15 @@
 // fakeTargets runs tasks in memory for a fixed time. Answers can get lost.
 type fakeTargets struct {
 	runTime time.Duration
-	// loses decides, by the number of the order, whether the answer of an order
-	// to list gets lost; nil loses none.
-	loses func(order int) bool
+	// losesList decides, by the number and the wait of the order, whether an
+	// order to list gets lost, losesStart, by its number, whether an order to
+	// start does; nil loses none.
+	losesList  func(number int, wait time.Duration) bool
+	losesStart func(number int) bool
 
 	mutex   sync.Mutex
 	orders  int
+	starts  int
 	lists   map[string]*rattanwork.Listing
 	changed chan struct{}
 }
@@ -39,9 +42,16 @@
 	return list
 }
 
-func (f *fakeTargets) Start(_ context.Context, target *rattanwork.Target, order rattanwork.StartOrder) (rattanwork.StartResult, int64) {
+func (f *fakeTargets) Start(ctx context.Context, target *rattanwork.Target, order rattanwork.StartOrder) (rattanwork.StartResult, int64) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.starts++
+	if f.losesStart != nil && f.losesStart(f.starts) {
+		f.mutex.Unlock()
+		<-ctx.Done()
+		f.mutex.Lock()
+		return rattanwork.StartUnknown, 0
+	}
 	list := f.list(target.ID)
 	list.Running = append(list.Running, rattanwork.Run{Task: order.Task, Attempt: order.Attempt})
 	id := target.ID
@@ -72,7 +82,7 @@
 func (f *fakeTargets) Lease(ctx context.Context, target *rattanwork.Target, order rattanwork.LeaseOrder) (*rattanwork.Listing, error) {
 	f.mutex.Lock()
 	f.orders++
-	lost := f.loses != nil && f.loses(f.orders)
+	lost := f.losesList != nil && f.losesList(f.orders, order.Wait)
 	f.mutex.Unlock()
 	if lost {
 		<-ctx.Done()
@@ -135,7 +145,7 @@
 func TestLostListsDelayLittle(t *testing.T) {
 	c := qt.New(t)
 	targets := newFakeTargets(20 * time.Millisecond)
-	targets.loses = func(order int) bool { return order > 4 && order%2 == 0 }
+	targets.losesList = func(number int, _ time.Duration) bool { return number > 4 && number%2 == 0 }
 	h := newTestHome(c, targets)
 	const jobs = 8
 	began := time.Now()
@@ -149,3 +159,28 @@
 	elapsed := time.Since(began)
 	c.Assert(elapsed < jobs*200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", elapsed))
 }
+
+// TestUnsettledOrderIsAskedForAgain guards against a task that waits for the
+// next renewal to learn that its order did not arrive, because the list that
+// was asked for at once got lost as well.
+func TestUnsettledOrderIsAskedForAgain(t *testing.T) {
+	c := qt.New(t)
+	targets := newFakeTargets(20 * time.Millisecond)
+	targets.losesStart = func(number int) bool { return number == 1 }
+	lostAtOnce := false
+	targets.losesList = func(number int, wait time.Duration) bool {
+		lose := number > 2 && wait == 0 && !lostAtOnce
+		lostAtOnce = lostAtOnce || lose
+		return lose
+	}
+	h := newTestHome(c, targets)
+	// By then the renewal under way is one of an idle target, with a long wait.
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	ended, err := h.Submit(context.Background(), testSubmission(1))
+	c.Assert(err, qt.IsNil)
+	c.Assert(ended.Outcome, qt.Equals, rattanscheduler.Succeeded)
+	// The order and the first list take 50 ms each until they count as lost.
+	elapsed := time.Since(began)
+	c.Assert(elapsed < 300*time.Millisecond, qt.IsTrue, qt.Commentf("%v", elapsed))
+}
--- a/rattanhome/lease.go
+++ b/rattanhome/lease.go
@@ -108,7 +108,7 @@
 		}
 		for l.settling() {
 			target, known := l.target()
-			if !known || l.renew(&target, true) != nil {
+			if !known || errors.Is(l.renew(&target, true), ErrDeposed) {
 				break
 			}
 			l.pause(settlePause)
@@ -119,7 +119,7 @@
 func (l *lease) settling() bool {
 	l.home.mutex.Lock()
 	defer l.home.mutex.Unlock()
-	return !l.home.closed && l.home.scheduler.Settling(l.id)
+	return !l.home.closed && l.silent.IsZero() && l.home.scheduler.Settling(l.id)
 }
 
 // target returns the target, and removes the lease if it is forgotten.
