Count orders as lost by measured round trips

Cause (histories of jobs): each lost order took 50 ms until it counted as lost, for tasks of 50 to 170 ms with objectives of about 150 ms. Targets answer within 2 ms.

Change: the timeout of orders that are not held back follows the measured round trip and its deviation (RFC 6298), between 20 and 50 ms, over all targets of the home, so that a slow instance waits longer.

--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -69,7 +69,9 @@
 	// results holds the outcome of ended jobs for copies that come later.
 	results map[string]result
 	leases  map[string]*lease
-	closed  bool
+	// roundTrip is measured over the orders to all targets.
+	roundTrip roundTrip
+	closed    bool
 }
 
 type result struct {
--- a/rattanhome/lease.go
+++ b/rattanhome/lease.go
@@ -24,9 +24,6 @@
 	// until the next list.
 	leaseWaitLossy = 60 * time.Millisecond
 	lossMemory     = 1 * time.Second
-	// orderTimeout is how long an order to start or stop may take; targets in
-	// the zone answer within a millisecond or two.
-	orderTimeout = 50 * time.Millisecond
 	// leaseTimeout is added to the wait for the answer to a renewal,
 	// leaseTimeoutLossy while answers are being lost.
 	leaseTimeout      = 100 * time.Millisecond
@@ -175,6 +172,9 @@
 		h.scheduler.Unanswered(l.id)
 		return err
 	}
+	if wait == 0 {
+		h.roundTrip.observe(now.Sub(sent))
+	}
 	l.listed(listing, sent, void, now)
 	h.flush(now)
 	return nil
@@ -185,7 +185,7 @@
 func (l *lease) patience(atOnce bool, now time.Time) (wait, timeout time.Duration) {
 	switch {
 	case atOnce:
-		return 0, orderTimeout
+		return 0, l.home.roundTrip.timeout()
 	case !l.home.scheduler.Reconciled(l.id):
 		return 0, leaseTimeout
 	case now.Sub(l.lost) < lossMemory:
@@ -269,7 +269,7 @@
 
 func (l *lease) sendStart(target *rattanwork.Target, order rattanwork.StartOrder) {
 	h := l.home
-	ctx, cancel := context.WithTimeout(h.ctx, orderTimeout)
+	sent, ctx, cancel := h.orderContext()
 	defer cancel()
 	result, clock := h.config.Targets.Start(ctx, target, order)
 	if result == rattanwork.StartFenced && l.fenced(order.Fence) == nil {
@@ -281,6 +281,9 @@
 	if h.closed {
 		return
 	}
+	if result != rattanwork.StartUnknown {
+		h.roundTrip.observe(now.Sub(sent))
+	}
 	l.sawClock(clock, now)
 	h.scheduler.StartAnswered(l.id, order.Task, order.Attempt, result, now)
 	if result == rattanwork.StartUnknown {
@@ -291,6 +294,17 @@
 	h.flush(now)
 }
 
+// orderContext returns when an order is sent and the context that bounds the
+// wait for its answer.
+func (h *Home) orderContext() (sent time.Time, ctx context.Context, cancel context.CancelFunc) {
+	sent = h.config.Clock()
+	h.mutex.Lock()
+	timeout := h.roundTrip.timeout()
+	h.mutex.Unlock()
+	ctx, cancel = context.WithTimeout(h.ctx, timeout)
+	return sent, ctx, cancel
+}
+
 // raise raises the token of the target's orders. The caller holds the home's
 // mutex.
 func (l *lease) raise(now time.Time) {
@@ -327,7 +341,7 @@
 
 func (l *lease) sendStop(target *rattanwork.Target, order rattanscheduler.StopOrder, fence int64) {
 	h := l.home
-	ctx, cancel := context.WithTimeout(h.ctx, orderTimeout)
+	sent, ctx, cancel := h.orderContext()
 	defer cancel()
 	err := h.config.Targets.Stop(ctx, target, order.Task, order.Attempt, fence)
 	if errors.Is(err, rattanwork.ErrFenced) {
@@ -343,6 +357,7 @@
 	if h.closed {
 		return
 	}
+	h.roundTrip.observe(now.Sub(sent))
 	h.scheduler.StopAnswered(l.id, order.Task, order.Attempt, now)
 	l.nudge()
 	h.flush(now)
