Serve gangs, steps on one rack and speculative tasks

Change: members of a gang share one group of tasks, which starts, fails, saves and ends together; steps that prefer a rack are placed on the rack with the most room; a slow speculative task gets one copy while nothing waits for room. TestGangStartsTogether, TestGangEndsTogether, TestGangOnOneRack and TestSpeculativeCopy guard it.

Room is not kept free for a gang that waits.

--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -21,17 +21,37 @@
 	name  string
 	state taskState
 	// attempt is the highest attempt that was ordered.
-	attempt    int
-	failures   int
-	restarts   int
-	checkpoint string
-	run        *run
+	attempt  int
+	failures int
+	// failedAttempt is the last attempt that was counted as a failure.
+	failedAttempt int
+	restarts      int
+	checkpoint    string
+	run           *run
+	// slowRun is a run that goes on beside the newer one of a speculative task.
+	slowRun *run
+	// placed is the target that is meant for the task while places for others
+	// are sought.
+	placed *target
+	// group holds the tasks that run, fail and end together with this one: all
+	// of a gang, otherwise the task alone.
+	group []*task
 	// avoid is the target of the last run that failed or was lost.
 	avoid *target
 }
 
 func (t *task) need() rattanwork.Room {
-	return t.job.submission.Job.Steps[t.step].Need
+	return t.definition().Need
+}
+
+// definition returns the step that the task is one of.
+func (t *task) definition() *rattanwork.Step {
+	return &t.job.submission.Job.Steps[t.step]
+}
+
+// holds reports whether the run is one of the task's present runs.
+func (t *task) holds(r *run) bool {
+	return t.run == r || t.slowRun == r
 }
 
 // job is a submission in progress.
@@ -86,9 +106,24 @@
 			j.tasks = append(j.tasks, &task{job: j, step: step, name: name.String()})
 		}
 	}
+	for i, t := range j.tasks {
+		t.group = j.tasks[i : i+1]
+		if t.definition().Gang {
+			t.group = j.stepTasks(t.step)
+		}
+	}
 	return j
 }
 
+// stepTasks returns the tasks of a step, which lie side by side.
+func (j *job) stepTasks(step int) []*task {
+	begin := 0
+	for i := range step {
+		begin += j.submission.Job.Steps[i].Count
+	}
+	return j.tasks[begin : begin+j.submission.Job.Steps[step].Count]
+}
+
 // started reports whether a run of the job may have started.
 func (j *job) started() bool {
 	return j.wasStarted
@@ -153,7 +188,10 @@
 func (j *job) onTarget(step int, t *target) int {
 	count := 0
 	for _, other := range j.tasks {
-		if other.step == step && other.run != nil && other.run.target == t {
+		if other.step != step {
+			continue
+		}
+		if other.placed == t || (other.run != nil && other.run.target == t) || (other.slowRun != nil && other.slowRun.target == t) {
 			count++
 		}
 	}
--- a/rattanscheduler/placement.go
+++ b/rattanscheduler/placement.go
@@ -33,7 +33,11 @@
 
 // startReady starts as many tasks of the job as there is room for.
 func (s *Scheduler) startReady(j *job, usable []*target, now time.Time) {
+	s.startTogether(j, usable, now)
 	for _, t := range append([]*task(nil), j.ready...) {
+		if t.definition().Gang {
+			continue
+		}
 		on := s.place(t, usable)
 		if on == nil {
 			continue
@@ -49,7 +53,7 @@
 // place returns the target for a task: near its data if possible, and where
 // the least room is left over.
 func (s *Scheduler) place(t *task, usable []*target) *target {
-	step := &t.job.submission.Job.Steps[t.step]
+	step := t.definition()
 	var best *target
 	bestScore := 0.0
 	for _, on := range usable {
@@ -69,7 +73,7 @@
 
 // score is lower for a better target.
 func (s *Scheduler) score(t *task, on *target) float64 {
-	step := &t.job.submission.Job.Steps[t.step]
+	step := t.definition()
 	left := on.free.MilliCPU - step.Need.MilliCPU
 	score := float64(left) / float64(max(1, on.info.Room.MilliCPU))
 	if step.Rack != "" && !on.info.HasLabel(step.Rack) {
--- a/rattanscheduler/progress.go
+++ b/rattanscheduler/progress.go
@@ -28,13 +28,14 @@
 		return
 	}
 	shortest := time.Duration(float64(elapsed) * 100 / float64(percent+1))
-	lost := r.known.Add(shortest).After(r.task.job.submission.Deadline)
+	lost := r.task.slowRun == nil && r.known.Add(shortest).After(r.task.job.submission.Deadline)
 	slow := s.tooSlow(r, shortest)
 	if slow && !r.suspected {
 		r.suspected = true
 		s.suspectSlow(r, now)
 	}
 	switch {
+	case slow && s.startCopy(r, now):
 	case slow && (lost || now.Before(r.target.suspendedUntil)) && s.worthRestart(r, now):
 		r.task.restarts++
 		r.state = runStopping
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -225,7 +225,7 @@
 		return
 	}
 	if row.Checkpoint != "" {
-		r.task.checkpoint = row.Checkpoint
+		r.task.saved(row.Checkpoint)
 	}
 	s.progressed(r, row.Percent, now)
 }
@@ -244,13 +244,13 @@
 	}
 	s.drop(r)
 	t := r.task
-	if t == nil || t.run != r {
+	if t == nil || !t.holds(r) {
 		s.freed(r.name, now)
 		return
 	}
 	t.job.ran(r, end.Kind.String(), now)
-	if end.Checkpoint != "" && t.job.submission.Job.Steps[t.step].SavesProgress {
-		t.checkpoint = end.Checkpoint
+	if end.Checkpoint != "" && t.definition().SavesProgress {
+		t.saved(end.Checkpoint)
 	}
 	switch end.Kind {
 	case rattanwork.EndDone:
@@ -269,14 +269,19 @@
 		s.ended[name] = now.Add(endedRetention)
 		return
 	}
-	t.state = taskDone
+	s.markDone(t)
 	t.job.wasStarted = true
 	s.advance(t.job, now)
 }
 
+// saved takes in a checkpoint, which holds for all tasks of a gang.
+func (t *task) saved(checkpoint string) {
+	for _, member := range t.group {
+		member.checkpoint = checkpoint
+	}
+}
+
 func (s *Scheduler) taskDone(t *task, r *run, now time.Time) {
-	t.run = nil
-	t.state = taskDone
 	length, exact := r.length(now)
 	if s.tooSlow(r, length) {
 		s.suspectSlow(r, now)
@@ -286,23 +291,35 @@
 	if exact {
 		s.rates.observe(t.job, t.step, r, length)
 	}
+	s.stopOthers(t, r, now)
+	s.markDone(t)
 	s.advance(t.job, now)
 }
 
 func (s *Scheduler) taskFailed(t *task, r *run, now time.Time) {
-	t.failures++
+	t.failed(r.attempt)
 	t.job.failures++
 	if pause := r.target.health.failed(t.job); pause > 0 {
 		r.target.suspendedUntil = now.Add(pause)
 	}
 	if t.failures >= t.job.submission.MaxAttempts {
-		t.run = nil
+		t.forget(r)
 		s.end(t.job, Failed, "a task failed too often", 0, now)
 		return
 	}
 	s.requeue(r, now)
 }
 
+// failed counts a failed attempt; the members of a gang fail together.
+func (t *task) failed(attempt int) {
+	for _, member := range t.group {
+		if member.failedAttempt != attempt {
+			member.failedAttempt = attempt
+			member.failures++
+		}
+	}
+}
+
 // length returns how long a run that has ended took at least, and whether that
 // is exact: when a list was lost, the run may have ended right after the one
 // before it.
@@ -348,13 +365,16 @@
 // requeue makes the task of a run that is gone wait again.
 func (s *Scheduler) requeue(r *run, now time.Time) {
 	t := r.task
-	if t == nil || t.run != r {
+	if t == nil || !t.holds(r) {
 		s.freed(r.name, now)
 		return
 	}
 	t.job.ran(r, "Lost", now)
-	t.run = nil
+	t.forget(r)
 	t.avoid = r.target
+	if t.run != nil {
+		return
+	}
 	t.state = taskWaiting
 	s.advance(t.job, now)
 }
@@ -375,15 +395,39 @@
 	r.state = runStopping
 }
 
-// stop ends a run of an ended job.
-func (s *Scheduler) stop(r *run, now time.Time) {
-	r.task.run = nil
+// stopRuns ends the runs of a task that nobody needs any more.
+func (s *Scheduler) stopRuns(t *task, now time.Time) {
+	s.stopOthers(t, nil, now)
+}
+
+// stopOthers ends the runs of a task but the one.
+func (s *Scheduler) stopOthers(t *task, but *run, now time.Time) {
+	for _, r := range [...]*run{t.run, t.slowRun} {
+		if r == nil || r == but {
+			continue
+		}
+		s.unbind(r)
+		r.state = runStopping
+		s.orderStop(r, now)
+	}
+}
+
+// unbind separates a run that goes on from its task.
+func (s *Scheduler) unbind(r *run) {
+	r.task.forget(r)
 	r.task = nil
-	r.state = runStopping
-	if r.orphan {
-		r.orphan = false
+	r.orphan = false
+}
+
+// forget takes a run off the task; one beside it becomes the task's run.
+func (t *task) forget(r *run) {
+	switch r {
+	case t.run:
+		t.run = t.slowRun
+		t.slowRun = nil
+	case t.slowRun:
+		t.slowRun = nil
 	}
-	s.orderStop(r, now)
 }
 
 func (s *Scheduler) orderStop(r *run, now time.Time) {
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -250,24 +250,35 @@
 	orphanGrace = 700 * time.Millisecond
 )
 
-// servable reports whether some known target could run each step when empty.
+// servable reports whether the known targets could run each step when empty.
 func (s *Scheduler) servable(j *job) bool {
 	for i := range j.submission.Job.Steps {
 		step := &j.submission.Job.Steps[i]
-		found := false
-		for _, t := range s.targets {
-			if t.canHost(j, step) {
-				found = true
-				break
-			}
+		wanted := 1
+		if step.Gang {
+			wanted = step.Count
 		}
-		if !found {
+		if !s.canHost(j, step, wanted) {
 			return false
 		}
 	}
 	return true
 }
 
+// canHost reports whether all targets together could run so many tasks of the
+// step at the same time when empty.
+func (s *Scheduler) canHost(j *job, step *rattanwork.Step, wanted int) bool {
+	for _, t := range s.targets {
+		if wanted <= 0 {
+			break
+		}
+		if t.canHost(j, step) {
+			wanted -= t.info.Room.Holds(step.Need, wanted)
+		}
+	}
+	return wanted <= 0
+}
+
 // adopt binds the runs and ends that an earlier home left behind. A job of
 // which runs of an earlier submission may still be under way has started: it
 // can neither be refused nor go to another zone.
@@ -278,10 +289,13 @@
 		}
 		if _, ok := s.ended[t.name]; ok {
 			delete(s.ended, t.name)
-			t.state = taskDone
+			s.markDone(t)
 			j.wasStarted = true
 			continue
 		}
+		if t.state != taskWaiting {
+			continue
+		}
 		r, ok := s.orphans[t.name]
 		if !ok || r.state == runStopping {
 			continue
@@ -351,9 +365,7 @@
 	delete(s.jobs, j.submission.Job.ID)
 	s.dequeue(j)
 	for _, t := range j.tasks {
-		if t.run != nil {
-			s.stop(t.run, now)
-		}
+		s.stopRuns(t, now)
 	}
 	s.output.Ended = append(s.output.Ended, Ended{
 		JobID:      j.submission.Job.ID,
--- a/rattanscheduler/scheduler_test.go
+++ b/rattanscheduler/scheduler_test.go
@@ -527,3 +527,180 @@
 	z.scheduler.Submit(z.submission("00000000000000cc", 1), z.now)
 	z.Assert(z.scheduler.rates.expected(z.scheduler.jobs["00000000000000cc"], 0), qt.Equals, 100*time.Millisecond)
 }
+
+// gangSubmission returns a job whose tasks run only together.
+func (z *zone) gangSubmission(id string, tasks int) Submission {
+	submission := z.submission(id, tasks)
+	submission.Job.Steps[0].Gang = true
+	return submission
+}
+
+// listAll lets a target list all of these runs that are on it, and the ends.
+func (z *zone) listAll(id string, starts []StartOrder, ends ...rattanwork.End) {
+	var here []StartOrder
+	for _, start := range starts {
+		if start.Target.ID == id {
+			here = append(here, start)
+		}
+	}
+	z.scheduler.Listed(id, &rattanwork.Listing{Running: running(here...), Ended: ends}, z.now, z.void, z.now.Add(time.Millisecond))
+	z.now = z.now.Add(2 * time.Millisecond)
+}
+
+// TestGangStartsTogether guards against members that wait for others which
+// have no room, and against members of different attempts.
+func TestGangStartsTogether(t *testing.T) {
+	z := newListedZone(qt.New(t), 2)
+	z.scheduler.Submit(z.submission(jobB, 1), z.now)
+	z.scheduler.Submit(z.gangSubmission(jobA, 4), z.now)
+	z.scheduler.Tick(z.now)
+	starts := z.scheduler.Take().Starts
+	z.Assert(starts, qt.HasLen, 1)
+	z.accept(starts[0])
+	z.listAll(starts[0].Target.ID, nil, rattanwork.End{Sequence: 1, Task: starts[0].Task, Attempt: 1, Kind: rattanwork.EndDone})
+	gang := z.scheduler.Take().Starts
+	z.Assert(gang, qt.HasLen, 4)
+	for _, start := range gang {
+		z.Check(start.Attempt, qt.Equals, 1)
+	}
+	// The refusal of one breaks the gang; it starts again as a whole.
+	for _, start := range gang[1:] {
+		z.accept(start)
+	}
+	z.scheduler.StartAnswered(gang[0].Target.ID, gang[0].Task, 1, rattanwork.StartNoRoom, z.now)
+	output := z.scheduler.Take()
+	z.Check(output.Starts, qt.HasLen, 0)
+	z.Assert(output.Stops, qt.HasLen, 3)
+	for _, stop := range output.Stops {
+		z.scheduler.StopAnswered(stop.Target.ID, stop.Task, 1, z.now)
+	}
+	z.pass(refusalPause)
+	for _, id := range []string{"t0", "t1"} {
+		z.listAll(id, nil)
+	}
+	z.pass(refusalPause)
+	again := z.scheduler.Take().Starts
+	z.Assert(again, qt.HasLen, 4)
+	for _, start := range again {
+		z.Check(start.Attempt, qt.Equals, 2)
+	}
+}
+
+// TestGangEndsTogether guards against waiting for each member's end, against
+// room that is free before a member's end is listed, and against counting the
+// failure of one attempt once a member.
+func TestGangEndsTogether(t *testing.T) {
+	z := newListedZone(qt.New(t), 2)
+	submission := z.gangSubmission(jobA, 3)
+	submission.MaxAttempts = 2
+	z.scheduler.Submit(submission, z.now)
+	z.scheduler.Tick(z.now)
+	first := z.scheduler.Take().Starts
+	z.Assert(first, qt.HasLen, 3)
+	ends := map[string][]rattanwork.End{}
+	for _, start := range first {
+		z.accept(start)
+		id := start.Target.ID
+		ends[id] = append(ends[id], rattanwork.End{Sequence: int64(len(ends[id]) + 1), Task: start.Task, Attempt: 1, Kind: rattanwork.EndFailed})
+	}
+	for id, list := range ends {
+		z.listAll(id, nil, list...)
+	}
+	output := z.scheduler.Take()
+	z.Assert(output.Ended, qt.HasLen, 0)
+	second := output.Starts
+	z.Assert(second, qt.HasLen, 3)
+	for _, start := range second {
+		z.accept(start)
+	}
+	id := second[0].Target.ID
+	z.listAll(id, second[1:], rattanwork.End{Sequence: int64(len(ends[id]) + 1), Task: second[0].Task, Attempt: 2, Kind: rattanwork.EndDone})
+	ended := z.scheduler.Take().Ended
+	z.Assert(ended, qt.HasLen, 1)
+	z.Assert(ended[0].Outcome, qt.Equals, Succeeded)
+	free := z.scheduler.FreeMilliCPU(z.now)
+	z.Assert(free, qt.Equals, 2*32000-2*14000)
+}
+
+// TestGangOnOneRack guards against tasks that run slower than need be because
+// they are spread over racks, and against waiting for one rack with the room.
+func TestGangOnOneRack(t *testing.T) {
+	z := newZone(qt.New(t), 4)
+	var list []rattanwork.Target
+	for i := range 4 {
+		target := testTarget(i)
+		target.Rack = target.Labels[1]
+		list = append(list, target)
+	}
+	z.scheduler.UpdateTargets(list, z.now)
+	for i := range 4 {
+		z.list(i, rattanwork.Listing{})
+	}
+	z.scheduler.Submit(z.submission(jobB, 1), z.now)
+	submission := z.gangSubmission(jobA, 4)
+	submission.Job.Steps[0].SameRack = true
+	z.scheduler.Submit(submission, z.now)
+	z.scheduler.Tick(z.now)
+	starts := z.scheduler.Take().Starts
+	z.Assert(starts, qt.HasLen, 5)
+	for _, start := range starts[1:] {
+		z.Check(start.Target.Rack, qt.Equals, starts[1].Target.Rack)
+	}
+	wide := z.submission("00000000000000cc", 3)
+	wide.Job.Steps[0].SameRack = true
+	z.scheduler.Submit(wide, z.now)
+	z.scheduler.Tick(z.now)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 3)
+}
+
+// TestSpeculativeCopy guards against waiting for a slow run of a task that may
+// have a copy, against more than one copy, and against runs that go on after
+// the first of them is done.
+func TestSpeculativeCopy(t *testing.T) {
+	tests := map[string]struct {
+		// ends is the index of the run that ends, how its end.
+		ends      int
+		how       rattanwork.EndKind
+		wantStops int
+	}{
+		"copy is done first":     {ends: 1, how: rattanwork.EndDone, wantStops: 1},
+		"slow run is done first": {ends: 0, how: rattanwork.EndDone, wantStops: 1},
+		"copy fails":             {ends: 1, how: rattanwork.EndFailed},
+		"slow run lapses":        {ends: 0, how: rattanwork.EndLapsed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			z := newListedZone(qt.New(t), 3)
+			submission := z.submission(jobA, 1)
+			submission.Job.Steps[0].Speculative = true
+			z.scheduler.Submit(submission, z.now)
+			z.scheduler.Tick(z.now)
+			runs := z.scheduler.Take().Starts
+			z.accept(runs[0])
+			for range 2 {
+				z.pass(400 * time.Millisecond)
+				z.scheduler.Listed(runs[0].Target.ID, &rattanwork.Listing{Running: []rattanwork.Run{{Task: runs[0].Task, Attempt: 1, Percent: 60}}}, z.now, z.void, z.now)
+				output := z.scheduler.Take()
+				z.Assert(output.Stops, qt.HasLen, 0)
+				runs = append(runs, output.Starts...)
+				z.Assert(runs, qt.HasLen, 2)
+			}
+			z.accept(runs[1])
+			z.Assert(runs[1].Target.ID, qt.Not(qt.Equals), runs[0].Target.ID)
+			ending := runs[test.ends]
+			z.listAll(ending.Target.ID, nil, rattanwork.End{Sequence: 1, Task: ending.Task, Attempt: ending.Attempt, Kind: test.how})
+			output := z.scheduler.Take()
+			z.Check(output.Stops, qt.HasLen, test.wantStops)
+			z.Check(output.Starts, qt.HasLen, 0)
+			if test.how == rattanwork.EndDone {
+				z.Assert(output.Ended, qt.HasLen, 1)
+				z.Check(output.Ended[0].Outcome, qt.Equals, Succeeded)
+				return
+			}
+			z.Assert(output.Ended, qt.HasLen, 0)
+			other := runs[1-test.ends]
+			z.listAll(other.Target.ID, nil, rattanwork.End{Sequence: 1, Task: other.Task, Attempt: other.Attempt, Kind: rattanwork.EndDone})
+			z.Assert(z.scheduler.Take().Ended, qt.HasLen, 1)
+		})
+	}
+}
--- a/rattanwork/job.go
+++ b/rattanwork/job.go
@@ -23,6 +23,17 @@
 	return r.MilliCPU <= free.MilliCPU && r.MemoryMB <= free.MemoryMB && r.GPU <= free.GPU
 }
 
+// Holds returns how often the need fits into the room, at most the limit.
+func (r Room) Holds(need Room, limit int) int {
+	count := limit
+	for _, part := range [...]struct{ room, need int }{{r.MilliCPU, need.MilliCPU}, {r.MemoryMB, need.MemoryMB}, {r.GPU, need.GPU}} {
+		if part.need > 0 {
+			count = min(count, part.room/part.need)
+		}
+	}
+	return count
+}
+
 // Sub returns the difference of two rooms.
 func (r Room) Sub(other Room) Room {
 	return Room{MilliCPU: r.MilliCPU - other.MilliCPU, MemoryMB: r.MemoryMB - other.MemoryMB, GPU: r.GPU - other.GPU}
@@ -46,6 +57,14 @@
 	PerTarget int
 	// SavesProgress says that a restarted task continues from its checkpoint.
 	SavesProgress bool
+	// Gang says that the tasks run only together: all start in one attempt, and
+	// the end of one is the end of all.
+	Gang bool
+	// SameRack says that the tasks are slower when they run on several racks.
+	SameRack bool
+	// Speculative says that a task may have two runs at the same time, of which
+	// the first to be done counts.
+	Speculative bool
 }
 
 // Job is one submission.
--- a/rattanwork/target.go
+++ b/rattanwork/target.go
@@ -12,8 +12,10 @@
 	// Draining says that the target takes no new work and leaves soon.
 	Draining bool
 	Room     Room
-	// Labels hold the kind of the target and its rack.
+	// Labels hold the kind of the target and its rack, Rack the latter alone;
+	// empty if the target names none.
 	Labels []string
+	Rack   string
 	// Born is the Unix time in milliseconds at which this life began.
 	Born int64
 }
