Notice settings that change without a signal

Change: the file's time and size are looked at each second; seeds and grace are read where they are used. TestSettingsChangedWithoutSignal did not pass before.

--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -7,8 +7,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"os"
-	"os/signal"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -107,7 +105,7 @@
 	})
 	n.agent = rattanzone.New(rattanzone.Config{
 		Self:      self,
-		Seeds:     settings.Seeds,
+		Seeds:     func() []string { return n.settings.Load().Seeds },
 		Peers:     peers,
 		Directory: &platform.Directory{Store: n.store},
 		Desired:   n.desired,
@@ -197,12 +195,9 @@
 
 // Run runs the instance until SIGINT or SIGTERM.
 func (n *Node) Run() error {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	done := make(chan struct{})
-	defer close(done)
-	go n.reloadOn(hangups, done)
+	reloads, end := context.WithCancel(context.Background())
+	defer end()
+	go n.followSettings(reloads)
 	n.config.Logger.WithFields(logrus.Fields{"Instance": n.config.Settings.Instance, "Zone": n.config.Settings.Zone}).Info("started")
 	err := n.app.Run()
 	n.config.Logger.WithField("Instance", n.config.Settings.Instance).Info("stopped")
@@ -213,7 +208,7 @@
 // ingress stops sending connections, before the listeners are closed.
 func (n *Node) drain(ctx context.Context) error {
 	began := n.config.Clock()
-	limit := began.Add(n.config.Settings.Grace - stopMargin)
+	limit := began.Add(n.settings.Load().Grace - stopMargin)
 	n.closing.Store(true)
 	n.front.Close(limit)
 	n.config.Logger.WithField("Active", n.front.Active()).Info("stopping")
@@ -232,28 +227,6 @@
 	}
 }
 
-func (n *Node) reloadOn(hangups <-chan os.Signal, done <-chan struct{}) {
-	for {
-		select {
-		case <-done:
-			return
-		case <-hangups:
-			n.reload()
-		}
-	}
-}
-
-// reload takes in the settings that may change while the instance runs.
-func (n *Node) reload() {
-	settings, err := platform.ReadSettings(n.config.SettingsPath)
-	if err != nil {
-		n.config.Logger.WithField("Error", err.Error()).Error("settings not reloaded")
-		return
-	}
-	n.settings.Store(&settings)
-	n.config.Logger.Info("settings reloaded")
-}
-
 // serveReady tells the ingress whether to send new connections here.
 func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != platform.ReadyPath {
--- a/rattanzone/agent.go
+++ b/rattanzone/agent.go
@@ -55,8 +55,8 @@
 // Config configures an Agent.
 type Config struct {
 	Self rattanwork.Member
-	// Seeds are addresses of possible peers.
-	Seeds     []string
+	// Seeds returns addresses of possible peers.
+	Seeds     func() []string
 	Peers     Peers
 	Directory Directory
 	Desired   Documents
--- a/rattanzone/election.go
+++ b/rattanzone/election.go
@@ -79,7 +79,7 @@
 	for _, m := range a.zoneMembers() {
 		addresses[m.Address] = true
 	}
-	for _, seed := range a.config.Seeds {
+	for _, seed := range a.config.Seeds() {
 		addresses[seed] = true
 	}
 	delete(addresses, a.config.Self.Address)
