--- a/rattanlog/log.go
+++ b/rattanlog/log.go
@@ -27,11 +27,7 @@
 	logger := logrus.New()
 	logger.SetOutput(output)
 	logger.SetLevel(parsed)
-	logger.SetFormatter(&logrus.JSONFormatter{FieldMap: logrus.FieldMap{
-		logrus.FieldKeyTime:  "Time",
-		logrus.FieldKeyLevel: "Level",
-		logrus.FieldKeyMsg:   "Message",
-	}})
+	logger.SetFormatter(Formatter{})
 	return logger, nil
 }
 
