Tell in the logs what a home believes of its targets, and forget vanished ones

Change: the scheduler reports each change of a target; a line and a counter each. TestVanishedTargetIsForgotten.

--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -37,6 +37,7 @@
 // Journal receives what the home decides.
 type Journal interface {
 	JobEnded(ended rattanscheduler.Ended)
+	TargetChanged(event rattanscheduler.TargetEvent)
 	TargetSilent(target string, err error)
 	TargetBack(target string, silence time.Duration)
 	Deposed(target string)
@@ -233,6 +234,9 @@
 	for _, order := range output.Stops {
 		h.leases[order.Target.ID].stopRun(order)
 	}
+	for _, event := range output.Targets {
+		h.config.Journal.TargetChanged(event)
+	}
 	for _, ended := range output.Ended {
 		h.ended(ended, now)
 	}
--- a/rattanhome/home_test.go
+++ b/rattanhome/home_test.go
@@ -113,10 +113,11 @@
 // silentJournal ignores what the home decides.
 type silentJournal struct{}
 
-func (silentJournal) JobEnded(rattanscheduler.Ended)   {}
-func (silentJournal) TargetSilent(string, error)       {}
-func (silentJournal) TargetBack(string, time.Duration) {}
-func (silentJournal) Deposed(string)                   {}
+func (silentJournal) JobEnded(rattanscheduler.Ended)            {}
+func (silentJournal) TargetChanged(rattanscheduler.TargetEvent) {}
+func (silentJournal) TargetSilent(string, error)                {}
+func (silentJournal) TargetBack(string, time.Duration)          {}
+func (silentJournal) Deposed(string)                            {}
 
 func newTestHome(c *qt.C, targets *fakeTargets) *Home {
 	h := New(Config{Fence: FenceStep, MaxLease: time.Second, RemotePenalty: 1.5, Targets: targets, Journal: silentJournal{}, Clock: time.Now})
--- a/rattanmetric/table.go
+++ b/rattanmetric/table.go
@@ -48,6 +48,7 @@
 	JobOutcomesTotal       = "rattanlever_job_outcomes_total"
 	JobStartWaitSeconds    = "rattanlever_job_start_wait_seconds"
 	TargetsSilentTotal     = "rattanlever_targets_silent_total"
+	TargetChangesTotal     = "rattanlever_target_changes_total"
 	HomeChangesTotal       = "rattanlever_home_changes_total"
 	HomesDeposedTotal      = "rattanlever_homes_deposed_total"
 	StoreCallsTotal        = "rattanlever_store_calls_total"
@@ -120,6 +121,7 @@
 	{JobOutcomesTotal, KindCounter, []string{"outcome"}, "Jobs of the own home that ended, by outcome."},
 	{JobStartWaitSeconds, KindHistogram, nil, "Time from a job's arrival at its home to the order of its first run."},
 	{TargetsSilentTotal, KindCounter, nil, "Times that a target stopped answering its home."},
+	{TargetChangesTotal, KindCounter, []string{"change"}, "Changes in what the own home believes of targets, by kind of change."},
 	{HomeChangesTotal, KindCounter, nil, "Changes of the zone's home that this instance has seen."},
 	{HomesDeposedTotal, KindCounter, nil, "Times that the own home lost its authority to another instance."},
 	{StoreCallsTotal, KindCounter, nil, "Calls to the platform's metadata store."},
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -104,6 +104,17 @@
 	return lines
 }
 
+// TargetChanged records what the own home came to believe of a target.
+func (j *Journal) TargetChanged(event rattanscheduler.TargetEvent) {
+	j.registry.Counter(rattanmetric.With(rattanmetric.TargetChangesTotal, "change", event.Change.String())).Inc()
+	fields := logrus.Fields{"Target": event.Target, "Change": event.Change.String(), "Runs": event.Runs}
+	if event.Change == rattanscheduler.TargetSuspended {
+		fields["Reason"] = event.Reason
+		fields["PauseMS"] = milliseconds(event.Pause)
+	}
+	j.logger.WithFields(fields).Info("target changed")
+}
+
 // TargetSilent records that a target does not answer.
 func (j *Journal) TargetSilent(target string, err error) {
 	j.registry.Counter(rattanmetric.TargetsSilentTotal).Inc()
--- a/rattanscheduler/progress.go
+++ b/rattanscheduler/progress.go
@@ -53,9 +53,7 @@
 
 // suspectSlow counts a slow run against its target.
 func (s *Scheduler) suspectSlow(r *run, now time.Time) {
-	if pause := r.target.health.failed(r.task.job); pause > 0 {
-		r.target.suspendedUntil = now.Add(pause)
-	}
+	s.suspend(r.target, r.target.health.failed(r.task.job), "slow", now)
 }
 
 // worthRestart reports whether a new run on another target can still be worth
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -66,7 +66,7 @@
 			r.task.job.ran(r, result.String(), now)
 		}
 		if result != rattanwork.StartFenced {
-			on.suspendedUntil = now.Add(refusalPause)
+			s.suspend(on, refusalPause, result.String(), now)
 		}
 		s.requeue(r, now)
 	}
@@ -191,6 +191,7 @@
 	if first {
 		return
 	}
+	s.changed(on, TargetRestarted)
 	for _, r := range on.snapshot() {
 		if r.confirmed.IsZero() && !r.orphan {
 			r.stopAcked = time.Time{}
@@ -299,9 +300,7 @@
 func (s *Scheduler) taskFailed(t *task, r *run, now time.Time) {
 	t.failed(r.attempt)
 	t.job.failures++
-	if pause := r.target.health.failed(t.job); pause > 0 {
-		r.target.suspendedUntil = now.Add(pause)
-	}
+	s.suspend(r.target, r.target.health.failed(t.job), "failing", now)
 	if t.failures >= t.job.submission.MaxAttempts {
 		t.forget(r)
 		s.end(t.job, Failed, "a task failed too often", 0, now)
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -11,7 +11,7 @@
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
-//go:generate go tool stringer -type=Outcome,runState -output=enum_string.go
+//go:generate go tool stringer -type=Outcome,TargetChange,runState -output=enum_string.go
 
 // Outcome tells how a job ended.
 type Outcome int
@@ -117,6 +117,8 @@
 	Starts []StartOrder
 	Stops  []StopOrder
 	Ended  []Ended
+	// Targets tells what changed of targets.
+	Targets []TargetEvent
 }
 
 // Config configures a Scheduler.
@@ -227,6 +229,7 @@
 func (s *Scheduler) Tick(now time.Time) {
 	s.stopOrphans(now)
 	s.repeatStops(now)
+	s.forgetVanished(now)
 	s.dropHopeless(now)
 	s.schedule(now)
 	s.redirect(now)
--- a/rattanscheduler/scheduler_test.go
+++ b/rattanscheduler/scheduler_test.go
@@ -704,3 +704,27 @@
 		})
 	}
 }
+
+// TestVanishedTargetIsForgotten guards against renewing the leases of a target
+// for ever that is gone with an order that it left unanswered, and against
+// freeing its room while the order may still be carried out.
+func TestVanishedTargetIsForgotten(t *testing.T) {
+	z := newListedZone(qt.New(t), 2)
+	z.scheduler.Take()
+	z.scheduler.Submit(z.submission(jobA, 1), z.now)
+	z.scheduler.Tick(z.now)
+	start := z.scheduler.Take().Starts[0]
+	gone := start.Target.ID
+	z.scheduler.StartAnswered(gone, start.Task, 1, rattanwork.StartUnknown, z.now)
+	z.scheduler.Silent(gone, true, z.now)
+	left := testTarget(1 - int(gone[1]-'0'))
+	z.scheduler.UpdateTargets([]rattanwork.Target{left}, z.now)
+	events := z.scheduler.Take().Targets
+	z.Assert(events, qt.DeepEquals, []TargetEvent{{Target: gone, Change: TargetVanished, Runs: 1}})
+	z.pass(lateOrders - time.Second)
+	z.Assert(z.scheduler.Busy(gone), qt.IsTrue)
+	z.pass(time.Second)
+	_, known := z.scheduler.Target(gone)
+	z.Assert(known, qt.IsFalse)
+	z.Assert(z.scheduler.Take().Targets, qt.DeepEquals, []TargetEvent{{Target: gone, Change: TargetForgotten, Runs: 1}})
+}
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -73,6 +73,9 @@
 	unanswered bool
 	// silent says that the target has not answered since the last list.
 	silent bool
+	// vanished is since when the inventory does not list the target, zero if it
+	// does.
+	vanished time.Time
 	// suspendedUntil is when a target that failed work is tried again.
 	suspendedUntil time.Time
 	health         health
@@ -103,13 +106,17 @@
 	seen := make(map[string]bool, len(listed))
 	for i := range listed {
 		seen[listed[i].ID] = true
-		s.updateTarget(listed[i], now)
+		s.updateTarget(listed[i])
 	}
 	for id, t := range s.targets {
 		if seen[id] {
 			continue
 		}
 		t.info.Draining = true
+		if t.vanished.IsZero() {
+			t.vanished = now
+			s.changed(t, TargetVanished)
+		}
 		if len(t.runs) == 0 {
 			delete(s.targets, id)
 		}
@@ -117,12 +124,41 @@
 	s.schedule(now)
 }
 
-func (s *Scheduler) updateTarget(info rattanwork.Target, _ time.Time) {
+// lateOrders is how long after its order a run may begin on a target that left
+// the order unanswered, and the lease that it then has.
+const lateOrders = 15 * time.Second
+
+// forgetVanished forgets targets that neither the inventory lists nor answer,
+// when no order to them can be carried out any more.
+func (s *Scheduler) forgetVanished(now time.Time) {
+	for id, t := range s.targets {
+		if !t.silent || t.vanished.IsZero() || now.Sub(t.vanished) < lateOrders {
+			continue
+		}
+		s.changed(t, TargetForgotten)
+		for _, r := range t.snapshot() {
+			s.drop(r)
+			s.requeue(r, now)
+		}
+		delete(s.targets, id)
+	}
+}
+
+func (s *Scheduler) updateTarget(info rattanwork.Target) {
 	t, ok := s.targets[info.ID]
 	if !ok {
-		s.targets[info.ID] = &target{info: info, free: info.Room, runs: map[runKey]*run{}}
+		t = &target{info: info, free: info.Room, runs: map[runKey]*run{}}
+		s.targets[info.ID] = t
+		s.changed(t, TargetAppeared)
 		return
 	}
+	if !t.vanished.IsZero() {
+		t.vanished = time.Time{}
+		s.changed(t, TargetAppeared)
+	}
+	if info.Draining && !t.info.Draining {
+		s.changed(t, TargetDraining)
+	}
 	t.free = t.free.Add(info.Room.Sub(t.info.Room))
 	t.info = info
 }
