Read the clock under the home's mutex

Causes found by reading, either can do it: - Times were read before the home's mutex was taken. An order given at a time older than a raise of the token that was decided meanwhile counted as void, though it carried the raised token: its task started elsewhere and the order could still be carried out. - The stand-in checked the token and carried the order out in two steps, so a list asked for with a higher token could come between.

Change: the clock is read with the mutex held, which the tests of the home now check (failed before); the stand-in obeys in one step; a broken promise shows the lines of its job.

--- a/rattancmd/serve_test.go
+++ b/rattancmd/serve_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"sync"
@@ -101,6 +102,7 @@
 	s.store.Close()
 	for _, violation := range s.watch.Violations() {
 		s.Errorf("broken promise: %s", violation)
+		s.logRequest(jobPattern.FindString(violation))
 	}
 	if s.Failed() {
 		for _, instance := range s.instances {
@@ -109,6 +111,24 @@
 	}
 }
 
+// jobPattern matches the ID of a job.
+var jobPattern = regexp.MustCompile("[0-9a-f]{16}")
+
+// logRequest shows what the instances logged of a job, and what they came to
+// believe meanwhile.
+func (s *site) logRequest(id string) {
+	if id == "" {
+		return
+	}
+	for _, instance := range s.instances {
+		for line := range strings.Lines(instance.output.String()) {
+			if strings.Contains(line, id) || strings.Contains(line, `"home `) || strings.Contains(line, `"target `) {
+				s.Logf("%s: %s", instance.name, line)
+			}
+		}
+	}
+}
+
 // putDesired writes a desired state with a new version.
 func (s *site) putDesired(extra ...string) {
 	s.version += 3
--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -64,6 +64,9 @@
 	// deposed is closed when a target follows another home.
 	deposed chan struct{}
 
+	// mutex is held whenever the clock is read for a decision, so that times
+	// are in the order of the decisions: an order counts as void if it was
+	// given before a token was raised.
 	mutex     sync.Mutex
 	scheduler *rattanscheduler.Scheduler
 	waiters   map[string][]chan rattanscheduler.Ended
@@ -147,17 +150,17 @@
 
 // Load returns the present load.
 func (h *Home) Load() Load {
-	now := h.config.Clock()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	now := h.config.Clock()
 	return Load{FreeMilliCPU: h.scheduler.FreeMilliCPU(now), WaitingTasks: h.scheduler.WaitingTasks(), Jobs: h.scheduler.Jobs()}
 }
 
 // UpdateTargets takes in the zone's targets.
 func (h *Home) UpdateTargets(listed []rattanwork.Target) {
-	now := h.config.Clock()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	now := h.config.Clock()
 	if h.closed {
 		return
 	}
@@ -186,8 +189,8 @@
 func (h *Home) Submit(ctx context.Context, submission rattanscheduler.Submission) (rattanscheduler.Ended, error) {
 	waiter := make(chan rattanscheduler.Ended, 1)
 	id := submission.Job.ID
-	now := h.config.Clock()
 	h.mutex.Lock()
+	now := h.config.Clock()
 	if h.closed {
 		h.mutex.Unlock()
 		return rattanscheduler.Ended{}, ErrDeposed
@@ -214,9 +217,9 @@
 
 // Cancel ends a job that nobody waits for and reports whether it was known.
 func (h *Home) Cancel(jobID string) bool {
-	now := h.config.Clock()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	now := h.config.Clock()
 	if h.closed {
 		return false
 	}
@@ -286,9 +289,9 @@
 }
 
 func (h *Home) onTick() time.Duration {
-	now := h.config.Clock()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	now := h.config.Clock()
 	if h.closed {
 		return tickIdle
 	}
--- a/rattanhome/home_test.go
+++ b/rattanhome/home_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -119,9 +120,22 @@
 func (silentJournal) TargetBack(string, time.Duration)          {}
 func (silentJournal) Deposed(string)                            {}
 
+// newTestHome returns a home with one target. Reading the clock without the
+// home's mutex fails the test: a time that is read before the mutex is taken can
+// be older than a decision that was taken meanwhile, and an order that is given
+// at such a time counts as void while it can still be carried out.
 func newTestHome(c *qt.C, targets *fakeTargets) *Home {
-	h := New(Config{Fence: FenceStep, MaxLease: time.Second, RemotePenalty: 1.5, Targets: targets, Journal: silentJournal{}, Clock: time.Now})
+	var home atomic.Pointer[Home]
+	clock := func() time.Time {
+		if h := home.Load(); h != nil && h.mutex.TryLock() {
+			h.mutex.Unlock()
+			c.Error("the clock was read without the mutex")
+		}
+		return time.Now()
+	}
+	h := New(Config{Fence: FenceStep, MaxLease: time.Second, RemotePenalty: 1.5, Targets: targets, Journal: silentJournal{}, Clock: clock})
 	c.Cleanup(h.Close)
+	home.Store(h)
 	h.UpdateTargets([]rattanwork.Target{{ID: "t0", Service: "service", Room: rattanwork.Room{MilliCPU: 1000, MemoryMB: 100}}})
 	return h
 }
--- a/rattanhome/lease.go
+++ b/rattanhome/lease.go
@@ -157,12 +157,12 @@
 	ctx, cancel := context.WithTimeout(h.ctx, timeout)
 	defer cancel()
 	listing, err := h.config.Targets.Lease(ctx, target, order)
-	now := h.config.Clock()
 	if errors.Is(err, rattanwork.ErrFenced) {
 		return l.fenced(order.Fence)
 	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	now := h.config.Clock()
 	if h.closed {
 		return ErrDeposed
 	}
@@ -199,9 +199,9 @@
 
 // silent takes in that a target does not answer.
 func (h *Home) silent(l *lease) {
-	now := h.config.Clock()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	now := h.config.Clock()
 	if h.closed {
 		return
 	}
@@ -275,9 +275,9 @@
 	if result == rattanwork.StartFenced && l.fenced(order.Fence) == nil {
 		return
 	}
-	now := h.config.Clock()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	now := h.config.Clock()
 	if h.closed {
 		return
 	}
@@ -297,12 +297,10 @@
 // orderContext returns when an order is sent and the context that bounds the
 // wait for its answer.
 func (h *Home) orderContext() (sent time.Time, ctx context.Context, cancel context.CancelFunc) {
-	sent = h.config.Clock()
 	h.mutex.Lock()
-	timeout := h.roundTrip.timeout()
-	h.mutex.Unlock()
-	ctx, cancel = context.WithTimeout(h.ctx, timeout)
-	return sent, ctx, cancel
+	defer h.mutex.Unlock()
+	ctx, cancel = context.WithTimeout(h.ctx, h.roundTrip.timeout())
+	return h.config.Clock(), ctx, cancel
 }
 
 // raise raises the token of the target's orders. The caller holds the home's
@@ -351,9 +349,9 @@
 	if err != nil {
 		return
 	}
-	now := h.config.Clock()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	now := h.config.Clock()
 	if h.closed {
 		return
 	}
--- a/rattansite/target.go
+++ b/rattansite/target.go
@@ -232,25 +232,33 @@
 }
 
 func (t *Target) carryOut(w http.ResponseWriter, r *http.Request, order targetOrder) {
+	if t.obey(w, r.URL.Path, order) {
+		t.hold(w, r, order)
+	}
+}
+
+// obey checks the token and carries the order out in one step, and reports
+// whether it is one to list runs, which is yet to be answered.
+func (t *Target) obey(w http.ResponseWriter, path string, order targetOrder) bool {
 	t.mutex.Lock()
+	defer t.mutex.Unlock()
 	if order.Fence < t.fence {
-		defer t.mutex.Unlock()
 		t.refuse(w, "fence")
-		return
+		return false
 	}
 	t.fence = order.Fence
 	t.extend(order.ExpiresMillis)
-	t.mutex.Unlock()
-	switch r.URL.Path {
+	switch path {
 	case "/api/run-start":
 		t.start(w, order)
 	case "/api/run-stop":
 		t.stopRun(w, order)
 	case "/api/hold":
-		t.hold(w, r, order)
+		return true
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
+	return false
 }
 
 // maxLease is the longest lease that a target grants.
@@ -286,9 +294,8 @@
 	_, _ = fmt.Fprintf(w, `{"clock_ms":%d,"born":%d,"reason":%q}`, t.clock(), t.born.UnixMilli(), reason)
 }
 
+// start starts a run. The caller holds the mutex.
 func (t *Target) start(w http.ResponseWriter, order targetOrder) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
 	switch run, ok := t.runs[order.Task]; {
 	case ok && run.attempt == order.Attempt:
 		t.acknowledge(w)
@@ -349,9 +356,8 @@
 	t.changed = make(chan struct{})
 }
 
+// stopRun ends a run. The caller holds the mutex.
 func (t *Target) stopRun(w http.ResponseWriter, order targetOrder) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
 	t.settled[order.Task] = max(t.settled[order.Task], order.Attempt)
 	if run, ok := t.runs[order.Task]; ok && run.attempt <= order.Attempt {
 		t.end(run, "stopped")
