Let objectives follow the learned run times

The rest of their run time was counted with the learned ratio (1.3 to 2.1), their objective with the declared run times.

Change: objective and end of worth grow with the learned ratio as well. TestObjectiveFollowsLearnedRunTimes.

--- a/rattanfront/front.go
+++ b/rattanfront/front.go
@@ -24,8 +24,6 @@
 )
 
 const (
-	// lateFactor times the objective is when an answer loses all its worth.
-	lateFactor = 3
 	// homeRetry is when a caller should come back while the zone has no home.
 	homeRetry = time.Second
 	// maxBody bounds a body while no desired state states a limit.
--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -92,7 +92,7 @@
 		patience = timeout
 	}
 	s.objective = s.arrived.Add(objective)
-	s.lateUntil = s.arrived.Add(lateFactor * objective)
+	s.lateUntil = s.arrived.Add(rattanwork.LateFactor * objective)
 	s.deadline = s.arrived.Add(patience)
 }
 
@@ -172,6 +172,7 @@
 		MaxAttempts: s.route.MaxAttempts,
 		Objective:   s.objective.Sub(now),
 		LateUntil:   s.lateUntil.Sub(now),
+		Slack:       s.route.Slack,
 		Deadline:    s.deadline.Sub(now),
 		Resumed:     s.presented > 0,
 		MayMove:     s.presented == 0 && !s.redirected,
--- a/rattanhome/service.go
+++ b/rattanhome/service.go
@@ -39,6 +39,7 @@
 	MaxAttempts int
 	Objective   time.Duration
 	LateUntil   time.Duration
+	Slack       float64
 	Deadline    time.Duration
 	Resumed     bool
 	MayMove     bool
@@ -157,6 +158,7 @@
 		MaxAttempts: r.MaxAttempts,
 		Objective:   now.Add(r.Objective),
 		LateUntil:   now.Add(r.LateUntil),
+		Slack:       r.Slack,
 		Deadline:    now.Add(r.Deadline),
 		Resumed:     r.Resumed,
 		MayMove:     r.MayMove,
--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -58,7 +58,9 @@
 type job struct {
 	submission Submission
 	submitted  time.Time
-	tasks      []*task
+	// chain is the declared run time of the longest chain of steps.
+	chain time.Duration
+	tasks []*task
 	// ready are the tasks that may start now.
 	ready   []*task
 	queued  bool
@@ -98,7 +100,7 @@
 }
 
 func newJob(submission Submission, now time.Time) *job {
-	j := &job{submission: submission, submitted: now, wasStarted: submission.Resumed}
+	j := &job{submission: submission, submitted: now, chain: submission.Job.CriticalPath(), wasStarted: submission.Resumed}
 	j.tasks = make([]*task, 0, submission.Job.Tasks())
 	for step := range submission.Job.Steps {
 		for index := range submission.Job.Steps[step].Count {
--- a/rattanscheduler/order.go
+++ b/rattanscheduler/order.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
 // band orders jobs by what an answer is still worth.
@@ -58,15 +60,25 @@
 	return rest
 }
 
+// times returns until when an answer has its whole worth and until when the
+// rest. Both grow with the run time of the longest chain, which is declared with
+// errors: what was learned of them applies to both alike, so that a longer run
+// time does not count against the job.
+func (s *Scheduler) times(j *job) (objective, lateUntil time.Time) {
+	submission := &j.submission
+	extra := time.Duration(submission.Slack * (s.rates.ratio(j) - 1) * float64(j.chain))
+	return submission.Objective.Add(extra), submission.LateUntil.Add(rattanwork.LateFactor * extra)
+}
+
 func (s *Scheduler) classify(j *job, now time.Time) candidate {
 	rest := s.expectedRest(j)
-	submission := &j.submission
 	finish := now.Add(rest)
-	c := candidate{job: j, begun: j.runs > 0, slack: submission.Objective.Sub(finish)}
+	objective, lateUntil := s.times(j)
+	c := candidate{job: j, begun: j.runs > 0, slack: objective.Sub(finish)}
 	switch {
 	case c.slack >= 0:
 		c.band = bandOnTime
-	case finish.Before(submission.LateUntil) && now.Before(submission.Deadline):
+	case finish.Before(lateUntil) && now.Before(j.submission.Deadline):
 		c.band = bandLate
 	default:
 		c.band = bandHopeless
--- a/rattanscheduler/progress.go
+++ b/rattanscheduler/progress.go
@@ -60,5 +60,6 @@
 // something.
 func (s *Scheduler) worthRestart(r *run, now time.Time) bool {
 	expected := s.rates.expected(r.task.job, r.task.step)
-	return r.task.restarts < maxRestarts && now.Add(expected).Before(r.task.job.submission.LateUntil)
+	_, lateUntil := s.times(r.task.job)
+	return r.task.restarts < maxRestarts && now.Add(expected).Before(lateUntil)
 }
--- a/rattanscheduler/rates.go
+++ b/rattanscheduler/rates.go
@@ -34,19 +34,20 @@
 	}
 	ratio := float64(length) / float64(estimate)
 	ratio = min(max(ratio, rateLeast), rateMost)
-	key := keyOf(j)
-	old, ok := r.ratios[key]
-	if !ok {
-		old = 1
+	old := r.ratio(j)
+	r.ratios[keyOf(j)] = old + rateWeight*(ratio-old)
+}
+
+// ratio returns by how much the run times of jobs like this one exceed the
+// declared ones.
+func (r *rates) ratio(j *job) float64 {
+	if ratio, ok := r.ratios[keyOf(j)]; ok {
+		return ratio
 	}
-	r.ratios[key] = old + rateWeight*(ratio-old)
+	return 1
 }
 
 // expected returns the expected run time of a task of the step.
 func (r *rates) expected(j *job, step int) time.Duration {
-	ratio, ok := r.ratios[keyOf(j)]
-	if !ok {
-		ratio = 1
-	}
-	return time.Duration(ratio * float64(j.submission.Job.Steps[step].Estimate))
+	return time.Duration(r.ratio(j) * float64(j.submission.Job.Steps[step].Estimate))
 }
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -42,10 +42,13 @@
 	Priority    int
 	MaxAttempts int
 	// Objective is when the answer loses most of its worth, LateUntil when it
-	// loses the rest, and Deadline when the caller has left.
+	// loses the rest, and Deadline when the caller has left. The first two
+	// follow from the declared run times; with longer ones they are later.
 	Objective time.Time
 	LateUntil time.Time
-	Deadline  time.Time
+	// Slack is how often the run time of the longest chain goes into Objective.
+	Slack    float64
+	Deadline time.Time
 	// Resumed says that an earlier home may have started tasks of the job.
 	Resumed bool
 	// MayMove says that the job may be redirected to another availability zone.
@@ -377,7 +380,7 @@
 		RetryAfter: retryAfter,
 		Reason:     reason,
 		Tasks:      len(j.tasks),
-		Estimate:   j.submission.Job.CriticalPath(),
+		Estimate:   j.chain,
 		Runs:       j.runs,
 		Failures:   j.failures,
 		FirstStart: j.firstStart,
--- a/rattanscheduler/scheduler_test.go
+++ b/rattanscheduler/scheduler_test.go
@@ -728,3 +728,26 @@
 	z.Assert(known, qt.IsFalse)
 	z.Assert(z.scheduler.Take().Targets, qt.DeepEquals, []TargetEvent{{Target: gone, Change: TargetForgotten, Runs: 1}})
 }
+
+// TestObjectiveFollowsLearnedRunTimes guards against taking jobs for late, and
+// starving them, because their run times are declared too short: the objective
+// depends on the true ones.
+func TestObjectiveFollowsLearnedRunTimes(t *testing.T) {
+	z := newListedZone(qt.New(t), 1)
+	submission := z.submission(jobA, 1)
+	// 60 ms and 1.6 times the declared 100 ms, and three times that.
+	submission.Slack = 1.6
+	submission.Objective = z.now.Add(220 * time.Millisecond)
+	submission.LateUntil = z.now.Add(660 * time.Millisecond)
+	z.scheduler.Submit(submission, z.now)
+	j := z.scheduler.jobs[jobA]
+	z.Assert(z.scheduler.classify(j, z.now.Add(100*time.Millisecond)).band, qt.Equals, bandOnTime)
+	for range 100 {
+		z.scheduler.rates.observe(j, 0, &run{}, 200*time.Millisecond)
+	}
+	// With 200 ms the objective is 380 ms after the submission.
+	z.Check(z.scheduler.classify(j, z.now.Add(175*time.Millisecond)).band, qt.Equals, bandOnTime)
+	z.Check(z.scheduler.classify(j, z.now.Add(185*time.Millisecond)).band, qt.Equals, bandLate)
+	z.Check(z.scheduler.classify(j, z.now.Add(935*time.Millisecond)).band, qt.Equals, bandLate)
+	z.Check(z.scheduler.classify(j, z.now.Add(945*time.Millisecond)).band, qt.Equals, bandHopeless)
+}
--- a/rattanwork/job.go
+++ b/rattanwork/job.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// LateFactor times the objective is when an answer loses all its worth.
+const LateFactor = 3
+
 // Room is an amount of a target's resources.
 type Room struct {
 	// MilliCPU is in thousandths of a core.
