Hold resumed jobs until the targets were read after the takeover

Gap found by reading: a new home released resumed jobs when all targets that it knew had listed their runs. Its inventory came from before its claim and could lack targets that the earlier home used; entries lapsed and came back at that time (platform_lost).

Change: resumed jobs wait until the inventory was read from the store after the claim, otherwise for the leases of the earlier home. TestResumedJobWaitsForCurrentTargets failed before.

Ruled out by the order of token raises: two homes at one target.

--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -156,15 +156,16 @@
 	return Load{FreeMilliCPU: h.scheduler.FreeMilliCPU(now), WaitingTasks: h.scheduler.WaitingTasks(), Jobs: h.scheduler.Jobs()}
 }
 
-// UpdateTargets takes in the zone's targets.
-func (h *Home) UpdateTargets(listed []rattanwork.Target) {
+// UpdateTargets takes in the zone's targets. The list is current if it was read
+// from the inventory since this home exists.
+func (h *Home) UpdateTargets(listed []rattanwork.Target, current bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	now := h.config.Clock()
 	if h.closed {
 		return
 	}
-	h.scheduler.UpdateTargets(listed, now)
+	h.scheduler.UpdateTargets(listed, current, now)
 	for i := range listed {
 		id := listed[i].ID
 		if _, ok := h.leases[id]; !ok {
--- a/rattanhome/home_test.go
+++ b/rattanhome/home_test.go
@@ -20,7 +20,7 @@
 	// losesList decides, by the number and the wait of the order, whether an
 	// order to list gets lost, losesStart, by its number, whether an order to
 	// start does; nil loses none.
-	losesList  func(number int, wait time.Duration) bool
+	losesList  func(target string, number int, wait time.Duration) bool
 	losesStart func(number int) bool
 
 	mutex   sync.Mutex
@@ -83,7 +83,7 @@
 func (f *fakeTargets) Lease(ctx context.Context, target *rattanwork.Target, order rattanwork.LeaseOrder) (*rattanwork.Listing, error) {
 	f.mutex.Lock()
 	f.orders++
-	lost := f.losesList != nil && f.losesList(f.orders, order.Wait)
+	lost := f.losesList != nil && f.losesList(target.ID, f.orders, order.Wait)
 	f.mutex.Unlock()
 	if lost {
 		<-ctx.Done()
@@ -111,6 +111,12 @@
 	}
 }
 
+func (f *fakeTargets) startCount() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.starts
+}
+
 // silentJournal ignores what the home decides.
 type silentJournal struct{}
 
@@ -136,10 +142,14 @@
 	h := New(Config{Fence: FenceStep, MaxLease: time.Second, RemotePenalty: 1.5, Targets: targets, Journal: silentJournal{}, Clock: clock})
 	c.Cleanup(h.Close)
 	home.Store(h)
-	h.UpdateTargets([]rattanwork.Target{{ID: "t0", Service: "service", Room: rattanwork.Room{MilliCPU: 1000, MemoryMB: 100}}})
+	h.UpdateTargets([]rattanwork.Target{fakeTarget("t0")}, true)
 	return h
 }
 
+func fakeTarget(id string) rattanwork.Target {
+	return rattanwork.Target{ID: id, Service: "service", Room: rattanwork.Room{MilliCPU: 1000, MemoryMB: 100}}
+}
+
 func testSubmission(id int) rattanscheduler.Submission {
 	now := time.Now()
 	return rattanscheduler.Submission{
@@ -160,7 +170,7 @@
 func TestLostListsDelayLittle(t *testing.T) {
 	c := qt.New(t)
 	targets := newFakeTargets(20 * time.Millisecond)
-	targets.losesList = func(number int, _ time.Duration) bool { return number > 4 && number%2 == 0 }
+	targets.losesList = func(_ string, number int, _ time.Duration) bool { return number > 4 && number%2 == 0 }
 	h := newTestHome(c, targets)
 	const jobs = 8
 	began := time.Now()
@@ -183,7 +193,7 @@
 	targets := newFakeTargets(20 * time.Millisecond)
 	targets.losesStart = func(number int) bool { return number == 1 }
 	lostAtOnce := false
-	targets.losesList = func(number int, wait time.Duration) bool {
+	targets.losesList = func(_ string, number int, wait time.Duration) bool {
 		lose := number > 2 && wait == 0 && !lostAtOnce
 		lostAtOnce = lostAtOnce || lose
 		return lose
@@ -199,3 +209,33 @@
 	elapsed := time.Since(began)
 	c.Assert(elapsed < 300*time.Millisecond, qt.IsTrue, qt.Commentf("%v", elapsed))
 }
+
+// TestSilenceAfterTakeover guards against a second run of a task after a change
+// of the home: when a target falls silent right after its first list, the
+// leases that the earlier home granted there have yet to run out.
+func TestSilenceAfterTakeover(t *testing.T) {
+	c := qt.New(t)
+	targets := newFakeTargets(20 * time.Millisecond)
+	submission := testSubmission(1)
+	submission.Resumed = true
+	targets.list("t0").Running = []rattanwork.Run{{Task: submission.Job.ID + ".0.0.0", Attempt: 1}}
+	listed := false
+	targets.losesList = func(target string, _ int, _ time.Duration) bool {
+		first := target == "t0" && !listed
+		listed = listed || first
+		return target == "t0" && !first
+	}
+	taken := time.Now()
+	h := newTestHome(c, targets)
+	h.UpdateTargets([]rattanwork.Target{fakeTarget("t0"), fakeTarget("t1")}, true)
+	time.Sleep(600 * time.Millisecond)
+	ctx, cancel := context.WithDeadline(context.Background(), taken.Add(950*time.Millisecond))
+	defer cancel()
+	_, err := h.Submit(ctx, submission)
+	c.Assert(err, qt.ErrorIs, context.DeadlineExceeded)
+	c.Assert(targets.startCount(), qt.Equals, 0)
+	// After that the task starts on the other target.
+	ended, err := h.Submit(context.Background(), submission)
+	c.Assert(err, qt.IsNil)
+	c.Assert(ended.Outcome, qt.Equals, rattanscheduler.Succeeded)
+}
--- a/rattanscheduler/order.go
+++ b/rattanscheduler/order.go
@@ -105,6 +105,9 @@
 	if !j.submission.Resumed || now.Sub(s.config.TakenOver) > s.config.MaxLease*leaseMarginPercent/100 {
 		return false
 	}
+	if !s.current {
+		return true
+	}
 	for _, t := range s.targets {
 		if !t.reconciled {
 			return true
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -152,8 +152,10 @@
 	rates rates
 	// elsewhere holds the room of other zones, less what was redirected since.
 	elsewhere []Elsewhere
-	// informed says that the targets of the zone are known.
+	// informed says that targets of the zone are known, current that all of
+	// those are which the earlier home may have known.
 	informed bool
+	current  bool
 	output   Output
 }
 
--- a/rattanscheduler/scheduler_test.go
+++ b/rattanscheduler/scheduler_test.go
@@ -32,7 +32,7 @@
 	for i := range targets {
 		list = append(list, testTarget(i))
 	}
-	z.scheduler.UpdateTargets(list, z.now)
+	z.scheduler.UpdateTargets(list, true, z.now)
 	return z
 }
 
@@ -632,7 +632,7 @@
 		target.Rack = target.Labels[1]
 		list = append(list, target)
 	}
-	z.scheduler.UpdateTargets(list, z.now)
+	z.scheduler.UpdateTargets(list, true, z.now)
 	for i := range 4 {
 		z.list(i, rattanwork.Listing{})
 	}
@@ -718,7 +718,7 @@
 	z.scheduler.StartAnswered(gone, start.Task, 1, rattanwork.StartUnknown, z.now)
 	z.scheduler.Silent(gone, true, z.now)
 	left := testTarget(1 - int(gone[1]-'0'))
-	z.scheduler.UpdateTargets([]rattanwork.Target{left}, z.now)
+	z.scheduler.UpdateTargets([]rattanwork.Target{left}, true, z.now)
 	events := z.scheduler.Take().Targets
 	z.Assert(events, qt.DeepEquals, []TargetEvent{{Target: gone, Change: TargetVanished, Runs: 1}})
 	z.pass(lateOrders - time.Second)
@@ -751,3 +751,39 @@
 	z.Check(z.scheduler.classify(j, z.now.Add(935*time.Millisecond)).band, qt.Equals, bandLate)
 	z.Check(z.scheduler.classify(j, z.now.Add(945*time.Millisecond)).band, qt.Equals, bandHopeless)
 }
+
+// TestResumedJobWaitsForCurrentTargets guards against a second run of a task
+// after a change of the home, when the run is on a target that the new home has
+// not heard of yet.
+func TestResumedJobWaitsForCurrentTargets(t *testing.T) {
+	z := &zone{C: qt.New(t), now: time.Unix(1_800_000_000, 0)}
+	z.scheduler = New(Config{MaxLease: time.Second, TakenOver: z.now})
+	z.scheduler.UpdateTargets([]rattanwork.Target{testTarget(0)}, false, z.now)
+	z.list(0, rattanwork.Listing{})
+	submission := z.submission(jobA, 1)
+	submission.Resumed = true
+	z.scheduler.Submit(submission, z.now)
+	z.pass(10 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	z.scheduler.UpdateTargets([]rattanwork.Target{testTarget(0), testTarget(1)}, true, z.now)
+	z.pass(10 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	z.list(1, rattanwork.Listing{Running: []rattanwork.Run{{Task: jobA + ".0.0.0", Attempt: 1}}})
+	z.pass(10 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	z.list(1, rattanwork.Listing{Ended: []rattanwork.End{{Sequence: 1, Task: jobA + ".0.0.0", Attempt: 1, Kind: rattanwork.EndDone}}})
+	z.Assert(z.scheduler.Take().Ended, qt.HasLen, 1)
+	// Without the inventory, the leases of the earlier home have to run out.
+	z.scheduler = New(Config{MaxLease: time.Second, TakenOver: z.now})
+	z.scheduler.UpdateTargets([]rattanwork.Target{testTarget(0)}, false, z.now)
+	z.list(0, rattanwork.Listing{})
+	submission = z.submission(jobB, 1)
+	submission.Resumed = true
+	submission.LateUntil = z.now.Add(3 * time.Second)
+	submission.Deadline = submission.LateUntil
+	z.scheduler.Submit(submission, z.now)
+	z.pass(1100 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	z.pass(100 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 1)
+}
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -100,8 +100,11 @@
 }
 
 // UpdateTargets takes in the targets of the zone. Targets that are not listed
-// take no new work; they are forgotten once nothing runs there.
-func (s *Scheduler) UpdateTargets(listed []rattanwork.Target, now time.Time) {
+// take no new work; they are forgotten once nothing runs there. A list is
+// current if it was read from the inventory after authority over the targets was
+// claimed.
+func (s *Scheduler) UpdateTargets(listed []rattanwork.Target, current bool, now time.Time) {
+	s.current = s.current || current
 	s.informed = s.informed || len(listed) > 0
 	seen := make(map[string]bool, len(listed))
 	for i := range listed {
--- a/rattanzone/election.go
+++ b/rattanzone/election.go
@@ -129,7 +129,7 @@
 	a.notify()
 	a.mutex.Unlock()
 	a.config.Journal.HomeChanged(claim, reason)
-	own.UpdateTargets(a.config.Inventory.Zone(self.Zone))
+	own.UpdateTargets(a.config.Inventory.Zone(self.Zone), false)
 	a.config.Inventory.Kick()
 	a.homeRound(now)
 }
--- a/rattanzone/spread.go
+++ b/rattanzone/spread.go
@@ -141,10 +141,11 @@
 	for a.ctx.Err() == nil {
 		own := a.Own()
 		if own != nil {
-			if err := a.config.Inventory.read(a.ctx, a.config.Clock); err != nil {
+			err := a.config.Inventory.read(a.ctx, a.config.Clock)
+			if err != nil {
 				a.askForInventory()
 			}
-			own.UpdateTargets(a.config.Inventory.Zone(a.config.Self.Zone))
+			own.UpdateTargets(a.config.Inventory.Zone(a.config.Self.Zone), err == nil)
 		}
 		wait := inventoryInterval
 		if own != nil && a.config.Inventory.Revision() == 0 {
