Let the leases of silent targets run out

A dead target was asked again and again, never counted as expired, and its tasks waited until the caller had left.

Change: renewals that are sent to find out whether a target answers extend nothing. At the first list of a new home the leases of the earlier home count as extended. TestSilenceAfterTakeover failed before: its task never started again.

--- a/rattanhome/lease.go
+++ b/rattanhome/lease.go
@@ -48,7 +48,7 @@
 	clock   int64
 	clockAt time.Time
 	// expires is when, by the home's clock, all leases of the target have
-	// certainly expired.
+	// certainly expired, zero before its first list.
 	expires time.Time
 	// fence is the token of orders to this target. It rises with each order
 	// that gets no answer, so that the target does nothing for that order any
@@ -146,7 +146,7 @@
 	sent := h.config.Clock()
 	wait, timeout := l.patience(atOnce, sent)
 	order := rattanwork.LeaseOrder{
-		ExpiresMillis: l.expiry(sent),
+		ExpiresMillis: l.renewal(atOnce, sent),
 		Fence:         l.fence,
 		Acknowledged:  h.scheduler.Sequence(l.id),
 		Wait:          wait,
@@ -209,7 +209,7 @@
 		l.silent = now
 		h.config.Journal.TargetSilent(l.id, l.lastError)
 	}
-	h.scheduler.Silent(l.id, now.After(l.expires), now)
+	h.scheduler.Silent(l.id, !l.expires.IsZero() && now.After(l.expires), now)
 	h.flush(now)
 }
 
@@ -219,6 +219,11 @@
 		l.silent = time.Time{}
 	}
 	l.sawClock(listing.ClockMillis, now)
+	if l.expires.IsZero() {
+		// The earlier home may have extended the leases until its token was
+		// refused, which it is from this list on.
+		l.expires = now.Add(l.longest())
+	}
 	l.home.scheduler.Listed(l.id, listing, sent, void, now)
 	if l.home.scheduler.Settling(l.id) {
 		l.nudge()
@@ -248,9 +253,23 @@
 	if l.clock == 0 {
 		return 0
 	}
-	length := l.home.config.MaxLease
-	l.expires = now.Add(length * slowClockPercent / 100)
-	return l.clock + (now.Sub(l.clockAt) + length - leaseSlack).Milliseconds()
+	l.expires = now.Add(l.longest())
+	return l.clock + (now.Sub(l.clockAt) + l.home.config.MaxLease - leaseSlack).Milliseconds()
+}
+
+// longest returns how long a lease may last by the home's clock.
+func (l *lease) longest() time.Duration {
+	return l.home.config.MaxLease * slowClockPercent / 100
+}
+
+// renewal returns until when a renewal extends the leases, 0 for not at all.
+// While it is unknown whether the target answers, leases are not extended, so
+// that those of a dead target run out and its tasks can start elsewhere.
+func (l *lease) renewal(atOnce bool, now time.Time) int64 {
+	if atOnce || !l.silent.IsZero() {
+		return 0
+	}
+	return l.expiry(now)
 }
 
 // startRun sends the order to start a run. The caller holds the home's mutex.
