Let a failed task wait for another target

While the others were full or silent, a failed task went back to the target that fails all it starts and used up its attempts; the job's own lines were not kept, so the cause is read from the code.

Change: a failed task waits for room on another target that answers. TestFailedTaskWaitsForAnotherTarget failed before.

--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -36,8 +36,10 @@
 	// group holds the tasks that run, fail and end together with this one: all
 	// of a gang, otherwise the task alone.
 	group []*task
-	// avoid is the target of the last run that failed or was lost.
-	avoid *target
+	// avoid is the target of the last run that failed or was lost, failedOn that
+	// of the last run that failed.
+	avoid    *target
+	failedOn *target
 }
 
 func (t *task) need() rattanwork.Room {
--- a/rattanscheduler/placement.go
+++ b/rattanscheduler/placement.go
@@ -60,6 +60,9 @@
 		if on.info.Service != t.job.submission.Service || !on.info.HasLabel(step.Label) || !step.Need.Fits(on.free) {
 			continue
 		}
+		if on == t.failedOn && s.otherHosts(t) {
+			continue
+		}
 		if step.PerTarget > 0 && t.job.onTarget(t.step, on) >= step.PerTarget {
 			continue
 		}
@@ -71,6 +74,18 @@
 	return best
 }
 
+// otherHosts reports whether a task that failed could run on another target
+// that answers, so that waiting for room there is better than the same target:
+// one that fails all it starts would use up the attempts.
+func (s *Scheduler) otherHosts(t *task) bool {
+	for _, on := range s.targets {
+		if on != t.failedOn && on.reconciled && !on.silent && on.canHost(t.job, t.definition()) {
+			return true
+		}
+	}
+	return false
+}
+
 // score is lower for a better target.
 func (s *Scheduler) score(t *task, on *target) float64 {
 	step := t.definition()
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -299,6 +299,7 @@
 
 func (s *Scheduler) taskFailed(t *task, r *run, now time.Time) {
 	t.failed(r.attempt)
+	t.failedOn = r.target
 	t.job.failures++
 	s.suspend(r.target, r.target.health.failed(t.job), "failing", now)
 	if t.failures >= t.job.submission.MaxAttempts {
--- a/rattanscheduler/scheduler_test.go
+++ b/rattanscheduler/scheduler_test.go
@@ -787,3 +787,28 @@
 	z.pass(100 * time.Millisecond)
 	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 1)
 }
+
+// TestFailedTaskWaitsForAnotherTarget guards against using up the attempts of a
+// task on one target that fails all it starts, while the others are full.
+func TestFailedTaskWaitsForAnotherTarget(t *testing.T) {
+	z := newListedZone(qt.New(t), 2)
+	z.scheduler.Submit(z.submission(jobB, 4), z.now)
+	z.scheduler.Tick(z.now)
+	starts := z.scheduler.Take().Starts
+	for _, start := range starts {
+		z.accept(start)
+	}
+	z.listAll("t0", nil, rattanwork.End{Sequence: 1, Task: jobB + ".0.0.0", Attempt: 1, Kind: rattanwork.EndDone},
+		rattanwork.End{Sequence: 2, Task: jobB + ".0.0.1", Attempt: 1, Kind: rattanwork.EndDone})
+	z.scheduler.Submit(z.submission(jobA, 1), z.now)
+	z.scheduler.Tick(z.now)
+	start := z.scheduler.Take().Starts[0]
+	z.Assert(start.Target.ID, qt.Equals, "t0")
+	z.accept(start)
+	z.listAll("t0", nil, rattanwork.End{Sequence: 3, Task: start.Task, Attempt: 1, Kind: rattanwork.EndFailed})
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	z.listAll("t1", starts[3:], rattanwork.End{Sequence: 1, Task: jobB + ".0.0.2", Attempt: 1, Kind: rattanwork.EndDone})
+	again := z.scheduler.Take().Starts
+	z.Assert(again, qt.HasLen, 1)
+	z.Assert(again[0].Target.ID, qt.Equals, "t1")
+}
