Index waiting jobs and targets in place of searching all of them

Cause: each event (an answer to a start, a listing, a silent target) classified and sorted all waiting jobs and tried each of their tasks on each target, also when nothing had room. Each submission did so three times. The cost of a decision grew with the backlog, so that a home past its limit fell further behind.

Change: the waiting jobs of a service stand in blocks that are sorted by their latest start and state their least demand; the targets that take new work stand in lists sorted by free resources. A pass visits only jobs that may fit into the free resources of some target. Learned run times take effect every 250 ms, so that the order does not change with each run. Time-driven decisions skip blocks in which nothing expires or is overloaded; they are made every 10 ms while decisions are pending, in place of every submission, and a home that was idle wakes up for them (before, up to 250 ms passed). Overload is now judged by service.

TestObjectiveFollowsLearnedRunTimes now states when learned run times take effect, and uses targets that have not listed their runs, since a submission starts at once what it can; its times are unchanged.

--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -71,7 +71,8 @@
 	config Config
 	ctx    context.Context
 	cancel context.CancelFunc
-	wake   chan struct{}
+	// wake makes the next tick follow after busyTickInterval.
+	wake chan struct{}
 	// deposed is closed when the home is closed, or deposed because a target
 	// follows another home.
 	deposed chan struct{}
@@ -87,7 +88,9 @@
 	renewers map[string]*leaseRenewer
 	// roundTrip measures the requests to all targets.
 	roundTrip roundTripEstimator
-	closed    bool
+	// idle is set while the next tick is idleTickInterval after the last one.
+	idle   bool
+	closed bool
 }
 
 type cachedResult struct {
@@ -115,6 +118,7 @@
 		waiters:  map[string][]chan rattanscheduler.JobResult{},
 		results:  map[string]cachedResult{},
 		renewers: map[string]*leaseRenewer{},
+		idle:     true,
 	}
 	go h.tickLoop()
 	return h
@@ -215,7 +219,7 @@
 	}
 	h.waiters[id] = append(h.waiters[id], waiter)
 	h.scheduler.Submit(submission, now)
-	h.scheduler.Tick(now)
+	h.scheduler.CheckAdmission(id, now)
 	h.flush(now)
 	h.mutex.Unlock()
 	select {
@@ -258,6 +262,20 @@
 	for _, result := range output.Results {
 		h.handleResult(result, now)
 	}
+	h.wakeIfBusy()
+}
+
+// wakeIfBusy shortens the tick interval once time-driven decisions are pending.
+// The caller holds the mutex.
+func (h *Home) wakeIfBusy() {
+	if !h.idle || !h.scheduler.Busy() {
+		return
+	}
+	h.idle = false
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
 }
 
 // handleResult passes a job's result to the callers that wait for it, and
@@ -285,9 +303,9 @@
 }
 
 const (
-	// busyTickInterval is the interval of time-driven decisions while tasks are
-	// waiting, idleTickInterval the interval otherwise.
-	busyTickInterval = 20 * time.Millisecond
+	// busyTickInterval is the interval of time-driven decisions while such
+	// decisions are pending, idleTickInterval the interval otherwise.
+	busyTickInterval = 10 * time.Millisecond
 	idleTickInterval = 250 * time.Millisecond
 )
 
@@ -299,9 +317,11 @@
 		select {
 		case <-h.ctx.Done():
 			return
+		case <-h.wake:
+			timer.Reset(busyTickInterval)
 		case <-timer.C:
+			timer.Reset(h.tick())
 		}
-		timer.Reset(h.tick())
 	}
 }
 
@@ -321,8 +341,9 @@
 			delete(h.results, id)
 		}
 	}
-	if h.scheduler.WaitingTasks() > 0 {
-		return busyTickInterval
+	h.idle = !h.scheduler.Busy()
+	if h.idle {
+		return idleTickInterval
 	}
-	return idleTickInterval
+	return busyTickInterval
 }
--- a/rattanscheduler/estimator.go
+++ b/rattanscheduler/estimator.go
@@ -1,6 +1,9 @@
 package rattanscheduler
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// ratioWeight is the weight of a new observation in the moving average;
@@ -8,12 +11,17 @@
 	ratioWeight = 0.1
 	minRatio    = 0.2
 	maxRatio    = 5.0
+	// minRatioChange is the relative change of a ratio that is worth sorting
+	// the waiting jobs again.
+	minRatioChange = 0.01
 )
 
 // runTimeEstimator corrects declared run times by the ratio of actual to
 // declared run times, which it learns per service and priority.
 type runTimeEstimator struct {
-	ratios map[ratioKey]float64
+	// learned contains the moving averages, published those in force.
+	learned   map[ratioKey]float64
+	published map[ratioKey]float64
 }
 
 type ratioKey struct {
@@ -22,7 +30,7 @@
 }
 
 func newRunTimeEstimator() runTimeEstimator {
-	return runTimeEstimator{ratios: map[ratioKey]float64{}}
+	return runTimeEstimator{learned: map[ratioKey]float64{}, published: map[ratioKey]float64{}}
 }
 
 func ratioKeyOf(j *job) ratioKey {
@@ -38,14 +46,35 @@
 	}
 	ratio := float64(runTime) / float64(estimate)
 	ratio = min(max(ratio, minRatio), maxRatio)
-	previous := e.ratio(j)
-	e.ratios[ratioKeyOf(j)] = previous + ratioWeight*(ratio-previous)
+	key := ratioKeyOf(j)
+	previous, ok := e.learned[key]
+	if !ok {
+		previous = 1
+	}
+	e.learned[key] = previous + ratioWeight*(ratio-previous)
+}
+
+// publish puts the learned ratios in force and returns the keys of those that
+// have changed noticeably.
+func (e *runTimeEstimator) publish() map[ratioKey]bool {
+	changed := map[ratioKey]bool{}
+	for key, ratio := range e.learned {
+		previous, ok := e.published[key]
+		if !ok {
+			previous = 1
+		}
+		if math.Abs(ratio-previous) > minRatioChange*previous {
+			e.published[key] = ratio
+			changed[key] = true
+		}
+	}
+	return changed
 }
 
-// ratio returns the learned ratio of actual to declared run times for jobs like
-// this one.
+// ratio returns the ratio of actual to declared run times in force for jobs
+// like this one.
 func (e *runTimeEstimator) ratio(j *job) float64 {
-	if ratio, ok := e.ratios[ratioKeyOf(j)]; ok {
+	if ratio, ok := e.published[ratioKeyOf(j)]; ok {
 		return ratio
 	}
 	return 1
--- a/rattanscheduler/event.go
+++ b/rattanscheduler/event.go
@@ -47,5 +47,10 @@
 		return
 	}
 	t.suspendedUntil = now.Add(duration)
+	s.touch(t)
+	if !t.suspensionPending {
+		t.suspensionPending = true
+		s.suspended = append(s.suspended, t)
+	}
 	s.output.Targets = append(s.output.Targets, TargetEvent{Target: t.info.ID, Change: TargetSuspended, Reason: reason, Suspension: duration, Runs: len(t.runs)})
 }
--- a/rattanscheduler/gang.go
+++ b/rattanscheduler/gang.go
@@ -8,8 +8,9 @@
 
 // startCoupledSteps starts the steps whose tasks are placed together: gangs,
 // which start as a whole or not at all, and steps whose tasks run faster on one
-// rack.
-func (s *Scheduler) startCoupledSteps(j *job, usable []*target, now time.Time) {
+// rack. It reports whether it has started any.
+func (s *Scheduler) startCoupledSteps(j *job, pass *placementPass) bool {
+	started := false
 	for i := range j.submission.Job.Steps {
 		step := &j.submission.Job.Steps[i]
 		if !step.Gang && !step.SameRack {
@@ -19,11 +20,12 @@
 		switch {
 		case len(tasks) == 0:
 		case step.Gang && len(tasks) < step.Count:
-			s.stopGang(tasks[0].group, now)
+			s.stopGang(tasks[0].group, pass.now)
 		default:
-			s.startStep(tasks, usable, now)
+			started = s.startStep(tasks, pass) || started
 		}
 	}
+	return started
 }
 
 // readyTasks returns the tasks of a step that may start now.
@@ -50,11 +52,12 @@
 }
 
 // startStep starts all tasks of a step in the same attempt if there are
-// resources for all of them, preferably on one rack if the step asks for it.
-func (s *Scheduler) startStep(tasks []*task, usable []*target, now time.Time) {
-	targets := s.placeStep(tasks, usable)
+// resources for all of them, preferably on one rack if the step asks for it. It
+// reports whether it has started them.
+func (s *Scheduler) startStep(tasks []*task, pass *placementPass) bool {
+	targets := s.placeStep(tasks, pass.pool.indexedTargets())
 	if targets == nil {
-		return
+		return false
 	}
 	attempt := 0
 	for _, t := range tasks {
@@ -63,8 +66,9 @@
 	for i, t := range tasks {
 		t.attempt = attempt
 		t.job.removeReady(t)
-		s.startRun(t, targets[i], now)
+		s.startRun(t, targets[i], pass.now)
 	}
+	return true
 }
 
 // placeStep selects a target for each of the tasks, and returns nil if some
@@ -117,7 +121,7 @@
 func (s *Scheduler) placeTasks(tasks []*task, candidates []*target) []*target {
 	targets := make([]*target, 0, len(tasks))
 	for _, t := range tasks {
-		target := s.selectTarget(t, candidates)
+		target := s.bestOf(t, candidates).target
 		if target == nil {
 			break
 		}
--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -71,9 +71,14 @@
 	tasks        []*task
 	// ready contains the tasks that may start now.
 	ready []*task
-	// queued is set while the job is in Scheduler.waiting.
-	queued  bool
-	outcome Outcome
+	// class is the job's class in its queue, nil unless the job is queued;
+	// entry is the job's entry there and timing is what its place depends on.
+	class  *jobClass
+	entry  queueEntry
+	timing timing
+	// sequence is the order in which jobs were first queued, 0 before that.
+	sequence uint64
+	outcome  Outcome
 	// maybeStarted is set if a run may have started, in which case the job
 	// cannot be refused.
 	maybeStarted bool
@@ -188,6 +193,34 @@
 	return false
 }
 
+// readyDemand returns the least amount of each resource that a ready task
+// requires. It is zero if a gang has lost some of its runs, because the others
+// must be stopped even if no target has free resources.
+func (j *job) readyDemand() rattanwork.Resources {
+	if j.hasBrokenGang() {
+		return rattanwork.Resources{}
+	}
+	demand := j.ready[0].resources()
+	for _, t := range j.ready[1:] {
+		demand = minDemand(demand, t.resources())
+	}
+	return demand
+}
+
+// hasBrokenGang reports whether only some tasks of a gang are ready.
+func (j *job) hasBrokenGang() bool {
+	for i := range j.submission.Job.Steps {
+		step := &j.submission.Job.Steps[i]
+		if !step.Gang {
+			continue
+		}
+		if ready := len(j.readyTasks(i)); ready > 0 && ready < step.Count {
+			return true
+		}
+	}
+	return false
+}
+
 // removeReady removes a task from the ready list.
 func (j *job) removeReady(t *task) {
 	for i, other := range j.ready {
--- a/rattanscheduler/placement.go
+++ b/rattanscheduler/placement.go
@@ -2,80 +2,226 @@
 
 import (
 	"time"
+
+	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
-// schedule starts waiting tasks on targets with sufficient free resources.
-func (s *Scheduler) schedule(now time.Time) {
-	if len(s.waiting) == 0 {
-		return
+// avoidPenalty outweighs all other terms of the score, so that an avoided
+// target is chosen only if there is no other.
+const avoidPenalty = 100
+
+// maxFailedDemands bounds the number of demands that a pass remembers.
+const maxFailedDemands = 8
+
+// serviceState holds the targets and the waiting jobs of one service.
+type serviceState struct {
+	pool  *targetPool
+	queue jobQueue
+}
+
+// service returns the state of a service.
+func (s *Scheduler) service(name string) *serviceState {
+	state, ok := s.services[name]
+	if !ok {
+		state = &serviceState{pool: newTargetPool()}
+		s.services[name] = state
 	}
-	usable := s.usableTargets(now)
-	if len(usable) == 0 {
-		return
+	return state
+}
+
+// touch marks a target whose resources or usability may have changed.
+func (s *Scheduler) touch(t *target) {
+	if !t.touched {
+		t.touched = true
+		s.touched = append(s.touched, t)
 	}
-	for _, c := range s.candidates(now) {
-		if c.timeliness == timelinessExpired {
+}
+
+// refreshTargets updates the indexes of the targets that have changed and of
+// those whose suspension has ended.
+func (s *Scheduler) refreshTargets(now time.Time) {
+	waiting := s.suspended[:0]
+	for _, t := range s.suspended {
+		if now.Before(t.suspendedUntil) {
+			waiting = append(waiting, t)
 			continue
 		}
-		s.startReadyTasks(c.job, usable, now)
+		t.suspensionPending = false
+		s.touch(t)
+	}
+	s.suspended = waiting
+	for _, t := range s.touched {
+		t.touched = false
+		if s.targets[t.info.ID] == t {
+			s.service(t.info.Service).pool.refresh(t, now)
+		}
 	}
+	s.touched = s.touched[:0]
 }
 
-func (s *Scheduler) usableTargets(now time.Time) []*target {
-	list := make([]*target, 0, len(s.targets))
-	for _, t := range s.targets {
-		if t.usable(now) && t.free.MilliCPU > 0 {
-			list = append(list, t)
+// schedule starts waiting tasks on targets with sufficient free resources.
+func (s *Scheduler) schedule(now time.Time) {
+	s.refreshTargets(now)
+	s.startWaiting(now)
+}
+
+// scheduleServices makes a pass over the waiting jobs of each service.
+func (s *Scheduler) scheduleServices(now time.Time) {
+	for _, state := range s.services {
+		if state.queue.jobs > 0 {
+			s.scheduleService(state, now)
 		}
 	}
-	return list
+}
+
+// placementPass is the state of one pass over the waiting jobs of a service.
+type placementPass struct {
+	pool *targetPool
+	now  time.Time
+	// failed contains demands for which no target was found. Resources only
+	// become scarcer during a pass, so larger demands need no search.
+	failed []demand
+}
+
+// demand is what a task requires of a target, regardless of its history.
+type demand struct {
+	label     string
+	resources rattanwork.Resources
+}
+
+// scheduleService visits, in order, the jobs of a service that may fit into
+// the free resources of some target.
+func (s *Scheduler) scheduleService(state *serviceState, now time.Time) {
+	pass := &placementPass{pool: state.pool, now: now}
+	state.queue.passes(now.UnixNano(), func(class *jobClass, keys keyRange) {
+		for {
+			entry, found := class.firstFitting(keys, state.pool.maxFree())
+			if !found {
+				return
+			}
+			keys.after = entry.key
+			if !entry.job.expired(now) && !s.awaitsReconciliation(entry.job, now) {
+				s.startReadyTasks(entry.job, pass)
+			}
+		}
+	})
 }
 
 // startReadyTasks starts as many ready tasks of the job as there are resources
 // for.
-func (s *Scheduler) startReadyTasks(j *job, usable []*target, now time.Time) {
-	s.startCoupledSteps(j, usable, now)
-	for _, t := range append([]*task(nil), j.ready...) {
-		if t.step().Gang {
-			continue
-		}
-		target := s.selectTarget(t, usable)
+func (s *Scheduler) startReadyTasks(j *job, pass *placementPass) {
+	started := s.startCoupledSteps(j, pass)
+	for i := 0; i < len(j.ready); {
+		t := j.ready[i]
+		target := s.selectTarget(t, pass)
 		if target == nil {
+			i++
 			continue
 		}
-		j.removeReady(t)
-		s.startRun(t, target, now)
+		j.ready = append(j.ready[:i], j.ready[i+1:]...)
+		s.startRun(t, target, pass.now)
+		started = true
 	}
-	if len(j.ready) == 0 {
-		s.dequeue(j)
+	if started {
+		s.reposition(j)
 	}
 }
 
 // selectTarget returns the best target for a task, or nil if there is none. It
 // prefers targets near the task's data, then those with the least processor
 // capacity left over.
-func (s *Scheduler) selectTarget(t *task, usable []*target) *target {
+func (s *Scheduler) selectTarget(t *task, pass *placementPass) *target {
 	step := t.step()
-	var best *target
-	bestScore := 0.0
-	for _, target := range usable {
-		if target.info.Service != t.job.submission.Service || !target.info.HasLabel(step.Label) || !step.Resources.FitsIn(target.free) {
-			continue
-		}
-		if target == t.lastFailedTarget && s.hasOtherTarget(t) {
-			continue
+	if step.Gang {
+		return nil
+	}
+	required := demand{label: step.Label, resources: step.Resources}
+	if pass.hasFailed(required) {
+		return nil
+	}
+	best := s.searchPool(t, pass.pool)
+	if best == nil && t.lastFailedTarget == nil && step.MaxPerTarget == 0 && len(pass.failed) < maxFailedDemands {
+		pass.failed = append(pass.failed, required)
+	}
+	return best
+}
+
+// hasFailed reports whether no target was found for a demand that is not larger
+// than the given one.
+func (p *placementPass) hasFailed(required demand) bool {
+	for _, failed := range p.failed {
+		if (failed.label == "" || failed.label == required.label) && failed.resources.FitsIn(required.resources) {
+			return true
 		}
-		if step.MaxPerTarget > 0 && t.job.tasksOnTarget(t.stepIndex, target) >= step.MaxPerTarget {
-			continue
+	}
+	return false
+}
+
+// searchPool returns the best target of the pool for a task, or nil. It looks
+// first at the targets near the task's data, then at the others in the order of
+// the processor capacity that they would have left.
+func (s *Scheduler) searchPool(t *task, pool *targetPool) *target {
+	step := t.step()
+	best := scoredTarget{}
+	penalty := 0.0
+	if step.Rack != "" {
+		best = s.bestOf(t, pool.byLabel[step.Rack])
+		penalty = s.config.RemotePenalty
+	}
+	for _, group := range pool.groups {
+		list := group.targets.list
+		for _, target := range list[group.targets.search(step.Resources.MilliCPU, ""):] {
+			if best.target != nil && s.remainingShare(t, target)+penalty > best.score {
+				break
+			}
+			if s.suits(t, target) {
+				best = best.better(scoredTarget{target, s.score(t, target)})
+			}
 		}
-		score := s.score(t, target)
-		if best == nil || score < bestScore || (score == bestScore && target.info.ID < best.info.ID) {
-			best, bestScore = target, score
+	}
+	return best.target
+}
+
+// scoredTarget is a target with its score for a task; lower is better.
+type scoredTarget struct {
+	target *target
+	score  float64
+}
+
+// better returns the candidate if it is better, and the receiver otherwise.
+func (s scoredTarget) better(candidate scoredTarget) scoredTarget {
+	if s.target == nil || candidate.score < s.score || (candidate.score == s.score && candidate.target.info.ID < s.target.info.ID) {
+		return candidate
+	}
+	return s
+}
+
+// bestOf returns the best of the listed targets for a task.
+func (s *Scheduler) bestOf(t *task, list []*target) scoredTarget {
+	best := scoredTarget{}
+	for _, target := range list {
+		if target.pooled.indexed && s.suits(t, target) {
+			best = best.better(scoredTarget{target, s.score(t, target)})
 		}
 	}
 	return best
 }
 
+// suits reports whether the task may start on the target, provided that the
+// target takes new work.
+func (s *Scheduler) suits(t *task, target *target) bool {
+	step := t.step()
+	switch {
+	case target.info.Service != t.job.submission.Service:
+		return false
+	case !target.info.HasLabel(step.Label) || !step.Resources.FitsIn(target.free):
+		return false
+	case target == t.lastFailedTarget && s.hasOtherTarget(t):
+		return false
+	}
+	return step.MaxPerTarget == 0 || t.job.tasksOnTarget(t.stepIndex, target) < step.MaxPerTarget
+}
+
 // hasOtherTarget reports whether a failed task could run on another responsive
 // target. It is then better to wait for that target: one that fails every run
 // would use up all attempts of the task.
@@ -90,10 +236,8 @@
 
 // score rates a target for a task; lower is better.
 func (s *Scheduler) score(t *task, target *target) float64 {
-	step := t.step()
-	remaining := target.free.MilliCPU - step.Resources.MilliCPU
-	score := float64(remaining) / float64(max(1, target.info.Capacity.MilliCPU))
-	if step.Rack != "" && !target.info.HasLabel(step.Rack) {
+	score := s.remainingShare(t, target)
+	if rack := t.step().Rack; rack != "" && !target.info.HasLabel(rack) {
 		score += s.config.RemotePenalty
 	}
 	if t.avoidTarget == target {
@@ -102,6 +246,9 @@
 	return score
 }
 
-// avoidPenalty outweighs all other terms of the score, so that an avoided
-// target is chosen only if there is no other.
-const avoidPenalty = 100
+// remainingShare returns the share of the target's processor capacity that
+// would be free after a start of the task.
+func (s *Scheduler) remainingShare(t *task, target *target) float64 {
+	remaining := target.free.MilliCPU - t.step().Resources.MilliCPU
+	return float64(remaining) / float64(max(1, target.info.Capacity.MilliCPU))
+}
--- a/rattanscheduler/priority.go
+++ b/rattanscheduler/priority.go
@@ -1,8 +1,6 @@
 package rattanscheduler
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/rattanlever/rattanlever/rattanwork"
@@ -22,38 +20,6 @@
 	timelinessExpired
 )
 
-// candidate is a waiting job with its sort keys.
-type candidate struct {
-	job        *job
-	timeliness timeliness
-	// started is set if a run of the job was requested.
-	started bool
-	slack   time.Duration
-}
-
-// compare sorts candidates by timeliness. Among equals, started jobs come
-// first, because the work done for a job is wasted if it does not complete;
-// then the priority decides, and finally the least slack.
-func (c candidate) compare(other candidate) int {
-	return cmp.Or(
-		cmp.Compare(c.timeliness, other.timeliness),
-		compareTrueFirst(c.started, other.started),
-		cmp.Compare(c.job.submission.Priority, other.job.submission.Priority),
-		cmp.Compare(c.slack, other.slack),
-	)
-}
-
-func compareTrueFirst(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // longestReadyTask returns the longest expected run time of the job's ready
 // tasks.
 func (s *Scheduler) longestReadyTask(j *job) time.Duration {
@@ -74,40 +40,123 @@
 	return submission.Objective.Add(extra), submission.LateUntil.Add(rattanwork.LateFactor * extra)
 }
 
-// classify returns the sort keys of a waiting job.
-func (s *Scheduler) classify(j *job, now time.Time) candidate {
-	remaining := s.longestReadyTask(j)
-	finish := now.Add(remaining)
+// timing is when a waiting job must start at the latest.
+type timing struct {
+	// latestStart is until when the job must start to meet its objective.
+	latestStart time.Time
+	// expiresAt is from when on the answer has no value.
+	expiresAt time.Time
+}
+
+// timing returns when the waiting job must start.
+func (s *Scheduler) timing(j *job) timing {
+	longest := s.longestReadyTask(j)
 	objective, lateUntil := s.adjustedDeadlines(j)
-	c := candidate{job: j, started: j.runCount > 0, slack: objective.Sub(finish)}
+	result := timing{latestStart: objective.Add(-longest), expiresAt: lateUntil.Add(-longest)}
+	if j.submission.Deadline.Before(result.expiresAt) {
+		result.expiresAt = j.submission.Deadline
+	}
+	return result
+}
+
+// classify returns the timeliness of a job that starts now.
+func (t timing) classify(now time.Time) timeliness {
 	switch {
-	case c.slack >= 0:
-		c.timeliness = timelinessOnTime
-	case finish.Before(lateUntil) && now.Before(j.submission.Deadline):
-		c.timeliness = timelinessLate
+	case !now.After(t.latestStart):
+		return timelinessOnTime
+	case now.Before(t.expiresAt):
+		return timelinessLate
 	default:
-		c.timeliness = timelinessExpired
+		return timelinessExpired
 	}
-	return c
 }
 
-// candidates returns the waiting jobs in the order in which they may start.
-func (s *Scheduler) candidates(now time.Time) []candidate {
-	list := make([]candidate, 0, len(s.waiting))
-	for _, j := range s.waiting {
-		if s.awaitsReconciliation(j, now) {
-			continue
-		}
-		list = append(list, s.classify(j, now))
+// slack returns how long the start of the job may be delayed.
+func (t timing) slack(now time.Time) time.Duration {
+	return t.latestStart.Sub(now)
+}
+
+// expired reports whether the answer of a waiting job would have no value.
+func (j *job) expired(now time.Time) bool {
+	return j.timing.classify(now) == timelinessExpired
+}
+
+// reposition puts a job into the place in its queue that corresponds to its
+// ready tasks and to the learned run times, or removes it from the queue if no
+// task is ready.
+func (s *Scheduler) reposition(j *job) {
+	s.dequeue(j)
+	if len(j.ready) == 0 || j.outcome != Open {
+		return
+	}
+	if j.sequence == 0 {
+		s.lastSequence++
+		j.sequence = s.lastSequence
+	}
+	j.timing = s.timing(j)
+	j.entry = queueEntry{
+		expiresAt: j.timing.expiresAt.UnixNano(),
+		key:       queueKey{latestStart: j.timing.latestStart.UnixNano(), sequence: j.sequence},
+		demand:    j.readyDemand(),
+		work:      s.queuedWork(j),
+		tasks:     len(j.ready),
+		job:       j,
+	}
+	queue := &s.service(j.submission.Service).queue
+	j.class = queue.insert(j.runCount > 0, j.submission.Priority, j.entry)
+}
+
+// dequeue removes a job from its queue.
+func (s *Scheduler) dequeue(j *job) {
+	if j.class == nil {
+		return
+	}
+	s.service(j.submission.Service).queue.remove(j.class, j.entry.key)
+	j.class = nil
+}
+
+// waitingJobs returns the jobs of all queues.
+func (s *Scheduler) waitingJobs() []*job {
+	var list []*job
+	for _, state := range s.services {
+		list = state.queue.appendJobs(list)
 	}
-	slices.SortStableFunc(list, candidate.compare)
 	return list
 }
 
+// refreshEstimates makes the run times learned since the last call apply to
+// the waiting jobs. Doing so after each run would cost more with each job that
+// waits.
+func (s *Scheduler) refreshEstimates(now time.Time) {
+	if now.Sub(s.estimatesRefreshedAt) < estimateRefreshInterval {
+		return
+	}
+	s.estimatesRefreshedAt = now
+	changed := s.estimator.publish()
+	if len(changed) == 0 {
+		return
+	}
+	for _, j := range s.waitingJobs() {
+		if changed[ratioKeyOf(j)] {
+			s.reposition(j)
+		}
+	}
+}
+
+// estimateRefreshInterval is the interval at which learned run times take
+// effect.
+const estimateRefreshInterval = 250 * time.Millisecond
+
 // awaitsReconciliation reports whether a resubmitted job must wait until all
 // targets have listed the runs that an earlier home may have started.
 func (s *Scheduler) awaitsReconciliation(j *job, now time.Time) bool {
-	if !j.submission.Resumed || now.Sub(s.config.TakeoverTime) > s.config.MaxLease*leaseMarginPercent/100 {
+	return j.submission.Resumed && s.reconciling(now)
+}
+
+// reconciling reports whether some target may run tasks of an earlier home that
+// this home does not know.
+func (s *Scheduler) reconciling(now time.Time) bool {
+	if now.Sub(s.config.TakeoverTime) > s.config.MaxLease*leaseMarginPercent/100 {
 		return false
 	}
 	if !s.targetsCurrent {
@@ -130,40 +179,87 @@
 // refuseOverloaded refuses jobs that have not started and cannot meet their
 // objective because of the work scheduled before them.
 func (s *Scheduler) refuseOverloaded(now time.Time) {
-	if len(s.waiting) == 0 {
+	s.refreshTargets(now)
+	for _, state := range s.services {
+		for _, j := range s.overloaded(state, now) {
+			s.refuseForBacklog(j, now)
+		}
+	}
+}
+
+// overloaded returns the waiting jobs of a service that have too much work
+// before them.
+func (s *Scheduler) overloaded(state *serviceState, now time.Time) []*job {
+	if state.queue.jobs == 0 || state.pool.capacityMilliCPU == 0 {
+		return nil
+	}
+	var list []*job
+	workAhead := 0.0
+	reconciling := s.reconciling(now)
+	state.queue.passes(now.UnixNano(), func(class *jobClass, keys keyRange) {
+		class.blocksIn(keys, func(block *jobBlock, whole bool) {
+			if whole && !reconciling && block.startsInTime(workAhead, state.pool, now) {
+				workAhead += block.work
+				return
+			}
+			for i := range block.entries {
+				entry := &block.entries[i]
+				if !keys.contains(entry.key) || (reconciling && entry.job.submission.Resumed) {
+					continue
+				}
+				if entry.job.tooMuchBefore(workAhead, state.pool, now) {
+					list = append(list, entry.job)
+					continue
+				}
+				workAhead += entry.work
+			}
+		})
+	})
+	return list
+}
+
+// startsInTime reports whether even the last job of the block would not wait
+// longer than the first one may.
+func (b *jobBlock) startsInTime(workAhead float64, pool *targetPool, now time.Time) bool {
+	wait := time.Duration((workAhead + b.work) / float64(pool.capacityMilliCPU))
+	return wait <= max(time.Duration(b.entries[0].key.latestStart-now.UnixNano()), 0)+overloadTolerance
+}
+
+// CheckAdmission refuses a job that has just been submitted if it cannot meet
+// its objective because of the work scheduled before it. Tick does the same for
+// all waiting jobs.
+func (s *Scheduler) CheckAdmission(jobID string, now time.Time) {
+	j, ok := s.jobs[jobID]
+	if !ok {
 		return
 	}
-	capacity := s.capacity(now)
-	if capacity == 0 {
+	state := s.service(j.submission.Service)
+	if j.class == nil || state.pool.capacityMilliCPU == 0 || s.awaitsReconciliation(j, now) {
 		return
 	}
-	workAhead := 0.0
-	for _, c := range s.candidates(now) {
-		wait := time.Duration(workAhead / capacity)
-		if !c.started && !c.job.mayHaveStarted() && wait > max(c.slack, 0)+overloadTolerance {
-			s.endJob(c.job, Refused, "too much work before it", s.backlog(now), now)
-			continue
-		}
-		workAhead += s.queuedWork(c.job)
+	if j.tooMuchBefore(state.queue.workBefore(j, now.UnixNano()), state.pool, now) {
+		s.refuseForBacklog(j, now)
+	}
+}
+
+// tooMuchBefore reports whether a job that has not started would miss its
+// objective because of the work before it.
+func (j *job) tooMuchBefore(work float64, pool *targetPool, now time.Time) bool {
+	if j.runCount > 0 || j.mayHaveStarted() {
+		return false
 	}
+	wait := time.Duration(work / float64(pool.capacityMilliCPU))
+	return wait > max(j.timing.slack(now), 0)+overloadTolerance
+}
+
+func (s *Scheduler) refuseForBacklog(j *job, now time.Time) {
+	s.endJob(j, Refused, "too much work before it", s.backlog(j.submission.Service), now)
 }
 
 // overloadTolerance is how far the expected wait may exceed a job's slack
 // before the job is refused. It allows for errors of the estimate.
 const overloadTolerance = 20 * time.Millisecond
 
-// capacity returns the total processor capacity of all usable targets in
-// thousandths of a core.
-func (s *Scheduler) capacity(now time.Time) float64 {
-	total := 0
-	for _, t := range s.targets {
-		if t.usable(now) {
-			total += t.info.Capacity.MilliCPU
-		}
-	}
-	return float64(total)
-}
-
 // queuedWork returns the sum over the job's ready tasks of expected run time
 // times processor demand, in nanoseconds times thousandths of a core.
 func (s *Scheduler) queuedWork(j *job) float64 {
@@ -176,16 +272,24 @@
 
 // endExpired ends the jobs whose answer would have no value.
 func (s *Scheduler) endExpired(now time.Time) {
-	for _, j := range append([]*job(nil), s.waiting...) {
-		if s.classify(j, now).timeliness == timelinessExpired {
-			s.expireJob(j, now)
-		}
+	var list []*job
+	for _, state := range s.services {
+		list = state.queue.expired(now, list)
 	}
-	for _, j := range s.pastDeadline(now) {
+	if now.Sub(s.deadlinesCheckedAt) >= deadlineCheckInterval {
+		s.deadlinesCheckedAt = now
+		list = append(list, s.pastDeadline(now)...)
+	}
+	for _, j := range list {
 		s.expireJob(j, now)
 	}
 }
 
+// deadlineCheckInterval is the interval at which jobs without waiting tasks are
+// checked for callers that have left. Usually the caller's instance cancels the
+// job first.
+const deadlineCheckInterval = 100 * time.Millisecond
+
 // pastDeadline returns the jobs whose caller has already left.
 func (s *Scheduler) pastDeadline(now time.Time) []*job {
 	var list []*job
@@ -204,18 +308,15 @@
 		s.endJob(j, Expired, "cannot end in time", 0, now)
 		return
 	}
-	s.endJob(j, Refused, "cannot start in time", s.backlog(now), now)
+	s.endJob(j, Refused, "cannot start in time", s.backlog(j.submission.Service), now)
 }
 
-// backlog returns how long the waiting work would keep all usable targets busy.
-func (s *Scheduler) backlog(now time.Time) time.Duration {
-	work := 0.0
-	for _, j := range s.waiting {
-		work += s.queuedWork(j)
-	}
-	capacity := s.capacity(now)
-	if capacity == 0 {
+// backlog returns how long the waiting work of a service would keep all its
+// usable targets busy.
+func (s *Scheduler) backlog(service string) time.Duration {
+	state := s.service(service)
+	if state.pool.capacityMilliCPU == 0 {
 		return noTargetRetryAfter
 	}
-	return max(time.Second, time.Duration(work/capacity))
+	return max(time.Second, time.Duration(state.queue.work/float64(state.pool.capacityMilliCPU)))
 }
--- a/rattanscheduler/redirect.go
+++ b/rattanscheduler/redirect.go
@@ -1,6 +1,7 @@
 package rattanscheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -23,7 +24,10 @@
 
 // redirect redirects jobs that have not started to zones with free capacity.
 func (s *Scheduler) redirect(now time.Time) {
-	for _, j := range append([]*job(nil), s.waiting...) {
+	if !s.mayRedirect() {
+		return
+	}
+	for _, j := range s.waitingJobs() {
 		if j.mayHaveStarted() || now.Sub(j.submittedAt) < redirectDelay {
 			continue
 		}
@@ -33,6 +37,17 @@
 	}
 }
 
+// mayRedirect reports whether another zone has room for any waiting job.
+func (s *Scheduler) mayRedirect() bool {
+	least := math.MaxInt / redirectHeadroom
+	for _, state := range s.services {
+		least = min(least, state.queue.minMilliCPU())
+	}
+	return slices.ContainsFunc(s.remoteZones, func(zone RemoteZone) bool {
+		return zone.FreeMilliCPU >= redirectHeadroom*least
+	})
+}
+
 // reserveRemoteZone reserves capacity for a job in another zone and returns the
 // zone, or "" if the job may not be redirected or fits into no zone.
 func (s *Scheduler) reserveRemoteZone(j *job) string {
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -23,6 +23,7 @@
 	t.run = r
 	s.addRun(r)
 	target.reserve(r.resources)
+	s.service(target.info.Service).pool.refresh(target, now)
 	j := t.job
 	if j.runCount == 0 {
 		j.firstStart = now.Sub(j.submittedAt)
@@ -79,6 +80,7 @@
 	if target, ok := s.targets[targetID]; ok {
 		if r, ok := target.runs[runKey{taskName, attempt}]; ok {
 			r.stopAckedAt = now
+			delete(s.unansweredStops, r)
 		}
 	}
 }
@@ -114,6 +116,7 @@
 		return
 	}
 	target.unresponsive = true
+	s.touch(target)
 	if !leasesExpired {
 		return
 	}
@@ -143,6 +146,7 @@
 		target.incarnation = listing.Incarnation
 	}
 	target.unresponsive = false
+	s.touch(target)
 	for _, end := range listing.Ended {
 		if end.Sequence > target.lastSequence {
 			target.lastSequence = end.Sequence
@@ -198,6 +202,9 @@
 	for _, r := range target.snapshot() {
 		if r.confirmedAt.IsZero() && !r.orphan {
 			r.stopAckedAt = time.Time{}
+			if !r.stopSentAt.IsZero() {
+				s.unansweredStops[r] = struct{}{}
+			}
 			continue
 		}
 		s.removeRun(r)
@@ -214,6 +221,7 @@
 		r = &run{target: target, taskName: key.taskName, attempt: key.attempt, state: runConfirmed, knownSince: now, confirmedAt: now, orphan: true}
 		s.addRun(r)
 		target.orphanCount++
+		s.touch(target)
 		if t := s.waitingTask(key.taskName); t != nil {
 			s.bindRun(r, t)
 			s.advanceJob(t.job, now)
@@ -364,7 +372,9 @@
 // removeRun removes a run and releases its resources.
 func (s *Scheduler) removeRun(r *run) {
 	delete(r.target.runs, runKey{r.taskName, r.attempt})
+	delete(s.unansweredStops, r)
 	s.markAbsent(r)
+	s.touch(r.target)
 	if !r.orphan || r.task != nil {
 		r.target.release(r.resources)
 		return
@@ -448,6 +458,7 @@
 
 func (s *Scheduler) requestStop(r *run, now time.Time) {
 	r.stopSentAt = now
+	s.unansweredStops[r] = struct{}{}
 	s.output.Stops = append(s.output.Stops, StopRequest{Target: &r.target.info, Task: r.taskName, Attempt: r.attempt})
 }
 
@@ -464,14 +475,9 @@
 
 // retryStops repeats stop requests that were not answered.
 func (s *Scheduler) retryStops(now time.Time) {
-	for _, t := range s.targets {
-		if t.unresponsive {
-			continue
-		}
-		for _, r := range t.runs {
-			if !r.stopSentAt.IsZero() && r.stopAckedAt.IsZero() && now.Sub(r.stopSentAt) > stopRetryInterval {
-				s.requestStop(r, now)
-			}
+	for r := range s.unansweredStops {
+		if !r.target.unresponsive && now.Sub(r.stopSentAt) > stopRetryInterval {
+			s.requestStop(r, now)
 		}
 	}
 }
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -150,17 +150,30 @@
 	config  Config
 	targets map[string]*target
 	jobs    map[string]*job
-	// waiting contains the jobs with ready tasks, in order of submission.
-	waiting []*job
+	// services contains the waiting jobs and the indexed targets by service.
+	services map[string]*serviceState
+	// lastSequence is the sequence number of the last job that was queued.
+	lastSequence uint64
+	// touched contains the targets that have changed since they were indexed,
+	// suspended those that are usable again after their suspension.
+	touched   []*target
+	suspended []*target
 	// orphans contains, by task, the runs of jobs that have not been submitted
 	// to this home.
 	orphans map[string]*run
 	// activeRuns counts, by task, the runs that may be active on some target.
 	activeRuns map[string]int
+	// unansweredStops contains the runs whose last stop request has not been
+	// answered.
+	unansweredStops map[*run]struct{}
 	// doneTasks contains tasks that completed before their job was submitted to
 	// this home, with the time until which to keep them.
 	doneTasks map[string]time.Time
 	estimator runTimeEstimator
+	// estimatesRefreshedAt is when learned run times last took effect.
+	estimatesRefreshedAt time.Time
+	// deadlinesCheckedAt is when the deadlines of all jobs were last checked.
+	deadlinesCheckedAt time.Time
 	// remoteZones is the free capacity of other zones less that of jobs
 	// redirected since it was reported.
 	remoteZones []RemoteZone
@@ -169,19 +182,25 @@
 	targetsKnown   bool
 	targetsCurrent bool
 	output         Output
+	// startWaiting starts the waiting tasks for which there are resources.
+	startWaiting func(now time.Time)
 }
 
 // New returns a scheduler without targets.
 func New(config Config) *Scheduler {
-	return &Scheduler{
-		config:     config,
-		targets:    map[string]*target{},
-		jobs:       map[string]*job{},
-		orphans:    map[string]*run{},
-		activeRuns: map[string]int{},
-		doneTasks:  map[string]time.Time{},
-		estimator:  newRunTimeEstimator(),
+	s := &Scheduler{
+		config:          config,
+		targets:         map[string]*target{},
+		jobs:            map[string]*job{},
+		services:        map[string]*serviceState{},
+		orphans:         map[string]*run{},
+		activeRuns:      map[string]int{},
+		doneTasks:       map[string]time.Time{},
+		estimator:       newRunTimeEstimator(),
+		unansweredStops: map[*run]struct{}{},
 	}
+	s.startWaiting = s.scheduleServices
+	return s
 }
 
 // Take returns the decisions made since the last call.
@@ -199,25 +218,30 @@
 // WaitingTasks returns the number of tasks that are ready but have no target.
 func (s *Scheduler) WaitingTasks() int {
 	count := 0
-	for _, j := range s.waiting {
-		count += len(j.ready)
+	for _, state := range s.services {
+		count += state.queue.tasks
 	}
 	return count
 }
 
+// Busy reports whether Tick has decisions to make soon.
+func (s *Scheduler) Busy() bool {
+	return s.WaitingTasks() > 0 || len(s.unansweredStops) > 0 || len(s.orphans) > 0
+}
+
 // FreeMilliCPU returns the free processor capacity of the usable targets.
 func (s *Scheduler) FreeMilliCPU(now time.Time) int {
+	s.refreshTargets(now)
 	free := 0
-	for _, t := range s.targets {
-		if t.usable(now) {
-			free += max(0, t.free.MilliCPU)
-		}
+	for _, state := range s.services {
+		free += state.pool.freeMilliCPU
 	}
 	return free
 }
 
-// Submit adds a job unless a job with its ID is already known. A job that no
-// target could ever run is refused at once.
+// Submit adds a job unless a job with its ID is already known, and starts its
+// tasks as far as there are resources for them. A job that no target could ever
+// run is refused at once.
 func (s *Scheduler) Submit(submission Submission, now time.Time) {
 	if _, ok := s.jobs[submission.Job.ID]; ok {
 		return
@@ -230,6 +254,9 @@
 		return
 	}
 	s.advanceJob(j, now)
+	if j.class != nil {
+		s.schedule(now)
+	}
 }
 
 // Cancel ends a job for which no caller waits any more, and reports whether it
@@ -248,6 +275,7 @@
 	s.stopOrphans(now)
 	s.retryStops(now)
 	s.removeVanished(now)
+	s.refreshEstimates(now)
 	s.endExpired(now)
 	s.schedule(now)
 	s.redirect(now)
@@ -354,6 +382,7 @@
 	r.resources = t.resources()
 	r.target.orphanCount--
 	r.target.reserve(r.resources)
+	s.touch(r.target)
 }
 
 // advanceJob recomputes which tasks of a job may start, and ends the job when
@@ -367,10 +396,7 @@
 		s.endJob(j, Succeeded, "complete", 0, now)
 		return
 	}
-	if len(j.ready) > 0 && !j.queued {
-		j.queued = true
-		s.waiting = append(s.waiting, j)
-	}
+	s.reposition(j)
 }
 
 // endJob ends a job: it stops the job's runs and reports the result. Instead of
@@ -388,9 +414,9 @@
 		outcome = Redirected
 	}
 	j.outcome = outcome
-	j.ready = nil
 	delete(s.jobs, j.submission.Job.ID)
 	s.dequeue(j)
+	j.ready = nil
 	for _, t := range j.tasks {
 		s.stopRuns(t, now)
 	}
@@ -409,16 +435,3 @@
 		History:    j.historyFor(outcome),
 	})
 }
-
-func (s *Scheduler) dequeue(j *job) {
-	if !j.queued {
-		return
-	}
-	j.queued = false
-	for i, other := range s.waiting {
-		if other == j {
-			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
-			return
-		}
-	}
-}
--- a/rattanscheduler/scheduler_test.go
+++ b/rattanscheduler/scheduler_test.go
@@ -743,7 +743,7 @@
 // and starving them, because their declared run times are too short: the
 // objective depends on the actual ones.
 func TestObjectiveFollowsLearnedRunTimes(t *testing.T) {
-	z := newReconciledZone(qt.New(t), 1)
+	z := newFakeZone(qt.New(t), 1)
 	submission := z.submission(jobA, 1)
 	// The objective is 60 ms + 1.6 * 100 ms (the declared run time) after the
 	// submission, LateUntil three times that.
@@ -752,15 +752,16 @@
 	submission.LateUntil = z.now.Add(660 * time.Millisecond)
 	z.scheduler.Submit(submission, z.now)
 	j := z.scheduler.jobs[jobA]
-	z.Assert(z.scheduler.classify(j, z.now.Add(100*time.Millisecond)).timeliness, qt.Equals, timelinessOnTime)
+	z.Assert(j.timing.classify(z.now.Add(100*time.Millisecond)), qt.Equals, timelinessOnTime)
 	for range 100 {
 		z.scheduler.estimator.observe(j, 0, &run{}, 200*time.Millisecond)
 	}
+	z.scheduler.refreshEstimates(z.now)
 	// With run times of 200 ms the objective is 380 ms after the submission.
-	z.Check(z.scheduler.classify(j, z.now.Add(175*time.Millisecond)).timeliness, qt.Equals, timelinessOnTime)
-	z.Check(z.scheduler.classify(j, z.now.Add(185*time.Millisecond)).timeliness, qt.Equals, timelinessLate)
-	z.Check(z.scheduler.classify(j, z.now.Add(935*time.Millisecond)).timeliness, qt.Equals, timelinessLate)
-	z.Check(z.scheduler.classify(j, z.now.Add(945*time.Millisecond)).timeliness, qt.Equals, timelinessExpired)
+	z.Check(j.timing.classify(z.now.Add(175*time.Millisecond)), qt.Equals, timelinessOnTime)
+	z.Check(j.timing.classify(z.now.Add(185*time.Millisecond)), qt.Equals, timelinessLate)
+	z.Check(j.timing.classify(z.now.Add(935*time.Millisecond)), qt.Equals, timelinessLate)
+	z.Check(j.timing.classify(z.now.Add(945*time.Millisecond)), qt.Equals, timelinessExpired)
 }
 
 // TestResumedJobWaitsForCurrentTargets guards against a second run of a task
--- a/rattanscheduler/speculation.go
+++ b/rattanscheduler/speculation.go
@@ -7,11 +7,12 @@
 // whether it has started one.
 func (s *Scheduler) startSpeculativeRun(slow *run, now time.Time) bool {
 	t := slow.task
-	if !t.step().Speculative || t.step().Gang || t.run != slow || t.slowRun != nil || len(s.waiting) > 0 {
+	if !t.step().Speculative || t.step().Gang || t.run != slow || t.slowRun != nil || s.WaitingTasks() > 0 {
 		return false
 	}
 	t.avoidTarget = slow.target
-	target := s.selectTarget(t, s.usableTargets(now))
+	s.refreshTargets(now)
+	target := s.searchPool(t, s.service(t.job.submission.Service).pool)
 	if target == nil || target == slow.target {
 		return false
 	}
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -86,6 +86,12 @@
 	// failures.
 	suspendedUntil time.Time
 	health         health
+	// pooled is the state of the target in the indexes of its pool. touched is
+	// set if the target has changed since, suspensionPending while the end of
+	// its suspension is awaited.
+	pooled            poolEntry
+	touched           bool
+	suspensionPending bool
 }
 
 func (t *target) reserve(resources rattanwork.Resources) {
@@ -123,12 +129,13 @@
 			continue
 		}
 		t.info.Draining = true
+		s.touch(t)
 		if t.vanishedAt.IsZero() {
 			t.vanishedAt = now
 			s.recordChange(t, TargetVanished)
 		}
 		if len(t.runs) == 0 {
-			delete(s.targets, id)
+			s.removeTarget(t)
 		}
 	}
 	s.schedule(now)
@@ -142,7 +149,7 @@
 // removeVanished removes unresponsive targets that are no longer in the
 // inventory, once none of their pending requests can be executed any more.
 func (s *Scheduler) removeVanished(now time.Time) {
-	for id, t := range s.targets {
+	for _, t := range s.targets {
 		if !t.unresponsive || t.vanishedAt.IsZero() || now.Sub(t.vanishedAt) < lateStartBound {
 			continue
 		}
@@ -151,15 +158,28 @@
 			s.removeRun(r)
 			s.requeue(r, now)
 		}
-		delete(s.targets, id)
+		s.removeTarget(t)
 	}
 }
 
+// addTarget makes a target known.
+func (s *Scheduler) addTarget(t *target) {
+	s.targets[t.info.ID] = t
+	s.service(t.info.Service).pool.add(t)
+	s.touch(t)
+}
+
+// removeTarget makes a target unknown.
+func (s *Scheduler) removeTarget(t *target) {
+	delete(s.targets, t.info.ID)
+	s.service(t.info.Service).pool.remove(t)
+}
+
 func (s *Scheduler) updateTarget(info rattanwork.Target) {
 	t, ok := s.targets[info.ID]
 	if !ok {
 		t = &target{info: info, free: info.Capacity, runs: map[runKey]*run{}}
-		s.targets[info.ID] = t
+		s.addTarget(t)
 		s.recordChange(t, TargetAppeared)
 		return
 	}
@@ -170,8 +190,13 @@
 	if info.Draining && !t.info.Draining {
 		s.recordChange(t, TargetDraining)
 	}
+	if t.info.Equal(&info) {
+		return
+	}
+	s.removeTarget(t)
 	t.free = t.free.Add(info.Capacity.Sub(t.info.Capacity))
 	t.info = info
+	s.addTarget(t)
 }
 
 // Target returns the description of a known target.
