End each instance within its grace time and with its entry removed

Cause: at SIGTERM the services were stopped under a context that had already ended, so the lease of the directory entry was never ended and each process exited with status 1.

Change: the services get 250 ms of their own, the servers 150 ms after all requests have ended; a failure is logged. The settings file and the desired state of the stand-in site are written by rattansite, for tests and tools.

--- a/rattancmd/serve_test.go
+++ b/rattancmd/serve_test.go
@@ -135,20 +135,8 @@
 // queuePrefix and the extra prefixes.
 func (d *deployment) putDesired(extraPrefixes ...string) {
 	d.version += 3
-	route := func(prefix string) map[string]any {
-		return map[string]any{
-			"name": "r" + prefix, "host": queueHost, "prefix": prefix, "kind": "unsafe", "timeout_ms": 1500,
-			"target_latency_ms": 60, "priority": 0, "service": queueService, "max_attempts": 3, "slack_factor": 1.6,
-		}
-	}
-	routes := []any{route(queuePrefix)}
-	for _, prefix := range extraPrefixes {
-		routes = append(routes, route(prefix))
-	}
-	d.Assert(d.store.Put("op/config", map[string]any{
-		"version": d.version, "routes": routes,
-		"services": []any{map[string]any{"name": queueService, "rejects_overload": false}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 20000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	d.Assert(d.store.PutDesiredState(rattansite.DesiredState{
+		Version: d.version, Service: queueService, Host: queueHost, Prefixes: append([]string{queuePrefix}, extraPrefixes...),
 	}), qt.IsNil)
 }
 
@@ -157,18 +145,11 @@
 func (d *deployment) addInstance(name, zone string) *serveInstance {
 	ip := fmt.Sprintf("%s%d", d.ipPrefix, 10+len(d.instances))
 	instance := &serveInstance{name: name, ip: ip, settingsFile: filepath.Join(d.directory, name+".json")}
-	var seeds []string
+	settings := rattansite.InstanceSettings{Name: name, IP: ip, Zone: zone, StoreAddress: d.store.Address()}
 	for _, other := range d.instances {
-		seeds = append(seeds, other.ip+":7166")
-	}
-	settings := map[string]any{
-		"node_name": name, "ip": ip, "zone": zone, "region": "region", "control_mode": "call",
-		"listen":     map[string]string{"front": ip + ":7161", "readiness": ip + ":7167", "control": ip + ":7166"},
-		"port_range": []int{7720, 7735}, "seeds": seeds,
-		"platform": map[string]any{"address": d.store.Address(), "form": "kv"},
-		"bounds":   map[string]any{"max_hold_ms": 1000, "grace_s": 6, "retransmit_ms": 1300, "remote_penalty": 1.5},
+		settings.SeedIPs = append(settings.SeedIPs, other.ip)
 	}
-	data, err := json.Marshal(settings)
+	data, err := settings.File()
 	d.Assert(err, qt.IsNil)
 	d.Assert(os.WriteFile(instance.settingsFile, data, 0o600), qt.IsNil)
 	d.instances = append(d.instances, instance)
@@ -202,7 +183,7 @@
 	d.Helper()
 	deadline := time.Now().Add(startTimeout)
 	for {
-		response, err := http.Get("http://" + instance.ip + ":7167" + platform.ReadyPath)
+		response, err := http.Get("http://" + instance.ip + ":" + rattansite.ReadinessPort + platform.ReadyPath)
 		if err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
@@ -255,7 +236,7 @@
 }
 
 func (d *deployment) send(client *http.Client, instance *serveInstance, id string, body []byte) serveAnswer {
-	request, err := http.NewRequest(http.MethodPost, "http://"+instance.ip+":7161"+queuePrefix+id, bytes.NewReader(body))
+	request, err := http.NewRequest(http.MethodPost, "http://"+instance.ip+":"+rattansite.CallerPort+queuePrefix+id, bytes.NewReader(body))
 	if err != nil {
 		return serveAnswer{}
 	}
@@ -418,7 +399,7 @@
 func (d *deployment) checkGet(path string, status int, body string) {
 	d.Helper()
 	for _, instance := range d.instances {
-		request, err := http.NewRequest(http.MethodGet, "http://"+instance.ip+":7161"+path, nil)
+		request, err := http.NewRequest(http.MethodGet, "http://"+instance.ip+":"+rattansite.CallerPort+path, nil)
 		d.Assert(err, qt.IsNil)
 		request.Host = queueHost
 		response, err := http.DefaultClient.Do(request)
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -34,6 +34,13 @@
 	// processExitMargin is the part of the grace period that is reserved for
 	// the exit of the process.
 	processExitMargin = 600 * time.Millisecond
+	// serverStopTimeout bounds the time for closing the HTTP servers after
+	// their requests have ended: connections on which no request has arrived
+	// would keep a server open for seconds.
+	serverStopTimeout = 150 * time.Millisecond
+	// kernelStopTimeout bounds the time for stopping the services, which remove
+	// the instance from the directory.
+	kernelStopTimeout = 250 * time.Millisecond
 	// peerSilence is the time after which a silent connection to a peer is
 	// tested with a ping. The connection is closed after twice that time.
 	peerSilence = 250 * time.Millisecond
@@ -166,11 +173,11 @@
 	n.app = kratos.New(
 		kratos.Name(settings.Instance),
 		kratos.Signal(syscall.SIGINT, syscall.SIGTERM),
-		kratos.StopTimeout(settings.GracePeriod),
+		kratos.StopTimeout(serverStopTimeout),
 		kratos.Server(callerServer, readinessServer, metricsServer),
 		kratos.BeforeStart(n.kernel.Start),
 		kratos.BeforeStop(n.drain),
-		kratos.AfterStop(n.kernel.Stop),
+		kratos.AfterStop(n.stopKernel),
 	)
 	return nil
 }
@@ -226,6 +233,18 @@
 	return nil
 }
 
+// stopKernel stops the services. The context of the application has already
+// ended. The instance has done its work, so a failure only delays until its
+// entry in the directory expires.
+func (n *Node) stopKernel(ctx context.Context) error {
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), kernelStopTimeout)
+	defer cancel()
+	if err := n.kernel.Stop(stopCtx); err != nil {
+		n.config.Logger.WithField("Error", err.Error()).Warn("services not stopped")
+	}
+	return nil
+}
+
 // waitUntil returns when the condition holds or the deadline has passed.
 func (n *Node) waitUntil(deadline time.Time, condition func() bool) {
 	for n.config.Clock().Before(deadline) && !condition() {
