--- a/rattancmd/benchcmd.go
+++ b/rattancmd/benchcmd.go
@@ -1,23 +1,31 @@
 package rattancmd
 
 import (
+	"context"
 	"io"
 	"os"
+	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/rattanlever/rattanlever/rattanbench"
+	"github.com/rattanlever/rattanlever/rattanprofile"
 )
 
 type benchOptions struct {
-	Quick    bool     `long:"quick" description:"finish in less than 50 s by measuring over short windows"`
-	JSON     bool     `long:"json" description:"print the report as a JSON object"`
-	HTML     string   `long:"html" value-name:"FILE" description:"write the report as an HTML page with charts"`
-	Virtual  bool     `long:"virtual" description:"simulate only the schedulers, in virtual time"`
-	Capacity bool     `long:"capacity" description:"measure the cost per unit of load that docs/CAPACITY.md is calculated from"`
-	Spread   bool     `long:"spread" description:"simulate the propagation of configuration changes to 9 to 300 members"`
-	Seed     uint64   `long:"seed" value-name:"N" default:"1" description:"random seed of the job arrivals"`
-	Policies []string `long:"policy" value-name:"NAME" description:"scheduling policy to run, repeatable; the default is all"`
+	Quick    bool          `long:"quick" description:"finish in less than 50 s by measuring over short windows"`
+	JSON     bool          `long:"json" description:"print the report as a JSON object"`
+	HTML     string        `long:"html" value-name:"FILE" description:"write the report as an HTML page with charts"`
+	Virtual  bool          `long:"virtual" description:"simulate only the schedulers, in virtual time"`
+	Capacity bool          `long:"capacity" description:"measure the cost per unit of load that docs/CAPACITY.md is calculated from"`
+	Spread   bool          `long:"spread" description:"simulate the propagation of configuration changes to 9 to 300 members"`
+	Home     bool          `long:"home" description:"measure the processor time of a task on a home, by stage, up to the rate at which the home fails"`
+	Rates    []float64     `long:"rate" value-name:"JOBS" description:"jobs per second for --home, repeatable; the default is 100 to 1200"`
+	Targets  int           `long:"targets" value-name:"N" default:"240" description:"number of targets for --home"`
+	Fronts   int           `long:"fronts" value-name:"N" default:"2" description:"number of instances beside the home for --home"`
+	Window   time.Duration `long:"window" value-name:"DURATION" default:"5s" description:"how long --home measures each rate"`
+	Seed     uint64        `long:"seed" value-name:"N" default:"1" description:"random seed of the job arrivals"`
+	Policies []string      `long:"policy" value-name:"NAME" description:"scheduling policy to run, repeatable; the default is all"`
 
 	std *streams
 }
@@ -45,6 +53,9 @@
 	if o.Spread {
 		return errors.Trace(rattanbench.WritePropagations(o.std.out, rattanbench.SimulatePropagations(o.Seed)))
 	}
+	if o.Home {
+		return o.measureHome(ctx)
+	}
 	report, err := rattanbench.Run(ctx, rattanbench.Options{
 		Quick:    o.Quick,
 		Virtual:  o.Virtual,
@@ -66,6 +77,28 @@
 	return errors.Trace(report.WriteText(o.std.out))
 }
 
+// measureHome measures the processor time of a home.
+func (o *benchOptions) measureHome(ctx context.Context) error {
+	binary, err := os.Executable()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	rates := o.Rates
+	if len(rates) == 0 {
+		rates = []float64{100, 300, 600, 900, 1200}
+	}
+	report, err := rattanprofile.Measure(ctx, rattanprofile.Options{
+		Binary: binary, Rates: rates, Duration: o.Window, Targets: o.Targets, Fronts: o.Fronts, Seed: o.Seed,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if o.JSON {
+		return report.WriteJSON(o.std.out)
+	}
+	return report.WriteText(o.std.out)
+}
+
 // writePage creates the file at path and writes the HTML page to it.
 func writePage(path string, write func(io.Writer) error) error {
 	file, err := os.Create(path)
--- a/rattancmd/servecmd.go
+++ b/rattancmd/servecmd.go
@@ -1,6 +1,8 @@
 package rattancmd
 
 import (
+	"os"
+	"runtime/pprof"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,6 +16,7 @@
 type serveOptions struct {
 	Settings string `long:"settings" value-name:"FILE" description:"settings file of the platform; the default is the one that the platform names in the environment"`
 	LogLevel string `long:"log-level" value-name:"LEVEL" default:"info" description:"minimum severity of log lines"`
+	Profile  string `long:"cpu-profile" value-name:"FILE" description:"write a CPU profile in pprof format when the instance ends"`
 
 	std *streams
 }
@@ -56,5 +59,33 @@
 	if err != nil {
 		return errors.Annotatef(err, "instance %s", settings.Instance)
 	}
-	return node.Run()
+	stopProfile, err := startProfile(o.Profile)
+	if err != nil {
+		return err
+	}
+	if err := node.Run(); err != nil {
+		_ = stopProfile()
+		return errors.Trace(err)
+	}
+	return stopProfile()
+}
+
+// startProfile starts writing a CPU profile to the path, unless it is empty.
+// The returned function completes the file.
+func startProfile(path string) (stop func() error, err error) {
+	if path == "" {
+		return func() error { return nil }, nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, errors.Annotate(err, "cpu-profile")
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		_ = file.Close()
+		return nil, errors.Annotate(err, "cpu-profile")
+	}
+	return func() error {
+		pprof.StopCPUProfile()
+		return errors.Annotate(file.Close(), "cpu-profile")
+	}, nil
 }
