--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -21,9 +21,8 @@
 	// homeWaitLimit is how long a job that no home has received yet waits for a
 	// home.
 	homeWaitLimit = 400 * time.Millisecond
-	// remoteHomeTimeout is how long after a redirection failed calls to the
-	// home of the other zone are repeated. A call that fails later ends the
-	// submission.
+	// remoteHomeTimeout is how long failed calls to the home of another zone are
+	// repeated before the submission ends.
 	remoteHomeTimeout = 2 * time.Second
 )
 
@@ -50,8 +49,9 @@
 	// job was redirected because this instance's zone had no capacity for it.
 	zone       string
 	redirected bool
-	// redirectedAt is when the job was last redirected to another zone.
-	redirectedAt time.Time
+	// unreachableSince is when the first of the latest calls to the home of
+	// another zone failed, zero unless the last one did.
+	unreachableSince time.Time
 }
 
 // response is the answer to a submission. A status of 0 means that the caller
@@ -156,10 +156,9 @@
 		s.zone = reply.Result.Zone
 		s.redirected = true
 		s.homeAttempts = 0
-		s.redirectedAt = s.handler.config.Clock()
 		return response{}, false
 	}
-	if s.redirected && err != nil && s.handler.config.Clock().Sub(s.redirectedAt) > remoteHomeTimeout {
+	if s.redirected && s.outOfReach(err, s.handler.config.Clock()) {
 		return response{status: http.StatusGatewayTimeout, body: platform.ErrorBody("not complete in time"), reason: "other zone out of reach"}, true
 	}
 	// A home cancels the jobs of an instance that it considers dead, but the
@@ -171,6 +170,18 @@
 	return outcomeResponse(reply.Result), true
 }
 
+// outOfReach records the result of a call to the home of another zone, and
+// reports whether such calls have failed for too long.
+func (s *submission) outOfReach(err error, now time.Time) bool {
+	switch {
+	case err == nil:
+		s.unreachableSince = time.Time{}
+	case s.unreachableSince.IsZero():
+		s.unreachableSince = now
+	}
+	return err != nil && now.Sub(s.unreachableSince) > remoteHomeTimeout
+}
+
 func (s *submission) request() *rattanhome.Request {
 	now := s.handler.config.Clock()
 	return &rattanhome.Request{
--- /dev/null
+++ b/rattanfront/submission_test.go
@@ -0,0 +1,123 @@
+package rattanfront
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattanhome"
+	"github.com/rattanlever/rattanlever/rattanpeer"
+	"github.com/rattanlever/rattanlever/rattanscheduler"
+	"github.com/rattanlever/rattanlever/rattanwork"
+	"github.com/rattanlever/rattanlever/rattanzone"
+)
+
+// fakeZones has a home in each zone, whose answers are scripted. The answers of
+// the local zone's home come first.
+type fakeZones struct {
+	mutex   sync.Mutex
+	now     time.Time
+	local   rattanhome.Reply
+	remote  []func(z *fakeZones) (rattanhome.Reply, error)
+	changed chan struct{}
+}
+
+func (z *fakeZones) clock() time.Time {
+	z.mutex.Lock()
+	defer z.mutex.Unlock()
+	return z.now
+}
+
+func (z *fakeZones) advance(duration time.Duration) {
+	z.mutex.Lock()
+	defer z.mutex.Unlock()
+	z.now = z.now.Add(duration)
+}
+
+func (z *fakeZones) Home(zone string) (rattanzone.Claim, bool, <-chan struct{}) {
+	name := "self"
+	if zone != "a" {
+		name = "remote"
+	}
+	return rattanzone.Claim{Zone: zone, Name: name, Address: name}, true, z.changed
+}
+
+func (z *fakeZones) KeepAlive(string) func() { return func() {} }
+
+func (z *fakeZones) Submit(context.Context, *rattanhome.Request) (rattanhome.Reply, error) {
+	return z.local, nil
+}
+
+func (z *fakeZones) Cancel(rattanhome.Cancellation) bool { return true }
+
+func (z *fakeZones) Call(_ context.Context, _, method string, _ []byte) ([]byte, error) {
+	if method != rattanhome.MethodSubmit {
+		return []byte("{}"), nil
+	}
+	z.mutex.Lock()
+	next := z.remote[0]
+	if len(z.remote) > 1 {
+		z.remote = z.remote[1:]
+	}
+	z.mutex.Unlock()
+	reply, err := next(z)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(reply)
+}
+
+func (z *fakeZones) State() *rattanwork.DesiredState {
+	return &rattanwork.DesiredState{Version: 1, Routes: []rattanwork.Route{{Name: "r", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 3, Timeout: 10 * time.Second}}}
+}
+
+func (z *fakeZones) Answered(AnswerRecord) {}
+
+// post submits a job and returns the status of the answer.
+func (z *fakeZones) post() int {
+	handler := New(Config{
+		Self: rattanwork.Member{Name: "self", Zone: "a"}, Homes: z, LocalHome: z, Peers: z, DesiredState: z, Journal: z, Clock: z.clock,
+	})
+	body := `{"spec":"s","best_effort":true,"steps":[{"count":1,"cpu":1000,"estimate_ms":50}]}`
+	request := httptest.NewRequest(http.MethodPost, "/q/00000000000000aa", strings.NewReader(body))
+	request.Host = "h"
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, request)
+	return recorder.Code
+}
+
+// TestRedirectedJobOutlivesLostCall guards against giving up a job that runs in
+// another zone when a call to its home fails late: what counts is how long the
+// home has been out of reach, not how long ago the job was redirected.
+func TestRedirectedJobOutlivesLostCall(t *testing.T) {
+	lost := func(after time.Duration) func(z *fakeZones) (rattanhome.Reply, error) {
+		return func(z *fakeZones) (rattanhome.Reply, error) {
+			z.advance(after)
+			return rattanhome.Reply{}, rattanpeer.ErrLinkClosed
+		}
+	}
+	succeeded := func(*fakeZones) (rattanhome.Reply, error) {
+		return rattanhome.Reply{Result: rattanscheduler.JobResult{Outcome: rattanscheduler.Succeeded}}, nil
+	}
+	tests := map[string]struct {
+		remote []func(z *fakeZones) (rattanhome.Reply, error)
+		want   int
+	}{
+		"lost once after three seconds": {[]func(z *fakeZones) (rattanhome.Reply, error){lost(3 * time.Second), succeeded}, http.StatusOK},
+		"out of reach":                  {[]func(z *fakeZones) (rattanhome.Reply, error){lost(time.Second)}, http.StatusGatewayTimeout},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			zones := &fakeZones{now: time.Now(), remote: test.remote, changed: make(chan struct{})}
+			zones.local.Result = rattanscheduler.JobResult{Outcome: rattanscheduler.Redirected, Zone: "b"}
+			qt.New(t).Assert(zones.post(), qt.Equals, test.want)
+		})
+	}
+}
--- a/rattanhome/service.go
+++ b/rattanhome/service.go
@@ -247,6 +247,9 @@
 	if err := json.Unmarshal(body, &request); err != nil {
 		return nil, errors.Annotate(err, "request")
 	}
+	if err := request.Job.Check(); err != nil {
+		return nil, errors.Annotatef(err, "request of %s", request.Submitter)
+	}
 	reply, err := s.Submit(ctx, &request)
 	if err != nil {
 		return nil, err
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -134,6 +134,12 @@
 	j.logger.WithField("Target", target).Warn("home deposed")
 }
 
+// HandlerPanicked records that a request of another instance has caused a
+// panic.
+func (j *Journal) HandlerPanicked(method string, value any, stack []byte) {
+	j.logger.WithFields(logrus.Fields{"Method": method, "Error": fmt.Sprint(value), "Stack": string(stack)}).Error("handler panicked")
+}
+
 // HomeChanged records that the zone has a new home.
 func (j *Journal) HomeChanged(claim rattanzone.Claim, reason string) {
 	j.registry.Counter(rattanmetric.HomeChangesTotal).Inc()
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -106,7 +106,12 @@
 		Incarnation: n.config.Clock().UnixNano(),
 		MilliCPU:    settings.MilliCPU,
 	}
-	peerNode := rattanpeer.New(rattanpeer.Config{Name: self.Name, Listener: peerListener, SilenceTimeout: peerSilence})
+	peerNode := rattanpeer.New(rattanpeer.Config{
+		Name:            self.Name,
+		Listener:        peerListener,
+		SilenceTimeout:  peerSilence,
+		HandlerPanicked: n.journal.HandlerPanicked,
+	})
 	n.desiredState = rattanzone.NewDesiredStateWatcher(rattanzone.DesiredStateConfig{
 		Source:  &platform.DesiredStateSource{Store: n.store},
 		Parse:   platform.ParseDesiredState,
--- a/rattanpeer/node.go
+++ b/rattanpeer/node.go
@@ -68,6 +68,9 @@
 	// false to reject the connection. If PeerName is nil, the sender name in the
 	// envelope is trusted.
 	PeerName func(net.Conn) (string, bool)
+	// HandlerPanicked is called after a handler has panicked, with the stack at
+	// that point. It may be nil; the caller of the method gets an error anyway.
+	HandlerPanicked func(method string, value any, stack []byte)
 }
 
 // Counts holds the traffic counters of a node since its start.
--- a/rattanpeer/node_test.go
+++ b/rattanpeer/node_test.go
@@ -38,6 +38,13 @@
 	node.Handle("Fail", func(context.Context, string, []byte) ([]byte, error) {
 		return nil, fmt.Errorf("no luck")
 	})
+	node.Handle("Panic", func(context.Context, string, []byte) ([]byte, error) {
+		var request *struct{ Job string }
+		return []byte(request.Job), nil
+	})
+	node.Handle("NoText", func(context.Context, string, []byte) ([]byte, error) {
+		return nil, errors.New("")
+	})
 	c.Assert(node.Start(context.Background()), qt.IsNil)
 	c.Cleanup(func() { _ = node.Stop(context.Background()) })
 	return node, listener.Addr().String()
@@ -193,3 +200,19 @@
 	c.Assert(receiver.Stop(context.Background()), qt.IsNil)
 	calls.Wait()
 }
+
+// TestFailingHandlers guards against a handler that ends the process by a panic
+// on a malformed request, and against an error without text that arrives as
+// success.
+func TestFailingHandlers(t *testing.T) {
+	c := qt.New(t)
+	caller, _ := startNode(c, "a", nil)
+	_, address := startNode(c, "b", nil)
+	for _, method := range []string{"Panic", "NoText"} {
+		_, err := caller.Call(context.Background(), address, method, nil)
+		c.Check(err, qt.ErrorIs, rattanpeer.ErrRemote, qt.Commentf("%s", method))
+	}
+	got, err := caller.Call(context.Background(), address, "Echo", []byte("x"))
+	c.Check(err, qt.IsNil)
+	c.Check(string(got), qt.Equals, "a:x")
+}
--- a/rattanpeer/server.go
+++ b/rattanpeer/server.go
@@ -1,9 +1,13 @@
 package rattanpeer
 
 import (
+	"cmp"
 	"context"
+	"runtime/debug"
 	"sync"
 
+	"github.com/juju/errors"
+
 	"github.com/rattanlever/rattanlever/rattanpeerpb"
 )
 
@@ -54,11 +58,28 @@
 		response.Error = ErrNoMethod.Error()
 		return response
 	}
-	body, err := handler(ctx, request.Sender, request.Body)
+	body, err := s.runHandler(ctx, handler, request)
 	if err != nil {
-		response.Error = err.Error()
+		// An empty text would make the reply a success.
+		response.Error = cmp.Or(err.Error(), "handler failed")
 		return response
 	}
 	response.Body = body
 	return response
 }
+
+// runHandler calls a handler. A panic becomes an error, so that one request
+// that a handler cannot cope with does not end the process.
+func (s *server) runHandler(ctx context.Context, handler Handler, request *rattanpeerpb.Envelope) (body []byte, err error) {
+	defer func() {
+		value := recover()
+		if value == nil {
+			return
+		}
+		err = errors.Errorf("handler of %s panicked: %v", request.Method, value)
+		if s.node.config.HandlerPanicked != nil {
+			s.node.config.HandlerPanicked(request.Method, value, debug.Stack())
+		}
+	}()
+	return handler(ctx, request.Sender, request.Body)
+}
--- a/rattanwork/job.go
+++ b/rattanwork/job.go
@@ -3,12 +3,18 @@
 import (
 	"strconv"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // LateFactor is the multiple of the objective's duration after which an answer
 // has no value.
 const LateFactor = 3
 
+// ErrMalformedJob means that a job cannot be scheduled because its steps are
+// missing or contradict each other.
+const ErrMalformedJob = errors.ConstError("malformed job")
+
 // Resources is an amount of compute resources.
 type Resources struct {
 	// MilliCPU is the processor time in thousandths of a core.
@@ -93,6 +99,25 @@
 	return count
 }
 
+// Check returns ErrMalformedJob unless the job has steps that have tasks and
+// depend only on earlier steps.
+func (j *Job) Check() error {
+	if j == nil || len(j.Steps) == 0 {
+		return ErrMalformedJob
+	}
+	for i := range j.Steps {
+		if j.Steps[i].Count < 1 {
+			return errors.Annotatef(ErrMalformedJob, "step %d: count %d", i, j.Steps[i].Count)
+		}
+		for _, dependency := range j.Steps[i].After {
+			if dependency < 0 || dependency >= i {
+				return errors.Annotatef(ErrMalformedJob, "step %d: after step %d", i, dependency)
+			}
+		}
+	}
+	return nil
+}
+
 // CriticalPath returns the estimated run time of the longest chain of dependent
 // steps.
 func (j *Job) CriticalPath() time.Duration {
--- a/rattanzone/heartbeat.go
+++ b/rattanzone/heartbeat.go
@@ -230,12 +230,11 @@
 		return
 	}
 	m, ok := a.members[name]
-	if !ok || m.Incarnation <= view.Sender.Incarnation {
-		m = &member{Member: view.Sender, lastListed: now}
-		a.members[name] = m
+	if ok && view.Sender.Incarnation < m.Incarnation {
+		// Sent before the instance was restarted.
+		return
 	}
-	m.terminating = view.Terminating
-	m.lastHeard = now
+	a.members[name] = &member{Member: view.Sender, terminating: view.Terminating, lastHeard: now, lastListed: now}
 }
 
 // mergeClaim merges a claim that another instance has sent. The caller holds
