Learn run times by the target's clock

Change: the run time is the difference of the target's clock at the answer to the start and at the listing that was sent when the run ended. A listing that the home requested late, or after a lost one, is not learned from.

--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -30,9 +30,8 @@
 
 // TargetClient sends requests to targets.
 type TargetClient interface {
-	// Start requests the start of a run. The second result is the time by the
-	// target's clock in milliseconds, 0 if unknown.
-	Start(ctx context.Context, target *rattanwork.Target, request rattanwork.StartRequest) (rattanwork.StartResult, int64)
+	// Start requests the start of a run.
+	Start(ctx context.Context, target *rattanwork.Target, request rattanwork.StartRequest) rattanwork.StartAnswer
 	// Stop asks the target to stop a run, or not to start it later.
 	Stop(ctx context.Context, target *rattanwork.Target, task string, attempt int, fencingToken int64) error
 	// Lease renews the leases of a target's runs and returns its listing.
--- a/rattanhome/home_test.go
+++ b/rattanhome/home_test.go
@@ -44,7 +44,7 @@
 	return listing
 }
 
-func (f *fakeTargets) Start(ctx context.Context, target *rattanwork.Target, request rattanwork.StartRequest) (rattanwork.StartResult, int64) {
+func (f *fakeTargets) Start(ctx context.Context, target *rattanwork.Target, request rattanwork.StartRequest) rattanwork.StartAnswer {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.startRequests++
@@ -52,13 +52,13 @@
 		f.mutex.Unlock()
 		<-ctx.Done()
 		f.mutex.Lock()
-		return rattanwork.StartUnknown, 0
+		return rattanwork.StartAnswer{Result: rattanwork.StartUnknown}
 	}
 	listing := f.listing(target.ID)
 	listing.Running = append(listing.Running, rattanwork.Run{Task: request.Task, Attempt: request.Attempt})
 	id := target.ID
 	time.AfterFunc(f.runTime, func() { f.end(id, request.Task, request.Attempt, rattanwork.EndDone) })
-	return rattanwork.StartAccepted, 1
+	return rattanwork.StartAnswer{Result: rattanwork.StartAccepted, ClockMillis: 1}
 }
 
 func (f *fakeTargets) Stop(_ context.Context, target *rattanwork.Target, task string, attempt int, _ int64) error {
--- a/rattanhome/renewer.go
+++ b/rattanhome/renewer.go
@@ -165,6 +165,7 @@
 		Wait:          wait,
 	}
 	voidBefore := l.tokenRaisedAt
+	clockAtSending := l.clockAt(sentAt)
 	h.mutex.Unlock()
 
 	ctx, cancel := context.WithTimeout(h.ctx, timeout)
@@ -188,6 +189,7 @@
 	if wait == 0 {
 		h.roundTrip.observe(now.Sub(sentAt))
 	}
+	listing.Prompt = l.waited(listing, clockAtSending)
 	l.handleListing(listing, sentAt, voidBefore, now)
 	h.flush(now)
 	return nil
@@ -262,16 +264,36 @@
 	l.clockReadAt = now
 }
 
+// clockAt returns the time by the target's clock in milliseconds, 0 if unknown.
+// The reading took time to arrive, so the clock is not behind the result.
+func (l *leaseRenewer) clockAt(now time.Time) int64 {
+	if l.targetClock == 0 {
+		return 0
+	}
+	return l.targetClock + now.Sub(l.clockReadAt).Milliseconds()
+}
+
+// waited reports whether the target delayed a listing that was requested at the
+// given time by its clock, so that the listing was sent when a run ended.
+func (l *leaseRenewer) waited(listing *rattanwork.Listing, clockAtSending int64) bool {
+	return clockAtSending != 0 && listing.ClockMillis-clockAtSending >= l.home.roundTrip.typical().Milliseconds()+waitTolerance.Milliseconds()
+}
+
+// waitTolerance covers the resolution of the target's clock and the variation
+// of round trips.
+const waitTolerance = 4 * time.Millisecond
+
 // extendLease returns the end, by the target's clock, of a lease that starts
 // now, and updates expiresAt accordingly. It returns 0 if the target's clock is
 // unknown. The clock reading took time to arrive, so the target's clock is not
 // behind the assumed time, and the lease does not end later than assumed.
 func (l *leaseRenewer) extendLease(now time.Time) int64 {
-	if l.targetClock == 0 {
+	clock := l.clockAt(now)
+	if clock == 0 {
 		return 0
 	}
 	l.expiresAt = now.Add(l.maxLeaseDuration())
-	return l.targetClock + (now.Sub(l.clockReadAt) + l.home.config.MaxLease - leaseMargin).Milliseconds()
+	return clock + (l.home.config.MaxLease - leaseMargin).Milliseconds()
 }
 
 // maxLeaseDuration returns how long a lease can last by the home's clock.
@@ -310,8 +332,8 @@
 	h := l.home
 	sentAt, ctx, cancel := h.requestContext()
 	defer cancel()
-	result, clock := h.config.Targets.Start(ctx, target, request)
-	if result == rattanwork.StartFenced && l.handleFenced(request.FencingToken) == nil {
+	answer := h.config.Targets.Start(ctx, target, request)
+	if answer.Result == rattanwork.StartFenced && l.handleFenced(request.FencingToken) == nil {
 		return
 	}
 	h.mutex.Lock()
@@ -320,12 +342,12 @@
 	if h.closed {
 		return
 	}
-	if result != rattanwork.StartUnknown {
+	if answer.Result != rattanwork.StartUnknown {
 		h.roundTrip.observe(now.Sub(sentAt))
 	}
-	l.updateClock(clock, now)
-	h.scheduler.StartAnswered(l.targetID, request.Task, request.Attempt, result, now)
-	if result == rattanwork.StartUnknown {
+	l.updateClock(answer.ClockMillis, now)
+	h.scheduler.StartAnswered(l.targetID, request.Task, request.Attempt, answer, now)
+	if answer.Result == rattanwork.StartUnknown {
 		l.lostAt = now
 		l.raiseToken(now)
 		l.requestRelist()
--- a/rattanhome/roundtrip.go
+++ b/rattanhome/roundtrip.go
@@ -39,6 +39,11 @@
 	r.smoothed += (elapsed - r.smoothed) / smoothedDivisor
 }
 
+// typical returns the smoothed round-trip time.
+func (r *roundTripEstimator) typical() time.Duration {
+	return r.smoothed
+}
+
 // timeout returns how long to wait for the answer to a request.
 func (r *roundTripEstimator) timeout() time.Duration {
 	if r.smoothed == 0 {
--- a/rattanscheduler/placement_test.go
+++ b/rattanscheduler/placement_test.go
@@ -171,7 +171,9 @@
 		return
 	}
 	result := rapid.SampledFrom([]rattanwork.StartResult{rattanwork.StartAccepted, rattanwork.StartAccepted, rattanwork.StartNoResources, rattanwork.StartUnknown}).Draw(p.T, "result")
-	p.each(func(s *Scheduler) { s.StartAnswered(start.Target.ID, start.Task, start.Attempt, result, p.now) })
+	p.each(func(s *Scheduler) {
+		s.StartAnswered(start.Target.ID, start.Task, start.Attempt, rattanwork.StartAnswer{Result: result}, p.now)
+	})
 	if result == rattanwork.StartAccepted {
 		p.started = append(p.started, start)
 	}
@@ -292,7 +294,7 @@
 					number++
 					starts := z.scheduler.Take().Starts
 					for _, start := range starts {
-						z.scheduler.StartAnswered(start.Target.ID, start.Task, 1, rattanwork.StartAccepted, z.now)
+						z.scheduler.StartAnswered(start.Target.ID, start.Task, 1, rattanwork.StartAnswer{Result: rattanwork.StartAccepted}, z.now)
 					}
 					running = append(running[1:], starts...)
 				}
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -43,7 +43,7 @@
 // StartAnswered handles a target's answer to a start request. A request that
 // was fenced does not suspend the target, since a later request of the same
 // home with a higher token arrived there first.
-func (s *Scheduler) StartAnswered(targetID, taskName string, attempt int, result rattanwork.StartResult, now time.Time) {
+func (s *Scheduler) StartAnswered(targetID, taskName string, attempt int, answer rattanwork.StartAnswer, now time.Time) {
 	target, ok := s.targets[targetID]
 	if !ok {
 		return
@@ -52,9 +52,10 @@
 	if !ok || (r.state != runRequested && r.state != runStopping) {
 		return
 	}
-	switch {
+	switch result := answer.Result; {
 	case result == rattanwork.StartAccepted:
 		r.confirmedAt = now
+		r.startClock = answer.ClockMillis
 		if r.state == runRequested {
 			r.state = runConfirmed
 		}
@@ -150,7 +151,7 @@
 	for _, end := range listing.Ended {
 		if end.Sequence > target.lastSequence {
 			target.lastSequence = end.Sequence
-			s.handleEndedRun(target, end, now)
+			s.handleEndedRun(target, listing, end, now)
 		}
 	}
 	running := make(map[runKey]bool, len(listing.Running))
@@ -170,6 +171,7 @@
 	}
 	target.reconciled = true
 	target.listedAt = now
+	target.listedClock = listing.ClockMillis
 	target.listFailed = false
 	s.schedule(now)
 }
@@ -247,7 +249,7 @@
 
 // handleEndedRun processes a run that a target lists as ended. If this home has
 // neither requested nor adopted the run, only a successful end counts.
-func (s *Scheduler) handleEndedRun(target *target, end rattanwork.End, now time.Time) {
+func (s *Scheduler) handleEndedRun(target *target, listing *rattanwork.Listing, end rattanwork.End, now time.Time) {
 	r, ok := target.runs[runKey{end.Task, end.Attempt}]
 	if !ok || (r.orphan && r.task == nil) {
 		if end.Kind == rattanwork.EndDone {
@@ -271,7 +273,7 @@
 	}
 	switch end.Kind {
 	case rattanwork.EndDone:
-		s.handleTaskDone(t, r, now)
+		s.handleTaskDone(t, r, listing, now)
 	case rattanwork.EndFailed:
 		s.handleTaskFailed(t, r, now)
 	default:
@@ -301,8 +303,8 @@
 }
 
 // handleTaskDone completes a task after one of its runs has succeeded.
-func (s *Scheduler) handleTaskDone(t *task, r *run, now time.Time) {
-	runTime, exact := r.runTime(now)
+func (s *Scheduler) handleTaskDone(t *task, r *run, listing *rattanwork.Listing, now time.Time) {
+	runTime, exact := r.runTime(listing, now)
 	if s.tooSlow(r, runTime) {
 		s.recordSlowRun(r, now)
 	} else {
@@ -342,13 +344,21 @@
 }
 
 // runTime returns the minimum run time of a run that has ended, and whether it
-// is exact. After a lost listing it is not exact: the run may have ended right
-// after the previous listing.
-func (r *run) runTime(now time.Time) (runTime time.Duration, exact bool) {
-	if !r.target.listFailed {
-		return now.Sub(r.knownSince), true
+// is exact. It is measured by the target's clock, because a busy home handles
+// answers late. It is not exact if the run may have ended right after the
+// previous listing: when a listing was lost, or the home asked for it late.
+func (r *run) runTime(listing *rattanwork.Listing, now time.Time) (runTime time.Duration, exact bool) {
+	if r.startClock == 0 || listing.ClockMillis == 0 {
+		if !r.target.listFailed {
+			return now.Sub(r.knownSince), true
+		}
+		return max(0, r.target.listedAt.Sub(r.knownSince)), false
+	}
+	endClock := listing.ClockMillis
+	if !listing.Prompt || r.target.listFailed {
+		endClock = max(r.startClock, r.target.listedClock)
 	}
-	return max(0, r.target.listedAt.Sub(r.knownSince)), false
+	return time.Duration(endClock-r.startClock) * time.Millisecond, endClock == listing.ClockMillis
 }
 
 // addRun adds a run that may be active.
--- a/rattanscheduler/scheduler_test.go
+++ b/rattanscheduler/scheduler_test.go
@@ -80,7 +80,7 @@
 }
 
 func (z *fakeZone) accept(start StartRequest) {
-	z.scheduler.StartAnswered(start.Target.ID, start.Task, start.Attempt, rattanwork.StartAccepted, z.now)
+	z.scheduler.StartAnswered(start.Target.ID, start.Task, start.Attempt, rattanwork.StartAnswer{Result: rattanwork.StartAccepted}, z.now)
 	z.now = z.now.Add(time.Millisecond)
 }
 
@@ -125,7 +125,7 @@
 	starts := z.scheduler.Take().Starts
 	z.Assert(starts, qt.HasLen, 2)
 	for _, start := range starts {
-		z.scheduler.StartAnswered("t0", start.Task, start.Attempt, rattanwork.StartUnknown, z.now)
+		z.scheduler.StartAnswered("t0", start.Task, start.Attempt, rattanwork.StartAnswer{Result: rattanwork.StartUnknown}, z.now)
 	}
 	z.advance(time.Millisecond)
 	z.scheduler.Submit(z.submission(jobB, 1), z.now)
@@ -145,7 +145,7 @@
 	z.scheduler.Submit(z.submission(jobA, 1), z.now)
 	z.scheduler.Tick(z.now)
 	starts := z.scheduler.Take().Starts
-	z.scheduler.StartAnswered("t0", starts[0].Task, 1, rattanwork.StartUnknown, z.now)
+	z.scheduler.StartAnswered("t0", starts[0].Task, 1, rattanwork.StartAnswer{Result: rattanwork.StartUnknown}, z.now)
 	z.Assert(z.scheduler.HasUnresolvedRuns("t0"), qt.IsTrue)
 	z.advance(time.Millisecond)
 	z.listRuns(0, rattanwork.Listing{Running: runsOf(starts...)})
@@ -224,7 +224,7 @@
 	starts := z.scheduler.Take().Starts
 	z.Assert(starts, qt.HasLen, 2)
 	z.accept(starts[0])
-	z.scheduler.StartAnswered("t0", starts[1].Task, 1, rattanwork.StartUnknown, z.now)
+	z.scheduler.StartAnswered("t0", starts[1].Task, 1, rattanwork.StartAnswer{Result: rattanwork.StartUnknown}, z.now)
 	z.advance(time.Millisecond)
 	z.listRuns(0, rattanwork.Listing{Incarnation: 20})
 	output := z.scheduler.Take()
@@ -300,7 +300,7 @@
 	z.scheduler.Submit(z.submission(jobA, 1), z.now)
 	z.scheduler.Tick(z.now)
 	start := z.scheduler.Take().Starts[0]
-	z.scheduler.StartAnswered(start.Target.ID, start.Task, 1, rattanwork.StartUnknown, z.now)
+	z.scheduler.StartAnswered(start.Target.ID, start.Task, 1, rattanwork.StartAnswer{Result: rattanwork.StartUnknown}, z.now)
 	z.scheduler.TargetUnresponsive(start.Target.ID, false, z.now)
 	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
 	z.scheduler.TargetUnresponsive(start.Target.ID, true, z.now)
@@ -575,7 +575,7 @@
 	for _, start := range gang[1:] {
 		z.accept(start)
 	}
-	z.scheduler.StartAnswered(gang[0].Target.ID, gang[0].Task, 1, rattanwork.StartNoResources, z.now)
+	z.scheduler.StartAnswered(gang[0].Target.ID, gang[0].Task, 1, rattanwork.StartAnswer{Result: rattanwork.StartNoResources}, z.now)
 	output := z.scheduler.Take()
 	z.Check(output.Starts, qt.HasLen, 0)
 	z.Assert(output.Stops, qt.HasLen, 3)
@@ -725,7 +725,7 @@
 	z.scheduler.Tick(z.now)
 	start := z.scheduler.Take().Starts[0]
 	vanished := start.Target.ID
-	z.scheduler.StartAnswered(vanished, start.Task, 1, rattanwork.StartUnknown, z.now)
+	z.scheduler.StartAnswered(vanished, start.Task, 1, rattanwork.StartAnswer{Result: rattanwork.StartUnknown}, z.now)
 	z.scheduler.TargetUnresponsive(vanished, true, z.now)
 	remaining := testTarget(1 - int(vanished[1]-'0'))
 	z.scheduler.UpdateTargets([]rattanwork.Target{remaining}, true, z.now)
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -38,6 +38,9 @@
 	// when the target confirmed that it runs.
 	knownSince  time.Time
 	confirmedAt time.Time
+	// startClock is the time of the start by the target's clock in
+	// milliseconds, 0 if unknown.
+	startClock int64
 	// stopSentAt is when the last stop request was made, stopAckedAt when the
 	// target accepted one; both may be zero.
 	stopSentAt  time.Time
@@ -71,11 +74,13 @@
 	// lastSequence the highest processed sequence number of its ended runs.
 	incarnation  int64
 	lastSequence int64
-	// listedAt is when the last listing arrived. listFailed is set if a later
+	// listedAt is when the last listing arrived, listedClock its time by the
+	// target's clock in milliseconds. listFailed is set if a later
 	// listing request was not answered; ends in the next listing may then date
 	// back to the last one.
-	listedAt   time.Time
-	listFailed bool
+	listedAt    time.Time
+	listedClock int64
+	listFailed  bool
 	// unresponsive is set if the target has stopped answering since its last
 	// listing.
 	unresponsive bool
--- a/rattanwork/run.go
+++ b/rattanwork/run.go
@@ -51,6 +51,13 @@
 	StartWrongIncarnation // StartWrongLife
 )
 
+// StartAnswer is the answer to a start request.
+type StartAnswer struct {
+	Result StartResult
+	// ClockMillis is the time by the target's clock, 0 if unknown.
+	ClockMillis int64
+}
+
 // NotStarted reports whether the result proves that the request has not started
 // a run and will not start one later.
 func (r StartResult) NotStarted() bool {
@@ -88,4 +95,7 @@
 	Incarnation int64
 	// ClockMillis is the time by the target's clock.
 	ClockMillis int64
+	// Prompt is set if the target sent the listing as soon as a run had ended.
+	// Otherwise the listed runs may have ended any time since the last listing.
+	Prompt bool
 }
