Log what was known of free resources when a job is refused

Change: the line of a refused or redirected job has the expected wait, the slack, the demand of the largest task and what is free here and elsewhere.

--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -86,6 +86,15 @@
 	if len(result.History) > 0 {
 		fields["History"] = formatHistory(result.History)
 	}
+	if room := result.Room; room != nil {
+		fields["ExpectedWaitMS"] = milliseconds(room.ExpectedWait)
+		fields["SlackMS"] = milliseconds(room.Slack)
+		fields["NeedMilliCPU"] = room.NeedMilliCPU
+		fields["FreeMilliCPU"] = room.FreeMilliCPU
+		fields["LargestMilliCPU"] = room.LargestMilliCPU
+		fields["RemoteMilliCPU"] = room.RemoteMilliCPU
+		fields["WaitingTasks"] = room.WaitingTasks
+	}
 	j.logger.WithFields(fields).Info("job ended")
 }
 
--- a/rattanscheduler/priority.go
+++ b/rattanscheduler/priority.go
@@ -320,3 +320,24 @@
 	}
 	return max(time.Second, time.Duration(state.queue.work/float64(state.pool.capacityMilliCPU)))
 }
+
+// describeRoom returns what decides on refusing a job.
+func (s *Scheduler) describeRoom(j *job, now time.Time) *Room {
+	state := s.service(j.submission.Service)
+	room := &Room{
+		Slack:           s.timing(j).slack(now),
+		FreeMilliCPU:    state.pool.freeMilliCPU,
+		LargestMilliCPU: state.pool.maxFree().MilliCPU,
+		WaitingTasks:    state.queue.tasks,
+	}
+	if j.class != nil && state.pool.capacityMilliCPU > 0 {
+		room.ExpectedWait = time.Duration(state.queue.workBefore(j, now.UnixNano()) / float64(state.pool.capacityMilliCPU))
+	}
+	for _, t := range j.ready {
+		room.NeedMilliCPU = max(room.NeedMilliCPU, t.resources().MilliCPU)
+	}
+	for _, zone := range s.remoteZones {
+		room.RemoteMilliCPU = max(room.RemoteMilliCPU, zone.FreeMilliCPU)
+	}
+	return room
+}
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -104,11 +104,31 @@
 	FirstStart time.Duration
 	// Elapsed is the time from submission to the end of the job.
 	Elapsed time.Duration
+	// Room is set if the job was refused or redirected.
+	Room *Room
 	// History lists all runs. It is empty if the job succeeded with one run per
 	// task.
 	History []RunRecord
 }
 
+// Room is what the scheduler knew of free resources when it refused or
+// redirected a job.
+type Room struct {
+	// ExpectedWait is the time until the work before the job is done, Slack how
+	// long the start of the job could be delayed.
+	ExpectedWait time.Duration
+	Slack        time.Duration
+	// NeedMilliCPU is the demand of the largest ready task. FreeMilliCPU is the
+	// free capacity of the service's targets in this zone, LargestMilliCPU that
+	// of the target with the most, RemoteMilliCPU that of the best other zone.
+	NeedMilliCPU    int
+	FreeMilliCPU    int
+	LargestMilliCPU int
+	RemoteMilliCPU  int
+	// WaitingTasks is the number of tasks that wait for room here.
+	WaitingTasks int
+}
+
 // RunRecord describes one run of a job. Times are relative to the submission of
 // the job.
 type RunRecord struct {
@@ -413,6 +433,10 @@
 	if zone != "" {
 		outcome = Redirected
 	}
+	var room *Room
+	if outcome == Refused || outcome == Redirected {
+		room = s.describeRoom(j, now)
+	}
 	j.outcome = outcome
 	delete(s.jobs, j.submission.Job.ID)
 	s.dequeue(j)
@@ -432,6 +456,7 @@
 		Failures:   j.failureCount,
 		FirstStart: j.firstStart,
 		Elapsed:    now.Sub(j.submittedAt),
+		Room:       room,
 		History:    j.historyFor(outcome),
 	})
 }
