Follow the inventory by its changes, and limit who copies it

Cause: each home read all entries of all targets every 0.7 s, at 540 targets two pages and some 190 KB each time, and every other instance copied the whole inventory from a peer after each change: both grow with the product of targets and instances.

Change: a home waits for changes (1 s at most, since a silent connection hides for that long that a target drains; no more often than every 0.6 s) and reads everything after a failure or when it becomes home. Other instances copy the inventory at most every 4 to 8 s, unless they have none. Garbage is collected by the memory of the machine (limits.memory_mb), which is checked.

Tests: the changes, a lapsed entry, a failure and a new home (TestInventoryFollowsChanges); 7 to 15 copies a minute while the inventory changes ten times a second (TestInventoryPullsAreLimited; 600 before).

--- a/rattancmd/servecmd.go
+++ b/rattancmd/servecmd.go
@@ -46,6 +46,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	rattannode.TuneCollection(settings.MemoryBytes)
 	registry := rattanmetric.New()
 	registry.CounterFunc(rattanmetric.LogLinesDroppedTotal, output.Dropped.Load)
 	registry.CounterFunc(rattanmetric.LogLinesTotal, output.Accepted.Load)
--- a/rattanprofile/zone.go
+++ b/rattanprofile/zone.go
@@ -35,6 +35,8 @@
 	// in cores; the instance with the largest one becomes the home.
 	homeCPUShare  = 0.8
 	frontCPUShare = 0.2
+	// machineMemoryMB is the memory of each machine.
+	machineMemoryMB = 184
 	// startTimeout bounds the time until all instances are ready, stopTimeout
 	// that until they have ended.
 	startTimeout = 15 * time.Second
@@ -96,7 +98,7 @@
 	for i := range 1 + options.Fronts {
 		settings := rattansite.InstanceSettings{
 			Name: fmt.Sprintf("front-%d", i), IP: fmt.Sprintf("127.9.%d.%d", os.Getpid()%250, 10+i), Zone: zoneName,
-			StoreAddress: z.store.Address(), CPUShare: frontCPUShare,
+			StoreAddress: z.store.Address(), CPUShare: frontCPUShare, MemoryMB: machineMemoryMB,
 		}
 		arguments := []string{"serve"}
 		if i == 0 {
--- a/rattansite/documents.go
+++ b/rattansite/documents.go
@@ -24,6 +24,8 @@
 	StoreAddress string
 	// CPUShare is the processor share of the machine in cores, 0 if unknown.
 	CPUShare float64
+	// MemoryMB is the memory of the machine in megabytes, 0 if unknown.
+	MemoryMB int
 }
 
 // File returns the content of the settings file.
@@ -37,7 +39,7 @@
 		"listen": map[string]string{
 			"front": s.IP + ":" + CallerPort, "readiness": s.IP + ":" + ReadinessPort, "control": s.IP + ":" + PeerPort,
 		},
-		"limits":     map[string]any{"cpu_share": s.CPUShare, "cores": 1},
+		"limits":     map[string]any{"cpu_share": s.CPUShare, "cores": 1, "memory_mb": s.MemoryMB},
 		"port_range": []int{7720, 7735}, "seeds": seeds,
 		"platform": map[string]any{"address": s.StoreAddress, "form": "kv"},
 		"bounds":   map[string]any{"max_hold_ms": 1000, "grace_s": 6, "retransmit_ms": 1300, "remote_penalty": 1.5},
--- a/rattansite/store.go
+++ b/rattansite/store.go
@@ -5,6 +5,7 @@
 package rattansite
 
 import (
+	"bytes"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -120,7 +121,8 @@
 	s.notifyChange()
 }
 
-// Put writes a key without a lease, as the operator or a target does.
+// Put writes a key without a lease, as the operator or a target does. Writing
+// the same value again is no change.
 func (s *Store) Put(key string, value any) error {
 	data, err := json.Marshal(value)
 	if err != nil {
@@ -128,6 +130,9 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if old, ok := s.items[key]; ok && bytes.Equal(old.Value, data) {
+		return nil
+	}
 	s.write(key, data, 0)
 	return nil
 }
--- a/rattansite/target.go
+++ b/rattansite/target.go
@@ -183,7 +183,7 @@
 	}
 	entry := map[string]any{
 		"service": t.config.Service, "address": t.address, "zone": t.config.Zone, "version": "v1", "slots": 8,
-		"state": state, "cold_left_ms": 0, "labels": t.config.Labels, "born": t.startedAt.UnixMilli(), "clock_ms": t.clockMillis(),
+		"state": state, "cold_left_ms": 0, "labels": t.config.Labels, "born": t.startedAt.UnixMilli(),
 		"capacity": map[string]int{"cpu": t.config.MilliCPU, "mem_mb": t.config.MemoryMB, "gpu": 0},
 	}
 	t.mutex.Unlock()
--- a/rattanwork/target.go
+++ b/rattanwork/target.go
@@ -34,6 +34,16 @@
 		t.Draining == other.Draining && t.Capacity == other.Capacity && t.Incarnation == other.Incarnation && slices.Equal(t.Labels, other.Labels)
 }
 
+// InventoryChange contains the targets that have changed since a revision.
+type InventoryChange struct {
+	// Revision is the store revision up to which changes are included.
+	Revision int64
+	Updated  []Target
+	// Removed contains the IDs of entries that were deleted or have become
+	// invalid.
+	Removed []string
+}
+
 // Inventory is a snapshot of all targets.
 type Inventory struct {
 	// Revision is the store revision of the snapshot.
--- a/rattanzone/agent.go
+++ b/rattanzone/agent.go
@@ -96,6 +96,8 @@
 	// keepAlives counts, by address of a home in another zone, the jobs of
 	// local callers that were redirected there.
 	keepAlives map[string]int
+	// nextInventoryPull is the earliest time of the next pull of the inventory.
+	nextInventoryPull time.Time
 	// lastZoneHeartbeat and lastRemoteHeartbeat are the times at which the
 	// local home last sent heartbeats to its own zone and to other zones.
 	lastZoneHeartbeat   time.Time
--- a/rattanzone/inventory.go
+++ b/rattanzone/inventory.go
@@ -11,8 +11,15 @@
 
 const (
 	// inventoryInterval is the interval at which a home reads the targets'
-	// entries.
+	// entries while it cannot wait for changes, and the age at which an
+	// inventory is read again for another instance.
 	inventoryInterval = 700 * time.Millisecond
+	// changeTimeout bounds the wait for changes. A silent connection to the
+	// store hides for that long that targets are draining.
+	changeTimeout = 1 * time.Second
+	// changeInterval is the minimum time between two reads of changes, so that
+	// many changes arrive together.
+	changeInterval = 600 * time.Millisecond
 	// missingGrace is how long a target that is missing from the store is kept.
 	// Entries expire while the store is unavailable and reappear about two
 	// seconds after it is available again.
@@ -22,6 +29,9 @@
 // InventoryReader reads the targets' entries from the store.
 type InventoryReader interface {
 	Current(ctx context.Context) (inventory rattanwork.Inventory, invalid int, err error)
+	// WaitForChange waits for changes after the revision, at most for the
+	// timeout.
+	WaitForChange(ctx context.Context, revision int64, timeout time.Duration) (rattanwork.InventoryChange, error)
 }
 
 // Inventory is the list of targets known to an instance. It is safe for
@@ -35,6 +45,9 @@
 	revision int64
 	targets  map[string]*inventoryEntry
 	readAt   time.Time
+	// followedRevision is the store revision from which to wait for changes, 0
+	// if the whole inventory must be read first.
+	followedRevision int64
 }
 
 type inventoryEntry struct {
@@ -47,8 +60,11 @@
 	return &Inventory{reader: reader, refreshRequested: make(chan struct{}, 1), targets: map[string]*inventoryEntry{}}
 }
 
-// RequestRefresh asks for an immediate read of the store.
+// RequestRefresh asks for an immediate read of the whole inventory.
 func (i *Inventory) RequestRefresh() {
+	i.mutex.Lock()
+	i.followedRevision = 0
+	i.mutex.Unlock()
 	select {
 	case i.refreshRequested <- struct{}{}:
 	default:
@@ -98,7 +114,7 @@
 	return inventory
 }
 
-// refresh reads the inventory from the store.
+// refresh reads the whole inventory from the store.
 func (i *Inventory) refresh(ctx context.Context, clock func() time.Time) error {
 	reading, _, err := i.reader.Current(ctx)
 	if err != nil {
@@ -108,6 +124,26 @@
 	return nil
 }
 
+// follow brings the inventory up to date: it waits for changes, or reads the
+// whole inventory if earlier changes may have been missed.
+func (i *Inventory) follow(ctx context.Context, clock func() time.Time) error {
+	i.mutex.Lock()
+	revision := i.followedRevision
+	i.mutex.Unlock()
+	if revision == 0 {
+		return i.refresh(ctx, clock)
+	}
+	change, err := i.reader.WaitForChange(ctx, revision, changeTimeout)
+	if err != nil {
+		i.mutex.Lock()
+		i.followedRevision = 0
+		i.mutex.Unlock()
+		return err
+	}
+	i.apply(revision, change, clock())
+	return nil
+}
+
 // update applies an inventory that was read from the store or from a peer.
 // Targets that are missing from it are kept for missingGrace.
 func (i *Inventory) update(reading rattanwork.Inventory, now time.Time) {
@@ -117,27 +153,68 @@
 		return
 	}
 	i.readAt = now
-	changed := false
+	i.followedRevision = reading.Revision
+	changed := i.put(reading.Targets)
 	seen := make(map[string]bool, len(reading.Targets))
 	for _, target := range reading.Targets {
 		seen[target.ID] = true
+	}
+	for id, e := range i.targets {
+		if !seen[id] && e.missingSince.IsZero() {
+			e.missingSince = now
+		}
+	}
+	changed = i.removeMissing(now) || changed
+	if changed || i.revision == 0 {
+		i.revision = reading.Revision
+	}
+}
+
+// apply applies the changes since a revision, unless the inventory was read
+// anew meanwhile.
+func (i *Inventory) apply(since int64, change rattanwork.InventoryChange, now time.Time) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.followedRevision != since {
+		return
+	}
+	i.readAt = now
+	i.followedRevision = max(since, change.Revision)
+	changed := i.put(change.Updated)
+	for _, id := range change.Removed {
+		if e, ok := i.targets[id]; ok && e.missingSince.IsZero() {
+			e.missingSince = now
+		}
+	}
+	changed = i.removeMissing(now) || changed
+	if changed {
+		i.revision = max(i.revision, change.Revision)
+	}
+}
+
+// put adds or replaces targets and reports whether any has changed. The caller
+// holds the mutex.
+func (i *Inventory) put(targets []rattanwork.Target) bool {
+	changed := false
+	for _, target := range targets {
 		known, ok := i.targets[target.ID]
 		if !ok || !known.target.Equal(&target) {
 			changed = true
 		}
 		i.targets[target.ID] = &inventoryEntry{target: target}
 	}
+	return changed
+}
+
+// removeMissing removes the targets that have been missing for missingGrace and
+// reports whether there were any. The caller holds the mutex.
+func (i *Inventory) removeMissing(now time.Time) bool {
+	removed := false
 	for id, e := range i.targets {
-		switch {
-		case seen[id]:
-		case e.missingSince.IsZero():
-			e.missingSince = now
-		case now.Sub(e.missingSince) > missingGrace:
+		if !e.missingSince.IsZero() && now.Sub(e.missingSince) > missingGrace {
 			delete(i.targets, id)
-			changed = true
+			removed = true
 		}
 	}
-	if changed || i.revision == 0 {
-		i.revision = reading.Revision
-	}
+	return removed
 }
--- a/rattanzone/inventory_test.go
+++ b/rattanzone/inventory_test.go
@@ -1,6 +1,7 @@
 package rattanzone
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -53,3 +54,97 @@
 	c.Check(nextToken("10.1.0.14:8166", ahead) > ahead+raises, qt.IsTrue)
 	c.Check(nextToken("10.1.0.14:8166", ahead)%4096, qt.Equals, other%4096)
 }
+
+// scriptedInventory is an InventoryReader whose store has a history.
+type scriptedInventory struct {
+	current rattanwork.Inventory
+	changes []rattanwork.InventoryChange
+	err     error
+	reads   int
+	waits   int
+}
+
+func (s *scriptedInventory) Current(context.Context) (rattanwork.Inventory, int, error) {
+	s.reads++
+	return s.current, 0, s.err
+}
+
+func (s *scriptedInventory) WaitForChange(_ context.Context, revision int64, _ time.Duration) (rattanwork.InventoryChange, error) {
+	s.waits++
+	if s.err != nil || len(s.changes) == 0 {
+		return rattanwork.InventoryChange{Revision: revision}, s.err
+	}
+	next := s.changes[0]
+	s.changes = s.changes[1:]
+	return next, nil
+}
+
+// TestInventoryFollowsChanges guards against reading all entries for each
+// change, against missing changes after a failure, and against dropping targets
+// whose entries lapse for a moment.
+func TestInventoryFollowsChanges(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	clock := func() time.Time { return now }
+	targetA, targetB := rattanwork.Target{ID: "a", Zone: "z"}, rattanwork.Target{ID: "b", Zone: "z"}
+	store := &scriptedInventory{current: rattanwork.Inventory{Revision: 5, Targets: []rattanwork.Target{targetA}}}
+	inventory := NewInventory(store)
+	follow := func() {
+		c.Helper()
+		c.Assert(inventory.follow(context.Background(), clock), qt.IsNil)
+	}
+	follow()
+	store.changes = []rattanwork.InventoryChange{
+		{Revision: 7, Updated: []rattanwork.Target{targetB}},
+		{Revision: 8, Removed: []string{"a"}},
+		{Revision: 9, Updated: []rattanwork.Target{targetA}},
+		{Revision: 10, Removed: []string{"a"}},
+	}
+	follow()
+	c.Check(inventory.ZoneTargets("z"), qt.HasLen, 2)
+	c.Check(inventory.Revision(), qt.Equals, int64(7))
+	follow()
+	now = now.Add(time.Second)
+	follow()
+	now = now.Add(missingGrace)
+	c.Check(inventory.ZoneTargets("z"), qt.HasLen, 2)
+	follow()
+	now = now.Add(missingGrace)
+	follow()
+	c.Check(inventory.ZoneTargets("z"), qt.HasLen, 2)
+	now = now.Add(time.Millisecond)
+	follow()
+	c.Check(inventory.ZoneTargets("z"), qt.HasLen, 1)
+	c.Check(store.reads, qt.Equals, 1)
+	// After a failure, changes may have been missed.
+	store.err = context.DeadlineExceeded
+	c.Check(inventory.follow(context.Background(), clock), qt.IsNotNil)
+	store.err = nil
+	store.current = rattanwork.Inventory{Revision: 12, Targets: []rattanwork.Target{targetA, targetB}}
+	follow()
+	c.Check(store.reads, qt.Equals, 2)
+	c.Check(inventory.ZoneTargets("z"), qt.HasLen, 2)
+	// A new home reads everything.
+	inventory.RequestRefresh()
+	follow()
+	c.Check(store.reads, qt.Equals, 3)
+}
+
+// TestInventoryPullsAreLimited guards against traffic that grows with the
+// number of instances times that of changes of targets.
+func TestInventoryPullsAreLimited(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	agent := New(Config{Self: rattanwork.Member{Name: "self", Zone: "a"}, Peers: noPeers{}, Inventory: NewInventory(nil), Clock: func() time.Time { return now }})
+	c.Check(agent.inventoryPullDue(1), qt.IsTrue)
+	c.Check(agent.inventoryPullDue(1), qt.IsTrue, qt.Commentf("without any inventory, each chance counts"))
+	agent.config.Inventory.update(rattanwork.Inventory{Revision: 1}, now)
+	pulls := 0
+	for revision := range int64(600) {
+		now = now.Add(100 * time.Millisecond)
+		if agent.inventoryPullDue(2 + revision) {
+			pulls++
+		}
+	}
+	c.Check(pulls >= 7 && pulls <= 15, qt.IsTrue, qt.Commentf("%d pulls in a minute", pulls))
+}
--- a/rattanzone/sync.go
+++ b/rattanzone/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/juju/errors"
@@ -93,11 +94,38 @@
 	if view.DesiredVersion > a.config.DesiredState.Version() {
 		go a.pullDesiredState(view.Sender)
 	}
-	if a.LocalHome() == nil && view.InventoryRevision > a.config.Inventory.Revision() {
+	if a.LocalHome() == nil && a.inventoryPullDue(view.InventoryRevision) {
 		go a.pullInventory(view.Sender)
 	}
 }
 
+const (
+	// minPullInterval and maxPullInterval bound the random interval between the
+	// pulls of an instance that is not a home. It needs the inventory only when
+	// it becomes a home while the store is away; if all instances pulled after
+	// each change, the traffic would grow with their number times that of the
+	// targets.
+	minPullInterval = 4 * time.Second
+	maxPullInterval = 8 * time.Second
+)
+
+// inventoryPullDue reports whether to pull an inventory of the given revision,
+// and if so, schedules the next pull.
+func (a *Agent) inventoryPullDue(revision int64) bool {
+	known := a.config.Inventory.Revision()
+	if revision <= known {
+		return false
+	}
+	now := a.config.Clock()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if known != 0 && now.Before(a.nextInventoryPull) {
+		return false
+	}
+	a.nextInventoryPull = now.Add(minPullInterval + rand.N(maxPullInterval-minPullInterval))
+	return true
+}
+
 func (a *Agent) pullDesiredState(peer rattanwork.Member) {
 	ctx, cancel := context.WithTimeout(a.ctx, pullTimeout)
 	defer cancel()
@@ -147,15 +175,19 @@
 // or, while the store does not answer, asks other instances.
 func (a *Agent) inventoryLoop() {
 	for a.ctx.Err() == nil {
+		wait := inventoryInterval
 		localHome := a.LocalHome()
 		if localHome != nil {
-			err := a.config.Inventory.refresh(a.ctx, a.config.Clock)
+			err := a.config.Inventory.follow(a.ctx, a.config.Clock)
 			if err != nil {
 				a.pullInventoryFromPeers()
 			}
 			localHome.UpdateTargets(a.config.Inventory.ZoneTargets(a.config.Self.Zone), err == nil)
+			wait = changeInterval
+			if err != nil {
+				wait = inventoryInterval
+			}
 		}
-		wait := inventoryInterval
 		if localHome != nil && a.config.Inventory.Revision() == 0 {
 			wait = electionInterval
 		}
