Keep a home's goodput when its processor time does not suffice

Cause: a home past its limit read answers late, took them for lost, closed the connections, raised tokens and asked for lists again, which cost more than the work itself.

Change: the home measures how late it handles ticks and by how much all answers come later than at the best of times. Timeouts grow with the lag. Lag and load are told to other zones, in the metrics (rattanlever_home_lag_seconds) and in log lines of changes.

--- a/rattancmd/benchcmd.go
+++ b/rattancmd/benchcmd.go
@@ -24,6 +24,7 @@
 	Targets  int           `long:"targets" value-name:"N" default:"240" description:"number of targets for --home"`
 	Fronts   int           `long:"fronts" value-name:"N" default:"2" description:"number of instances beside the home for --home"`
 	Window   time.Duration `long:"window" value-name:"DURATION" default:"5s" description:"how long --home measures each rate"`
+	Logs     string        `long:"logs" value-name:"DIRECTORY" description:"keep the logs of the instances of --home"`
 	Seed     uint64        `long:"seed" value-name:"N" default:"1" description:"random seed of the job arrivals"`
 	Policies []string      `long:"policy" value-name:"NAME" description:"scheduling policy to run, repeatable; the default is all"`
 
@@ -88,7 +89,7 @@
 		rates = []float64{100, 300, 600, 900, 1200}
 	}
 	report, err := rattanprofile.Measure(ctx, rattanprofile.Options{
-		Binary: binary, Rates: rates, Duration: o.Window, Targets: o.Targets, Fronts: o.Fronts, Seed: o.Seed,
+		Binary: binary, Rates: rates, Duration: o.Window, Targets: o.Targets, Fronts: o.Fronts, Logs: o.Logs, Seed: o.Seed,
 	})
 	if err != nil {
 		return errors.Trace(err)
--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -47,6 +47,9 @@
 	TargetUnresponsive(target string, err error)
 	// TargetRecovered reports that a target answers again after the duration.
 	TargetRecovered(target string, duration time.Duration)
+	// OverloadChanged reports that the home begins or ceases to refuse jobs
+	// because it lacks processor time.
+	OverloadChanged(overloaded bool, lag time.Duration, jobs int)
 	// Deposed reports that the home was deposed because the target follows
 	// another home.
 	Deposed(target string)
@@ -87,6 +90,11 @@
 	renewers map[string]*leaseRenewer
 	// roundTrip measures the requests to all targets.
 	roundTrip roundTripEstimator
+	// nextTickAt is when the next tick is due, lag how late events are handled.
+	nextTickAt time.Time
+	lag        lagMeter
+	shedder    shedder
+	overloaded bool
 	// idle is set while the next tick is idleTickInterval after the last one.
 	idle   bool
 	closed bool
@@ -162,6 +170,10 @@
 	FreeMilliCPU int
 	WaitingTasks int
 	Jobs         int
+	// Lag is how late the home handles events. Overloaded is set if it refuses
+	// jobs for that reason.
+	Lag        time.Duration
+	Overloaded bool
 }
 
 // Load returns the current load.
@@ -169,7 +181,13 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	now := h.config.Clock()
-	return Load{FreeMilliCPU: h.scheduler.FreeMilliCPU(now), WaitingTasks: h.scheduler.WaitingTasks(), Jobs: h.scheduler.Jobs()}
+	return Load{
+		FreeMilliCPU: h.scheduler.FreeMilliCPU(now),
+		WaitingTasks: h.scheduler.WaitingTasks(),
+		Jobs:         h.scheduler.Jobs(),
+		Lag:          h.lag.current(now),
+		Overloaded:   h.overloaded,
+	}
 }
 
 // UpdateTargets replaces the list of the zone's targets. The list is current if
@@ -217,8 +235,10 @@
 		return cached.result, nil
 	}
 	h.waiters[id] = append(h.waiters[id], waiter)
-	h.scheduler.Submit(submission, now)
-	h.scheduler.CheckAdmission(id, now)
+	if !h.shed(submission, now) {
+		h.scheduler.Submit(submission, now)
+		h.scheduler.CheckAdmission(id, now)
+	}
 	h.flush(now)
 	h.mutex.Unlock()
 	select {
@@ -232,6 +252,17 @@
 	}
 }
 
+// shed refuses a new job if the home lacks processor time, and reports whether
+// it has. The caller holds the mutex.
+func (h *Home) shed(submission rattanscheduler.Submission, now time.Time) bool {
+	lag := h.lag.standing(now)
+	if lag < minShedLag || !h.scheduler.IsNew(submission) || !h.shedder.sheds(lag) {
+		return false
+	}
+	h.scheduler.Refuse(submission, "home lacks processor time", shedRetryAfter, now)
+	return true
+}
+
 // Cancel ends a job for which no caller waits any more, and reports whether it
 // was known.
 func (h *Home) Cancel(jobID string) bool {
@@ -261,16 +292,17 @@
 	for _, result := range output.Results {
 		h.handleResult(result, now)
 	}
-	h.wakeIfBusy()
+	h.wakeIfBusy(now)
 }
 
 // wakeIfBusy shortens the tick interval once time-driven decisions are pending.
 // The caller holds the mutex.
-func (h *Home) wakeIfBusy() {
+func (h *Home) wakeIfBusy(now time.Time) {
 	if !h.idle || !h.scheduler.Busy() {
 		return
 	}
 	h.idle = false
+	h.nextTickAt = now.Add(busyTickInterval)
 	select {
 	case h.wake <- struct{}{}:
 	default:
@@ -333,6 +365,7 @@
 	if h.closed {
 		return idleTickInterval
 	}
+	h.measureLag(now)
 	h.scheduler.Tick(now)
 	h.flush(now)
 	for id, cached := range h.results {
@@ -340,9 +373,24 @@
 			delete(h.results, id)
 		}
 	}
+	interval := busyTickInterval
 	h.idle = !h.scheduler.Busy()
 	if h.idle {
-		return idleTickInterval
+		interval = idleTickInterval
+	}
+	h.nextTickAt = now.Add(interval)
+	return interval
+}
+
+// measureLag updates the lag by the lateness of this tick. The caller holds the
+// mutex.
+func (h *Home) measureLag(now time.Time) {
+	if !h.nextTickAt.IsZero() {
+		h.lag.observe(max(now.Sub(h.nextTickAt), h.roundTrip.excess()), now)
+	}
+	lag := h.lag.standing(now)
+	if overloaded := lag >= minShedLag; overloaded != h.overloaded && (overloaded || lag < minShedLag/2) {
+		h.overloaded = overloaded
+		h.config.Observer.OverloadChanged(overloaded, lag, h.scheduler.Jobs())
 	}
-	return busyTickInterval
 }
--- a/rattanhome/home_test.go
+++ b/rattanhome/home_test.go
@@ -125,6 +125,7 @@
 func (noopObserver) TargetChanged(rattanscheduler.TargetEvent) {}
 func (noopObserver) TargetUnresponsive(string, error)          {}
 func (noopObserver) TargetRecovered(string, time.Duration)     {}
+func (noopObserver) OverloadChanged(bool, time.Duration, int)  {}
 func (noopObserver) Deposed(string)                            {}
 
 // newTestHome returns a home with one target. The test fails if the clock is
--- a/rattanhome/renewer.go
+++ b/rattanhome/renewer.go
@@ -196,19 +196,22 @@
 }
 
 // timeouts returns how long the target may delay its answer to a renewal, and
-// how long to wait for that answer. The caller holds the home's mutex.
+// how long to wait for that answer. A home that lacks processor time reads
+// answers late, which does not mean that they are lost. The caller holds the
+// home's mutex.
 func (l *leaseRenewer) timeouts(immediate bool, now time.Time) (wait, timeout time.Duration) {
+	lag := l.home.readDelay(now)
 	switch {
 	case immediate:
-		return 0, l.home.roundTrip.timeout()
+		return 0, lag + l.home.roundTrip.timeout()
 	case !l.home.scheduler.Reconciled(l.targetID):
-		return 0, leaseTimeout
+		return 0, lag + leaseTimeout
 	case now.Sub(l.lostAt) < lossWindow:
-		return lossyLeaseWait, lossyLeaseWait + lossyLeaseTimeout
+		return lossyLeaseWait, lag + lossyLeaseWait + lossyLeaseTimeout
 	case !l.home.scheduler.HasRuns(l.targetID):
-		return idleLeaseWait, idleLeaseWait + leaseTimeout
+		return idleLeaseWait, lag + idleLeaseWait + leaseTimeout
 	default:
-		return leaseWait, leaseWait + leaseTimeout
+		return leaseWait, lag + leaseWait + leaseTimeout
 	}
 }
 
@@ -355,13 +358,25 @@
 	h.flush(now)
 }
 
+// readDelay returns how much longer to wait for answers because the home lacks
+// processor time. An answer waits for the network poller and then for each
+// goroutine that passes it on. The caller holds the mutex.
+func (h *Home) readDelay(now time.Time) time.Duration {
+	return goroutinesPerAnswer * h.lag.current(now)
+}
+
+// goroutinesPerAnswer is the number of goroutines that pass on the answer of a
+// target.
+const goroutinesPerAnswer = 2
+
 // requestContext returns the current time and a context with the timeout for
 // the answer to a request.
 func (h *Home) requestContext() (sentAt time.Time, ctx context.Context, cancel context.CancelFunc) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	ctx, cancel = context.WithTimeout(h.ctx, h.roundTrip.timeout())
-	return h.config.Clock(), ctx, cancel
+	sentAt = h.config.Clock()
+	ctx, cancel = context.WithTimeout(h.ctx, h.readDelay(sentAt)+h.roundTrip.timeout())
+	return sentAt, ctx, cancel
 }
 
 // raiseToken raises the fencing token of requests to the target. The caller
--- a/rattanhome/roundtrip.go
+++ b/rattanhome/roundtrip.go
@@ -25,18 +25,29 @@
 	// smoothed is the smoothed round-trip time, 0 before the first measurement.
 	smoothed  time.Duration
 	deviation time.Duration
+	// shortest is the shortest smoothed round-trip time.
+	shortest time.Duration
 }
 
 // observe records the round-trip time of an answered request.
 func (r *roundTripEstimator) observe(elapsed time.Duration) {
 	if r.smoothed == 0 {
 		r.smoothed = elapsed
+		r.shortest = elapsed
 		r.deviation = elapsed / 2
 		return
 	}
 	difference := (r.smoothed - elapsed).Abs()
 	r.deviation += (difference - r.deviation) / deviationDivisor
 	r.smoothed += (elapsed - r.smoothed) / smoothedDivisor
+	r.shortest = min(r.shortest, r.smoothed)
+}
+
+// excess returns by how much the answers of all targets are later than at the
+// best of times. Since a home keeps many targets, it is the home that reads
+// them late.
+func (r *roundTripEstimator) excess() time.Duration {
+	return r.smoothed - r.shortest
 }
 
 // typical returns the smoothed round-trip time.
--- a/rattanmetric/table.go
+++ b/rattanmetric/table.go
@@ -52,6 +52,7 @@
 	TargetChangesTotal     = "rattanlever_target_changes_total"
 	HomeChangesTotal       = "rattanlever_home_changes_total"
 	HomesDeposedTotal      = "rattanlever_homes_deposed_total"
+	HomeLagSeconds         = "rattanlever_home_lag_seconds"
 	StoreCallsTotal        = "rattanlever_store_calls_total"
 	LogLinesTotal          = "rattanlever_log_lines_total"
 	LogLinesDroppedTotal   = "rattanlever_log_lines_dropped_total"
@@ -126,6 +127,7 @@
 	{TargetChangesTotal, KindCounter, []string{"change"}, "Changes in what the own home believes of targets, by kind of change."},
 	{HomeChangesTotal, KindCounter, nil, "Changes of the zone's home that this instance has seen."},
 	{HomesDeposedTotal, KindCounter, nil, "Times that the own home lost its authority to another instance."},
+	{HomeLagSeconds, KindGauge, nil, "How late the own home handles events because it lacks processor time, 0 if it is not the home."},
 	{StoreCallsTotal, KindCounter, nil, "Calls to the platform's metadata store."},
 	{LogLinesTotal, KindCounter, nil, "Log lines taken in for writing."},
 	{LogLinesDroppedTotal, KindCounter, nil, "Log lines dropped because the output was too slow."},
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -136,6 +136,12 @@
 	j.logger.WithFields(logrus.Fields{"Target": target, "SilenceMS": milliseconds(silence)}).Info("target answers again")
 }
 
+// OverloadChanged records that the local home has begun, or ceased, to refuse
+// jobs because it lacks processor time.
+func (j *Journal) OverloadChanged(overloaded bool, lag time.Duration, jobs int) {
+	j.logger.WithFields(logrus.Fields{"Overloaded": overloaded, "LagMS": milliseconds(lag), "Jobs": jobs}).Warn("home overload changed")
+}
+
 // Deposed records that the local home lost its authority, because a target
 // follows a higher fencing token.
 func (j *Journal) Deposed(target string) {
@@ -160,6 +166,11 @@
 	j.logger.WithFields(logrus.Fields{"Home": claim.Name, "Fence": claim.FencingToken, "Reason": reason}).Warn("home suspected")
 }
 
+// SpeedChanged records that this machine has become slow or normal.
+func (j *Journal) SpeedChanged(slow bool, factor float64) {
+	j.logger.WithFields(logrus.Fields{"Slow": slow, "Factor": factor}).Warn("machine speed changed")
+}
+
 // DirectoryLost records that the directory of instances cannot be reached.
 func (j *Journal) DirectoryLost(err error) {
 	j.logger.WithField("Error", err.Error()).Warn("directory lost")
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -129,6 +129,7 @@
 		Journal:      n.journal,
 		Clock:        n.config.Clock,
 	})
+	n.config.Registry.Gauge(rattanmetric.HomeLagSeconds, n.homeLagSeconds)
 	homeService := rattanhome.NewService(self.Name, n.agent, n.config.Clock)
 	homeService.RegisterHandlers(peerNode)
 	n.callerHandler = rattanfront.New(rattanfront.Config{
@@ -148,6 +149,14 @@
 	return n.buildApp()
 }
 
+func (n *Node) homeLagSeconds() float64 {
+	home := n.agent.LocalHome()
+	if home == nil {
+		return 0
+	}
+	return home.Load().Lag.Seconds()
+}
+
 func (n *Node) newHome(fencingToken int64) *rattanhome.Home {
 	settings := n.settings.Load()
 	return rattanhome.New(rattanhome.Config{
--- a/rattanprofile/profile.go
+++ b/rattanprofile/profile.go
@@ -25,6 +25,9 @@
 	// instances that take the callers' requests for the home.
 	Targets int
 	Fronts  int
+	// Logs is the directory for the logs of the instances; if it is empty, they
+	// are discarded.
+	Logs string
 	// Seed is the random seed of the jobs.
 	Seed uint64
 }
@@ -94,7 +97,7 @@
 // measureRate measures one rate.
 func measureRate(ctx context.Context, options Options, rate float64, directory string) (*Run, error) {
 	profile := filepath.Join(directory, "home.pprof")
-	z, err := startZone(ctx, options, directory, profile)
+	z, err := startZone(ctx, options, rate, directory, profile)
 	if err != nil {
 		return nil, err
 	}
--- a/rattanprofile/zone.go
+++ b/rattanprofile/zone.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -61,13 +60,13 @@
 
 // startZone starts the stand-ins and the instances, and waits until all are
 // ready. The home writes its CPU profile to a file when it ends.
-func startZone(ctx context.Context, options Options, directory, profile string) (*zone, error) {
+func startZone(ctx context.Context, options Options, rate float64, directory, profile string) (*zone, error) {
 	store, err := rattansite.NewStore()
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	z := &zone{store: store, checker: rattansite.NewInvariantChecker()}
-	if err := z.start(options, directory, profile); err != nil {
+	if err := z.start(options, rate, directory, profile); err != nil {
 		z.close()
 		return nil, err
 	}
@@ -80,7 +79,7 @@
 	return z, nil
 }
 
-func (z *zone) start(options Options, directory, profile string) error {
+func (z *zone) start(options Options, rate float64, directory, profile string) error {
 	state := rattansite.DesiredState{Version: 1, Service: serviceName, Host: hostName, Prefixes: []string{pathPrefix}}
 	if err := z.store.PutDesiredState(state); err != nil {
 		return errors.Trace(err)
@@ -107,7 +106,11 @@
 		} else {
 			settings.SeedIPs = []string{z.instances[0].ip}
 		}
-		started, err := startInstance(options.Binary, settings, filepath.Join(directory, settings.Name+".json"), arguments)
+		log := ""
+		if options.Logs != "" {
+			log = filepath.Join(options.Logs, fmt.Sprintf("%s-%.0f.log", settings.Name, rate))
+		}
+		started, err := startInstance(options.Binary, settings, filepath.Join(directory, settings.Name+".json"), log, arguments)
 		if err != nil {
 			return err
 		}
@@ -117,8 +120,8 @@
 }
 
 // startInstance starts a process with one processor, as the machines of the
-// platform have.
-func startInstance(binary string, settings rattansite.InstanceSettings, path string, arguments []string) (*instance, error) {
+// platform have. Its log goes to a file, unless the name is empty.
+func startInstance(binary string, settings rattansite.InstanceSettings, path, log string, arguments []string) (*instance, error) {
 	data, err := settings.File()
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -128,8 +131,15 @@
 	}
 	command := exec.Command(binary, arguments...)
 	command.Env = append(os.Environ(), platform.SettingsVariable+"="+path, "GOMAXPROCS=1")
-	command.Stdout = io.Discard
 	command.Stderr = os.Stderr
+	if log != "" {
+		output, err := os.Create(log)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		defer func() { _ = output.Close() }()
+		command.Stdout = output
+	}
 	if err := command.Start(); err != nil {
 		return nil, errors.Annotate(err, binary)
 	}
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -279,6 +279,29 @@
 	}
 }
 
+// IsNew reports whether the job is not known and certainly has no runs, also
+// none of an earlier submission.
+func (s *Scheduler) IsNew(submission Submission) bool {
+	job := submission.Job
+	if _, known := s.jobs[job.ID]; known || submission.Resumed {
+		return false
+	}
+	for name := range job.TaskNames() {
+		if _, done := s.doneTasks[name]; done || s.activeRuns[name] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Refuse refuses or redirects a new job instead of submitting it.
+func (s *Scheduler) Refuse(submission Submission, reason string, retryAfter time.Duration, now time.Time) {
+	j := newJob(submission, now)
+	s.jobs[submission.Job.ID] = j
+	j.updateReady(s.activeRuns)
+	s.endJob(j, Refused, reason, retryAfter, now)
+}
+
 // Cancel ends a job for which no caller waits any more, and reports whether it
 // was known.
 func (s *Scheduler) Cancel(jobID string, now time.Time) bool {
--- a/rattanscheduler/scheduler_test.go
+++ b/rattanscheduler/scheduler_test.go
@@ -461,6 +461,38 @@
 	z.Assert(redirected, qt.DeepEquals, []string{"0000000000000001c", "0000000000000002c"})
 }
 
+// TestRefuseNewJob guards against refusing a job of which an earlier run may be
+// active or has completed, and against refusing one that another zone has room
+// for.
+func TestRefuseNewJob(t *testing.T) {
+	z := newReconciledZone(qt.New(t), 1)
+	z.scheduler.Submit(z.submission(jobA, 1), z.now)
+	start := z.scheduler.Take().Starts[0]
+	z.accept(start)
+	z.Check(z.scheduler.IsNew(z.submission(jobA, 1)), qt.IsFalse)
+	z.scheduler.Cancel(jobA, z.now)
+	z.Check(z.scheduler.IsNew(z.submission(jobA, 1)), qt.IsFalse, qt.Commentf("its run is being stopped"))
+	z.listRuns(0, rattanwork.Listing{Ended: []rattanwork.End{
+		{Sequence: 1, Task: start.Task, Attempt: 1, Kind: rattanwork.EndStopped},
+		{Sequence: 2, Task: jobB + ".0.0.0", Attempt: 1, Kind: rattanwork.EndDone},
+	}})
+	z.Check(z.scheduler.IsNew(z.submission(jobA, 1)), qt.IsTrue)
+	z.Check(z.scheduler.IsNew(z.submission(jobB, 1)), qt.IsFalse, qt.Commentf("an earlier home has completed it"))
+	z.scheduler.Take()
+	z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: 20000}})
+	submission := z.submission(jobA, 1)
+	submission.Redirectable = true
+	z.scheduler.Refuse(submission, "reason", time.Second, z.now)
+	z.scheduler.Refuse(submission, "reason", time.Second, z.now)
+	results := z.scheduler.Take().Results
+	z.Assert(results, qt.HasLen, 2)
+	z.Check(results[0].Outcome, qt.Equals, Redirected)
+	z.Check(results[0].Zone, qt.Equals, "b")
+	z.Check(results[1].Outcome, qt.Equals, Refused)
+	z.Check(results[1].RetryAfter, qt.Equals, time.Second)
+	z.Check(z.scheduler.Jobs(), qt.Equals, 0)
+}
+
 // TestTaskMovesFromSlowTarget guards against waiting for a task that makes no
 // progress on its target while another target could complete it, and against
 // assigning more work to such a target.
--- a/rattanwork/job.go
+++ b/rattanwork/job.go
@@ -1,6 +1,7 @@
 package rattanwork
 
 import (
+	"iter"
 	"strconv"
 	"time"
 
@@ -99,6 +100,19 @@
 	return count
 }
 
+// TaskNames yields the names of all tasks of a job without occurrences.
+func (j *Job) TaskNames() iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for step := range j.Steps {
+			for index := range j.Steps[step].Count {
+				if !yield(TaskName{Job: j.ID, Step: step, Index: index}.String()) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Check returns ErrMalformedJob unless the job has steps that have tasks and
 // depend only on earlier steps.
 func (j *Job) Check() error {
--- a/rattanzone/agent.go
+++ b/rattanzone/agent.go
@@ -48,6 +48,9 @@
 type Journal interface {
 	HomeChanged(claim Claim, reason string)
 	HomeSuspected(claim Claim, reason string)
+	// SpeedChanged reports that this machine has become slow or normal. The
+	// factor is the time of a fixed computation in multiples of the usual one.
+	SpeedChanged(slow bool, factor float64)
 	DirectoryLost(err error)
 	DirectoryRegained()
 }
@@ -90,7 +93,11 @@
 	electionBackoffUntil time.Time
 	electionBackoff      time.Duration
 	terminating          bool
-	startedAt            time.Time
+	// slow is set while this machine is slow. speed is used by the heartbeat
+	// loop alone.
+	slow      bool
+	speed     *speedMonitor
+	startedAt time.Time
 	// homeChanged is closed and replaced when the home of this zone changes.
 	homeChanged chan struct{}
 	// keepAlives counts, by address of a home in another zone, the jobs of
@@ -107,6 +114,7 @@
 type member struct {
 	rattanwork.Member
 	terminating bool
+	slow        bool
 	// lastHeard is the time at which the member last sent a view.
 	lastHeard time.Time
 	// lastListed is the time at which the directory last listed the member or
@@ -127,6 +135,7 @@
 		keepAlives:       map[string]int{},
 		homeMissingSince: now,
 		startedAt:        now,
+		speed:            newSpeedMonitor(config.Clock),
 		homeChanged:      make(chan struct{}),
 	}
 	config.Peers.Handle(methodHeartbeat, a.handleHeartbeat)
@@ -185,13 +194,14 @@
 }
 
 // remoteCapacity returns the free capacity of the other zones that have no
-// waiting tasks and whose home has reported its load recently.
+// waiting tasks and whose home has reported its load recently and is not
+// overloaded itself.
 func (a *Agent) remoteCapacity(now time.Time) []rattanscheduler.RemoteZone {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	var capacities []rattanscheduler.RemoteZone
 	for zone, home := range a.homes {
-		if zone != a.config.Self.Zone && home.age(now) < maxLoadAge && home.claim.Load.WaitingTasks == 0 {
+		if zone != a.config.Self.Zone && home.age(now) < maxLoadAge && home.claim.Load.WaitingTasks == 0 && !home.claim.Load.Overloaded {
 			capacities = append(capacities, rattanscheduler.RemoteZone{Zone: zone, FreeMilliCPU: home.claim.Load.FreeMilliCPU})
 		}
 	}
--- a/rattanzone/election.go
+++ b/rattanzone/election.go
@@ -223,17 +223,24 @@
 }
 
 // successors returns the members of the zone that could become its home, best
-// first.
+// first. Members on slow machines are left out, unless there are no others.
 func (a *Agent) successors() []rattanwork.Member {
 	now := a.config.Clock()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	var members []rattanwork.Member
+	var members, slowMembers []rattanwork.Member
 	for _, m := range a.members {
-		if m.Zone == a.config.Self.Zone && !m.terminating && now.Sub(m.lastHeard) < silenceTimeout {
+		switch {
+		case m.Zone != a.config.Self.Zone || m.terminating || now.Sub(m.lastHeard) >= silenceTimeout:
+		case m.slow:
+			slowMembers = append(slowMembers, m.Member)
+		default:
 			members = append(members, m.Member)
 		}
 	}
+	if len(members) == 0 {
+		members = slowMembers
+	}
 	slices.SortFunc(members, func(x, y rattanwork.Member) int {
 		if x.Precedes(&y) {
 			return -1
--- a/rattanzone/heartbeat.go
+++ b/rattanzone/heartbeat.go
@@ -38,6 +38,8 @@
 )
 
 func (a *Agent) heartbeatLoop() {
+	// The speed at the start is what later checks are compared with.
+	a.speed.check(a.config.Clock())
 	for a.ctx.Err() == nil {
 		wait := a.tick()
 		timer := time.NewTimer(wait)
@@ -54,6 +56,7 @@
 func (a *Agent) tick() time.Duration {
 	a.stepDownIfDeposed()
 	now := a.config.Clock()
+	a.checkSpeed(now)
 	a.sendKeepAlives()
 	if localHome := a.LocalHome(); localHome != nil {
 		localHome.SetRemoteZones(a.remoteCapacity(now))
@@ -197,6 +200,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	view.Terminating = a.terminating
+	view.Slow = a.slow
 	for zone, home := range a.homes {
 		if zone == a.config.Self.Zone && !a.homeMissingSince.IsZero() {
 			view.SuspectedToken = home.claim.FencingToken
@@ -234,7 +238,7 @@
 		// Sent before the instance was restarted.
 		return
 	}
-	a.members[name] = &member{Member: view.Sender, terminating: view.Terminating, lastHeard: now, lastListed: now}
+	a.members[name] = &member{Member: view.Sender, terminating: view.Terminating, slow: view.Slow, lastHeard: now, lastListed: now}
 }
 
 // mergeClaim merges a claim that another instance has sent. The caller holds
--- a/rattanzone/view.go
+++ b/rattanzone/view.go
@@ -40,6 +40,8 @@
 	SuspectedToken int64 `json:"Suspect"`
 	// Terminating reports that the sender is shutting down.
 	Terminating bool
+	// Slow reports that the sender's machine computes much slower than usual.
+	Slow bool
 	// DesiredVersion is the version of the sender's desired state,
 	// InventoryRevision the revision of its inventory.
 	DesiredVersion    int64 `json:"Desired"`
