--- /dev/null
+++ b/rattanscheduler/redirect_test.go
@@ -0,0 +1,103 @@
+package rattanscheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattanwork"
+)
+
+// TestRedirect guards against refusing or queueing a job that another zone has
+// capacity for, against redirecting more than that zone can run, and against
+// redirecting a job twice or after it may have started.
+func TestRedirect(t *testing.T) {
+	z := newReconciledZone(qt.New(t), 1)
+	z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: 60000}, {Zone: "c", FreeMilliCPU: 200000}})
+	z.scheduler.Submit(z.submission(jobA, 2), z.now)
+	z.scheduler.Tick(z.now)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 2)
+	submit := func(id string, change func(*Submission)) {
+		submission := z.submission(id, 4)
+		submission.Redirectable = true
+		change(&submission)
+		z.scheduler.Submit(submission, z.now)
+	}
+	submit("0000000000000001", func(*Submission) {})
+	submit("0000000000000002", func(*Submission) {})
+	submit("0000000000000003", func(s *Submission) { s.Redirectable = false })
+	submit("0000000000000004", func(s *Submission) { s.Resumed = true })
+	z.Assert(z.scheduler.Take().Results, qt.HasLen, 0)
+	z.advance(redirectDelay)
+	var redirected []string
+	for _, result := range z.scheduler.Take().Results {
+		if result.Outcome == Redirected {
+			redirected = append(redirected, result.JobID+result.Zone)
+		}
+	}
+	// Zone c has room for two copies of a job of 56000 until two jobs have been
+	// redirected there.
+	z.Assert(redirected, qt.DeepEquals, []string{"0000000000000001c", "0000000000000002c"})
+}
+
+// TestRefuseNewJob guards against refusing a job of which an earlier run may be
+// active or has completed, and against refusing one that another zone has room
+// for.
+func TestRefuseNewJob(t *testing.T) {
+	z := newReconciledZone(qt.New(t), 1)
+	z.scheduler.Submit(z.submission(jobA, 1), z.now)
+	start := z.scheduler.Take().Starts[0]
+	z.accept(start)
+	z.Check(z.scheduler.IsNew(z.submission(jobA, 1)), qt.IsFalse)
+	z.scheduler.Cancel(jobA, z.now)
+	z.Check(z.scheduler.IsNew(z.submission(jobA, 1)), qt.IsFalse, qt.Commentf("its run is being stopped"))
+	z.listRuns(0, rattanwork.Listing{Ended: []rattanwork.End{
+		{Sequence: 1, Task: start.Task, Attempt: 1, Kind: rattanwork.EndStopped},
+		{Sequence: 2, Task: jobB + ".0.0.0", Attempt: 1, Kind: rattanwork.EndDone},
+	}})
+	z.Check(z.scheduler.IsNew(z.submission(jobA, 1)), qt.IsTrue)
+	z.Check(z.scheduler.IsNew(z.submission(jobB, 1)), qt.IsFalse, qt.Commentf("an earlier home has completed it"))
+	z.scheduler.Take()
+	z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: 20000}})
+	submission := z.submission(jobA, 1)
+	submission.Redirectable = true
+	z.scheduler.Refuse(submission, "reason", time.Second, z.now)
+	z.scheduler.Refuse(submission, "reason", time.Second, z.now)
+	results := z.scheduler.Take().Results
+	z.Assert(results, qt.HasLen, 2)
+	z.Check(results[0].Outcome, qt.Equals, Redirected)
+	z.Check(results[0].Zone, qt.Equals, "b")
+	z.Check(results[1].Outcome, qt.Equals, Refused)
+	z.Check(results[1].RetryAfter, qt.Equals, time.Second)
+	z.Check(z.scheduler.Jobs(), qt.Equals, 0)
+}
+
+// TestNoRedirectDuringEarlierRuns guards against two runs of a task in two
+// zones: a resubmitted job must stay in the zone where runs of its cancelled
+// first submission may still be active.
+func TestNoRedirectDuringEarlierRuns(t *testing.T) {
+	z := newReconciledZone(qt.New(t), 1)
+	z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: 200000}})
+	z.scheduler.Submit(z.submission(jobA, 2), z.now)
+	z.scheduler.Tick(z.now)
+	starts := z.scheduler.Take().Starts
+	z.Assert(starts, qt.HasLen, 2)
+	for _, start := range starts {
+		z.accept(start)
+	}
+	z.scheduler.Cancel(jobA, z.now)
+	resubmission := z.submission(jobA, 2)
+	resubmission.Redirectable = true
+	resubmission.Priority = 1
+	z.scheduler.Submit(resubmission, z.now)
+	z.scheduler.Submit(z.submission(jobB, 1), z.now)
+	z.listRuns(0, rattanwork.Listing{Running: runsOf(starts[1]), Ended: []rattanwork.End{
+		{Sequence: 1, Task: starts[0].Task, Attempt: 1, Kind: rattanwork.EndStopped},
+	}})
+	z.scheduler.Take()
+	z.advance(redirectDelay)
+	for _, result := range z.scheduler.Take().Results {
+		z.Check(result.Outcome, qt.Not(qt.Equals), Redirected)
+	}
+}
--- /dev/null
+++ b/rattanscheduler/takeover_test.go
@@ -0,0 +1,117 @@
+package rattanscheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattanwork"
+)
+
+// TestListedRunIsBoundToItsJob guards against a second run of a task after a
+// takeover, if the job is resubmitted before its run is listed.
+func TestListedRunIsBoundToItsJob(t *testing.T) {
+	z := newFakeZone(qt.New(t), 2)
+	z.listRuns(1, rattanwork.Listing{})
+	submission := z.submission(jobA, 1)
+	submission.Resumed = true
+	z.scheduler.Submit(submission, z.now)
+	z.advance(10 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	name := jobA + ".0.0.0"
+	z.listRuns(0, rattanwork.Listing{Running: []rattanwork.Run{{Task: name, Attempt: 4, Percent: 10}}})
+	z.advance(10 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	z.listRuns(0, rattanwork.Listing{Ended: []rattanwork.End{{Sequence: 1, Task: name, Attempt: 4, Kind: rattanwork.EndDone}}})
+	results := z.scheduler.Take().Results
+	z.Assert(results, qt.HasLen, 1)
+	z.Assert(results[0].Outcome, qt.Equals, Succeeded)
+	z.Assert(z.scheduler.targets["t0"].free, qt.Equals, testTarget(0).Capacity)
+}
+
+// TestTaskDoneBeforeResubmission guards against a second run of a task that
+// completed before its job was resubmitted to the new home.
+func TestTaskDoneBeforeResubmission(t *testing.T) {
+	z := newFakeZone(qt.New(t), 1)
+	name := jobA + ".0.0.0"
+	z.listRuns(0, rattanwork.Listing{Ended: []rattanwork.End{{Sequence: 1, Task: name, Attempt: 1, Kind: rattanwork.EndDone}}})
+	submission := z.submission(jobA, 1)
+	submission.Resumed = true
+	z.scheduler.Submit(submission, z.now)
+	z.scheduler.Tick(z.now)
+	output := z.scheduler.Take()
+	z.Assert(output.Starts, qt.HasLen, 0)
+	z.Assert(output.Results, qt.HasLen, 1)
+	z.Assert(output.Results[0].Outcome, qt.Equals, Succeeded)
+}
+
+// TestSecondSubmissionWaitsForFirstRuns guards against two runs of a task if a
+// job is resubmitted while its cancelled runs are still being stopped.
+func TestSecondSubmissionWaitsForFirstRuns(t *testing.T) {
+	z := newReconciledZone(qt.New(t), 2)
+	z.scheduler.Submit(z.submission(jobA, 1), z.now)
+	z.scheduler.Tick(z.now)
+	starts := z.scheduler.Take().Starts
+	z.accept(starts[0])
+	z.scheduler.Cancel(jobA, z.now)
+	z.scheduler.Submit(z.submission(jobA, 1), z.now)
+	z.advance(time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	index := 0
+	if starts[0].Target.ID == "t1" {
+		index = 1
+	}
+	z.listRuns(index, rattanwork.Listing{Ended: []rattanwork.End{{Sequence: 1, Task: starts[0].Task, Attempt: 1, Kind: rattanwork.EndStopped}}})
+	z.advance(time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 1)
+}
+
+// TestOrphanedRunIsStopped guards against runs that continue although no caller
+// waits for their job.
+func TestOrphanedRunIsStopped(t *testing.T) {
+	z := newFakeZone(qt.New(t), 1)
+	z.listRuns(0, rattanwork.Listing{Running: []rattanwork.Run{{Task: jobA + ".0.0.0", Attempt: 1}}})
+	z.scheduler.Submit(z.submission(jobB, 1), z.now)
+	z.advance(orphanGracePeriod / 2)
+	z.Assert(z.scheduler.Take().Stops, qt.HasLen, 0)
+	z.advance(orphanGracePeriod)
+	z.Assert(z.scheduler.Take().Stops, qt.HasLen, 1)
+}
+
+// TestResumedJobWaitsForCurrentTargets guards against a second run of a task
+// after a takeover if the first run is on a target that the new home does not
+// know yet.
+func TestResumedJobWaitsForCurrentTargets(t *testing.T) {
+	z := &fakeZone{C: qt.New(t), now: time.Unix(1_800_000_000, 0)}
+	z.scheduler = New(Config{MaxLease: time.Second, TakeoverTime: z.now})
+	z.scheduler.UpdateTargets([]rattanwork.Target{testTarget(0)}, false, z.now)
+	z.listRuns(0, rattanwork.Listing{})
+	submission := z.submission(jobA, 1)
+	submission.Resumed = true
+	z.scheduler.Submit(submission, z.now)
+	z.advance(10 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	z.scheduler.UpdateTargets([]rattanwork.Target{testTarget(0), testTarget(1)}, true, z.now)
+	z.advance(10 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	z.listRuns(1, rattanwork.Listing{Running: []rattanwork.Run{{Task: jobA + ".0.0.0", Attempt: 1}}})
+	z.advance(10 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	z.listRuns(1, rattanwork.Listing{Ended: []rattanwork.End{{Sequence: 1, Task: jobA + ".0.0.0", Attempt: 1, Kind: rattanwork.EndDone}}})
+	z.Assert(z.scheduler.Take().Results, qt.HasLen, 1)
+	// Without a current inventory, the leases granted by the earlier home have
+	// to expire first.
+	z.scheduler = New(Config{MaxLease: time.Second, TakeoverTime: z.now})
+	z.scheduler.UpdateTargets([]rattanwork.Target{testTarget(0)}, false, z.now)
+	z.listRuns(0, rattanwork.Listing{})
+	submission = z.submission(jobB, 1)
+	submission.Resumed = true
+	submission.LateUntil = z.now.Add(3 * time.Second)
+	submission.Deadline = submission.LateUntil
+	z.scheduler.Submit(submission, z.now)
+	z.advance(1100 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	z.advance(100 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 1)
+}
