Claim a zone sooner when the directory names no home

Change: 200 ms are enough once the directory has been read, which lists the home if there is one; 400 ms without it.

--- a/rattanzone/agent.go
+++ b/rattanzone/agent.go
@@ -93,6 +93,8 @@
 	electionBackoffUntil time.Time
 	electionBackoff      time.Duration
 	terminating          bool
+	// directoryRead is set once the directory has been read.
+	directoryRead bool
 	// slow is set while this machine is slow. speed is used by the heartbeat
 	// loop alone.
 	slow      bool
--- a/rattanzone/election.go
+++ b/rattanzone/election.go
@@ -16,8 +16,10 @@
 
 const (
 	// discoveryTime is how long a starting instance looks for peers before it
-	// claims a zone whose home it does not know.
-	discoveryTime = 400 * time.Millisecond
+	// claims a zone whose home it does not know, directoryDiscoveryTime the same
+	// once it has read the directory, which lists the home if there is one.
+	discoveryTime          = 400 * time.Millisecond
+	directoryDiscoveryTime = 200 * time.Millisecond
 	// rankDelay is the time that an instance waits before it claims the zone,
 	// for each answering member that is preferred to it as home.
 	rankDelay = 250 * time.Millisecond
@@ -49,7 +51,11 @@
 	}
 	wait := time.Duration(rank) * rankDelay
 	homeKnown := a.homes[a.config.Self.Zone] != nil
-	if !homeKnown {
+	switch {
+	case homeKnown:
+	case a.directoryRead:
+		wait += directoryDiscoveryTime
+	default:
 		wait += discoveryTime
 	}
 	mayClaim := !missingSince.IsZero() && !a.terminating && now.Sub(missingSince) >= wait && !now.Before(a.electionBackoffUntil) && !a.homeReachableByPeer(views)
--- /dev/null
+++ b/rattanzone/election_test.go
@@ -0,0 +1,59 @@
+package rattanzone
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattanhome"
+	"github.com/rattanlever/rattanlever/rattanscheduler"
+	"github.com/rattanlever/rattanlever/rattanwork"
+)
+
+// idleObserver ignores the events of a home.
+type idleObserver struct{}
+
+func (idleObserver) JobEnded(rattanscheduler.JobResult)        {}
+func (idleObserver) TargetChanged(rattanscheduler.TargetEvent) {}
+func (idleObserver) TargetUnresponsive(string, error)          {}
+func (idleObserver) TargetRecovered(string, time.Duration)     {}
+func (idleObserver) OverloadChanged(bool, time.Duration, int)  {}
+func (idleObserver) Deposed(string)                            {}
+
+// TestClaimAfterDiscovery guards against an instance that claims the zone of a
+// home that it has had no chance to find, and against waiting longer than
+// needed when all instances start anew.
+func TestClaimAfterDiscovery(t *testing.T) {
+	tests := map[string]struct {
+		directoryRead bool
+		claimAfter    time.Duration
+	}{
+		"directory was read":     {directoryRead: true, claimAfter: directoryDiscoveryTime},
+		"directory out of reach": {directoryRead: false, claimAfter: discoveryTime},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			start := time.Unix(1_800_000_000, 0)
+			var elapsed atomic.Int64
+			clock := func() time.Time { return start.Add(time.Duration(elapsed.Load())) }
+			agent := New(Config{
+				Self: rattanwork.Member{Name: "self", Zone: "a"}, Seeds: func() []string { return nil }, Peers: noPeers{},
+				Journal: quietJournal{}, DesiredState: &DesiredStateWatcher{}, Inventory: NewInventory(nil), Clock: clock,
+				NewHome: func(token int64) *rattanhome.Home {
+					return rattanhome.New(rattanhome.Config{FencingToken: token, MaxLease: time.Second, Observer: idleObserver{}, Clock: clock})
+				},
+			})
+			agent.directoryRead = test.directoryRead
+			for agent.LocalHome() == nil && clock().Sub(start) < time.Second {
+				agent.runElection(clock())
+				elapsed.Add(int64(10 * time.Millisecond))
+			}
+			c.Assert(agent.LocalHome(), qt.IsNotNil)
+			agent.LocalHome().Close()
+			c.Check(clock().Sub(start)-10*time.Millisecond, qt.Equals, test.claimAfter)
+		})
+	}
+}
--- a/rattanzone/sync.go
+++ b/rattanzone/sync.go
@@ -63,6 +63,7 @@
 	now := a.config.Clock()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	a.directoryRead = true
 	for _, listed := range members {
 		if listed.Name == a.config.Self.Name {
 			continue
