Let resumed jobs wait for targets that became known after the claim

Zone obuda was cut off from 33.5 s to 38.8 s while machines were stopped and started in turn.

When it learns of them after the heal, the time for which resumed jobs wait for the listings of all targets (1.15 s from the claim) was over, though the earlier home had gone on until each target heard of the new one.

Change: the wait begins anew when a target becomes known.

Test: TestResumedJobWaitsForTargetsKnownLate fails before.

--- a/rattanscheduler/priority.go
+++ b/rattanscheduler/priority.go
@@ -154,9 +154,9 @@
 }
 
 // reconciling reports whether some target may run tasks of an earlier home that
-// this home does not know.
+// this home does not know of.
 func (s *Scheduler) reconciling(now time.Time) bool {
-	if now.Sub(s.config.TakeoverTime) > s.config.MaxLease*leaseMarginPercent/100 {
+	if now.After(s.reconcileUntil) {
 		return false
 	}
 	if !s.targetsCurrent {
@@ -170,6 +170,14 @@
 	return false
 }
 
+// awaitListings makes resumed jobs wait for the listings of all targets until
+// the leases that an earlier home may have granted have expired. An earlier
+// home grants leases until a target has heard of this one, so the wait begins
+// anew when a target becomes known.
+func (s *Scheduler) awaitListings(now time.Time) {
+	s.reconcileUntil = now.Add(s.config.MaxLease * leaseMarginPercent / 100)
+}
+
 // leaseMarginPercent is the time, in percent of the maximum lease, after which
 // all leases granted by the earlier home have certainly expired. It covers
 // targets whose clock runs 2% slow and the transmission time of the last
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -159,9 +159,9 @@
 	// data. It is added to the placement score of targets that are not on the
 	// data's rack.
 	RemotePenalty float64
-	// TakeoverTime is when this home took over the targets. Until the leases
-	// granted by the earlier home have expired, jobs that it may have started
-	// wait for the listings of all targets.
+	// TakeoverTime is when this home claimed its zone. Until the leases granted
+	// by the earlier home have expired, jobs that it may have started wait for
+	// the listings of all targets.
 	TakeoverTime time.Time
 }
 
@@ -201,6 +201,9 @@
 	// once all targets are known that an earlier home may have used.
 	targetsKnown   bool
 	targetsCurrent bool
+	// reconcileUntil is until when resumed jobs wait for the listings of all
+	// targets.
+	reconcileUntil time.Time
 	output         Output
 	// startWaiting starts the waiting tasks for which there are resources.
 	startWaiting func(now time.Time)
@@ -220,6 +223,7 @@
 		unansweredStops: map[*run]struct{}{},
 	}
 	s.startWaiting = s.scheduleServices
+	s.awaitListings(config.TakeoverTime)
 	return s
 }
 
--- a/rattanscheduler/takeover_test.go
+++ b/rattanscheduler/takeover_test.go
@@ -115,3 +115,32 @@
 	z.advance(100 * time.Millisecond)
 	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 1)
 }
+
+// TestResumedJobWaitsForTargetsKnownLate guards against a second run of a task
+// when this home claimed its zone long before it learned of the targets, as an
+// instance does that started in a zone without a way to the store: the earlier
+// home goes on until each target has heard of this one.
+func TestResumedJobWaitsForTargetsKnownLate(t *testing.T) {
+	z := &fakeZone{C: qt.New(t), now: time.Unix(1_800_000_000, 0)}
+	z.scheduler = New(Config{MaxLease: time.Second, TakeoverTime: z.now})
+	z.advance(3 * time.Second)
+	z.scheduler.UpdateTargets([]rattanwork.Target{testTarget(0), testTarget(1)}, true, z.now)
+	z.listRuns(0, rattanwork.Listing{})
+	submission := z.submission(jobA, 1)
+	submission.Resumed = true
+	z.scheduler.Submit(submission, z.now)
+	z.advance(10 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	z.listRuns(1, rattanwork.Listing{Running: []rattanwork.Run{{Task: jobA + ".0.0.0", Attempt: 1}}})
+	z.advance(10 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	// A target that appears later may have runs of the earlier home too.
+	z.scheduler.UpdateTargets([]rattanwork.Target{testTarget(0), testTarget(1), testTarget(2)}, true, z.now)
+	submission = z.submission(jobB, 1)
+	submission.Resumed = true
+	z.scheduler.Submit(submission, z.now)
+	z.advance(10 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	z.listRuns(2, rattanwork.Listing{})
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 1)
+}
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -127,7 +127,7 @@
 	seen := make(map[string]bool, len(targets))
 	for i := range targets {
 		seen[targets[i].ID] = true
-		s.updateTarget(targets[i])
+		s.updateTarget(targets[i], now)
 	}
 	for id, t := range s.targets {
 		if seen[id] {
@@ -180,11 +180,12 @@
 	s.service(t.info.Service).pool.remove(t)
 }
 
-func (s *Scheduler) updateTarget(info rattanwork.Target) {
+func (s *Scheduler) updateTarget(info rattanwork.Target, now time.Time) {
 	t, ok := s.targets[info.ID]
 	if !ok {
 		t = &target{info: info, free: info.Capacity, runs: map[runKey]*run{}}
 		s.addTarget(t)
+		s.awaitListings(now)
 		s.recordChange(t, TargetAppeared)
 		return
 	}
