Do not take a home's first view of the inventory for complete

An instance that starts at the heal reads an empty zone, claims it after 200 ms, before the home's heartbeat of every 600 ms reaches it, and takes the few targets that have registered again for all there are. Resumed jobs then start beside runs of the earlier home on targets that it does not know yet.

Change: an instance to which no member of its zone has answered waits 800 ms, 400 ms if a member answers and knows no home, 200 ms if the directory was read as well. A home whose first view of the inventory comes from the store counts it as complete only 2 s later; until then resumed jobs wait for the leases of the earlier home as if there were no inventory.

Tests: TestClaimAfterDiscovery, TestFirstReadIsNotSettled fail before.

--- a/rattanzone/election.go
+++ b/rattanzone/election.go
@@ -16,9 +16,14 @@
 
 const (
 	// discoveryTime is how long a starting instance looks for peers before it
-	// claims a zone whose home it does not know, directoryDiscoveryTime the same
-	// once it has read the directory, which lists the home if there is one.
-	discoveryTime          = 400 * time.Millisecond
+	// claims a zone whose home it does not know. It exceeds the interval at
+	// which a home sends heartbeats to all members, as the directory may list
+	// nobody just after the zone was cut off from it.
+	discoveryTime = 800 * time.Millisecond
+	// peerDiscoveryTime is the same if some member of the zone answers and
+	// knows no home either, directoryDiscoveryTime if the directory has been
+	// read too.
+	peerDiscoveryTime      = 400 * time.Millisecond
 	directoryDiscoveryTime = 200 * time.Millisecond
 	// rankDelay is the time that an instance waits before it claims the zone,
 	// for each answering member that is preferred to it as home.
@@ -53,10 +58,12 @@
 	homeKnown := a.homes[a.config.Self.Zone] != nil
 	switch {
 	case homeKnown:
+	case len(views) == 0:
+		wait += discoveryTime
 	case a.directoryRead:
 		wait += directoryDiscoveryTime
 	default:
-		wait += discoveryTime
+		wait += peerDiscoveryTime
 	}
 	mayClaim := !missingSince.IsZero() && !a.terminating && now.Sub(missingSince) >= wait && !now.Before(a.electionBackoffUntil) && !a.homeReachableByPeer(views)
 	a.mutex.Unlock()
--- a/rattanzone/election_test.go
+++ b/rattanzone/election_test.go
@@ -28,10 +28,13 @@
 func TestClaimAfterDiscovery(t *testing.T) {
 	tests := map[string]struct {
 		directoryRead bool
+		peerAnswers   bool
 		claimAfter    time.Duration
 	}{
-		"directory was read":     {directoryRead: true, claimAfter: directoryDiscoveryTime},
-		"directory out of reach": {directoryRead: false, claimAfter: discoveryTime},
+		"a peer knows no home, directory read":         {directoryRead: true, peerAnswers: true, claimAfter: directoryDiscoveryTime},
+		"a peer knows no home, directory out of reach": {peerAnswers: true, claimAfter: peerDiscoveryTime},
+		"the directory lists nobody":                   {directoryRead: true, claimAfter: discoveryTime},
+		"nobody in reach":                              {claimAfter: discoveryTime},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -39,8 +42,12 @@
 			start := time.Unix(1_800_000_000, 0)
 			var elapsed atomic.Int64
 			clock := func() time.Time { return start.Add(time.Duration(elapsed.Load())) }
+			var peers Peers = noPeers{}
+			if test.peerAnswers {
+				peers = &recordingPeers{}
+			}
 			agent := New(Config{
-				Self: rattanwork.Member{Name: "self", Zone: "a"}, Seeds: func() []string { return nil }, Peers: noPeers{},
+				Self: rattanwork.Member{Name: "self", Zone: "a", MilliCPU: 800}, Seeds: func() []string { return []string{"peer"} }, Peers: peers,
 				Journal: quietJournal{}, DesiredState: &DesiredStateWatcher{}, Inventory: NewInventory(nil), Clock: clock,
 				NewHome: func(token int64) *rattanhome.Home {
 					return rattanhome.New(rattanhome.Config{FencingToken: token, MaxLease: time.Second, Observer: idleObserver{}, Clock: clock})
--- a/rattanzone/inventory.go
+++ b/rattanzone/inventory.go
@@ -20,6 +20,9 @@
 	// changeInterval is the minimum time between two reads of changes, so that
 	// many changes arrive together.
 	changeInterval = 600 * time.Millisecond
+	// settleTime is how long after the first read the inventory may lack targets
+	// whose entries had expired while the store was out of reach for them.
+	settleTime = 2 * time.Second
 	// missingGrace is how long a target that is missing from the store is kept.
 	// Entries expire while the store is unavailable and reappear about two
 	// seconds after it is available again.
@@ -48,6 +51,9 @@
 	// followedRevision is the store revision from which to wait for changes, 0
 	// if the whole inventory must be read first.
 	followedRevision int64
+	// settledAt is from when on the inventory contains all targets, zero if it
+	// does already.
+	settledAt time.Time
 }
 
 type inventoryEntry struct {
@@ -120,10 +126,25 @@
 	if err != nil {
 		return err
 	}
-	i.update(reading, clock())
+	now := clock()
+	i.mutex.Lock()
+	if i.revision == 0 {
+		i.settledAt = now.Add(settleTime)
+	}
+	i.mutex.Unlock()
+	i.update(reading, now)
 	return nil
 }
 
+// settled reports whether the inventory contains all targets. An inventory that
+// was first copied from a peer does, because the peer has kept those whose
+// entries are missing.
+func (i *Inventory) settled(now time.Time) bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return !now.Before(i.settledAt)
+}
+
 // follow brings the inventory up to date: it waits for changes, or reads the
 // whole inventory if earlier changes may have been missed.
 func (i *Inventory) follow(ctx context.Context, clock func() time.Time) error {
--- a/rattanzone/inventory_test.go
+++ b/rattanzone/inventory_test.go
@@ -148,3 +148,24 @@
 	}
 	c.Check(pulls >= 7 && pulls <= 15, qt.IsTrue, qt.Commentf("%d pulls in a minute", pulls))
 }
+
+// TestFirstReadIsNotSettled guards against a home that takes its first view of
+// the inventory for complete just after its zone was cut off from the store:
+// entries that expired meanwhile come back within two seconds.
+func TestFirstReadIsNotSettled(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	clock := func() time.Time { return now }
+	store := &scriptedInventory{current: rattanwork.Inventory{Revision: 5, Targets: []rattanwork.Target{{ID: "a", Zone: "z"}}}}
+	inventory := NewInventory(store)
+	c.Assert(inventory.follow(context.Background(), clock), qt.IsNil)
+	c.Check(inventory.settled(now), qt.IsFalse)
+	now = now.Add(settleTime)
+	c.Assert(inventory.follow(context.Background(), clock), qt.IsNil)
+	c.Check(inventory.settled(now), qt.IsTrue)
+	copied := NewInventory(store)
+	copied.update(rattanwork.Inventory{Revision: 4, Targets: []rattanwork.Target{{ID: "a", Zone: "z"}, {ID: "b", Zone: "z"}}}, now)
+	c.Assert(copied.follow(context.Background(), clock), qt.IsNil)
+	c.Check(copied.settled(now), qt.IsTrue)
+	c.Check(copied.ZoneTargets("z"), qt.HasLen, 2, qt.Commentf("the target that the store lacks is kept"))
+}
--- a/rattanzone/sync.go
+++ b/rattanzone/sync.go
@@ -183,7 +183,7 @@
 			if err != nil {
 				a.pullInventoryFromPeers()
 			}
-			localHome.UpdateTargets(a.config.Inventory.ZoneTargets(a.config.Self.Zone), err == nil)
+			localHome.UpdateTargets(a.config.Inventory.ZoneTargets(a.config.Self.Zone), err == nil && a.config.Inventory.settled(a.config.Clock()))
 			wait = changeInterval
 			if err != nil {
 				wait = inventoryInterval
