Keep a start that a target has accepted just after its restart

The listing showed the new incarnation, so all confirmed runs counted as those of the previous one: 'Lost at 1ms', and the task started elsewhere.

Change: only runs confirmed before the listing was requested are over; of the others, the next listing tells.

Test: TestStartAcceptedByNewIncarnation fails before.

--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -143,7 +143,7 @@
 		return
 	}
 	if target.incarnation != listing.Incarnation {
-		s.targetRestarted(target, now)
+		s.targetRestarted(target, sentAt, now)
 		target.incarnation = listing.Incarnation
 	}
 	target.unresponsive = false
@@ -191,10 +191,12 @@
 	}
 }
 
-// targetRestarted removes the runs of the target's previous incarnation. Start
-// requests without an answer may still arrive at the new one, so their runs are
-// kept.
-func (s *Scheduler) targetRestarted(target *target, now time.Time) {
+// targetRestarted removes the runs of the target's previous incarnation, which
+// a listing requested at sentAt has shown to be over. Start requests without an
+// answer may still arrive at the new one, and a start that was accepted after
+// sentAt may have been accepted by it, so their runs are kept. The next listing
+// tells whether they are there.
+func (s *Scheduler) targetRestarted(target *target, sentAt, now time.Time) {
 	first := target.incarnation == 0 && target.lastSequence == 0
 	target.lastSequence = 0
 	if first {
@@ -202,7 +204,7 @@
 	}
 	s.recordChange(target, TargetRestarted)
 	for _, r := range target.snapshot() {
-		if r.confirmedAt.IsZero() && !r.orphan {
+		if !r.orphan && (r.confirmedAt.IsZero() || !r.confirmedAt.Before(sentAt)) {
 			r.stopAckedAt = time.Time{}
 			if !r.stopSentAt.IsZero() {
 				s.unansweredStops[r] = struct{}{}
--- a/rattanscheduler/target_test.go
+++ b/rattanscheduler/target_test.go
@@ -1,6 +1,7 @@
 package rattanscheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -140,3 +141,31 @@
 	z.Assert(restarted, qt.HasLen, 1)
 	z.Assert(restarted[0].Target.ID, qt.Equals, "t1")
 }
+
+// TestStartAcceptedByNewIncarnation guards against a second run of a task whose
+// start was accepted by a target just after its restart: a listing that was
+// requested before may arrive later and does not contain the run.
+func TestStartAcceptedByNewIncarnation(t *testing.T) {
+	for _, runs := range []bool{true, false} {
+		t.Run(fmt.Sprintf("runs=%v", runs), func(t *testing.T) {
+			z := newReconciledZone(qt.New(t), 2)
+			for i := range 2 {
+				z.listRuns(i, rattanwork.Listing{Incarnation: 10})
+			}
+			z.scheduler.Submit(z.submission(jobA, 1), z.now)
+			start := z.scheduler.Take().Starts[0]
+			requestedAt := z.now
+			z.advance(time.Millisecond)
+			z.accept(start)
+			z.scheduler.RunsListed(start.Target.ID, &rattanwork.Listing{Incarnation: 20}, requestedAt, z.voidBefore, z.now)
+			z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+			z.advance(time.Millisecond)
+			listing := rattanwork.Listing{Incarnation: 20}
+			if runs {
+				listing.Running = runsOf(start)
+			}
+			z.scheduler.RunsListed(start.Target.ID, &listing, z.now, z.voidBefore, z.now)
+			z.Assert(len(z.scheduler.Take().Starts) == 0, qt.Equals, runs)
+		})
+	}
+}
