Log each run that is lost with its target, and what is known of it

Cause: the logs cannot tell why a task starts again. Change: a line 'run lost' with job, task, target, attempt and cause, and the counter rattanlever_runs_lost_total by cause. No decision changes.

--- a/rattancmd/serve_test.go
+++ b/rattancmd/serve_test.go
@@ -388,7 +388,7 @@
 	defer func() { _ = response.Body.Close() }()
 	page, err := io.ReadAll(response.Body)
 	d.Assert(err, qt.IsNil)
-	faults := []string{rattanmetric.TargetsSilentTotal, rattanmetric.HomesDeposedTotal}
+	faults := []string{rattanmetric.TargetsSilentTotal, rattanmetric.HomesDeposedTotal, rattanmetric.RunsLostTotal}
 	for _, definition := range rattanmetric.ServeMetrics() {
 		if !slices.Contains(faults, definition.Name) {
 			d.Check(string(page), qt.Contains, definition.Name)
--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -42,6 +42,7 @@
 type Observer interface {
 	JobEnded(result rattanscheduler.JobResult)
 	TargetChanged(event rattanscheduler.TargetEvent)
+	RunLost(loss rattanscheduler.RunLoss)
 	// TargetUnresponsive reports that a target does not answer, with the error
 	// of the last request.
 	TargetUnresponsive(target string, err error)
@@ -289,6 +290,9 @@
 	for _, event := range output.Targets {
 		h.config.Observer.TargetChanged(event)
 	}
+	for _, loss := range output.Losses {
+		h.config.Observer.RunLost(loss)
+	}
 	for _, result := range output.Results {
 		h.handleResult(result, now)
 	}
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -125,6 +125,18 @@
 	j.logger.WithFields(fields).Info("target changed")
 }
 
+// RunLost records that a run was lost with its target.
+func (j *Journal) RunLost(loss rattanscheduler.RunLoss) {
+	j.registry.Counter(rattanmetric.WithLabels(rattanmetric.RunsLostTotal, "cause", loss.Cause.String())).Inc()
+	j.logger.WithFields(logrus.Fields{
+		"Job":     loss.JobID,
+		"Task":    loss.Task,
+		"Target":  loss.Target,
+		"Attempt": loss.Attempt,
+		"Cause":   loss.Cause.String(),
+	}).Warn("run lost")
+}
+
 // TargetUnresponsive records that a target does not answer.
 func (j *Journal) TargetUnresponsive(target string, err error) {
 	j.registry.Counter(rattanmetric.TargetsSilentTotal).Inc()
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -123,10 +123,14 @@
 	}
 	for _, r := range target.snapshot() {
 		if r.state == runConfirmed || (r.state == runStopping && !r.confirmedAt.IsZero()) || r.orphan {
+			s.recordLoss(r, LossSilent)
 			s.removeRun(r)
 			s.requeue(r, now)
 			continue
 		}
+		if !r.absent {
+			s.recordLoss(r, LossSilent)
+		}
 		// A run whose request was not answered keeps its resources, but its
 		// task may restart because the lease in the request has expired too.
 		s.detachTask(r, now)
@@ -211,6 +215,7 @@
 			}
 			continue
 		}
+		s.recordLoss(r, LossRestarted)
 		s.removeRun(r)
 		s.requeue(r, now)
 	}
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -13,7 +13,7 @@
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
-//go:generate go tool stringer -linecomment -type=Outcome,TargetChange,runState -output=enum_string.go
+//go:generate go tool stringer -linecomment -type=Outcome,TargetChange,LossCause,runState -output=enum_string.go
 
 // Outcome is the final state of a job.
 type Outcome int
@@ -147,8 +147,9 @@
 	Starts  []StartRequest
 	Stops   []StopRequest
 	Results []JobResult
-	// Targets lists the changes of targets.
+	// Targets lists the changes of targets, Losses the runs lost with targets.
 	Targets []TargetEvent
+	Losses  []RunLoss
 }
 
 // Config configures a Scheduler.
