Reproduce tasks that crash their targets again and again

The stand-in target can be crashed by a task: it is silent, then returns as a new incarnation, under its ID or a new one. The users' limit is 5.

--- /dev/null
+++ b/rattancmd/crash_test.go
@@ -0,0 +1,101 @@
+package rattancmd_test
+
+import (
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattanred"
+	"github.com/rattanlever/rattanlever/rattansite"
+)
+
+const (
+	// maxCrashingStarts is the number of starts up to which a task that crashes
+	// its targets stays within the users' limit: fewer than three more after
+	// three targets have crashed under it.
+	maxCrashingStarts = 5
+	crashingJob       = "00000000000000dd"
+	crashingJobBody   = `{"spec":"s","best_effort":true,"steps":[{"count":1,"cpu":4000,"mem_mb":64,"estimate_ms":4000}]}`
+	// crashingJobDeadline is long enough for more than maxCrashingStarts starts.
+	crashingJobDeadline = 10 * time.Second
+)
+
+// waitForStarts waits until the job has been started that many times.
+func (d *deployment) waitForStarts(id string, starts int) {
+	d.Helper()
+	deadline := time.Now().Add(crashingJobDeadline)
+	for d.checker.StartsOf(id) < starts {
+		if time.Now().After(deadline) {
+			d.Fatalf("job %s was started %d times, expected %d", id, d.checker.StartsOf(id), starts)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// follower returns an instance that is not the home of zone a.
+func (d *deployment) follower() *serveInstance {
+	home := d.homeOf("a")
+	for _, instance := range d.instances {
+		if instance != home {
+			return instance
+		}
+	}
+	return nil
+}
+
+// TestServeTaskThatCrashesTargets guards against a task that crashes target after
+// target, also when its home is killed after each crash.
+func TestServeTaskThatCrashesTargets(t *testing.T) {
+	rattanred.SkipKnownFailure(t)
+	t.Parallel()
+	tests := map[string]struct {
+		killHomes bool
+		outage    rattansite.Outage
+	}{
+		"same home":                          {outage: rattansite.OutageNone},
+		"homes killed":                       {killHomes: true, outage: rattansite.OutageNone},
+		"homes killed, store out of service": {killHomes: true, outage: rattansite.OutageSilent},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			deployment := startDeployment(t, []string{"a"}, 4, 8)
+			deployment.checker.JobSubmitted(crashingJob, rattansite.TaskProfile{MilliCPU: 4000, Duration: time.Second, CrashesTarget: true})
+			entry := deployment.follower()
+			deployment.store.SetOutage(test.outage)
+			answers := make(chan serveAnswer, 1)
+			go func() {
+				answers <- deployment.sendWithDeadline(&http.Client{}, entry, crashingJob, []byte(crashingJobBody), crashingJobDeadline)
+			}()
+			if test.killHomes {
+				deployment.waitForStarts(crashingJob, 2)
+				home := deployment.homeOf("a")
+				deployment.kill(home, syscall.SIGKILL)
+				deployment.start(home)
+			}
+			answer := <-answers
+			deployment.Check(answer.Status, qt.Equals, http.StatusOK)
+			deployment.Check(answer.Body, qt.Equals, `{"state":"failed"}`)
+			deployment.Check(deployment.checker.StartsOf(crashingJob) <= maxCrashingStarts, qt.IsTrue, qt.Commentf("%d starts", deployment.checker.StartsOf(crashingJob)))
+		})
+	}
+}
+
+// TestServeCrashingTaskSubmittedAgain guards against a task that crashes more
+// targets with each submission of its job, in its zone and in another.
+func TestServeCrashingTaskSubmittedAgain(t *testing.T) {
+	rattanred.SkipKnownFailure(t)
+	t.Parallel()
+	deployment := startDeployment(t, []string{"a", "b"}, 2, 8)
+	deployment.checker.JobSubmitted(crashingJob, rattansite.TaskProfile{MilliCPU: 4000, Duration: time.Second, CrashesTarget: true})
+	var answer serveAnswer
+	for range 4 {
+		for _, instance := range deployment.instances {
+			answer = deployment.sendWithDeadline(&http.Client{}, instance, crashingJob, []byte(crashingJobBody), 1200*time.Millisecond)
+		}
+	}
+	deployment.Check(answer.Body, qt.Equals, `{"state":"failed"}`)
+	deployment.Check(deployment.checker.StartsOf(crashingJob) <= maxCrashingStarts, qt.IsTrue, qt.Commentf("%d starts", deployment.checker.StartsOf(crashingJob)))
+}
--- a/rattancmd/serve_test.go
+++ b/rattancmd/serve_test.go
@@ -34,6 +34,9 @@
 	// outcome is unknown. It equals retransmit_ms in the platform's settings.
 	resendDelay     = 1300 * time.Millisecond
 	requestDeadline = 4 * time.Second
+	// targetCrashTime is how long a target is down after a task has crashed it.
+	// It is longer than a lease, so that the task starts elsewhere before.
+	targetCrashTime = 1500 * time.Millisecond
 	// maxRecoveryTime is the maximum time until jobs succeed again after the
 	// loss of a home or of all processes.
 	maxRecoveryTime = 3 * time.Second
@@ -80,6 +83,7 @@
 			target, err := rattansite.NewTarget(rattansite.TargetConfig{
 				ID: fmt.Sprintf("i-%s-%d", zone, i), Service: queueService, Zone: zone, Labels: []string{"a", "r1-1"},
 				MilliCPU: 32000, MemoryMB: 4096, Store: store, Checker: deployment.checker, Heartbeat: 500 * time.Millisecond,
+				CrashTime: targetCrashTime, CrashChangesID: i%2 == 0,
 			})
 			c.Assert(err, qt.IsNil)
 			deployment.targets = append(deployment.targets, target)
@@ -236,12 +240,16 @@
 }
 
 func (d *deployment) send(client *http.Client, instance *serveInstance, id string, body []byte) serveAnswer {
+	return d.sendWithDeadline(client, instance, id, body, requestDeadline)
+}
+
+func (d *deployment) sendWithDeadline(client *http.Client, instance *serveInstance, id string, body []byte, deadline time.Duration) serveAnswer {
 	request, err := http.NewRequest(http.MethodPost, "http://"+instance.ip+":"+rattansite.CallerPort+queuePrefix+id, bytes.NewReader(body))
 	if err != nil {
 		return serveAnswer{}
 	}
 	request.Host = queueHost
-	request.Header.Set("X-Deadline-Ms", fmt.Sprint(requestDeadline.Milliseconds()))
+	request.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	response, err := client.Do(request)
 	if err != nil {
 		return serveAnswer{}
--- a/rattansite/invariants.go
+++ b/rattansite/invariants.go
@@ -6,10 +6,12 @@
 	"time"
 )
 
-// TaskProfile is the resource demand and the run time of each task of a job.
+// TaskProfile describes each task of a job.
 type TaskProfile struct {
 	MilliCPU int
 	Duration time.Duration
+	// CrashesTarget makes each start of a task crash its target.
+	CrashesTarget bool
 }
 
 // InvariantChecker checks guarantees that are visible to targets and callers: a
@@ -26,11 +28,13 @@
 	done       map[string]bool
 	violations []string
 	starts     int
+	// startsByJob is the number of runs that targets have started, by job ID.
+	startsByJob map[string]int
 }
 
 // NewInvariantChecker returns a checker that has recorded no events.
 func NewInvariantChecker() *InvariantChecker {
-	return &InvariantChecker{submitted: map[string]TaskProfile{}, running: map[string]string{}, started: map[string]bool{}, done: map[string]bool{}}
+	return &InvariantChecker{submitted: map[string]TaskProfile{}, running: map[string]string{}, started: map[string]bool{}, done: map[string]bool{}, startsByJob: map[string]int{}}
 }
 
 // JobSubmitted records that a caller submits a job.
@@ -69,6 +73,13 @@
 	return c.starts
 }
 
+// StartsOf returns the number of runs of a job that targets have started.
+func (c *InvariantChecker) StartsOf(jobID string) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.startsByJob[jobID]
+}
+
 // Violations returns the violations found so far.
 func (c *InvariantChecker) Violations() []string {
 	c.mutex.Lock()
@@ -86,6 +97,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.starts++
+	c.startsByJob[jobID(task)]++
 	c.started[jobID(task)] = true
 	if _, ok := c.submitted[jobID(task)]; !ok {
 		c.recordViolation("task %s was started but not submitted", task)
--- a/rattansite/target.go
+++ b/rattansite/target.go
@@ -25,6 +25,10 @@
 	Checker  *InvariantChecker
 	// Heartbeat is the interval at which the target writes its entry.
 	Heartbeat time.Duration
+	// CrashTime is how long the target is down after a task has crashed it. It
+	// returns under a new ID if CrashChangesID is set.
+	CrashTime      time.Duration
+	CrashChangesID bool
 }
 
 // TargetFaults are the faults of a target.
@@ -58,7 +62,12 @@
 	address string
 	closed  chan struct{}
 
-	mutex        sync.Mutex
+	mutex sync.Mutex
+	// id is the ID of the current incarnation, crashes the number of crashes
+	// after which the ID changed. crashed is set while the target is down.
+	id           string
+	crashes      int
+	crashed      bool
 	faults       TargetFaults
 	draining     bool
 	startedAt    time.Time
@@ -91,7 +100,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	t := &Target{config: config, address: listener.Addr().String(), closed: make(chan struct{}), changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	t := &Target{config: config, id: config.ID, address: listener.Addr().String(), closed: make(chan struct{}), changed: make(chan struct{}), conns: map[net.Conn]bool{}}
 	t.reset()
 	t.server = &http.Server{Handler: t, ReadHeaderTimeout: time.Second, ConnState: t.trackConn}
 	go func() { _ = t.server.Serve(listener) }()
@@ -117,9 +126,14 @@
 func (t *Target) Restart() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.restart()
+}
+
+// restart implements Restart. The caller holds the mutex.
+func (t *Target) restart() {
 	for _, run := range t.runs {
 		run.timer.Stop()
-		t.config.Checker.runEnded(t.config.ID, run.task, "crashed")
+		t.config.Checker.runEnded(t.id, run.task, "crashed")
 	}
 	t.reset()
 	t.notifyRunEnded()
@@ -128,6 +142,37 @@
 	}
 }
 
+// crash ends all runs and takes the target down for CrashTime.
+func (t *Target) crash() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.crashed {
+		return
+	}
+	t.restart()
+	t.crashed = true
+	time.AfterFunc(t.config.CrashTime, t.returnFromCrash)
+}
+
+// returnFromCrash makes a crashed target serve again as a new incarnation.
+func (t *Target) returnFromCrash() {
+	t.mutex.Lock()
+	former := t.id
+	t.restart()
+	t.crashed = false
+	if t.config.CrashChangesID {
+		t.crashes++
+		t.id = fmt.Sprintf("%s-%d", t.config.ID, t.crashes)
+	}
+	changed := t.id != former
+	t.mutex.Unlock()
+	if changed {
+		t.config.Store.Remove("servers/" + former)
+	}
+	// A store that is away learns of the target with its next heartbeat.
+	_ = t.writeEntry()
+}
+
 // trackConn records the open connections, which a restart closes.
 func (t *Target) trackConn(conn net.Conn, state http.ConnState) {
 	t.mutex.Lock()
@@ -159,7 +204,10 @@
 	close(t.closed)
 	t.Restart()
 	_ = t.server.Close()
-	t.config.Store.Remove("servers/" + t.config.ID)
+	t.mutex.Lock()
+	id := t.id
+	t.mutex.Unlock()
+	t.config.Store.Remove("servers/" + id)
 }
 
 func (t *Target) heartbeatLoop() {
@@ -186,8 +234,12 @@
 		"state": state, "cold_left_ms": 0, "labels": t.config.Labels, "born": t.startedAt.UnixMilli(),
 		"capacity": map[string]int{"cpu": t.config.MilliCPU, "mem_mb": t.config.MemoryMB, "gpu": 0},
 	}
+	id, crashed := t.id, t.crashed
 	t.mutex.Unlock()
-	return t.config.Store.Put("servers/"+t.config.ID, entry)
+	if crashed {
+		return nil
+	}
+	return t.config.Store.Put("servers/"+id, entry)
 }
 
 // clockMillis returns the time on the target's clock, which starts anew with
@@ -213,15 +265,15 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if targetID := r.Header.Get("X-Target-Instance"); targetID != "" && targetID != t.config.ID {
+	t.mutex.Lock()
+	id, faults, crashed := t.id, t.faults, t.crashed
+	t.mutex.Unlock()
+	if targetID := r.Header.Get("X-Target-Instance"); !crashed && targetID != "" && targetID != id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	t.mutex.Lock()
-	faults := t.faults
-	t.mutex.Unlock()
 	switch {
-	case faults.Silent:
+	case faults.Silent || crashed:
 		hang(r)
 	case rand.Float64() < faults.DelayRate:
 		time.AfterFunc(faults.Delay, func() { t.execute(discardResponse{}, r, request) })
@@ -313,7 +365,7 @@
 	profile := t.config.Checker.taskProfile(request.Task)
 	run := &targetRun{task: request.Task, attempt: request.Attempt, milliCPU: profile.MilliCPU, startedAt: time.Now(), duration: profile.Duration}
 	t.runs[request.Task] = run
-	t.config.Checker.runStarted(t.config.ID, request.Task, t.usedMilliCPU() > t.config.MilliCPU)
+	t.config.Checker.runStarted(t.id, request.Task, t.usedMilliCPU() > t.config.MilliCPU)
 	outcome := outcomeDone
 	if t.faults.FailAll {
 		outcome = "failed"
@@ -321,6 +373,9 @@
 	if t.faults.Hang {
 		run.duration = time.Hour
 	}
+	if profile.CrashesTarget {
+		go t.crash()
+	}
 	run.timer = time.AfterFunc(run.duration, func() {
 		t.mutex.Lock()
 		defer t.mutex.Unlock()
@@ -351,7 +406,7 @@
 	t.highestEndedAttempt[run.task] = max(t.highestEndedAttempt[run.task], run.attempt)
 	t.lastSequence++
 	t.ended = append(t.ended, endedRun{t.lastSequence, run.task, run.attempt, outcome})
-	t.config.Checker.runEnded(t.config.ID, run.task, outcome)
+	t.config.Checker.runEnded(t.id, run.task, outcome)
 	t.notifyRunEnded()
 }
 
