Give up a task under which two targets have crashed

What callers saw: targets crashed one after the other for as long as the caller of one job waited, and again with each submission of the job. Cause: a run lost with its target went back into the queue without limit; only ends listed as failed counted. The knowledge of a loss was part of the job, so it ended with the job and with the home, and a crash was seen only as silence, because the target returns under another ID. Change: each instance keeps a history of the targets lost under a task (rattancrash). It outlives jobs and homes, and instances exchange its changes with their heartbeats, so it also holds after a takeover, in another zone and for a repeated submission. A loss is Silent until the target answers: the same incarnation makes it Alive, another one (under the ID, or 421 at the address) makes it Crashed. Two crashes end the job as failed; after three losses a task waits for proof, so that a target that was only silent does not cost a job. Draining targets do not count.

--- a/rattancmd/crash_test.go
+++ b/rattancmd/crash_test.go
@@ -8,7 +8,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/rattanlever/rattanlever/rattanred"
 	"github.com/rattanlever/rattanlever/rattansite"
 )
 
@@ -49,7 +48,6 @@
 // TestServeTaskThatCrashesTargets guards against a task that crashes target after
 // target, also when its home is killed after each crash.
 func TestServeTaskThatCrashesTargets(t *testing.T) {
-	rattanred.SkipKnownFailure(t)
 	t.Parallel()
 	tests := map[string]struct {
 		killHomes bool
@@ -76,6 +74,7 @@
 				deployment.start(home)
 			}
 			answer := <-answers
+			deployment.Logf("%d starts", deployment.checker.StartsOf(crashingJob))
 			deployment.Check(answer.Status, qt.Equals, http.StatusOK)
 			deployment.Check(answer.Body, qt.Equals, `{"state":"failed"}`)
 			deployment.Check(deployment.checker.StartsOf(crashingJob) <= maxCrashingStarts, qt.IsTrue, qt.Commentf("%d starts", deployment.checker.StartsOf(crashingJob)))
@@ -86,7 +85,6 @@
 // TestServeCrashingTaskSubmittedAgain guards against a task that crashes more
 // targets with each submission of its job, in its zone and in another.
 func TestServeCrashingTaskSubmittedAgain(t *testing.T) {
-	rattanred.SkipKnownFailure(t)
 	t.Parallel()
 	deployment := startDeployment(t, []string{"a", "b"}, 2, 8)
 	deployment.checker.JobSubmitted(crashingJob, rattansite.TaskProfile{MilliCPU: 4000, Duration: time.Second, CrashesTarget: true})
--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/rattanlever/rattanlever/rattancrash"
 	"github.com/rattanlever/rattanlever/rattanscheduler"
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
@@ -63,9 +64,11 @@
 	// MaxLease and RemotePenalty are explained at rattanscheduler.Config.
 	MaxLease      time.Duration
 	RemotePenalty float64
-	Targets       TargetClient
-	Observer      Observer
-	Clock         func() time.Time
+	// Crashes is explained at rattanscheduler.Config.
+	Crashes  *rattancrash.History
+	Targets  TargetClient
+	Observer Observer
+	Clock    func() time.Time
 }
 
 // Home manages the targets of a zone until it is deposed or closed. It is safe
@@ -122,6 +125,7 @@
 			MaxLease:      config.MaxLease,
 			RemotePenalty: config.RemotePenalty,
 			TakeoverTime:  config.Clock(),
+			Crashes:       config.Crashes,
 		}),
 		waiters:  map[string][]chan rattanscheduler.JobResult{},
 		results:  map[string]cachedResult{},
--- a/rattanhome/renewer.go
+++ b/rattanhome/renewer.go
@@ -184,6 +184,10 @@
 		l.lastError = err
 		l.lostAt = now
 		h.scheduler.ListFailed(l.targetID)
+		if errors.Is(err, rattanwork.ErrWrongIncarnation) {
+			h.scheduler.TargetReplaced(l.targetID, target.Address, now)
+			h.flush(now)
+		}
 		return err
 	}
 	if wait == 0 {
--- a/rattanmetric/table.go
+++ b/rattanmetric/table.go
@@ -126,7 +126,7 @@
 	{JobStartWaitSeconds, KindHistogram, nil, "Time from a job's arrival at its home to the order of its first run."},
 	{TargetsSilentTotal, KindCounter, nil, "Times that a target stopped answering its home."},
 	{TargetChangesTotal, KindCounter, []string{"change"}, "Changes in what the own home believes of targets, by kind of change."},
-	{RunsLostTotal, KindCounter, []string{"cause"}, "Runs lost with their target, by what the home knows of it."},
+	{RunsLostTotal, KindCounter, []string{"proof"}, "Runs lost with their target, by what the home knows of its end."},
 	{HomeChangesTotal, KindCounter, nil, "Changes of the zone's home that this instance has seen."},
 	{HomesDeposedTotal, KindCounter, nil, "Times that the own home lost its authority to another instance."},
 	{HomeLagSeconds, KindGauge, nil, "How late the own home handles events because it lacks processor time, 0 if it is not the home."},
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -127,13 +127,15 @@
 
 // RunLost records that a run was lost with its target.
 func (j *Journal) RunLost(loss rattanscheduler.RunLoss) {
-	j.registry.Counter(rattanmetric.WithLabels(rattanmetric.RunsLostTotal, "cause", loss.Cause.String())).Inc()
+	j.registry.Counter(rattanmetric.WithLabels(rattanmetric.RunsLostTotal, "proof", loss.Proof.String())).Inc()
 	j.logger.WithFields(logrus.Fields{
 		"Job":     loss.JobID,
 		"Task":    loss.Task,
 		"Target":  loss.Target,
 		"Attempt": loss.Attempt,
-		"Cause":   loss.Cause.String(),
+		"Proof":   loss.Proof.String(),
+		"Silent":  loss.Losses.Silent,
+		"Crashed": loss.Losses.Crashed,
 	}).Warn("run lost")
 }
 
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/rattanlever/rattanlever/platform"
+	"github.com/rattanlever/rattanlever/rattancrash"
 	"github.com/rattanlever/rattanlever/rattanfront"
 	"github.com/rattanlever/rattanlever/rattanhome"
 	"github.com/rattanlever/rattanlever/rattankernel"
@@ -74,6 +75,7 @@
 	callerHandler *rattanfront.Handler
 	store         *platform.Store
 	targetClient  *platform.TargetClient
+	crashes       *rattancrash.History
 	callerServer  *khttp.Server
 	shuttingDown  atomic.Bool
 	app           *kratos.App
@@ -81,7 +83,7 @@
 
 // New opens the listeners of an instance and assembles its components.
 func New(config Config) (*Node, error) {
-	n := &Node{config: config, kernel: rattankernel.New(), targetClient: platform.NewTargetClient()}
+	n := &Node{config: config, kernel: rattankernel.New(), targetClient: platform.NewTargetClient(), crashes: rattancrash.NewHistory(config.Clock())}
 	n.settings.Store(&config.Settings)
 	n.journal = NewJournal(config.Logger, config.Registry)
 	n.store = platform.NewStore(config.Settings.StoreAddress)
@@ -125,6 +127,7 @@
 		Directory:    &platform.Directory{Store: n.store},
 		DesiredState: n.desiredState,
 		Inventory:    rattanzone.NewInventory(&platform.InventorySource{Store: n.store}),
+		Crashes:      n.crashes,
 		NewHome:      n.newHome,
 		Journal:      n.journal,
 		Clock:        n.config.Clock,
@@ -163,6 +166,7 @@
 		FencingToken:  fencingToken,
 		MaxLease:      settings.MaxLease,
 		RemotePenalty: settings.RemotePenalty,
+		Crashes:       n.crashes,
 		Targets:       n.targetClient,
 		Observer:      n.journal,
 		Clock:         n.config.Clock,
--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -82,6 +82,8 @@
 	// maybeStarted is set if a run may have started, in which case the job
 	// cannot be refused.
 	maybeStarted bool
+	// hasLosses is set if a target was lost under one of the tasks.
+	hasLosses    bool
 	runCount     int
 	failureCount int
 	// firstStart is the time from submission to the first requested run.
@@ -166,9 +168,8 @@
 	return true
 }
 
-// updateReady recomputes which tasks may start. A task must wait while a run
-// from an earlier submission of the job may still be active.
-func (j *job) updateReady(activeRuns map[string]int) {
+// updateReady recomputes which of the waiting tasks may start.
+func (j *job) updateReady(mayStart func(*task) bool) {
 	incomplete := make([]bool, len(j.submission.Job.Steps))
 	for _, t := range j.tasks {
 		if t.state != taskDone {
@@ -177,7 +178,7 @@
 	}
 	j.ready = j.ready[:0]
 	for _, t := range j.tasks {
-		if t.state == taskWaiting && activeRuns[t.name] == 0 && !j.blocked(t.stepIndex, incomplete) {
+		if t.state == taskWaiting && !j.blocked(t.stepIndex, incomplete) && mayStart(t) {
 			j.ready = append(j.ready, t)
 		}
 	}
--- a/rattanscheduler/loss.go
+++ b/rattanscheduler/loss.go
@@ -1,17 +1,21 @@
 package rattanscheduler
 
-import "strings"
+import (
+	"slices"
+	"strings"
+	"time"
 
-// LossCause is why a run is taken for lost with its target.
-type LossCause int
+	"github.com/rattanlever/rattanlever/rattancrash"
+)
 
-// Causes of the loss of a run.
 const (
-	// LossSilent means that the target has not answered until the leases of its
-	// runs have expired. It may have crashed or may only be out of reach.
-	LossSilent LossCause = iota
-	// LossRestarted means that a new incarnation of the target answers.
-	LossRestarted
+	// maxCrashes is the number of targets that may crash under a task before its
+	// job fails. One crash may have another cause.
+	maxCrashes = 2
+	// maxLosses is the number of targets that may be lost under a task before it
+	// waits until it is known which of them have crashed. A target that was only
+	// silent does not count in the end.
+	maxLosses = 3
 )
 
 // RunLoss reports a run that was lost with its target.
@@ -20,11 +24,127 @@
 	Task    string
 	Target  string
 	Attempt int
-	Cause   LossCause
+	// Proof is what is known of the target's end, Losses the number of targets
+	// lost under the task so far.
+	Proof  rattancrash.Proof
+	Losses rattancrash.Losses
+}
+
+// currentIncarnation returns the incarnation of the target that its runs belong to.
+func (t *target) currentIncarnation() rattancrash.Incarnation {
+	return rattancrash.Incarnation{Target: t.info.ID, StartMillis: t.incarnation}
+}
+
+// recordLoss records that an incarnation of a target was lost while the run was,
+// or may have been, active on it. A target that was about to leave does not
+// count.
+func (s *Scheduler) recordLoss(r *run, incarnation rattancrash.Incarnation, proof rattancrash.Proof, now time.Time) {
+	if r.target.leaving || !s.crashes.Add(r.taskName, incarnation, proof, now) {
+		return
+	}
+	r.target.lossesOpen = true
+	if j, ok := s.jobs[jobIDOf(r.taskName)]; ok {
+		j.hasLosses = true
+	}
+	s.output.Losses = append(s.output.Losses, RunLoss{
+		JobID:   jobIDOf(r.taskName),
+		Task:    r.taskName,
+		Target:  incarnation.Target,
+		Attempt: r.attempt,
+		Proof:   proof,
+		Losses:  s.crashes.Of(r.taskName),
+	})
+}
+
+// TargetReplaced records that another incarnation answers at the address of a
+// target: all runs of the target are over, and unanswered start requests are
+// refused there.
+func (s *Scheduler) TargetReplaced(targetID, address string, now time.Time) {
+	target, ok := s.targets[targetID]
+	if !ok || target.info.Address != address {
+		return
+	}
+	target.unresponsive = true
+	s.touch(target)
+	for _, r := range target.snapshot() {
+		s.recordLoss(r, target.currentIncarnation(), rattancrash.Crashed, now)
+		s.removeRun(r)
+		s.requeue(r, now)
+	}
+	if target.lossesOpen && !target.leaving {
+		s.recordChange(target, TargetRestarted)
+		s.crashes.Replaced(targetID)
+		s.reviewLosses(now)
+	}
+	target.lossesOpen = false
+	s.schedule(now)
+}
+
+// targetAnswered settles the losses recorded for a target that has listed its
+// runs.
+func (s *Scheduler) targetAnswered(target *target, now time.Time) {
+	if !target.lossesOpen {
+		return
+	}
+	target.lossesOpen = false
+	s.crashes.Answered(target.currentIncarnation())
+	s.reviewLosses(now)
+}
+
+// reviewLosses applies changes of the history of losses, which other instances
+// change too, to the jobs concerned.
+func (s *Scheduler) reviewLosses(now time.Time) {
+	sequence := s.crashes.Sequence()
+	if sequence == s.crashesReviewed {
+		return
+	}
+	tasks := s.crashes.ChangedTasks(s.crashesReviewed)
+	s.crashesReviewed = sequence
+	for _, name := range tasks {
+		if j, ok := s.jobs[jobIDOf(name)]; ok {
+			j.hasLosses = true
+			s.advanceJob(j, now)
+		}
+	}
+}
+
+// crashesTargets reports whether a task of the job has crashed so many targets
+// that the job is given up.
+func (s *Scheduler) crashesTargets(j *job) bool {
+	return j.hasLosses && slices.ContainsFunc(j.tasks, func(t *task) bool {
+		return t.state != taskDone && s.crashes.Of(t.name).Crashed >= maxCrashes
+	})
+}
+
+// awaitsProof reports whether a task must not start before it is known which of
+// the targets lost under it have crashed.
+func (s *Scheduler) awaitsProof(t *task) bool {
+	if !t.job.hasLosses {
+		return false
+	}
+	losses := s.crashes.Of(t.name)
+	return losses.Silent+losses.Crashed >= maxLosses
+}
+
+// heldTooLong reports whether a job has a task that awaits proof although the
+// answer has no value any more.
+func (s *Scheduler) heldTooLong(j *job, now time.Time) bool {
+	if !j.hasLosses {
+		return false
+	}
+	_, lateUntil := s.adjustedDeadlines(j)
+	return now.After(lateUntil) && slices.ContainsFunc(j.tasks, func(t *task) bool {
+		return t.state == taskWaiting && s.awaitsProof(t)
+	})
+}
+
+// hasLosses reports whether a target was lost under the task.
+func (s *Scheduler) hasLosses(name string) bool {
+	return s.crashes.Of(name) != rattancrash.Losses{}
 }
 
-// recordLoss adds the loss of a run to the output.
-func (s *Scheduler) recordLoss(r *run, cause LossCause) {
-	jobID, _, _ := strings.Cut(r.taskName, ".")
-	s.output.Losses = append(s.output.Losses, RunLoss{JobID: jobID, Task: r.taskName, Target: r.target.info.ID, Attempt: r.attempt, Cause: cause})
+// jobIDOf returns the ID of a task's job.
+func jobIDOf(taskName string) string {
+	jobID, _, _ := strings.Cut(taskName, ".")
+	return jobID
 }
--- a/rattanscheduler/loss_test.go
+++ b/rattanscheduler/loss_test.go
@@ -6,7 +6,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/rattanlever/rattanlever/rattanred"
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
@@ -33,7 +32,6 @@
 // TestTaskThatCrashesTargetsIsNotStartedAgain guards against a task that crashes
 // target after target, whether or not its start was answered.
 func TestTaskThatCrashesTargetsIsNotStartedAgain(t *testing.T) {
-	rattanred.SkipKnownFailure(t)
 	for name, result := range map[string]rattanwork.StartResult{
 		"start answered":   rattanwork.StartAccepted,
 		"start unanswered": rattanwork.StartUnknown,
--- a/rattanscheduler/priority.go
+++ b/rattanscheduler/priority.go
@@ -298,11 +298,12 @@
 // job first.
 const deadlineCheckInterval = 100 * time.Millisecond
 
-// pastDeadline returns the jobs whose caller has already left.
+// pastDeadline returns the jobs whose caller has already left, and those that
+// are held although their answer has no value any more.
 func (s *Scheduler) pastDeadline(now time.Time) []*job {
 	var list []*job
 	for _, j := range s.jobs {
-		if now.After(j.submission.Deadline) {
+		if now.After(j.submission.Deadline) || s.heldTooLong(j, now) {
 			list = append(list, j)
 		}
 	}
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rattanlever/rattanlever/rattancrash"
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
@@ -123,13 +124,13 @@
 	}
 	for _, r := range target.snapshot() {
 		if r.state == runConfirmed || (r.state == runStopping && !r.confirmedAt.IsZero()) || r.orphan {
-			s.recordLoss(r, LossSilent)
+			s.recordLoss(r, target.currentIncarnation(), rattancrash.Silent, now)
 			s.removeRun(r)
 			s.requeue(r, now)
 			continue
 		}
 		if !r.absent {
-			s.recordLoss(r, LossSilent)
+			s.recordLoss(r, target.currentIncarnation(), rattancrash.Silent, now)
 		}
 		// A run whose request was not answered keeps its resources, but its
 		// task may restart because the lease in the request has expired too.
@@ -150,6 +151,7 @@
 		s.targetRestarted(target, sentAt, now)
 		target.incarnation = listing.Incarnation
 	}
+	s.targetAnswered(target, now)
 	target.unresponsive = false
 	s.touch(target)
 	for _, end := range listing.Ended {
@@ -169,6 +171,9 @@
 			continue
 		}
 		if r.provenGone(sentAt, voidBefore) {
+			if r.restarted {
+				s.recordLoss(r, r.lostWith, rattancrash.Crashed, now)
+			}
 			s.removeRun(r)
 			s.requeue(r, now)
 		}
@@ -207,15 +212,18 @@
 		return
 	}
 	s.recordChange(target, TargetRestarted)
+	lost := target.currentIncarnation()
+	target.lossesOpen = true
 	for _, r := range target.snapshot() {
 		if !r.orphan && (r.confirmedAt.IsZero() || !r.confirmedAt.Before(sentAt)) {
 			r.stopAckedAt = time.Time{}
+			r.lostWith, r.restarted = lost, true
 			if !r.stopSentAt.IsZero() {
 				s.unansweredStops[r] = struct{}{}
 			}
 			continue
 		}
-		s.recordLoss(r, LossRestarted)
+		s.recordLoss(r, lost, rattancrash.Crashed, now)
 		s.removeRun(r)
 		s.requeue(r, now)
 	}
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -7,13 +7,13 @@
 package rattanscheduler
 
 import (
-	"strings"
 	"time"
 
+	"github.com/rattanlever/rattanlever/rattancrash"
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
-//go:generate go tool stringer -linecomment -type=Outcome,TargetChange,LossCause,runState -output=enum_string.go
+//go:generate go tool stringer -linecomment -type=Outcome,TargetChange,runState -output=enum_string.go
 
 // Outcome is the final state of a job.
 type Outcome int
@@ -164,6 +164,9 @@
 	// by the earlier home have expired, jobs that it may have started wait for
 	// the listings of all targets.
 	TakeoverTime time.Time
+	// Crashes is the history of lost targets, which outlives the home. If it is
+	// nil, the scheduler starts with an empty one.
+	Crashes *rattancrash.History
 }
 
 // Scheduler holds the scheduling state of one home.
@@ -190,7 +193,11 @@
 	// doneTasks contains tasks that completed before their job was submitted to
 	// this home, with the time until which to keep them.
 	doneTasks map[string]time.Time
-	estimator runTimeEstimator
+	// crashes is the history of lost targets, crashesReviewed its sequence
+	// number when its changes were last applied.
+	crashes         *rattancrash.History
+	crashesReviewed int64
+	estimator       runTimeEstimator
 	// estimatesRefreshedAt is when learned run times last took effect.
 	estimatesRefreshedAt time.Time
 	// deadlinesCheckedAt is when the deadlines of all jobs were last checked.
@@ -222,6 +229,10 @@
 		doneTasks:       map[string]time.Time{},
 		estimator:       newRunTimeEstimator(),
 		unansweredStops: map[*run]struct{}{},
+		crashes:         config.Crashes,
+	}
+	if s.crashes == nil {
+		s.crashes = rattancrash.NewHistory(config.TakeoverTime)
 	}
 	s.startWaiting = s.scheduleServices
 	s.awaitListings(config.TakeoverTime)
@@ -292,7 +303,7 @@
 		return false
 	}
 	for name := range job.TaskNames() {
-		if _, done := s.doneTasks[name]; done || s.activeRuns[name] > 0 {
+		if _, done := s.doneTasks[name]; done || s.activeRuns[name] > 0 || s.hasLosses(name) {
 			return false
 		}
 	}
@@ -303,7 +314,7 @@
 func (s *Scheduler) Refuse(submission Submission, reason string, retryAfter time.Duration, now time.Time) {
 	j := newJob(submission, now)
 	s.jobs[submission.Job.ID] = j
-	j.updateReady(s.activeRuns)
+	j.updateReady(s.mayStart)
 	s.endJob(j, Refused, reason, retryAfter, now)
 }
 
@@ -320,6 +331,7 @@
 
 // Tick makes the decisions that depend only on time, and starts waiting tasks.
 func (s *Scheduler) Tick(now time.Time) {
+	s.reviewLosses(now)
 	s.stopOrphans(now)
 	s.retryStops(now)
 	s.removeVanished(now)
@@ -383,6 +395,10 @@
 // redirected.
 func (s *Scheduler) adoptRuns(j *job) {
 	for _, t := range j.tasks {
+		if s.hasLosses(t.name) {
+			j.hasLosses = true
+			j.maybeStarted = true
+		}
 		if s.activeRuns[t.name] > 0 {
 			j.maybeStarted = true
 		}
@@ -407,8 +423,7 @@
 // waitingTask returns the named task if its job is known and it has no run,
 // otherwise nil.
 func (s *Scheduler) waitingTask(name string) *task {
-	jobID, _, _ := strings.Cut(name, ".")
-	j, ok := s.jobs[jobID]
+	j, ok := s.jobs[jobIDOf(name)]
 	if !ok {
 		return nil
 	}
@@ -433,13 +448,23 @@
 	s.touch(r.target)
 }
 
+// mayStart reports whether a waiting task may start. It must wait while a run
+// from an earlier submission of the job may still be active.
+func (s *Scheduler) mayStart(t *task) bool {
+	return s.activeRuns[t.name] == 0 && !s.awaitsProof(t)
+}
+
 // advanceJob recomputes which tasks of a job may start, and ends the job when
 // all are done.
 func (s *Scheduler) advanceJob(j *job, now time.Time) {
 	if j.outcome != Open {
 		return
 	}
-	j.updateReady(s.activeRuns)
+	if s.crashesTargets(j) {
+		s.endJob(j, Failed, "targets crashed under a task", 0, now)
+		return
+	}
+	j.updateReady(s.mayStart)
 	if j.complete() {
 		s.endJob(j, Succeeded, "complete", 0, now)
 		return
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rattanlever/rattanlever/rattancrash"
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
@@ -49,6 +50,11 @@
 	orphan bool
 	// countedSlow is set if the run was counted against its target as slow.
 	countedSlow bool
+	// restarted is set if the target has restarted since the run was requested;
+	// lostWith is the incarnation before. Unless the run is listed again, it was
+	// lost with that one.
+	restarted bool
+	lostWith  rattancrash.Incarnation
 	// absent is set if the run cannot be active any more, even though its start
 	// request may still arrive.
 	absent bool
@@ -91,6 +97,11 @@
 	// failures.
 	suspendedUntil time.Time
 	health         health
+	// leaving is set if the inventory shows that the target drains. lossesOpen
+	// is set until the next listing tells what has become of the incarnations
+	// that were lost.
+	leaving    bool
+	lossesOpen bool
 	// pooled is the state of the target in the indexes of its pool. touched is
 	// set if the target has changed since, suspensionPending while the end of
 	// its suspension is awaited.
@@ -183,7 +194,7 @@
 func (s *Scheduler) updateTarget(info rattanwork.Target, now time.Time) {
 	t, ok := s.targets[info.ID]
 	if !ok {
-		t = &target{info: info, free: info.Capacity, runs: map[runKey]*run{}}
+		t = &target{info: info, free: info.Capacity, runs: map[runKey]*run{}, leaving: info.Draining, lossesOpen: true}
 		s.addTarget(t)
 		s.awaitListings(now)
 		s.recordChange(t, TargetAppeared)
@@ -202,6 +213,7 @@
 	s.removeTarget(t)
 	t.free = t.free.Add(info.Capacity.Sub(t.info.Capacity))
 	t.info = info
+	t.leaving = info.Draining
 	s.addTarget(t)
 }
 
--- a/rattanzone/agent.go
+++ b/rattanzone/agent.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/rattanlever/rattanlever/rattancrash"
 	"github.com/rattanlever/rattanlever/rattanhome"
 	"github.com/rattanlever/rattanlever/rattanpeer"
 	"github.com/rattanlever/rattanlever/rattanscheduler"
@@ -64,6 +65,9 @@
 	Directory    Directory
 	DesiredState DesiredStateStore
 	Inventory    *Inventory
+	// Crashes is exchanged with the other instances. If it is nil, the agent
+	// starts with an empty history.
+	Crashes *rattancrash.History
 	// NewHome creates a home whose requests to targets carry the fencing token.
 	NewHome func(fencingToken int64) *rattanhome.Home
 	Journal Journal
@@ -122,12 +126,20 @@
 	// lastListed is the time at which the directory last listed the member or
 	// the member last sent a view.
 	lastListed time.Time
+	// crashesMerged is the sequence number up to which the member's crash
+	// history has been merged here, crashesSeen the one up to which the member
+	// has merged that of this instance.
+	crashesMerged int64
+	crashesSeen   int64
 }
 
 // New returns an agent and registers its RPC handlers.
 func New(config Config) *Agent {
 	ctx, cancel := context.WithCancel(context.Background())
 	now := config.Clock()
+	if config.Crashes == nil {
+		config.Crashes = rattancrash.NewHistory(now)
+	}
 	a := &Agent{
 		config:           config,
 		ctx:              ctx,
--- a/rattanzone/election_test.go
+++ b/rattanzone/election_test.go
@@ -17,6 +17,7 @@
 
 func (idleObserver) JobEnded(rattanscheduler.JobResult)        {}
 func (idleObserver) TargetChanged(rattanscheduler.TargetEvent) {}
+func (idleObserver) RunLost(rattanscheduler.RunLoss)           {}
 func (idleObserver) TargetUnresponsive(string, error)          {}
 func (idleObserver) TargetRecovered(string, time.Duration)     {}
 func (idleObserver) OverloadChanged(bool, time.Duration, int)  {}
--- a/rattanzone/heartbeat.go
+++ b/rattanzone/heartbeat.go
@@ -147,7 +147,7 @@
 func (a *Agent) sendHeartbeat(address string) error {
 	ctx, cancel := context.WithTimeout(a.ctx, heartbeatTimeout)
 	defer cancel()
-	body, err := a.config.Peers.Call(ctx, address, methodHeartbeat, mustMarshal(a.view()))
+	body, err := a.config.Peers.Call(ctx, address, methodHeartbeat, mustMarshal(a.viewFor(a.memberAt(address))))
 	if err != nil {
 		return err
 	}
@@ -173,7 +173,7 @@
 			go a.checkHome(claim)
 		}
 	}
-	return mustMarshal(a.view()), nil
+	return mustMarshal(a.viewFor(view.Sender.Name)), nil
 }
 
 // senderSuspectsHome reports whether the sender of the view is in this zone and
@@ -219,6 +219,7 @@
 	now := a.config.Clock()
 	a.mutex.Lock()
 	a.recordSender(view, now)
+	a.mergeCrashes(view, now)
 	for _, claim := range view.Claims {
 		a.mergeClaim(claim, view.Sender.Name, now)
 	}
@@ -238,7 +239,12 @@
 		// Sent before the instance was restarted.
 		return
 	}
-	a.members[name] = &member{Member: view.Sender, terminating: view.Terminating, slow: view.Slow, lastHeard: now, lastListed: now}
+	if !ok || view.Sender.Incarnation > m.Incarnation {
+		m = &member{}
+		a.members[name] = m
+	}
+	m.Member, m.terminating, m.slow = view.Sender, view.Terminating, view.Slow
+	m.lastHeard, m.lastListed = now, now
 }
 
 // mergeClaim merges a claim that another instance has sent. The caller holds
--- a/rattanzone/view.go
+++ b/rattanzone/view.go
@@ -11,6 +11,7 @@
 import (
 	"time"
 
+	"github.com/rattanlever/rattanlever/rattancrash"
 	"github.com/rattanlever/rattanlever/rattanhome"
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
@@ -46,6 +47,13 @@
 	// InventoryRevision the revision of its inventory.
 	DesiredVersion    int64 `json:"Desired"`
 	InventoryRevision int64 `json:"Inventory"`
+	// Crashes holds the changes of the sender's crash history that the receiver
+	// has not merged yet, CrashSequence the sequence number of the last one.
+	Crashes       []rattancrash.Loss `json:",omitempty"`
+	CrashSequence int64              `json:",omitempty"`
+	// CrashesMerged is the sequence number up to which the sender has merged the
+	// receiver's crash history.
+	CrashesMerged int64 `json:",omitempty"`
 }
 
 // homeRecord is a claim and the time at which its home was last heard from.
