Start nothing on an incarnation of a target that is not described yet

A target that restarts under its ID may have another capacity, service or labels. The home saw the new incarnation in a listing and used it with the description of the former one, for up to a second and as long as the store is away. Change: a target takes new work only if the inventory describes the incarnation that has listed its runs. TestRestartedTargetAwaitsItsDescription fails before. TestShrunkTargetIsNotOvercommitted passes before and after: a capacity that shrinks while runs go on or are being stopped was respected.

--- /dev/null
+++ b/rattanscheduler/capacity_test.go
@@ -0,0 +1,68 @@
+package rattanscheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattanwork"
+)
+
+// resize changes the processor capacity of a target in the inventory.
+func (z *fakeZone) resize(index, milliCPU int) {
+	info := testTarget(index)
+	info.Capacity.MilliCPU = milliCPU
+	z.scheduler.UpdateTargets([]rattanwork.Target{info}, true, z.now)
+}
+
+// TestShrunkTargetIsNotOvercommitted guards against starts on a target whose
+// capacity has shrunk below what runs or is being stopped there.
+func TestShrunkTargetIsNotOvercommitted(t *testing.T) {
+	z := newReconciledZone(qt.New(t), 1)
+	z.scheduler.Submit(z.patientSubmission(jobA), z.now)
+	z.scheduler.Submit(z.patientSubmission("00000000000000ab"), z.now)
+	running := z.scheduler.Take().Starts
+	z.Assert(running, qt.HasLen, 2)
+	for _, start := range running {
+		z.accept(start)
+	}
+	z.resize(0, 15000)
+	z.scheduler.Submit(z.patientSubmission(jobB), z.now)
+	z.advance(10 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	// A run that is being stopped still uses the target.
+	z.scheduler.Cancel(jobA, z.now)
+	z.advance(10 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	z.listRuns(0, rattanwork.Listing{Running: runsOf(running[1]), Ended: []rattanwork.End{{Sequence: 1, Task: running[0].Task, Attempt: 1, Kind: rattanwork.EndStopped}}})
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	z.resize(0, 28000)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 1)
+}
+
+// TestRestartedTargetAwaitsItsDescription guards against starts on a new
+// incarnation of a target, whose capacity, service and labels may differ from
+// those that the inventory still shows.
+func TestRestartedTargetAwaitsItsDescription(t *testing.T) {
+	z := newFakeZone(qt.New(t), 0)
+	info := testTarget(0)
+	info.Incarnation = 10
+	z.scheduler.UpdateTargets([]rattanwork.Target{info}, true, z.now)
+	z.listRuns(0, rattanwork.Listing{Incarnation: 10})
+	z.listRuns(0, rattanwork.Listing{Incarnation: 20})
+	z.scheduler.Submit(z.patientSubmission(jobA), z.now)
+	z.advance(10 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	info.Incarnation = 20
+	info.Capacity.MilliCPU = 14000
+	z.scheduler.UpdateTargets([]rattanwork.Target{info}, true, z.now)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 1)
+	// The inventory may also be ahead of the listings.
+	info.Incarnation = 30
+	info.Capacity.MilliCPU = 28000
+	z.scheduler.UpdateTargets([]rattanwork.Target{info}, true, z.now)
+	z.scheduler.Submit(z.patientSubmission(jobB), z.now)
+	z.advance(10 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+}
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -118,9 +118,16 @@
 	t.free = t.free.Add(resources)
 }
 
+// described reports whether the inventory describes the incarnation that has
+// listed its runs, as far as both state it. Another one may have another
+// capacity, service or labels.
+func (t *target) described() bool {
+	return t.info.Incarnation == 0 || t.incarnation == 0 || t.info.Incarnation == t.incarnation
+}
+
 // usable reports whether the target can take new work.
 func (t *target) usable(now time.Time) bool {
-	return t.reconciled && !t.unresponsive && !t.info.Draining && t.orphanCount == 0 && !now.Before(t.suspendedUntil)
+	return t.reconciled && t.described() && !t.unresponsive && !t.info.Draining && t.orphanCount == 0 && !now.Before(t.suspendedUntil)
 }
 
 // canHost reports whether the target, if idle, could run a task of the step.
