Test the history of crashes, and mend its exchange after a restart

The new test of the exchange failed: an instance that had restarted took the numbers of a heartbeat meant for its former incarnation for its own, and never got the earlier losses. A view now states the number from which its changes count. Tests of the scheduler play silent targets, returns under the same and another ID, later submissions, the next home, draining targets and held jobs.

--- a/rattanscheduler/loss_test.go
+++ b/rattanscheduler/loss_test.go
@@ -51,3 +51,126 @@
 		})
 	}
 }
+
+// firstStart submits a patient job and returns its first start.
+func (z *fakeZone) firstStart() StartRequest {
+	z.Helper()
+	z.scheduler.Submit(z.patientSubmission(jobA), z.now)
+	return z.nextStart()
+}
+
+// nextStart returns the only start since the last one, as accepted.
+func (z *fakeZone) nextStart() StartRequest {
+	z.Helper()
+	starts := z.scheduler.Take().Starts
+	z.Assert(starts, qt.HasLen, 1)
+	z.accept(starts[0])
+	return starts[0]
+}
+
+// TestTaskOfSilentTargetsIsNotGivenUp guards against giving up a task whose
+// targets were only silent: it waits until they answer, then it starts again.
+func TestTaskOfSilentTargetsIsNotGivenUp(t *testing.T) {
+	z := newReconciledZone(qt.New(t), 8)
+	start := z.firstStart()
+	for range maxLosses - 1 {
+		z.crash(start)
+		start = z.nextStart()
+	}
+	z.crash(start)
+	z.advance(time.Second)
+	output := z.scheduler.Take()
+	z.Assert(output.Starts, qt.HasLen, 0)
+	z.Assert(output.Results, qt.HasLen, 0)
+	z.listStarted(start.Target.ID, nil)
+	z.nextStart()
+}
+
+// TestTaskFailsAfterTwoCrashes guards against waiting for the caller's deadline
+// once it is known that two targets have crashed under a task.
+func TestTaskFailsAfterTwoCrashes(t *testing.T) {
+	returns := map[string]func(z *fakeZone, start StartRequest){
+		"under the same ID": func(z *fakeZone, start StartRequest) {
+			z.scheduler.RunsListed(start.Target.ID, &rattanwork.Listing{Incarnation: 20}, z.now, z.voidBefore, z.now)
+		},
+		"under another ID": func(z *fakeZone, start StartRequest) {
+			z.scheduler.TargetReplaced(start.Target.ID, start.Target.Address, z.now)
+		},
+	}
+	for name, returned := range returns {
+		t.Run(name, func(t *testing.T) {
+			z := newFakeZone(qt.New(t), 8)
+			for i := range 8 {
+				z.listRuns(i, rattanwork.Listing{Incarnation: 10})
+			}
+			start := z.firstStart()
+			z.crash(start)
+			second := z.nextStart()
+			z.crash(second)
+			returned(z, start)
+			z.Assert(z.scheduler.Take().Results, qt.HasLen, 0)
+			returned(z, second)
+			output := z.scheduler.Take()
+			z.Assert(output.Results, qt.HasLen, 1)
+			z.Assert(output.Results[0].Outcome, qt.Equals, Failed)
+			z.Assert(output.Starts, qt.HasLen, 0)
+		})
+	}
+}
+
+// TestCrashingTaskStaysGivenUp guards against starting a task again under which
+// two targets have crashed: in a later submission of its job, and by the next
+// home. Such a submission must not be told that the job has not run.
+func TestCrashingTaskStaysGivenUp(t *testing.T) {
+	z := newReconciledZone(qt.New(t), 8)
+	first := z.firstStart()
+	z.scheduler.TargetReplaced(first.Target.ID, first.Target.Address, z.now)
+	second := z.nextStart()
+	z.scheduler.TargetReplaced(second.Target.ID, second.Target.Address, z.now)
+	z.Assert(z.scheduler.Take().Results, qt.HasLen, 1)
+	successor := newFakeZone(z.C, 8)
+	successor.scheduler = New(Config{MaxLease: time.Second, TakeoverTime: z.now, Crashes: z.scheduler.crashes})
+	for _, zone := range []*fakeZone{z, successor} {
+		submission := zone.patientSubmission(jobA)
+		submission.Redirectable = true
+		zone.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: 1 << 20}})
+		zone.Assert(zone.scheduler.IsNew(submission), qt.IsFalse)
+		zone.scheduler.Submit(submission, zone.now)
+		output := zone.scheduler.Take()
+		zone.Assert(output.Results, qt.HasLen, 1)
+		zone.Assert(output.Results[0].Outcome, qt.Equals, Failed)
+	}
+}
+
+// TestLeavingTargetIsNoCrash guards against holding the end of a drained target
+// against its tasks.
+func TestLeavingTargetIsNoCrash(t *testing.T) {
+	z := newReconciledZone(qt.New(t), 4)
+	start := z.firstStart()
+	for range 3 {
+		info := *start.Target
+		info.Draining = true
+		z.scheduler.updateTarget(info, z.now)
+		z.scheduler.TargetReplaced(info.ID, info.Address, z.now)
+		start = z.nextStart()
+	}
+	z.Assert(z.scheduler.hasLosses(start.Task), qt.IsFalse)
+}
+
+// TestHeldJobEndsWhenLate guards against a job that waits for proof until its
+// caller's deadline although its answer has no value any more.
+func TestHeldJobEndsWhenLate(t *testing.T) {
+	z := newReconciledZone(qt.New(t), 8)
+	submission := z.patientSubmission(jobA)
+	submission.LateUntil = z.now.Add(10 * time.Second)
+	z.scheduler.Submit(submission, z.now)
+	for range maxLosses {
+		z.crash(z.nextStart())
+	}
+	z.advance(5 * time.Second)
+	z.Assert(z.scheduler.Take().Results, qt.HasLen, 0)
+	z.advance(5 * time.Second)
+	results := z.scheduler.Take().Results
+	z.Assert(results, qt.HasLen, 1)
+	z.Assert(results[0].Outcome, qt.Equals, Expired)
+}
--- a/rattanzone/crashes.go
+++ b/rattanzone/crashes.go
@@ -21,6 +21,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if m, ok := a.members[receiver]; ok {
+		view.CrashBase = m.crashesSeen
 		view.Crashes, view.CrashSequence = a.config.Crashes.Changes(m.crashesSeen, a.config.Clock())
 		view.CrashesMerged = m.crashesMerged
 	}
@@ -35,6 +36,10 @@
 		return
 	}
 	a.config.Crashes.Merge(view.Crashes, now)
-	m.crashesMerged = max(m.crashesMerged, view.CrashSequence)
-	m.crashesSeen = max(m.crashesSeen, view.CrashesMerged)
+	// A receiver that has restarted lacks the changes up to the base.
+	if view.CrashBase <= m.crashesMerged {
+		m.crashesMerged = max(m.crashesMerged, view.CrashSequence)
+	}
+	// The sender may have restarted and lost what it had merged.
+	m.crashesSeen = view.CrashesMerged
 }
--- a/rattanzone/view.go
+++ b/rattanzone/view.go
@@ -47,9 +47,11 @@
 	// InventoryRevision the revision of its inventory.
 	DesiredVersion    int64 `json:"Desired"`
 	InventoryRevision int64 `json:"Inventory"`
-	// Crashes holds the changes of the sender's crash history that the receiver
-	// has not merged yet, CrashSequence the sequence number of the last one.
+	// Crashes holds changes of the sender's crash history with sequence numbers
+	// after CrashBase, up to which the receiver has merged it as far as the
+	// sender knows. CrashSequence is the sequence number of the last one.
 	Crashes       []rattancrash.Loss `json:",omitempty"`
+	CrashBase     int64              `json:",omitempty"`
 	CrashSequence int64              `json:",omitempty"`
 	// CrashesMerged is the sequence number up to which the sender has merged the
 	// receiver's crash history.
