Save the crash history on the platform

Change: a home saves its history once a second after a change, each instance under its own key, so that a delayed write replaces nothing that another has saved. An instance loads all histories when it starts, until the store answers. No write happens while no target is lost.

--- a/rattancmd/crash_test.go
+++ b/rattancmd/crash_test.go
@@ -97,3 +97,29 @@
 	deployment.Check(answer.Body, qt.Equals, `{"state":"failed"}`)
 	deployment.Check(deployment.checker.StartsOf(crashingJob) <= maxCrashingStarts, qt.IsTrue, qt.Commentf("%d starts", deployment.checker.StartsOf(crashingJob)))
 }
+
+// TestServeCrashingTaskAfterAllKilled guards against starting a task again that
+// was given up, once all processes were killed.
+func TestServeCrashingTaskAfterAllKilled(t *testing.T) {
+	t.Parallel()
+	deployment := startDeployment(t, []string{"a"}, 3, 8)
+	deployment.checker.JobSubmitted(crashingJob, rattansite.TaskProfile{MilliCPU: 4000, Duration: time.Second, CrashesTarget: true})
+	submit := func(instance *serveInstance) serveAnswer {
+		return deployment.sendWithDeadline(&http.Client{}, instance, crashingJob, []byte(crashingJobBody), crashingJobDeadline)
+	}
+	deployment.Check(submit(deployment.instances[0]).Body, qt.Equals, `{"state":"failed"}`)
+	// The history is saved once a second.
+	time.Sleep(1500 * time.Millisecond)
+	for _, instance := range deployment.instances {
+		deployment.kill(instance, syscall.SIGKILL)
+	}
+	starts := deployment.checker.StartsOf(crashingJob)
+	for _, instance := range deployment.instances {
+		deployment.start(instance)
+	}
+	for _, instance := range deployment.instances {
+		deployment.waitReady(instance)
+	}
+	deployment.Check(submit(deployment.instances[1]).Body, qt.Equals, `{"state":"failed"}`)
+	deployment.Check(deployment.checker.StartsOf(crashingJob), qt.Equals, starts)
+}
--- a/rattancrash/history.go
+++ b/rattancrash/history.go
@@ -192,12 +192,28 @@
 	}
 	slices.SortFunc(changed, func(a, b *record) int { return int(a.sequence - b.sequence) })
 	for _, r := range changed[:min(len(changed), maxChanges)] {
-		losses = append(losses, Loss{Task: r.task, Incarnation: r.incarnation, Proof: r.proof, Age: now.Sub(r.recordedAt)})
+		losses = append(losses, r.loss(now))
 		after = r.sequence
 	}
 	return losses, after
 }
 
+// Latest returns the losses that were recorded last, at most limit.
+func (h *History) Latest(limit int, now time.Time) []Loss {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	var losses []Loss
+	for _, r := range h.order[max(0, len(h.order)-limit):] {
+		losses = append(losses, r.loss(now))
+	}
+	return losses
+}
+
+// loss returns the record in the form for other instances.
+func (r *record) loss(now time.Time) Loss {
+	return Loss{Task: r.task, Incarnation: r.incarnation, Proof: r.proof, Age: now.Sub(r.recordedAt)}
+}
+
 // Merge adds the losses that another instance knows of.
 func (h *History) Merge(losses []Loss, now time.Time) {
 	if len(losses) == 0 {
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -195,6 +195,12 @@
 	j.logger.Info("directory regained")
 }
 
+// CrashStoreFailed records that the crash history could not be loaded from the
+// store or saved there.
+func (j *Journal) CrashStoreFailed(err error) {
+	j.logger.WithField("Error", err.Error()).Warn("crash history not stored")
+}
+
 // DesiredStateAccepted records that a desired state is in force.
 func (j *Journal) DesiredStateAccepted(version int64, source string) {
 	j.logger.WithFields(logrus.Fields{"Version": version, "Source": source}).Info("desired state in force")
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -128,6 +128,7 @@
 		DesiredState: n.desiredState,
 		Inventory:    rattanzone.NewInventory(&platform.InventorySource{Store: n.store}),
 		Crashes:      n.crashes,
+		CrashStore:   &platform.CrashStore{Store: n.store},
 		NewHome:      n.newHome,
 		Journal:      n.journal,
 		Clock:        n.config.Clock,
--- a/rattanzone/agent.go
+++ b/rattanzone/agent.go
@@ -54,6 +54,9 @@
 	SpeedChanged(slow bool, factor float64)
 	DirectoryLost(err error)
 	DirectoryRegained()
+	// CrashStoreFailed reports that the crash history could not be loaded or
+	// saved. The agent tries again.
+	CrashStoreFailed(err error)
 }
 
 // Config configures an Agent.
@@ -68,6 +71,8 @@
 	// Crashes is exchanged with the other instances. If it is nil, the agent
 	// starts with an empty history.
 	Crashes *rattancrash.History
+	// CrashStore keeps the crash history while no instance is running.
+	CrashStore CrashStore
 	// NewHome creates a home whose requests to targets carry the fencing token.
 	NewHome func(fencingToken int64) *rattanhome.Home
 	Journal Journal
@@ -169,6 +174,7 @@
 	a.loops.Go(a.heartbeatLoop)
 	a.loops.Go(a.directoryLoop)
 	a.loops.Go(a.inventoryLoop)
+	a.loops.Go(a.crashLoop)
 	return nil
 }
 
--- a/rattanzone/crashes.go
+++ b/rattanzone/crashes.go
@@ -1,6 +1,74 @@
 package rattanzone
 
-import "time"
+import (
+	"context"
+	"time"
+
+	"github.com/rattanlever/rattanlever/rattancrash"
+)
+
+const (
+	// crashSaveInterval is the interval at which a home saves a crash history
+	// that has changed, crashLoadInterval the one at which an instance that has
+	// started tries to load it.
+	crashSaveInterval = 1 * time.Second
+	crashLoadInterval = 200 * time.Millisecond
+	// maxSavedLosses bounds the size of a saved crash history.
+	maxSavedLosses = 2000
+)
+
+// CrashStore keeps the crash histories of instances.
+type CrashStore interface {
+	Save(ctx context.Context, instance string, losses []rattancrash.Loss, now time.Time) error
+	Load(ctx context.Context, now time.Time) ([]rattancrash.Loss, error)
+}
+
+// crashLoop loads the saved crash histories, and saves that of this instance
+// after changes while it is a home.
+func (a *Agent) crashLoop() {
+	loaded, failing := false, false
+	saved := a.config.Crashes.Sequence()
+	for a.ctx.Err() == nil {
+		wait := crashSaveInterval
+		var err error
+		if !loaded {
+			err = a.loadCrashes()
+			loaded = err == nil
+		}
+		if !loaded {
+			wait = crashLoadInterval
+		}
+		sequence := a.config.Crashes.Sequence()
+		if loaded && sequence != saved && a.LocalHome() != nil {
+			if err = a.saveCrashes(); err == nil {
+				saved = sequence
+			}
+		}
+		if err != nil && !failing && a.ctx.Err() == nil {
+			a.config.Journal.CrashStoreFailed(err)
+		}
+		failing = err != nil
+		select {
+		case <-a.ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+// loadCrashes merges the saved crash histories.
+func (a *Agent) loadCrashes() error {
+	losses, err := a.config.CrashStore.Load(a.ctx, a.config.Clock())
+	if err != nil {
+		return err
+	}
+	a.config.Crashes.Merge(losses, a.config.Clock())
+	return nil
+}
+
+func (a *Agent) saveCrashes() error {
+	now := a.config.Clock()
+	return a.config.CrashStore.Save(a.ctx, a.config.Self.Name, a.config.Crashes.Latest(maxSavedLosses, now), now)
+}
 
 // memberAt returns the name of the member with the address, or "".
 func (a *Agent) memberAt(address string) string {
--- a/rattanzone/speed_test.go
+++ b/rattanzone/speed_test.go
@@ -61,6 +61,7 @@
 func (quietJournal) SpeedChanged(bool, float64)  {}
 func (quietJournal) DirectoryLost(error)         {}
 func (quietJournal) DirectoryRegained()          {}
+func (quietJournal) CrashStoreFailed(error)      {}
 
 var _ Peers = (*recordingPeers)(nil)
 
