Copy only the changes of the inventory, and once a second

Change: an instance asks for the changes after its revision, every 0.7 to 1.3 s, and a home that follows the store answers without another read of it. Peers are asked in the order of the revisions that they report. TestInventoryPullsAreLimited bounded the number of pulls (7 to 15 a minute), because each brought all targets. It now bounds what they bring: no target is sent more often than it changed (600 in a minute with 100 targets, before 700 to 1,500), and no copy is older than 1.5 s.

--- a/rattanzone/agent.go
+++ b/rattanzone/agent.go
@@ -131,6 +131,8 @@
 	// lastListed is the time at which the directory last listed the member or
 	// the member last sent a view.
 	lastListed time.Time
+	// inventoryRevision is the revision of the member's inventory.
+	inventoryRevision int64
 	// crashesMerged is the sequence number up to which the member's crash
 	// history has been merged here, crashesSeen the one up to which the member
 	// has merged that of this instance.
--- a/rattanzone/heartbeat.go
+++ b/rattanzone/heartbeat.go
@@ -245,6 +245,7 @@
 	}
 	m.Member, m.terminating, m.slow = view.Sender, view.Terminating, view.Slow
 	m.lastHeard, m.lastListed = now, now
+	m.inventoryRevision = view.InventoryRevision
 }
 
 // mergeClaim merges a claim that another instance has sent. The caller holds
--- a/rattanzone/inventory.go
+++ b/rattanzone/inventory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 	// Entries expire while the store is unavailable and reappear about two
 	// seconds after it is available again.
 	missingGrace = 2500 * time.Millisecond
+	// maxRemovals bounds the number of removed targets that are remembered.
+	maxRemovals = 1000
 )
 
 // InventoryReader reads the targets' entries from the store.
@@ -48,6 +51,10 @@
 	revision int64
 	targets  map[string]*inventoryEntry
 	readAt   time.Time
+	// removed holds the revisions at which targets were removed. It is complete
+	// after the revision completeAfter, that of the last reading of everything.
+	removed       map[string]int64
+	completeAfter int64
 	// followedRevision is the store revision from which to wait for changes, 0
 	// if the whole inventory must be read first.
 	followedRevision int64
@@ -59,11 +66,22 @@
 type inventoryEntry struct {
 	target       rattanwork.Target
 	missingSince time.Time
+	// revision is that of the last change of the target.
+	revision int64
+}
+
+// inventoryCopy is what an instance sends of its inventory to another one.
+type inventoryCopy struct {
+	rattanwork.Inventory
+	// After is the revision after which Targets and Removed hold the changes, 0
+	// if Targets holds the whole inventory.
+	After   int64    `json:",omitempty"`
+	Removed []string `json:",omitempty"`
 }
 
 // NewInventory returns an empty inventory.
 func NewInventory(reader InventoryReader) *Inventory {
-	return &Inventory{reader: reader, refreshRequested: make(chan struct{}, 1), targets: map[string]*inventoryEntry{}}
+	return &Inventory{reader: reader, refreshRequested: make(chan struct{}, 1), targets: map[string]*inventoryEntry{}, removed: map[string]int64{}}
 }
 
 // RequestRefresh asks for an immediate read of the whole inventory.
@@ -104,20 +122,45 @@
 	return now.Sub(i.readAt)
 }
 
-func (i *Inventory) snapshot() rattanwork.Inventory {
+// copyAfter returns the changes after a revision, or the whole inventory if they
+// are not known.
+func (i *Inventory) copyAfter(revision int64) inventoryCopy {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	inventory := rattanwork.Inventory{Revision: i.revision}
+	if revision < i.completeAfter {
+		revision = 0
+	}
+	result := inventoryCopy{After: revision, Inventory: rattanwork.Inventory{Revision: i.revision}}
 	for _, e := range i.targets {
-		inventory.Targets = append(inventory.Targets, e.target)
+		if e.revision > revision {
+			result.Targets = append(result.Targets, e.target)
+		}
 	}
-	slices.SortFunc(inventory.Targets, func(a, b rattanwork.Target) int {
-		if a.ID < b.ID {
-			return -1
+	slices.SortFunc(result.Targets, func(a, b rattanwork.Target) int { return strings.Compare(a.ID, b.ID) })
+	if revision > 0 {
+		for id, removedAt := range i.removed {
+			if removedAt > revision {
+				result.Removed = append(result.Removed, id)
+			}
 		}
-		return 1
-	})
-	return inventory
+	}
+	return result
+}
+
+// merge applies what another instance has sent in answer to a request for the
+// changes after the revision of this inventory.
+func (i *Inventory) merge(received inventoryCopy, now time.Time) {
+	if received.After == 0 {
+		i.update(received.Inventory, now)
+		return
+	}
+	i.mutex.Lock()
+	followed := i.followedRevision
+	known := i.revision >= received.After
+	i.mutex.Unlock()
+	if known {
+		i.apply(followed, rattanwork.InventoryChange{Revision: received.Revision, Updated: received.Targets, Removed: received.Removed}, now)
+	}
 }
 
 // refresh reads the whole inventory from the store.
@@ -175,7 +218,8 @@
 	}
 	i.readAt = now
 	i.followedRevision = reading.Revision
-	changed := i.put(reading.Targets)
+	changed := i.put(reading.Targets, reading.Revision)
+	i.completeAfter = reading.Revision
 	seen := make(map[string]bool, len(reading.Targets))
 	for _, target := range reading.Targets {
 		seen[target.ID] = true
@@ -185,7 +229,8 @@
 			e.missingSince = now
 		}
 	}
-	changed = i.removeMissing(now) || changed
+	clear(i.removed)
+	changed = i.removeMissing(reading.Revision, now) || changed
 	if changed || i.revision == 0 {
 		i.revision = reading.Revision
 	}
@@ -201,39 +246,53 @@
 	}
 	i.readAt = now
 	i.followedRevision = max(since, change.Revision)
-	changed := i.put(change.Updated)
+	changed := i.put(change.Updated, change.Revision)
 	for _, id := range change.Removed {
 		if e, ok := i.targets[id]; ok && e.missingSince.IsZero() {
 			e.missingSince = now
 		}
 	}
-	changed = i.removeMissing(now) || changed
+	changed = i.removeMissing(change.Revision, now) || changed
 	if changed {
 		i.revision = max(i.revision, change.Revision)
 	}
 }
 
-// put adds or replaces targets and reports whether any has changed. The caller
-// holds the mutex.
-func (i *Inventory) put(targets []rattanwork.Target) bool {
+// put adds or replaces targets as of a revision and reports whether any has
+// changed. The caller holds the mutex.
+func (i *Inventory) put(targets []rattanwork.Target, revision int64) bool {
 	changed := false
 	for _, target := range targets {
+		delete(i.removed, target.ID)
 		known, ok := i.targets[target.ID]
-		if !ok || !known.target.Equal(&target) {
-			changed = true
+		if ok && known.target.Equal(&target) {
+			known.missingSince = time.Time{}
+			continue
 		}
-		i.targets[target.ID] = &inventoryEntry{target: target}
+		changed = true
+		i.targets[target.ID] = &inventoryEntry{target: target, revision: revision}
 	}
 	return changed
 }
 
+// recordRemoval records that a target was removed. The caller holds the mutex.
+func (i *Inventory) recordRemoval(id string, revision int64) {
+	if len(i.removed) == maxRemovals {
+		clear(i.removed)
+		i.completeAfter = revision
+	}
+	i.removed[id] = revision
+}
+
 // removeMissing removes the targets that have been missing for missingGrace and
-// reports whether there were any. The caller holds the mutex.
-func (i *Inventory) removeMissing(now time.Time) bool {
+// reports whether there were any. The revision is the latest known one. The
+// caller holds the mutex.
+func (i *Inventory) removeMissing(revision int64, now time.Time) bool {
 	removed := false
 	for id, e := range i.targets {
 		if !e.missingSince.IsZero() && now.Sub(e.missingSince) > missingGrace {
 			delete(i.targets, id)
+			i.recordRemoval(id, revision)
 			removed = true
 		}
 	}
--- a/rattanzone/inventory_test.go
+++ b/rattanzone/inventory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -131,22 +132,86 @@
 }
 
 // TestInventoryPullsAreLimited guards against traffic that grows with the
-// number of instances times that of changes of targets.
+// number of instances times that of the targets, and against a copy that is older
+// than callers may rely on when the store goes away.
 func TestInventoryPullsAreLimited(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1_800_000_000, 0)
+	const targets, revisions = 100, 600
+	home := NewInventory(nil)
 	agent := New(Config{Self: rattanwork.Member{Name: "self", Zone: "a"}, Peers: noPeers{}, Inventory: NewInventory(nil), Clock: func() time.Time { return now }})
 	c.Check(agent.inventoryPullDue(1), qt.IsTrue)
 	c.Check(agent.inventoryPullDue(1), qt.IsTrue, qt.Commentf("without any inventory, each chance counts"))
-	agent.config.Inventory.update(rattanwork.Inventory{Revision: 1}, now)
-	pulls := 0
-	for revision := range int64(600) {
+	target := func(index, milliCPU int) rattanwork.Target {
+		return rattanwork.Target{ID: fmt.Sprint(index), Zone: "a", Capacity: rattanwork.Resources{MilliCPU: milliCPU}}
+	}
+	whole := rattanwork.Inventory{Revision: 1}
+	for index := range targets {
+		whole.Targets = append(whole.Targets, target(index, 1))
+	}
+	home.update(whole, now)
+	agent.config.Inventory.merge(home.copyAfter(0), now)
+	sent, copiedAt, oldest := 0, now, time.Duration(0)
+	for step := range revisions {
 		now = now.Add(100 * time.Millisecond)
-		if agent.inventoryPullDue(2 + revision) {
-			pulls++
+		revision := int64(2 + step)
+		home.apply(revision-1, rattanwork.InventoryChange{Revision: revision, Updated: []rattanwork.Target{target(step%targets, 2+step)}}, now)
+		if agent.inventoryPullDue(home.Revision()) {
+			reply := home.copyAfter(agent.config.Inventory.Revision())
+			agent.config.Inventory.merge(reply, now)
+			sent += len(reply.Targets)
+			copiedAt = now
 		}
+		oldest = max(oldest, now.Sub(copiedAt))
+	}
+	c.Check(sent <= revisions, qt.IsTrue, qt.Commentf("%d targets sent after %d changes", sent, revisions))
+	c.Check(oldest <= 1500*time.Millisecond, qt.IsTrue, qt.Commentf("a copy was %v old", oldest))
+	agent.config.Inventory.merge(home.copyAfter(agent.config.Inventory.Revision()), now)
+	c.Check(agent.config.Inventory.copyAfter(0).Targets, qt.DeepEquals, home.copyAfter(0).Targets)
+}
+
+// TestCopyOfChanges guards against a copy that keeps removed targets, and against
+// sending changes to an instance that may lack earlier ones.
+func TestCopyOfChanges(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	home, follower := NewInventory(nil), NewInventory(nil)
+	targetA, targetB := rattanwork.Target{ID: "a", Zone: "z"}, rattanwork.Target{ID: "b", Zone: "z"}
+	home.update(rattanwork.Inventory{Revision: 5, Targets: []rattanwork.Target{targetA, targetB}}, now)
+	follower.merge(home.copyAfter(0), now)
+	home.apply(5, rattanwork.InventoryChange{Revision: 6, Removed: []string{"a"}}, now)
+	now = now.Add(missingGrace + time.Millisecond)
+	home.apply(6, rattanwork.InventoryChange{Revision: 7}, now)
+	change := home.copyAfter(follower.Revision())
+	c.Check(change.After, qt.Equals, int64(5))
+	c.Check(change.Removed, qt.DeepEquals, []string{"a"})
+	c.Check(change.Targets, qt.HasLen, 0)
+	follower.merge(change, now)
+	now = now.Add(missingGrace + time.Millisecond)
+	home.apply(7, rattanwork.InventoryChange{Revision: 8, Updated: []rattanwork.Target{{ID: "b", Zone: "z", Draining: true}}}, now)
+	follower.merge(home.copyAfter(follower.Revision()), now)
+	c.Check(follower.ZoneTargets("z"), qt.DeepEquals, home.ZoneTargets("z"))
+	// An instance that has read everything again does not know all changes
+	// before.
+	home.update(rattanwork.Inventory{Revision: 20, Targets: []rattanwork.Target{targetB}}, now)
+	c.Check(home.copyAfter(8).After, qt.Equals, int64(0))
+	c.Check(home.copyAfter(20).After, qt.Equals, int64(20))
+}
+
+// TestNewestInventoryIsCopiedFirst guards against a home that is content with an
+// older copy of the inventory than another instance has while the store is away.
+func TestNewestInventoryIsCopiedFirst(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	agent := New(Config{Self: rattanwork.Member{Name: "self", Zone: "a"}, Peers: noPeers{}, Inventory: NewInventory(nil), Clock: func() time.Time { return now }})
+	for name, revision := range map[string]int64{"x": 3, "y": 7, "z": 5} {
+		agent.recordSender(&View{Sender: rattanwork.Member{Name: name, Incarnation: 1}, InventoryRevision: revision}, now)
+	}
+	var names []string
+	for _, m := range agent.membersByInventory() {
+		names = append(names, m.Name)
 	}
-	c.Check(pulls >= 7 && pulls <= 15, qt.IsTrue, qt.Commentf("%d pulls in a minute", pulls))
+	c.Check(names, qt.DeepEquals, []string{"y", "z", "x"})
 }
 
 // TestFirstReadIsNotSettled guards against a home that takes its first view of
--- a/rattanzone/sync.go
+++ b/rattanzone/sync.go
@@ -1,9 +1,12 @@
 package rattanzone
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -102,12 +105,12 @@
 
 const (
 	// minPullInterval and maxPullInterval bound the random interval between the
-	// pulls of an instance that is not a home. It needs the inventory only when
-	// it becomes a home while the store is away; if all instances pulled after
-	// each change, the traffic would grow with their number times that of the
-	// targets.
-	minPullInterval = 4 * time.Second
-	maxPullInterval = 8 * time.Second
+	// pulls of an instance that is not a home. It needs the inventory when it
+	// becomes a home while the store is away; what it does not know then, such
+	// as a capacity that has shrunk, it does not respect. A pull brings only
+	// what has changed since the last one.
+	minPullInterval = 700 * time.Millisecond
+	maxPullInterval = 1300 * time.Millisecond
 )
 
 // inventoryPullDue reports whether to pull an inventory of the given revision,
@@ -142,34 +145,47 @@
 func (a *Agent) pullInventory(peer rattanwork.Member) bool {
 	ctx, cancel := context.WithTimeout(a.ctx, pullTimeout)
 	defer cancel()
-	body, err := a.config.Peers.Call(ctx, peer.Address, methodInventory, nil)
+	request := inventoryRequest{After: a.config.Inventory.Revision()}
+	body, err := a.config.Peers.Call(ctx, peer.Address, methodInventory, mustMarshal(request))
 	if err != nil {
 		return false
 	}
-	var inventory rattanwork.Inventory
-	if json.Unmarshal(body, &inventory) != nil || inventory.Revision == 0 {
+	var received inventoryCopy
+	if json.Unmarshal(body, &received) != nil || received.Revision == 0 {
 		return false
 	}
-	a.config.Inventory.update(inventory, a.config.Clock())
+	a.config.Inventory.merge(received, a.config.Clock())
 	return true
 }
 
+// inventoryRequest asks an instance for its inventory.
+type inventoryRequest struct {
+	// After is the revision after which changes are requested. With 0, the whole
+	// inventory is requested.
+	After int64
+}
+
 func (a *Agent) handleDesiredState(context.Context, string, []byte) ([]byte, error) {
 	return a.config.DesiredState.Document(), nil
 }
 
-// handleInventory answers with the inventory. It reads the store first if the
-// inventory is older than inventoryInterval.
-func (a *Agent) handleInventory(ctx context.Context, _ string, _ []byte) ([]byte, error) {
+// handleInventory answers with the inventory. An instance that is not a home and
+// so does not follow the store reads it first if its inventory is older than
+// inventoryInterval.
+func (a *Agent) handleInventory(ctx context.Context, _ string, body []byte) ([]byte, error) {
+	var request inventoryRequest
+	if err := json.Unmarshal(body, &request); err != nil {
+		return nil, errors.Annotate(err, "decode inventory request")
+	}
 	now := a.config.Clock()
-	if a.config.Inventory.age(now) > inventoryInterval {
+	if a.LocalHome() == nil && a.config.Inventory.age(now) > inventoryInterval {
 		readCtx, cancel := context.WithTimeout(ctx, pullTimeout/2)
 		defer cancel()
 		if err := a.config.Inventory.refresh(readCtx, a.config.Clock); err != nil && a.config.Inventory.Revision() == 0 {
 			return nil, errors.Trace(err)
 		}
 	}
-	return mustMarshal(a.config.Inventory.snapshot()), nil
+	return mustMarshal(a.config.Inventory.copyAfter(request.After)), nil
 }
 
 // inventoryLoop keeps the inventory of a home up to date. It reads the store
@@ -200,16 +216,24 @@
 	}
 }
 
+// membersByInventory returns the members, those with the newest inventory first.
+func (a *Agent) membersByInventory() []rattanwork.Member {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	list := slices.SortedFunc(maps.Values(a.members), func(x, y *member) int {
+		return cmp.Compare(y.inventoryRevision, x.inventoryRevision)
+	})
+	members := make([]rattanwork.Member, len(list))
+	for i, m := range list {
+		members[i] = m.Member
+	}
+	return members
+}
+
 // pullInventoryFromPeers asks the members one after the other until one of them
 // returns an inventory that is not older than the known one.
 func (a *Agent) pullInventoryFromPeers() {
-	a.mutex.Lock()
-	var members []rattanwork.Member
-	for _, m := range a.members {
-		members = append(members, m.Member)
-	}
-	a.mutex.Unlock()
-	for _, m := range members {
+	for _, m := range a.membersByInventory() {
 		if a.pullInventory(m) && a.config.Inventory.age(a.config.Clock()) < inventoryInterval {
 			return
 		}
