Ignore unknown proofs of losses, and forget a restart once a run is listed

Found in reading the change: a message of a later version could add losses that count for nothing, and a run that the new incarnation lists would have been blamed on the former one later.

--- a/rattancrash/history.go
+++ b/rattancrash/history.go
@@ -6,6 +6,7 @@
 package rattancrash
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -190,7 +191,7 @@
 			changed = append(changed, r)
 		}
 	}
-	slices.SortFunc(changed, func(a, b *record) int { return int(a.sequence - b.sequence) })
+	slices.SortFunc(changed, func(a, b *record) int { return cmp.Compare(a.sequence, b.sequence) })
 	for _, r := range changed[:min(len(changed), maxChanges)] {
 		losses = append(losses, r.loss(now))
 		after = r.sequence
@@ -222,6 +223,10 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	for _, loss := range losses {
+		if loss.Proof < Silent || loss.Proof > Crashed {
+			// A later version may know more kinds.
+			continue
+		}
 		h.add(lossKey{loss.Task, loss.Incarnation}, loss.Proof, now.Add(-max(0, loss.Age)), now)
 	}
 }
@@ -249,7 +254,7 @@
 // raise replaces the proof of a loss by a higher one. The caller holds the
 // mutex.
 func (h *History) raise(r *record, proof Proof) bool {
-	if proof <= r.proof || proof > Crashed {
+	if proof <= r.proof {
 		return false
 	}
 	h.sequence++
--- a/rattancrash/history_test.go
+++ b/rattancrash/history_test.go
@@ -94,6 +94,7 @@
 	c.Assert(h.Of("task0"), qt.Equals, Losses{})
 	later := testStart.Add(retention + time.Second)
 	h.Merge([]Loss{{Task: testTask, Incarnation: first, Age: retention + time.Second}}, later)
+	h.Merge([]Loss{{Task: testTask, Incarnation: first, Proof: Crashed + 1}, {Task: testTask, Incarnation: first, Proof: -1}}, later)
 	c.Assert(h.Of(testTask), qt.Equals, Losses{})
 	h.Add(testTask, second, Silent, later)
 	c.Assert(h.count.Load(), qt.Equals, int64(1))
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -253,6 +253,7 @@
 	if r.state == runRequested || r.state == runUncertain {
 		r.state = runConfirmed
 	}
+	r.restarted = false
 	if r.task == nil {
 		return
 	}
