--- a/rattanstandin/targethttp.go
+++ b/rattanstandin/targethttp.go
@@ -51,7 +51,7 @@
 	case r.Method == http.MethodGet && hasID:
 		writeJSON(w, http.StatusOK, t.inspect(time.Now(), id))
 	case r.Method == http.MethodDelete && hasID:
-		writeJSON(w, http.StatusOK, t.stop(time.Now(), id))
+		writeJSON(w, http.StatusOK, t.stop(time.Now(), id, r.URL.RawQuery == rattantarget.UnlessStartedQuery))
 	case r.Method == http.MethodGet && r.URL.Path == "/v1/usage":
 		writeJSON(w, http.StatusOK, t.delayedUsage(time.Now()))
 	default:
--- a/rattanstandin/task.go
+++ b/rattanstandin/task.go
@@ -208,8 +208,8 @@
 }
 
 // stop stops a task and adds a tombstone, so that later dispatches of the ID are
-// refused.
-func (t *Target) stop(now time.Time, id string) rattantarget.StopResult {
+// refused. With unlessStarted it has no effect on a task that has started.
+func (t *Target) stop(now time.Time, id string, unlessStarted bool) rattantarget.StopResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sampleUsage(now)
@@ -219,6 +219,9 @@
 	case found == nil:
 		result.Started = t.tombstones[id] || t.options.Log.startedByProcess(id, t.logIndex, t.incarnation)
 		result.Stopped = t.tombstones[id] || !result.Started
+	case found.state == rattantarget.TaskStateRunning && unlessStarted:
+		result.Started = true
+		return result
 	case found.state == rattantarget.TaskStateRunning:
 		result = rattantarget.StopResult{Started: true, Stopped: true, Uptime: result.Uptime}
 		t.finish(found, rattantarget.TaskStateStopped, "stopped")
--- a/rattantarget/resolve.go
+++ b/rattantarget/resolve.go
@@ -38,6 +38,18 @@
 	return result, errors.Annotatef(err, "task %s at %s", id, address)
 }
 
+// Revoke requests, on a new connection, that a target refuse an ID from then on,
+// unless its task has already started. Its errors are those of Stop.
+func (c *Client) Revoke(ctx context.Context, address, id string) (StopResult, error) {
+	var result StopResult
+	err := c.query(ctx, http.MethodDelete, address, "/v1/tasks/"+url.PathEscape(id)+"?"+UnlessStartedQuery, &result)
+	return result, errors.Annotatef(err, "task %s at %s", id, address)
+}
+
+// UnlessStartedQuery is the query of a stop request that has no effect on a task
+// that has started.
+const UnlessStartedQuery = "UnlessStarted=true"
+
 // Usage queries the usage of a target, on a new connection.
 func (c *Client) Usage(ctx context.Context, address string) (Usage, error) {
 	var usage Usage
@@ -47,7 +59,7 @@
 
 // ResolveOutcome determines the outcome of a task if the connection of its
 // dispatch was lost or has not returned a response. It uses new connections,
-// waits while the task runs, and stops a task that the target does not know.
+// waits while the task runs, and revokes a task that the target does not know.
 // The error is ErrNotStarted only for tasks that this client dispatched, and
 // only if the target's process was running before the dispatch. It is
 // ErrUnresolved when the target refuses connections and when the context ends.
@@ -98,7 +110,9 @@
 	case TaskStateStopped:
 		return Result{}, true, stoppedError(endpoint, id, StopResult{Started: inspection.Started, Stopped: true, Uptime: inspection.Uptime})
 	}
-	stop, err := c.Stop(ctx, endpoint.address, id)
+	// The dispatch may arrive after the inspection, so its task must not be
+	// stopped if it has started meanwhile.
+	stop, err := c.Revoke(ctx, endpoint.address, id)
 	if err != nil || (stop.Started && !stop.Stopped) {
 		return Result{}, false, nil
 	}
--- a/rattantarget/resolve_test.go
+++ b/rattantarget/resolve_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -117,6 +120,34 @@
 	c.Assert(err, qt.ErrorIs, rattantarget.ErrUnresolved)
 }
 
+// TestLateDispatchIsNotStopped guards against stopping a task that started
+// between the inspection that did not find it and the request that follows.
+func TestLateDispatchIsNotStopped(t *testing.T) {
+	c := qt.New(t)
+	target := newTarget(t, rattanstandin.TargetOptions{Slots: 1})
+	client := newClient(t, rattantarget.Options{})
+	var ended <-chan error
+	proxy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete && ended == nil {
+			ended = startTask(c, client, target, "200ms")
+		}
+		r.URL.Scheme, r.URL.Host, r.RequestURI = "http", target.Address(), ""
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer func() { _ = response.Body.Close() }()
+		w.WriteHeader(response.StatusCode)
+		_, _ = io.Copy(w, response.Body)
+	}))
+	defer proxy.Close()
+	result, err := client.ResolveOutcome(t.Context(), proxy.Listener.Addr().String(), "task")
+	c.Assert(err, qt.IsNil)
+	c.Assert(result.ID, qt.Equals, "task")
+	c.Assert(<-ended, qt.IsNil)
+}
+
 // TestRunUnresponsiveConnections guards against dispatches that hang on a
 // connection without traffic, and against a second start of a task whose
 // outcome was determined on another connection.
