Settle losses that another home has reported of targets that answer

A home that is paused or cut off takes its targets for lost. Its last losses may reach the next home after that one has listed the targets; they then stood as unproven for two minutes, and three of them hold a task. Change: a loss that is reported of a known target is settled by the target's next listing. TestLossOfAnotherHomeIsSettled fails before.

--- a/rattancrash/history.go
+++ b/rattancrash/history.go
@@ -7,7 +7,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -37,8 +36,6 @@
 	// maxLosses bounds the number of losses that are remembered. Beyond it, the
 	// oldest are forgotten.
 	maxLosses = 20_000
-	// maxChanges bounds the number of losses in one message.
-	maxChanges = 200
 )
 
 // Incarnation identifies one incarnation of a target.
@@ -164,22 +161,10 @@
 	return h.sequence
 }
 
-// ChangedTasks returns the tasks with changes after the sequence number.
-func (h *History) ChangedTasks(after int64) []string {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	tasks := map[string]bool{}
-	for _, r := range h.records {
-		if r.sequence > after {
-			tasks[r.task] = true
-		}
-	}
-	return slices.Sorted(maps.Keys(tasks))
-}
-
-// Changes returns losses that have changed after the sequence number, the oldest
-// changes first, and the sequence number of the last one that is returned.
-func (h *History) Changes(after int64, now time.Time) (losses []Loss, last int64) {
+// Changes returns the losses that have changed after the sequence number, the
+// oldest changes first and at most limit, and the sequence number up to which
+// they are complete.
+func (h *History) Changes(after int64, limit int, now time.Time) (losses []Loss, last int64) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.sequence <= after {
@@ -192,11 +177,15 @@
 		}
 	}
 	slices.SortFunc(changed, func(a, b *record) int { return cmp.Compare(a.sequence, b.sequence) })
-	for _, r := range changed[:min(len(changed), maxChanges)] {
+	last = h.sequence
+	if len(changed) > limit {
+		changed = changed[:limit]
+		last = changed[limit-1].sequence
+	}
+	for _, r := range changed {
 		losses = append(losses, r.loss(now))
-		after = r.sequence
 	}
-	return losses, after
+	return losses, last
 }
 
 // Latest returns the losses that were recorded last, at most limit.
--- a/rattancrash/history_test.go
+++ b/rattancrash/history_test.go
@@ -8,7 +8,11 @@
 	qt "github.com/frankban/quicktest"
 )
 
-const testTask = "00000000000000aa.0.0.0"
+const (
+	testTask = "00000000000000aa.0.0.0"
+	// testLimit is the number of losses in one message.
+	testLimit = 3
+)
 
 var (
 	testStart = time.Unix(1_800_000_000, 0)
@@ -47,7 +51,7 @@
 // needed, and returns their number.
 func exchange(from, to *History, seen int64, now time.Time) (messages int, last int64) {
 	for {
-		losses, last := from.Changes(seen, now)
+		losses, last := from.Changes(seen, testLimit, now)
 		if len(losses) == 0 {
 			return messages, last
 		}
@@ -62,7 +66,7 @@
 func TestHistoriesConverge(t *testing.T) {
 	c := qt.New(t)
 	a, b := NewHistory(testStart), NewHistory(testStart.Add(time.Second))
-	for i := range maxChanges + 1 {
+	for i := range testLimit + 1 {
 		a.Add(fmt.Sprint("task", i), first, Silent, testStart)
 	}
 	b.Add("task0", second, Crashed, testStart)
@@ -72,7 +76,6 @@
 	c.Assert(a.Of("task0"), qt.Equals, Losses{Silent: 1, Crashed: 1})
 	c.Assert(b.Of("task0"), qt.Equals, Losses{Silent: 1, Crashed: 1})
 	a.Answered(first)
-	c.Assert(a.ChangedTasks(seenByB), qt.HasLen, maxChanges+1)
 	_, seenByB = exchange(a, b, seenByB, testStart)
 	c.Assert(b.Of("task0"), qt.Equals, Losses{Crashed: 1})
 	_, seenByA = exchange(b, a, seenByA, testStart)
--- a/rattanscheduler/loss.go
+++ b/rattanscheduler/loss.go
@@ -91,17 +91,20 @@
 	s.reviewLosses(now)
 }
 
+// maxReviewedLosses bounds the number of changes that one review applies.
+const maxReviewedLosses = 1000
+
 // reviewLosses applies changes of the history of losses, which other instances
-// change too, to the jobs concerned.
+// change too, to the jobs concerned. Another home may have taken a target for
+// lost that answers this one: its next listing settles that.
 func (s *Scheduler) reviewLosses(now time.Time) {
-	sequence := s.crashes.Sequence()
-	if sequence == s.crashesReviewed {
-		return
-	}
-	tasks := s.crashes.ChangedTasks(s.crashesReviewed)
-	s.crashesReviewed = sequence
-	for _, name := range tasks {
-		if j, ok := s.jobs[jobIDOf(name)]; ok {
+	losses, last := s.crashes.Changes(s.crashesReviewed, maxReviewedLosses, now)
+	s.crashesReviewed = last
+	for _, loss := range losses {
+		if target, ok := s.targets[loss.Incarnation.Target]; ok && loss.Proof == rattancrash.Silent {
+			target.lossesOpen = true
+		}
+		if j, ok := s.jobs[jobIDOf(loss.Task)]; ok {
 			j.hasLosses = true
 			s.advanceJob(j, now)
 		}
--- a/rattanscheduler/loss_test.go
+++ b/rattanscheduler/loss_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rattanlever/rattanlever/rattancrash"
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
@@ -174,3 +175,17 @@
 	z.Assert(results, qt.HasLen, 1)
 	z.Assert(results[0].Outcome, qt.Equals, Expired)
 }
+
+// TestLossOfAnotherHomeIsSettled guards against keeping a target for lost that
+// answers this home, because the earlier home was paused or cut off and its last
+// losses arrive after the first listing.
+func TestLossOfAnotherHomeIsSettled(t *testing.T) {
+	z := newFakeZone(qt.New(t), 1)
+	z.listRuns(0, rattanwork.Listing{Incarnation: 10})
+	lost := []rattancrash.Loss{{Task: jobA + ".0.0.0", Incarnation: rattancrash.Incarnation{Target: "t0", StartMillis: 10}}}
+	z.scheduler.crashes.Merge(lost, z.now)
+	z.advance(10 * time.Millisecond)
+	z.Assert(z.scheduler.hasLosses(lost[0].Task), qt.IsTrue)
+	z.listRuns(0, rattanwork.Listing{Incarnation: 10})
+	z.Assert(z.scheduler.hasLosses(lost[0].Task), qt.IsFalse)
+}
--- a/rattanzone/crashes.go
+++ b/rattanzone/crashes.go
@@ -15,6 +15,8 @@
 	crashLoadInterval = 200 * time.Millisecond
 	// maxSavedLosses bounds the size of a saved crash history.
 	maxSavedLosses = 2000
+	// maxSentLosses bounds the number of losses in one heartbeat.
+	maxSentLosses = 200
 )
 
 // CrashStore keeps the crash histories of instances.
@@ -90,7 +92,7 @@
 	defer a.mutex.Unlock()
 	if m, ok := a.members[receiver]; ok {
 		view.CrashBase = m.crashesSeen
-		view.Crashes, view.CrashSequence = a.config.Crashes.Changes(m.crashesSeen, a.config.Clock())
+		view.Crashes, view.CrashSequence = a.config.Crashes.Changes(m.crashesSeen, maxSentLosses, a.config.Clock())
 		view.CrashesMerged = m.crashesMerged
 	}
 	return view
