--- a/rattancmd/explain_test.go
+++ b/rattancmd/explain_test.go
@@ -28,6 +28,11 @@
 				`{"Job":"00000000000000aa","Message":"request answered","Reason":"a task failed too often","Status":200,"Presented":1,"Time":"2026-12-04T08:00:01Z"}` + "\n",
 			[]string{"    a run", "cause: a task failed too often; 3 runs were needed for 1 tasks"},
 		},
+		"crashing task": {
+			`{"Job":"00000000000000aa","Message":"run lost","Task":"00000000000000aa.0.0.1","Target":"t1","Attempt":2,"Proof":"Silent","Silent":1,"Crashed":1,"Time":"2026-12-04T08:00:00Z"}` + "\n" +
+				`{"Job":"00000000000000aa","Message":"request answered","Reason":"targets crashed under a task","Status":200,"Presented":1,"Time":"2026-12-04T08:00:01Z"}` + "\n",
+			[]string{"home: attempt 2 of 00000000000000aa.0.0.1 lost with target t1 (Silent); targets lost under the task: 1 silent, 1 crashed", "cause: targets crashed under a task"},
+		},
 		"front missing": {
 			`{"Job":"00000000000000aa","Message":"job ended","Outcome":"Cancelled","Reason":"cancelled","Time":"2026-12-04T08:00:00Z"}` + "\n",
 			[]string{"no front logged an answer"},
--- a/rattancmd/explaincmd.go
+++ b/rattancmd/explaincmd.go
@@ -46,6 +46,9 @@
 	Home     string
 	Outcome  string
 	History  []string
+	Task     string
+	Target   string
+	Proof    string
 
 	Presented    int
 	Runs         int
@@ -54,6 +57,9 @@
 	ElapsedMS    float64
 	FirstStartMS float64
 	Desired      int64
+	Attempt      int
+	Silent       int
+	Crashed      int
 
 	raw string
 }
@@ -121,6 +127,9 @@
 	case "request answered":
 		return fmt.Sprintf("%s front: status %d after %.0f ms (%s); presented %d times, last to %s, desired state %d",
 			timestamp, line.Status, line.ElapsedMS, line.Reason, line.Presented, line.Home, line.Desired)
+	case "run lost":
+		return fmt.Sprintf("%s home: attempt %d of %s lost with target %s (%s); targets lost under the task: %d silent, %d crashed",
+			timestamp, line.Attempt, line.Task, line.Target, line.Proof, line.Silent, line.Crashed)
 	default:
 		return line.raw
 	}
