Isolate the instance with the injected fault, not whichever is home

Shown by giving the fault to an instance that is not home: the same failure, 'found []', each time. The test now starts the system again until the instance with the fault is home. The check itself is unchanged. Whether the home was another instance in the failing run cannot be told, its log is gone.

--- a/rattansystem/injected_test.go
+++ b/rattansystem/injected_test.go
@@ -256,8 +256,9 @@
 }
 
 // runWithIsolatedHome runs jobs, isolates the home from its witnesses until they
-// consider it ended, and queries the status through all instances meanwhile.
-func runWithIsolatedHome(c *qt.C, adjustSettings func(settings *rattansettings.Settings)) []rattancheck.Violation {
+// consider it ended, and queries the status through all instances meanwhile. Only
+// faultyInstance has an injected fault; if it is not empty, it must be the home.
+func runWithIsolatedHome(c *qt.C, faultyInstance string, adjustSettings func(settings *rattansettings.Settings)) []rattancheck.Violation {
 	system, err := rattansystem.Start(rattansystem.Config{
 		Zones:          []string{"buda"},
 		EntriesPerZone: 3,
@@ -273,12 +274,15 @@
 	defer cancel()
 	keys := run.keys(ctx, 0, 8)
 	c.Assert(keys, qt.HasLen, 8)
-	for start := time.Now(); len(keys[0].Witnesses) == 0; {
+	unsuitable := func() bool {
+		return len(keys[0].Witnesses) == 0 || (faultyInstance != "" && keys[0].Epoch.Home.Instance != faultyInstance)
+	}
+	for start := time.Now(); unsuitable(); {
 		// A home that claimed the pool before it knew another member has no
-		// witnesses until its next epoch. Restarting the system is faster than
-		// waiting for it.
+		// witnesses until its next epoch, and on a busy machine any instance may
+		// become home first. Restarting the system is faster than waiting.
 		if time.Since(start) > 3*time.Second {
-			return runWithIsolatedHome(c, adjustSettings)
+			return runWithIsolatedHome(c, faultyInstance, adjustSettings)
 		}
 		keys = run.keys(ctx, 0, 8)
 		c.Assert(keys, qt.HasLen, 8)
@@ -311,14 +315,15 @@
 	t.Run("no fault", func(t *testing.T) {
 		t.Parallel()
 		c := qt.New(t)
-		c.Assert(runWithIsolatedHome(c, shortenTimings), qt.HasLen, 0)
+		c.Assert(runWithIsolatedHome(c, "", shortenTimings), qt.HasLen, 0)
 	})
 	t.Run("never expires", func(t *testing.T) {
 		t.Parallel()
 		c := qt.New(t)
-		violations := runWithIsolatedHome(c, func(settings *rattansettings.Settings) {
+		const faultyInstance = "buda-entry-1"
+		violations := runWithIsolatedHome(c, faultyInstance, func(settings *rattansettings.Settings) {
 			shortenTimings(settings)
-			if settings.Name == "buda-entry-1" {
+			if settings.Name == faultyInstance {
 				settings.Home.TenureDuration = rattanjson.Duration(time.Minute)
 			}
 		})
