Send each request of TestServe to each instance

Cause: the test sent each of its ten requests to one of two instances, chosen at random. Both metrics are counted where the caller's request arrives. When all ten went to the instance that is not the home (one run in 1,024), the home's page had neither. Shown by sending all requests to the other instance: the same two checks fail, and no other.

Change: each request is sent to each instance, and each answer is checked, so the test checks twice as many answers as before and does not depend on chance.

The same kind of chance stood in the addresses of the test deployments: two parallel deployments could draw the same network. They are numbered now.

--- a/rattancmd/deployment_test.go
+++ b/rattancmd/deployment_test.go
@@ -13,6 +13,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -39,6 +40,13 @@
 	maxRecoveryTime = 3 * time.Second
 )
 
+// The addresses 127.processNetwork.n.* belong to the nth deployment of the test
+// process, so that the deployments of parallel tests never share an address.
+var (
+	processNetwork = 20 + rand.IntN(200)
+	deployments    atomic.Int64
+)
+
 // deployment consists of real processes of the program, and of stand-ins for the
 // platform and the targets in the test process.
 type deployment struct {
@@ -71,7 +79,7 @@
 	c.Assert(err, qt.IsNil)
 	deployment := &deployment{
 		C: c, directory: t.TempDir(), store: store, checker: rattansite.NewInvariantChecker(),
-		ipPrefix: fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), rand.IntN(250)),
+		ipPrefix: fmt.Sprintf("127.%d.%d.", processNetwork, deployments.Add(1)%250),
 	}
 	t.Cleanup(deployment.close)
 	deployment.putDesired()
--- a/rattancmd/serve_test.go
+++ b/rattancmd/serve_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -40,12 +39,16 @@
 		"complete again": {"00000000000000aa", validBody, http.StatusOK, `{"state":"succeeded"}`},
 	}
 	deployment.checker.JobSubmitted("00000000000000aa", rattansite.TaskProfile{MilliCPU: 4000, Duration: 50 * time.Millisecond})
+	// Each instance answers each request, because checkMetrics requires requests
+	// at the home.
 	for name, test := range tests {
-		answer := deployment.send(client, deployment.instances[rand.IntN(2)], test.id, []byte(test.body))
-		deployment.Check(answer.Status, qt.Equals, test.status, qt.Commentf("%s: %s", name, answer.Body))
-		deployment.Check(answer.Body, qt.Contains, test.contains, qt.Commentf("%s", name))
-		if test.status == http.StatusServiceUnavailable {
-			deployment.Check(answer.Header.Get("Retry-After"), qt.Not(qt.Equals), "", qt.Commentf("%s", name))
+		for _, instance := range deployment.instances {
+			answer := deployment.send(client, instance, test.id, []byte(test.body))
+			deployment.Check(answer.Status, qt.Equals, test.status, qt.Commentf("%s: %s", name, answer.Body))
+			deployment.Check(answer.Body, qt.Contains, test.contains, qt.Commentf("%s", name))
+			if test.status == http.StatusServiceUnavailable {
+				deployment.Check(answer.Header.Get("Retry-After"), qt.Not(qt.Equals), "", qt.Commentf("%s", name))
+			}
 		}
 	}
 	deployment.Check(deployment.checker.Starts(), qt.Equals, 3)
