Answer requests for the inventory from the former version

Callers see nothing while the store answers. In a rolling update with the store away, an instance of the former version that becomes a home asks its peers for their inventory with an empty body; instances of this version refused that as malformed, so it kept the copy it had, or none.

Change: an empty body asks for the whole inventory, as After 0 does. The answer holds the fields that the former version reads. A malformed body is refused as before.

TestInventoryRequestOfFormerVersion failed before (decode inventory request: unexpected end of JSON input) and passes now.

--- a/rattanzone/inventory_test.go
+++ b/rattanzone/inventory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -198,6 +199,38 @@
 	c.Check(home.copyAfter(20).After, qt.Equals, int64(20))
 }
 
+// TestInventoryRequestOfFormerVersion guards against a rolling update in which
+// instances of the former version, whose requests have no body, cannot copy the
+// inventory.
+func TestInventoryRequestOfFormerVersion(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	inventory := NewInventory(nil)
+	inventory.update(rattanwork.Inventory{Revision: 5, Targets: []rattanwork.Target{{ID: "a", Zone: "z"}}}, now)
+	agent := New(Config{Self: rattanwork.Member{Name: "self", Zone: "z"}, Peers: noPeers{}, Inventory: inventory, Clock: func() time.Time { return now }})
+	for name, test := range map[string]struct {
+		body    string
+		targets int
+		err     string
+	}{
+		"former version": {"", 1, ""},
+		"whole":          {`{"After":0}`, 1, ""},
+		"changes":        {`{"After":5}`, 0, ""},
+		"malformed":      {"{", 0, "decode inventory request.*"},
+	} {
+		reply, err := agent.handleInventory(context.Background(), "", []byte(test.body))
+		if test.err != "" {
+			c.Check(err, qt.ErrorMatches, test.err, qt.Commentf(name))
+			continue
+		}
+		c.Assert(err, qt.IsNil, qt.Commentf(name))
+		var copied rattanwork.Inventory
+		c.Assert(json.Unmarshal(reply, &copied), qt.IsNil)
+		c.Check(copied.Revision, qt.Equals, int64(5), qt.Commentf(name))
+		c.Check(copied.Targets, qt.HasLen, test.targets, qt.Commentf(name))
+	}
+}
+
 // TestNewestInventoryIsCopiedFirst guards against a home that is content with an
 // older copy of the inventory than another instance has while the store is away.
 func TestNewestInventoryIsCopiedFirst(t *testing.T) {
--- a/rattanzone/sync.go
+++ b/rattanzone/sync.go
@@ -174,8 +174,11 @@
 // inventoryInterval.
 func (a *Agent) handleInventory(ctx context.Context, _ string, body []byte) ([]byte, error) {
 	var request inventoryRequest
-	if err := json.Unmarshal(body, &request); err != nil {
-		return nil, errors.Annotate(err, "decode inventory request")
+	// Instances of the former version send no body.
+	if len(body) > 0 {
+		if err := json.Unmarshal(body, &request); err != nil {
+			return nil, errors.Annotate(err, "decode inventory request")
+		}
 	}
 	now := a.config.Clock()
 	if a.LocalHome() == nil && a.config.Inventory.age(now) > inventoryInterval {
