Part the scheduler's runs and jobs by subject

Functions are moved unchanged, but for one: IsNew and adoptRuns asked the same three things about each task; mayHaveStarted answers both.

--- /dev/null
+++ b/rattanscheduler/adoption.go
@@ -0,0 +1,125 @@
+package rattanscheduler
+
+import "time"
+
+const (
+	// doneTaskRetention is how long a completed task is kept for callers that
+	// resubmit its job after a takeover.
+	doneTaskRetention = 5 * time.Second
+	// orphanGracePeriod is how long runs of an earlier home may continue without
+	// a resubmission of their job.
+	orphanGracePeriod = 700 * time.Millisecond
+)
+
+// IsNew reports whether the job is not known and certainly has no runs, also
+// none of an earlier submission.
+func (s *Scheduler) IsNew(submission Submission) bool {
+	job := submission.Job
+	if _, known := s.jobs[job.ID]; known || submission.Resumed {
+		return false
+	}
+	for name := range job.TaskNames() {
+		if s.mayHaveStarted(name) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayHaveStarted reports whether a task may have started in an earlier
+// submission of its job: it has completed, a run may be active or a target was
+// lost under it.
+func (s *Scheduler) mayHaveStarted(name string) bool {
+	_, done := s.doneTasks[name]
+	return done || s.activeRuns[name] > 0 || s.hasLosses(name)
+}
+
+// adoptRuns binds the runs that an earlier home started and the tasks that
+// completed under it to a newly submitted job. If runs of an earlier submission
+// may still be active, the job counts as started and can be neither refused nor
+// redirected.
+func (s *Scheduler) adoptRuns(j *job) {
+	for _, t := range j.tasks {
+		if s.mayHaveStarted(t.name) {
+			j.maybeStarted = true
+		}
+		if s.hasLosses(t.name) {
+			j.hasLosses = true
+		}
+		if _, ok := s.doneTasks[t.name]; ok {
+			delete(s.doneTasks, t.name)
+			s.markDone(t)
+			continue
+		}
+		if t.state != taskWaiting {
+			continue
+		}
+		r, ok := s.orphans[t.name]
+		if !ok || r.state == runStopping {
+			continue
+		}
+		delete(s.orphans, t.name)
+		s.bindRun(r, t)
+	}
+}
+
+// waitingTask returns the named task if its job is known and it has no run,
+// otherwise nil.
+func (s *Scheduler) waitingTask(name string) *task {
+	j, ok := s.jobs[jobIDOf(name)]
+	if !ok {
+		return nil
+	}
+	t := j.task(name)
+	if t == nil || t.state != taskWaiting {
+		return nil
+	}
+	return t
+}
+
+// bindRun makes a run of an earlier home the current run of its task and
+// reserves the resources of the run.
+func (s *Scheduler) bindRun(r *run, t *task) {
+	r.task = t
+	t.run = r
+	t.state = taskActive
+	t.attempt = max(t.attempt, r.attempt)
+	t.job.maybeStarted = true
+	r.resources = t.resources()
+	r.target.orphanCount--
+	r.target.reserve(r.resources)
+	s.touch(r.target)
+}
+
+// recordEarlierDone records that a task completed in a run that this scheduler
+// did not start. If its job is not known yet, the result is kept for a
+// resubmission.
+func (s *Scheduler) recordEarlierDone(name string, now time.Time) {
+	t := s.waitingTask(name)
+	if t == nil {
+		s.doneTasks[name] = now.Add(doneTaskRetention)
+		return
+	}
+	s.markDone(t)
+	t.job.maybeStarted = true
+	s.advanceJob(t.job, now)
+}
+
+// advanceWaitingTask advances the job of a task that may have waited for the
+// end of an earlier run.
+func (s *Scheduler) advanceWaitingTask(name string, now time.Time) {
+	if t := s.waitingTask(name); t != nil {
+		s.advanceJob(t.job, now)
+	}
+}
+
+// stopOrphans stops runs of an earlier home whose job was not resubmitted
+// within the grace period.
+func (s *Scheduler) stopOrphans(now time.Time) {
+	for _, r := range s.orphans {
+		if r.state != runStopping && now.Sub(r.knownSince) > orphanGracePeriod {
+			r.state = runStopping
+			s.requestStop(r, now)
+		}
+	}
+}
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -13,30 +13,6 @@
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
-//go:generate go tool stringer -linecomment -type=Outcome,TargetChange,runState -output=enum_string.go
-
-// Outcome is the final state of a job.
-type Outcome int
-
-// Outcomes of a job.
-const (
-	// Open means that the job has not ended.
-	Open Outcome = iota
-	Succeeded
-	// Failed means that a task failed as often as its route allows.
-	Failed
-	// Refused means that no task of the job has started or will start.
-	Refused
-	// Expired means that the job can no longer complete in time; some of its
-	// tasks may have run.
-	Expired
-	// Cancelled means that no caller waits for the job any more.
-	Cancelled
-	// Redirected means that no task of the job has started here and that
-	// another availability zone has free capacity for it.
-	Redirected
-)
-
 // Submission is a job with the scheduling parameters of its route.
 type Submission struct {
 	Job         *rattanwork.Job
@@ -83,65 +59,6 @@
 	Attempt int
 }
 
-// JobResult is the result of a job.
-type JobResult struct {
-	JobID   string
-	Outcome Outcome
-	// Zone is the zone to which a redirected job must be submitted.
-	Zone string
-	// RetryAfter is the expected time until a refused job could be accepted.
-	RetryAfter time.Duration
-	// Reason is a short explanation of the outcome.
-	Reason string
-	// Tasks is the number of the job's tasks, Estimate the declared run time of
-	// its critical path.
-	Tasks    int
-	Estimate time.Duration
-	// Runs is the number of requested runs, Failures the number of failed ones.
-	Runs     int
-	Failures int
-	// FirstStart is the time from submission to the first requested run.
-	FirstStart time.Duration
-	// Elapsed is the time from submission to the end of the job.
-	Elapsed time.Duration
-	// Room is set if the job was refused or redirected.
-	Room *Room
-	// History lists all runs. It is empty if the job succeeded with one run per
-	// task.
-	History []RunRecord
-}
-
-// Room is what the scheduler knew of free resources when it refused or
-// redirected a job.
-type Room struct {
-	// ExpectedWait is the time until the work before the job is done, Slack how
-	// long the start of the job could be delayed.
-	ExpectedWait time.Duration
-	Slack        time.Duration
-	// NeedMilliCPU is the demand of the largest ready task. FreeMilliCPU is the
-	// free capacity of the service's targets in this zone, LargestMilliCPU that
-	// of the target with the most, RemoteMilliCPU that of the best other zone.
-	NeedMilliCPU    int
-	FreeMilliCPU    int
-	LargestMilliCPU int
-	RemoteMilliCPU  int
-	// WaitingTasks is the number of tasks that wait for room here.
-	WaitingTasks int
-}
-
-// RunRecord describes one run of a job. Times are relative to the submission of
-// the job.
-type RunRecord struct {
-	Task           string
-	Target         string
-	Attempt        int
-	RequestedAfter time.Duration `json:"Ordered"`
-	// Ended is 0 until the run has ended; Result then describes the end in one
-	// word.
-	Ended  time.Duration
-	Result string `json:"How"`
-}
-
 // Output contains the decisions made since the last call of Take.
 type Output struct {
 	Starts  []StartRequest
@@ -295,21 +212,6 @@
 	}
 }
 
-// IsNew reports whether the job is not known and certainly has no runs, also
-// none of an earlier submission.
-func (s *Scheduler) IsNew(submission Submission) bool {
-	job := submission.Job
-	if _, known := s.jobs[job.ID]; known || submission.Resumed {
-		return false
-	}
-	for name := range job.TaskNames() {
-		if _, done := s.doneTasks[name]; done || s.activeRuns[name] > 0 || s.hasLosses(name) {
-			return false
-		}
-	}
-	return true
-}
-
 // Refuse refuses or redirects a new job instead of submitting it.
 func (s *Scheduler) Refuse(submission Submission, reason string, retryAfter time.Duration, now time.Time) {
 	j := newJob(submission, now)
@@ -347,17 +249,9 @@
 	}
 }
 
-const (
-	// noTargetRetryAfter is the suggested retry delay if there is no suitable
-	// target: targets register within one to two seconds of their start.
-	noTargetRetryAfter = 2 * time.Second
-	// doneTaskRetention is how long a completed task is kept for callers that
-	// resubmit its job after a takeover.
-	doneTaskRetention = 5 * time.Second
-	// orphanGracePeriod is how long runs of an earlier home may continue without
-	// a resubmission of their job.
-	orphanGracePeriod = 700 * time.Millisecond
-)
+// noTargetRetryAfter is the suggested retry delay if there is no suitable
+// target: targets register within one to two seconds of their start.
+const noTargetRetryAfter = 2 * time.Second
 
 // canEverRun reports whether the known targets, if idle, could run each step of
 // the job.
@@ -389,65 +283,6 @@
 	return count <= 0
 }
 
-// adoptRuns binds the runs that an earlier home started and the tasks that
-// completed under it to a newly submitted job. If runs of an earlier submission
-// may still be active, the job counts as started and can be neither refused nor
-// redirected.
-func (s *Scheduler) adoptRuns(j *job) {
-	for _, t := range j.tasks {
-		if s.hasLosses(t.name) {
-			j.hasLosses = true
-			j.maybeStarted = true
-		}
-		if s.activeRuns[t.name] > 0 {
-			j.maybeStarted = true
-		}
-		if _, ok := s.doneTasks[t.name]; ok {
-			delete(s.doneTasks, t.name)
-			s.markDone(t)
-			j.maybeStarted = true
-			continue
-		}
-		if t.state != taskWaiting {
-			continue
-		}
-		r, ok := s.orphans[t.name]
-		if !ok || r.state == runStopping {
-			continue
-		}
-		delete(s.orphans, t.name)
-		s.bindRun(r, t)
-	}
-}
-
-// waitingTask returns the named task if its job is known and it has no run,
-// otherwise nil.
-func (s *Scheduler) waitingTask(name string) *task {
-	j, ok := s.jobs[jobIDOf(name)]
-	if !ok {
-		return nil
-	}
-	t := j.task(name)
-	if t == nil || t.state != taskWaiting {
-		return nil
-	}
-	return t
-}
-
-// bindRun makes a run of an earlier home the current run of its task and
-// reserves the resources of the run.
-func (s *Scheduler) bindRun(r *run, t *task) {
-	r.task = t
-	t.run = r
-	t.state = taskActive
-	t.attempt = max(t.attempt, r.attempt)
-	t.job.maybeStarted = true
-	r.resources = t.resources()
-	r.target.orphanCount--
-	r.target.reserve(r.resources)
-	s.touch(r.target)
-}
-
 // mayStart reports whether a waiting task may start. It must wait while a run
 // from an earlier submission of the job may still be active.
 func (s *Scheduler) mayStart(t *task) bool {
