Count the losses that homes had no time to notice

What callers saw: a task that crashes targets could be started once more for each home that died within about a second of a start, on top of the three starts of the last home. With three such homes that is 6, and the users' limit is 5.

Cause: a home learns of a crash when the leases of the target expire. If it dies before, the loss is on nobody's record. The instance whose caller waits knows how many homes it has submitted the job to, but told each home only that there was one before.

Change: the request says how many homes there were before. Each may have had one loss that is not on record. A task with a recorded loss waits for proof once recorded losses and earlier homes make five. Earlier homes alone hold nothing, so a zone that changes its home often harms no task whose targets live.

--- a/rattancmd/crash_test.go
+++ b/rattancmd/crash_test.go
@@ -1,6 +1,7 @@
 package rattancmd_test
 
 import (
+	"fmt"
 	"net/http"
 	"syscall"
 	"testing"
@@ -17,11 +18,16 @@
 	// three targets have crashed under it.
 	maxCrashingStarts = 5
 	crashingJob       = "00000000000000dd"
-	crashingJobBody   = `{"spec":"s","best_effort":true,"steps":[{"count":1,"cpu":4000,"mem_mb":64,"estimate_ms":4000}]}`
 	// crashingJobDeadline is long enough for more than maxCrashingStarts starts.
 	crashingJobDeadline = 10 * time.Second
 )
 
+// crashingJobBody returns the body of a job with one task and the estimated run
+// time, which determines how long the job may be late.
+func crashingJobBody(estimate time.Duration) []byte {
+	return fmt.Appendf(nil, `{"spec":"s","best_effort":true,"steps":[{"count":1,"cpu":4000,"mem_mb":64,"estimate_ms":%d}]}`, estimate.Milliseconds())
+}
+
 // waitForStarts waits until the job has been started that many times.
 func (d *deployment) waitForStarts(id string, starts int) {
 	d.Helper()
@@ -65,7 +71,7 @@
 			deployment.store.SetOutage(test.outage)
 			answers := make(chan serveAnswer, 1)
 			go func() {
-				answers <- deployment.sendWithDeadline(&http.Client{}, entry, crashingJob, []byte(crashingJobBody), crashingJobDeadline)
+				answers <- deployment.sendWithDeadline(&http.Client{}, entry, crashingJob, crashingJobBody(4*time.Second), crashingJobDeadline)
 			}()
 			if test.killHomes {
 				deployment.waitForStarts(crashingJob, 2)
@@ -91,7 +97,7 @@
 	var answer serveAnswer
 	for range 4 {
 		for _, instance := range deployment.instances {
-			answer = deployment.sendWithDeadline(&http.Client{}, instance, crashingJob, []byte(crashingJobBody), 1200*time.Millisecond)
+			answer = deployment.sendWithDeadline(&http.Client{}, instance, crashingJob, crashingJobBody(4*time.Second), 1200*time.Millisecond)
 		}
 	}
 	deployment.Check(answer.Body, qt.Equals, `{"state":"failed"}`)
@@ -105,7 +111,7 @@
 	deployment := startDeployment(t, []string{"a"}, 3, 8)
 	deployment.checker.JobSubmitted(crashingJob, rattansite.TaskProfile{MilliCPU: 4000, Duration: time.Second, CrashesTarget: true})
 	submit := func(instance *serveInstance) serveAnswer {
-		return deployment.sendWithDeadline(&http.Client{}, instance, crashingJob, []byte(crashingJobBody), crashingJobDeadline)
+		return deployment.sendWithDeadline(&http.Client{}, instance, crashingJob, crashingJobBody(4*time.Second), crashingJobDeadline)
 	}
 	deployment.Check(submit(deployment.instances[0]).Body, qt.Equals, `{"state":"failed"}`)
 	// The history is saved once a second.
@@ -123,3 +129,28 @@
 	deployment.Check(submit(deployment.instances[1]).Body, qt.Equals, `{"state":"failed"}`)
 	deployment.Check(deployment.checker.StartsOf(crashingJob), qt.Equals, starts)
 }
+
+// TestServeCrashesUnnoticedByHomes guards against a task that crashes a target
+// under each of three homes, which are killed before they notice it, and then
+// three more.
+func TestServeCrashesUnnoticedByHomes(t *testing.T) {
+	t.Parallel()
+	deployment := startDeployment(t, []string{"a"}, 6, 10)
+	deployment.checker.JobSubmitted(crashingJob, rattansite.TaskProfile{MilliCPU: 4000, Duration: time.Second, CrashesTarget: true})
+	entry := deployment.instances[len(deployment.instances)-1]
+	answers := make(chan serveAnswer, 1)
+	go func() {
+		answers <- deployment.sendWithDeadline(&http.Client{}, entry, crashingJob, crashingJobBody(9*time.Second), 2*crashingJobDeadline)
+	}()
+	for kills := range 3 {
+		deployment.waitForStarts(crashingJob, kills+1)
+		home := deployment.homeOf("a")
+		// The caller's own instance must live, since it knows of the job.
+		deployment.Assert(home, qt.Not(qt.Equals), entry)
+		deployment.kill(home, syscall.SIGKILL)
+	}
+	<-answers
+	starts := deployment.checker.StartsOf(crashingJob)
+	deployment.Logf("%d starts", starts)
+	deployment.Check(starts <= maxCrashingStarts, qt.IsTrue, qt.Commentf("%d starts", starts))
+}
--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -43,6 +43,11 @@
 	// homeAttempts counts the submissions to homes of the zone, each of which
 	// may know of the job.
 	homeAttempts int
+	// homes counts the homes that the job was submitted to and that may have
+	// started it. They are told apart by their fencing tokens, the last of which
+	// is homeToken.
+	homes     int
+	homeToken int64
 	// home is the name of the instance that the job was last submitted to.
 	home string
 	// zone is the zone that the job is submitted to. redirected is set once the
@@ -128,7 +133,7 @@
 // attempt submits the job to one home. The second result reports whether the
 // response is final.
 func (s *submission) attempt(ctx context.Context, claim rattanzone.Claim, homeChanged <-chan struct{}) (response, bool) {
-	request := s.request()
+	request := s.request(claim)
 	s.homeAttempts++
 	s.home = claim.Name
 	if s.redirected {
@@ -156,6 +161,7 @@
 		s.zone = reply.Result.Zone
 		s.redirected = true
 		s.homeAttempts = 0
+		s.homes = 0
 		return response{}, false
 	}
 	if s.redirected && s.outOfReach(err, s.handler.config.Clock()) {
@@ -182,8 +188,13 @@
 	return err != nil && now.Sub(s.unreachableSince) > remoteHomeTimeout
 }
 
-func (s *submission) request() *rattanhome.Request {
+// request returns the request to the home that holds the claim.
+func (s *submission) request(claim rattanzone.Claim) *rattanhome.Request {
 	now := s.handler.config.Clock()
+	if s.homes == 0 || s.homeToken != claim.FencingToken {
+		s.homes++
+		s.homeToken = claim.FencingToken
+	}
 	return &rattanhome.Request{
 		Submitter:    s.handler.config.Self.Name,
 		Incarnation:  s.handler.config.Self.Incarnation,
@@ -196,6 +207,7 @@
 		SlackFactor:  s.route.SlackFactor,
 		Deadline:     s.deadline.Sub(now),
 		Resumed:      s.homeAttempts > 0,
+		EarlierHomes: s.homes - 1,
 		Redirectable: s.homeAttempts == 0 && !s.redirected,
 	}
 }
--- a/rattanfront/submission_test.go
+++ b/rattanfront/submission_test.go
@@ -80,8 +80,18 @@
 
 func (z *fakeZones) Answered(AnswerRecord) {}
 
+// zones is what a handler needs of the other parts of the system.
+type zones interface {
+	HomeLocator
+	LocalHome
+	Peers
+	DesiredStateProvider
+	Journal
+	clock() time.Time
+}
+
 // post submits a job and returns the status of the answer.
-func (z *fakeZones) post() int {
+func post(z zones) int {
 	handler := New(Config{
 		Self: rattanwork.Member{Name: "self", Zone: "a"}, Homes: z, LocalHome: z, Peers: z, DesiredState: z, Journal: z, Clock: z.clock,
 	})
@@ -117,7 +127,38 @@
 		t.Run(name, func(t *testing.T) {
 			zones := &fakeZones{now: time.Now(), remote: test.remote, changed: make(chan struct{})}
 			zones.local.Result = rattanscheduler.JobResult{Outcome: rattanscheduler.Redirected, Zone: "b"}
-			qt.New(t).Assert(zones.post(), qt.Equals, test.want)
+			qt.New(t).Assert(post(zones), qt.Equals, test.want)
 		})
 	}
 }
+
+// changingHome is a home of the local zone that has another fencing token at each
+// submission, and completes the job after the last one.
+type changingHome struct {
+	*fakeZones
+	tokens       []int64
+	earlierHomes []int
+}
+
+func (h *changingHome) Home(zone string) (rattanzone.Claim, bool, <-chan struct{}) {
+	return rattanzone.Claim{Zone: zone, Name: "self", FencingToken: h.tokens[0]}, true, h.changed
+}
+
+func (h *changingHome) Submit(_ context.Context, request *rattanhome.Request) (rattanhome.Reply, error) {
+	h.earlierHomes = append(h.earlierHomes, request.EarlierHomes)
+	if len(h.tokens) == 1 {
+		return rattanhome.Reply{Result: rattanscheduler.JobResult{Outcome: rattanscheduler.Succeeded}}, nil
+	}
+	h.tokens = h.tokens[1:]
+	return rattanhome.Reply{NotHome: true}, nil
+}
+
+// TestHomeIsToldOfEarlierHomes guards against a home that does not know how many
+// homes may have lost a target under a task before, and against counting a home
+// more than once.
+func TestHomeIsToldOfEarlierHomes(t *testing.T) {
+	c := qt.New(t)
+	home := &changingHome{fakeZones: &fakeZones{now: time.Now(), changed: make(chan struct{})}, tokens: []int64{3, 3, 5, 6, 6}}
+	c.Assert(post(home), qt.Equals, http.StatusOK)
+	c.Assert(home.earlierHomes, qt.DeepEquals, []int{0, 0, 1, 2, 2})
+}
--- a/rattanhome/service.go
+++ b/rattanhome/service.go
@@ -43,6 +43,7 @@
 	SlackFactor  float64 `json:"Slack"`
 	Deadline     time.Duration
 	Resumed      bool
+	EarlierHomes int
 	Redirectable bool `json:"MayMove"`
 }
 
@@ -164,6 +165,7 @@
 		SlackFactor:  r.SlackFactor,
 		Deadline:     now.Add(r.Deadline),
 		Resumed:      r.Resumed,
+		EarlierHomes: r.EarlierHomes,
 		Redirectable: r.Redirectable,
 	}
 }
--- a/rattanscheduler/loss.go
+++ b/rattanscheduler/loss.go
@@ -16,6 +16,9 @@
 	// waits until it is known which of them have crashed. A target that was only
 	// silent does not count in the end.
 	maxLosses = 3
+	// maxUnnoticedLosses replaces maxLosses if each earlier home of the job is
+	// counted as a further target, which that home had no time to record.
+	maxUnnoticedLosses = 5
 )
 
 // RunLoss reports a run that was lost with its target.
@@ -126,7 +129,8 @@
 		return false
 	}
 	losses := s.crashes.Of(t.name)
-	return losses.Silent+losses.Crashed >= maxLosses
+	lost := losses.Silent + losses.Crashed
+	return lost >= maxLosses || (lost > 0 && lost+t.job.submission.EarlierHomes >= maxUnnoticedLosses)
 }
 
 // heldTooLong reports whether a job has a task that awaits proof although the
--- a/rattanscheduler/loss_test.go
+++ b/rattanscheduler/loss_test.go
@@ -1,6 +1,7 @@
 package rattanscheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -143,6 +144,55 @@
 	}
 }
 
+// TestLossesUnnoticedByEarlierHomesCount guards against a task that crashes a
+// target under each of several homes, which die before they notice it, and then
+// three more under the last home.
+func TestLossesUnnoticedByEarlierHomesCount(t *testing.T) {
+	for earlierHomes := range maxCrashingStarts {
+		t.Run(fmt.Sprint(earlierHomes), func(t *testing.T) {
+			z := newReconciledZone(qt.New(t), 12)
+			submission := z.patientSubmission(jobA)
+			submission.EarlierHomes = earlierHomes
+			z.scheduler.Submit(submission, z.now)
+			starts := earlierHomes
+			for range 10 {
+				for _, start := range z.scheduler.Take().Starts {
+					starts++
+					z.accept(start)
+					z.crash(start)
+				}
+			}
+			z.Assert(starts <= maxCrashingStarts, qt.IsTrue, qt.Commentf("%d starts", starts))
+		})
+	}
+}
+
+// TestLaterHomesOfAKnownJobCount guards against forgetting the earlier homes of a
+// job that another instance has submitted first, without knowing them.
+func TestLaterHomesOfAKnownJobCount(t *testing.T) {
+	z := newReconciledZone(qt.New(t), 12)
+	start := z.firstStart()
+	submission := z.patientSubmission(jobA)
+	submission.EarlierHomes = maxUnnoticedLosses - 1
+	z.scheduler.Submit(submission, z.now)
+	z.crash(start)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+}
+
+// TestTaskOfEarlierHomesStarts guards against holding the tasks of a job only
+// because its zone has had many homes.
+func TestTaskOfEarlierHomesStarts(t *testing.T) {
+	z := newReconciledZone(qt.New(t), 2)
+	submission := z.patientSubmission(jobA)
+	submission.EarlierHomes = 2 * maxUnnoticedLosses
+	z.scheduler.Submit(submission, z.now)
+	start := z.nextStart()
+	z.crash(start)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 0)
+	z.listStarted(start.Target.ID, nil)
+	z.nextStart()
+}
+
 // TestLeavingTargetIsNoCrash guards against holding the end of a drained target
 // against its tasks.
 func TestLeavingTargetIsNoCrash(t *testing.T) {
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -32,6 +32,9 @@
 	// Resumed is set if the job was submitted before, so that an earlier home
 	// may have started tasks of it.
 	Resumed bool
+	// EarlierHomes is the number of homes that the job was submitted to before.
+	// Each may have lost a target under a task without a record of it.
+	EarlierHomes int
 	// Redirectable is set if the job may be redirected to another availability
 	// zone.
 	Redirectable bool
@@ -196,7 +199,8 @@
 // tasks as far as there are resources for them. A job that no target could ever
 // run is refused at once.
 func (s *Scheduler) Submit(submission Submission, now time.Time) {
-	if _, ok := s.jobs[submission.Job.ID]; ok {
+	if known, ok := s.jobs[submission.Job.ID]; ok {
+		known.submission.EarlierHomes = max(known.submission.EarlierHomes, submission.EarlierHomes)
 		return
 	}
 	j := newJob(submission, now)
