Repeat cancellations until their answer is final

Cause: an instance gives a forwarded cancellation 2 s. If the home of the job takes longer, the answer stays open and says when to ask again. The client's package says that it retries until the answer is final, but its Cancel sent one request.

The test still requires a final answer to each of its 2,000 cancellations within 30 s; that one request is enough however busy the home is was never promised.

--- a/rattanclient/client.go
+++ b/rattanclient/client.go
@@ -71,7 +71,15 @@
 	return &Client{config: config, httpClient: &http.Client{Transport: config.Transport}}
 }
 
-// Cancel cancels a job and returns its answer.
+// CancelAndWait cancels a job and repeats the cancellation until its answer is
+// final or ctx ends, like SubmitAndWait. An answer stays open, for example, while
+// the home of the job is too busy to answer the instance in time.
+func (c *Client) CancelAndWait(ctx context.Context, key rattanjob.Key) (rattanjob.Answer, error) {
+	return c.untilFinal(ctx, func(int) (rattanjob.Answer, error) { return c.Cancel(ctx, key) })
+}
+
+// Cancel sends a cancellation once, without retries, and returns the answer of
+// the job, which may be open.
 func (c *Client) Cancel(ctx context.Context, key rattanjob.Key) (rattanjob.Answer, error) {
 	return c.requestAnswer(ctx, http.MethodDelete, "/v1/jobs/"+key.String(), nil)
 }
@@ -85,13 +93,22 @@
 	if err != nil {
 		return rattanjob.Answer{}, errors.Trace(err)
 	}
-	var lastAnswer rattanjob.Answer
-	lastErr := error(ErrNoAnswer)
-	for attempt := 0; ctx.Err() == nil; attempt++ {
+	return c.untilFinal(ctx, func(attempt int) (rattanjob.Answer, error) {
 		if attempt > 0 {
 			c.Resubmissions.Add(1)
 		}
-		lastAnswer, lastErr = c.requestAnswer(ctx, http.MethodPost, "/v1/jobs?Wait=10s", body)
+		return c.requestAnswer(ctx, http.MethodPost, "/v1/jobs?Wait=10s", body)
+	})
+}
+
+// untilFinal sends a request, given the number of earlier attempts, until its
+// answer is final or ctx ends. It waits between attempts as long as the last
+// answer says.
+func (c *Client) untilFinal(ctx context.Context, send func(attempt int) (rattanjob.Answer, error)) (rattanjob.Answer, error) {
+	var lastAnswer rattanjob.Answer
+	lastErr := error(ErrNoAnswer)
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		lastAnswer, lastErr = send(attempt)
 		if lastErr == nil && lastAnswer.State.Final() {
 			return lastAnswer, nil
 		}
--- a/rattancmd/jobcmd.go
+++ b/rattancmd/jobcmd.go
@@ -154,7 +154,7 @@
 }
 
 func cancelJob(ctx context.Context, client *rattanclient.Client, key rattanjob.Key) (any, error) {
-	return client.Cancel(ctx, key)
+	return client.CancelAndWait(ctx, key)
 }
 
 func explainJob(ctx context.Context, client *rattanclient.Client, key rattanjob.Key) (any, error) {
