Refuse no job for its wait before most targets have listed

Cause: the expected wait of a job is the work before it divided by the capacity of the usable targets. A new home has none at first; after the first listing it has one of 108, and the jobs that have waited for a home seem to need seconds. They were refused a few milliseconds before the other targets listed.

Change: targets that are known and have not listed their runs yet, nor failed to answer, count as capacity. While they are more than half of it, no job is refused for its wait; jobs without any value left end as before. A target that does not answer once stops counting, so dead targets delay refusals no longer than that.

Tests, both fail before: TestJobsAreNotRefusedBeforeTargetsList (19 jobs that fit at once: 15 refused before, none after) and TestSilentTargetsDoNotDelayRefusals.

--- a/rattanscheduler/pool.go
+++ b/rattanscheduler/pool.go
@@ -24,6 +24,9 @@
 	// capacityMilliCPU the total one of the usable targets.
 	freeMilliCPU     int
 	capacityMilliCPU int
+	// awaitedMilliCPU is the total processor capacity of the targets that have
+	// not listed their runs yet and are expected to.
+	awaitedMilliCPU int
 }
 
 // targetGroup contains the indexed targets with the same processor capacity,
@@ -37,8 +40,10 @@
 type poolEntry struct {
 	// usable is set if the target can take new work, indexed if it also has
 	// free processor capacity.
-	usable   bool
-	indexed  bool
+	usable  bool
+	indexed bool
+	// awaited is set if the target is expected to take new work soon.
+	awaited  bool
 	capacity int
 	free     rattanwork.Resources
 }
@@ -107,6 +112,10 @@
 // refresh updates the indexes after a change of the target.
 func (p *targetPool) refresh(t *target, now time.Time) {
 	p.withdraw(t)
+	if t.awaited() {
+		t.pooled = poolEntry{awaited: true, capacity: t.info.Capacity.MilliCPU}
+		p.awaitedMilliCPU += t.pooled.capacity
+	}
 	if !t.usable(now) {
 		return
 	}
@@ -123,12 +132,29 @@
 	}
 }
 
+// mostlyUnknown reports whether so few of the expected targets have listed their
+// runs that the capacity says nothing about the wait of a job. That is so for
+// some milliseconds after a home has taken over: the first targets take a part of
+// the jobs that wait, and each further one another part.
+func (p *targetPool) mostlyUnknown() bool {
+	return p.capacityMilliCPU <= p.awaitedMilliCPU
+}
+
+// expectedMilliCPU returns the processor capacity of the targets that can take
+// new work now or are expected to soon.
+func (p *targetPool) expectedMilliCPU() int {
+	return p.capacityMilliCPU + p.awaitedMilliCPU
+}
+
 // withdraw removes a target from the indexes.
 func (p *targetPool) withdraw(t *target) {
 	entry := t.pooled
 	if entry.usable {
 		p.capacityMilliCPU -= entry.capacity
 	}
+	if entry.awaited {
+		p.awaitedMilliCPU -= entry.capacity
+	}
 	if entry.indexed {
 		p.freeMilliCPU -= entry.free.MilliCPU
 		p.group(entry.capacity).targets.remove(t)
--- a/rattanscheduler/priority.go
+++ b/rattanscheduler/priority.go
@@ -198,7 +198,7 @@
 // overloaded returns the waiting jobs of a service that have too much work
 // before them.
 func (s *Scheduler) overloaded(state *serviceState, now time.Time) []*job {
-	if state.queue.jobs == 0 || state.pool.capacityMilliCPU == 0 {
+	if state.queue.jobs == 0 || state.pool.mostlyUnknown() {
 		return nil
 	}
 	var list []*job
@@ -229,7 +229,7 @@
 // startsInTime reports whether even the last job of the block would not wait
 // longer than the first one may.
 func (b *jobBlock) startsInTime(workAhead float64, pool *targetPool, now time.Time) bool {
-	wait := time.Duration((workAhead + b.work) / float64(pool.capacityMilliCPU))
+	wait := time.Duration((workAhead + b.work) / float64(pool.expectedMilliCPU()))
 	return wait <= max(time.Duration(b.entries[0].key.latestStart-now.UnixNano()), 0)+overloadTolerance
 }
 
@@ -242,7 +242,7 @@
 		return
 	}
 	state := s.service(j.submission.Service)
-	if j.class == nil || state.pool.capacityMilliCPU == 0 || s.awaitsReconciliation(j, now) {
+	if j.class == nil || state.pool.mostlyUnknown() || s.awaitsReconciliation(j, now) {
 		return
 	}
 	if j.tooMuchBefore(state.queue.workBefore(j, now.UnixNano()), state.pool, now) {
@@ -256,7 +256,7 @@
 	if j.runCount > 0 || j.mayHaveStarted() {
 		return false
 	}
-	wait := time.Duration(work / float64(pool.capacityMilliCPU))
+	wait := time.Duration(work / float64(pool.expectedMilliCPU()))
 	return wait > max(j.timing.slack(now), 0)+overloadTolerance
 }
 
@@ -324,10 +324,10 @@
 // usable targets busy.
 func (s *Scheduler) backlog(service string) time.Duration {
 	state := s.service(service)
-	if state.pool.capacityMilliCPU == 0 {
+	if state.pool.expectedMilliCPU() == 0 {
 		return noTargetRetryAfter
 	}
-	return max(time.Second, time.Duration(state.queue.work/float64(state.pool.capacityMilliCPU)))
+	return max(time.Second, time.Duration(state.queue.work/float64(state.pool.expectedMilliCPU())))
 }
 
 // describeRoom returns what decides on refusing a job.
@@ -339,8 +339,8 @@
 		LargestMilliCPU: state.pool.maxFree().MilliCPU,
 		WaitingTasks:    state.queue.tasks,
 	}
-	if j.class != nil && state.pool.capacityMilliCPU > 0 {
-		room.ExpectedWait = time.Duration(state.queue.workBefore(j, now.UnixNano()) / float64(state.pool.capacityMilliCPU))
+	if j.class != nil && state.pool.expectedMilliCPU() > 0 {
+		room.ExpectedWait = time.Duration(state.queue.workBefore(j, now.UnixNano()) / float64(state.pool.expectedMilliCPU()))
 	}
 	for _, t := range j.ready {
 		room.NeedMilliCPU = max(room.NeedMilliCPU, t.resources().MilliCPU)
--- a/rattanscheduler/takeover_test.go
+++ b/rattanscheduler/takeover_test.go
@@ -1,6 +1,7 @@
 package rattanscheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -144,3 +145,49 @@
 	z.listRuns(2, rattanwork.Listing{})
 	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 1)
 }
+
+// TestJobsAreNotRefusedBeforeTargetsList guards against refusing the jobs that
+// have waited for a new home, because only a few of its targets have listed
+// their runs yet. All of the jobs fit into the zone at once.
+func TestJobsAreNotRefusedBeforeTargetsList(t *testing.T) {
+	const targets = 20
+	z := newFakeZone(qt.New(t), targets)
+	for i := range targets - 1 {
+		z.submitChecked(z.submission(fmt.Sprintf("%016x", i), 2))
+	}
+	for i := range targets {
+		z.listRuns(i, rattanwork.Listing{})
+		z.scheduler.Tick(z.now)
+	}
+	output := z.scheduler.Take()
+	z.Check(output.Starts, qt.HasLen, 2*(targets-1))
+	z.Check(output.Results, qt.HasLen, 0)
+}
+
+// TestSilentTargetsDoNotDelayRefusals guards against a new home that keeps
+// callers waiting for targets that do not answer.
+func TestSilentTargetsDoNotDelayRefusals(t *testing.T) {
+	const targets = 20
+	z := newFakeZone(qt.New(t), targets)
+	for i := range targets - 1 {
+		z.submitChecked(z.submission(fmt.Sprintf("%016x", i), 2))
+	}
+	z.listRuns(0, rattanwork.Listing{})
+	z.Check(z.scheduler.Take().Results, qt.HasLen, 0)
+	for i := 1; i < targets; i++ {
+		z.scheduler.TargetUnresponsive(testTarget(i).ID, false, z.now)
+	}
+	z.scheduler.Tick(z.now)
+	results := z.scheduler.Take().Results
+	// Two tasks run at a time for 100 ms each, and jobs may wait for 200 ms.
+	z.Check(len(results) >= targets-1-5 && len(results) <= targets-1-3, qt.IsTrue, qt.Commentf("%d refused", len(results)))
+	for _, result := range results {
+		z.Check(result.Outcome, qt.Equals, Refused)
+	}
+}
+
+// submitChecked submits a job and refuses it if it cannot be served in time.
+func (z *fakeZone) submitChecked(submission Submission) {
+	z.scheduler.Submit(submission, z.now)
+	z.scheduler.CheckAdmission(submission.Job.ID, z.now)
+}
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -125,6 +125,12 @@
 	return t.info.Incarnation == 0 || t.incarnation == 0 || t.info.Incarnation == t.incarnation
 }
 
+// awaited reports whether the target, which has not listed its runs yet, is
+// expected to do so and to take new work then.
+func (t *target) awaited() bool {
+	return !t.reconciled && !t.unresponsive && !t.info.Draining
+}
+
 // usable reports whether the target can take new work.
 func (t *target) usable(now time.Time) bool {
 	return t.reconciled && t.described() && !t.unresponsive && !t.info.Draining && t.orphanCount == 0 && !now.Before(t.suspendedUntil)
