Never say that a job has not run which had begun

What a caller could see: 503, which says that a job never runs, for a job of which a task had started. It had submitted the job through an instance that was killed, or had got 504, and submitted it again as it should; the home had cancelled or given up the job, forgotten it, and refused the second submission for the work before it, as if it were new.

Cause: what a home knows of a job ends with the job. Results were kept for repeated submissions, but only those of jobs that succeeded or failed.

Change: a home keeps for 5 s the jobs that ended without a result although a task may have started. Their next submission counts as begun: it is neither refused nor redirected, and ends with a result or an open answer.

TestRepeatedJobIsNotSaidNotToHaveRun fails before (cancelled and expired: the job counts as new, and is refused). What a home knows does not outlive it: a job that was cancelled or given up shortly before its home ended, and is submitted again through another instance, can still be refused.

--- a/rattanscheduler/adoption.go
+++ b/rattanscheduler/adoption.go
@@ -6,16 +6,21 @@
 	// doneTaskRetention is how long a completed task is kept for callers that
 	// resubmit its job after a takeover.
 	doneTaskRetention = 5 * time.Second
+	// begunJobRetention is how long a job that ended without a result is kept
+	// for callers that submit it again, which they do within seconds.
+	begunJobRetention = 5 * time.Second
 	// orphanGracePeriod is how long runs of an earlier home may continue without
 	// a resubmission of their job.
 	orphanGracePeriod = 700 * time.Millisecond
 )
 
-// IsNew reports whether the job is not known and certainly has no runs, also
-// none of an earlier submission.
+// IsNew reports whether the job is not known and certainly has not run, also not
+// in an earlier submission.
 func (s *Scheduler) IsNew(submission Submission) bool {
 	job := submission.Job
-	if _, known := s.jobs[job.ID]; known || submission.Resumed {
+	_, known := s.jobs[job.ID]
+	_, begun := s.begunJobs[job.ID]
+	if known || begun || submission.Resumed {
 		return false
 	}
 	for name := range job.TaskNames() {
@@ -39,6 +44,9 @@
 // may still be active, the job counts as started and can be neither refused nor
 // redirected.
 func (s *Scheduler) adoptRuns(j *job) {
+	if _, begun := s.begunJobs[j.submission.Job.ID]; begun {
+		j.maybeStarted = true
+	}
 	for _, t := range j.tasks {
 		if s.mayHaveStarted(t.name) {
 			j.maybeStarted = true
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -7,6 +7,7 @@
 package rattanscheduler
 
 import (
+	"maps"
 	"time"
 
 	"github.com/rattanlever/rattanlever/rattancrash"
@@ -113,6 +114,9 @@
 	// doneTasks contains tasks that completed before their job was submitted to
 	// this home, with the time until which to keep them.
 	doneTasks map[string]time.Time
+	// begunJobs contains the jobs that ended without a result although a task of
+	// them may have started, with the time until which to keep them.
+	begunJobs map[string]time.Time
 	// crashes is the history of lost targets, crashesReviewed its sequence
 	// number when its changes were last applied.
 	crashes         *rattancrash.History
@@ -147,6 +151,7 @@
 		orphans:         map[string]*run{},
 		activeRuns:      map[string]int{},
 		doneTasks:       map[string]time.Time{},
+		begunJobs:       map[string]time.Time{},
 		estimator:       newRunTimeEstimator(),
 		unansweredStops: map[*run]struct{}{},
 		crashes:         config.Crashes,
@@ -246,11 +251,13 @@
 	s.schedule(now)
 	s.redirect(now)
 	s.refuseOverloaded(now)
-	for name, expiry := range s.doneTasks {
-		if now.After(expiry) {
-			delete(s.doneTasks, name)
-		}
-	}
+	removeExpired(s.doneTasks, now)
+	removeExpired(s.begunJobs, now)
+}
+
+// removeExpired removes the entries whose time has passed.
+func removeExpired(entries map[string]time.Time, now time.Time) {
+	maps.DeleteFunc(entries, func(_ string, expiry time.Time) bool { return now.After(expiry) })
 }
 
 // noTargetRetryAfter is the suggested retry delay if there is no suitable
@@ -331,6 +338,9 @@
 	}
 	j.outcome = outcome
 	delete(s.jobs, j.submission.Job.ID)
+	if (outcome == Cancelled || outcome == Expired) && j.mayHaveStarted() {
+		s.begunJobs[j.submission.Job.ID] = now.Add(begunJobRetention)
+	}
 	s.dequeue(j)
 	j.ready = nil
 	for _, t := range j.tasks {
--- a/rattanscheduler/takeover_test.go
+++ b/rattanscheduler/takeover_test.go
@@ -146,6 +146,45 @@
 	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 1)
 }
 
+// TestRepeatedJobIsNotSaidNotToHaveRun guards against telling a caller that its
+// job has not run, because the job was cancelled or expired after a task of it
+// had started and the caller submitted it again.
+func TestRepeatedJobIsNotSaidNotToHaveRun(t *testing.T) {
+	ends := map[string]func(z *fakeZone){
+		"cancelled": func(z *fakeZone) { z.scheduler.Cancel(jobA, z.now) },
+		"expired":   func(z *fakeZone) { z.advance(2 * time.Second) },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			z := newReconciledZone(qt.New(t), 1)
+			z.scheduler.Submit(z.submission(jobA, 1), z.now)
+			start := z.nextStart()
+			end(z)
+			z.listRuns(0, rattanwork.Listing{Ended: []rattanwork.End{{Sequence: 1, Task: start.Task, Attempt: 1, Kind: rattanwork.EndStopped}}})
+			z.scheduler.Take()
+			z.Check(z.scheduler.IsNew(z.submission(jobA, 1)), qt.IsFalse)
+			for i := range 12 {
+				z.submitChecked(z.submission(fmt.Sprintf("%016x", i), 2))
+			}
+			repeated := z.submission(jobA, 1)
+			repeated.Redirectable = true
+			z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: 1 << 20}})
+			z.submitChecked(repeated)
+			z.advance(100 * time.Millisecond)
+			z.advance(2 * time.Second)
+			var outcomes []Outcome
+			for _, result := range z.scheduler.Take().Results {
+				if result.JobID == jobA {
+					outcomes = append(outcomes, result.Outcome)
+				}
+			}
+			z.Check(outcomes, qt.DeepEquals, []Outcome{Expired})
+			z.advance(begunJobRetention + 3*time.Second)
+			z.Check(z.scheduler.IsNew(z.submission(jobA, 1)), qt.IsTrue)
+		})
+	}
+}
+
 // TestJobsAreNotRefusedBeforeTargetsList guards against refusing the jobs that
 // have waited for a new home, because only a few of its targets have listed
 // their runs yet. All of the jobs fit into the zone at once.
