--- a/rattancmd/benchcmd.go
+++ b/rattancmd/benchcmd.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/rattanlever/rattanlever/rattanbench"
+	"github.com/rattanlever/rattanlever/rattanday"
 	"github.com/rattanlever/rattanlever/rattanprofile"
 )
 
@@ -20,6 +21,7 @@
 	Capacity bool          `long:"capacity" description:"measure the cost per unit of load that docs/CAPACITY.md is calculated from"`
 	Spread   bool          `long:"spread" description:"simulate the propagation of configuration changes to 9 to 300 members"`
 	Home     bool          `long:"home" description:"measure the processor time of a task on a home, by stage, up to the rate at which the home fails"`
+	Day      string        `long:"day" value-name:"FILE" description:"play a day of traffic on the schedulers of several zones in virtual time, and compare it with schedulers that know more"`
 	Rates    []float64     `long:"rate" value-name:"JOBS" description:"jobs per second for --home, repeatable; the default is 100 to 1200"`
 	Targets  int           `long:"targets" value-name:"N" default:"240" description:"number of targets for --home"`
 	Fronts   int           `long:"fronts" value-name:"N" default:"2" description:"number of instances beside the home for --home"`
@@ -57,6 +59,9 @@
 	if o.Home {
 		return o.measureHome(ctx)
 	}
+	if o.Day != "" {
+		return o.playDay()
+	}
 	report, err := rattanbench.Run(ctx, rattanbench.Options{
 		Quick:    o.Quick,
 		Virtual:  o.Virtual,
@@ -72,10 +77,29 @@
 			return err
 		}
 	}
+	return o.print(report)
+}
+
+// playDay plays the day of traffic that the file describes.
+func (o *benchOptions) playDay() error {
+	day, err := rattanday.Read(o.Day)
+	if err != nil {
+		return errors.Annotate(err, "--day")
+	}
+	return o.print(rattanday.Play(day, o.Seed))
+}
+
+// report is the result of a benchmark.
+type report interface {
+	WriteJSON(w io.Writer) error
+	WriteText(w io.Writer) error
+}
+
+func (o *benchOptions) print(r report) error {
 	if o.JSON {
-		return errors.Trace(report.WriteJSON(o.std.out))
+		return errors.Trace(r.WriteJSON(o.std.out))
 	}
-	return errors.Trace(report.WriteText(o.std.out))
+	return errors.Trace(r.WriteText(o.std.out))
 }
 
 // measureHome measures the processor time of a home.
@@ -94,10 +118,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if o.JSON {
-		return report.WriteJSON(o.std.out)
-	}
-	return report.WriteText(o.std.out)
+	return o.print(report)
 }
 
 // writePage creates the file at path and writes the HTML page to it.
