Measure the speed of a machine more than once before it is needed

If the one measurement took 2.5 times too long, the machine never counted as slow, and its home kept the zone.

Change: while the machine is not known to be slow and its home is not overloaded, the computation is timed every 5 s, only to learn the shortest time. TestSpeedIsCalibrated fails before and passes now.

--- a/rattanzone/speed.go
+++ b/rattanzone/speed.go
@@ -23,6 +23,10 @@
 	slowChecks = 2
 	// speedCheckInterval is the interval of checks while the machine is slow.
 	speedCheckInterval = time.Second
+	// calibrationInterval is the interval of measurements while the machine is
+	// not known to be slow and its home is not overloaded. A single one at the
+	// start may be far too long, because all processes start at that time.
+	calibrationInterval = 5 * time.Second
 )
 
 // speedMonitor finds out whether the machine computes much slower than it did
@@ -49,8 +53,16 @@
 	}}
 }
 
-// check measures the speed and reports whether the machine is slow.
-func (m *speedMonitor) check(now time.Time) bool {
+// calibrate measures the speed at calibrationInterval, only to learn the shortest
+// time.
+func (m *speedMonitor) calibrate(now time.Time) {
+	if now.Sub(m.checkedAt) >= calibrationInterval {
+		m.measure(now)
+	}
+}
+
+// measure times the computation.
+func (m *speedMonitor) measure(now time.Time) {
 	m.checkedAt = now
 	elapsed := m.compute()
 	for range computationRuns - 1 {
@@ -61,6 +73,11 @@
 		m.shortest = elapsed
 	}
 	m.factor = float64(elapsed) / float64(m.shortest)
+}
+
+// check measures the speed and reports whether the machine is slow.
+func (m *speedMonitor) check(now time.Time) bool {
+	m.measure(now)
 	switch {
 	case m.factor >= slowFactor:
 		m.slowChecks++
@@ -86,6 +103,7 @@
 	localHome := a.LocalHome()
 	overloaded := localHome != nil && localHome.Load().Overloaded
 	if !overloaded && !a.speed.due(now) {
+		a.speed.calibrate(now)
 		return
 	}
 	wasSlow := a.speed.slow
--- a/rattanzone/speed_test.go
+++ b/rattanzone/speed_test.go
@@ -40,6 +40,31 @@
 	}
 }
 
+// TestSpeedIsCalibrated guards against a machine that never counts as slow because
+// its first measurement, while all processes started, took too long.
+func TestSpeedIsCalibrated(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	elapsed := 300 * time.Microsecond
+	agent := New(Config{
+		Self: rattanwork.Member{Name: "self", Zone: "a"}, Peers: noPeers{}, Journal: quietJournal{},
+		DesiredState: &DesiredStateWatcher{}, Inventory: NewInventory(nil), Clock: func() time.Time { return now },
+	})
+	measurements := 0
+	agent.speed.compute = func() time.Duration { measurements++; return elapsed }
+	agent.speed.check(now)
+	elapsed = 100 * time.Microsecond
+	const minute = 60
+	for range minute * 10 {
+		now = now.Add(100 * time.Millisecond)
+		agent.checkSpeed(now)
+	}
+	c.Check(measurements <= minute, qt.IsTrue, qt.Commentf("%d measurements a minute", measurements))
+	elapsed = 600 * time.Microsecond
+	agent.speed.check(now)
+	c.Check(agent.speed.check(now), qt.IsTrue)
+}
+
 // recordingPeers accepts all calls and records which member took the zone over.
 type recordingPeers struct {
 	noPeers
