--- a/rattansystem/borrow_test.go
+++ b/rattansystem/borrow_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/rattanlever/rattanlever/rattancheck"
 	"github.com/rattanlever/rattanlever/rattanclient"
-	"github.com/rattanlever/rattanlever/rattanjob"
 )
 
 // TestBurstBorrowsSlotsOfOtherZones guards against a job with more tasks than its
@@ -29,12 +28,7 @@
 	// Each zone has 32 slots, so one zone alone needs three rounds of 400 ms.
 	submission := newSubmission(keys[0], 90, 400*time.Millisecond)
 	history.Submitted(submission)
-	sentAt := time.Now()
-	answer, err := client.SubmitAndWait(ctx, submission)
-	elapsed := time.Since(sentAt)
-	c.Assert(err, qt.IsNil)
-	c.Assert(answer.State, qt.Equals, rattanjob.StateComplete, qt.Commentf("%+v", answer))
-	history.Answered(submission.Key, sentAt, time.Now(), answer)
+	elapsed := completeJob(ctx, c, client, history, submission)
 	c.Assert(history.Check(system.StartsPerTask()), qt.HasLen, 0)
 	c.Logf("took %v", elapsed)
 	c.Assert(elapsed < 1150*time.Millisecond, qt.IsTrue, qt.Commentf("took %v", elapsed))
--- a/rattansystem/fault_test.go
+++ b/rattansystem/fault_test.go
@@ -44,11 +44,7 @@
 				history.Submitted(submission)
 				jobs.Go(func() {
 					time.Sleep(time.Duration(i) * 20 * time.Millisecond)
-					sentAt := time.Now()
-					answer, err := client.SubmitAndWait(ctx, submission)
-					c.Check(err, qt.IsNil)
-					c.Check(answer.State, qt.Equals, rattanjob.StateComplete, qt.Commentf("%+v", answer))
-					history.Answered(key, sentAt, time.Now(), answer)
+					completeJob(ctx, c, client, history, submission)
 				})
 			}
 			time.Sleep(200 * time.Millisecond)
--- a/rattansystem/pools_test.go
+++ b/rattansystem/pools_test.go
@@ -165,12 +165,7 @@
 	rounds := (tasks + ownSlots - 1) / ownSlots
 	submission := newSubmission(key, tasks, runTime)
 	history.Submitted(submission)
-	sentAt := time.Now()
-	answer, err := client.SubmitAndWait(ctx, submission)
-	elapsed := time.Since(sentAt)
-	c.Assert(err, qt.IsNil)
-	history.Answered(submission.Key, sentAt, time.Now(), answer)
-	c.Assert(answer.State, qt.Equals, rattanjob.StateComplete, qt.Commentf("%+v", answer))
+	elapsed := completeJob(ctx, c, client, history, submission)
 	c.Assert(history.Check(system.StartsPerTask()), qt.HasLen, 0)
 	c.Logf("%d of %d slots, %d rounds without borrowed slots, took %v", ownSlots, 48, rounds, elapsed)
 	c.Assert(rounds > 1, qt.IsTrue)
--- a/rattansystem/system_test.go
+++ b/rattansystem/system_test.go
@@ -54,6 +54,18 @@
 	return submission
 }
 
+// completeJob submits a job, checks that it completes and returns how long that
+// took.
+func completeJob(ctx context.Context, c *qt.C, client *rattanclient.Client, history *rattancheck.History, submission rattanjob.Submission) time.Duration {
+	sentAt := time.Now()
+	answer, err := client.SubmitAndWait(ctx, submission)
+	elapsed := time.Since(sentAt)
+	c.Check(err, qt.IsNil)
+	c.Check(answer.State, qt.Equals, rattanjob.StateComplete, qt.Commentf("%+v", answer))
+	history.Answered(submission.Key, sentAt, time.Now(), answer)
+	return elapsed
+}
+
 // TestJobsThroughAllInstances guards against jobs that are not answered completely
 // through some instance, and against resubmissions that do not join the job.
 func TestJobsThroughAllInstances(t *testing.T) {
@@ -71,11 +83,7 @@
 		history.Submitted(submission)
 		for range 2 {
 			jobs.Go(func() {
-				sentAt := time.Now()
-				answer, err := client.SubmitAndWait(ctx, submission)
-				c.Check(err, qt.IsNil)
-				c.Check(answer.State, qt.Equals, rattanjob.StateComplete, qt.Commentf("%+v", answer))
-				history.Answered(key, sentAt, time.Now(), answer)
+				completeJob(ctx, c, client, history, submission)
 			})
 		}
 	}
