Show that a process waits for its output at its end

Read: the log writer's Close waits until the output takes the last lines, without a limit. TestCloseIsBounded shows that; that it happened in the failed run is not shown.

--- a/rattanlog/nonblocking_test.go
+++ b/rattanlog/nonblocking_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -38,3 +39,27 @@
 	c.Check(writer.Accepted.Load()+writer.Dropped.Load(), qt.Equals, uint64(lines))
 	c.Check(output.Len(), qt.Equals, 1024*int(writer.Accepted.Load()))
 }
+
+// TestCloseIsBounded guards against a process that cannot end within its grace
+// period because nobody reads its output.
+func TestCloseIsBounded(t *testing.T) {
+	c := qt.New(t)
+	output := &blockedWriter{release: make(chan struct{})}
+	defer close(output.release)
+	writer := NewNonBlockingWriter(output)
+	_, err := writer.Write([]byte("last line\n"))
+	c.Assert(err, qt.IsNil)
+	closed := make(chan struct{})
+	go func() {
+		writer.Close()
+		close(closed)
+	}()
+	// It is what an instance has left of its grace period after its servers and
+	// services have been given their time.
+	const maxCloseTime = 200 * time.Millisecond
+	select {
+	case <-closed:
+	case <-time.After(maxCloseTime):
+		c.Errorf("the writer is not closed after %v", maxCloseTime)
+	}
+}
