--- a/rattanbench/report.go
+++ b/rattanbench/report.go
@@ -114,13 +114,6 @@
 	elapsed time.Duration
 }
 
-// WriteJSON writes the report as a JSON object.
-func (r Report) WriteJSON(w io.Writer) error {
-	encoder := json.NewEncoder(w)
-	encoder.SetIndent("", "  ")
-	return errors.Annotate(encoder.Encode(r), "write the report as JSON")
-}
-
 // measure is a row of the report with a target value.
 type measure struct {
 	name string
--- a/rattanbench/report_test.go
+++ b/rattanbench/report_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattanjson"
 )
 
 // TestJSONFields guards the field names that docs/design.md specifies for
@@ -16,7 +18,7 @@
 func TestJSONFields(t *testing.T) {
 	report := Report{Runs: []Row{{Name: "Listaforge", Policy: ProductPolicy, Seed: 1, WastedPerTask: Figure(math.NaN())}}}
 	var out bytes.Buffer
-	qt.Assert(t, report.WriteJSON(&out), qt.IsNil)
+	qt.Assert(t, rattanjson.Write(&out, report), qt.IsNil)
 	var decoded map[string][]map[string]any
 	qt.Assert(t, json.Unmarshal(out.Bytes(), &decoded), qt.IsNil)
 	qt.Assert(t, decoded, qt.HasLen, 1)
--- a/rattancmd/benchcmd.go
+++ b/rattancmd/benchcmd.go
@@ -10,6 +10,7 @@
 
 	"github.com/rattanlever/rattanlever/rattanbench"
 	"github.com/rattanlever/rattanlever/rattanday"
+	"github.com/rattanlever/rattanlever/rattanjson"
 	"github.com/rattanlever/rattanlever/rattanprofile"
 )
 
@@ -91,13 +92,12 @@
 
 // report is the result of a benchmark.
 type report interface {
-	WriteJSON(w io.Writer) error
 	WriteText(w io.Writer) error
 }
 
 func (o *benchOptions) print(r report) error {
 	if o.JSON {
-		return errors.Trace(r.WriteJSON(o.std.out))
+		return errors.Annotate(rattanjson.Write(o.std.out, r), "write the report as JSON")
 	}
 	return errors.Trace(r.WriteText(o.std.out))
 }
--- a/rattancmd/jobcmd.go
+++ b/rattancmd/jobcmd.go
@@ -177,9 +177,7 @@
 // print writes a reply as JSON. It returns an error if the reply is an answer
 // whose job is neither complete nor cancelled.
 func (o *callerOptions) print(reply any) error {
-	encoder := json.NewEncoder(o.std.out)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(reply); err != nil {
+	if err := rattanjson.Write(o.std.out, reply); err != nil {
 		return errors.Trace(err)
 	}
 	answer, ok := reply.(rattanjob.Answer)
--- a/rattancmd/plancmd.go
+++ b/rattancmd/plancmd.go
@@ -8,6 +8,7 @@
 
 	"github.com/rattanlever/rattanlever/rattanconfig"
 	"github.com/rattanlever/rattanlever/rattanentry"
+	"github.com/rattanlever/rattanlever/rattanjson"
 	"github.com/rattanlever/rattanlever/rattanplan"
 )
 
@@ -144,9 +145,7 @@
 		return errors.Annotate(err, "decode the plan in the reply")
 	}
 	if o.JSON {
-		encoder := json.NewEncoder(o.std.out)
-		encoder.SetIndent("", "  ")
-		return errors.Trace(encoder.Encode(reply))
+		return rattanjson.Write(o.std.out, reply)
 	}
 	_, _ = fmt.Fprint(o.std.out, reply.Text)
 	if reply.Progress != nil {
--- a/rattanday/report.go
+++ b/rattanday/report.go
@@ -1,7 +1,6 @@
 package rattanday
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
@@ -162,13 +161,6 @@
 	return part / whole
 }
 
-// WriteJSON writes the report as one JSON object.
-func (r *Report) WriteJSON(w io.Writer) error {
-	encoder := json.NewEncoder(w)
-	encoder.SetIndent("", "  ")
-	return errors.Trace(encoder.Encode(r))
-}
-
 // WriteText writes the report as tables.
 func (r *Report) WriteText(w io.Writer) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
--- a/rattanprofile/profile.go
+++ b/rattanprofile/profile.go
@@ -32,7 +32,7 @@
 	Seed uint64
 }
 
-// Report is the result of a measurement.
+// Report is the result of a measurement. As JSON, its durations are in nanoseconds.
 type Report struct {
 	Targets int
 	Fronts  int
--- a/rattanprofile/report.go
+++ b/rattanprofile/report.go
@@ -1,7 +1,6 @@
 package rattanprofile
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"text/tabwriter"
@@ -10,13 +9,6 @@
 	"github.com/juju/errors"
 )
 
-// WriteJSON writes the report as one JSON object. Durations are in nanoseconds.
-func (r *Report) WriteJSON(w io.Writer) error {
-	encoder := json.NewEncoder(w)
-	encoder.SetIndent("", "  ")
-	return errors.Trace(encoder.Encode(r))
-}
-
 // WriteText writes the report as tables.
 func (r *Report) WriteText(w io.Writer) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
