Log submissions by another version of the desired state than the home's

The log lines could not tell a home that acts on a newer version than its own from one that acts on an older one. A submission states its version now, and the home writes both when they differ. Nothing else changes.

--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -224,6 +224,7 @@
 		Incarnation:  s.handler.config.Self.Incarnation,
 		Sequence:     s.sequence,
 		Uptime:       now.Sub(s.handler.config.StartedAt),
+		Version:      s.state.Version,
 		Job:          s.job,
 		Service:      s.route.Service,
 		Priority:     s.route.Priority,
--- a/rattanhome/service.go
+++ b/rattanhome/service.go
@@ -54,7 +54,10 @@
 	Sequence int64 `json:",omitempty"`
 	// Uptime is the time from the start of the instance to the sending of the
 	// request, 0 if it is of the former version.
-	Uptime       time.Duration `json:",omitempty"`
+	Uptime time.Duration `json:",omitempty"`
+	// Version is the version of the desired state by which the job is submitted, 0
+	// if the submitter is of the former version.
+	Version      int64 `json:",omitempty"`
 	Job          *rattanwork.Job
 	Service      string
 	Priority     int
@@ -100,6 +103,9 @@
 	// JobWithdrawn reports that an instance no longer counts as waiting for a
 	// job, although it has not said so.
 	JobWithdrawn(jobID, submitter, reason string)
+	// VersionsDiffer reports a job that was submitted by another version of the
+	// desired state than the one in force on this instance.
+	VersionsDiffer(difference VersionDifference)
 }
 
 // ServiceConfig configures a Service.
@@ -107,8 +113,10 @@
 	// Name is the name of this instance.
 	Name       string
 	Membership Membership
-	Journal    ServiceJournal
-	Clock      func() time.Time
+	// DesiredState is that of this instance.
+	DesiredState DesiredState
+	Journal      ServiceJournal
+	Clock        func() time.Time
 }
 
 // Service accepts jobs for the home on this instance, both from its own callers
@@ -189,6 +197,7 @@
 	if home == nil {
 		return Reply{NotHome: true}, nil
 	}
+	s.compareVersions(request)
 	now := s.config.Clock()
 	if !s.addSubmitter(request, now) {
 		return Reply{Result: rattanscheduler.JobResult{JobID: request.Job.ID, Outcome: rattanscheduler.Cancelled}}, nil
--- a/rattanhome/service_test.go
+++ b/rattanhome/service_test.go
@@ -26,6 +26,8 @@
 
 func (noopJournal) JobWithdrawn(string, string, string) {}
 
+func (noopJournal) VersionsDiffer(VersionDifference) {}
+
 // fakeMembers is a Membership in which one other instance was last heard at
 // lastHeard.
 type fakeMembers struct {
@@ -45,7 +47,7 @@
 func newTestService(c *qt.C) (service *Service, members *fakeMembers, loseCall func()) {
 	targets := newFakeTargets(time.Minute)
 	members = &fakeMembers{soleMember: soleMember{newTestHome(c, targets)}, lastHeard: time.Now(), incarnation: 1}
-	service = NewService(ServiceConfig{Name: "self", Membership: members, Journal: noopJournal{}, Clock: time.Now})
+	service = NewService(ServiceConfig{Name: "self", Membership: members, DesiredState: &fakeDesiredState{}, Journal: noopJournal{}, Clock: time.Now})
 	submission := testSubmission(1)
 	request := Request{
 		Submitter: "other", Incarnation: 1, Job: submission.Job, Service: submission.Service, MaxAttempts: 3,
@@ -111,7 +113,7 @@
 	targets := newFakeTargets(time.Millisecond)
 	home := newTestHome(c, targets)
 	awaitListing(home)
-	service := NewService(ServiceConfig{Name: "self", Membership: soleMember{home}, Journal: noopJournal{}, Clock: time.Now})
+	service := NewService(ServiceConfig{Name: "self", Membership: soleMember{home}, DesiredState: &fakeDesiredState{}, Journal: noopJournal{}, Clock: time.Now})
 	submission := testSubmission(1)
 	submit := func(sequence int64) rattanscheduler.Outcome {
 		reply, err := service.Submit(context.Background(), &Request{
@@ -164,7 +166,7 @@
 	targets := newFakeTargets(time.Minute)
 	targets.listing("t0").Running = []rattanwork.Run{{Task: "00000000000000aa.0.0.0", Attempt: 1}}
 	home := newTestHome(c, targets)
-	service := NewService(ServiceConfig{Name: "self", Membership: soleMember{home}, Journal: noopJournal{}, Clock: time.Now})
+	service := NewService(ServiceConfig{Name: "self", Membership: soleMember{home}, DesiredState: &fakeDesiredState{}, Journal: noopJournal{}, Clock: time.Now})
 	awaitListing(home)
 	listedAt := time.Now()
 	service.Cancel(Cancellation{JobID: "00000000000000aa", Submitter: "other"})
@@ -181,7 +183,7 @@
 	deposed := newTestHome(c, newFakeTargets(time.Minute))
 	deposed.Close()
 	for name, home := range map[string]*Home{"no home": nil, "deposed": deposed} {
-		service := NewService(ServiceConfig{Name: "self", Membership: soleMember{home}, Journal: noopJournal{}, Clock: time.Now})
+		service := NewService(ServiceConfig{Name: "self", Membership: soleMember{home}, DesiredState: &fakeDesiredState{}, Journal: noopJournal{}, Clock: time.Now})
 		_, err := service.onCancel(context.Background(), "other", []byte(`{"JobID":"00000000000000aa","Holder":"other","Sequence":7}`))
 		c.Check(err, qt.IsNotNil, qt.Commentf("%s", name))
 	}
@@ -208,7 +210,7 @@
 func TestMalformedRequests(t *testing.T) {
 	c := qt.New(t)
 	home := newTestHome(c, newFakeTargets(time.Millisecond))
-	service := NewService(ServiceConfig{Name: "self", Membership: soleMember{home}, Journal: noopJournal{}, Clock: time.Now})
+	service := NewService(ServiceConfig{Name: "self", Membership: soleMember{home}, DesiredState: &fakeDesiredState{}, Journal: noopJournal{}, Clock: time.Now})
 	tests := map[string]*rattanwork.Job{
 		"no job":           nil,
 		"no steps":         {ID: "00000000000000aa"},
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/rattanlever/rattanlever/rattanfront"
+	"github.com/rattanlever/rattanlever/rattanhome"
 	"github.com/rattanlever/rattanlever/rattanmetric"
 	"github.com/rattanlever/rattanlever/rattanscheduler"
 	"github.com/rattanlever/rattanlever/rattanzone"
@@ -104,6 +105,17 @@
 	j.logger.WithFields(logrus.Fields{"Job": jobID, "Submitter": submitter, "Reason": reason}).Info("job withdrawn")
 }
 
+// VersionsDiffer records a job that was submitted by another version of the
+// desired state than the one in force here.
+func (j *Journal) VersionsDiffer(difference rattanhome.VersionDifference) {
+	j.logger.WithFields(logrus.Fields{
+		"Job":       difference.JobID,
+		"Submitter": difference.Submitter,
+		"Submitted": difference.Submitted,
+		"Own":       difference.Own,
+	}).Info("desired states differ")
+}
+
 // WithdrawalFailed records that no home has confirmed that a caller has left.
 func (j *Journal) WithdrawalFailed(jobID, zone string, attempts int, err error) {
 	j.logger.WithFields(logrus.Fields{"Job": jobID, "Zone": zone, "Attempts": attempts, "Error": err.Error()}).Warn("withdrawal not confirmed")
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -135,7 +135,13 @@
 		Clock:        n.config.Clock,
 	})
 	n.config.Registry.Gauge(rattanmetric.HomeLagSeconds, n.homeLagSeconds)
-	n.homeService = rattanhome.NewService(rattanhome.ServiceConfig{Name: self.Name, Membership: n.agent, Journal: n.journal, Clock: n.config.Clock})
+	n.homeService = rattanhome.NewService(rattanhome.ServiceConfig{
+		Name:         self.Name,
+		Membership:   n.agent,
+		DesiredState: n.desiredState,
+		Journal:      n.journal,
+		Clock:        n.config.Clock,
+	})
 	n.homeService.RegisterHandlers(peerNode)
 	n.callerHandler = rattanfront.New(rattanfront.Config{
 		Self:         self,
