Let each submission carry its version, and go on with the newer one

Cause: a submission to a home said nothing of the version from which its route came, so a home acted on versions that it did not have or had left behind. Only heartbeats stood against it, and they may come later.

Change: a submission states its version. A home that is older asks for the document before it accepts the job; one that is newer returns its own, and the front matches the request again. A job that may have started goes on by the route by which it was accepted.

--- a/rattanfront/handler.go
+++ b/rattanfront/handler.go
@@ -53,10 +53,15 @@
 	Call(ctx context.Context, address, method string, body []byte) ([]byte, error)
 }
 
-// DesiredStateProvider returns the desired state in force, nil if none is
-// known.
-type DesiredStateProvider interface {
+// DesiredState holds the newest desired state that this instance has received.
+// Its version never decreases.
+type DesiredState interface {
+	// State returns the state in force, nil if none is known.
 	State() *rattanwork.DesiredState
+	// Document returns the encoded state in force.
+	Document() []byte
+	// Accept puts a newer document into force and records an invalid one.
+	Accept(document []byte, source string) error
 }
 
 // Journal records the outcome of each submission.
@@ -89,7 +94,7 @@
 	Homes        HomeLocator
 	LocalHome    LocalHome
 	Peers        Peers
-	DesiredState DesiredStateProvider
+	DesiredState DesiredState
 	Journal      Journal
 	// StartedAt is the time from which the uptime of this instance counts.
 	StartedAt time.Time
@@ -165,13 +170,15 @@
 	}
 	route, ok := state.Match(hostName(r.Host), r.URL.Path)
 	if !ok {
-		respond(w, http.StatusNotFound, platform.ErrorBody("no such queue"))
+		respond(w, http.StatusNotFound, platform.ErrorBody(noSuchQueue))
 		return
 	}
 	id := strings.TrimPrefix(r.URL.Path, route.Prefix)
 	switch {
 	case r.Method == http.MethodPost:
-		h.submit(w, r, &submission{handler: h, state: state, route: route, id: id, receivedAt: receivedAt})
+		h.submit(w, r, &submission{
+			handler: h, state: state, route: route, host: hostName(r.Host), path: r.URL.Path, header: r.Header, id: id, receivedAt: receivedAt,
+		})
 	case r.Method == http.MethodGet && id == "":
 		respond(w, http.StatusOK, platform.PendingBody(0))
 	case r.Method == http.MethodGet:
@@ -224,12 +231,11 @@
 		return
 	}
 	s.job = job
-	if s.route.NeedsAdvice {
-		s.recordAnswer(http.StatusServiceUnavailable, "queues with advice are not served")
-		refuse(w, http.StatusServiceUnavailable, unsupportedRetryAfter, "queues with advice are not served")
+	if resp, refused := routeRefusal(s.route); refused {
+		resp.write(w, s)
 		return
 	}
-	s.setDeadlines(r.Header)
+	s.setDeadlines()
 	if deadline := h.shutdownDeadline.Load(); deadline != nil && s.lateUntil.After(*deadline) {
 		s.recordAnswer(http.StatusServiceUnavailable, "instance stops")
 		refuse(w, http.StatusServiceUnavailable, unavailableRetryAfter, "instance stops")
--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -28,9 +28,13 @@
 
 // submission is one job of a caller of this instance.
 type submission struct {
-	handler    *Handler
+	handler *Handler
+	// state is the desired state by which the request was last matched to a route.
 	state      *rattanwork.DesiredState
 	route      *rattanwork.Route
+	host       string
+	path       string
+	header     http.Header
 	id         string
 	job        *rattanwork.Job
 	receivedAt time.Time
@@ -59,6 +63,9 @@
 	// mayHaveStarted is set if the job may have started in that zone before this
 	// instance submits it there.
 	mayHaveStarted bool
+	// encloseDocument is set if the next submission carries the desired state,
+	// because the home's is older.
+	encloseDocument bool
 	// unreachableSince is when the first of the latest calls to the home of
 	// another zone failed, zero unless the last one did.
 	unreachableSince time.Time
@@ -103,10 +110,10 @@
 // that its caller waits. The time that the caller states takes precedence over
 // the timeout of the route, because the objectives of long jobs exceed that
 // timeout.
-func (s *submission) setDeadlines(header http.Header) {
+func (s *submission) setDeadlines() {
 	objective := s.route.Latency + time.Duration(s.route.SlackFactor*float64(s.job.CriticalPath()))
 	callerTimeout := s.route.Timeout
-	if timeout, ok := platform.CallerTimeout(header); ok {
+	if timeout, ok := platform.CallerTimeout(s.header); ok {
 		callerTimeout = timeout
 	}
 	s.objective = s.receivedAt.Add(objective)
@@ -134,6 +141,9 @@
 		if callerLeft(ctx) {
 			return response{reason: "caller left"}, false
 		}
+		if resp, ok := s.updateRoute(); !ok {
+			return resp, false
+		}
 		claim, ok, homeChanged := s.handler.config.Homes.Home(s.zone)
 		if !ok {
 			if s.homeAttempts == 0 && s.handler.config.Clock().Sub(s.receivedAt) > homeWaitLimit {
@@ -179,6 +189,10 @@
 	if ctx.Err() != nil {
 		return response{}, false
 	}
+	if reply.Conflict != nil {
+		s.resolveConflict(ctx, request, reply.Conflict)
+		return response{}, false
+	}
 	if reply.Result.Outcome == rattanscheduler.Redirected {
 		s.zone = reply.Result.Zone
 		s.redirected = true
@@ -219,12 +233,18 @@
 		s.homeToken = claim.FencingToken
 	}
 	s.sequence = s.handler.submissions.Add(1)
+	var document []byte
+	if s.encloseDocument {
+		document = s.handler.config.DesiredState.Document()
+		s.encloseDocument = false
+	}
 	return &rattanhome.Request{
 		Submitter:    s.handler.config.Self.Name,
 		Incarnation:  s.handler.config.Self.Incarnation,
 		Sequence:     s.sequence,
 		Uptime:       now.Sub(s.handler.config.StartedAt),
 		Version:      s.state.Version,
+		Document:     document,
 		Job:          s.job,
 		Service:      s.route.Service,
 		Priority:     s.route.Priority,
--- a/rattanfront/submission_test.go
+++ b/rattanfront/submission_test.go
@@ -78,6 +78,10 @@
 	return &rattanwork.DesiredState{Version: 1, Routes: []rattanwork.Route{{Name: "r", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 3, Timeout: 10 * time.Second}}}
 }
 
+func (z *fakeZones) Document() []byte { return nil }
+
+func (z *fakeZones) Accept([]byte, string) error { return nil }
+
 func (z *fakeZones) Answered(AnswerRecord) {}
 
 func (z *fakeZones) WithdrawalFailed(string, string, int, error) {}
@@ -87,7 +91,7 @@
 	HomeLocator
 	LocalHome
 	Peers
-	DesiredStateProvider
+	DesiredState
 	Journal
 	clock() time.Time
 }
--- /dev/null
+++ b/rattanfront/version_test.go
@@ -0,0 +1,154 @@
+package rattanfront
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"github.com/rattanlever/rattanlever/rattanhome"
+	"github.com/rattanlever/rattanlever/rattanscheduler"
+	"github.com/rattanlever/rattanlever/rattanwork"
+)
+
+// versionedZones is a front with version 1, which has the route of the job, beside
+// homes whose replies are scripted by zone. Version 2 has no route.
+type versionedZones struct {
+	*fakeZones
+	local, remote []rattanhome.Reply
+
+	mutex    sync.Mutex
+	version  int64
+	requests []rattanhome.Request
+}
+
+const (
+	documentOne = "version 1"
+	documentTwo = "version 2"
+)
+
+var errTestDocument = errors.New("invalid test document")
+
+func (z *versionedZones) State() *rattanwork.DesiredState {
+	z.mutex.Lock()
+	defer z.mutex.Unlock()
+	if z.version == 2 {
+		return &rattanwork.DesiredState{Version: 2}
+	}
+	return z.fakeZones.State()
+}
+
+func (z *versionedZones) Document() []byte { return []byte(documentOne) }
+
+func (z *versionedZones) Accept(document []byte, _ string) error {
+	z.mutex.Lock()
+	defer z.mutex.Unlock()
+	if string(document) != documentTwo {
+		return errTestDocument
+	}
+	z.version = 2
+	return nil
+}
+
+func (z *versionedZones) Submit(_ context.Context, request *rattanhome.Request) (rattanhome.Reply, error) {
+	return z.reply(&z.local, request), nil
+}
+
+func (z *versionedZones) Call(_ context.Context, _, method string, body []byte) ([]byte, error) {
+	if method != rattanhome.MethodSubmit {
+		return []byte("{}"), nil
+	}
+	var request rattanhome.Request
+	if err := json.Unmarshal(body, &request); err != nil {
+		return nil, err
+	}
+	return json.Marshal(z.reply(&z.remote, &request))
+}
+
+// reply records the request and returns the next reply, the last one for all
+// further requests.
+func (z *versionedZones) reply(replies *[]rattanhome.Reply, request *rattanhome.Request) rattanhome.Reply {
+	z.mutex.Lock()
+	defer z.mutex.Unlock()
+	z.requests = append(z.requests, *request)
+	reply := (*replies)[0]
+	if len(*replies) > 1 {
+		*replies = (*replies)[1:]
+	}
+	return reply
+}
+
+// TestConflictOfVersionsIsResolved guards against a job that is run by a route
+// that was removed, against the loss of one that may have started by it, and
+// against a home that stays behind, also in another zone and after a takeover.
+func TestConflictOfVersionsIsResolved(t *testing.T) {
+	succeeded := rattanhome.Reply{Result: rattanscheduler.JobResult{Outcome: rattanscheduler.Succeeded}}
+	redirected := rattanhome.Reply{Result: rattanscheduler.JobResult{Outcome: rattanscheduler.Redirected, Zone: "b"}}
+	begun := redirected
+	begun.Result.MayHaveStarted = true
+	notHome := rattanhome.Reply{NotHome: true}
+	newer := rattanhome.Reply{Conflict: &rattanhome.VersionConflict{Version: 2, Document: []byte(documentTwo)}}
+	newerBegun := rattanhome.Reply{Conflict: &rattanhome.VersionConflict{Version: 2, Document: []byte(documentTwo), MayHaveStarted: true}}
+	older := rattanhome.Reply{Conflict: &rattanhome.VersionConflict{}}
+	tests := map[string]struct {
+		local, remote []rattanhome.Reply
+		status        int
+		// versions are those of the submissions, documents how many carried one.
+		versions  []int64
+		documents int
+	}{
+		"home newer":                         {[]rattanhome.Reply{newer}, nil, http.StatusNotFound, []int64{1}, 0},
+		"home newer, begun there":            {[]rattanhome.Reply{newerBegun, succeeded}, nil, http.StatusOK, []int64{1, 2}, 0},
+		"home newer after a lost submission": {[]rattanhome.Reply{notHome, newer}, nil, http.StatusNotFound, []int64{1, 1}, 0},
+		"home older":                         {[]rattanhome.Reply{older, succeeded}, nil, http.StatusOK, []int64{1, 1}, 1},
+		"home older, document lost":          {[]rattanhome.Reply{older, notHome, older, succeeded}, nil, http.StatusOK, []int64{1, 1, 1, 1}, 2},
+		"other zone newer":                   {[]rattanhome.Reply{redirected}, []rattanhome.Reply{newer}, http.StatusNotFound, []int64{1, 1}, 0},
+		"other zone newer, begun before":     {[]rattanhome.Reply{begun}, []rattanhome.Reply{newer, succeeded}, http.StatusOK, []int64{1, 1, 2}, 0},
+		"other zone older":                   {[]rattanhome.Reply{redirected}, []rattanhome.Reply{older, succeeded}, http.StatusOK, []int64{1, 1, 1}, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			zones := &versionedZones{fakeZones: &fakeZones{now: time.Now(), changed: make(chan struct{})}, local: test.local, remote: test.remote}
+			c.Check(post(zones), qt.Equals, test.status)
+			var versions []int64
+			documents := 0
+			for _, request := range zones.requests {
+				versions = append(versions, request.Version)
+				if len(request.Document) > 0 {
+					documents++
+				}
+			}
+			c.Check(versions, qt.DeepEquals, test.versions)
+			c.Check(documents, qt.Equals, test.documents)
+		})
+	}
+}
+
+// TestUnresolvedConflictIsNotRepeatedAtOnce guards against a flood of submissions
+// to a home that takes the enclosed document for invalid, or whose own is invalid
+// here.
+func TestUnresolvedConflictIsNotRepeatedAtOnce(t *testing.T) {
+	for name, conflict := range map[string]rattanhome.VersionConflict{
+		"home stays older":         {},
+		"document of home invalid": {Version: 2, Document: []byte("invalid")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			zones := &versionedZones{
+				fakeZones: &fakeZones{now: time.Now(), changed: make(chan struct{})},
+				local:     []rattanhome.Reply{{Conflict: &conflict}},
+			}
+			const waited = 10 * resubmitDelay
+			ctx, cancel := context.WithTimeout(context.Background(), waited)
+			defer cancel()
+			postWith(ctx, zones)
+			submissions := len(zones.requests)
+			qt.New(t).Check(submissions > 1 && submissions <= int(waited/resubmitDelay)+2, qt.IsTrue, qt.Commentf("%d submissions", submissions))
+		})
+	}
+}
--- a/rattanhome/service.go
+++ b/rattanhome/service.go
@@ -57,7 +57,10 @@
 	Uptime time.Duration `json:",omitempty"`
 	// Version is the version of the desired state by which the job is submitted, 0
 	// if the submitter is of the former version.
-	Version      int64 `json:",omitempty"`
+	Version int64 `json:",omitempty"`
+	// Document is the submitter's encoded desired state, set if the home has
+	// replied that its own is older.
+	Document     []byte `json:",omitempty"`
 	Job          *rattanwork.Job
 	Service      string
 	Priority     int
@@ -75,8 +78,11 @@
 type Reply struct {
 	// NotHome is set if the instance is not, or no longer, the home of the
 	// zone. The job may be in progress.
-	NotHome bool                      `json:"Moved"`
-	Result  rattanscheduler.JobResult `json:"Ended"`
+	NotHome bool `json:"Moved"`
+	// Conflict is set if the job was not accepted because of its version of the
+	// desired state.
+	Conflict *VersionConflict          `json:",omitempty"`
+	Result   rattanscheduler.JobResult `json:"Ended"`
 }
 
 // Cancellation withdraws a Request whose caller has left.
@@ -197,7 +203,9 @@
 	if home == nil {
 		return Reply{NotHome: true}, nil
 	}
-	s.compareVersions(request)
+	if conflict := s.resolveVersion(home, request); conflict != nil {
+		return Reply{Conflict: conflict}, nil
+	}
 	now := s.config.Clock()
 	if !s.addSubmitter(request, now) {
 		return Reply{Result: rattanscheduler.JobResult{JobID: request.Job.ID, Outcome: rattanscheduler.Cancelled}}, nil
--- a/rattanhome/version.go
+++ b/rattanhome/version.go
@@ -1,9 +1,26 @@
 package rattanhome
 
 // DesiredState holds the newest desired state that this instance has received.
+// Its version never decreases.
 type DesiredState interface {
 	// Version returns the version in force, 0 if none is known yet.
 	Version() int64
+	// Document returns the encoded state in force.
+	Document() []byte
+	// Accept puts a newer document into force and records an invalid one.
+	Accept(document []byte, source string) error
+}
+
+// VersionConflict is the reply to a submission by another version of the desired
+// state than the one in force on the home's instance. The job was not accepted.
+type VersionConflict struct {
+	// Version is that of the home's instance.
+	Version int64
+	// Document is the encoded desired state of the home's instance if it is the
+	// newer one. Otherwise the submitter encloses its own in the next submission.
+	Document []byte `json:",omitempty"`
+	// MayHaveStarted is set if a task of the job may have started under this home.
+	MayHaveStarted bool `json:",omitempty"`
 }
 
 // VersionDifference describes a job that was submitted by another version of the
@@ -14,18 +31,49 @@
 	// Submitted is the version of the submitter, Own that of the home's instance.
 	Submitted int64
 	Own       int64
+	// Accepted is set if the home had accepted the job before.
+	Accepted bool
 }
 
-// compareVersions records a submission by another version than the one in force.
-func (s *Service) compareVersions(request *Request) {
+// resolveVersion returns a conflict unless the submission is by the version in
+// force here. A job that the home has accepted goes on by the version of its
+// first submission.
+func (s *Service) resolveVersion(home *Home, request *Request) *VersionConflict {
+	if len(request.Document) > 0 {
+		// After an error, the versions still differ.
+		_ = s.config.DesiredState.Accept(request.Document, request.Submitter)
+	}
 	own := s.config.DesiredState.Version()
 	if request.Version == 0 || request.Version == own {
-		return
+		return nil
 	}
+	accepted, mayHaveStarted := home.jobStatus(request)
 	s.config.Journal.VersionsDiffer(VersionDifference{
 		JobID:     request.Job.ID,
 		Submitter: request.Submitter,
 		Submitted: request.Version,
 		Own:       own,
+		Accepted:  accepted,
 	})
+	if accepted {
+		return nil
+	}
+	conflict := &VersionConflict{Version: own, MayHaveStarted: mayHaveStarted}
+	if own > request.Version {
+		conflict.Document = s.config.DesiredState.Document()
+	}
+	return conflict
+}
+
+// jobStatus reports whether the home has accepted a job and not forgotten it, and
+// whether a task of the job may have started under this home. A home that is
+// closed refuses the job itself.
+func (h *Home) jobStatus(request *Request) (accepted, mayHaveStarted bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	now := h.now()
+	id := request.Job.ID
+	cached, ok := h.results[id]
+	accepted = h.closed || h.scheduler.HasJob(id) || ok && now.Before(cached.expiresAt)
+	return accepted, h.scheduler.MayHaveStarted(request.submission(now), now)
 }
--- a/rattanhome/version_test.go
+++ b/rattanhome/version_test.go
@@ -2,7 +2,7 @@
 
 import "sync"
 
-// fakeDesiredState is a DesiredState whose documents are versions as text.
+// fakeDesiredState is a DesiredState without documents.
 type fakeDesiredState struct {
 	mutex   sync.Mutex
 	version int64
@@ -13,3 +13,7 @@
 	defer d.mutex.Unlock()
 	return d.version
 }
+
+func (d *fakeDesiredState) Document() []byte { return nil }
+
+func (d *fakeDesiredState) Accept([]byte, string) error { return nil }
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -113,6 +113,7 @@
 		"Submitter": difference.Submitter,
 		"Submitted": difference.Submitted,
 		"Own":       difference.Own,
+		"Accepted":  difference.Accepted,
 	}).Info("desired states differ")
 }
 
--- a/rattanscheduler/adoption.go
+++ b/rattanscheduler/adoption.go
@@ -18,19 +18,31 @@
 // IsNew reports whether the job is not known and certainly has not run, also not
 // in an earlier submission.
 func (s *Scheduler) IsNew(submission Submission, now time.Time) bool {
-	job := submission.Job
-	_, known := s.jobs[job.ID]
-	_, begun := s.begunJobs[job.ID]
-	_, redirected := s.redirectedJobs[job.ID]
-	if known || begun || redirected || submission.Resumed || s.awaitsListings(now) {
-		return false
+	return !s.HasJob(submission.Job.ID) && !submission.Resumed && !s.awaitsListings(now) && !s.MayHaveStarted(submission, now)
+}
+
+// HasJob reports whether a job is in progress.
+func (s *Scheduler) HasJob(id string) bool {
+	_, ok := s.jobs[id]
+	return ok
+}
+
+// MayHaveStarted reports whether a task of the job may have started in an earlier
+// submission: here, under an earlier home as far as targets have listed it, or in
+// the zone to which the job was redirected. A resumed job may have started as long
+// as some target has not listed its runs.
+func (s *Scheduler) MayHaveStarted(submission Submission, now time.Time) bool {
+	_, begun := s.begunJobs[submission.Job.ID]
+	_, redirected := s.redirectedJobs[submission.Job.ID]
+	if begun || redirected || submission.Resumed && s.awaitsListings(now) {
+		return true
 	}
-	for name := range job.TaskNames() {
+	for name := range submission.Job.TaskNames() {
 		if s.mayHaveStarted(name) {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // mayHaveStarted reports whether a task may have started in an earlier
