--- a/rattansite/store.go
+++ b/rattansite/store.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -68,8 +69,16 @@
 	changed chan struct{}
 	outage  Outage
 	calls   int
+	// connections is the number of connections opened so far. Those up to
+	// silentConnections are not answered any more.
+	connections       int
+	silentConnections int
 }
 
+// connectionNumber is the key of a connection's number in the context of its
+// requests.
+type connectionNumber struct{}
+
 // NewStore starts a store on a free port of the loopback interface.
 func NewStore() (*Store, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -83,7 +92,7 @@
 		leases:   map[int64]*storeLease{},
 		changed:  make(chan struct{}),
 	}
-	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
+	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Second, ConnContext: s.numberConnection}
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
 }
@@ -112,6 +121,28 @@
 	s.outage = outage
 }
 
+// SilenceConnections makes all open connections silent, while new ones work.
+func (s *Store) SilenceConnections() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.silentConnections = s.connections
+}
+
+func (s *Store) numberConnection(ctx context.Context, _ net.Conn) context.Context {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.connections++
+	return context.WithValue(ctx, connectionNumber{}, s.connections)
+}
+
+// onSilentConnection reports whether a call came on a silent connection.
+func (s *Store) onSilentConnection(r *http.Request) bool {
+	number, ok := r.Context().Value(connectionNumber{}).(int)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return ok && number <= s.silentConnections
+}
+
 // Compact discards the history, which ends all watches from earlier revisions.
 func (s *Store) Compact() {
 	s.mutex.Lock()
@@ -180,7 +211,7 @@
 	case outage == OutageRefusing:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
-	case outage == OutageSilent:
+	case outage == OutageSilent || s.onSilentConnection(r):
 		hang(r)
 		return
 	case outage == OutageLosingResponses && r.Method == http.MethodPost:
@@ -295,6 +326,9 @@
 			}
 		}
 		if len(events) > 0 || expired {
+			if s.onSilentConnection(r) {
+				hang(r)
+			}
 			writeJSON(w, struct {
 				Events        []storeItem `json:"events"`
 				StoreRevision int64       `json:"store_revision"`
--- a/rattanzone/desired_state.go
+++ b/rattanzone/desired_state.go
@@ -15,7 +15,7 @@
 	// watchTimeout bounds one watch of the desired state, and thereby how long
 	// a dead connection to the store goes unnoticed.
 	watchTimeout = 900 * time.Millisecond
-	// watchRetryDelay is the delay before the next read after a failure.
+	// watchRetryDelay is the least time from a call that fails to the next read.
 	watchRetryDelay = 200 * time.Millisecond
 )
 
@@ -138,9 +138,11 @@
 // reads the state again, because it may have missed changes.
 func (w *DesiredStateWatcher) watchStore(ctx context.Context) {
 	for ctx.Err() == nil {
+		calledAt := w.config.Clock()
 		revision, err := w.readCurrent(ctx)
 		for err == nil && ctx.Err() == nil {
 			w.storeAnswered()
+			calledAt = w.config.Clock()
 			revision, err = w.waitForChange(ctx, revision)
 		}
 		if ctx.Err() != nil {
@@ -153,7 +155,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(watchRetryDelay):
+		case <-time.After(watchRetryDelay - w.config.Clock().Sub(calledAt)):
 		}
 	}
 }
