--- a/rattansite/store.go
+++ b/rattansite/store.go
@@ -159,13 +159,26 @@
 	if err != nil {
 		return errors.Annotatef(err, "key %s", key)
 	}
+	s.PutBytes(key, data)
+	return nil
+}
+
+// PutBytes does the same for a value that is already encoded, or that cannot be
+// decoded.
+func (s *Store) PutBytes(key string, data []byte) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if old, ok := s.items[key]; ok && bytes.Equal(old.Value, data) {
-		return nil
+		return
 	}
 	s.write(key, data, 0)
-	return nil
+}
+
+// Value returns the value of a key, nil if the key does not exist.
+func (s *Store) Value(key string) []byte {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.items[key].Value
 }
 
 // Remove deletes a key.
--- a/rattansite/target.go
+++ b/rattansite/target.go
@@ -116,6 +116,11 @@
 	return t, nil
 }
 
+// Address returns the address of the target.
+func (t *Target) Address() string {
+	return t.address
+}
+
 // reset discards all state, as a restart of the target does.
 func (t *Target) reset() {
 	t.startedAt = time.Now()
