--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -237,6 +237,16 @@
 	j.logger.WithFields(logrus.Fields{"Source": source, "Error": err.Error()}).Error("desired state invalid")
 }
 
+// maxErrorLength bounds the bytes of an error that may contain what another
+// program has written.
+const maxErrorLength = 300
+
+// EntryInvalid records an entry of the inventory that names no target.
+func (j *Journal) EntryInvalid(id string, err error) {
+	text := err.Error()
+	j.logger.WithFields(logrus.Fields{"Target": id, "Error": text[:min(len(text), maxErrorLength)]}).Warn("inventory entry invalid")
+}
+
 // StoreLost records that the store does not answer.
 func (j *Journal) StoreLost(err error) {
 	j.logger.WithField("Error", err.Error()).Warn("store lost")
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -127,7 +127,7 @@
 		Peers:        peerNode,
 		Directory:    &platform.Directory{Store: n.store},
 		DesiredState: n.desiredState,
-		Inventory:    rattanzone.NewInventory(&platform.InventorySource{Store: n.store}),
+		Inventory:    rattanzone.NewInventory(platform.NewInventorySource(n.store, n.journal)),
 		Crashes:      n.crashes,
 		CrashStore:   &platform.CrashStore{Store: n.store},
 		NewHome:      n.newHome,
--- a/rattanzone/inventory.go
+++ b/rattanzone/inventory.go
@@ -38,7 +38,7 @@
 
 // InventoryReader reads the targets' entries from the store.
 type InventoryReader interface {
-	Current(ctx context.Context) (inventory rattanwork.Inventory, invalid int, err error)
+	Current(ctx context.Context) (rattanwork.Inventory, error)
 	// WaitForChange waits for changes after the revision, at most for the
 	// timeout.
 	WaitForChange(ctx context.Context, revision int64, timeout time.Duration) (rattanwork.InventoryChange, error)
@@ -215,7 +215,7 @@
 
 // refresh reads the whole inventory from the store.
 func (i *Inventory) refresh(ctx context.Context, clock func() time.Time) error {
-	reading, _, err := i.reader.Current(ctx)
+	reading, err := i.reader.Current(ctx)
 	if err != nil {
 		return err
 	}
--- a/rattanzone/inventory_test.go
+++ b/rattanzone/inventory_test.go
@@ -67,9 +67,9 @@
 	waits   int
 }
 
-func (s *scriptedInventory) Current(context.Context) (rattanwork.Inventory, int, error) {
+func (s *scriptedInventory) Current(context.Context) (rattanwork.Inventory, error) {
 	s.reads++
-	return s.current, 0, s.err
+	return s.current, s.err
 }
 
 func (s *scriptedInventory) WaitForChange(_ context.Context, revision int64, _ time.Duration) (rattanwork.InventoryChange, error) {
