--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -111,7 +111,7 @@
 // the timeout of the route, because the objectives of long jobs exceed that
 // timeout.
 func (s *submission) setDeadlines() {
-	objective := s.route.Latency + time.Duration(s.route.SlackFactor*float64(s.job.CriticalPath()))
+	objective := s.route.Objective(s.job.CriticalPath())
 	callerTimeout := s.route.Timeout
 	if timeout, ok := platform.CallerTimeout(s.header); ok {
 		callerTimeout = timeout
--- a/rattanwork/desired_state.go
+++ b/rattanwork/desired_state.go
@@ -36,6 +36,18 @@
 	NeedsAdvice bool
 }
 
+// maxObjective bounds the time in which a job should be complete.
+const maxObjective = 24 * time.Hour
+
+// Objective returns the time in which a job with the critical path should be
+// complete, at most maxObjective.
+func (r *Route) Objective(criticalPath time.Duration) time.Duration {
+	if slack := r.SlackFactor * float64(criticalPath); slack < float64(maxObjective) {
+		return min(r.Latency+time.Duration(slack), maxObjective)
+	}
+	return maxObjective
+}
+
 // DesiredState is one version of the operator's configuration.
 type DesiredState struct {
 	// Version increases with each change.
