Let a successor go on awaiting the heartbeats that its home missed

Change: a home names overdue targets, with the time, in its heartbeats to its zone; the successor goes on from there. A failed reading of the store ends that, as before.

Evidence: TestSuccessorAwaitsOverdueHeartbeats fails without the successor's part.

--- a/rattanzone/crashes.go
+++ b/rattanzone/crashes.go
@@ -86,14 +86,14 @@
 
 // viewFor returns the view for a member, with the changes of the crash history
 // that the member has not merged yet. A member of another zone does not need the
-// kept targets of this zone.
+// kept and overdue targets of this zone.
 func (a *Agent) viewFor(receiver string) View {
 	view := a.view()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if m, ok := a.members[receiver]; ok {
 		if m.Zone != a.config.Self.Zone {
-			view.KeptTargets = nil
+			view.KeptTargets, view.OverdueTargets = nil, nil
 		}
 		view.CrashBase = m.crashesSeen
 		view.Crashes, view.CrashSequence = a.config.Crashes.Changes(m.crashesSeen, maxSentLosses, a.config.Clock())
--- a/rattanzone/heartbeat.go
+++ b/rattanzone/heartbeat.go
@@ -208,6 +208,7 @@
 	}
 	if localHome != nil {
 		view.KeptTargets = a.config.Inventory.Kept()
+		view.OverdueTargets = a.config.Inventory.Overdue(a.config.Self.Zone, now)
 		a.refreshLocalClaim(localHome.Load(), localHome.FencingToken(), now)
 	}
 	a.mutex.Lock()
@@ -236,11 +237,22 @@
 	for _, claim := range view.Claims {
 		a.mergeClaim(claim, view.Sender.Name, now)
 	}
+	fromHome := a.localHome == nil && a.isHomeOfZone(view.Sender.Name)
 	a.mutex.Unlock()
+	if fromHome {
+		a.config.Inventory.RecordOverdue(view.OverdueTargets, now)
+	}
 	a.config.Inventory.Keep(view.KeptTargets, now)
 	a.pullNewer(view)
 }
 
+// isHomeOfZone reports whether an instance is the home of this zone as far as is
+// known. The caller holds the mutex.
+func (a *Agent) isHomeOfZone(name string) bool {
+	home := a.homes[a.config.Self.Zone]
+	return home != nil && home.claim.Name == name
+}
+
 // recordSender records that the sender of the view is alive. The caller holds
 // the mutex.
 func (a *Agent) recordSender(view *View, now time.Time) {
--- a/rattanzone/inventory.go
+++ b/rattanzone/inventory.go
@@ -74,6 +74,8 @@
 	// none was read for heartbeatSilence before a failed reading, until one is.
 	heartbeatAt time.Time
 	quiet       bool
+	// overdue is what the earlier home of the zone has told of heartbeats.
+	overdue overdueReport
 	// settledAt is from when on the inventory contains all targets, zero if it
 	// does already.
 	settledAt time.Time
@@ -114,6 +116,9 @@
 	i.mutex.Lock()
 	i.followedRevision = 0
 	i.followedSince, i.followedUntil = time.Time{}, now
+	if now.Sub(i.overdue.receivedAt) > overdueRetention {
+		i.overdue = overdueReport{}
+	}
 	for _, e := range i.targets {
 		if !e.missingSince.IsZero() {
 			e.missingSince = now
@@ -142,7 +147,7 @@
 		if e.target.Zone == zone {
 			target := e.target
 			if i.showsHeartbeats(now) {
-				target.HeardAt, target.AwaitedSince = e.heardAt, later(i.followedSince, e.heardAt)
+				target.HeardAt, target.AwaitedSince = e.heardAt, i.awaitedSince(e)
 			}
 			targets = append(targets, target)
 		}
@@ -265,6 +270,10 @@
 	switch {
 	case err != nil:
 		i.quiet = i.quiet || (!i.followedSince.IsZero() && !i.showsHeartbeats(now))
+		if !i.followedSince.IsZero() {
+			// Heartbeats may be missed from now on.
+			i.overdue = overdueReport{}
+		}
 		i.followedRevision = 0
 		i.followedSince = time.Time{}
 		return
--- /dev/null
+++ b/rattanzone/overdue_test.go
@@ -0,0 +1,101 @@
+package rattanzone
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattanhome"
+	"github.com/rattanlever/rattanlever/rattanwork"
+)
+
+// TestSuccessorAwaitsOverdueHeartbeats guards against an overcommitted target: its
+// capacity has shrunk while it could not reach the store, and a successor counts
+// the time without its heartbeats anew.
+func TestSuccessorAwaitsOverdueHeartbeats(t *testing.T) {
+	tests := map[string]struct {
+		// delay is the time from the last view of the home to the claim.
+		delay time.Duration
+		// fails is set if a reading of the successor fails.
+		fails bool
+		// heard is set if the successor reads a heartbeat.
+		heard bool
+		// want is the time since which the heartbeat of the target is awaited.
+		want func(lastHeard, claimedAt, readAt time.Time) time.Time
+	}{
+		"overdue":                  {0, false, false, func(lastHeard, _, _ time.Time) time.Time { return lastHeard }},
+		"heard":                    {0, false, true, func(_, _, readAt time.Time) time.Time { return readAt }},
+		"told long before":         {overdueRetention + time.Millisecond, false, false, func(_, claimedAt, _ time.Time) time.Time { return claimedAt }},
+		"store out of reach since": {0, true, false, func(_, _, readAt time.Time) time.Time { return readAt }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1_800_000_000, 0)
+			clock := func() time.Time { return now }
+			beat := func(id string, sequence int64) rattanwork.Target {
+				return rattanwork.Target{ID: id, Zone: "z", Sequence: sequence}
+			}
+			newAgent := func(name string) (*Agent, *scriptedInventory) {
+				store := &scriptedInventory{current: rattanwork.Inventory{Revision: 5, Targets: []rattanwork.Target{beat("a", 1), beat("b", 1)}}}
+				return New(Config{
+					Self: rattanwork.Member{Name: name, Zone: "z"}, Seeds: func() []string { return nil }, Peers: noPeers{}, Journal: quietJournal{},
+					DesiredState: &DesiredStateWatcher{}, Inventory: NewInventory(store), Clock: clock,
+					NewHome: func(token int64) *rattanhome.Home {
+						return rattanhome.New(rattanhome.Config{FencingToken: token, MaxLease: time.Second, Targets: silentTargets{}, Observer: idleObserver{}, Clock: clock})
+					},
+				}), store
+			}
+			follow := func(agent *Agent) {
+				c.Helper()
+				c.Assert(agent.config.Inventory.follow(context.Background(), clock), qt.IsNil)
+			}
+			awaitedSince := func(agent *Agent) time.Time {
+				for _, target := range agent.config.Inventory.ZoneTargets("z", now) {
+					if target.ID == "b" {
+						return target.AwaitedSince
+					}
+				}
+				return time.Time{}
+			}
+			home, homeStore := newAgent("home")
+			follower, followerStore := newAgent("follower")
+			home.claimZone("test", now)
+			defer home.LocalHome().Close()
+			follow(home)
+			lastHeard := now
+			// The store's watch brings heartbeats of one target only.
+			for sequence := int64(2); now.Sub(lastHeard) <= overdueAge; sequence++ {
+				now = now.Add(500 * time.Millisecond)
+				homeStore.changes = []rattanwork.InventoryChange{{Revision: 4 + sequence, Updated: []rattanwork.Target{beat("a", sequence)}}}
+				follow(home)
+			}
+			_, err := follower.handleHeartbeat(context.Background(), "", mustMarshal(home.viewFor("follower")))
+			c.Assert(err, qt.IsNil)
+			now = now.Add(test.delay)
+			claimedAt := now
+			follower.claimZone("test", now)
+			defer follower.LocalHome().Close()
+			followerStore.current.Revision = 20
+			// The copy of the follower was older than the last heartbeat.
+			followerStore.current.Targets[1] = beat("b", 7)
+			follow(follower)
+			now = now.Add(500 * time.Millisecond)
+			if test.fails {
+				followerStore.err = context.DeadlineExceeded
+				c.Assert(follower.config.Inventory.follow(context.Background(), clock), qt.IsNotNil)
+				followerStore.err = nil
+			}
+			if test.heard {
+				followerStore.changes = []rattanwork.InventoryChange{{Revision: 21, Updated: []rattanwork.Target{beat("b", 8)}}}
+			}
+			follow(follower)
+			c.Check(awaitedSince(follower), qt.Equals, test.want(lastHeard, claimedAt, now))
+			overdue := follower.config.Inventory.Overdue("z", now)
+			_, told := overdue["b"]
+			c.Check(told, qt.Equals, name == "overdue", qt.Commentf("the next successor is told too: %v", overdue))
+		})
+	}
+}
--- a/rattanzone/view.go
+++ b/rattanzone/view.go
@@ -54,6 +54,10 @@
 	// which the sender, the home of its zone, has runs. They are sent to members
 	// of the zone only, any of which may succeed it.
 	KeptTargets []rattanwork.Target `json:",omitempty"`
+	// OverdueTargets contains the targets whose heartbeats the sender, the home of
+	// its zone, misses, with the time since which it awaits them. It is sent to
+	// members of the zone only.
+	OverdueTargets map[string]time.Duration `json:",omitempty"`
 	// Crashes holds changes of the sender's crash history with sequence numbers
 	// after CrashBase, up to which the receiver has merged it as far as the
 	// sender knows. CrashSequence is the sequence number of the last one.
