Refuse malformed views and targets of other instances alone

Views need a sender; claims and targets in them, and in copies of the inventory, that cannot be valid are left out.

--- a/rattanzone/election.go
+++ b/rattanzone/election.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"slices"
 	"sync"
@@ -113,17 +112,17 @@
 			if err != nil {
 				return
 			}
-			var view View
-			if json.Unmarshal(answer, &view) != nil {
+			view, err := decodeView(answer)
+			if err != nil {
 				return
 			}
-			a.merge(&view)
+			a.merge(view)
 			if view.Sender.Zone != a.config.Self.Zone || view.Terminating || view.Sender.Name == a.config.Self.Name {
 				return
 			}
 			mutex.Lock()
 			defer mutex.Unlock()
-			views[view.Sender.Name] = view
+			views[view.Sender.Name] = *view
 		})
 	}
 	group.Wait()
@@ -271,11 +270,11 @@
 	if err != nil {
 		return err
 	}
-	var view View
-	if err := json.Unmarshal(body, &view); err != nil {
-		return errors.Annotatef(err, "decode view of %s", successor.Name)
+	view, err := decodeView(body)
+	if err != nil {
+		return errors.Annotate(err, successor.Name)
 	}
-	a.merge(&view)
+	a.merge(view)
 	return nil
 }
 
@@ -302,11 +301,11 @@
 
 // handleTakeOver claims the zone at the request of its current home.
 func (a *Agent) handleTakeOver(_ context.Context, sender string, body []byte) ([]byte, error) {
-	var view View
-	if err := json.Unmarshal(body, &view); err != nil {
-		return nil, errors.Annotate(err, "decode view")
+	view, err := decodeView(body)
+	if err != nil {
+		return nil, err
 	}
-	a.merge(&view)
+	a.merge(view)
 	a.mutex.Lock()
 	terminating := a.terminating
 	a.mutex.Unlock()
--- a/rattanzone/heartbeat.go
+++ b/rattanzone/heartbeat.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"time"
 
@@ -162,23 +161,23 @@
 	if err != nil {
 		return err
 	}
-	var view View
-	if err := json.Unmarshal(body, &view); err != nil {
-		return errors.Annotatef(err, "decode view of %s", address)
+	view, err := decodeView(body)
+	if err != nil {
+		return errors.Annotate(err, address)
 	}
-	a.merge(&view)
+	a.merge(view)
 	return nil
 }
 
 // handleHeartbeat merges the sender's view and answers with the local one. If
 // the sender suspects the home, this instance checks the home too.
 func (a *Agent) handleHeartbeat(_ context.Context, _ string, body []byte) ([]byte, error) {
-	var view View
-	if err := json.Unmarshal(body, &view); err != nil {
-		return nil, errors.Annotate(err, "decode view")
+	view, err := decodeView(body)
+	if err != nil {
+		return nil, err
 	}
-	a.merge(&view)
-	if a.senderSuspectsHome(&view) {
+	a.merge(view)
+	if a.senderSuspectsHome(view) {
 		claim, ok, _ := a.Home(a.config.Self.Zone)
 		if ok {
 			go a.checkHome(claim)
--- a/rattanzone/kept_target_test.go
+++ b/rattanzone/kept_target_test.go
@@ -56,7 +56,9 @@
 	home, follower := newAgent("home"), newAgent("follower")
 	home.claimZone("test", clock())
 	defer home.LocalHome().Close()
-	both := rattanwork.Inventory{Revision: 5, Targets: []rattanwork.Target{{ID: "a", Zone: "z"}, {ID: "b", Zone: "z"}}}
+	both := rattanwork.Inventory{Revision: 5, Targets: []rattanwork.Target{
+		{ID: "a", Service: "s", Zone: "z", Address: "127.0.0.1:1"}, {ID: "b", Service: "s", Zone: "z", Address: "127.0.0.1:2"},
+	}}
 	for _, agent := range []*Agent{home, follower} {
 		agent.config.Inventory.update(both, clock())
 	}
--- a/rattanzone/sync.go
+++ b/rattanzone/sync.go
@@ -151,8 +151,8 @@
 	if err != nil {
 		return false
 	}
-	var received inventoryCopy
-	if json.Unmarshal(body, &received) != nil || received.Revision == 0 {
+	received, ok := decodeInventory(body)
+	if !ok {
 		return false
 	}
 	a.config.Inventory.merge(received, a.config.Clock())
