Leave odd entries out of the product's own instance list

Entries are decoded one by one; an odd one is left out and counted. Test data of three tests got addresses, without which an instance is odd. A list nested deeper than 10,000 levels still fails as a whole.

--- a/rattaninventory/instance.go
+++ b/rattaninventory/instance.go
@@ -1,6 +1,14 @@
 package rattaninventory
 
-import "github.com/rattanlever/rattanlever/rattanjson"
+import (
+	"github.com/juju/errors"
+
+	"github.com/rattanlever/rattanlever/rattanjson"
+	"github.com/rattanlever/rattanlever/rattanwork"
+)
+
+// ErrInvalidInstance reports an entry that no instance can have.
+const ErrInvalidInstance = errors.ConstError("invalid instance")
 
 //go:generate go tool stringer -type=Role -trimprefix=Role
 //go:generate go tool stringer -type=State -trimprefix=State
@@ -46,6 +54,29 @@
 	State        State
 }
 
+// maxNumber bounds the numbers of an instance, so that sums over all instances
+// cannot overflow.
+const maxNumber = 1_000_000_000
+
+// Check returns ErrInvalidInstance unless the instance has a name and an address
+// and its numbers are in range.
+func (i *Instance) Check() error {
+	switch {
+	case i.Name == "":
+		return errors.Annotate(ErrInvalidInstance, "no name")
+	case !rattanwork.IsHostPort(i.Address):
+		return errors.Annotatef(ErrInvalidInstance, "address %q: expected HOST:PORT", i.Address)
+	case i.PeerAddress != "" && !rattanwork.IsHostPort(i.PeerAddress):
+		return errors.Annotatef(ErrInvalidInstance, "peer address %q: expected HOST:PORT", i.PeerAddress)
+	}
+	for _, number := range [...]int{i.Slots, i.Cores, i.MemoryMB, i.Accelerators} {
+		if number < 0 || number > maxNumber {
+			return errors.Annotatef(ErrInvalidInstance, "number %d out of range", number)
+		}
+	}
+	return nil
+}
+
 // MarshalText returns the name of the role.
 func (r Role) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
 
--- a/rattanplatform/client.go
+++ b/rattanplatform/client.go
@@ -143,13 +143,30 @@
 	if query.AvailabilityZone != "" {
 		request.query.Set("AvailabilityZone", query.AvailabilityZone)
 	}
-	err := c.do(ctx, request, &reply.Instances)
+	var entries []json.RawMessage
+	err := c.do(ctx, request, &entries)
 	if errors.Is(err, errNotModified) {
 		return InstanceReply{ETag: query.ETag, NotModified: true}, nil
 	}
+	reply.Instances = c.decodeInstances(entries)
 	return reply, errors.Annotate(err, "instance list")
 }
 
+// decodeInstances decodes the entries of the instance list. An invalid one is left
+// out and counted; the others hold.
+func (c *Client) decodeInstances(entries []json.RawMessage) []Instance {
+	instances := make([]Instance, 0, len(entries))
+	for _, entry := range entries {
+		var instance Instance
+		if json.Unmarshal(entry, &instance) != nil || instance.Check() != nil {
+			c.Counters.InvalidInstances.Add(1)
+			continue
+		}
+		instances = append(instances, instance)
+	}
+	return instances
+}
+
 // Put writes a key if it has the given revision, and binds it to the lease
 // unless that is NoLease. It returns the new revision, or ErrNotFound if the
 // lease has expired.
--- a/rattanplatform/client_test.go
+++ b/rattanplatform/client_test.go
@@ -4,6 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -239,8 +243,8 @@
 func TestConditionalInstances(t *testing.T) {
 	c := qt.New(t)
 	platform, client := newPlatform(t, rattanstandin.PlatformOptions{})
-	buda := rattanplatform.Instance{Name: "a", AvailabilityZone: "buda"}
-	pest := rattanplatform.Instance{Name: "b", AvailabilityZone: "pest"}
+	buda := rattanplatform.Instance{Name: "a", Address: "127.0.0.1:9001", AvailabilityZone: "buda"}
+	pest := rattanplatform.Instance{Name: "b", Address: "127.0.0.1:9002", AvailabilityZone: "pest"}
 	platform.SetInstances(buda, pest)
 	read := func(zone, etag string) rattanplatform.InstanceReply {
 		reply, err := client.Instances(context.Background(), rattanplatform.InstanceQuery{AvailabilityZone: zone, ETag: etag})
@@ -264,3 +268,32 @@
 	_, err := client.Instances(context.Background(), rattanplatform.InstanceQuery{ETag: second.ETag})
 	c.Check(err, qt.ErrorIs, rattanplatform.ErrUnavailable)
 }
+
+// TestOddInstancesAreLeftOut guards against watchers that stop following the list
+// because of one odd entry of another program.
+func TestOddInstancesAreLeftOut(t *testing.T) {
+	c := qt.New(t)
+	const good = `{"Name":"a","Address":"127.0.0.1:9001","AvailabilityZone":"buda","Role":"Target","Slots":8,"State":"Live"}`
+	odd := []string{
+		"null", "7", `"text"`, "{}",
+		strings.Replace(good, `"Live"`, `"Resting"`, 1),
+		strings.Replace(good, `"Target"`, `"Printer"`, 1),
+		strings.Replace(good, `"a"`, `""`, 1),
+		strings.Replace(good, `9001`, `99999`, 1),
+		strings.Replace(good, `127.0.0.1`, `127.0.0.1 `, 1),
+		strings.Replace(good, `"Slots":8`, `"Slots":9223372036854775807`, 1),
+		strings.Replace(good, `"Slots":8`, `"Slots":-8`, 1),
+		strings.Replace(good, `"Slots":8`, `"Slots":1e400`, 1),
+		strings.Replace(good, `"Slots":8`, `"Slots":`+strings.Repeat("[", 5000)+strings.Repeat("]", 5000), 1),
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "["+strings.Join(odd, ",")+","+good+"]")
+	}))
+	defer server.Close()
+	client := rattanplatform.New(rattanplatform.Options{Address: server.Listener.Addr().String(), Timeout: time.Second})
+	defer client.Close()
+	reply, err := client.Instances(context.Background(), rattanplatform.InstanceQuery{})
+	c.Assert(err, qt.IsNil)
+	c.Check(reply.Instances, qt.HasLen, 1)
+	c.Check(client.Counters.InvalidInstances.Load(), qt.Equals, uint64(len(odd)))
+}
--- a/rattanplatform/counters.go
+++ b/rattanplatform/counters.go
@@ -11,6 +11,8 @@
 	Watches   atomic.Uint64
 	Leases    atomic.Uint64
 	Instances atomic.Uint64
+	// InvalidInstances counts the entries of instance lists that were left out.
+	InvalidInstances atomic.Uint64
 	// Conflicts, Unavailable and Uncertain count the calls that returned
 	// ErrConflict, ErrUnavailable and ErrUncertain.
 	Conflicts   atomic.Uint64
--- a/rattanstandin/standin_test.go
+++ b/rattanstandin/standin_test.go
@@ -137,7 +137,7 @@
 	client := rattanplatform.New(rattanplatform.Options{Address: platform.Address()})
 	defer client.Close()
 	changed := time.Now()
-	platform.SetInstances(rattanplatform.Instance{Name: "a"})
+	platform.SetInstances(rattanplatform.Instance{Name: "a", Address: "127.0.0.1:9001"})
 	for {
 		reply, err := client.Instances(context.Background(), rattanplatform.InstanceQuery{})
 		c.Assert(err, qt.IsNil)
--- a/rattanwork/check.go
+++ b/rattanwork/check.go
@@ -30,7 +30,7 @@
 		return errors.Annotatef(ErrMalformedTarget, "ID %q: expected printable ASCII characters without spaces", t.ID)
 	case t.Service == "" || t.Zone == "":
 		return errors.Annotate(ErrMalformedTarget, "empty service or zone")
-	case !isHostPort(t.Address):
+	case !IsHostPort(t.Address):
 		return errors.Annotatef(ErrMalformedTarget, "address %q: expected HOST:PORT", t.Address)
 	case !t.Capacity.isPlausible():
 		return errors.Annotatef(ErrMalformedTarget, "capacity %+v out of range", t.Capacity)
@@ -45,8 +45,8 @@
 	return text != "" && !strings.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r >= 0x7f })
 }
 
-// isHostPort reports whether a request can be sent to the address.
-func isHostPort(address string) bool {
+// IsHostPort reports whether a request can be sent to the address.
+func IsHostPort(address string) bool {
 	host, port, err := net.SplitHostPort(address)
 	if err != nil || host == "" {
 		return false
