--- a/rattancmd/explain_test.go
+++ b/rattancmd/explain_test.go
@@ -1,6 +1,7 @@
 package rattancmd
 
 import (
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -33,6 +34,17 @@
 				`{"Job":"00000000000000aa","Message":"request answered","Reason":"targets crashed under a task","Status":200,"Presented":1,"Time":"2026-12-04T08:00:01Z"}` + "\n",
 			[]string{"home: attempt 2 of 00000000000000aa.0.0.1 lost with target t1 (Silent); targets lost under the task: 1 silent, 1 crashed", "cause: targets crashed under a task"},
 		},
+		"versions differ": {
+			`{"Job":"00000000000000aa","Message":"desired states differ","Submitter":"front-a","Submitted":8,"Own":6,"Accepted":false,"Time":"2026-12-04T08:00:00Z"}` + "\n" +
+				`{"Job":"00000000000000aa","Message":"request answered","Reason":"no such queue","Status":404,"Presented":0,"Time":"2026-12-04T08:00:01Z"}` + "\n",
+			[]string{"home: submitted by front-a with desired state 8, own 6; both went on with the newer one", "cause: no such queue"},
+		},
+		"odd lines": {
+			`{"Job":"00000000000000aa","Message":"job ended","History":` + strings.Repeat("[", 1_000_000) + strings.Repeat("]", 1_000_000) + "}\n" +
+				`{"Job":"00000000000000aa","Message":"job ended","Runs":1e400}` + "\nnull 00000000000000aa\n" +
+				`{"Job":"00000000000000aa","Message":"request answered","Reason":"complete","Status":200,"Presented":1,"Time":"2026-12-04T08:00:01Z"}` + "\n",
+			[]string{"cause: complete"},
+		},
 		"front missing": {
 			`{"Job":"00000000000000aa","Message":"job ended","Outcome":"Cancelled","Reason":"cancelled","Time":"2026-12-04T08:00:00Z"}` + "\n",
 			[]string{"no front logged an answer"},
--- a/rattancmd/explaincmd.go
+++ b/rattancmd/explaincmd.go
@@ -49,6 +49,9 @@
 	Task     string
 	Target   string
 	Proof    string
+	// Submitter, Submitted, Own and Accepted describe a submission by another
+	// version of the desired state than that of the home.
+	Submitter string
 
 	Presented    int
 	Runs         int
@@ -57,6 +60,9 @@
 	ElapsedMS    float64
 	FirstStartMS float64
 	Desired      int64
+	Submitted    int64
+	Own          int64
+	Accepted     bool
 	Attempt      int
 	Silent       int
 	Crashed      int
@@ -130,6 +136,12 @@
 	case "run lost":
 		return fmt.Sprintf("%s home: attempt %d of %s lost with target %s (%s); targets lost under the task: %d silent, %d crashed",
 			timestamp, line.Attempt, line.Task, line.Target, line.Proof, line.Silent, line.Crashed)
+	case "desired states differ":
+		outcome := "both went on with the newer one"
+		if line.Accepted {
+			outcome = "the job had been accepted before"
+		}
+		return fmt.Sprintf("%s home: submitted by %s with desired state %d, own %d; %s", timestamp, line.Submitter, line.Submitted, line.Own, outcome)
 	default:
 		return line.raw
 	}
