Test that a change is in force where the store turns instances away

The store answers one instance of six only, which is not the home of its zone, while the other zone loses its home; and changes beside paused instances. The stand-in of the store has an address for each instance now.

--- a/rattancmd/deployment_test.go
+++ b/rattancmd/deployment_test.go
@@ -66,6 +66,8 @@
 	name         string
 	ip           string
 	settingsFile string
+	// storeAddress is the address of the store that only this instance uses.
+	storeAddress string
 	command      *exec.Cmd
 	output       bytes.Buffer
 	ended        chan struct{}
@@ -164,8 +166,10 @@
 // its process.
 func (d *deployment) addInstance(name, zone string) *serveInstance {
 	ip := fmt.Sprintf("%s%d", d.ipPrefix, 10+len(d.instances))
-	instance := &serveInstance{name: name, ip: ip, settingsFile: filepath.Join(d.directory, name+".json")}
-	settings := rattansite.InstanceSettings{Name: name, IP: ip, Zone: zone, StoreAddress: d.store.Address()}
+	storeAddress, err := d.store.Listen()
+	d.Assert(err, qt.IsNil)
+	instance := &serveInstance{name: name, ip: ip, settingsFile: filepath.Join(d.directory, name+".json"), storeAddress: storeAddress}
+	settings := rattansite.InstanceSettings{Name: name, IP: ip, Zone: zone, StoreAddress: storeAddress}
 	for _, other := range d.instances {
 		settings.SeedIPs = append(settings.SeedIPs, other.ip)
 	}
--- /dev/null
+++ b/rattancmd/desired_state_test.go
@@ -0,0 +1,86 @@
+package rattancmd_test
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattansite"
+)
+
+// maxPropagationDelay is the time from a change of the desired state until it is in
+// force on all instances.
+const maxPropagationDelay = 2 * time.Second
+
+// TestServeDesiredStateWhereStoreTurnsInstancesAway guards against a change that is
+// not in force in time, because the store answers one instance only, which is not
+// the home of its zone, while another zone loses its home.
+func TestServeDesiredStateWhereStoreTurnsInstancesAway(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		outage   rattansite.Outage
+		homeLost bool
+	}{
+		"refused":            {outage: rattansite.OutageRefusing},
+		"silent":             {outage: rattansite.OutageSilent},
+		"refused, home lost": {outage: rattansite.OutageRefusing, homeLost: true},
+		"silent, home lost":  {outage: rattansite.OutageSilent, homeLost: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			deployment := startDeployment(t, []string{"a", "b"}, 3, 1)
+			reached := deployment.followers("b", deployment.homeOf("b"))[0]
+			for _, instance := range deployment.instances {
+				if instance != reached {
+					deployment.store.SetOutageAt(instance.storeAddress, test.outage)
+				}
+			}
+			time.Sleep(time.Second)
+			if test.homeLost {
+				home := deployment.homeOf("a")
+				deployment.kill(home, syscall.SIGKILL)
+				deployment.removeInstance(home)
+			}
+			deployment.putDesired("/second/")
+			time.Sleep(maxPropagationDelay)
+			deployment.checkGet("/second/", http.StatusOK, "pending")
+		})
+	}
+}
+
+// removeInstance forgets an instance that has ended.
+func (d *deployment) removeInstance(ended *serveInstance) {
+	var remaining []*serveInstance
+	for _, instance := range d.instances {
+		if instance != ended {
+			remaining = append(remaining, instance)
+		}
+	}
+	d.instances = remaining
+}
+
+// TestServeChangesBesidePausedInstances guards against an instance that goes back to
+// an older desired state, or refuses a route that was added, while homes and fronts
+// are paused around each change.
+func TestServeChangesBesidePausedInstances(t *testing.T) {
+	t.Parallel()
+	const pause = 600 * time.Millisecond
+	deployment := startDeployment(t, []string{"a"}, 3, 4)
+	load := deployment.startLoad(4)
+	load.waitForSuccess(time.Now())
+	for i, instance := range deployment.instances {
+		instance.pause(pause)
+		time.Sleep(pause / 2)
+		prefix := fmt.Sprintf("/added-%d/", i)
+		deployment.putDesired(prefix)
+		time.Sleep(maxPropagationDelay)
+		deployment.checkGet(prefix, http.StatusOK, "pending")
+	}
+	load.finish()
+	deployment.Check(load.unexpected.Load(), qt.Equals, int64(0))
+}
--- a/rattancmd/serve_test.go
+++ b/rattancmd/serve_test.go
@@ -97,7 +97,6 @@
 func TestServeDesiredState(t *testing.T) {
 	t.Parallel()
 	deployment := startDeployment(t, []string{"a"}, 2, 1)
-	const maxPropagationDelay = 2 * time.Second
 	checkServed := func(prefix string) {
 		deployment.Helper()
 		time.Sleep(maxPropagationDelay)
--- a/rattansite/store.go
+++ b/rattansite/store.go
@@ -68,6 +68,8 @@
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	outage  Outage
+	// outages holds the failure modes of single addresses.
+	outages map[string]Outage
 	calls   int
 	// connections is the number of connections opened so far. Those up to
 	// silentConnections are not answered any more.
@@ -91,6 +93,7 @@
 		items:    map[string]storeItem{},
 		leases:   map[int64]*storeLease{},
 		changed:  make(chan struct{}),
+		outages:  map[string]Outage{},
 	}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Second, ConnContext: s.numberConnection}
 	go func() { _ = s.server.Serve(listener) }()
@@ -121,6 +124,33 @@
 	s.outage = outage
 }
 
+// Listen opens a further address of the store.
+func (s *Store) Listen() (address string, err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	go func() { _ = s.server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+// SetOutageAt sets the failure mode of one address.
+func (s *Store) SetOutageAt(address string, outage Outage) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.outages[address] = outage
+}
+
+// outageOf returns the failure mode that applies to a call.
+func (s *Store) outageOf(r *http.Request) Outage {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if address, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr); ok && s.outages[address.String()] != OutageNone {
+		return s.outages[address.String()]
+	}
+	return s.outage
+}
+
 // SilenceConnections makes all open connections silent, while new ones work.
 func (s *Store) SilenceConnections() {
 	s.mutex.Lock()
@@ -218,8 +248,8 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mutex.Lock()
 	s.calls++
-	outage := s.outage
 	s.mutex.Unlock()
+	outage := s.outageOf(r)
 	switch {
 	case outage == OutageRefusing:
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -339,7 +369,7 @@
 			}
 		}
 		if len(events) > 0 || expired {
-			if s.onSilentConnection(r) {
+			if s.onSilentConnection(r) || s.outageOf(r) == OutageSilent {
 				hang(r)
 			}
 			writeJSON(w, struct {
