--- a/rattanzone/kept_target_test.go
+++ b/rattanzone/kept_target_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,10 +38,8 @@
 // that has read the store later than its home does not copy the inventory from it.
 func TestHeartbeatOfHomeNamesTargetsInUse(t *testing.T) {
 	c := qt.New(t)
-	start := time.Unix(1_800_000_000, 0)
-	var elapsed atomic.Int64
-	clock := func() time.Time { return start.Add(time.Duration(elapsed.Load())) }
-	pass := func(duration time.Duration) { elapsed.Add(int64(duration)) }
+	var fake fakeClock
+	clock, pass := fake.now, fake.pass
 	asked := make(chan string, 100)
 	newAgent := func(name string) *Agent {
 		return New(Config{
--- a/rattanzone/overdue_test.go
+++ b/rattanzone/overdue_test.go
@@ -37,8 +37,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			now := time.Unix(1_800_000_000, 0)
-			clock := func() time.Time { return now }
+			var clock fakeClock
 			beat := func(id string, sequence int64) rattanwork.Target {
 				return rattanwork.Target{ID: id, Zone: "z", Sequence: sequence}
 			}
@@ -46,18 +45,18 @@
 				store := &scriptedInventory{current: rattanwork.Inventory{Revision: 5, Targets: []rattanwork.Target{beat("a", 1), beat("b", 1)}}}
 				return New(Config{
 					Self: rattanwork.Member{Name: name, Zone: "z"}, Seeds: func() []string { return nil }, Peers: noPeers{}, Journal: quietJournal{},
-					DesiredState: &DesiredStateWatcher{}, Inventory: NewInventory(store), Clock: clock,
+					DesiredState: &DesiredStateWatcher{}, Inventory: NewInventory(store), Clock: clock.now,
 					NewHome: func(token int64) *rattanhome.Home {
-						return rattanhome.New(rattanhome.Config{FencingToken: token, MaxLease: time.Second, Targets: silentTargets{}, Observer: idleObserver{}, Clock: clock})
+						return rattanhome.New(rattanhome.Config{FencingToken: token, MaxLease: time.Second, Targets: silentTargets{}, Observer: idleObserver{}, Clock: clock.now})
 					},
 				}), store
 			}
 			follow := func(agent *Agent) {
 				c.Helper()
-				c.Assert(agent.config.Inventory.follow(context.Background(), clock), qt.IsNil)
+				c.Assert(agent.config.Inventory.follow(context.Background(), clock.now), qt.IsNil)
 			}
 			awaitedSince := func(agent *Agent) time.Time {
-				for _, target := range agent.config.Inventory.ZoneTargets("z", now) {
+				for _, target := range agent.config.Inventory.ZoneTargets("z", clock.now()) {
 					if target.ID == "b" {
 						return target.AwaitedSince
 					}
@@ -66,12 +65,12 @@
 			}
 			home, homeStore := newAgent("home")
 			follower, followerStore := newAgent("follower")
-			home.claimZone("test", now)
+			home.claimZone("test", clock.now())
 			follow(home)
-			lastHeard := now
+			lastHeard := clock.now()
 			// The store's watch brings heartbeats of one target only.
-			for sequence := int64(2); now.Sub(lastHeard) <= overdueAge; sequence++ {
-				now = now.Add(500 * time.Millisecond)
+			for sequence := int64(2); clock.now().Sub(lastHeard) <= overdueAge; sequence++ {
+				clock.pass(500 * time.Millisecond)
 				homeStore.changes = []rattanwork.InventoryChange{{Revision: 4 + sequence, Updated: []rattanwork.Target{beat("a", sequence)}}}
 				follow(home)
 			}
@@ -88,26 +87,26 @@
 			} else {
 				defer home.LocalHome().Close()
 			}
-			now = now.Add(test.delay)
-			claimedAt := now
-			follower.claimZone("test", now)
+			clock.pass(test.delay)
+			claimedAt := clock.now()
+			follower.claimZone("test", clock.now())
 			defer follower.LocalHome().Close()
 			followerStore.current.Revision = 20
 			// The copy of the follower was older than the last heartbeat.
 			followerStore.current.Targets[1] = beat("b", 7)
 			follow(follower)
-			now = now.Add(500 * time.Millisecond)
+			clock.pass(500 * time.Millisecond)
 			if test.fails {
 				followerStore.err = context.DeadlineExceeded
-				c.Assert(follower.config.Inventory.follow(context.Background(), clock), qt.IsNotNil)
+				c.Assert(follower.config.Inventory.follow(context.Background(), clock.now), qt.IsNotNil)
 				followerStore.err = nil
 			}
 			if test.heard {
 				followerStore.changes = []rattanwork.InventoryChange{{Revision: 21, Updated: []rattanwork.Target{beat("b", 8)}}}
 			}
 			follow(follower)
-			c.Check(awaitedSince(follower), qt.Equals, test.want(lastHeard, claimedAt, now))
-			overdue := follower.config.Inventory.Overdue("z", now)
+			c.Check(awaitedSince(follower), qt.Equals, test.want(lastHeard, claimedAt, clock.now()))
+			overdue := follower.config.Inventory.Overdue("z", clock.now())
 			_, told := overdue["b"]
 			c.Check(told, qt.Equals, strings.HasPrefix(name, "overdue"), qt.Commentf("the next successor is told too: %v", overdue))
 		})
