--- a/rattancmd/desired_state_test.go
+++ b/rattancmd/desired_state_test.go
@@ -16,9 +16,7 @@
 // force on all instances.
 const maxPropagationDelay = 2 * time.Second
 
-// TestServeDesiredStateWhereStoreTurnsInstancesAway guards against a change that is
-// not in force in time, because the store answers one instance only, which is not
-// the home of its zone, while another zone loses its home.
+// TestServeDesiredStateWhereStoreTurnsInstancesAway lets the store answer one instance only, not a home.
 func TestServeDesiredStateWhereStoreTurnsInstancesAway(t *testing.T) {
 	t.Parallel()
 	tests := map[string]struct {
@@ -64,9 +62,7 @@
 	d.instances = remaining
 }
 
-// TestServeChangesBesidePausedInstances guards against an instance that goes back to
-// an older desired state, or refuses a route that was added, while homes and fronts
-// are paused around each change.
+// TestServeChangesBesidePausedInstances guards against a route that is not served after a pause around its change.
 func TestServeChangesBesidePausedInstances(t *testing.T) {
 	t.Parallel()
 	const pause = 600 * time.Millisecond
--- a/rattancmd/odd_entries_test.go
+++ b/rattancmd/odd_entries_test.go
@@ -38,9 +38,7 @@
 	return odd
 }
 
-// TestServeOddEntries guards against instances that end, stop following the
-// inventory or misjudge the room of a zone, because another program has left odd
-// entries among those of the targets.
+// TestServeOddEntries guards against instances that end, or no longer follow the inventory, for one odd entry.
 func TestServeOddEntries(t *testing.T) {
 	t.Parallel()
 	const targets = 2
@@ -68,8 +66,7 @@
 	deployment.checkRunning()
 }
 
-// TestServeOverwrittenEntry guards against a live target that is overcommitted, or
-// whose runs are lost or doubled, while another program overwrites its entry.
+// TestServeOverwrittenEntry guards against overcommitting a target whose entry another program overwrites.
 func TestServeOverwrittenEntry(t *testing.T) {
 	t.Parallel()
 	const overwriteTime = 1000 * time.Millisecond
--- a/rattanfront/version_test.go
+++ b/rattanfront/version_test.go
@@ -83,9 +83,7 @@
 	return reply
 }
 
-// TestConflictOfVersionsIsResolved guards against a job that is run by a route
-// that was removed, against the loss of one that may have started by it, and
-// against a home that stays behind, also in another zone and after a takeover.
+// TestConflictOfVersionsIsResolved plays homes with another version, also in another zone and after a lost submission.
 func TestConflictOfVersionsIsResolved(t *testing.T) {
 	succeeded := rattanhome.Reply{Result: rattanscheduler.JobResult{Outcome: rattanscheduler.Succeeded}}
 	redirected := rattanhome.Reply{Result: rattanscheduler.JobResult{Outcome: rattanscheduler.Redirected, Zone: "b"}}
@@ -130,9 +128,7 @@
 	}
 }
 
-// TestUnresolvedConflictIsNotRepeatedAtOnce guards against a flood of submissions
-// to a home that takes the enclosed document for invalid, or whose own is invalid
-// here.
+// TestUnresolvedConflictIsNotRepeatedAtOnce guards against a flood of submissions between instances that disagree.
 func TestUnresolvedConflictIsNotRepeatedAtOnce(t *testing.T) {
 	for name, conflict := range map[string]rattanhome.VersionConflict{
 		"home stays older":         {},
--- a/rattannode/silent_store_test.go
+++ b/rattannode/silent_store_test.go
@@ -16,9 +16,7 @@
 	"github.com/rattanlever/rattanlever/rattanzone"
 )
 
-// TestDesiredStateComesPastSilentConnections guards against a change that is not in
-// force in time because all connections to the store have become silent, and no
-// other instance tells of it.
+// TestDesiredStateComesPastSilentConnections guards against a change that is not in force in time.
 func TestDesiredStateComesPastSilentConnections(t *testing.T) {
 	const maxDelay = 2 * time.Second
 	c := qt.New(t)
--- a/rattannode/version_test.go
+++ b/rattannode/version_test.go
@@ -176,8 +176,7 @@
 	return recorder.Code
 }
 
-// TestHomeActsOnNoOtherVersion guards against an instance that goes back to an
-// older desired state, in all orders in which a front and a home learn of it.
+// TestHomeActsOnNoOtherVersion plays each order in which a front and a home learn of a change.
 func TestHomeActsOnNoOtherVersion(t *testing.T) {
 	rattanred.SkipKnownFailure(t)
 	tests := map[string]struct {
--- a/rattanplatform/client_test.go
+++ b/rattanplatform/client_test.go
@@ -269,8 +269,7 @@
 	c.Check(err, qt.ErrorIs, rattanplatform.ErrUnavailable)
 }
 
-// TestOddInstancesAreLeftOut guards against watchers that stop following the list
-// because of one odd entry of another program.
+// TestOddInstancesAreLeftOut guards against watchers that stop following the list for one odd entry.
 func TestOddInstancesAreLeftOut(t *testing.T) {
 	c := qt.New(t)
 	const good = `{"Name":"a","Address":"127.0.0.1:9001","AvailabilityZone":"buda","Role":"Target","Slots":8,"State":"Live"}`
--- a/rattanzone/message_test.go
+++ b/rattanzone/message_test.go
@@ -12,9 +12,7 @@
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
-// TestOddMessagesAreRefusedAlone guards against an instance that ends, believes a
-// home that cannot exist or takes over a target that cannot be one, because of one
-// message of another instance.
+// TestOddMessagesAreRefusedAlone guards against believing what no instance sends, and against ending for it.
 func TestOddMessagesAreRefusedAlone(t *testing.T) {
 	c := qt.New(t)
 	nested := strings.Repeat("[", 1_000_000) + strings.Repeat("]", 1_000_000)
--- a/rattanzone/overdue_test.go
+++ b/rattanzone/overdue_test.go
@@ -12,9 +12,7 @@
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
-// TestSuccessorAwaitsOverdueHeartbeats guards against an overcommitted target: its
-// capacity has shrunk while it could not reach the store, and a successor counts
-// the time without its heartbeats anew.
+// TestSuccessorAwaitsOverdueHeartbeats guards against overcommitting a target that shrank while it was cut off.
 func TestSuccessorAwaitsOverdueHeartbeats(t *testing.T) {
 	tests := map[string]struct {
 		// delay is the time from the last view of the home to the claim.
