--- a/rattancmd/desired_state_test.go
+++ b/rattancmd/desired_state_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rattanlever/rattanlever/rattanred"
 	"github.com/rattanlever/rattanlever/rattansite"
 )
 
@@ -80,3 +81,40 @@
 	load.finish()
 	deployment.Check(load.unexpected.Load(), qt.Equals, int64(0))
 }
+
+// TestServePausedInstanceAnswersByCurrentState guards against a 404 for an added route just after a pause.
+func TestServePausedInstanceAnswersByCurrentState(t *testing.T) {
+	t.Parallel()
+	rattanred.SkipKnownFailure(t)
+	deployment := startDeployment(t, []string{"a"}, 2, 1)
+	home := deployment.homeOf("a")
+	for _, instance := range []*serveInstance{deployment.followers("a", home)[0], home} {
+		for round := range 5 {
+			prefix := fmt.Sprintf("/added-%s-%d/", instance.name, round)
+			deployment.Assert(instance.command.Process.Signal(syscall.SIGSTOP), qt.IsNil)
+			deployment.putDesired(prefix)
+			time.Sleep(maxPropagationDelay)
+			statuses := make(chan int, 1)
+			go func() { statuses <- deployment.get(instance, prefix) }()
+			time.Sleep(100 * time.Millisecond)
+			deployment.Assert(instance.command.Process.Signal(syscall.SIGCONT), qt.IsNil)
+			deployment.Check(<-statuses, qt.Equals, http.StatusOK, qt.Commentf("%s", prefix))
+			time.Sleep(500 * time.Millisecond)
+		}
+	}
+}
+
+// get returns the status of the answer of one instance, 0 if there was none.
+func (d *deployment) get(instance *serveInstance, path string) int {
+	request, err := http.NewRequest(http.MethodGet, "http://"+instance.ip+":"+rattansite.CallerPort+path, nil)
+	if err != nil {
+		return 0
+	}
+	request.Host = queueHost
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
