--- a/rattancmd/deployment_test.go
+++ b/rattancmd/deployment_test.go
@@ -274,6 +274,21 @@
 	}
 	request.Host = queueHost
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	return answerTo(client, request)
+}
+
+// get returns the answer of one instance to a GET request.
+func (d *deployment) get(instance *serveInstance, path string) serveAnswer {
+	request, err := http.NewRequest(http.MethodGet, "http://"+instance.ip+":"+rattansite.CallerPort+path, nil)
+	if err != nil {
+		return serveAnswer{}
+	}
+	request.Host = queueHost
+	return answerTo(http.DefaultClient, request)
+}
+
+// answerTo sends a request and returns the answer to it.
+func answerTo(client *http.Client, request *http.Request) serveAnswer {
 	response, err := client.Do(request)
 	if err != nil {
 		return serveAnswer{}
--- a/rattancmd/desired_state_test.go
+++ b/rattancmd/desired_state_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -52,15 +53,9 @@
 	}
 }
 
-// removeInstance forgets an instance that has ended.
-func (d *deployment) removeInstance(ended *serveInstance) {
-	var remaining []*serveInstance
-	for _, instance := range d.instances {
-		if instance != ended {
-			remaining = append(remaining, instance)
-		}
-	}
-	d.instances = remaining
+// removeInstance forgets an instance that is about to end or has ended.
+func (d *deployment) removeInstance(removed *serveInstance) {
+	d.instances = slices.DeleteFunc(slices.Clone(d.instances), func(instance *serveInstance) bool { return instance == removed })
 }
 
 // TestServeChangesBesidePausedInstances guards against a route that is not served after a pause around its change.
@@ -95,7 +90,7 @@
 			deployment.putDesired(prefix)
 			time.Sleep(maxPropagationDelay)
 			statuses := make(chan int, 1)
-			go func() { statuses <- deployment.get(instance, prefix) }()
+			go func() { statuses <- deployment.get(instance, prefix).Status }()
 			time.Sleep(100 * time.Millisecond)
 			deployment.Assert(instance.command.Process.Signal(syscall.SIGCONT), qt.IsNil)
 			deployment.Check(<-statuses, qt.Equals, http.StatusOK, qt.Commentf("%s", prefix))
@@ -103,18 +98,3 @@
 		}
 	}
 }
-
-// get returns the status of the answer of one instance, 0 if there was none.
-func (d *deployment) get(instance *serveInstance, path string) int {
-	request, err := http.NewRequest(http.MethodGet, "http://"+instance.ip+":"+rattansite.CallerPort+path, nil)
-	if err != nil {
-		return 0
-	}
-	request.Host = queueHost
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return 0
-	}
-	_ = response.Body.Close()
-	return response.StatusCode
-}
--- a/rattancmd/serve_test.go
+++ b/rattancmd/serve_test.go
@@ -78,16 +78,9 @@
 func (d *deployment) checkGet(path string, status int, body string) {
 	d.Helper()
 	for _, instance := range d.instances {
-		request, err := http.NewRequest(http.MethodGet, "http://"+instance.ip+":"+rattansite.CallerPort+path, nil)
-		d.Assert(err, qt.IsNil)
-		request.Host = queueHost
-		response, err := http.DefaultClient.Do(request)
-		d.Assert(err, qt.IsNil)
-		data, err := io.ReadAll(response.Body)
-		d.Assert(err, qt.IsNil)
-		_ = response.Body.Close()
-		d.Check(response.StatusCode, qt.Equals, status, qt.Commentf("%s", path))
-		d.Check(string(data), qt.Contains, body)
+		answer := d.get(instance, path)
+		d.Check(answer.Status, qt.Equals, status, qt.Commentf("%s", path))
+		d.Check(answer.Body, qt.Contains, body)
 	}
 }
 
@@ -165,12 +158,7 @@
 	stopped := deployment.homeOf("a")
 	// Callers only use instances that keep running, as the ingress ensures.
 	all := deployment.instances
-	deployment.instances = nil
-	for _, instance := range all {
-		if instance != stopped {
-			deployment.instances = append(deployment.instances, instance)
-		}
-	}
+	deployment.removeInstance(stopped)
 	load := deployment.startLoad(6)
 	load.waitForSuccess(time.Now())
 	slowAnswer := make(chan serveAnswer, 1)
