--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -33,7 +33,8 @@
 }
 
 var scenarios = map[string]scenario{
-	"cancel": {zones: []string{"buda"}, instances: 3, workers: 4, play: cancelledJobRunsOn},
+	"cancel":    {zones: []string{"buda"}, instances: 3, workers: 4, play: cancelledJobRunsOn},
+	"forgotten": {zones: []string{"buda"}, instances: 3, workers: 4, play: cancelIsForgotten},
 }
 
 func main() {
