--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -34,6 +34,7 @@
 
 var scenarios = map[string]scenario{
 	"cancel":    {zones: []string{"buda"}, instances: 3, workers: 4, play: cancelledJobRunsOn},
+	"late":      {zones: []string{"buda"}, instances: 3, workers: 8, play: lateStartRunsTwice},
 	"forgotten": {zones: []string{"buda"}, instances: 3, workers: 4, play: cancelIsForgotten},
 }
 
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -64,6 +64,10 @@
 	changed chan struct{}
 	events  []runEvent
 	closed  chan struct{}
+	// holdsStart is set if the next start gets no answer and is carried out only
+	// once the worker has started again; heldStart is that start.
+	holdsStart bool
+	heldStart  *order
 }
 
 // newWorker starts a worker on a free port and registers it in the store.
@@ -146,6 +150,10 @@
 		response.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if request.URL.Path == "/api/run-start" && w.holdStart(&call) {
+		<-request.Context().Done()
+		return
+	}
 	status, reason := w.carryOut(request.URL.Path, &call)
 	if status == http.StatusOK && request.URL.Path == "/api/hold" {
 		w.list(response, request, &call)
@@ -158,6 +166,54 @@
 	writeAnswer(response, status, answer)
 }
 
+// holdStart keeps a start back if the worker is to do so.
+func (w *worker) holdStart(call *order) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if !w.holdsStart {
+		return false
+	}
+	w.holdsStart = false
+	w.heldStart = call
+	w.record.line("worker %s: the start of task %s attempt %d is delayed", w.id, call.Task, call.Attempt)
+	return true
+}
+
+// crash ends the process of the worker with all that runs there.
+func (w *worker) crash() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.record.line("worker %s crashes", w.id)
+	for _, run := range w.runs {
+		w.end(run, "gone")
+	}
+	_ = w.server.Close()
+}
+
+// restart starts the process again under its id. It knows nothing of before. A
+// start that was kept back is carried out then.
+func (w *worker) restart() error {
+	listener, err := net.Listen("tcp", w.address)
+	if err != nil {
+		return err
+	}
+	w.mutex.Lock()
+	w.record.line("worker %s starts again under its id", w.id)
+	w.born = time.Now()
+	w.beats, w.fence, w.lastEnd = 0, 0, 0
+	w.finished, w.leaseEnd = nil, time.Time{}
+	w.settled = map[string]int{}
+	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Second}
+	held, server := w.heldStart, w.server
+	w.mutex.Unlock()
+	if held != nil {
+		status, reason := w.carryOut("/api/run-start", held)
+		w.record.line("worker %s: the delayed start is carried out: %d %s", w.id, status, reason)
+	}
+	go func() { _ = server.Serve(listener) }()
+	return w.register()
+}
+
 func writeAnswer(response http.ResponseWriter, status int, body any) {
 	response.Header().Set("Content-Type", "application/json")
 	response.WriteHeader(status)
