--- a/review/rig2/soak.go
+++ b/review/rig2/soak.go
@@ -20,6 +20,8 @@
 		"cancel-roll":       {zones: 2, machines: 3, workers: 4, cpu: 16000, play: (*world).cancelThenRoll},
 		"odd-jobs":          {zones: 2, machines: 3, workers: 6, cpu: 16000, play: func(w *world, _ bool) error { return w.oddJobs(length) }},
 		"term-load":         {zones: 1, machines: 3, workers: 6, cpu: 16000, play: (*world).terminateUnderLoad},
+		"late-start":        {zones: 1, machines: 3, workers: 4, cpu: 16000, play: (*world).lateStartHomeKilled},
+		"late-start-zone":   {zones: 2, machines: 3, workers: 4, cpu: 16000, play: (*world).lateStartZoneLost},
 		"cancel-zone-lost":  {zones: 2, machines: 3, workers: 4, cpu: 16000, play: (*world).cancelThenZoneLost},
 		"cancel-zone-gone":  {zones: 2, machines: 3, workers: 4, cpu: 16000, play: (*world).cancelWithoutZone},
 	}
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -49,6 +49,10 @@
 	lastEnd       int64
 	changed       chan struct{}
 	conns         map[net.Conn]bool
+	// holdStart keeps the next start back, held is a start that was kept back until
+	// the worker has started again.
+	holdStart chan *worker
+	held      *request
 }
 
 type end struct {
@@ -144,6 +148,11 @@
 	k.reset()
 	k.down = false
 	w.note("worker %s is back", k.id)
+	if k.held != nil {
+		status, answer := k.apply("/api/run-start", *k.held)
+		w.note("late start %s attempt %d at %s: %d %v", k.held.Task, k.held.Attempt, k.id, status, answer)
+		k.held = nil
+	}
 	w.mutex.Unlock()
 	k.writeEntry()
 }
@@ -174,8 +183,11 @@
 	w := k.world
 	w.mutex.Lock()
 	f, down := k.faults, k.down
+	kept := !down && k.keepBack(r.URL.Path, q)
 	w.mutex.Unlock()
 	switch {
+	case kept:
+		hang(r)
 	case down:
 		if conn, _, err := rw.(http.Hijacker).Hijack(); err == nil {
 			_ = conn.Close()
@@ -215,6 +227,21 @@
 	}
 }
 
+// keepBack keeps back the first start that any worker gets, if that is wanted. The
+// caller holds the mutex.
+func (k *worker) keepBack(path string, q request) bool {
+	if k.holdStart == nil || path != "/api/run-start" {
+		return false
+	}
+	k.world.note("start %s attempt %d at %s gets no answer", q.Task, q.Attempt, k.id)
+	k.held = &q
+	k.holdStart <- k
+	for _, other := range k.world.workers {
+		other.holdStart = nil
+	}
+	return true
+}
+
 func (k *worker) isCut() bool {
 	k.world.mutex.Lock()
 	defer k.world.mutex.Unlock()
