--- a/review/rig2/instance.go
+++ b/review/rig2/instance.go
@@ -31,6 +31,8 @@
 	command        *exec.Cmd
 	ended          chan struct{}
 	startedAt      time.Time
+	// stopped is set at the end of the case, after which no process is started.
+	stopped bool
 }
 
 // addInstance writes the settings file of a machine.
@@ -77,6 +79,11 @@
 	command := exec.Command(programPath, "serve")
 	command.Env = append(os.Environ(), "RATTANLEVER_NODE_FILE="+i.settings)
 	command.Stdout, command.Stderr = output, output
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.stopped {
+		return nil
+	}
 	if err := command.Start(); err != nil {
 		return err
 	}
@@ -86,8 +93,6 @@
 		i.world.log("instance %s ended: %v", i.name, err)
 		close(ended)
 	}()
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
 	i.command, i.ended, i.startedAt = command, ended, time.Now()
 	return nil
 }
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -151,7 +151,11 @@
 // stop ends all processes.
 func (w *world) stop() {
 	for _, i := range w.instances {
-		if i.command == nil {
+		i.mutex.Lock()
+		i.stopped = true
+		command := i.command
+		i.mutex.Unlock()
+		if command == nil {
 			continue
 		}
 		i.signal(syscall.SIGCONT)
