--- a/review/rig2/late.go
+++ b/review/rig2/late.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"os"
-	"strconv"
 	"syscall"
 	"time"
 )
@@ -91,8 +89,6 @@
 	held := *k.held
 	k.held = nil
 	w.mutex.Unlock()
-	delay, _ := strconv.Atoi(os.Getenv("RIG2_DELAY"))
-	time.Sleep(time.Duration(delay) * time.Millisecond)
 	if trouble {
 		w.disturb("all machines of %s lose power", zoneNames[0])
 		for _, i := range machines {
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -15,7 +15,7 @@
 	"time"
 )
 
-// playLimit bounds the time of a case, beside the length of a soak.
+// playLimit bounds the time of a case.
 const playLimit = 100 * time.Second
 
 // Exit codes of a case.
@@ -28,10 +28,9 @@
 func main() {
 	name := flag.String("case", "", "the case to play")
 	record := flag.String("record", "record.txt", "the file for what was sent, answered and run")
-	seconds := flag.Int("seconds", 0, "length of a soak")
 	keep := flag.String("logs", "", "folder for the logs of the processes")
 	flag.Parse()
-	code, err := play(*name, *record, *keep, time.Duration(*seconds)*time.Second)
+	code, err := play(*name, *record, *keep)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "rig2:", err)
 		code = exitNotRun
@@ -46,9 +45,17 @@
 	play                     func(w *world, trouble bool) error
 }
 
+// scenarios holds all cases by name.
+var scenarios = map[string]scenario{
+	"cancel-all-killed": {zones: 2, machines: 3, workers: 4, cpu: 16000, play: (*world).cancelThenKillAll},
+	"cancel-zone-gone":  {zones: 2, machines: 3, workers: 4, cpu: 16000, play: (*world).cancelWithoutZone},
+	"late-start":        {zones: 1, machines: 3, workers: 4, cpu: 16000, play: (*world).lateStartHomeKilled},
+	"late-start-zone":   {zones: 2, machines: 3, workers: 4, cpu: 16000, play: (*world).lateStartZoneLost},
+}
+
 // play plays a case and returns its exit code.
-func play(name, record, keep string, length time.Duration) (int, error) {
-	s, ok := scenarios(length)[name]
+func play(name, record, keep string) (int, error) {
+	s, ok := scenarios[name]
 	if !ok {
 		return 0, fmt.Errorf("there is no case %q", name)
 	}
@@ -71,7 +78,7 @@
 	go func() {
 		select {
 		case <-interrupted:
-		case <-time.After(length + playLimit):
+		case <-time.After(playLimit):
 		}
 		fmt.Fprintln(os.Stderr, "rig2: the case takes too long or was interrupted")
 		w.stop()
