Log how often a job was submitted, and what a home answered to another version

The line of an answer had the number of submissions only since the last conflict or redirect, and the line of a home that answers with a conflict did not tell what it remembered of the job.

The answer now states all submissions, the conflicts among them and the fencing token of the last home; the line about versions states whether the submission was a repeated one, what the home remembered and its fencing token.

No change of behaviour.

--- a/rattanfront/handler.go
+++ b/rattanfront/handler.go
@@ -96,7 +96,13 @@
 	Home         string
 	Zone         string
 	HomeAttempts int
-	Elapsed      time.Duration
+	// HomeToken is the fencing token by which that home was known, Submissions how
+	// often the job was submitted to any home and Conflicts how many of these
+	// submissions were not accepted because of their version.
+	HomeToken   int64
+	Submissions int
+	Conflicts   int
+	Elapsed     time.Duration
 	// Version is the version of the desired state that applied to the request.
 	Version int64
 }
--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -52,6 +52,10 @@
 	// is homeToken.
 	homes     int
 	homeToken int64
+	// submissions counts the submissions to all homes, conflicts those that were
+	// not accepted because of their version.
+	submissions int
+	conflicts   int
 	// sequence is the number of the last submission to a home.
 	sequence int64
 	// home is the name of the instance that the job was last submitted to.
@@ -101,6 +105,9 @@
 		Home:         s.home,
 		Zone:         s.zone,
 		HomeAttempts: s.homeAttempts,
+		HomeToken:    s.homeToken,
+		Submissions:  s.submissions,
+		Conflicts:    s.conflicts,
 		Elapsed:      s.handler.config.Clock().Sub(s.receivedAt),
 		Version:      s.state.Version,
 	})
@@ -167,6 +174,7 @@
 func (s *submission) attempt(ctx context.Context, claim rattanzone.Claim, homeChanged <-chan struct{}) (response, bool) {
 	request := s.request(claim)
 	s.homeAttempts++
+	s.submissions++
 	s.home = claim.Name
 	if s.redirected {
 		defer s.handler.config.Homes.KeepAlive(claim.Address)()
@@ -190,6 +198,7 @@
 		return response{}, false
 	}
 	if reply.Conflict != nil {
+		s.conflicts++
 		s.resolveConflict(ctx, request, reply.Conflict)
 		return response{}, false
 	}
--- a/rattanhome/version.go
+++ b/rattanhome/version.go
@@ -31,8 +31,14 @@
 	// Submitted is the version of the submitter, Own that of the home's instance.
 	Submitted int64
 	Own       int64
-	// Accepted is set if the home had accepted the job before.
-	Accepted bool
+	// Accepted is set if the home had accepted the job before, MayHaveStarted if a
+	// task of the job may have started under this home, as far as it remembers.
+	Accepted       bool
+	MayHaveStarted bool
+	// Resumed is set if the submitter says that the job was submitted before.
+	Resumed bool
+	// HomeToken is the fencing token of the home.
+	HomeToken int64
 }
 
 // resolveVersion returns a conflict unless the submission is by the version in
@@ -49,11 +55,14 @@
 	}
 	accepted, mayHaveStarted := home.jobStatus(request)
 	s.config.Journal.VersionsDiffer(VersionDifference{
-		JobID:     request.Job.ID,
-		Submitter: request.Submitter,
-		Submitted: request.Version,
-		Own:       own,
-		Accepted:  accepted,
+		JobID:          request.Job.ID,
+		Submitter:      request.Submitter,
+		Submitted:      request.Version,
+		Own:            own,
+		Accepted:       accepted,
+		MayHaveStarted: mayHaveStarted,
+		Resumed:        request.Resumed,
+		HomeToken:      home.FencingToken(),
 	})
 	if accepted {
 		return nil
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -52,15 +52,18 @@
 	j.requestDuration.Update(record.Elapsed.Seconds())
 	j.registry.Counter(rattanmetric.WithLabels(rattanmetric.RequestsTotal, "status", statusClass(record.Status))).Inc()
 	j.logger.WithFields(logrus.Fields{
-		"Job":       record.JobID,
-		"Route":     record.Route,
-		"Status":    record.Status,
-		"Reason":    record.Reason,
-		"Home":      record.Home,
-		"Zone":      record.Zone,
-		"Presented": record.HomeAttempts,
-		"ElapsedMS": milliseconds(record.Elapsed),
-		"Desired":   record.Version,
+		"Job":         record.JobID,
+		"Route":       record.Route,
+		"Status":      record.Status,
+		"Reason":      record.Reason,
+		"Home":        record.Home,
+		"Fence":       record.HomeToken,
+		"Zone":        record.Zone,
+		"Presented":   record.HomeAttempts,
+		"Submissions": record.Submissions,
+		"Conflicts":   record.Conflicts,
+		"ElapsedMS":   milliseconds(record.Elapsed),
+		"Desired":     record.Version,
 	}).Info("request answered")
 }
 
@@ -160,11 +163,14 @@
 // desired state than the one in force here.
 func (j *Journal) VersionsDiffer(difference rattanhome.VersionDifference) {
 	j.logger.WithFields(logrus.Fields{
-		"Job":       difference.JobID,
-		"Submitter": difference.Submitter,
-		"Submitted": difference.Submitted,
-		"Own":       difference.Own,
-		"Accepted":  difference.Accepted,
+		"Job":            difference.JobID,
+		"Submitter":      difference.Submitter,
+		"Submitted":      difference.Submitted,
+		"Own":            difference.Own,
+		"Accepted":       difference.Accepted,
+		"MayHaveStarted": difference.MayHaveStarted,
+		"Resumed":        difference.Resumed,
+		"Fence":          difference.HomeToken,
 	}).Info("desired states differ")
 }
 
