Refuse no job of which any submission is unsettled

Cause: the instance of the caller took its own knowledge of earlier submissions back when a home answered that it knew nothing of the job: after a conflict of versions it counted the job as new, after a redirect too. A home forgets a run 4 to 5 s after its end, and everything when it is deposed and claims again. So an answer that was lost, then a newer desired state at the home, led to a refusal.

Change: the instance counts each submission until its own answer settles it: a conflict, a refusal, a redirect, a request that was never sent, or an instance that is no home (new field NotAccepted). A job with any unsettled submission is answered 504 at worst, also where a home refuses it. A home's word counts for earlier submissions only if it has proof: it remembers which submissions of an instance it accepted, for 30 s, and the highest number that it has forgotten, so that an empty memory proves nothing about older ones. With that proof it rejects the earlier ones for good, should they arrive late, and the job is new again (as TestHomeActsOnNoOtherVersion demands where two answers were lost). The same record takes the place of the withdrawals, which were forgotten after 2 s.

The field Presented counts the submissions to all homes now; Unsettled is new."

--- a/rattanfront/handler.go
+++ b/rattanfront/handler.go
@@ -92,16 +92,16 @@
 	Status int
 	Reason string
 	// Home is the instance that the job was last submitted to, Zone the zone of
-	// that home and HomeAttempts how often the job was submitted there.
-	Home         string
-	Zone         string
-	HomeAttempts int
-	// HomeToken is the fencing token by which that home was known, Submissions how
-	// often the job was submitted to any home and Conflicts how many of these
-	// submissions were not accepted because of their version.
-	HomeToken   int64
+	// that home and HomeToken the fencing token by which it was known.
+	Home      string
+	Zone      string
+	HomeToken int64
+	// Submissions counts the submissions to any home, Conflicts those that were not
+	// accepted because of their version, and Unsettled those that a home may have
+	// accepted without an answer that tells.
 	Submissions int
 	Conflicts   int
+	Unsettled   int
 	Elapsed     time.Duration
 	// Version is the version of the desired state that applied to the request.
 	Version int64
--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -9,6 +9,7 @@
 
 	"github.com/rattanlever/rattanlever/platform"
 	"github.com/rattanlever/rattanlever/rattanhome"
+	"github.com/rattanlever/rattanlever/rattanpeer"
 	"github.com/rattanlever/rattanlever/rattanscheduler"
 	"github.com/rattanlever/rattanlever/rattanwork"
 	"github.com/rattanlever/rattanlever/rattanzone"
@@ -44,28 +45,22 @@
 	objective time.Time
 	lateUntil time.Time
 	deadline  time.Time
-	// homeAttempts counts the submissions to homes of the zone, each of which
-	// may know of the job.
-	homeAttempts int
-	// homes counts the homes that the job was submitted to and that may have
-	// started it. They are told apart by their fencing tokens, the last of which
-	// is homeToken.
-	homes     int
-	homeToken int64
-	// submissions counts the submissions to all homes, conflicts those that were
+	// submissions contains the submissions to homes, conflicts counts those that were
 	// not accepted because of their version.
-	submissions int
+	submissions submissionHistory
 	conflicts   int
 	// sequence is the number of the last submission to a home.
 	sequence int64
-	// home is the name of the instance that the job was last submitted to.
-	home string
+	// home is the name of the instance that the job was last submitted to, homeToken
+	// the fencing token of that home.
+	home      string
+	homeToken int64
 	// zone is the zone that the job is submitted to. redirected is set once the
 	// job was redirected because this instance's zone had no capacity for it.
 	zone       string
 	redirected bool
-	// mayHaveStarted is set if the job may have started in that zone before this
-	// instance submits it there.
+	// mayHaveStarted is set if a home has told that the job may have started through
+	// another submission.
 	mayHaveStarted bool
 	// encloseDocument is set if the next submission carries the desired state,
 	// because the home's is older.
@@ -98,18 +93,18 @@
 
 func (s *submission) recordAnswer(status int, reason string) {
 	s.handler.config.Journal.Answered(AnswerRecord{
-		JobID:        s.id,
-		Route:        s.route.Name,
-		Status:       status,
-		Reason:       reason,
-		Home:         s.home,
-		Zone:         s.zone,
-		HomeAttempts: s.homeAttempts,
-		HomeToken:    s.homeToken,
-		Submissions:  s.submissions,
-		Conflicts:    s.conflicts,
-		Elapsed:      s.handler.config.Clock().Sub(s.receivedAt),
-		Version:      s.state.Version,
+		JobID:       s.id,
+		Route:       s.route.Name,
+		Status:      status,
+		Reason:      reason,
+		Home:        s.home,
+		Zone:        s.zone,
+		HomeToken:   s.homeToken,
+		Submissions: s.submissions.total,
+		Conflicts:   s.conflicts,
+		Unsettled:   s.submissions.unsettledCount(),
+		Elapsed:     s.handler.config.Clock().Sub(s.receivedAt),
+		Version:     s.state.Version,
 	})
 }
 
@@ -134,7 +129,7 @@
 	defer cancel()
 	s.zone = s.handler.config.Self.Zone
 	resp, ended := s.submitUntilEnd(ctx)
-	if !ended && s.homeAttempts > 0 {
+	if !ended && s.submissions.unsettledCount() > 0 {
 		go s.handler.withdraw(s.zone, rattanhome.Cancellation{JobID: s.id, Submitter: s.handler.config.Self.Name, Sequence: s.sequence})
 	}
 	return resp
@@ -164,7 +159,7 @@
 			return s.interruptedResponse(ctx), false
 		}
 		if s.redirected && s.outOfReach(s.handler.config.Clock()) {
-			return response{status: http.StatusGatewayTimeout, body: platform.ErrorBody("not complete in time"), reason: "other zone out of reach"}, false
+			return notCompleteResponse("other zone out of reach"), false
 		}
 	}
 }
@@ -173,9 +168,7 @@
 // job has ended there; otherwise it must be submitted again.
 func (s *submission) attempt(ctx context.Context, claim rattanzone.Claim, homeChanged <-chan struct{}) (response, bool) {
 	request := s.request(claim)
-	s.homeAttempts++
-	s.submissions++
-	s.home = claim.Name
+	s.home, s.homeToken = claim.Name, claim.FencingToken
 	if s.redirected {
 		defer s.handler.config.Homes.KeepAlive(claim.Address)()
 	}
@@ -194,6 +187,9 @@
 	}()
 	reply, err := s.handler.submitToHome(callCtx, claim, request)
 	s.recordReach(err, s.handler.config.Clock())
+	if notAccepted(reply, err) {
+		s.submissions.settleLast()
+	}
 	if ctx.Err() != nil {
 		return response{}, false
 	}
@@ -205,9 +201,7 @@
 	if reply.Result.Outcome == rattanscheduler.Redirected {
 		s.zone = reply.Result.Zone
 		s.redirected = true
-		s.mayHaveStarted = reply.Result.MayHaveStarted
-		s.homeAttempts = 0
-		s.homes = 0
+		s.mayHaveStarted = s.mayHaveStarted || reply.Result.MayHaveStarted
 		return response{}, false
 	}
 	if reply.CancelledByCaller {
@@ -219,9 +213,23 @@
 		s.wait(ctx, nil)
 		return response{}, false
 	}
+	if reply.Result.Outcome == rattanscheduler.Refused && s.maybeStarted() {
+		// The home cannot answer for other submissions.
+		return notCompleteResponse(reply.Result.Reason), true
+	}
 	return outcomeResponse(reply.Result), true
 }
 
+// notAccepted reports whether the answer to a submission proves that it has started
+// no task and will not start any.
+func notAccepted(reply rattanhome.Reply, err error) bool {
+	if err != nil {
+		return errors.Is(err, rattanpeer.ErrRefused) || errors.Is(err, rattanpeer.ErrUnreachable)
+	}
+	outcome := reply.Result.Outcome
+	return reply.Conflict != nil || reply.NotAccepted || outcome == rattanscheduler.Refused || outcome == rattanscheduler.Redirected
+}
+
 // recordReach records the result of a call to a home.
 func (s *submission) recordReach(err error, now time.Time) {
 	switch {
@@ -237,37 +245,43 @@
 	return !s.unreachableSince.IsZero() && now.Sub(s.unreachableSince) > remoteHomeTimeout
 }
 
-// request returns the request to the home that holds the claim.
+// request records a submission to the home that holds the claim, and returns the
+// request.
 func (s *submission) request(claim rattanzone.Claim) *rattanhome.Request {
 	now := s.handler.config.Clock()
-	if s.homes == 0 || s.homeToken != claim.FencingToken {
-		s.homes++
-		s.homeToken = claim.FencingToken
-	}
+	resumed := s.maybeStarted()
 	s.sequence = s.handler.submissions.Add(1)
+	s.submissions.begin(claim.FencingToken, s.sequence)
+	otherHomes := s.submissions.otherHomes(claim.FencingToken)
+	var firstUnsettled, homeToken int64
+	if otherHomes == 0 {
+		firstUnsettled, homeToken = s.submissions.first, claim.FencingToken
+	}
 	var document []byte
 	if s.encloseDocument {
 		document = s.handler.config.DesiredState.Document()
 		s.encloseDocument = false
 	}
 	return &rattanhome.Request{
-		Submitter:    s.handler.config.Self.Name,
-		Incarnation:  s.handler.config.Self.Incarnation,
-		Sequence:     s.sequence,
-		Uptime:       s.handler.uptime(now),
-		Version:      s.state.Version,
-		Document:     document,
-		Job:          s.job,
-		Service:      s.route.Service,
-		Priority:     s.route.Priority,
-		MaxAttempts:  s.route.MaxAttempts,
-		Objective:    s.objective.Sub(now),
-		LateUntil:    s.lateUntil.Sub(now),
-		SlackFactor:  s.route.SlackFactor,
-		Deadline:     s.deadline.Sub(now),
-		Resumed:      s.homeAttempts > 0 || s.mayHaveStarted,
-		EarlierHomes: s.homes - 1,
-		Redirectable: s.homeAttempts == 0 && !s.redirected,
+		Submitter:      s.handler.config.Self.Name,
+		Incarnation:    s.handler.config.Self.Incarnation,
+		Sequence:       s.sequence,
+		FirstUnsettled: firstUnsettled,
+		HomeToken:      homeToken,
+		Uptime:         s.handler.uptime(now),
+		Version:        s.state.Version,
+		Document:       document,
+		Job:            s.job,
+		Service:        s.route.Service,
+		Priority:       s.route.Priority,
+		MaxAttempts:    s.route.MaxAttempts,
+		Objective:      s.objective.Sub(now),
+		LateUntil:      s.lateUntil.Sub(now),
+		SlackFactor:    s.route.SlackFactor,
+		Deadline:       s.deadline.Sub(now),
+		Resumed:        resumed,
+		EarlierHomes:   otherHomes,
+		Redirectable:   !resumed && !s.redirected,
 	}
 }
 
@@ -292,7 +306,7 @@
 	case errors.Is(cause, errStopping):
 		return response{status: http.StatusGatewayTimeout, body: platform.ErrorBody("instance stops"), reason: "instance stops"}
 	case errors.Is(cause, errDeadline):
-		return response{status: http.StatusGatewayTimeout, body: platform.ErrorBody("not complete in time"), reason: "deadline exceeded"}
+		return notCompleteResponse("deadline exceeded")
 	case errors.Is(cause, errCancelled):
 		return cancelledResponse()
 	default:
@@ -310,6 +324,12 @@
 	case rattanscheduler.Refused:
 		return response{status: http.StatusServiceUnavailable, retryAfter: max(result.RetryAfter, time.Second), reason: result.Reason}
 	default:
-		return response{status: http.StatusGatewayTimeout, body: platform.ErrorBody("not complete in time"), reason: result.Reason}
+		return notCompleteResponse(result.Reason)
 	}
 }
+
+// notCompleteResponse returns the response for a job that may have started and has no
+// result.
+func notCompleteResponse(reason string) response {
+	return response{status: http.StatusGatewayTimeout, body: platform.ErrorBody("not complete in time"), reason: reason}
+}
--- a/rattanfront/version.go
+++ b/rattanfront/version.go
@@ -37,7 +37,7 @@
 
 // maybeStarted reports whether a task of the job may have started.
 func (s *submission) maybeStarted() bool {
-	return s.homeAttempts > 0 || s.mayHaveStarted
+	return s.submissions.unsettledCount() > 0 || s.mayHaveStarted
 }
 
 // noSuchQueue is the message for a request that matches no route.
@@ -55,10 +55,9 @@
 // the next submission carry the own one otherwise.
 func (s *submission) resolveConflict(ctx context.Context, request *rattanhome.Request, conflict *rattanhome.VersionConflict) {
 	homeNewer := conflict.Version > request.Version
-	// A home that is newer will not accept an earlier submission that arrives
-	// late either.
-	if s.homes == 1 && !s.mayHaveStarted && !conflict.MayHaveStarted && (homeNewer || s.homeAttempts == 1) {
-		s.homeAttempts, s.homes = 0, 0
+	s.mayHaveStarted = s.mayHaveStarted || conflict.MayHaveStarted
+	if conflict.NeverAccepted {
+		s.submissions.settleAll()
 	}
 	s.encloseDocument = !homeNewer
 	if homeNewer {
--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -17,9 +17,14 @@
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
-// ErrDeposed means that the home has lost authority over its targets. Its jobs
-// continue under another home.
-const ErrDeposed = errors.ConstError("home was deposed")
+const (
+	// ErrDeposed means that the home has lost authority over its targets. Its jobs
+	// continue under another home.
+	ErrDeposed = errors.ConstError("home was deposed")
+	// ErrClosed means that the home had lost its authority before it got the job,
+	// and has not accepted it.
+	ErrClosed = errors.ConstError("home is closed")
+)
 
 const (
 	// FencingTokenStep is the amount by which a home raises its fencing token
@@ -274,8 +279,8 @@
 }
 
 // Submit waits for the result of a job and starts the job unless it is already
-// known. ErrDeposed means that the job must be submitted to another home. If
-// ctx ends, the job continues.
+// known. ErrDeposed and ErrClosed mean that the job must be submitted to another
+// home. If ctx ends, the job continues.
 func (h *Home) Submit(ctx context.Context, submission rattanscheduler.Submission) (rattanscheduler.JobResult, error) {
 	waiter := make(chan rattanscheduler.JobResult, 1)
 	id := submission.Job.ID
@@ -283,7 +288,7 @@
 	now := h.now()
 	if h.closed {
 		h.mutex.Unlock()
-		return rattanscheduler.JobResult{}, ErrDeposed
+		return rattanscheduler.JobResult{}, ErrClosed
 	}
 	if cached, ok := h.results[id]; ok && now.Before(cached.expiresAt) {
 		h.mutex.Unlock()
--- a/rattanhome/service.go
+++ b/rattanhome/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"sync"
 	"time"
 
@@ -38,9 +37,6 @@
 	// time at which its callers submit their jobs again, less the difference of
 	// the clocks involved.
 	resubmissionDelay = 1250 * time.Millisecond
-	// withdrawalRetention is how long a submission may be overtaken by its
-	// cancellation.
-	withdrawalRetention = 2 * time.Second
 )
 
 // Request is a job submission sent to a home. Times are relative to the time of
@@ -53,6 +49,11 @@
 	// Sequence increases with each submission of the instance, 0 if it is of the
 	// former version.
 	Sequence int64 `json:",omitempty"`
+	// FirstUnsettled is the number of the first submission of the job, up to this one,
+	// that a home may have accepted, if all of these were addressed to the home with
+	// the fencing token HomeToken. Otherwise both are 0.
+	FirstUnsettled int64 `json:",omitempty"`
+	HomeToken      int64 `json:",omitempty"`
 	// Uptime is the time from the start of the instance to the sending of the
 	// request, 0 if it is of the former version.
 	Uptime time.Duration `json:",omitempty"`
@@ -80,6 +81,9 @@
 	// NotHome is set if the instance is not, or no longer, the home of the
 	// zone. The job may be in progress.
 	NotHome bool `json:"Moved"`
+	// NotAccepted is set if this submission has started no task and will not start
+	// any, because the instance has not become its home or has rejected it before.
+	NotAccepted bool `json:",omitempty"`
 	// Conflict is set if the job was not accepted because of its version of the
 	// desired state.
 	Conflict *VersionConflict          `json:",omitempty"`
@@ -155,21 +159,9 @@
 	resumedAt     time.Time
 	// submitters maps each job to the instances whose callers wait for it.
 	submitters map[string]map[string]submitter
-	// withdrawals contains the cancellations that may have overtaken the
-	// submission that they withdraw.
-	withdrawals map[withdrawalKey]withdrawal
-}
-
-// withdrawalKey identifies the submissions of a job by one instance.
-type withdrawalKey struct {
-	jobID, submitter string
-}
-
-// withdrawal is the sequence number of the last withdrawn submission, and the
-// time until which to keep it.
-type withdrawal struct {
-	sequence  int64
-	expiresAt time.Time
+	// acceptances contains the submissions to homes on this instance. A submission
+	// that was overtaken by its withdrawal is not accepted.
+	acceptances acceptanceRecord
 }
 
 // submitter is an instance whose caller waits for a job.
@@ -191,7 +183,7 @@
 	if config.Cancellations == nil {
 		config.Cancellations = rattancancel.NewRecord(config.Clock())
 	}
-	return &Service{config: config, submitters: map[string]map[string]submitter{}, withdrawals: map[withdrawalKey]withdrawal{}}
+	return &Service{config: config, submitters: map[string]map[string]submitter{}, acceptances: newAcceptanceRecord()}
 }
 
 // Name returns the name under which the service is registered in the kernel.
@@ -224,19 +216,19 @@
 func (s *Service) Submit(ctx context.Context, request *Request) (Reply, error) {
 	home := s.config.Membership.LocalHome()
 	if home == nil {
-		return Reply{NotHome: true}, nil
+		return Reply{NotHome: true, NotAccepted: true}, nil
 	}
 	if conflict := s.resolveVersion(home, request); conflict != nil {
 		return Reply{Conflict: conflict}, nil
 	}
 	now := s.config.Clock()
 	if !s.addSubmitter(request, now) {
-		return Reply{Result: rattanscheduler.JobResult{JobID: request.Job.ID, Outcome: rattanscheduler.Cancelled}}, nil
+		return Reply{NotAccepted: true, Result: rattanscheduler.JobResult{JobID: request.Job.ID, Outcome: rattanscheduler.Cancelled}}, nil
 	}
 	result, err := home.Submit(ctx, request.submission(now))
-	if errors.Is(err, ErrDeposed) {
+	if errors.Is(err, ErrDeposed) || errors.Is(err, ErrClosed) {
 		s.removeSubmitter(Cancellation{JobID: request.Job.ID, Submitter: request.Submitter}, now)
-		return Reply{NotHome: true}, nil
+		return Reply{NotHome: true, NotAccepted: errors.Is(err, ErrClosed)}, nil
 	}
 	if err != nil {
 		s.recordLostCall(request, s.config.Clock())
@@ -273,12 +265,11 @@
 }
 
 // addSubmitter records that an instance waits for a job, and reports false if the
-// instance has already withdrawn the submission.
+// submission was rejected before.
 func (s *Service) addSubmitter(request *Request, now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	withdrawn, ok := s.withdrawals[withdrawalKey{request.Job.ID, request.Submitter}]
-	if ok && request.Sequence != 0 && request.Sequence <= withdrawn.sequence && now.Before(withdrawn.expiresAt) {
+	if !s.acceptances.accept(request.Submitter, request.Job.ID, request.Sequence, now) {
 		return false
 	}
 	jobSubmitters, ok := s.submitters[request.Job.ID]
@@ -369,8 +360,7 @@
 		if ok && entry.sequence > cancellation.Sequence {
 			return false
 		}
-		key := withdrawalKey{cancellation.JobID, cancellation.Submitter}
-		s.withdrawals[key] = withdrawal{sequence: cancellation.Sequence, expiresAt: now.Add(withdrawalRetention)}
+		s.acceptances.reject(cancellation.Submitter, cancellation.JobID, cancellation.Sequence, now)
 	}
 	delete(jobSubmitters, cancellation.Submitter)
 	if len(jobSubmitters) > 0 {
@@ -414,7 +404,7 @@
 		s.resumedAt = now
 	}
 	s.lastCheck, s.lastSuspended = now, suspended
-	maps.DeleteFunc(s.withdrawals, func(_ withdrawalKey, entry withdrawal) bool { return now.After(entry.expiresAt) })
+	s.acceptances.forget(now)
 	if now.Sub(s.resumedAt) < backlogTime {
 		return nil
 	}
--- a/rattanhome/version.go
+++ b/rattanhome/version.go
@@ -19,8 +19,12 @@
 	// Document is the encoded desired state of the home's instance if it is the
 	// newer one. Otherwise the submitter encloses its own in the next submission.
 	Document []byte `json:",omitempty"`
-	// MayHaveStarted is set if a task of the job may have started under this home.
+	// MayHaveStarted is set if a task of the job may have started under this home, as
+	// far as it remembers.
 	MayHaveStarted bool `json:",omitempty"`
+	// NeverAccepted is set if no submission of the job from Request.FirstUnsettled on
+	// was accepted, and none up to this one will be.
+	NeverAccepted bool `json:",omitempty"`
 }
 
 // VersionDifference describes a job that was submitted by another version of the
@@ -35,6 +39,8 @@
 	// task of the job may have started under this home, as far as it remembers.
 	Accepted       bool
 	MayHaveStarted bool
+	// NeverAccepted is set if that holds for all its unsettled submissions.
+	NeverAccepted bool
 	// Resumed is set if the submitter says that the job was submitted before.
 	Resumed bool
 	// HomeToken is the fencing token of the home.
@@ -54,6 +60,7 @@
 		return nil
 	}
 	accepted, mayHaveStarted := home.jobStatus(request)
+	neverAccepted := !accepted && s.rejectUnaccepted(home, request)
 	s.config.Journal.VersionsDiffer(VersionDifference{
 		JobID:          request.Job.ID,
 		Submitter:      request.Submitter,
@@ -61,19 +68,31 @@
 		Own:            own,
 		Accepted:       accepted,
 		MayHaveStarted: mayHaveStarted,
+		NeverAccepted:  neverAccepted,
 		Resumed:        request.Resumed,
 		HomeToken:      home.FencingToken(),
 	})
 	if accepted {
 		return nil
 	}
-	conflict := &VersionConflict{Version: own, MayHaveStarted: mayHaveStarted}
+	conflict := &VersionConflict{Version: own, MayHaveStarted: mayHaveStarted, NeverAccepted: neverAccepted}
 	if own > request.Version {
 		conflict.Document = s.config.DesiredState.Document()
 	}
 	return conflict
 }
 
+// rejectUnaccepted rejects all unsettled submissions of a request's job and reports
+// true, if all were addressed to this home and none was accepted.
+func (s *Service) rejectUnaccepted(home *Home, request *Request) bool {
+	if request.HomeToken != home.FencingToken() {
+		return false
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.acceptances.rejectUnaccepted(request.Submitter, request.Job.ID, request.FirstUnsettled, request.Sequence, s.config.Clock())
+}
+
 // jobStatus reports whether the home has accepted a job and not forgotten it, and
 // whether a task of the job may have started under this home. A home that is
 // closed refuses the job itself.
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -52,18 +52,18 @@
 	j.requestDuration.Update(record.Elapsed.Seconds())
 	j.registry.Counter(rattanmetric.WithLabels(rattanmetric.RequestsTotal, "status", statusClass(record.Status))).Inc()
 	j.logger.WithFields(logrus.Fields{
-		"Job":         record.JobID,
-		"Route":       record.Route,
-		"Status":      record.Status,
-		"Reason":      record.Reason,
-		"Home":        record.Home,
-		"Fence":       record.HomeToken,
-		"Zone":        record.Zone,
-		"Presented":   record.HomeAttempts,
-		"Submissions": record.Submissions,
-		"Conflicts":   record.Conflicts,
-		"ElapsedMS":   milliseconds(record.Elapsed),
-		"Desired":     record.Version,
+		"Job":       record.JobID,
+		"Route":     record.Route,
+		"Status":    record.Status,
+		"Reason":    record.Reason,
+		"Home":      record.Home,
+		"Fence":     record.HomeToken,
+		"Zone":      record.Zone,
+		"Presented": record.Submissions,
+		"Conflicts": record.Conflicts,
+		"Unsettled": record.Unsettled,
+		"ElapsedMS": milliseconds(record.Elapsed),
+		"Desired":   record.Version,
 	}).Info("request answered")
 }
 
@@ -169,6 +169,7 @@
 		"Own":            difference.Own,
 		"Accepted":       difference.Accepted,
 		"MayHaveStarted": difference.MayHaveStarted,
+		"NeverAccepted":  difference.NeverAccepted,
 		"Resumed":        difference.Resumed,
 		"Fence":          difference.HomeToken,
 	}).Info("desired states differ")
