Count a job as possibly started once any submission says so

A job submitted as new by one instance, then again by an instance whose earlier submission may have started it, could still be refused or redirected: the second submission only raised the number of earlier homes. Its first caller was told that the job had not run. TestJoinedJobIsNotRefused fails without the change.

--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -138,6 +138,15 @@
 	return j
 }
 
+// join applies what another submission of the job tells of its earlier submissions.
+func (j *job) join(other Submission) {
+	j.submission.EarlierHomes = max(j.submission.EarlierHomes, other.EarlierHomes)
+	if other.Resumed {
+		j.submission.Resumed = true
+		j.maybeStarted = true
+	}
+}
+
 // stepTasks returns the tasks of a step, which are adjacent in j.tasks.
 func (j *job) stepTasks(step int) []*task {
 	first := 0
--- a/rattanscheduler/redirect_test.go
+++ b/rattanscheduler/redirect_test.go
@@ -173,3 +173,26 @@
 		})
 	}
 }
+
+// TestJoinedJobIsNotRefused guards against refusing or redirecting a job that was submitted as new, then again by an instance whose earlier submission may have started it.
+func TestJoinedJobIsNotRefused(t *testing.T) {
+	for resumed, want := range map[bool]Outcome{false: Refused, true: Expired} {
+		z := newReconciledZone(qt.New(t), 1)
+		z.scheduler.Submit(z.submission(jobB, 2), z.now)
+		z.Assert(z.scheduler.Take().Starts, qt.HasLen, 2)
+		submission := z.submission(jobA, 1)
+		submission.Redirectable = true
+		z.scheduler.Submit(submission, z.now)
+		submission.Resumed = resumed
+		z.scheduler.Submit(submission, z.now)
+		if resumed {
+			z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: 200000}})
+		}
+		z.advance(redirectDelay)
+		z.Check(z.scheduler.Take().Results, qt.HasLen, 0)
+		z.advance(time.Second)
+		results := z.scheduler.Take().Results
+		z.Assert(results, qt.HasLen, 1)
+		z.Check(results[0].Outcome, qt.Equals, want)
+	}
+}
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -227,7 +227,7 @@
 // run is refused at once.
 func (s *Scheduler) Submit(submission Submission, now time.Time) {
 	if known, ok := s.jobs[submission.Job.ID]; ok {
-		known.submission.EarlierHomes = max(known.submission.EarlierHomes, submission.EarlierHomes)
+		known.join(submission)
 		return
 	}
 	if s.redirectAgain(submission, now) {
