Keep a repeated job out of a zone while another tells of its start

A zone that was told of a start under way in another zone redirected the job there; but if the answer with the redirect was lost, the repeated submission deleted that and started the job here, beside the other start. Only a redirect of this zone's own, which its instance has not learned of, may be dropped. TestResumedJobFollowsRemoteStart fails without the change.

--- a/rattanscheduler/outstanding.go
+++ b/rattanscheduler/outstanding.go
@@ -311,7 +311,7 @@
 		}
 		entry, known := s.redirectedJobs[jobID]
 		if !known || entry.zone == zone {
-			s.redirectedJobs[jobID] = redirection{zone: zone, until: later(entry.until, now.Add(remaining))}
+			s.redirectedJobs[jobID] = redirection{zone: zone, until: later(entry.until, now.Add(remaining)), startedThere: true}
 		}
 	}
 }
--- a/rattanscheduler/redirect.go
+++ b/rattanscheduler/redirect.go
@@ -21,22 +21,22 @@
 // redirection is a job that may run in another zone.
 type redirection struct {
 	zone string
-	// until is when the caller of the job stops waiting.
+	// until is when the caller of the job stops waiting, or the starts in the zone are
+	// over.
 	until time.Time
+	// startedThere is set if that zone has told of a start.
+	startedThere bool
 }
 
 // redirectAgain redirects a job that was redirected before to the same zone,
 // where it may still run: its caller submits it again if the answer was lost or
 // its instance was. It reports whether the job was redirected.
 func (s *Scheduler) redirectAgain(submission Submission, now time.Time) bool {
-	earlier, ok := s.redirectedJobs[submission.Job.ID]
-	if submission.Resumed {
-		// Its instance has not learned that the job was redirected.
+	if !s.Redirects(submission, now) {
 		delete(s.redirectedJobs, submission.Job.ID)
-	}
-	if !ok || submission.Resumed || !now.Before(earlier.until) {
 		return false
 	}
+	earlier := s.redirectedJobs[submission.Job.ID]
 	s.output.Results = append(s.output.Results, JobResult{
 		JobID:          submission.Job.ID,
 		Outcome:        Redirected,
@@ -49,6 +49,14 @@
 	return true
 }
 
+// Redirects reports whether a job is redirected to the zone where it may run. The
+// instance of a resumed one has not learned that it was redirected, so that it cannot
+// run in the other zone, unless that zone has told of a start.
+func (s *Scheduler) Redirects(submission Submission, now time.Time) bool {
+	earlier, ok := s.redirectedJobs[submission.Job.ID]
+	return ok && now.Before(earlier.until) && (!submission.Resumed || earlier.startedThere)
+}
+
 // removeRedirections forgets the jobs whose callers no longer wait.
 func (s *Scheduler) removeRedirections(now time.Time) {
 	maps.DeleteFunc(s.redirectedJobs, func(_ string, entry redirection) bool { return now.After(entry.until) })
--- a/rattanscheduler/redirect_test.go
+++ b/rattanscheduler/redirect_test.go
@@ -196,3 +196,19 @@
 		z.Check(results[0].Outcome, qt.Equals, want)
 	}
 }
+
+// TestResumedJobFollowsRemoteStart guards against two runs of a task in two zones: its instance submits the job again because the answer that redirects it was lost.
+func TestResumedJobFollowsRemoteStart(t *testing.T) {
+	z := newReconciledZone(qt.New(t), 1)
+	z.scheduler.AddRemoteStarts("b", []OutstandingStart{{Task: jobA + ".0.0.0", Target: "other", Attempt: 1, Remaining: 5 * time.Second}}, z.now)
+	submission := z.submission(jobA, 1)
+	for _, resumed := range []bool{false, true, true} {
+		submission.Resumed = resumed
+		z.scheduler.Submit(submission, z.now)
+		output := z.scheduler.Take()
+		z.Check(output.Starts, qt.HasLen, 0)
+		z.Assert(output.Results, qt.HasLen, 1)
+		z.Check(output.Results[0].Outcome, qt.Equals, Redirected)
+		z.Check(output.Results[0].MayHaveStarted, qt.IsTrue)
+	}
+}
