Pause between redirects from zone to zone

If each of two zones takes a job for started in the other one, its instance submitted it without a pause until the deadline. TestZonesThatRedirectToEachOther fails without the change.

--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -199,6 +199,10 @@
 		return response{}, false
 	}
 	if reply.Result.Outcome == rattanscheduler.Redirected {
+		if s.redirected {
+			// Each of two zones may take the job for started in the other one.
+			s.wait(ctx, nil)
+		}
 		s.zone = reply.Result.Zone
 		s.redirected = true
 		s.mayHaveStarted = s.mayHaveStarted || reply.Result.MayHaveStarted
--- a/rattanfront/submission_test.go
+++ b/rattanfront/submission_test.go
@@ -245,3 +245,18 @@
 	cancel(errDeadline)
 	qt.New(t).Check((&submission{mayHaveStarted: true}).interruptedResponse(ctx).status, qt.Equals, http.StatusGatewayTimeout)
 }
+
+// TestZonesThatRedirectToEachOther guards against submitting a job without a pause while each of two zones takes it for started in the other one.
+func TestZonesThatRedirectToEachOther(t *testing.T) {
+	zones := &versionedZones{fakeZones: &fakeZones{now: time.Now(), changed: make(chan struct{})}}
+	redirected := func(zone string) []rattanhome.Reply {
+		return []rattanhome.Reply{{Result: rattanscheduler.JobResult{Outcome: rattanscheduler.Redirected, Zone: zone, MayHaveStarted: true}}}
+	}
+	zones.local, zones.remote = redirected("b"), redirected("a")
+	const waited = 10 * resubmitDelay
+	ctx, cancel := context.WithTimeout(context.Background(), waited)
+	defer cancel()
+	postWith(ctx, zones)
+	submissions := len(zones.requests)
+	qt.New(t).Check(submissions > 2 && submissions <= int(waited/resubmitDelay)+2, qt.IsTrue, qt.Commentf("%d submissions", submissions))
+}
