Redirect a job whatever the version of its submission

A job that the home had redirected was answered with a conflict if it came by another version. Its instance then submitted it as one that may have started, and the home dropped the redirect and started the job beside the other zone's run. TestRedirectDoesNotDependOnVersion fails without the change.

--- a/rattanhome/version.go
+++ b/rattanhome/version.go
@@ -49,7 +49,7 @@
 
 // resolveVersion returns a conflict unless the submission is by the version in
 // force here. A job that the home has accepted goes on by the version of its
-// first submission.
+// first submission, and one that is redirected does not depend on the version here.
 func (s *Service) resolveVersion(home *Home, request *Request) *VersionConflict {
 	if len(request.Document) > 0 {
 		// After an error, the versions still differ.
@@ -93,15 +93,16 @@
 	return s.acceptances.rejectUnaccepted(request.Submitter, request.Job.ID, request.FirstUnsettled, request.Sequence, s.config.Clock())
 }
 
-// jobStatus reports whether the home has accepted a job and not forgotten it, and
-// whether a task of the job may have started under this home. A home that is
-// closed refuses the job itself.
+// jobStatus reports whether the home has accepted or redirected a job and not
+// forgotten it, and whether a task of the job may have started under this home. A
+// home that is closed refuses the job itself.
 func (h *Home) jobStatus(request *Request) (accepted, mayHaveStarted bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	now := h.now()
 	id := request.Job.ID
 	cached, ok := h.results[id]
-	accepted = h.closed || h.scheduler.HasJob(id) || ok && now.Before(cached.expiresAt)
-	return accepted, h.scheduler.MayHaveStarted(request.submission(now), now)
+	submission := request.submission(now)
+	accepted = h.closed || h.scheduler.HasJob(id) || h.scheduler.Redirects(submission, now) || ok && now.Before(cached.expiresAt)
+	return accepted, h.scheduler.MayHaveStarted(submission, now)
 }
