Refuse no job for want of a target before the targets have listed their runs

A home that has just taken over refused a job at once if none of the targets that it knew could run it. A target that it did not know yet could be running the job, sent again by its caller after its first instance was lost. Such jobs wait for the listings now, then they are refused as before. TestJobThatEarlierHomeStartedIsNotRefused/runs fails without the change.

--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -129,6 +129,9 @@
 	// begunJobs contains the jobs that ended without a result although a task of
 	// them may have started, with the time until which to keep them.
 	begunJobs map[string]time.Time
+	// unhosted contains the jobs that no known target could run when they were
+	// submitted and that an earlier home may have started.
+	unhosted []*job
 	// redirectedJobs contains the jobs that were redirected, until their callers
 	// stop waiting.
 	redirectedJobs map[string]redirection
@@ -236,8 +239,7 @@
 	j := newJob(submission, now)
 	s.jobs[submission.Job.ID] = j
 	s.adoptRuns(j)
-	if !j.mayHaveStarted() && s.targetsKnown && !s.canEverRun(j) {
-		s.endJob(j, Refused, "no target for it", noTargetRetryAfter, now)
+	if s.refuseUnhostable(j, now) {
 		return
 	}
 	s.advanceJob(j, now)
@@ -275,6 +277,7 @@
 	s.removeVanished(now)
 	s.expireOutstanding(now)
 	s.refreshEstimates(now)
+	s.refuseUnhosted(now)
 	s.endExpired(now)
 	s.schedule(now)
 	s.redirect(now)
@@ -293,6 +296,32 @@
 // target: targets register within one to two seconds of their start.
 const noTargetRetryAfter = 2 * time.Second
 
+// refuseUnhostable refuses a job that has certainly not started and that no target
+// could ever run, and reports whether it has.
+func (s *Scheduler) refuseUnhostable(j *job, now time.Time) bool {
+	if j.mayHaveStarted() || !s.targetsKnown || s.canEverRun(j) {
+		return false
+	}
+	if s.awaitsReconciliation(j, now) {
+		s.unhosted = append(s.unhosted, j)
+		return false
+	}
+	s.endJob(j, Refused, "no target for it", noTargetRetryAfter, now)
+	return true
+}
+
+// refuseUnhosted refuses the jobs that no target could ever run, once an earlier
+// home certainly has not started them.
+func (s *Scheduler) refuseUnhosted(now time.Time) {
+	jobs := s.unhosted
+	s.unhosted = nil
+	for _, j := range jobs {
+		if j.outcome == Open {
+			s.refuseUnhostable(j, now)
+		}
+	}
+}
+
 // canEverRun reports whether the known targets, if idle, could run each step of
 // the job.
 func (s *Scheduler) canEverRun(j *job) bool {
--- a/rattanscheduler/takeover_test.go
+++ b/rattanscheduler/takeover_test.go
@@ -333,3 +333,37 @@
 	z.Check(output.Stops, qt.HasLen, 0)
 	z.Check(z.scheduler.jobs[jobA].tasks[0].run, qt.IsNotNil)
 }
+
+// TestJobThatEarlierHomeStartedIsNotRefused guards against refusing a job for which a new home knows no target yet, while a target that it does not know runs it.
+func TestJobThatEarlierHomeStartedIsNotRefused(t *testing.T) {
+	for name, runs := range map[string]bool{"runs": true, "does not run": false} {
+		t.Run(name, func(t *testing.T) {
+			z := newFakeZone(qt.New(t), 0)
+			small, large := testTarget(0), testTarget(1)
+			small.Capacity.MilliCPU = 1000
+			z.scheduler.UpdateTargets([]rattanwork.Target{small}, false, z.now)
+			submission := z.submission(jobA, 1)
+			z.scheduler.Submit(submission, z.now)
+			z.advance(time.Millisecond)
+			z.Check(z.scheduler.Take().Results, qt.HasLen, 0)
+			targets := []rattanwork.Target{small}
+			if runs {
+				targets = append(targets, large)
+			}
+			z.scheduler.UpdateTargets(targets, true, z.now)
+			z.listRuns(0, rattanwork.Listing{})
+			if runs {
+				z.listRuns(1, rattanwork.Listing{Running: []rattanwork.Run{{Task: jobA + ".0.0.0", Attempt: 1}}})
+			}
+			z.advance(time.Millisecond)
+			results := z.scheduler.Take().Results
+			if runs {
+				z.Check(results, qt.HasLen, 0)
+				return
+			}
+			z.Assert(results, qt.HasLen, 1)
+			z.Check(results[0].Outcome, qt.Equals, Refused)
+			z.Check(results[0].Reason, qt.Equals, "no target for it")
+		})
+	}
+}
