--- a/rattanhome/acceptance.go
+++ b/rattanhome/acceptance.go
@@ -3,7 +3,8 @@
 import "time"
 
 // acceptanceRetention is how long the submissions of a job are remembered one by one.
-const acceptanceRetention = 30 * time.Second
+// Nothing unsound follows from a shorter time, but less can be proved.
+const acceptanceRetention = 5 * time.Second
 
 // acceptanceRecord contains which submissions this instance has accepted, and which
 // it has promised not to accept. It forgets single jobs but knows, for each
