--- a/rattancmd/deployment_test.go
+++ b/rattancmd/deployment_test.go
@@ -157,9 +157,15 @@
 // putDesired writes a desired state with a higher version, which has routes for
 // queuePrefix and the extra prefixes.
 func (d *deployment) putDesired(extraPrefixes ...string) {
+	d.putDesiredRoutes(append([]string{queuePrefix}, extraPrefixes...)...)
+}
+
+// putDesiredRoutes writes a desired state with a higher version, which has routes
+// for the prefixes alone.
+func (d *deployment) putDesiredRoutes(prefixes ...string) {
 	d.version += 3
 	d.Assert(d.store.PutDesiredState(rattansite.DesiredState{
-		Version: d.version, Service: queueService, Host: queueHost, Prefixes: append([]string{queuePrefix}, extraPrefixes...),
+		Version: d.version, Service: queueService, Host: queueHost, Prefixes: prefixes,
 	}), qt.IsNil)
 }
 
