--- a/rattanhome/service_test.go
+++ b/rattanhome/service_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rattanlever/rattanlever/rattanred"
 	"github.com/rattanlever/rattanlever/rattanscheduler"
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
@@ -261,3 +262,30 @@
 	c.Check(service.goneSubmitters(now), qt.HasLen, 0, qt.Commentf("what it has sent meanwhile may wait to be read"))
 	c.Check(service.goneSubmitters(now.Add(backlogTime)), qt.HasLen, 1)
 }
+
+// TestLateCopyOfWithdrawnSubmissionStartsNothing guards against a run that no caller waits for: a submission arrives long after its instance has withdrawn it.
+func TestLateCopyOfWithdrawnSubmissionStartsNothing(t *testing.T) {
+	rattanred.SkipKnownFailure(t)
+	c := qt.New(t)
+	targets := newFakeTargets(time.Millisecond)
+	home := newTestHome(c, targets)
+	awaitListing(home)
+	const lateness = 3 * time.Second
+	now := time.Now()
+	members := &fakeMembers{soleMember: soleMember{home}, lastHeard: now.Add(lateness), incarnation: 1}
+	service := NewService(ServiceConfig{
+		Name: "self", Membership: members, DesiredState: &fakeDesiredState{}, Journal: noopJournal{},
+		Clock: func() time.Time { return now },
+	})
+	submission := testSubmission(1)
+	service.Cancel(Cancellation{JobID: submission.Job.ID, Submitter: "other", Sequence: 7})
+	now = now.Add(lateness)
+	service.goneSubmitters(now)
+	reply, err := service.Submit(context.Background(), &Request{
+		Submitter: "other", Incarnation: 1, Sequence: 7, Uptime: lateness, Job: submission.Job, Service: submission.Service, MaxAttempts: 3,
+		Objective: 5 * time.Second, LateUntil: 10 * time.Second, Deadline: 10 * time.Second,
+	})
+	c.Assert(err, qt.IsNil)
+	c.Check(reply.Result.Outcome, qt.Equals, rattanscheduler.Cancelled)
+	c.Check(targets.startRequestCount(), qt.Equals, 0)
+}
