Tell of a start without an answer until it has expired

5 s after a job had ended without a result, its home told neither its successor nor other zones of a start of it that may be carried out for 15 s. TestOutstandingStartIsToldUntilItExpires failed before and passes.

--- a/rattanscheduler/adoption.go
+++ b/rattanscheduler/adoption.go
@@ -160,15 +160,22 @@
 	s.requestStop(r, now)
 }
 
+// recordBegun records that a job has ended without a result although a task of it may
+// have started.
+func (s *Scheduler) recordBegun(jobID string, now time.Time) {
+	s.begunJobs[jobID] = now.Add(begunJobRetention)
+	s.returningJobs[jobID] = now.Add(LateStartBound)
+}
+
 // cancelOrphans stops the runs of a job that an earlier home started, also those
 // that are listed later.
 func (s *Scheduler) cancelOrphans(jobID string, now time.Time) {
 	if s.reconciling(now) {
-		s.begunJobs[jobID] = now.Add(begunJobRetention)
+		s.recordBegun(jobID, now)
 	}
 	for _, r := range s.orphans {
 		if jobIDOf(r.taskName) == jobID {
-			s.begunJobs[jobID] = now.Add(begunJobRetention)
+			s.recordBegun(jobID, now)
 			s.stopOrphan(r, now)
 		}
 	}
--- a/rattanscheduler/forgotten_test.go
+++ b/rattanscheduler/forgotten_test.go
@@ -79,7 +79,6 @@
 
 // TestOutstandingStartIsToldUntilItExpires guards against a successor that does not know of a start of a cancelled job, which may still be carried out.
 func TestOutstandingStartIsToldUntilItExpires(t *testing.T) {
-	rattanred.SkipKnownFailure(t)
 	z := newIncarnationZone(qt.New(t), 2)
 	z.unansweredStart()
 	z.scheduler.Cancel(jobA, z.now)
--- a/rattanscheduler/outstanding.go
+++ b/rattanscheduler/outstanding.go
@@ -280,8 +280,8 @@
 // ended, or it has without a result.
 func (s *Scheduler) mayReturn(taskName string) bool {
 	jobID := jobIDOf(taskName)
-	_, begun := s.begunJobs[jobID]
-	return begun || s.HasJob(jobID)
+	_, returning := s.returningJobs[jobID]
+	return returning || s.HasJob(jobID)
 }
 
 // AddOutstandingStarts adds the start requests of an earlier home that may still be
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -129,6 +129,9 @@
 	// begunJobs contains the jobs that ended without a result although a task of
 	// them may have started, with the time until which to keep them.
 	begunJobs map[string]time.Time
+	// returningJobs contains the same jobs for as long as a start request of them may
+	// be carried out.
+	returningJobs map[string]time.Time
 	// unhosted contains the jobs that no known target could run when they were
 	// submitted and that an earlier home may have started.
 	unhosted []*job
@@ -174,6 +177,7 @@
 		activeRuns:      map[string]int{},
 		doneTasks:       map[string]time.Time{},
 		begunJobs:       map[string]time.Time{},
+		returningJobs:   map[string]time.Time{},
 		redirectedJobs:  map[string]redirection{},
 		estimator:       newRunTimeEstimator(),
 		unansweredStops: map[*run]struct{}{},
@@ -284,6 +288,7 @@
 	s.refuseOverloaded(now)
 	removeExpired(s.doneTasks, now)
 	removeExpired(s.begunJobs, now)
+	removeExpired(s.returningJobs, now)
 	s.removeRedirections(now)
 }
 
@@ -400,7 +405,7 @@
 		s.redirectedJobs[j.submission.Job.ID] = redirection{zone: zone, until: j.submission.Deadline}
 	}
 	if (outcome == Cancelled || outcome == Expired) && j.mayHaveStarted() {
-		s.begunJobs[j.submission.Job.ID] = now.Add(begunJobRetention)
+		s.recordBegun(j.submission.Job.ID, now)
 	}
 	s.dequeue(j)
 	j.ready = nil
