--- a/rattanscheduler/redirect.go
+++ b/rattanscheduler/redirect.go
@@ -21,8 +21,8 @@
 // redirection is a job that may run in another zone.
 type redirection struct {
 	zone string
-	// until is when the caller of the job stops waiting, or the starts in the zone are
-	// over.
+	// until is when the leases of the job's runs in the zone have ended after its
+	// caller stopped waiting, or the starts in the zone are over.
 	until time.Time
 	// startedThere is set if that zone has told of a start.
 	startedThere bool
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -402,7 +402,7 @@
 	j.outcome = outcome
 	delete(s.jobs, j.submission.Job.ID)
 	if outcome == Redirected {
-		s.redirectedJobs[j.submission.Job.ID] = redirection{zone: zone, until: j.submission.Deadline}
+		s.redirectedJobs[j.submission.Job.ID] = redirection{zone: zone, until: j.submission.Deadline.Add(s.longestLease())}
 	}
 	if (outcome == Cancelled || outcome == Expired) && j.mayHaveStarted() {
 		s.recordBegun(j.submission.Job.ID, now)
