Leave a waiting job to the zone that tells of its start

A zone that learned of a start in another zone left out the jobs that it already had: one that waited here was started here too, or refused, while the start in the other zone could still be carried out. Such a job is redirected there now, unless a task of it may have run here. TestKnownJobWithRemoteStartStaysThere failed before and passes.

--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -268,7 +268,12 @@
 func (h *Home) AddRemoteStarts(zone string, starts []rattanscheduler.OutstandingStart) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.scheduler.AddRemoteStarts(zone, starts, h.now())
+	if h.closed {
+		return
+	}
+	now := h.now()
+	h.scheduler.AddRemoteStarts(zone, starts, now)
+	h.flush(now)
 }
 
 // SetRemoteZones replaces the known free capacity of other availability zones.
--- a/rattanscheduler/forgotten_test.go
+++ b/rattanscheduler/forgotten_test.go
@@ -49,7 +49,6 @@
 
 // TestKnownJobWithRemoteStartStaysThere guards against two runs of a task in two zones: a zone learns of a start in another one when it knows the job already.
 func TestKnownJobWithRemoteStartStaysThere(t *testing.T) {
-	rattanred.SkipKnownFailure(t)
 	z := newReconciledZone(qt.New(t), 1)
 	_, makeRoom := z.occupy()
 	z.scheduler.AddRemoteStarts("b", []OutstandingStart{{Task: jobA + ".0.0.0", Target: "tb", Attempt: 1, Remaining: LateStartBound}}, z.now)
--- a/rattanscheduler/outstanding.go
+++ b/rattanscheduler/outstanding.go
@@ -301,12 +301,12 @@
 }
 
 // AddRemoteStarts makes jobs that may have a start request under way in another zone
-// go on there: they are redirected if they are submitted here.
+// go on there: they are redirected if they are submitted here, or wait here.
 func (s *Scheduler) AddRemoteStarts(zone string, starts []OutstandingStart, now time.Time) {
 	for _, start := range starts {
 		jobID := jobIDOf(start.Task)
 		remaining := min(start.Remaining, LateStartBound)
-		if s.HasJob(jobID) || remaining <= 0 {
+		if remaining <= 0 || s.HasJob(jobID) && !s.leaveToZone(jobID, zone, now) {
 			continue
 		}
 		entry, known := s.redirectedJobs[jobID]
--- a/rattanscheduler/redirect.go
+++ b/rattanscheduler/redirect.go
@@ -49,6 +49,22 @@
 	return true
 }
 
+// leaveToZone redirects a job that has not started here to a zone that has told of a
+// start, and reports whether it has.
+func (s *Scheduler) leaveToZone(jobID, zone string, now time.Time) bool {
+	j := s.jobs[jobID]
+	if j.runCount > 0 || slices.ContainsFunc(j.tasks, s.mayHaveRun) {
+		return false
+	}
+	s.finishJob(j, ending{outcome: Redirected, zone: zone, mayHaveStarted: true, reason: "started elsewhere"}, now)
+	return true
+}
+
+// mayHaveRun reports whether a task has a run here, or may have had one.
+func (s *Scheduler) mayHaveRun(t *task) bool {
+	return t.state != taskWaiting || s.mayHaveStarted(t.name)
+}
+
 // Redirects reports whether a job is redirected to the zone where it may run. The
 // instance of a resumed one has not learned that it was redirected, so that it cannot
 // run in the other zone, unless that zone has told of a start.
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -381,31 +381,47 @@
 	s.reposition(j)
 }
 
-// endJob ends a job: it stops the job's runs and reports the result. Instead of
-// being refused, a job is redirected if that is allowed and another zone has
-// room for it.
+// ending is how a job ends.
+type ending struct {
+	outcome Outcome
+	reason  string
+	// retryAfter is set if the job is refused, zone if it is redirected, and
+	// mayHaveStarted if it may have started in that zone.
+	retryAfter     time.Duration
+	zone           string
+	mayHaveStarted bool
+}
+
+// endJob ends a job. Instead of being refused, a job is redirected if that is allowed
+// and another zone has room for it.
 func (s *Scheduler) endJob(j *job, outcome Outcome, reason string, retryAfter time.Duration, now time.Time) {
 	if j.outcome != Open {
 		return
 	}
-	zone := ""
+	end := ending{outcome: outcome, reason: reason, retryAfter: retryAfter}
 	if outcome == Refused {
-		zone = s.reserveRemoteZone(j)
+		end.zone = s.reserveRemoteZone(j)
 	}
-	if zone != "" {
-		outcome = Redirected
+	if end.zone != "" {
+		end.outcome = Redirected
 	}
+	s.finishJob(j, end, now)
+}
+
+// finishJob stops the runs of a job and reports the result.
+func (s *Scheduler) finishJob(j *job, end ending, now time.Time) {
 	var room *Room
-	if outcome == Refused || outcome == Redirected || outcome == Expired {
+	if end.outcome == Refused || end.outcome == Redirected || end.outcome == Expired {
 		room = s.describeRoom(j, now)
 	}
-	j.outcome = outcome
-	delete(s.jobs, j.submission.Job.ID)
-	if outcome == Redirected {
-		s.redirectedJobs[j.submission.Job.ID] = redirection{zone: zone, until: j.submission.Deadline.Add(s.longestLease())}
+	id := j.submission.Job.ID
+	j.outcome = end.outcome
+	delete(s.jobs, id)
+	if end.outcome == Redirected {
+		s.redirectedJobs[id] = redirection{zone: end.zone, until: j.submission.Deadline.Add(s.longestLease())}
 	}
-	if (outcome == Cancelled || outcome == Expired) && j.mayHaveStarted() {
-		s.recordBegun(j.submission.Job.ID, now)
+	if (end.outcome == Cancelled || end.outcome == Expired) && j.mayHaveStarted() {
+		s.recordBegun(id, now)
 	}
 	s.dequeue(j)
 	j.ready = nil
@@ -413,18 +429,19 @@
 		s.stopRuns(t, now)
 	}
 	s.output.Results = append(s.output.Results, JobResult{
-		JobID:      j.submission.Job.ID,
-		Outcome:    outcome,
-		Zone:       zone,
-		RetryAfter: retryAfter,
-		Reason:     reason,
-		Tasks:      len(j.tasks),
-		Estimate:   j.criticalPath,
-		Runs:       j.runCount,
-		Failures:   j.failureCount,
-		FirstStart: j.firstStart,
-		Elapsed:    now.Sub(j.submittedAt),
-		Room:       room,
-		History:    j.historyFor(outcome),
+		JobID:          id,
+		Outcome:        end.outcome,
+		Zone:           end.zone,
+		MayHaveStarted: end.mayHaveStarted,
+		RetryAfter:     end.retryAfter,
+		Reason:         end.reason,
+		Tasks:          len(j.tasks),
+		Estimate:       j.criticalPath,
+		Runs:           j.runCount,
+		Failures:       j.failureCount,
+		FirstStart:     j.firstStart,
+		Elapsed:        now.Sub(j.submittedAt),
+		Room:           room,
+		History:        j.historyFor(end.outcome),
 	})
 }
