Withdraw the earlier submissions of a job that a home refuses

A job whose first answer is lost and whose second submission is refused is answered with 504. Nothing withdrew the first submission: one that was still on its way (a paused home that reads a closed connection last) was a new job for the home that had just refused it, and started tasks after the answer.

The front now withdraws it as after each other answer without a result, so that the home rejects all submissions up to the last one.

--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -129,12 +129,19 @@
 	defer cancel()
 	s.zone = s.handler.config.Self.Zone
 	resp, ended := s.submitUntilEnd(ctx)
-	if !ended && s.submissions.unsettledCount() > 0 {
-		go s.handler.withdraw(s.zone, rattanhome.Cancellation{JobID: s.id, Submitter: s.handler.config.Self.Name, Sequence: s.sequence})
+	if !ended {
+		s.withdrawUnsettled()
 	}
 	return resp
 }
 
+// withdrawUnsettled withdraws the submissions that a home may have accepted.
+func (s *submission) withdrawUnsettled() {
+	if s.submissions.unsettledCount() > 0 {
+		go s.handler.withdraw(s.zone, rattanhome.Cancellation{JobID: s.id, Submitter: s.handler.config.Self.Name, Sequence: s.sequence})
+	}
+}
+
 // submitUntilEnd submits the job to the home of the zone until a home reports
 // that it has ended, or until there is no point in waiting. The second result
 // reports whether the job has ended.
@@ -218,7 +225,8 @@
 		return response{}, false
 	}
 	if reply.Result.Outcome == rattanscheduler.Refused && s.maybeStarted() {
-		// The home cannot answer for other submissions.
+		// The home cannot answer for other submissions, which may arrive late.
+		s.withdrawUnsettled()
 		return notCompleteResponse(reply.Result.Reason), true
 	}
 	return outcomeResponse(reply.Result), true
--- a/rattanfront/withdrawal_test.go
+++ b/rattanfront/withdrawal_test.go
@@ -98,3 +98,28 @@
 		})
 	}
 }
+
+// refusingHome loses the first answer and refuses the job when it is submitted again.
+type refusingHome struct {
+	*versionedZones
+	cancelled chan rattanhome.Cancellation
+}
+
+func (h *refusingHome) Cancel(cancellation rattanhome.Cancellation) bool {
+	h.cancelled <- cancellation
+	return false
+}
+
+// TestLateCopyOfRefusedJobIsWithdrawn guards against a job that starts after its caller was told that it ended, because an earlier submission arrives after the one that was refused.
+func TestLateCopyOfRefusedJobIsWithdrawn(t *testing.T) {
+	c := qt.New(t)
+	home := &refusingHome{&versionedZones{fakeZones: &fakeZones{now: time.Now(), changed: make(chan struct{})}}, make(chan rattanhome.Cancellation, 1)}
+	home.versionedZones.local = []rattanhome.Reply{{NotHome: true}, {Result: rattanscheduler.JobResult{Outcome: rattanscheduler.Refused}}}
+	c.Check(post(home), qt.Equals, http.StatusGatewayTimeout)
+	select {
+	case cancellation := <-home.cancelled:
+		c.Check(cancellation, qt.Equals, rattanhome.Cancellation{JobID: testJobID, Submitter: "self", Sequence: home.requests[1].Sequence})
+	case <-time.After(withdrawalTimeout):
+		c.Error("the first submission was not withdrawn")
+	}
+}
