Heed the answer that tells of a start when the submission has ended

A home answers that a job may have started (a conflict of versions, or a redirect to the zone where it started), just as the deadline passes or the instance stops. The front settled the submission, but dropped the rest of the answer, and told the caller with 503 that the job had not run.

What the answer tells is recorded before the front looks whether the submission has ended. TestLastAnswerThatTellsOfStartIsHeeded failed before (503 in both cases with a start) and passes.

--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -197,14 +197,15 @@
 	if notAccepted(reply, err) {
 		s.submissions.settleLast()
 	}
-	if ctx.Err() != nil {
-		return response{}, false
-	}
+	s.mayHaveStarted = s.mayHaveStarted || reply.Result.MayHaveStarted
 	if reply.Conflict != nil {
 		s.conflicts++
 		s.resolveConflict(ctx, request, reply.Conflict)
 		return response{}, false
 	}
+	if ctx.Err() != nil {
+		return response{}, false
+	}
 	if reply.Result.Outcome == rattanscheduler.Redirected {
 		if s.redirected {
 			// Each of two zones may take the job for started in the other one.
@@ -212,7 +213,6 @@
 		}
 		s.zone = reply.Result.Zone
 		s.redirected = true
-		s.mayHaveStarted = s.mayHaveStarted || reply.Result.MayHaveStarted
 		return response{}, false
 	}
 	if reply.CancelledByCaller {
--- a/rattanfront/submission_test.go
+++ b/rattanfront/submission_test.go
@@ -117,10 +117,17 @@
 
 // postWith does the same for a caller that leaves when ctx ends.
 func postWith(ctx context.Context, z zones) int {
-	handler := New(Config{
+	return postTo(ctx, newHandler(z))
+}
+
+func newHandler(z zones) *Handler {
+	return New(Config{
 		Self: rattanwork.Member{Name: "self", Zone: "a"}, Homes: z, LocalHome: z, Peers: z, DesiredState: z, Journal: z, Clock: z.clock,
 		Uptime: func(time.Time) time.Duration { return time.Minute },
 	})
+}
+
+func postTo(ctx context.Context, handler *Handler) int {
 	body := `{"spec":"s","best_effort":true,"steps":[{"count":1,"cpu":1000,"estimate_ms":50}]}`
 	request := httptest.NewRequest(http.MethodPost, "/q/00000000000000aa", strings.NewReader(body))
 	request = request.WithContext(ctx)
@@ -260,3 +267,34 @@
 	submissions := len(zones.requests)
 	qt.New(t).Check(submissions > 2 && submissions <= int(waited/resubmitDelay)+2, qt.IsTrue, qt.Commentf("%d submissions", submissions))
 }
+
+// stoppingHome stops the front's instance while it answers.
+type stoppingHome struct {
+	*fakeZones
+	handler *Handler
+}
+
+func (h *stoppingHome) Submit(context.Context, *rattanhome.Request) (rattanhome.Reply, error) {
+	h.handler.AbortPending()
+	return h.local, nil
+}
+
+// TestLastAnswerThatTellsOfStartIsHeeded guards against telling a caller that its job has not run, because the home's answer that it may have arrives as the instance stops.
+func TestLastAnswerThatTellsOfStartIsHeeded(t *testing.T) {
+	for name, begun := range map[string]bool{"begun": true, "not begun": false} {
+		for kind, reply := range map[string]rattanhome.Reply{
+			"conflict": {Conflict: &rattanhome.VersionConflict{MayHaveStarted: begun}},
+			"redirect": {Result: rattanscheduler.JobResult{Outcome: rattanscheduler.Redirected, Zone: "b", MayHaveStarted: begun}},
+		} {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				home := &stoppingHome{fakeZones: &fakeZones{now: time.Now(), local: reply, changed: make(chan struct{})}}
+				home.handler = newHandler(home)
+				status := http.StatusServiceUnavailable
+				if begun {
+					status = http.StatusGatewayTimeout
+				}
+				qt.New(t).Check(postTo(context.Background(), home.handler), qt.Equals, status)
+			})
+		}
+	}
+}
