Remember the highest submission of an instance, and reject what was withdrawn

A submission that arrives after a later one of the same instance and job took that one's place in the list of submitters: a withdrawal of the earlier one then cancelled the job that the later one waits for. And a withdrawal that arrived after a later submission was not recorded, so that a late copy of the withdrawn submission was accepted, and started the job again if it had ended.

The number of a submitter only increases, and a withdrawal always rejects the submissions up to its number. TestLateSubmissionDoesNotHideLaterOne failed before (the withdrawal of 7 cancelled 8) and passes.

--- a/rattanhome/service.go
+++ b/rattanhome/service.go
@@ -168,7 +168,7 @@
 type submitter struct {
 	incarnation int64
 	// since is when the last submission was sent, suspended for how long the steady
-	// clock had stood still when it arrived, and sequence its number.
+	// clock had stood still when it arrived, and sequence the highest number of one.
 	since     time.Time
 	suspended time.Duration
 	sequence  int64
@@ -282,7 +282,7 @@
 		entry = submitter{incarnation: request.Incarnation}
 	}
 	entry.since, entry.suspended = s.sentAt(request, now), s.config.Membership.Suspended()
-	entry.sequence = request.Sequence
+	entry.sequence = max(entry.sequence, request.Sequence)
 	entry.calls++
 	jobSubmitters[request.Submitter] = entry
 	return true
@@ -356,11 +356,9 @@
 	defer s.mutex.Unlock()
 	jobSubmitters := s.submitters[cancellation.JobID]
 	entry, ok := jobSubmitters[cancellation.Submitter]
-	if cancellation.Sequence != 0 {
-		if ok && entry.sequence > cancellation.Sequence {
-			return false
-		}
-		s.acceptances.reject(cancellation.Submitter, cancellation.JobID, cancellation.Sequence, now)
+	s.acceptances.reject(cancellation.Submitter, cancellation.JobID, cancellation.Sequence, now)
+	if ok && cancellation.Sequence != 0 && entry.sequence > cancellation.Sequence {
+		return false
 	}
 	delete(jobSubmitters, cancellation.Submitter)
 	if len(jobSubmitters) > 0 {
--- a/rattanhome/service_test.go
+++ b/rattanhome/service_test.go
@@ -149,6 +149,26 @@
 	c.Check(service.Cancel(Cancellation{JobID: submission.Job.ID, Submitter: "other", Sequence: 8}), qt.IsTrue)
 }
 
+// TestLateSubmissionDoesNotHideLaterOne guards against a job that is cancelled, or starts again, because an earlier submission arrives after a later one of the same instance.
+func TestLateSubmissionDoesNotHideLaterOne(t *testing.T) {
+	c := qt.New(t)
+	service := NewService(ServiceConfig{Name: "self", Membership: soleMember{}, DesiredState: &fakeDesiredState{}, Journal: noopJournal{}, Clock: time.Now})
+	job := testSubmission(1).Job
+	now := time.Now()
+	add := func(sequence int64) bool {
+		return service.addSubmitter(&Request{Submitter: "other", Incarnation: 1, Sequence: sequence, Job: job}, now)
+	}
+	withdraw := func(sequence int64) bool {
+		return service.removeSubmitter(Cancellation{JobID: job.ID, Submitter: "other", Sequence: sequence}, now)
+	}
+	c.Check(add(8), qt.IsTrue)
+	c.Check(add(7), qt.IsTrue)
+	c.Check(withdraw(7), qt.IsFalse, qt.Commentf("the caller of 8 waits"))
+	c.Check(add(7), qt.IsFalse, qt.Commentf("it was withdrawn"))
+	c.Check(add(6), qt.IsFalse)
+	c.Check(withdraw(8), qt.IsTrue)
+}
+
 // TestWaitEndsWithTheSignsOfItsInstance guards against a lease that outlasts the
 // wait of a caller: its instance is lost and the home gives no further orders.
 func TestWaitEndsWithTheSignsOfItsInstance(t *testing.T) {
