Log the start requests that a home is told of

Of two runs of one task the logs tell who sent an unanswered start, but not which other instance knew of it: whether a successor or another zone was never told, or was told and forgot, cannot be told apart.

A home now logs the starts of other homes that it is told of, once each, with the instance that told it, and at its claim those that its instance has kept; rattanlever_learned_starts_total counts them.

--- a/rattanmetric/table.go
+++ b/rattanmetric/table.go
@@ -52,6 +52,7 @@
 	TargetChangesTotal        = "rattanlever_target_changes_total"
 	RunsLostTotal             = "rattanlever_runs_lost_total"
 	UnansweredStartsTotal     = "rattanlever_unanswered_starts_total"
+	LearnedStartsTotal        = "rattanlever_learned_starts_total"
 	HomeChangesTotal          = "rattanlever_home_changes_total"
 	HomesDeposedTotal         = "rattanlever_homes_deposed_total"
 	HomeLagSeconds            = "rattanlever_home_lag_seconds"
@@ -132,6 +133,7 @@
 	{TargetChangesTotal, KindCounter, []string{"change"}, "Changes in what the own home believes of targets, by kind of change."},
 	{RunsLostTotal, KindCounter, []string{"proof"}, "Runs lost with their target, by what the home knows of its end."},
 	{UnansweredStartsTotal, KindCounter, []string{"change"}, "Start requests without an answer, by what became known of them."},
+	{LearnedStartsTotal, KindCounter, nil, "Start requests of other homes that the own home was told of because they may still be carried out."},
 	{HomeChangesTotal, KindCounter, nil, "Changes of the zone's home that this instance has seen."},
 	{HomesDeposedTotal, KindCounter, nil, "Times that the own home lost its authority to another instance."},
 	{HomeLagSeconds, KindGauge, nil, "How late the own home handles events because it lacks processor time, 0 if it is not the home."},
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -29,6 +29,7 @@
 func NewJournal(logger *logrus.Logger, registry *rattanmetric.Registry) *Journal {
 	// Rare events are shown before the first one.
 	registry.Counter(rattanmetric.CancelledSubmissionsTotal)
+	registry.Counter(rattanmetric.LearnedStartsTotal)
 	for change := rattanscheduler.StartUnanswered; change <= rattanscheduler.StartExpired; change++ {
 		registry.Counter(startsCounter(change))
 	}
@@ -229,6 +230,17 @@
 	j.logger.WithFields(logrus.Fields{"Task": event.Task, "Target": event.Target, "Attempt": event.Attempt, "Change": event.Change.String()}).Info("start without answer")
 }
 
+// StartsLearned records that the local home was told of start requests that may still
+// be carried out.
+func (j *Journal) StartsLearned(zone, source string, starts []rattanscheduler.OutstandingStart) {
+	j.registry.Counter(rattanmetric.LearnedStartsTotal).Add(len(starts))
+	lines := make([]string, 0, min(len(starts), maxHistoryRuns))
+	for _, start := range starts[:min(len(starts), maxHistoryRuns)] {
+		lines = append(lines, fmt.Sprintf("%s attempt %d on %s, for %s", start.Task, start.Attempt, start.Target, start.Remaining.Round(time.Millisecond)))
+	}
+	j.logger.WithFields(logrus.Fields{"Zone": zone, "Source": source, "Count": len(starts), "Starts": lines}).Info("starts of another home")
+}
+
 // TargetUnresponsive records that a target does not answer.
 func (j *Journal) TargetUnresponsive(target string, err error) {
 	j.registry.Counter(rattanmetric.TargetsSilentTotal).Inc()
--- a/rattanzone/agent.go
+++ b/rattanzone/agent.go
@@ -56,6 +56,9 @@
 type Journal interface {
 	HomeChanged(claim Claim, reason string)
 	HomeSuspected(claim Claim, reason string)
+	// StartsLearned reports that the local home was told of start requests of a zone,
+	// its own or another one, that may still be carried out.
+	StartsLearned(zone, source string, starts []rattanscheduler.OutstandingStart)
 	// SpeedChanged reports that this machine has become slow or normal. The
 	// factor is the time of a fixed computation in multiples of the usual one.
 	SpeedChanged(slow bool, factor float64)
--- a/rattanzone/heartbeat.go
+++ b/rattanzone/heartbeat.go
@@ -254,11 +254,12 @@
 	for _, claim := range view.Claims {
 		a.mergeClaim(claim, view.Sender.Name, now)
 	}
-	a.outstanding.add(view.Sender.Zone, view.OutstandingStarts, now)
+	learned := a.outstanding.add(view.Sender.Zone, view.OutstandingStarts, now)
 	fromHome, localHome := a.isFromHome(view), a.localHome
 	a.mutex.Unlock()
 	a.cancelJobs(cancelled)
 	if localHome != nil {
+		a.journalLearned(view.Sender.Zone, view.Sender.Name, learned)
 		a.tellHome(localHome, view.Sender.Zone, view.OutstandingStarts)
 	}
 	if fromHome {
--- a/rattanzone/outstanding.go
+++ b/rattanzone/outstanding.go
@@ -26,10 +26,11 @@
 // carried out, with the time until which that is so, for the next home.
 type outstandingStarts map[string]map[outstandingKey]time.Time
 
-// add adds what a home of a zone knows.
-func (o outstandingStarts) add(zone string, starts []rattanscheduler.OutstandingStart, now time.Time) {
+// add adds what a home of a zone knows, and returns the start requests that were not
+// known before.
+func (o outstandingStarts) add(zone string, starts []rattanscheduler.OutstandingStart, now time.Time) (learned []rattanscheduler.OutstandingStart) {
 	if len(starts) == 0 {
-		return
+		return nil
 	}
 	if o[zone] == nil {
 		o[zone] = map[outstandingKey]time.Time{}
@@ -39,11 +40,16 @@
 	}
 	for _, start := range starts[:min(len(starts), maxSentStarts)] {
 		key := outstandingKey{start.Task, start.Target, start.Attempt}
-		if _, known := o[zone][key]; !known && len(o[zone]) >= maxKeptStarts {
+		_, known := o[zone][key]
+		if !known && len(o[zone]) >= maxKeptStarts {
 			continue
 		}
+		if !known {
+			learned = append(learned, start)
+		}
 		o[zone][key] = now.Add(min(start.Remaining, rattanscheduler.LateStartBound))
 	}
+	return learned
 }
 
 // expire forgets the start requests of a zone that cannot be carried out any more.
@@ -74,6 +80,13 @@
 	}
 }
 
+// journalLearned records of which start requests the local home was told.
+func (a *Agent) journalLearned(zone, source string, starts []rattanscheduler.OutstandingStart) {
+	if len(starts) > 0 {
+		a.config.Journal.StartsLearned(zone, source, starts)
+	}
+}
+
 // tellNewHome tells the new local home what this instance knows.
 func (a *Agent) tellNewHome(home *rattanhome.Home, now time.Time) {
 	a.mutex.Lock()
@@ -84,6 +97,7 @@
 	}
 	a.mutex.Unlock()
 	for zone, starts := range known {
+		a.journalLearned(zone, "kept for the new home", starts)
 		a.tellHome(home, zone, starts)
 	}
 }
--- a/rattanzone/speed_test.go
+++ b/rattanzone/speed_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rattanlever/rattanlever/rattanscheduler"
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
@@ -84,9 +85,11 @@
 func (quietJournal) HomeChanged(Claim, string)   {}
 func (quietJournal) HomeSuspected(Claim, string) {}
 func (quietJournal) SpeedChanged(bool, float64)  {}
-func (quietJournal) DirectoryLost(error)         {}
-func (quietJournal) DirectoryRegained()          {}
-func (quietJournal) CrashStoreFailed(error)      {}
+func (quietJournal) StartsLearned(string, string, []rattanscheduler.OutstandingStart) {
+}
+func (quietJournal) DirectoryLost(error)    {}
+func (quietJournal) DirectoryRegained()     {}
+func (quietJournal) CrashStoreFailed(error) {}
 
 var _ Peers = (*recordingPeers)(nil)
 
