Add messages between instances that get no reply

A message that is to be on its way before something else happens needs the moment of its writing, and no reply: Notify returns once the message is written to the connection.

--- a/rattanpeer/link.go
+++ b/rattanpeer/link.go
@@ -112,6 +112,16 @@
 	}
 }
 
+// notify sends a message that gets no reply.
+func (l *link) notify(method string, body []byte) error {
+	err := l.send(&rattanpeerpb.Envelope{ID: notificationID, Method: method, Body: body, Sender: l.node.config.Name})
+	if err != nil {
+		l.close(ErrLinkClosed)
+		return errors.WithType(err, ErrLinkClosed)
+	}
+	return nil
+}
+
 func (l *link) send(envelope *rattanpeerpb.Envelope) error {
 	l.sendMutex.Lock()
 	defer l.sendMutex.Unlock()
@@ -130,7 +140,8 @@
 		}
 		l.node.Counts.Received.Add(1)
 		l.lastReceived.Store(int64(time.Since(l.openedAt)))
-		if envelope.Method == methodPing {
+		// A peer of a former version replies to notifications.
+		if envelope.Method == methodPing || envelope.ID == notificationID {
 			continue
 		}
 		l.deliver(envelope)
--- a/rattanpeer/node.go
+++ b/rattanpeer/node.go
@@ -39,7 +39,9 @@
 )
 
 const (
-	methodPing            = "Ping"
+	methodPing = "Ping"
+	// notificationID is the ID of messages that get no reply. Calls have higher ones.
+	notificationID        = 0
 	defaultSilenceTimeout = time.Second
 	dialTimeout           = 500 * time.Millisecond
 	drainTimeout          = 5 * time.Second
@@ -134,6 +136,16 @@
 	return reply, nil
 }
 
+// Notify sends a message to the instance at address and returns once it is written to
+// the connection. The receiver handles it like a request and sends no reply.
+func (n *Node) Notify(ctx context.Context, address, method string, body []byte) error {
+	peerLink, err := n.getLink(ctx, address)
+	if err != nil {
+		return errors.Annotatef(err, "peer %s", address)
+	}
+	return errors.Annotatef(peerLink.notify(method, body), "peer %s: %s", address, method)
+}
+
 // Drain waits until all received requests are answered, for at most
 // drainTimeout.
 func (n *Node) Drain(ctx context.Context) error {
--- a/rattanpeer/node_test.go
+++ b/rattanpeer/node_test.go
@@ -94,6 +94,26 @@
 	c.Assert(waitUntilRefused(caller, address), qt.IsTrue)
 }
 
+// TestNotificationGetsNoReply guards against a reply to a notification that is taken
+// for that of a call, also from a peer that knows of none.
+func TestNotificationGetsNoReply(t *testing.T) {
+	c := qt.New(t)
+	caller, _ := startNode(c, "a", nil)
+	receiver, address := startNode(c, "b", nil)
+	for _, method := range []string{"Echo", "Fail", "Missing"} {
+		c.Assert(caller.Notify(context.Background(), address, method, []byte("x")), qt.IsNil)
+	}
+	got, err := caller.Call(context.Background(), address, "Echo", []byte("y"))
+	c.Assert(err, qt.IsNil)
+	c.Check(string(got), qt.Equals, "a:y")
+	c.Check(receiver.Counts.Received.Load(), qt.Equals, uint64(4))
+	c.Check(receiver.Counts.Sent.Load(), qt.Equals, uint64(1))
+	c.Check(caller.Counts.LateReplies.Load(), qt.Equals, uint64(0))
+	c.Assert(receiver.Stop(context.Background()), qt.IsNil)
+	c.Assert(waitUntilRefused(caller, address), qt.IsTrue)
+	c.Check(caller.Notify(context.Background(), address, "Echo", nil), qt.ErrorIs, rattanpeer.ErrRefused)
+}
+
 func waitUntilRefused(caller *rattanpeer.Node, address string) bool {
 	for range 50 {
 		_, err := caller.Call(context.Background(), address, "Echo", nil)
--- a/rattanpeer/server.go
+++ b/rattanpeer/server.go
@@ -45,7 +45,9 @@
 		s.node.pendingReplies.Add(1)
 		go func() {
 			defer s.node.pendingReplies.Add(-1)
-			sendReply(s.handle(ctx, envelope))
+			if reply := s.handle(ctx, envelope); envelope.ID != notificationID {
+				sendReply(reply)
+			}
 		}()
 	}
 }
