Tell other instances of starts before they are sent

Seen: two runs of one task. A home that is lost just after a start without an answer has told nobody of it; its successor, or the zone to which the caller sends the job again, starts the task elsewhere, and the next incarnation of the first target carries the late start out.

Cause: a start was known to its sender alone until the next heartbeat after the time for its answer was over. What a home learns must outlive it before it acts on it.

A home now lists its starts without an answer, complete and numbered, to the member that would succeed it and to the homes of the other zones, before the starts are sent: starts wait until the list is written to the connections, 5 ms at most. Starts decided meanwhile share the next list, those that were answered leave with it, or with one of their own after 50 ms. The last list of each home is kept for 15 s: its successor starts such a task at that target only, another zone redirects the job, and an instance that looks for a home asks the members of its zone and the homes of other zones, so that the loss of the successor, or of all instances of the zone, takes nothing away.

--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -74,7 +74,10 @@
 	// which the home starts. If it is nil, the home starts with an empty record.
 	Cancellations *rattancancel.Record
 	Targets       TargetClient
-	Observer      Observer
+	// Exchange tells other instances of start requests before they are sent. If it is
+	// nil, there are no other instances.
+	Exchange StartExchange
+	Observer Observer
 	// Suspended returns for how long the steady clock of this machine has stood
 	// still, 0 if it is nil.
 	Suspended func() time.Duration
@@ -87,8 +90,10 @@
 	config Config
 	ctx    context.Context
 	cancel context.CancelFunc
-	// wake makes the next tick follow after busyTickInterval.
-	wake chan struct{}
+	// wake makes the next tick follow after busyTickInterval, startAdded the next list
+	// of start requests at once.
+	wake       chan struct{}
+	startAdded chan struct{}
 	// deposed is closed when the home is closed, or deposed because a target
 	// follows another home.
 	deposed chan struct{}
@@ -102,6 +107,7 @@
 	// results caches the results of ended jobs for repeated submissions.
 	results  map[string]cachedResult
 	renewers map[string]*leaseRenewer
+	pending  pendingStarts
 	// raisedTokens contains the fencing tokens of removed targets for which they
 	// were raised. Such a target may return.
 	raisedTokens map[string]int64
@@ -133,11 +139,12 @@
 		config.Cancellations = rattancancel.NewRecord(config.Clock())
 	}
 	h := &Home{
-		config:  config,
-		ctx:     ctx,
-		cancel:  cancel,
-		wake:    make(chan struct{}, 1),
-		deposed: make(chan struct{}),
+		config:     config,
+		ctx:        ctx,
+		cancel:     cancel,
+		wake:       make(chan struct{}, 1),
+		startAdded: make(chan struct{}, 1),
+		deposed:    make(chan struct{}),
 		scheduler: rattanscheduler.New(rattanscheduler.Config{
 			MaxLease:      config.MaxLease,
 			RemotePenalty: config.RemotePenalty,
@@ -152,6 +159,7 @@
 		idle:         true,
 	}
 	go h.tickLoop()
+	go h.tellStarts()
 	return h
 }
 
@@ -293,6 +301,7 @@
 		h.mutex.Unlock()
 		return result, nil
 	}
+	h.addRemoteStarts(id, now)
 	h.waiters[id] = append(h.waiters[id], waiter)
 	if !h.shed(submission, now) {
 		h.scheduler.Submit(submission, now)
--- a/rattanhome/renewer.go
+++ b/rattanhome/renewer.go
@@ -395,14 +395,18 @@
 		Checkpoint:    request.Checkpoint,
 	}
 	target := *request.Target
-	go l.sendStart(&target, targetRequest)
+	listed := ListedStart{Task: request.Task, Target: l.targetID, Attempt: request.Attempt}
+	go l.sendStart(&target, targetRequest, listed, l.home.listStart(listed))
 }
 
-// sendStart sends a start request and reports the answer to the scheduler. If
-// there is no answer, it raises the fencing token, so that the target no longer
+// sendStart sends a start request once it is told to other instances, and reports
+// the answer to the scheduler. If there is no answer, it raises the fencing token, so that the target no longer
 // executes the request once it has seen the new token, and requests a listing.
-func (l *leaseRenewer) sendStart(target *rattanwork.Target, request rattanwork.StartRequest) {
+func (l *leaseRenewer) sendStart(target *rattanwork.Target, request rattanwork.StartRequest, listed ListedStart, told <-chan struct{}) {
 	h := l.home
+	if !h.awaitTold(told) {
+		return
+	}
 	sentAt, ctx, cancel := h.requestContext()
 	defer cancel()
 	answer := h.config.Targets.Start(ctx, target, request)
@@ -420,6 +424,7 @@
 	}
 	l.observeClock(answer.ClockMillis, sentAt, now)
 	h.scheduler.StartAnswered(l.targetID, request.Task, request.Attempt, answer, now)
+	h.unlistStart(listed, answer.Result, now)
 	if answer.Result == rattanwork.StartUnknown {
 		l.lostAt = now
 		l.raiseToken(now)
--- a/rattanmetric/table.go
+++ b/rattanmetric/table.go
@@ -53,6 +53,8 @@
 	RunsLostTotal             = "rattanlever_runs_lost_total"
 	UnansweredStartsTotal     = "rattanlever_unanswered_starts_total"
 	LearnedStartsTotal        = "rattanlever_learned_starts_total"
+	StartListsTotal           = "rattanlever_start_lists_total"
+	StartListBytesTotal       = "rattanlever_start_list_bytes_total"
 	HomeChangesTotal          = "rattanlever_home_changes_total"
 	HomesDeposedTotal         = "rattanlever_homes_deposed_total"
 	HomeLagSeconds            = "rattanlever_home_lag_seconds"
@@ -134,6 +136,8 @@
 	{RunsLostTotal, KindCounter, []string{"proof"}, "Runs lost with their target, by what the home knows of its end."},
 	{UnansweredStartsTotal, KindCounter, []string{"change"}, "Start requests without an answer, by what became known of them."},
 	{LearnedStartsTotal, KindCounter, nil, "Start requests of other homes that the own home was told of because they may still be carried out."},
+	{StartListsTotal, KindCounter, []string{"result"}, "Lists of start requests without an answer that the own home has sent to other instances, by result: sent, late if starts did not wait until it was written, or failed."},
+	{StartListBytesTotal, KindCounter, nil, "Bytes of the lists of start requests that were sent to other instances."},
 	{HomeChangesTotal, KindCounter, nil, "Changes of the zone's home that this instance has seen."},
 	{HomesDeposedTotal, KindCounter, nil, "Times that the own home lost its authority to another instance."},
 	{HomeLagSeconds, KindGauge, nil, "How late the own home handles events because it lacks processor time, 0 if it is not the home."},
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -22,6 +22,8 @@
 	registry        *rattanmetric.Registry
 	requestDuration *metrics.Histogram
 	startWait       *metrics.Histogram
+	startLists      [rattanzone.StartListFailed + 1]*metrics.Counter
+	startListBytes  *metrics.Counter
 }
 
 // NewJournal returns a journal that writes to the logger and updates the
@@ -36,12 +38,17 @@
 	for outcome := rattanfront.JobCancelled; outcome <= rattanfront.InvalidID; outcome++ {
 		registry.Counter(cancellationsCounter(outcome))
 	}
-	return &Journal{
+	journal := &Journal{
 		logger:          logger,
 		registry:        registry,
 		requestDuration: registry.Histogram(rattanmetric.RequestSeconds),
 		startWait:       registry.Histogram(rattanmetric.JobStartWaitSeconds),
+		startListBytes:  registry.Counter(rattanmetric.StartListBytesTotal),
 	}
+	for result := range journal.startLists {
+		journal.startLists[result] = registry.Counter(startListsCounter(rattanzone.StartListResult(result)))
+	}
+	return journal
 }
 
 func milliseconds(duration time.Duration) float64 {
@@ -241,6 +248,17 @@
 	j.logger.WithFields(logrus.Fields{"Zone": zone, "Source": source, "Count": len(starts), "Starts": lines}).Info("starts of another home")
 }
 
+// startListsCounter returns the name of the counter of a result.
+func startListsCounter(result rattanzone.StartListResult) string {
+	return rattanmetric.WithLabels(rattanmetric.StartListsTotal, "result", result.String())
+}
+
+// StartListTold records what became of sending a start list to another instance.
+func (j *Journal) StartListTold(result rattanzone.StartListResult, bytes int) {
+	j.startLists[result].Inc()
+	j.startListBytes.Add(bytes)
+}
+
 // TargetUnresponsive records that a target does not answer.
 func (j *Journal) TargetUnresponsive(target string, err error) {
 	j.registry.Counter(rattanmetric.TargetsSilentTotal).Inc()
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -197,6 +197,7 @@
 		Callers:       n.homeService,
 		Cancellations: n.cancellations,
 		Targets:       n.targetClient,
+		Exchange:      n.agent,
 		Observer:      n.journal,
 		Suspended:     n.suspended,
 		Clock:         n.config.Clock,
--- a/rattanzone/agent.go
+++ b/rattanzone/agent.go
@@ -24,11 +24,15 @@
 	methodTakeOver     = "TakeOver"
 	methodInventory    = "Inventory"
 	methodDesiredState = "Desired"
+	methodStartList    = "Starts"
 )
 
 // Peers sends and receives calls between instances.
 type Peers interface {
 	Call(ctx context.Context, address, method string, body []byte) ([]byte, error)
+	// Notify sends a message without a reply and returns once it is written to the
+	// connection.
+	Notify(ctx context.Context, address, method string, body []byte) error
 	Handle(method string, handler rattanpeer.Handler)
 }
 
@@ -59,6 +63,9 @@
 	// StartsLearned reports that the local home was told of start requests of a zone,
 	// its own or another one, that may still be carried out.
 	StartsLearned(zone, source string, starts []rattanscheduler.OutstandingStart)
+	// StartListTold reports what became of sending a start list of the local home to
+	// another instance, with the bytes that were sent.
+	StartListTold(result StartListResult, bytes int)
 	// SpeedChanged reports that this machine has become slow or normal. The
 	// factor is the time of a fixed computation in multiples of the usual one.
 	SpeedChanged(slow bool, factor float64)
@@ -140,6 +147,10 @@
 	// instance knows of its own as the former home.
 	outstanding outstandingStarts
 	former      outstandingStarts
+	// startRecord keeps the start lists of other homes, startListSender sends those
+	// of the local home.
+	startRecord     startRecord
+	startListSender startListSender
 	// lastZoneHeartbeat and lastRemoteHeartbeat are the times at which the
 	// local home last sent heartbeats to its own zone and to other zones.
 	lastZoneHeartbeat   time.Time
@@ -200,6 +211,7 @@
 	config.Peers.Handle(methodTakeOver, a.handleTakeOver)
 	config.Peers.Handle(methodInventory, a.handleInventory)
 	config.Peers.Handle(methodDesiredState, a.handleDesiredState)
+	config.Peers.Handle(methodStartList, a.handleStartList)
 	return a
 }
 
--- a/rattanzone/election.go
+++ b/rattanzone/election.go
@@ -88,8 +88,8 @@
 	return false
 }
 
-// probeZone sends a heartbeat to all members of the zone and to the seeds. It
-// returns the views of the members of the zone that answer and are not shutting
+// probeZone sends a heartbeat to all members of the zone, to the seeds, and to the
+// homes of other zones, which may know of start requests of the former home. It returns the views of the members of the zone that answer and are not shutting
 // down.
 func (a *Agent) probeZone() map[string]View {
 	addresses := map[string]bool{}
@@ -99,6 +99,9 @@
 	for _, seed := range a.config.Seeds() {
 		addresses[seed] = true
 	}
+	for _, address := range a.remoteHomes(a.config.Clock()) {
+		addresses[address] = true
+	}
 	delete(addresses, a.config.Self.Address)
 	ctx, cancel := context.WithTimeout(a.ctx, probeTimeout)
 	defer cancel()
--- a/rattanzone/heartbeat.go
+++ b/rattanzone/heartbeat.go
@@ -35,6 +35,9 @@
 	// maxRemoteClaimAge is the maximum age of a claim of another zone's home at
 	// which heartbeats for that zone go to it.
 	maxRemoteClaimAge = 1 * time.Second
+	// maxAskedAge is the maximum age of the last word of another zone at which an
+	// instance without a home asks there for the start requests of the former home.
+	maxAskedAge = 3 * time.Second
 )
 
 func (a *Agent) heartbeatLoop() {
@@ -193,7 +196,11 @@
 			go a.checkHome(claim)
 		}
 	}
-	return mustMarshal(a.viewFor(view.Sender.Name)), nil
+	reply := a.viewFor(view.Sender.Name)
+	a.mutex.Lock()
+	reply.KeptStarts = a.keptFor(view, a.config.Clock())
+	a.mutex.Unlock()
+	return mustMarshal(reply), nil
 }
 
 // senderSuspectsHome reports whether the sender of the view is in this zone and
@@ -226,7 +233,7 @@
 	view.OutstandingStarts = append(view.OutstandingStarts, a.former.of(a.config.Self.Zone, now)...)
 	if !a.homeMissingSince.IsZero() {
 		// The next home may not have heard the former one.
-		view.OutstandingStarts = append(view.OutstandingStarts, a.outstanding.of(a.config.Self.Zone, now)...)
+		view.OutstandingStarts = append(view.OutstandingStarts, a.keptStarts(a.config.Self.Zone, now)...)
 	}
 	view.OutstandingStarts = view.OutstandingStarts[:min(len(view.OutstandingStarts), maxSentStarts)]
 	view.Terminating = a.terminating
@@ -255,12 +262,15 @@
 		a.mergeClaim(claim, view.Sender.Name, now)
 	}
 	learned := a.outstanding.add(view.Sender.Zone, view.OutstandingStarts, now)
+	kept := a.outstanding.keep(a.config.Self.Zone, view.KeptStarts, now)
 	fromHome, localHome := a.isFromHome(view), a.localHome
 	a.mutex.Unlock()
 	a.cancelJobs(cancelled)
 	if localHome != nil {
 		a.journalLearned(view.Sender.Zone, view.Sender.Name, learned)
 		a.tellHome(localHome, view.Sender.Zone, view.OutstandingStarts)
+		a.journalLearned(a.config.Self.Zone, view.Sender.Name, kept)
+		a.tellHome(localHome, a.config.Self.Zone, kept)
 	}
 	if fromHome {
 		a.config.Inventory.RecordOverdue(view.OverdueTargets, now)
--- a/rattanzone/heartbeat_test.go
+++ b/rattanzone/heartbeat_test.go
@@ -18,6 +18,10 @@
 	return nil, rattanpeer.ErrRefused
 }
 
+func (noPeers) Notify(context.Context, string, string, []byte) error {
+	return rattanpeer.ErrRefused
+}
+
 func (noPeers) Handle(string, rattanpeer.Handler) {}
 
 // TestLateViewOfEarlierIncarnation guards against a view that arrives after its
--- a/rattanzone/outstanding.go
+++ b/rattanzone/outstanding.go
@@ -11,6 +11,9 @@
 const (
 	// maxSentStarts bounds the number of outstanding starts in one heartbeat.
 	maxSentStarts = 100
+	// maxReturnedStarts bounds the number of start requests of a former home in the
+	// answer to an instance of its zone.
+	maxReturnedStarts = 2 * rattanhome.MaxListedStarts
 	// maxKeptStarts bounds the number of outstanding starts of a zone that are kept.
 	maxKeptStarts = 2000
 )
@@ -26,9 +29,14 @@
 // carried out, with the time until which that is so, for the next home.
 type outstandingStarts map[string]map[outstandingKey]time.Time
 
-// add adds what a home of a zone knows, and returns the start requests that were not
-// known before.
+// add adds what a home of a zone has sent in a heartbeat, and returns the start requests
+// that were not known before.
 func (o outstandingStarts) add(zone string, starts []rattanscheduler.OutstandingStart, now time.Time) (learned []rattanscheduler.OutstandingStart) {
+	return o.keep(zone, starts[:min(len(starts), maxSentStarts)], now)
+}
+
+// keep adds start requests of a zone, and returns those that were not known before.
+func (o outstandingStarts) keep(zone string, starts []rattanscheduler.OutstandingStart, now time.Time) (learned []rattanscheduler.OutstandingStart) {
 	if len(starts) == 0 {
 		return nil
 	}
@@ -38,7 +46,7 @@
 	if len(o[zone])+len(starts) > maxKeptStarts {
 		o.expire(zone, now)
 	}
-	for _, start := range starts[:min(len(starts), maxSentStarts)] {
+	for _, start := range starts {
 		key := outstandingKey{start.Task, start.Target, start.Attempt}
 		_, known := o[zone][key]
 		if !known && len(o[zone]) >= maxKeptStarts {
@@ -91,7 +99,7 @@
 func (a *Agent) tellNewHome(home *rattanhome.Home, now time.Time) {
 	a.mutex.Lock()
 	own := a.config.Self.Zone
-	known := map[string][]rattanscheduler.OutstandingStart{own: a.former.of(own, now)}
+	known := map[string][]rattanscheduler.OutstandingStart{own: append(a.former.of(own, now), a.startRecord.ofZone(own, now)...)}
 	for zone := range a.outstanding {
 		known[zone] = append(known[zone], a.outstanding.of(zone, now)...)
 	}
--- a/rattanzone/outstanding_test.go
+++ b/rattanzone/outstanding_test.go
@@ -61,11 +61,12 @@
 // newAgent returns an instance that prefers one of the targets, the smallest, for new
 // tasks.
 func (o *outstandingZones) newAgent(name, zone, preferred string) *Agent {
-	agent := New(Config{
+	var agent *Agent
+	agent = New(Config{
 		Self: rattanwork.Member{Name: name, Zone: zone}, Seeds: func() []string { return nil }, Peers: noPeers{}, Journal: quietJournal{},
 		DesiredState: &DesiredStateWatcher{}, Inventory: NewInventory(nil), Clock: time.Now,
 		NewHome: func(token int64) *rattanhome.Home {
-			return rattanhome.New(rattanhome.Config{FencingToken: token, MaxLease: time.Second, Targets: o.targets, Observer: idleObserver{}, Clock: time.Now})
+			return rattanhome.New(rattanhome.Config{FencingToken: token, MaxLease: time.Second, Targets: o.targets, Observer: idleObserver{}, Exchange: agent, Clock: time.Now})
 		},
 	})
 	o.prefer(agent, preferred, 5)
--- a/rattanzone/speed_test.go
+++ b/rattanzone/speed_test.go
@@ -82,15 +82,20 @@
 // quietJournal ignores all events.
 type quietJournal struct{}
 
-func (quietJournal) HomeChanged(Claim, string)   {}
-func (quietJournal) HomeSuspected(Claim, string) {}
-func (quietJournal) SpeedChanged(bool, float64)  {}
+func (quietJournal) HomeChanged(Claim, string)          {}
+func (quietJournal) HomeSuspected(Claim, string)        {}
+func (quietJournal) SpeedChanged(bool, float64)         {}
+func (quietJournal) StartListTold(StartListResult, int) {}
 func (quietJournal) StartsLearned(string, string, []rattanscheduler.OutstandingStart) {
 }
 func (quietJournal) DirectoryLost(error)    {}
 func (quietJournal) DirectoryRegained()     {}
 func (quietJournal) CrashStoreFailed(error) {}
 
+func (*recordingPeers) Notify(context.Context, string, string, []byte) error {
+	return nil
+}
+
 var _ Peers = (*recordingPeers)(nil)
 
 // TestSlowMachineHandsOver guards against a home on a throttled machine that
--- a/rattanzone/view.go
+++ b/rattanzone/view.go
@@ -63,6 +63,9 @@
 	// zone or its former home, that may still be carried out. While the zone has no
 	// home, it contains those of all homes that the sender has heard of.
 	OutstandingStarts []rattanscheduler.OutstandingStart `json:",omitempty"`
+	// KeptStarts contains start requests of former homes of the receiver's zone that
+	// may still be carried out. It is sent to instances that know no home there.
+	KeptStarts []rattanscheduler.OutstandingStart `json:",omitempty"`
 	// Crashes holds changes of the sender's crash history with sequence numbers
 	// after CrashBase, up to which the receiver has merged it as far as the
 	// sender knows. CrashSequence is the sequence number of the last one.
