Name the starts of an earlier home whose jobs are unknown

A home names its outstanding starts to other zones, but left out those of jobs that it does not hold. A successor does not hold the jobs of an earlier home that were not sent to it again: their callers may send them to another zone, which then started them although a start was under way.

Starts of earlier homes are now named until they have expired. The test fails before: none is named.

--- a/rattanscheduler/outstanding.go
+++ b/rattanscheduler/outstanding.go
@@ -256,7 +256,7 @@
 
 // OutstandingStarts returns the start requests that may still be carried out, for
 // the next home and other zones. Those of jobs that callers have no reason to submit
-// again are left out.
+// again are left out; of the jobs of earlier homes this is not known.
 func (s *Scheduler) OutstandingStarts(now time.Time) []OutstandingStart {
 	var list []OutstandingStart
 	for r := range s.unanswered {
@@ -265,10 +265,11 @@
 		}
 	}
 	for taskName, starts := range s.outstanding {
-		if !s.mayReturn(taskName) {
-			continue
-		}
+		mayReturn := s.mayReturn(taskName)
 		for _, start := range starts {
+			if !mayReturn && !start.earlierHome {
+				continue
+			}
 			list = append(list, OutstandingStart{taskName, start.target, start.attempt, start.expiresAt.Sub(now)})
 		}
 	}
--- a/rattanscheduler/outstanding_test.go
+++ b/rattanscheduler/outstanding_test.go
@@ -564,3 +564,14 @@
 	z.listAt(late, firstIncarnation+1, runsOf(late)...)
 	z.Check(z.scheduler.Take().Stops, qt.HasLen, 1)
 }
+
+// TestSuccessorTellsOfStartsOfUnknownJobs guards against two runs of a task: the caller
+// of a lost home sends its job to another zone, which the successor has not told of the
+// start that may still be carried out.
+func TestSuccessorTellsOfStartsOfUnknownJobs(t *testing.T) {
+	z := newIncarnationZone(qt.New(t), 2)
+	start := OutstandingStart{jobA + ".0.0.0", "t1", 2, 10 * time.Second}
+	z.scheduler.AddOutstandingStarts([]OutstandingStart{start}, z.now)
+	z.Check(z.scheduler.OutstandingStarts(z.now), qt.DeepEquals, []OutstandingStart{start})
+	z.Check(z.scheduler.OutstandingStarts(z.now.Add(4*time.Second)), qt.HasLen, 1)
+}
