--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -22,6 +22,8 @@
 	registry        *rattanmetric.Registry
 	requestDuration *metrics.Histogram
 	startWait       *metrics.Histogram
+	startLists      [rattanzone.StartListFailed + 1]*metrics.Counter
+	startListBytes  *metrics.Counter
 }
 
 // NewJournal returns a journal that writes to the logger and updates the
@@ -29,18 +31,24 @@
 func NewJournal(logger *logrus.Logger, registry *rattanmetric.Registry) *Journal {
 	// Rare events are shown before the first one.
 	registry.Counter(rattanmetric.CancelledSubmissionsTotal)
+	registry.Counter(rattanmetric.LearnedStartsTotal)
 	for change := rattanscheduler.StartUnanswered; change <= rattanscheduler.StartExpired; change++ {
 		registry.Counter(startsCounter(change))
 	}
 	for outcome := rattanfront.JobCancelled; outcome <= rattanfront.InvalidID; outcome++ {
 		registry.Counter(cancellationsCounter(outcome))
 	}
-	return &Journal{
+	journal := &Journal{
 		logger:          logger,
 		registry:        registry,
 		requestDuration: registry.Histogram(rattanmetric.RequestSeconds),
 		startWait:       registry.Histogram(rattanmetric.JobStartWaitSeconds),
+		startListBytes:  registry.Counter(rattanmetric.StartListBytesTotal),
 	}
+	for result := range journal.startLists {
+		journal.startLists[result] = registry.Counter(startListsCounter(rattanzone.StartListResult(result)))
+	}
+	return journal
 }
 
 func milliseconds(duration time.Duration) float64 {
@@ -236,6 +244,28 @@
 	j.logger.WithFields(logrus.Fields{"Task": event.Task, "Target": event.Target, "Attempt": event.Attempt, "Change": event.Change.String()}).Info("start without answer")
 }
 
+// StartsLearned records that the local home was told of start requests that may still
+// be carried out.
+func (j *Journal) StartsLearned(zone, source string, starts []rattanscheduler.OutstandingStart) {
+	j.registry.Counter(rattanmetric.LearnedStartsTotal).Add(len(starts))
+	lines := make([]string, 0, min(len(starts), maxHistoryRuns))
+	for _, start := range starts[:min(len(starts), maxHistoryRuns)] {
+		lines = append(lines, fmt.Sprintf("%s attempt %d on %s, for %s", start.Task, start.Attempt, start.Target, start.Remaining.Round(time.Millisecond)))
+	}
+	j.logger.WithFields(logrus.Fields{"Zone": zone, "Source": source, "Count": len(starts), "Starts": lines}).Info("starts of another home")
+}
+
+// startListsCounter returns the name of the counter of a result.
+func startListsCounter(result rattanzone.StartListResult) string {
+	return rattanmetric.WithLabels(rattanmetric.StartListsTotal, "result", result.String())
+}
+
+// StartListTold records what became of sending a start list to another instance.
+func (j *Journal) StartListTold(result rattanzone.StartListResult, bytes int) {
+	j.startLists[result].Inc()
+	j.startListBytes.Add(bytes)
+}
+
 // TargetUnresponsive records that a target does not answer.
 func (j *Journal) TargetUnresponsive(target string, err error) {
 	j.registry.Counter(rattanmetric.TargetsSilentTotal).Inc()
--- a/rattanzone/outstanding.go
+++ b/rattanzone/outstanding.go
@@ -11,6 +11,9 @@
 const (
 	// maxSentStarts bounds the number of outstanding starts in one heartbeat.
 	maxSentStarts = 100
+	// maxReturnedStarts bounds the number of start requests of a former home in the
+	// answer to an instance of its zone.
+	maxReturnedStarts = 2 * rattanhome.MaxListedStarts
 	// maxKeptStarts bounds the number of outstanding starts of a zone that are kept.
 	maxKeptStarts = 2000
 )
@@ -26,10 +29,16 @@
 // carried out, with the time until which that is so, for the next home.
 type outstandingStarts map[string]map[outstandingKey]time.Time
 
-// add adds what a home of a zone knows.
-func (o outstandingStarts) add(zone string, starts []rattanscheduler.OutstandingStart, now time.Time) {
+// add adds what a home of a zone has sent in a heartbeat, and returns the start requests
+// that were not known before.
+func (o outstandingStarts) add(zone string, starts []rattanscheduler.OutstandingStart, now time.Time) (learned []rattanscheduler.OutstandingStart) {
+	return o.keep(zone, starts[:min(len(starts), maxSentStarts)], now)
+}
+
+// keep adds start requests of a zone, and returns those that were not known before.
+func (o outstandingStarts) keep(zone string, starts []rattanscheduler.OutstandingStart, now time.Time) (learned []rattanscheduler.OutstandingStart) {
 	if len(starts) == 0 {
-		return
+		return nil
 	}
 	if o[zone] == nil {
 		o[zone] = map[outstandingKey]time.Time{}
@@ -37,13 +46,18 @@
 	if len(o[zone])+len(starts) > maxKeptStarts {
 		o.expire(zone, now)
 	}
-	for _, start := range starts[:min(len(starts), maxSentStarts)] {
+	for _, start := range starts {
 		key := outstandingKey{start.Task, start.Target, start.Attempt}
-		if _, known := o[zone][key]; !known && len(o[zone]) >= maxKeptStarts {
+		_, known := o[zone][key]
+		if !known && len(o[zone]) >= maxKeptStarts {
 			continue
 		}
+		if !known {
+			learned = append(learned, start)
+		}
 		o[zone][key] = now.Add(min(start.Remaining, rattanscheduler.LateStartBound))
 	}
+	return learned
 }
 
 // expire forgets the start requests of a zone that cannot be carried out any more.
@@ -74,16 +88,24 @@
 	}
 }
 
+// journalLearned records of which start requests the local home was told.
+func (a *Agent) journalLearned(zone, source string, starts []rattanscheduler.OutstandingStart) {
+	if len(starts) > 0 {
+		a.config.Journal.StartsLearned(zone, source, starts)
+	}
+}
+
 // tellNewHome tells the new local home what this instance knows.
 func (a *Agent) tellNewHome(home *rattanhome.Home, now time.Time) {
 	a.mutex.Lock()
 	own := a.config.Self.Zone
-	known := map[string][]rattanscheduler.OutstandingStart{own: a.former.of(own, now)}
+	known := map[string][]rattanscheduler.OutstandingStart{own: append(a.former.of(own, now), a.startRecord.ofZone(own, now)...)}
 	for zone := range a.outstanding {
 		known[zone] = append(known[zone], a.outstanding.of(zone, now)...)
 	}
 	a.mutex.Unlock()
 	for zone, starts := range known {
+		a.journalLearned(zone, "kept for the new home", starts)
 		a.tellHome(home, zone, starts)
 	}
 }
