--- a/rattanfront/submission_test.go
+++ b/rattanfront/submission_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
 
 	"github.com/rattanlever/rattanlever/rattanhome"
 	"github.com/rattanlever/rattanlever/rattanpeer"
@@ -198,6 +199,9 @@
 	*fakeZones
 	tokens       []int64
 	earlierHomes []int
+	// proofs contains, for each submission, the first one that the home may prove not
+	// to have accepted, and the fencing token.
+	proofs [][2]int64
 }
 
 func (h *changingHome) Home(zone string) (rattanzone.Claim, bool, <-chan struct{}) {
@@ -206,6 +210,7 @@
 
 func (h *changingHome) Submit(_ context.Context, request *rattanhome.Request) (rattanhome.Reply, error) {
 	h.earlierHomes = append(h.earlierHomes, request.EarlierHomes)
+	h.proofs = append(h.proofs, [2]int64{request.FirstUnsettled, request.HomeToken})
 	if len(h.tokens) == 1 {
 		return rattanhome.Reply{Result: rattanscheduler.JobResult{Outcome: rattanscheduler.Succeeded}}, nil
 	}
@@ -223,6 +228,14 @@
 	c.Assert(home.earlierHomes, qt.DeepEquals, []int{0, 0, 1, 2, 2})
 }
 
+// TestOnlySoleHomeProves guards against a home that proves for another one that nothing was accepted.
+func TestOnlySoleHomeProves(t *testing.T) {
+	c := qt.New(t)
+	home := &changingHome{fakeZones: &fakeZones{now: time.Now(), changed: make(chan struct{})}, tokens: []int64{3, 3, 5, 3}}
+	c.Assert(post(home), qt.Equals, http.StatusOK)
+	c.Assert(home.proofs, qt.DeepEquals, [][2]int64{{1, 3}, {1, 3}, {0, 0}, {0, 0}})
+}
+
 // unknownZones redirects each job to a zone whose home is not known at first.
 type unknownZones struct {
 	*recordingZones
@@ -298,3 +311,37 @@
 		}
 	}
 }
+
+// TestOnlyProofSettlesSubmission guards against taking an answer for the proof that a submission has started nothing and will start nothing, if the job may have run.
+func TestOnlyProofSettlesSubmission(t *testing.T) {
+	ended := func(outcome rattanscheduler.Outcome) rattanhome.Reply {
+		return rattanhome.Reply{Result: rattanscheduler.JobResult{Outcome: outcome}}
+	}
+	tests := map[string]struct {
+		reply rattanhome.Reply
+		err   error
+		want  bool
+	}{
+		"no process listens": {err: errors.Annotate(rattanpeer.ErrRefused, "peer"), want: true},
+		"no connection":      {err: errors.Annotate(rattanpeer.ErrUnreachable, "peer"), want: true},
+		"link closed":        {err: errors.Annotate(rattanpeer.ErrLinkClosed, "peer")},
+		"link silent":        {err: rattanpeer.ErrLinkSilent},
+		"handler failed":     {err: rattanpeer.ErrRemote},
+		"local call ended":   {err: context.Canceled},
+		"not decoded":        {reply: rattanhome.Reply{NotAccepted: true}, err: errTestDocument},
+		"conflict":           {reply: rattanhome.Reply{Conflict: &rattanhome.VersionConflict{}}, want: true},
+		"not accepted":       {reply: rattanhome.Reply{NotHome: true, NotAccepted: true}, want: true},
+		"deposed":            {reply: rattanhome.Reply{NotHome: true}},
+		"cancelled":          {reply: ended(rattanscheduler.Cancelled)},
+		"expired":            {reply: ended(rattanscheduler.Expired)},
+		"failed":             {reply: ended(rattanscheduler.Failed)},
+		"succeeded":          {reply: ended(rattanscheduler.Succeeded)},
+		"refused":            {reply: ended(rattanscheduler.Refused), want: true},
+		"redirected":         {reply: ended(rattanscheduler.Redirected), want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.New(t).Check(notAccepted(test.reply, test.err), qt.Equals, test.want)
+		})
+	}
+}
--- a/rattanhome/version_test.go
+++ b/rattanhome/version_test.go
@@ -49,3 +49,72 @@
 		c.Check(reply.Result.Zone, qt.Equals, "b")
 	}
 }
+
+// TestHomeTellsOnlyWhatItKnows guards against telling an instance that its submission, or all earlier ones, started nothing although the home does not know that.
+func TestHomeTellsOnlyWhatItKnows(t *testing.T) {
+	const older, own, first, last = 1, 2, 5, 7
+	submission := testSubmission(1)
+	jobID := submission.Job.ID
+	now := time.Now()
+	closeSoon := func(home *Home, _ *Service) { time.AfterFunc(50*time.Millisecond, home.Close) }
+	tests := map[string]struct {
+		prepare func(home *Home, service *Service)
+		version int64
+		// otherHome is set if the submissions were addressed to another home.
+		otherHome bool
+		want      Reply
+	}{
+		"no home":            {func(_ *Home, s *Service) { s.config.Membership = soleMember{} }, own, false, Reply{NotHome: true, NotAccepted: true}},
+		"closed":             {func(h *Home, _ *Service) { h.Close() }, own, false, Reply{NotHome: true, NotAccepted: true}},
+		"closed, conflict":   {func(h *Home, _ *Service) { h.Close() }, older, false, Reply{NotHome: true, NotAccepted: true}},
+		"closed meanwhile":   {closeSoon, own, false, Reply{NotHome: true}},
+		"withdrawn":          {func(_ *Home, s *Service) { s.acceptances.reject("other", jobID, last, now) }, own, false, Reply{NotAccepted: true}},
+		"nothing accepted":   {nil, older, false, Reply{Conflict: &VersionConflict{Version: own, NeverAccepted: true}}},
+		"to another home":    {nil, older, true, Reply{Conflict: &VersionConflict{Version: own}}},
+		"first one accepted": {func(_ *Home, s *Service) { s.acceptances.accept("other", jobID, first, now) }, older, false, Reply{Conflict: &VersionConflict{Version: own}}},
+		"accepted by service": {func(_ *Home, s *Service) {
+			s.addSubmitter(&Request{Submitter: "other", Sequence: first, Job: submission.Job}, now)
+		}, older, false, Reply{Conflict: &VersionConflict{Version: own}}},
+		"ended": {func(h *Home, _ *Service) {
+			h.mutex.Lock()
+			defer h.mutex.Unlock()
+			h.handleResult(rattanscheduler.JobResult{JobID: jobID, Outcome: rattanscheduler.Succeeded}, now)
+		}, older, false, Reply{}},
+		"in progress": {func(h *Home, s *Service) {
+			go func() { _, _ = h.Submit(context.Background(), submission) }()
+			for !scheduled(h, jobID) {
+				time.Sleep(time.Millisecond)
+			}
+			closeSoon(h, s)
+		}, older, false, Reply{NotHome: true}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			home := newTestHome(c, newFakeTargets(time.Minute))
+			service := NewService(ServiceConfig{
+				Name: "self", Membership: soleMember{home}, DesiredState: &fakeDesiredState{version: own}, Journal: noopJournal{}, Clock: time.Now,
+			})
+			request := &Request{
+				Submitter: "other", Incarnation: 1, Sequence: last, FirstUnsettled: first, HomeToken: home.FencingToken(), Version: test.version,
+				Job: submission.Job, Service: submission.Service, MaxAttempts: 3, Objective: time.Second, LateUntil: time.Second, Deadline: time.Second,
+			}
+			if test.otherHome {
+				request.HomeToken++
+			}
+			if test.prepare != nil {
+				test.prepare(home, service)
+			}
+			reply, err := service.Submit(context.Background(), request)
+			c.Assert(err, qt.IsNil)
+			reply.Result = rattanscheduler.JobResult{}
+			c.Check(reply, qt.DeepEquals, test.want)
+		})
+	}
+}
+
+func scheduled(home *Home, jobID string) bool {
+	home.mutex.Lock()
+	defer home.mutex.Unlock()
+	return home.scheduler.HasJob(jobID)
+}
--- a/rattanpeer/node_test.go
+++ b/rattanpeer/node_test.go
@@ -181,6 +181,30 @@
 	calls.Wait()
 }
 
+// TestEndedCallTellsWhetherItWasSent guards against taking a request for unsent, or for sent, when the context of its call ends.
+func TestEndedCallTellsWhetherItWasSent(t *testing.T) {
+	c := qt.New(t)
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		if address == "blocked" {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}
+	caller, _ := startNode(c, "a", dial)
+	_, address := startNode(c, "b", nil)
+	_, err := caller.Call(context.Background(), address, "Echo", nil)
+	c.Assert(err, qt.IsNil)
+	for address, sent := range map[string]bool{address: true, "blocked": false} {
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		_, err := caller.Call(ctx, address, "Slow", nil)
+		cancel()
+		c.Check(errors.Is(err, rattanpeer.ErrLinkClosed), qt.Equals, sent)
+		c.Check(errors.Is(err, rattanpeer.ErrUnreachable), qt.Equals, !sent)
+		c.Check(errors.Is(err, rattanpeer.ErrRefused), qt.IsFalse)
+	}
+}
+
 // TestDrainSendsReplies guards against lost replies on shutdown: a node that is
 // drained before it stops must answer the requests in progress.
 func TestDrainSendsReplies(t *testing.T) {
