Tell an instance of the former version that a resumed job may have started

A home cannot prove that to it.

The home now tells it that a resumed job may have started; the present version asks for a proof with HomeToken and is not affected. TestFormerVersionLearnsNoProof failed before (false for a resumed job) and passes. No run of mixed processes was made.

--- a/rattanhome/version.go
+++ b/rattanhome/version.go
@@ -61,6 +61,10 @@
 	}
 	accepted, mayHaveStarted := home.jobStatus(request)
 	neverAccepted := !accepted && s.rejectUnaccepted(home, request)
+	if request.Resumed && request.HomeToken == 0 {
+		// An instance of the former version takes false for a proof.
+		mayHaveStarted = true
+	}
 	s.config.Journal.VersionsDiffer(VersionDifference{
 		JobID:          request.Job.ID,
 		Submitter:      request.Submitter,
--- a/rattanhome/version_test.go
+++ b/rattanhome/version_test.go
@@ -118,3 +118,18 @@
 	defer home.mutex.Unlock()
 	return home.scheduler.HasJob(jobID)
 }
+
+// TestFormerVersionLearnsNoProof guards against refusing a job that has run: an instance of the former version forgets its submissions when a home remembers nothing of the job.
+func TestFormerVersionLearnsNoProof(t *testing.T) {
+	c := qt.New(t)
+	home := newTestHome(c, newFakeTargets(time.Minute))
+	awaitListing(home)
+	service := NewService(ServiceConfig{
+		Name: "self", Membership: soleMember{home}, DesiredState: &fakeDesiredState{version: 2}, Journal: noopJournal{}, Clock: time.Now,
+	})
+	for _, resumed := range []bool{false, true} {
+		reply, err := service.Submit(context.Background(), &Request{Submitter: "other", Sequence: 7, Version: 1, Job: testSubmission(1).Job, Resumed: resumed})
+		c.Assert(err, qt.IsNil)
+		c.Check(reply.Conflict, qt.DeepEquals, &VersionConflict{Version: 2, MayHaveStarted: resumed})
+	}
+}
