Test the numbers and the memory of submissions against planted faults

Wrong changes planted in the code passed all tests, among them: a record whose numbers go down when a lower one arrives or expires later, one that never forgets, numbers that start at 0 after a restart, and a 503 for a job that may have run because its route is not served any more.

--- a/rattanfront/submission_test.go
+++ b/rattanfront/submission_test.go
@@ -193,6 +193,18 @@
 	return json.Marshal(rattanhome.Reply{Result: rattanscheduler.JobResult{Outcome: rattanscheduler.Succeeded}})
 }
 
+// TestSubmissionNumbersGrowOverRestarts guards against an instance whose submissions are all rejected after a restart, because its home knows their numbers.
+func TestSubmissionNumbersGrowOverRestarts(t *testing.T) {
+	c := qt.New(t)
+	z := &recordingZones{fakeZones: &fakeZones{now: time.Now(), changed: make(chan struct{})}}
+	z.local.Result = rattanscheduler.JobResult{Outcome: rattanscheduler.Redirected, Zone: "b"}
+	incarnation := z.now.UnixNano()
+	c.Assert(postTo(context.Background(), New(Config{
+		Self: rattanwork.Member{Name: "self", Zone: "a", Incarnation: incarnation}, Homes: z, LocalHome: z, Peers: z, DesiredState: z, Journal: z, Clock: z.clock,
+	})), qt.Equals, http.StatusOK)
+	c.Check(z.request.Sequence > incarnation, qt.IsTrue)
+}
+
 // changingHome is a home of the local zone that has another fencing token at each
 // submission, and completes the job after the last one.
 type changingHome struct {
--- a/rattanfront/version_test.go
+++ b/rattanfront/version_test.go
@@ -138,6 +138,31 @@
 	}
 }
 
+// adviceZones is a front whose version 2 has the route of the job, but does not serve it.
+type adviceZones struct{ *versionedZones }
+
+func (z adviceZones) State() *rattanwork.DesiredState {
+	state := z.versionedZones.State()
+	if state.Version == 2 {
+		state.Routes = z.fakeZones.State().Routes
+		state.Routes[0].NeedsAdvice = true
+	}
+	return state
+}
+
+// TestLostJobOfRouteNoLongerServedIsNotRefused guards against refusing a job that may have run, because its route is not served any more.
+func TestLostJobOfRouteNoLongerServedIsNotRefused(t *testing.T) {
+	newer := rattanhome.Reply{Conflict: &rattanhome.VersionConflict{Version: 2, Document: []byte(documentTwo)}}
+	succeeded := rattanhome.Reply{Result: rattanscheduler.JobResult{Outcome: rattanscheduler.Succeeded}}
+	for status, replies := range map[int][]rattanhome.Reply{
+		http.StatusServiceUnavailable: {newer, succeeded},
+		http.StatusOK:                 {{NotHome: true}, newer, succeeded},
+	} {
+		zones := &versionedZones{fakeZones: &fakeZones{now: time.Now(), changed: make(chan struct{})}, local: replies}
+		qt.New(t).Check(post(adviceZones{zones}), qt.Equals, status)
+	}
+}
+
 // TestUnresolvedConflictIsNotRepeatedAtOnce guards against a flood of submissions between instances that disagree.
 func TestUnresolvedConflictIsNotRepeatedAtOnce(t *testing.T) {
 	for name, conflict := range map[string]rattanhome.VersionConflict{
