Test that a job joined by a resumed submission waits for silent targets

A wrong change planted in the code (join without Resumed) passed all tests: a new home would start a task that a silent target may still run for the earlier home. TestJoinedJobWaitsForListings notices it.

--- a/rattanscheduler/takeover_test.go
+++ b/rattanscheduler/takeover_test.go
@@ -107,6 +107,21 @@
 	z.Check(z.scheduler.Take().Stops, qt.HasLen, 1)
 }
 
+// TestJoinedJobWaitsForListings guards against a second run of a task after a takeover: the job was submitted as new, then again by an instance whose earlier submission may have started it on a target that is silent.
+func TestJoinedJobWaitsForListings(t *testing.T) {
+	for resumed, starts := range map[bool]int{false: 1, true: 0} {
+		z := newFakeZone(qt.New(t), 2)
+		submission := z.submission(jobA, 1)
+		z.scheduler.Submit(submission, z.now)
+		submission.Resumed = resumed
+		z.scheduler.Submit(submission, z.now)
+		z.listRuns(0, rattanwork.Listing{})
+		z.scheduler.TargetUnresponsive("t1", true, z.now)
+		z.advance(10 * time.Millisecond)
+		z.Check(z.scheduler.Take().Starts, qt.HasLen, starts)
+	}
+}
+
 // TestResumedJobWaitsForCurrentTargets guards against a second run of a task
 // after a takeover if the first run is on a target that the new home does not
 // know yet.
