Hold to a redirect also for a job that another instance submits again

A zone dropped the redirect of a job as soon as it came as resumed, since its instance had lost that answer; but another instance of the caller may have learned of it, so that the job runs in the other zone already. Only a job that was redirected here by another zone is taken now, because else two zones could redirect it to each other for ever.

--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -294,6 +294,7 @@
 		Resumed:        resumed,
 		EarlierHomes:   otherHomes,
 		Redirectable:   !resumed && !s.redirected,
+		Redirected:     s.redirected,
 	}
 }
 
--- a/rattanhome/service.go
+++ b/rattanhome/service.go
@@ -74,6 +74,7 @@
 	Resumed      bool
 	EarlierHomes int
 	Redirectable bool `json:"MayMove"`
+	Redirected   bool `json:",omitempty"`
 }
 
 // Reply is the answer to a Request.
@@ -261,6 +262,7 @@
 		Resumed:      r.Resumed,
 		EarlierHomes: r.EarlierHomes,
 		Redirectable: r.Redirectable,
+		Redirected:   r.Redirected,
 	}
 }
 
--- a/rattanscheduler/redirect.go
+++ b/rattanscheduler/redirect.go
@@ -65,12 +65,12 @@
 	return t.state != taskWaiting || s.mayHaveStarted(t.name)
 }
 
-// Redirects reports whether a job is redirected to the zone where it may run. The
-// instance of a resumed one has not learned that it was redirected, so that it cannot
-// run in the other zone, unless that zone has told of a start.
+// Redirects reports whether a job is redirected to the zone where it may run. One that
+// may have started and was redirected here is not sent back, unless that zone has told
+// of a start: each of two zones may have redirected it to the other one.
 func (s *Scheduler) Redirects(submission Submission, now time.Time) bool {
 	earlier, ok := s.redirectedJobs[submission.Job.ID]
-	return ok && now.Before(earlier.until) && (!submission.Resumed || earlier.startedThere)
+	return ok && now.Before(earlier.until) && (earlier.startedThere || !submission.Resumed || !submission.Redirected)
 }
 
 // removeRedirections forgets the jobs whose callers no longer wait.
--- a/rattanscheduler/redirect_test.go
+++ b/rattanscheduler/redirect_test.go
@@ -212,3 +212,26 @@
 		z.Check(output.Results[0].MayHaveStarted, qt.IsTrue)
 	}
 }
+
+// TestRedirectionHoldsForResumedJob guards against two runs of a task in two zones: one instance has learned that the job was redirected, another one has lost that answer.
+func TestRedirectionHoldsForResumedJob(t *testing.T) {
+	for redirectedHere, want := range map[bool]Outcome{false: Redirected, true: Open} {
+		z := newReconciledZone(qt.New(t), 1)
+		submission, makeRoom := z.occupy()
+		z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: 60000}})
+		z.advance(redirectDelay)
+		z.Assert(z.scheduler.Take().Results[0].Outcome, qt.Equals, Redirected)
+		makeRoom()
+		z.scheduler.Take()
+		submission.Resumed, submission.Redirected, submission.Redirectable = true, redirectedHere, false
+		z.scheduler.Submit(submission, z.now)
+		output := z.scheduler.Take()
+		if want == Open {
+			z.Check(output.Starts, qt.HasLen, 1, qt.Commentf("two zones redirect the job to each other"))
+			continue
+		}
+		z.Check(output.Starts, qt.HasLen, 0)
+		z.Assert(output.Results, qt.HasLen, 1)
+		z.Check(output.Results[0].Outcome, qt.Equals, want)
+	}
+}
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -36,6 +36,9 @@
 	// EarlierHomes is the number of homes that the job was submitted to before.
 	// Each may have lost a target under a task without a record of it.
 	EarlierHomes int
+	// Redirected is set if another availability zone has redirected the job to this
+	// one.
+	Redirected bool
 	// Redirectable is set if the job may be redirected to another availability
 	// zone.
 	Redirectable bool
