Reject a late submission of an earlier incarnation

It took the place of the present incarnation's entry, which then counted as restarted, so that the job was withdrawn. Found by the review, by reading; TestSubmissionOfEarlierIncarnationIsRejected fails without the change.

--- a/rattanhome/service.go
+++ b/rattanhome/service.go
@@ -267,10 +267,13 @@
 }
 
 // addSubmitter records that an instance waits for a job, and reports false if the
-// submission was rejected before.
+// submission was rejected before or is of an earlier incarnation.
 func (s *Service) addSubmitter(request *Request, now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if request.Incarnation < s.submitters[request.Job.ID][request.Submitter].incarnation {
+		return false
+	}
 	if !s.acceptances.accept(request.Submitter, request.Job.ID, request.Sequence, now) {
 		return false
 	}
--- a/rattanhome/service_test.go
+++ b/rattanhome/service_test.go
@@ -309,3 +309,14 @@
 	c.Check(reply.Result.Outcome, qt.Equals, rattanscheduler.Cancelled)
 	c.Check(targets.startRequestCount(), qt.Equals, 0)
 }
+
+// TestSubmissionOfEarlierIncarnationIsRejected guards against a job that is cancelled because a submission of its instance's former incarnation arrives late.
+func TestSubmissionOfEarlierIncarnationIsRejected(t *testing.T) {
+	c := qt.New(t)
+	service, _, _ := newTestService(c)
+	now := time.Now()
+	job := testSubmission(1).Job
+	c.Check(service.addSubmitter(&Request{Submitter: "other", Incarnation: 2, Sequence: 2, Job: job}, now), qt.IsTrue)
+	c.Check(service.addSubmitter(&Request{Submitter: "other", Incarnation: 1, Sequence: 1, Job: job}, now), qt.IsFalse)
+	c.Check(service.submitters[job.ID]["other"].incarnation, qt.Equals, int64(2))
+}
