Withdraw a job also in the zone that has redirected it

If an earlier submission to that zone is unsettled, a copy of it that arrives late started the job there after its end. Found by the review, by reading; TestJobIsWithdrawnInEarlierZone fails without the change.

--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -59,6 +59,9 @@
 	// job was redirected because this instance's zone had no capacity for it.
 	zone       string
 	redirected bool
+	// earlierZone is the zone that redirected the job although an earlier submission to
+	// it was unsettled, "" if there is none.
+	earlierZone string
 	// mayHaveStarted is set if a home has told that the job may have started through
 	// another submission.
 	mayHaveStarted bool
@@ -137,8 +140,13 @@
 
 // withdrawUnsettled withdraws the submissions that a home may have accepted.
 func (s *submission) withdrawUnsettled() {
-	if s.submissions.unsettledCount() > 0 {
-		go s.handler.withdraw(s.zone, rattanhome.Cancellation{JobID: s.id, Submitter: s.handler.config.Self.Name, Sequence: s.sequence})
+	if s.submissions.unsettledCount() == 0 {
+		return
+	}
+	cancellation := rattanhome.Cancellation{JobID: s.id, Submitter: s.handler.config.Self.Name, Sequence: s.sequence}
+	go s.handler.withdraw(s.zone, cancellation)
+	if s.earlierZone != "" && s.earlierZone != s.zone {
+		go s.handler.withdraw(s.earlierZone, cancellation)
 	}
 }
 
@@ -211,6 +219,9 @@
 			// Each of two zones may take the job for started in the other one.
 			s.wait(ctx, nil)
 		}
+		if s.submissions.unsettledCount() > 0 {
+			s.earlierZone = s.zone
+		}
 		s.zone = reply.Result.Zone
 		s.redirected = true
 		return response{}, false
--- a/rattanfront/withdrawal_test.go
+++ b/rattanfront/withdrawal_test.go
@@ -110,6 +110,21 @@
 	return false
 }
 
+// TestJobIsWithdrawnInEarlierZone guards against a late copy of a submission that starts the job in the zone that has redirected it, after its end in the other zone.
+func TestJobIsWithdrawnInEarlierZone(t *testing.T) {
+	c := qt.New(t)
+	home := &refusingHome{&versionedZones{fakeZones: &fakeZones{now: time.Now(), changed: make(chan struct{})}}, make(chan rattanhome.Cancellation, 1)}
+	home.versionedZones.local = []rattanhome.Reply{{NotHome: true}, {Result: rattanscheduler.JobResult{Outcome: rattanscheduler.Redirected, Zone: "b"}}}
+	home.versionedZones.remote = []rattanhome.Reply{{Result: rattanscheduler.JobResult{Outcome: rattanscheduler.Refused}}}
+	c.Check(post(home), qt.Equals, http.StatusGatewayTimeout)
+	select {
+	case cancellation := <-home.cancelled:
+		c.Check(cancellation.JobID, qt.Equals, testJobID)
+	case <-time.After(withdrawalTimeout):
+		c.Error("the submission to the local zone was not withdrawn")
+	}
+}
+
 // TestLateCopyOfRefusedJobIsWithdrawn guards against a job that starts after its caller was told that it ended, because an earlier submission arrives after the one that was refused.
 func TestLateCopyOfRefusedJobIsWithdrawn(t *testing.T) {
 	c := qt.New(t)
