Space the lists of starts to other zones

Lists to other zones are at least 20 ms apart now. The first goes at once, and its starts wait for it; later ones wait in one list, without delaying the starts, and most starts are answered before it goes. What opens for up to 20 ms: a whole zone, or a home with its successor, lost with starts that were not the first for 20 ms. The successor is told of each start before it is sent, as before.

--- a/rattanzone/agent.go
+++ b/rattanzone/agent.go
@@ -151,6 +151,7 @@
 	// of the local home.
 	startRecord     startRecord
 	startListSender startListSender
+	remoteLists     remoteLists
 	// lastZoneHeartbeat and lastRemoteHeartbeat are the times at which the
 	// local home last sent heartbeats to its own zone and to other zones.
 	lastZoneHeartbeat   time.Time
--- a/rattanzone/start_list.go
+++ b/rattanzone/start_list.go
@@ -16,6 +16,9 @@
 	// tellTimeout is how long the starts of a home wait until their list is written to
 	// the connections.
 	tellTimeout = 5 * time.Millisecond
+	// remoteListInterval is the least time between two lists to other zones: their
+	// bytes have a price. Starts wait only for those that are sent at once.
+	remoteListInterval = 20 * time.Millisecond
 	// minTold is the least number of instances that are told if there are as many.
 	minTold = 2
 )
@@ -72,12 +75,54 @@
 	return body
 }
 
+// remoteLists spaces the lists to other zones. While one has to wait, only the newest of
+// them does.
+type remoteLists struct {
+	mutex   sync.Mutex
+	sentAt  time.Time
+	waiting []byte
+}
+
+// offer reports whether a list may be sent now. Otherwise it waits, and schedule is the
+// time after which to take it, 0 if another one waits already.
+func (r *remoteLists) offer(body []byte, now time.Time) (send bool, schedule time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	wait := r.sentAt.Add(remoteListInterval).Sub(now)
+	switch {
+	case r.waiting != nil:
+		r.waiting = body
+		return false, 0
+	case wait > 0:
+		r.waiting = body
+		return false, wait
+	default:
+		r.sentAt = now
+		return true, 0
+	}
+}
+
+// take returns the list that has waited.
+func (r *remoteLists) take(now time.Time) []byte {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	body := r.waiting
+	r.waiting, r.sentAt = nil, now
+	return body
+}
+
 // Tell sends a start list of the local home to the instances that must know of its
-// start requests if it is lost. It returns when the list is written to the connections,
-// or after tellTimeout.
+// start requests if it is lost. It returns when the list is written to the connections
+// of those to which it is sent at once, or after tellTimeout.
 func (a *Agent) Tell(list rattanhome.StartList) {
 	body := mustMarshal(StartListMessage{Zone: a.config.Self.Zone, List: list})
-	addresses := a.toldAddresses(a.config.Clock())
+	now := a.config.Clock()
+	addresses, remote := a.toldAddresses(now)
+	if send, schedule := a.remoteLists.offer(body, now); send {
+		addresses = append(addresses, remote...)
+	} else if schedule > 0 {
+		time.AfterFunc(schedule, a.tellRemotely)
+	}
 	written := make(chan struct{}, len(addresses))
 	waiting := 0
 	for _, address := range addresses {
@@ -102,6 +147,18 @@
 	}
 }
 
+// tellRemotely sends the list that has waited to the other zones.
+func (a *Agent) tellRemotely() {
+	now := a.config.Clock()
+	body := a.remoteLists.take(now)
+	_, remote := a.toldAddresses(now)
+	for _, address := range remote {
+		if a.startListSender.begin(address, body) {
+			go a.sendStartLists(address, body, nil)
+		}
+	}
+}
+
 // sendStartLists sends a start list to an instance, and those that have waited for it.
 func (a *Agent) sendStartLists(address string, body []byte, written chan<- struct{}) {
 	for ; body != nil; body = a.startListSender.end(address) {
@@ -131,21 +188,20 @@
 // toldAddresses returns the addresses of the instances that are told of the local
 // home's start requests: the member of its zone that would succeed it and the homes of
 // the other zones, or more members if these are fewer than minTold.
-func (a *Agent) toldAddresses(now time.Time) []string {
+func (a *Agent) toldAddresses(now time.Time) (members, remote []string) {
 	successors := a.successors()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	var addresses []string
 	for zone, home := range a.homes {
 		if zone != a.config.Self.Zone && home.age(now) < maxRemoteClaimAge {
-			addresses = append(addresses, home.claim.Address)
+			remote = append(remote, home.claim.Address)
 		}
 	}
-	members := min(len(successors), max(1, minTold-len(addresses)))
-	for _, m := range successors[:members] {
-		addresses = append(addresses, m.Address)
+	count := min(len(successors), max(1, minTold-len(remote)))
+	for _, m := range successors[:count] {
+		members = append(members, m.Address)
 	}
-	return addresses
+	return members, remote
 }
 
 // handleStartList keeps the start list of another home. The requests of a former home
--- a/rattanzone/start_list_test.go
+++ b/rattanzone/start_list_test.go
@@ -131,6 +131,28 @@
 	}
 }
 
+// TestListsToOtherZonesAreSpaced guards against a message to each zone for each start,
+// against the first list of a burst that waits, and against a last one that is never sent.
+func TestListsToOtherZonesAreSpaced(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	lists := &remoteLists{}
+	offer := func(after time.Duration, body string, wantSend bool, wantSchedule time.Duration) {
+		c.Helper()
+		send, schedule := lists.offer([]byte(body), now.Add(after))
+		c.Check(send, qt.Equals, wantSend)
+		c.Check(schedule, qt.Equals, wantSchedule)
+	}
+	offer(0, "1", true, 0)
+	offer(remoteListInterval/4, "2", false, remoteListInterval*3/4)
+	offer(remoteListInterval/2, "3", false, 0)
+	offer(2*remoteListInterval, "4", false, 0)
+	c.Check(string(lists.take(now.Add(2*remoteListInterval))), qt.Equals, "4")
+	offer(2*remoteListInterval+1, "5", false, remoteListInterval-1)
+	c.Check(string(lists.take(now.Add(3*remoteListInterval))), qt.Equals, "5")
+	offer(4*remoteListInterval, "6", true, 0)
+}
+
 // blockedPeers accept no message until they are released.
 type blockedPeers struct {
 	noPeers
