Fetch a desired state once for all submissions that wait

Cause: congestion by the instance's own retries. Each submission by another version got the whole desired state in its reply and was sent again at once, so an instance that was behind got one copy for each waiting submission, from each home that it submitted to. The copies filled its link; calls to the store and to peers timed out behind them, and it stayed behind. Heartbeats started further copies, one each.

Change: a conflict carries versions only. All documents are received in one loop, which either waits at the store or fetches a newer version from an instance that has told of it: one transfer, one source. Submissions wait for the version, at the front if the home is ahead, at the home if it is behind. A transfer is compressed and asked for in parts of 32 KB; if it fails, another source is asked, with backoff, and the store after two failures. The version comes with its store revision, so that the store does not send it again. A document that is known is not parsed again.

A rolling upgrade: instances of the former version are asked for the whole document by their method, which is still served. A former front that is behind gets a conflict without a document, waits 40 ms between submissions and fetches the version with its next heartbeat; one that is ahead encloses its document, which is ignored and fetched instead.

TestWaitingSubmissionsShareOneTransfer failed before: 46,771,800 bytes, limit 803,608.

Tests changed: TestConflictOfVersionsIsResolved and TestJobThatRanIsNotRefused counted and scripted enclosed documents, which are gone. The former now checks from which homes the newer version is fetched, that a front that is ahead fetches none, and the same statuses and versions; in the latter, a version that the front cannot fetch takes the place of a document that is invalid. TestHomeActsOnNoOtherVersion fetches over real links now. TestUnresolvedConflictIsNotRepeatedAtOnce keeps its bound.

--- a/rattanfront/handler.go
+++ b/rattanfront/handler.go
@@ -64,10 +64,11 @@
 type DesiredState interface {
 	// State returns the state in force, nil if none is known.
 	State() *rattanwork.DesiredState
-	// Document returns the encoded state in force.
-	Document() []byte
-	// Accept puts a newer document into force and records an invalid one.
-	Accept(document []byte, source string) error
+	// Announce records that another instance has a version, which is fetched if it
+	// is newer than the one in force.
+	Announce(member rattanwork.Member, version int64, now time.Time)
+	// Await returns once the version or a newer one is in force, or when ctx ends.
+	Await(ctx context.Context, version int64)
 	// Current reports whether the state in force was compared with that of another
 	// instance or of the store since this instance was last paused.
 	Current(now time.Time) bool
--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -62,9 +62,6 @@
 	// mayHaveStarted is set if a home has told that the job may have started through
 	// another submission.
 	mayHaveStarted bool
-	// encloseDocument is set if the next submission carries the desired state,
-	// because the home's is older.
-	encloseDocument bool
 	// unreachableSince is when the first of the latest calls to the home of
 	// another zone failed, zero unless the last one did.
 	unreachableSince time.Time
@@ -200,7 +197,7 @@
 	s.mayHaveStarted = s.mayHaveStarted || reply.Result.MayHaveStarted
 	if reply.Conflict != nil {
 		s.conflicts++
-		s.resolveConflict(ctx, request, reply.Conflict)
+		s.resolveConflict(ctx, request, claim, reply.Conflict)
 		return response{}, false
 	}
 	if ctx.Err() != nil {
@@ -269,11 +266,6 @@
 	if otherHomes == 0 {
 		firstUnsettled, homeToken = s.submissions.first, claim.FencingToken
 	}
-	var document []byte
-	if s.encloseDocument {
-		document = s.handler.config.DesiredState.Document()
-		s.encloseDocument = false
-	}
 	return &rattanhome.Request{
 		Submitter:      s.handler.config.Self.Name,
 		Incarnation:    s.handler.config.Self.Incarnation,
@@ -282,7 +274,6 @@
 		HomeToken:      homeToken,
 		Uptime:         s.handler.uptime(now),
 		Version:        s.state.Version,
-		Document:       document,
 		Job:            s.job,
 		Service:        s.route.Service,
 		Priority:       s.route.Priority,
--- a/rattanfront/version.go
+++ b/rattanfront/version.go
@@ -8,6 +8,7 @@
 	"github.com/rattanlever/rattanlever/platform"
 	"github.com/rattanlever/rattanlever/rattanhome"
 	"github.com/rattanlever/rattanlever/rattanwork"
+	"github.com/rattanlever/rattanlever/rattanzone"
 )
 
 // updateRoute matches the request again if a newer desired state is in force. It
@@ -51,24 +52,21 @@
 	return response{status: http.StatusServiceUnavailable, retryAfter: unsupportedRetryAfter, reason: "queues with advice are not served"}, true
 }
 
-// resolveConflict takes over the home's desired state if that is newer, and lets
-// the next submission carry the own one otherwise.
-func (s *submission) resolveConflict(ctx context.Context, request *rattanhome.Request, conflict *rattanhome.VersionConflict) {
+// resolveConflict waits for the home's desired state if that is newer. Otherwise the
+// home has waited for the one of this instance.
+func (s *submission) resolveConflict(ctx context.Context, request *rattanhome.Request, claim rattanzone.Claim, conflict *rattanhome.VersionConflict) {
 	homeNewer := conflict.Version > request.Version
 	s.mayHaveStarted = s.mayHaveStarted || conflict.MayHaveStarted
 	if conflict.NeverAccepted {
 		s.submissions.settleAll()
 	}
-	s.encloseDocument = !homeNewer
-	if homeNewer {
-		// The watcher records an invalid document; an older one changes nothing.
-		_ = s.handler.config.DesiredState.Accept(conflict.Document, s.home)
-		if s.handler.config.DesiredState.State().Version > request.Version {
-			return
-		}
-	} else if len(request.Document) == 0 {
+	if !homeNewer {
+		s.wait(ctx, nil)
 		return
 	}
-	// The instances do not agree on whether a document is valid.
-	s.wait(ctx, nil)
+	states := s.handler.config.DesiredState
+	states.Announce(rattanwork.Member{Name: claim.Name, Address: claim.Address}, conflict.Version, s.handler.config.Clock())
+	ctx, cancel := context.WithTimeout(ctx, rattanhome.VersionWait)
+	defer cancel()
+	states.Await(ctx, conflict.Version)
 }
--- a/rattanhome/service.go
+++ b/rattanhome/service.go
@@ -59,10 +59,7 @@
 	Uptime time.Duration `json:",omitempty"`
 	// Version is the version of the desired state by which the job is submitted, 0
 	// if the submitter is of the former version.
-	Version int64 `json:",omitempty"`
-	// Document is the submitter's encoded desired state, set if the home has
-	// replied that its own is older.
-	Document     []byte `json:",omitempty"`
+	Version      int64 `json:",omitempty"`
 	Job          *rattanwork.Job
 	Service      string
 	Priority     int
@@ -111,6 +108,8 @@
 	Suspended() time.Duration
 	// SentAt returns when the instance sent a message that states its uptime.
 	SentAt(name string, uptime time.Duration, now time.Time) time.Time
+	// Address returns the address of the instance, "" if it is not known.
+	Address(name string) string
 	// LocalHome returns the home on this instance, or nil.
 	LocalHome() *Home
 }
@@ -218,14 +217,15 @@
 	if home == nil {
 		return Reply{NotHome: true, NotAccepted: true}, nil
 	}
-	if conflict := s.resolveVersion(home, request); conflict != nil {
+	receivedAt := s.config.Clock()
+	if conflict := s.resolveVersion(ctx, home, request, receivedAt); conflict != nil {
 		return Reply{Conflict: conflict}, nil
 	}
 	now := s.config.Clock()
-	if !s.addSubmitter(request, now) {
+	if !s.addSubmitter(request, receivedAt, now) {
 		return Reply{NotAccepted: true, Result: rattanscheduler.JobResult{JobID: request.Job.ID, Outcome: rattanscheduler.Cancelled}}, nil
 	}
-	result, err := home.Submit(ctx, request.submission(now))
+	result, err := home.Submit(ctx, request.submission(receivedAt))
 	if errors.Is(err, ErrDeposed) || errors.Is(err, ErrClosed) {
 		s.removeSubmitter(Cancellation{JobID: request.Job.ID, Submitter: request.Submitter}, now)
 		return Reply{NotHome: true, NotAccepted: errors.Is(err, ErrClosed)}, nil
@@ -266,7 +266,7 @@
 
 // addSubmitter records that an instance waits for a job, and reports false if the
 // submission was rejected before.
-func (s *Service) addSubmitter(request *Request, now time.Time) bool {
+func (s *Service) addSubmitter(request *Request, receivedAt, now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if !s.acceptances.accept(request.Submitter, request.Job.ID, request.Sequence, now) {
@@ -281,7 +281,7 @@
 	if entry.incarnation != request.Incarnation {
 		entry = submitter{incarnation: request.Incarnation}
 	}
-	entry.since, entry.suspended = s.sentAt(request, now), s.config.Membership.Suspended()
+	entry.since, entry.suspended = s.sentAt(request, receivedAt), s.config.Membership.Suspended()
 	entry.sequence = max(entry.sequence, request.Sequence)
 	entry.calls++
 	jobSubmitters[request.Submitter] = entry
@@ -289,11 +289,11 @@
 }
 
 // sentAt returns when a request was sent.
-func (s *Service) sentAt(request *Request, now time.Time) time.Time {
+func (s *Service) sentAt(request *Request, receivedAt time.Time) time.Time {
 	if request.Submitter == s.config.Name {
-		return now
+		return receivedAt
 	}
-	return s.config.Membership.SentAt(request.Submitter, request.Uptime, now)
+	return s.config.Membership.SentAt(request.Submitter, request.Uptime, receivedAt)
 }
 
 // WaitUntil implements rattanscheduler.Callers.
--- a/rattanhome/version.go
+++ b/rattanhome/version.go
@@ -1,24 +1,34 @@
 package rattanhome
 
+import (
+	"context"
+	"time"
+
+	"github.com/rattanlever/rattanlever/rattanwork"
+)
+
+// VersionWait is how long a submission waits for the newer one of two versions of the
+// desired state before it is submitted again.
+const VersionWait = 200 * time.Millisecond
+
 // DesiredState holds the newest desired state that this instance has received.
 // Its version never decreases.
 type DesiredState interface {
 	// Version returns the version in force, 0 if none is known yet.
 	Version() int64
-	// Document returns the encoded state in force.
-	Document() []byte
-	// Accept puts a newer document into force and records an invalid one.
-	Accept(document []byte, source string) error
+	// Announce records that another instance has a version, which is fetched if it
+	// is newer than the one in force.
+	Announce(member rattanwork.Member, version int64, now time.Time)
+	// Await returns once the version or a newer one is in force, or when ctx ends.
+	Await(ctx context.Context, version int64)
 }
 
 // VersionConflict is the reply to a submission by another version of the desired
-// state than the one in force on the home's instance. The job was not accepted.
+// state than the one in force on the home's instance. The job was not accepted. The
+// instance that has the older version fetches the newer one.
 type VersionConflict struct {
 	// Version is that of the home's instance.
 	Version int64
-	// Document is the encoded desired state of the home's instance if it is the
-	// newer one. Otherwise the submitter encloses its own in the next submission.
-	Document []byte `json:",omitempty"`
 	// MayHaveStarted is set if a task of the job may have started under this home, as
 	// far as it remembers.
 	MayHaveStarted bool `json:",omitempty"`
@@ -32,7 +42,8 @@
 type VersionDifference struct {
 	JobID     string
 	Submitter string
-	// Submitted is the version of the submitter, Own that of the home's instance.
+	// Submitted is the version of the submitter, Own that of the home's instance
+	// before it waits for that of the submitter.
 	Submitted int64
 	Own       int64
 	// Accepted is set if the home had accepted the job before, MayHaveStarted if a
@@ -48,38 +59,46 @@
 }
 
 // resolveVersion returns a conflict unless the submission is by the version in
-// force here. A job that the home has accepted goes on by the version of its
-// first submission, and one that is redirected does not depend on the version here.
-func (s *Service) resolveVersion(home *Home, request *Request) *VersionConflict {
-	if len(request.Document) > 0 {
-		// After an error, the versions still differ.
-		_ = s.config.DesiredState.Accept(request.Document, request.Submitter)
-	}
+// force here, if need be after a wait for that version. A job that the home has
+// accepted goes on by the version of its first submission, and one that is redirected
+// does not depend on the version here.
+func (s *Service) resolveVersion(ctx context.Context, home *Home, request *Request, now time.Time) *VersionConflict {
 	own := s.config.DesiredState.Version()
 	if request.Version == 0 || request.Version == own {
 		return nil
 	}
-	accepted, mayHaveStarted := home.jobStatus(request)
-	neverAccepted := !accepted && s.rejectUnaccepted(home, request)
-	s.config.Journal.VersionsDiffer(VersionDifference{
-		JobID:          request.Job.ID,
-		Submitter:      request.Submitter,
-		Submitted:      request.Version,
-		Own:            own,
-		Accepted:       accepted,
-		MayHaveStarted: mayHaveStarted,
-		NeverAccepted:  neverAccepted,
-		Resumed:        request.Resumed,
-		HomeToken:      home.FencingToken(),
-	})
-	if accepted {
+	difference := VersionDifference{
+		JobID:     request.Job.ID,
+		Submitter: request.Submitter,
+		Submitted: request.Version,
+		Own:       own,
+		Resumed:   request.Resumed,
+		HomeToken: home.FencingToken(),
+	}
+	difference.Accepted, difference.MayHaveStarted = home.jobStatus(request)
+	if !difference.Accepted && request.Version > own {
+		s.awaitVersion(ctx, request, now)
+		own = s.config.DesiredState.Version()
+		difference.Accepted, difference.MayHaveStarted = home.jobStatus(request)
+	}
+	goesOn := difference.Accepted || request.Version == own
+	difference.NeverAccepted = !goesOn && s.rejectUnaccepted(home, request)
+	s.config.Journal.VersionsDiffer(difference)
+	if goesOn {
 		return nil
 	}
-	conflict := &VersionConflict{Version: own, MayHaveStarted: mayHaveStarted, NeverAccepted: neverAccepted}
-	if own > request.Version {
-		conflict.Document = s.config.DesiredState.Document()
+	return &VersionConflict{Version: own, MayHaveStarted: difference.MayHaveStarted, NeverAccepted: difference.NeverAccepted}
+}
+
+// awaitVersion waits until the version of a submission is in force here.
+func (s *Service) awaitVersion(ctx context.Context, request *Request, now time.Time) {
+	submitter := rattanwork.Member{Name: request.Submitter, Address: s.config.Membership.Address(request.Submitter)}
+	if submitter.Address != "" {
+		s.config.DesiredState.Announce(submitter, request.Version, now)
 	}
-	return conflict
+	ctx, cancel := context.WithTimeout(ctx, VersionWait)
+	defer cancel()
+	s.config.DesiredState.Await(ctx, request.Version)
 }
 
 // rejectUnaccepted rejects all unsettled submissions of a request's job and reports
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -338,6 +338,12 @@
 	j.logger.WithFields(logrus.Fields{"Source": source, "Error": err.Error()}).Error("desired state invalid")
 }
 
+// DesiredStateNotReceived records that a transfer of the desired state from another
+// instance failed.
+func (j *Journal) DesiredStateNotReceived(source string, err error) {
+	j.logger.WithFields(logrus.Fields{"Source": source, "Error": err.Error()}).Warn("desired state not received")
+}
+
 // maxErrorLength bounds the bytes of an error that may contain what another
 // program has written.
 const maxErrorLength = 300
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -128,6 +128,7 @@
 		Source:  &platform.DesiredStateSource{Store: n.store},
 		Parse:   platform.ParseDesiredState,
 		Journal: n.journal,
+		Peers:   peerNode,
 		Clock:   n.config.Clock,
 	})
 	n.agent = rattanzone.New(rattanzone.Config{
--- a/rattanzone/agent.go
+++ b/rattanzone/agent.go
@@ -20,11 +20,13 @@
 
 // RPC methods between instances.
 const (
-	methodHeartbeat    = "Beat"
-	methodTakeOver     = "TakeOver"
-	methodInventory    = "Inventory"
+	methodHeartbeat        = "Beat"
+	methodTakeOver         = "TakeOver"
+	methodInventory        = "Inventory"
+	methodDesiredStatePart = "DesiredPart"
+	methodStartList        = "Starts"
+	// methodDesiredState is that of the former version.
 	methodDesiredState = "Desired"
-	methodStartList    = "Starts"
 )
 
 // Peers sends and receives calls between instances.
@@ -46,8 +48,8 @@
 // DesiredStateStore holds the newest known desired state.
 type DesiredStateStore interface {
 	Version() int64
-	Document() []byte
-	Accept(document []byte, source string) error
+	// Announce records that another instance has a version.
+	Announce(member rattanwork.Member, version int64, now time.Time)
 	// Tick records that this instance runs, at least every silenceTimeout, and
 	// reports whether it was paused before.
 	Tick(now time.Time) (paused bool)
@@ -210,7 +212,6 @@
 	config.Peers.Handle(methodHeartbeat, a.handleHeartbeat)
 	config.Peers.Handle(methodTakeOver, a.handleTakeOver)
 	config.Peers.Handle(methodInventory, a.handleInventory)
-	config.Peers.Handle(methodDesiredState, a.handleDesiredState)
 	config.Peers.Handle(methodStartList, a.handleStartList)
 	return a
 }
@@ -317,6 +318,17 @@
 	return m.aliveAt.Add(m.aliveSuspended - a.Suspended()), m.Incarnation
 }
 
+// Address returns the address of an instance, "" if it is not known.
+func (a *Agent) Address(name string) string {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	m, ok := a.members[name]
+	if !ok {
+		return ""
+	}
+	return m.Address
+}
+
 // SentAt returns the time at which an instance sent a message that states its
 // uptime. If that is unknown, it returns the present time.
 func (a *Agent) SentAt(name string, uptime time.Duration, now time.Time) time.Time {
--- a/rattanzone/desired_state.go
+++ b/rattanzone/desired_state.go
@@ -1,6 +1,7 @@
 package rattanzone
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -39,6 +40,8 @@
 type DesiredStateJournal interface {
 	DesiredStateAccepted(version int64, source string)
 	DesiredStateInvalid(source string, err error)
+	// DesiredStateNotReceived reports that a transfer from another instance failed.
+	DesiredStateNotReceived(source string, err error)
 	StoreLost(err error)
 	StoreRegained(outage time.Duration)
 }
@@ -48,12 +51,15 @@
 	Source  DesiredStateSource
 	Parse   func(document []byte) (*rattanwork.DesiredState, error)
 	Journal DesiredStateJournal
-	Clock   func() time.Time
+	// Peers carries the transfers between instances. If it is nil, there are none.
+	Peers DocumentPeers
+	Clock func() time.Time
 }
 
-// DesiredStateWatcher watches the store for the desired state and holds the
-// newest version that this instance has received. The version never decreases.
-// It is safe for concurrent use.
+// DesiredStateWatcher follows the desired state in the store and in other instances,
+// and holds the newest version that this instance has received. The version never
+// decreases. All documents are received in one loop, so that at most one is under
+// way. It is safe for concurrent use.
 type DesiredStateWatcher struct {
 	config DesiredStateConfig
 	cancel context.CancelFunc
@@ -61,17 +67,36 @@
 	state  atomic.Pointer[rattanwork.DesiredState]
 	// freshness tells whether the state may have changed during a pause.
 	freshness freshness
+	encoder   documentEncoder
 
 	mutex    sync.Mutex
 	document []byte
-	// unreachableSince is when the store stopped answering, zero while it
-	// answers. Only watchStore uses it.
+	// documentRevision is the store revision up to which document is the newest
+	// one, 0 if that is not known.
+	documentRevision int64
+	sources          documentSources
+	// interrupt ends the call to the store in progress, nil if that is not to be
+	// interrupted.
+	interrupt context.CancelFunc
+	// changed is closed and replaced when a newer state is in force.
+	changed chan struct{}
+
+	// Only the loop uses the fields below. revision is the store revision from which
+	// to continue, 0 if the state must be read.
+	revision int64
+	// unreachableSince is when the store stopped answering, zero while it answers.
 	unreachableSince time.Time
 }
 
-// NewDesiredStateWatcher returns a watcher that has no state yet.
+// NewDesiredStateWatcher returns a watcher that has no state yet, and registers its
+// RPC handlers.
 func NewDesiredStateWatcher(config DesiredStateConfig) *DesiredStateWatcher {
-	return &DesiredStateWatcher{config: config}
+	w := &DesiredStateWatcher{config: config, sources: documentSources{byName: map[string]*documentSource{}}, changed: make(chan struct{})}
+	if config.Peers != nil {
+		config.Peers.Handle(methodDesiredState, w.handleWhole)
+		config.Peers.Handle(methodDesiredStatePart, w.handlePart)
+	}
+	return w
 }
 
 // Name returns the name of the service in the kernel.
@@ -79,15 +104,15 @@
 	return "Desired"
 }
 
-// Start begins to watch the store.
+// Start begins to follow the desired state.
 func (w *DesiredStateWatcher) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	w.cancel = cancel
-	w.loops.Go(func() { w.watchStore(ctx) })
+	w.loops.Go(func() { w.follow(ctx) })
 	return nil
 }
 
-// Stop ends the watch.
+// Stop ends the loop.
 func (w *DesiredStateWatcher) Stop(context.Context) error {
 	w.cancel()
 	w.loops.Wait()
@@ -107,16 +132,60 @@
 	return 0
 }
 
-// Document returns the encoded state in force.
-func (w *DesiredStateWatcher) Document() []byte {
+// Announce records that another instance has a version, which is fetched if it is
+// newer than the one in force.
+func (w *DesiredStateWatcher) Announce(member rattanwork.Member, version int64, now time.Time) {
+	if w.config.Peers == nil || version <= w.Version() {
+		return
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.sources.announce(member, version, now) && w.interrupt != nil {
+		w.interrupt()
+	}
+}
+
+// Await returns once the version or a newer one is in force, or when ctx ends.
+func (w *DesiredStateWatcher) Await(ctx context.Context, version int64) {
+	for ctx.Err() == nil {
+		w.mutex.Lock()
+		changed := w.changed
+		w.mutex.Unlock()
+		if w.Version() >= version {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+// current returns the state in force as received.
+func (w *DesiredStateWatcher) current() versionedDocument {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.document
+	return versionedDocument{version: w.Version(), revision: w.documentRevision, document: w.document}
 }
 
 // Accept puts a document into force. It returns ErrStaleDesiredState if the
 // document is older than the one in force.
 func (w *DesiredStateWatcher) Accept(document []byte, source string) error {
+	return w.accept(document, 0, source)
+}
+
+// accept does the same for a document that is the newest one up to a store revision,
+// or of which that is not known if it is 0.
+func (w *DesiredStateWatcher) accept(document []byte, revision int64, source string) error {
+	w.mutex.Lock()
+	known := w.document != nil && bytes.Equal(document, w.document)
+	if known && revision != 0 {
+		w.documentRevision = revision
+	}
+	w.mutex.Unlock()
+	if known {
+		return nil
+	}
 	state, err := w.config.Parse(document)
 	if err != nil {
 		w.config.Journal.DesiredStateInvalid(source, err)
@@ -130,63 +199,127 @@
 		}
 		return nil
 	}
-	w.document = document
+	w.document, w.documentRevision = document, revision
 	w.state.Store(state)
+	w.sources.accepted(state.Version)
+	close(w.changed)
+	w.changed = make(chan struct{})
 	w.config.Journal.DesiredStateAccepted(state.Version, source)
 	return nil
 }
 
-// watchStore reads the state and then waits for changes. After any failure it
-// reads the state again, because it may have missed changes.
-func (w *DesiredStateWatcher) watchStore(ctx context.Context) {
+// follow fetches the newest version that other instances have announced, and follows
+// the store while there is none.
+func (w *DesiredStateWatcher) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		calledAt := w.config.Clock()
-		revision, err := w.readCurrent(ctx)
-		for err == nil && ctx.Err() == nil {
-			w.storeAnswered()
-			w.Compared(calledAt)
-			calledAt = w.config.Clock()
-			revision, err = w.waitForChange(ctx, revision)
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		if errors.Is(err, rattanwork.ErrNoDesiredState) {
-			w.storeAnswered()
+		storeCtx, cancel := context.WithCancel(ctx)
+		if source, ok := w.nextSource(cancel); ok {
+			w.fetch(ctx, source)
 		} else {
-			w.storeFailed(err)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(watchRetryDelay - w.config.Clock().Sub(calledAt)):
+			w.followStore(ctx, storeCtx)
 		}
+		cancel()
 	}
 }
 
-func (w *DesiredStateWatcher) readCurrent(ctx context.Context) (int64, error) {
-	document, revision, err := w.config.Source.Current(ctx)
-	if err != nil {
-		return 0, err
+// nextSource returns the instance from which to fetch the desired state. If there is
+// none, it lets a source that appears interrupt the call to the store, unless the
+// last transfers from other instances have failed.
+func (w *DesiredStateWatcher) nextSource(interrupt context.CancelFunc) (rattanwork.Member, bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.interrupt = nil
+	now := w.config.Clock()
+	source, ok := w.sources.next(now)
+	if !ok && !w.sources.paused(now) {
+		w.interrupt = interrupt
 	}
-	w.acceptFromStore(document)
-	return revision, nil
+	return source, ok
 }
 
-func (w *DesiredStateWatcher) waitForChange(ctx context.Context, revision int64) (int64, error) {
-	document, next, err := w.config.Source.WaitForChange(ctx, revision, watchTimeout)
+// fetch fetches the desired state from another instance.
+func (w *DesiredStateWatcher) fetch(ctx context.Context, source rattanwork.Member) {
+	begunAt := w.config.Clock()
+	before := w.Version()
+	received, err := w.transfer(ctx, source.Address)
+	if err == nil {
+		err = w.accept(received.document, received.revision, source.Name)
+	}
+	if err == nil && w.Version() == before {
+		err = ErrStaleDesiredState
+	}
 	if err != nil {
-		return 0, err
+		w.transferFailed(ctx, source, err)
+		return
 	}
-	if document != nil {
-		w.acceptFromStore(document)
+	if w.revision != 0 {
+		w.revision = max(w.revision, received.revision)
+	}
+	w.Compared(begunAt)
+}
+
+// transferFailed records that a transfer from another instance has failed.
+func (w *DesiredStateWatcher) transferFailed(ctx context.Context, source rattanwork.Member, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	w.config.Journal.DesiredStateNotReceived(source.Name, err)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.sources.failed(source.Name, w.config.Clock()) {
+		w.revision = 0
+	}
+}
+
+// followStore reads the state from the store or waits for a change of it. After any
+// failure it reads the state again, because it may have missed changes.
+func (w *DesiredStateWatcher) followStore(ctx, storeCtx context.Context) {
+	calledAt := w.config.Clock()
+	err := w.callStore(storeCtx)
+	if ctx.Err() != nil || err != nil && storeCtx.Err() != nil {
+		return
+	}
+	if err == nil {
+		w.storeAnswered()
+		w.Compared(calledAt)
+		return
+	}
+	w.revision = 0
+	if errors.Is(err, rattanwork.ErrNoDesiredState) {
+		w.storeAnswered()
+	} else {
+		w.storeFailed(err)
+	}
+	select {
+	case <-storeCtx.Done():
+	case <-time.After(watchRetryDelay - w.config.Clock().Sub(calledAt)):
 	}
-	return next, nil
 }
 
-// acceptFromStore accepts a document from the store. Errors are ignored: an
-// older document is a stale read, and Accept records an invalid one.
-func (w *DesiredStateWatcher) acceptFromStore(document []byte) {
-	_ = w.Accept(document, "store")
+// callStore reads the state or waits for a change.
+func (w *DesiredStateWatcher) callStore(ctx context.Context) error {
+	var document []byte
+	var next int64
+	var err error
+	if w.revision == 0 {
+		document, next, err = w.config.Source.Current(ctx)
+	} else {
+		document, next, err = w.config.Source.WaitForChange(ctx, w.revision, watchTimeout)
+	}
+	if err != nil {
+		return err
+	}
+	if next < w.revision {
+		// The store has lost changes that another instance has seen.
+		next = 0
+	}
+	w.revision = next
+	if document != nil {
+		// Errors are ignored: an older document is a stale read, and accept records
+		// an invalid one.
+		_ = w.accept(document, next, "store")
+	}
+	return nil
 }
 
 func (w *DesiredStateWatcher) storeAnswered() {
--- a/rattanzone/desired_state_test.go
+++ b/rattanzone/desired_state_test.go
@@ -64,8 +64,10 @@
 	r.accepted = append(r.accepted, version)
 }
 func (r *recordingJournal) DesiredStateInvalid(string, error) { r.invalid++ }
-func (r *recordingJournal) StoreLost(error)                   { r.lost++ }
-func (r *recordingJournal) StoreRegained(time.Duration)       { r.regained++ }
+
+func (r *recordingJournal) DesiredStateNotReceived(string, error) {}
+func (r *recordingJournal) StoreLost(error)                       { r.lost++ }
+func (r *recordingJournal) StoreRegained(time.Duration)           { r.regained++ }
 
 func parseVersion(document []byte) (*rattanwork.DesiredState, error) {
 	version, err := strconv.ParseInt(string(document), 10, 64)
--- a/rattanzone/sync.go
+++ b/rattanzone/sync.go
@@ -96,9 +96,7 @@
 // pullNewer fetches the desired state and the inventory from the sender of a
 // view if they are newer there. A home reads the inventory itself.
 func (a *Agent) pullNewer(view *View) {
-	if view.DesiredVersion > a.config.DesiredState.Version() {
-		go a.pullDesiredState(view.Sender)
-	}
+	a.config.DesiredState.Announce(view.Sender, view.DesiredVersion, a.config.Clock())
 	if a.LocalHome() == nil && a.inventoryPullDue(view.InventoryRevision) {
 		go a.pullInventory(view.Sender)
 	}
@@ -131,16 +129,6 @@
 	return true
 }
 
-func (a *Agent) pullDesiredState(peer rattanwork.Member) {
-	ctx, cancel := context.WithTimeout(a.ctx, pullTimeout)
-	defer cancel()
-	document, err := a.config.Peers.Call(ctx, peer.Address, methodDesiredState, nil)
-	if err != nil || len(document) == 0 {
-		return
-	}
-	_ = a.config.DesiredState.Accept(document, peer.Name)
-}
-
 // pullInventory fetches the inventory from a peer and reports whether it has
 // received one.
 func (a *Agent) pullInventory(peer rattanwork.Member) bool {
@@ -166,10 +154,6 @@
 	After int64
 }
 
-func (a *Agent) handleDesiredState(context.Context, string, []byte) ([]byte, error) {
-	return a.config.DesiredState.Document(), nil
-}
-
 // handleInventory answers with the inventory. An instance that is not a home and
 // so does not follow the store reads it first if its inventory is older than
 // inventoryInterval.
