Keep the newest desired state among those that are sent

A request for a part that had read the state just before a change, and was encoded just after it, displaced the newer version by the older one, so that the next request had to encode it again. TestLateRequestGetsNewestVersion failed before (version 2 in place of 3).

--- a/rattanzone/document_transfer.go
+++ b/rattanzone/document_transfer.go
@@ -78,7 +78,7 @@
 func (e *documentEncoder) encode(requested int64, current versionedDocument) (int64, []byte, error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if e.version != current.version {
+	if e.version < current.version {
 		encoded, err := encodeDocument(current.document)
 		if err != nil {
 			return 0, nil, err
--- a/rattanzone/document_transfer_test.go
+++ b/rattanzone/document_transfer_test.go
@@ -238,6 +238,17 @@
 	c.Check([]int64{anew.Version, int64(anew.Offset)}, qt.DeepEquals, []int64{4, 0})
 }
 
+// TestLateRequestGetsNewestVersion guards against a request that was overtaken by a change and displaces the newer version.
+func TestLateRequestGetsNewestVersion(t *testing.T) {
+	c := qt.New(t)
+	var encoder documentEncoder
+	for _, version := range []int64{2, 3, 2} {
+		_, _, err := encoder.encode(0, versionedDocument{version: version, document: largeVersion(version)})
+		c.Assert(err, qt.IsNil)
+	}
+	c.Check([]int64{encoder.version, encoder.former}, qt.DeepEquals, []int64{3, 2})
+}
+
 // TestFormerVersionIsAskedForWholeDocument guards against a rolling upgrade in which desired states do not spread.
 func TestFormerVersionIsAskedForWholeDocument(t *testing.T) {
 	c := qt.New(t)
