--- a/rattanfront/submission_test.go
+++ b/rattanfront/submission_test.go
@@ -81,9 +81,9 @@
 	return &rattanwork.DesiredState{Version: 1, Routes: []rattanwork.Route{{Name: "r", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 3, Timeout: 10 * time.Second}}}
 }
 
-func (z *fakeZones) Document() []byte { return nil }
+func (z *fakeZones) Announce(rattanwork.Member, int64, time.Time) {}
 
-func (z *fakeZones) Accept([]byte, string) error { return nil }
+func (z *fakeZones) Await(context.Context, int64) {}
 
 func (z *fakeZones) Answered(AnswerRecord) {}
 
@@ -340,7 +340,7 @@
 		"link silent":        {err: rattanpeer.ErrLinkSilent},
 		"handler failed":     {err: rattanpeer.ErrRemote},
 		"local call ended":   {err: context.Canceled},
-		"not decoded":        {reply: rattanhome.Reply{NotAccepted: true}, err: errTestDocument},
+		"not decoded":        {reply: rattanhome.Reply{NotAccepted: true}, err: errors.New("unexpected end of input")},
 		"conflict":           {reply: rattanhome.Reply{Conflict: &rattanhome.VersionConflict{}}, want: true},
 		"not accepted":       {reply: rattanhome.Reply{NotHome: true, NotAccepted: true}, want: true},
 		"deposed":            {reply: rattanhome.Reply{NotHome: true}},
