Acknowledge cancellations beside zones that are out of reach

Cause: unless the cancelling itself ended the job, the answer waited for the home of each zone that was ever known. A zone without a live machine, or one that is cut off, never confirms.

Class: silence that is taken for a pending answer without an end. What settles a zone is now stated as evidence: its home has confirmed; or the home that ran the job has its result; or no instance of the zone was heard for 2 s, as the home of the receiver's zone states with its own confirmation. It states nothing if it was paused or has not reached the store lately: then its own silence explains that of the others. Who is owed a cancellation gets it from any instance's record by the heartbeats, as before.

--- a/rattanfront/cancellation.go
+++ b/rattanfront/cancellation.go
@@ -25,8 +25,8 @@
 	JobCancelled CancelOutcome = iota // cancelled
 	// JobUnknown means that no zone knows the job, and none will start it.
 	JobUnknown // unknown
-	// CancelUnconfirmed means that some zone that may run the job has not
-	// confirmed the cancellation in time. It takes effect there later.
+	// CancelUnconfirmed means that some zone that may run the job has neither
+	// confirmed the cancellation in time nor is known to be out of reach. It takes effect there later.
 	CancelUnconfirmed // unconfirmed
 	// CancelRefused means that too many requests cancel jobs that nobody knows, so
 	// that this one is not remembered everywhere.
@@ -54,8 +54,10 @@
 	Outcome CancelOutcome
 	// Zone is the zone whose home has ended the job, "" if none has.
 	Zone string
-	// Unconfirmed contains the zones that had not confirmed the cancellation yet.
+	// Unconfirmed contains the zones that had not confirmed the cancellation yet,
+	// Owed those that were out of reach. They get it when they are back.
 	Unconfirmed []string
+	Owed        []string
 	Elapsed     time.Duration
 }
 
@@ -152,35 +154,17 @@
 	return c
 }
 
-// zoneReply is the reply of a zone to a cancellation.
-type zoneReply struct {
-	zone string
-	rattanhome.CancellationReply
-}
-
-// runCancellation cancels a job in all zones until each has confirmed it. The
-// outcome is known earlier if the zone in which the job was in progress has.
+// runCancellation cancels a job in all zones until the outcome is known.
 func (h *Handler) runCancellation(c *cancellation, startedAt time.Time) {
-	ctx, cancel := context.WithTimeout(context.Background(), cancellationTimeout)
-	defer cancel()
-	zones := h.config.Homes.Zones()
-	replies := make(chan zoneReply, len(zones))
-	for _, zone := range zones {
-		go func() { replies <- zoneReply{zone, h.cancelInZone(ctx, zone, c.request)} }()
-	}
-	var summary cancelSummary
-	for range zones {
-		if summary.add(<-replies); summary.endedIn != "" {
-			break
-		}
-	}
+	summary := h.cancelInZones(c.request)
 	now := h.config.Clock()
-	if summary.known {
+	if summary.known() {
 		// Others may displace the cancellations of unknown jobs.
 		h.config.Cancellations.Add(c.request.JobID, true, now)
 	}
+	unconfirmed, owed := summary.outstanding()
 	c.record = CancelRecord{
-		JobID: c.request.JobID, Outcome: summary.outcome(c), Zone: summary.endedIn, Unconfirmed: summary.unconfirmed, Elapsed: now.Sub(startedAt),
+		JobID: c.request.JobID, Outcome: summary.outcome(c), Zone: summary.endedIn(), Unconfirmed: unconfirmed, Owed: owed, Elapsed: now.Sub(startedAt),
 	}
 	h.mutex.Lock()
 	delete(h.cancellations, c.request.JobID)
@@ -188,62 +172,48 @@
 	close(c.done)
 }
 
-// cancelSummary sums up the replies of zones to a cancellation.
-type cancelSummary struct {
-	unconfirmed []string
-	known       bool
-	// endedIn is the zone in which the job was ended, "" if it was in none.
-	endedIn string
-	// forgotten is set if the home of some zone does not remember the cancellation.
-	forgotten bool
-}
-
-func (s *cancelSummary) add(reply zoneReply) {
-	if !reply.Confirmed {
-		s.unconfirmed = append(s.unconfirmed, reply.zone)
-	}
-	if reply.Confirmed && reply.Ended {
-		s.endedIn = reply.zone
+// cancelInZones cancels a job in all zones until the outcome is known or
+// cancellationTimeout has passed.
+func (h *Handler) cancelInZones(request rattanhome.CallerCancellation) *cancelSummary {
+	ctx, cancel := context.WithTimeout(context.Background(), cancellationTimeout)
+	defer cancel()
+	zones := h.config.Homes.Zones()
+	summary := newCancelSummary(h.config.Self.Zone, zones)
+	replies := make(chan zoneReply)
+	for _, zone := range zones {
+		go h.cancelInZone(ctx, zone, request, replies)
 	}
-	s.known = s.known || reply.Known
-	s.forgotten = s.forgotten || reply.Confirmed && !reply.Remembered
-}
-
-func (s *cancelSummary) outcome(c *cancellation) CancelOutcome {
-	switch {
-	case s.endedIn != "":
-		return JobCancelled
-	case s.forgotten:
-		return CancelRefused
-	case len(s.unconfirmed) > 0:
-		return CancelUnconfirmed
-	case s.known || c.request.Known:
-		return JobCancelled
-	case !c.remembered:
-		return CancelRefused
-	default:
-		return JobUnknown
+	for !summary.settled() {
+		select {
+		case reply := <-replies:
+			summary.add(reply)
+		case <-ctx.Done():
+			return summary
+		}
 	}
+	return summary
 }
 
-// cancelInZone cancels a job in one zone until its home confirms it or ctx ends.
-func (h *Handler) cancelInZone(ctx context.Context, zone string, request rattanhome.CallerCancellation) rattanhome.CancellationReply {
-	var sum rattanhome.CancellationReply
+// cancelInZone cancels a job in one zone until its home has confirmed it or ctx ends.
+// The home of this instance's zone is asked again after that: it may find meanwhile
+// that another zone is out of reach.
+func (h *Handler) cancelInZone(ctx context.Context, zone string, request rattanhome.CallerCancellation, replies chan<- zoneReply) {
 	for delay := minCancellationDelay; ; delay = min(2*delay, maxCancellationDelay) {
 		if claim, ok, _ := h.config.Homes.Home(zone); ok {
-			reply, err := h.cancelForCaller(ctx, claim, request)
-			if err == nil {
-				reply.Known = reply.Known || sum.Known
-				reply.Ended = reply.Ended || sum.Ended
-				sum = reply
-			}
-			if sum.Confirmed {
-				return sum
+			if reply, err := h.cancelForCaller(ctx, claim, request); err == nil {
+				select {
+				case replies <- zoneReply{zone, reply}:
+				case <-ctx.Done():
+					return
+				}
+				if reply.Confirmed && zone != h.config.Self.Zone {
+					return
+				}
 			}
 		}
 		select {
 		case <-ctx.Done():
-			return sum
+			return
 		case <-time.After(delay):
 		}
 	}
--- a/rattanfront/cancellation_test.go
+++ b/rattanfront/cancellation_test.go
@@ -86,10 +86,18 @@
 	ended     = rattanhome.CancellationReply{Confirmed: true, Remembered: true, Known: true, Ended: true}
 	// uncertain is the reply of a home that was paused.
 	uncertain = rattanhome.CancellationReply{Remembered: true, Known: true, Ended: true}
-	full      = rattanhome.CancellationReply{Confirmed: true}
-	never     = 1000
+	// finished is the reply of a home that has the job's result.
+	finished = rattanhome.CancellationReply{Confirmed: true, Remembered: true, Known: true, Finished: true}
+	full     = rattanhome.CancellationReply{Confirmed: true}
+	never    = 1000
 )
 
+// hearing returns the reply of a home that has heard from the zones lately.
+func hearing(reply rattanhome.CancellationReply, zones ...string) rattanhome.CancellationReply {
+	reply.Reachability = &rattanhome.Reachability{Zones: zones}
+	return reply
+}
+
 // TestCancelAnswersByAllZones guards against a cancellation that is acknowledged
 // although the job may start or go on in some zone, and against one that is not
 // although a message was lost.
@@ -99,19 +107,26 @@
 		lost          int
 		want          int
 	}{
-		"ended here":                       {ended, confirmed, 0, http.StatusOK},
-		"ended here, other zone cut off":   {ended, confirmed, never, http.StatusOK},
-		"ended there":                      {confirmed, ended, 0, http.StatusOK},
-		"ended there, messages lost":       {confirmed, ended, 3, http.StatusOK},
-		"unknown":                          {confirmed, confirmed, 0, http.StatusGone},
-		"unknown, messages lost":           {confirmed, confirmed, 3, http.StatusGone},
-		"unknown, other zone cut off":      {confirmed, ended, never, http.StatusGatewayTimeout},
-		"known, other zone cut off":        {known, ended, never, http.StatusGatewayTimeout},
-		"known":                            {known, confirmed, 0, http.StatusOK},
-		"ended by a home that was paused":  {uncertain, confirmed, 0, http.StatusGatewayTimeout},
-		"too many unknown in the zone":     {full, confirmed, 0, http.StatusServiceUnavailable},
-		"too many unknown in another zone": {confirmed, full, 0, http.StatusServiceUnavailable},
-		"too many unknown, but ended":      {ended, full, 0, http.StatusOK},
+		"ended here":                        {ended, confirmed, 0, http.StatusOK},
+		"ended here, other zone cut off":    {ended, confirmed, never, http.StatusOK},
+		"ended there":                       {confirmed, ended, 0, http.StatusOK},
+		"ended there, messages lost":        {confirmed, ended, 3, http.StatusOK},
+		"unknown":                           {confirmed, confirmed, 0, http.StatusGone},
+		"unknown, messages lost":            {confirmed, confirmed, 3, http.StatusGone},
+		"unknown, other zone cut off":       {confirmed, ended, never, http.StatusGatewayTimeout},
+		"known, other zone cut off":         {known, ended, never, http.StatusGatewayTimeout},
+		"known":                             {known, confirmed, 0, http.StatusOK},
+		"ended by a home that was paused":   {uncertain, confirmed, 0, http.StatusGatewayTimeout},
+		"finished here, other zone cut off": {finished, confirmed, never, http.StatusOK},
+		"finished there, messages lost":     {confirmed, finished, 3, http.StatusOK},
+		"known, other zone gone":            {hearing(known, "a"), confirmed, never, http.StatusOK},
+		"unknown, other zone gone":          {hearing(confirmed, "a"), confirmed, never, http.StatusOK},
+		"other zone heard, cut off":         {hearing(known, "a", "b"), confirmed, never, http.StatusGatewayTimeout},
+		"other zone gone, home uncertain":   {uncertain, confirmed, never, http.StatusGatewayTimeout},
+		"gone as the other zone has it":     {rattanhome.CancellationReply{}, hearing(known, "b"), 0, http.StatusGatewayTimeout},
+		"too many unknown in the zone":      {full, confirmed, 0, http.StatusServiceUnavailable},
+		"too many unknown in another zone":  {confirmed, full, 0, http.StatusServiceUnavailable},
+		"too many unknown, but ended":       {ended, full, 0, http.StatusOK},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/rattanhome/cancellation.go
+++ b/rattanhome/cancellation.go
@@ -32,6 +32,19 @@
 	// Known is set if the job was known, Ended if this cancellation has ended it.
 	Known bool
 	Ended bool
+	// Finished is set if the receiver is the home that has the result of the job.
+	Finished bool `json:",omitempty"`
+	// Reachability is what the receiver knows of the other zones, nil unless it has
+	// confirmed the cancellation.
+	Reachability *Reachability `json:",omitempty"`
+}
+
+// Reachability states from which zones an instance has heard lately. An instance
+// that is cut off itself, or was paused, states none.
+type Reachability struct {
+	// Zones contains the zones of all instances that were heard, directly or by
+	// way of others, after all others had had the time to elect a home and to answer.
+	Zones []string
 }
 
 // CancelForCaller ends a job and remembers that its caller has cancelled it. An
@@ -39,6 +52,9 @@
 func (s *Service) CancelForCaller(cancellation CallerCancellation) CancellationReply {
 	if home := s.config.Membership.LocalHome(); home != nil {
 		if reply, ok := home.cancelForCaller(cancellation); ok {
+			if reply.Confirmed {
+				reply.Reachability = s.config.Membership.Reachability(s.config.Clock())
+			}
 			s.config.Journal.CancelledForCaller(cancellation.JobID, reply)
 			return reply
 		}
@@ -58,6 +74,8 @@
 	}
 	id := cancellation.JobID
 	reply := CancellationReply{Known: cancellation.Known || h.knows(id, now), Confirmed: !h.authority.uncertain()}
+	cached, ok := h.results[id]
+	reply.Finished = ok && now.Before(cached.expiresAt)
 	reply.Remembered = h.config.Cancellations.Add(id, reply.Known, now)
 	if reply.Remembered {
 		reply.Ended = h.scheduler.Cancel(id, now)
--- a/rattanhome/cancellation_test.go
+++ b/rattanhome/cancellation_test.go
@@ -88,6 +88,31 @@
 	c.Check(targets.startRequestCount(), qt.Equals, 1)
 }
 
+// TestFinishedJobIsKnownAsFinished guards against a cancellation that waits for other
+// zones although the home knows that the job has ended.
+func TestFinishedJobIsKnownAsFinished(t *testing.T) {
+	c := qt.New(t)
+	service, _ := newCancellingService(c, 20*time.Millisecond)
+	service.config.Membership = hearingMember{soleMember{service.config.Membership.LocalHome()}}
+	submission := testSubmission(1)
+	reply, err := service.Submit(context.Background(), requestOf(submission, "one"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(reply.Result.Outcome, qt.Equals, rattanscheduler.Succeeded)
+	cancelled := service.CancelForCaller(CallerCancellation{JobID: submission.Job.ID})
+	c.Check(cancelled.Confirmed && cancelled.Finished && !cancelled.Ended, qt.IsTrue)
+	c.Check(cancelled.Reachability, qt.DeepEquals, &Reachability{Zones: []string{"a"}})
+	c.Check(service.CancelForCaller(CallerCancellation{JobID: testSubmission(2).Job.ID}).Finished, qt.IsFalse)
+	service.config.Membership.LocalHome().Close()
+	c.Check(service.CancelForCaller(CallerCancellation{JobID: submission.Job.ID}).Reachability, qt.IsNil)
+}
+
+// hearingMember is a soleMember that has heard from its own zone only.
+type hearingMember struct{ soleMember }
+
+func (hearingMember) Reachability(time.Time) *Reachability {
+	return &Reachability{Zones: []string{"a"}}
+}
+
 // TestCancellationBesideSubmission guards against a job that runs although its
 // cancellation, which came at the same moment as its submission, was confirmed.
 func TestCancellationBesideSubmission(t *testing.T) {
--- a/rattanhome/service.go
+++ b/rattanhome/service.go
@@ -109,6 +109,9 @@
 	SentAt(name string, uptime time.Duration, now time.Time) time.Time
 	// LocalHome returns the home on this instance, or nil.
 	LocalHome() *Home
+	// Reachability returns from which zones this instance has heard lately, nil if
+	// that says nothing about the others.
+	Reachability(now time.Time) *Reachability
 }
 
 // ServiceJournal records why jobs were withdrawn.
--- a/rattanhome/service_test.go
+++ b/rattanhome/service_test.go
@@ -23,6 +23,8 @@
 
 func (m soleMember) Suspended() time.Duration { return 0 }
 
+func (m soleMember) Reachability(time.Time) *Reachability { return nil }
+
 // noopJournal ignores all events.
 type noopJournal struct{}
 
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -132,6 +132,9 @@
 	if len(record.Unconfirmed) > 0 {
 		fields["Unconfirmed"] = record.Unconfirmed
 	}
+	if len(record.Owed) > 0 {
+		fields["Owed"] = record.Owed
+	}
 	j.logger.WithFields(fields).Info("cancellation answered")
 }
 
--- a/rattannode/version_test.go
+++ b/rattannode/version_test.go
@@ -139,11 +139,13 @@
 
 func (p *pair) Successor() (rattanwork.Member, bool) { return rattanwork.Member{}, false }
 
-// LastHeard, Suspended, SentAt and LocalHome implement rattanhome.Membership.
+// LastHeard, Suspended, Reachability, SentAt and LocalHome implement rattanhome.Membership.
 func (p *pair) LastHeard(string) (time.Time, int64) { return time.Now(), 0 }
 
 func (p *pair) Suspended() time.Duration { return 0 }
 
+func (p *pair) Reachability(time.Time) *rattanhome.Reachability { return nil }
+
 func (p *pair) SentAt(_ string, _ time.Duration, now time.Time) time.Time { return now }
 
 func (p *pair) LocalHome() *rattanhome.Home { return p.home }
--- a/rattanzone/agent.go
+++ b/rattanzone/agent.go
@@ -128,6 +128,7 @@
 	lastSuspended    time.Duration
 	// homeChanged is closed and replaced when the home of this zone changes.
 	homeChanged chan struct{}
+	continuity  continuity
 	// keepAlives counts, by address of a home in another zone, the jobs of
 	// local callers that were redirected there.
 	keepAlives map[string]int
--- a/rattanzone/heartbeat.go
+++ b/rattanzone/heartbeat.go
@@ -78,9 +78,11 @@
 // follow it may be out of reach.
 func (a *Agent) noticePause(now time.Time) {
 	suspended := a.Suspended()
-	if a.config.DesiredState.Tick(now) || suspended-a.lastSuspended > silenceTimeout {
+	paused := a.config.DesiredState.Tick(now) || suspended-a.lastSuspended > silenceTimeout
+	if paused {
 		a.lastZoneHeartbeat = time.Time{}
 	}
+	a.recordTick(paused, now)
 	a.lastSuspended = suspended
 }
 
--- a/rattanzone/sync.go
+++ b/rattanzone/sync.go
@@ -55,6 +55,7 @@
 // readDirectory renews this instance's entry unless it is shutting down, and
 // updates the list of members.
 func (a *Agent) readDirectory() error {
+	begunAt := a.config.Clock()
 	if !a.isTerminating() {
 		if err := a.config.Directory.Announce(a.ctx, a.config.Self); err != nil {
 			return err
@@ -68,6 +69,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.directoryRead = true
+	a.continuity.directoryReadAt = begunAt
 	for _, listed := range members {
 		if listed.Name == a.config.Self.Name {
 			continue
