Play lost and paused zones in the rig of processes

Two kinds of disturbances for cancellations beside zones that are away: all instances of a zone killed, or paused, for up to 8 s.

--- a/rattanrig/disturbance.go
+++ b/rattanrig/disturbance.go
@@ -36,8 +36,16 @@
 	RequestOutlivesTarget
 	// StoreAway makes the store unavailable to all instances or one.
 	StoreAway
-
-	kindCount = int(StoreAway) + 1
+	// ZoneKilled kills all instances of a zone, which start again later. It is
+	// played only if it is named.
+	ZoneKilled
+	// ZonePaused stops the processes of all instances of a zone for a while. It is
+	// played only if it is named.
+	ZonePaused
+
+	kindCount = int(ZonePaused) + 1
+	// usualKinds is the number of kinds that are played unless some are named.
+	usualKinds = int(StoreAway) + 1
 )
 
 // ParseKind returns the kind with the name, and whether there is one.
@@ -57,6 +65,7 @@
 	maxFaultTime  = 3 * time.Second
 	maxOutage     = 4 * time.Second
 	maxTargetDown = time.Second
+	maxZoneAway   = 8 * time.Second
 	// A request without an answer may be executed within minDelay to maxDelay.
 	minDelay = 2 * time.Second
 	maxDelay = 12 * time.Second
@@ -72,7 +81,7 @@
 	random := r.random(0)
 	kinds := r.config.Kinds
 	if len(kinds) == 0 {
-		for kind := range kindCount {
+		for kind := range usualKinds {
 			kinds = append(kinds, Kind(kind))
 		}
 	}
@@ -102,6 +111,8 @@
 		defer i.disturbing.Unlock()
 		r.began(kind, i.name)
 		r.disturbInstance(kind, i, random)
+	case ZoneKilled, ZonePaused:
+		r.disturbZone(kind, r.config.Zones[random.IntN(len(r.config.Zones))], random)
 	case StoreAway:
 		r.began(kind, "")
 		r.disturbStore(random)
@@ -127,6 +138,42 @@
 	return time.Duration(random.Int64N(int64(limit)))
 }
 
+// disturbZone disturbs all instances of a zone at the same time, unless one of them is
+// already disturbed.
+func (r *rig) disturbZone(kind Kind, zone string, random *rand.Rand) {
+	var list []*instance
+	for _, i := range r.instances {
+		if i.zone != zone {
+			continue
+		}
+		if !i.disturbing.TryLock() {
+			return
+		}
+		defer i.disturbing.Unlock()
+		list = append(list, i)
+	}
+	r.began(kind, zone)
+	signal := syscall.SIGKILL
+	if kind == ZonePaused {
+		signal = syscall.SIGSTOP
+	}
+	for _, i := range list {
+		i.signal(signal)
+	}
+	time.Sleep(upTo(random, maxZoneAway))
+	for _, i := range list {
+		if kind == ZonePaused {
+			i.signal(syscall.SIGCONT)
+			continue
+		}
+		i.end(syscall.SIGKILL)
+		if err := i.start(); err != nil {
+			r.violate("%s does not start: %v", i.name, err)
+		}
+	}
+	r.record("%v %s ends", kind, zone)
+}
+
 func (r *rig) disturbInstance(kind Kind, i *instance, random *rand.Rand) {
 	switch kind {
 	case InstancePaused:
--- a/rattanrig/kind_string.go
+++ b/rattanrig/kind_string.go
@@ -17,11 +17,13 @@
 	_ = x[RequestsDelayed-6]
 	_ = x[RequestOutlivesTarget-7]
 	_ = x[StoreAway-8]
+	_ = x[ZoneKilled-9]
+	_ = x[ZonePaused-10]
 }
 
-const _Kind_name = "InstanceKilledInstancePausedInstanceTerminatedTargetRestartedTargetSilentAnswersLostRequestsDelayedRequestOutlivesTargetStoreAway"
+const _Kind_name = "InstanceKilledInstancePausedInstanceTerminatedTargetRestartedTargetSilentAnswersLostRequestsDelayedRequestOutlivesTargetStoreAwayZoneKilledZonePaused"
 
-var _Kind_index = [...]uint8{0, 14, 28, 46, 61, 73, 84, 99, 120, 129}
+var _Kind_index = [...]uint8{0, 14, 28, 46, 61, 73, 84, 99, 120, 129, 139, 149}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
