--- a/rattanrig/disturbance.go
+++ b/rattanrig/disturbance.go
@@ -42,8 +42,11 @@
 	// ZonePaused stops the processes of all instances of a zone for a while. It is
 	// played only if it is named.
 	ZonePaused
+	// AllKilled kills all instances, which start again later. It is played only if
+	// it is named.
+	AllKilled
 
-	kindCount = int(ZonePaused) + 1
+	kindCount = int(AllKilled) + 1
 	// usualKinds is the number of kinds that are played unless some are named.
 	usualKinds = int(StoreAway) + 1
 )
@@ -112,7 +115,9 @@
 		r.began(kind, i.name)
 		r.disturbInstance(kind, i, random)
 	case ZoneKilled, ZonePaused:
-		r.disturbZone(kind, r.config.Zones[random.IntN(len(r.config.Zones))], random)
+		r.disturbZones(kind, r.config.Zones[random.IntN(len(r.config.Zones))], random)
+	case AllKilled:
+		r.disturbZones(kind, allZones, random)
 	case StoreAway:
 		r.began(kind, "")
 		r.disturbStore(random)
@@ -138,12 +143,15 @@
 	return time.Duration(random.Int64N(int64(limit)))
 }
 
-// disturbZone disturbs all instances of a zone at the same time, unless one of them is
-// already disturbed.
-func (r *rig) disturbZone(kind Kind, zone string, random *rand.Rand) {
+// allZones stands for all zones.
+const allZones = ""
+
+// disturbZones disturbs all instances of a zone, or of all, at the same time, unless
+// one of them is already disturbed.
+func (r *rig) disturbZones(kind Kind, zone string, random *rand.Rand) {
 	var list []*instance
 	for _, i := range r.instances {
-		if i.zone != zone {
+		if zone != allZones && i.zone != zone {
 			continue
 		}
 		if !i.disturbing.TryLock() {
--- a/rattanrig/kind_string.go
+++ b/rattanrig/kind_string.go
@@ -19,11 +19,12 @@
 	_ = x[StoreAway-8]
 	_ = x[ZoneKilled-9]
 	_ = x[ZonePaused-10]
+	_ = x[AllKilled-11]
 }
 
-const _Kind_name = "InstanceKilledInstancePausedInstanceTerminatedTargetRestartedTargetSilentAnswersLostRequestsDelayedRequestOutlivesTargetStoreAwayZoneKilledZonePaused"
+const _Kind_name = "InstanceKilledInstancePausedInstanceTerminatedTargetRestartedTargetSilentAnswersLostRequestsDelayedRequestOutlivesTargetStoreAwayZoneKilledZonePausedAllKilled"
 
-var _Kind_index = [...]uint8{0, 14, 28, 46, 61, 73, 84, 99, 120, 129, 139, 149}
+var _Kind_index = [...]uint8{0, 14, 28, 46, 61, 73, 84, 99, 120, 129, 139, 149, 158}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
