Tell homes that hear no other zone of cancellations by the store

A zone that reaches the store, but not the zone where a cancellation is acknowledged, could go on with the job until a path was back: its silence looks like that of a lost zone.

TestCancelBesideZoneThatIsCutOff has a second row, with a zone that is cut off from the other zones only; the first one checks what it checked.

--- a/rattannode/cut_zone_test.go
+++ b/rattannode/cut_zone_test.go
@@ -30,15 +30,18 @@
 const errCut = errors.ConstError("cut off")
 
 // cutZone is a zone of one instance that is the home of the zone, and that can be cut
-// off from the other instances and from the directory.
+// off from the other instances, and from the platform too.
 type cutZone struct {
 	*rattanpeer.Node
-	isCut  atomic.Bool
-	self   rattanwork.Member
-	others []*cutZone
-	agent  *rattanzone.Agent
-	front  *rattanfront.Handler
-	target *endlessTarget
+	isCut atomic.Bool
+	// reachesPlatform is set if the zone is cut off from the other instances only.
+	reachesPlatform atomic.Bool
+	saved           *savedList
+	self            rattanwork.Member
+	others          []*cutZone
+	agent           *rattanzone.Agent
+	front           *rattanfront.Handler
+	target          *endlessTarget
 }
 
 // newCutZones returns zones whose homes are elected and know each other.
@@ -46,10 +49,10 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	journal := NewJournal(logger, rattanmetric.New())
-	zones := make([]*cutZone, len(names))
+	zones, saved := make([]*cutZone, len(names)), &savedList{}
 	for i, name := range names {
 		peer := newPeer(c, name)
-		zones[i] = &cutZone{Node: peer.Node, self: rattanwork.Member{Name: name, Zone: name, Address: peer.address, Incarnation: int64(i + 1)}, target: &endlessTarget{}}
+		zones[i] = &cutZone{Node: peer.Node, self: rattanwork.Member{Name: name, Zone: name, Address: peer.address, Incarnation: int64(i + 1)}, target: &endlessTarget{}, saved: saved}
 	}
 	for _, z := range zones {
 		z.others = zones
@@ -79,7 +82,7 @@
 	var service *rattanhome.Service
 	z.agent = rattanzone.New(rattanzone.Config{
 		Self: z.self, Seeds: func() []string { return nil }, Peers: z, Directory: z, DesiredState: state,
-		Inventory: rattanzone.NewInventory(z), CrashStore: z, Cancellations: cancellations, Journal: journal, Clock: time.Now,
+		Inventory: rattanzone.NewInventory(z), CrashStore: z, Cancellations: cancellations, SavedCancellations: savedFor{z}, Journal: journal, Clock: time.Now,
 		NewHome: func(token int64) *rattanhome.Home {
 			return rattanhome.New(rattanhome.Config{
 				FencingToken: token, MaxLease: time.Second, RemotePenalty: 1, Callers: service, Cancellations: cancellations, Targets: z.target, Observer: journal, Clock: time.Now,
@@ -87,7 +90,7 @@
 		},
 	})
 	service = rattanhome.NewService(rattanhome.ServiceConfig{
-		Name: z.self.Name, Membership: z.agent, DesiredState: state, Cancellations: cancellations, Journal: journal, Clock: time.Now,
+		Name: z.self.Name, Membership: z.agent, DesiredState: state, Cancellations: cancellations, Saver: z.saved, Journal: journal, Clock: time.Now,
 	})
 	service.RegisterHandlers(z.Node)
 	z.front = rattanfront.New(rattanfront.Config{
@@ -95,6 +98,35 @@
 	})
 }
 
+// savedList saves the cancellations of all zones.
+type savedList struct {
+	mutex sync.Mutex
+	list  []rattancancel.Cancellation
+}
+
+func (s *savedList) Save(_ context.Context, cancellation rattancancel.Cancellation, _ time.Time) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.list = append(s.list, cancellation)
+	return nil
+}
+
+func (s *savedList) Load(context.Context) ([]rattancancel.Cancellation, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Clone(s.list), nil
+}
+
+// savedFor gives a zone the list while it reaches the platform.
+type savedFor struct{ zone *cutZone }
+
+func (s savedFor) Load(ctx context.Context) ([]rattancancel.Cancellation, error) {
+	if err := s.zone.Announce(ctx, s.zone.self); err != nil {
+		return nil, err
+	}
+	return s.zone.saved.Load(ctx)
+}
+
 // Call sends no call into or out of a zone that is cut off.
 func (z *cutZone) Call(ctx context.Context, address, method string, body []byte) ([]byte, error) {
 	for _, other := range z.others {
@@ -108,7 +140,7 @@
 
 // Announce, Members and Withdraw implement rattanzone.Directory.
 func (z *cutZone) Announce(context.Context, rattanwork.Member) error {
-	if z.isCut.Load() {
+	if z.isCut.Load() && !z.reachesPlatform.Load() {
 		return errCut
 	}
 	return nil
@@ -204,28 +236,36 @@
 
 // TestCancelBesideZoneThatIsCutOff guards against a cancellation that is not
 // acknowledged because a zone is cut off, and against a job of that zone that goes on
-// when the zone is back.
+// when the zone is back, or all the while although the zone reaches the platform.
 func TestCancelBesideZoneThatIsCutOff(t *testing.T) {
-	c := qt.New(t)
-	zones := newCutZones(c, "a", "b")
-	connected, cutOff := zones[0], zones[1]
-	// The silence of a zone says nothing before that.
-	time.Sleep(2 * time.Second)
-	posted := make(chan string, 1)
-	go func() { posted <- cutOff.request(http.MethodPost).Body.String() }()
-	c.Assert(eventually(func() bool { _, running := cutOff.target.counts(); return running == 1 }), qt.IsTrue)
-	cutOff.isCut.Store(true)
-	sentAt := time.Now()
-	c.Check(connected.request(http.MethodDelete).Code, qt.Equals, http.StatusOK)
-	c.Check(time.Since(sentAt) < 3*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(sentAt)))
-	_, running := cutOff.target.counts()
-	c.Check(running, qt.Equals, 1)
-	cutOff.isCut.Store(false)
-	c.Check(eventually(func() bool { _, running := cutOff.target.counts(); return running == 0 }), qt.IsTrue)
-	c.Check(<-posted, qt.Equals, `{"state":"cancelled"}`)
-	c.Check(cutOff.request(http.MethodPost).Body.String(), qt.Equals, `{"state":"cancelled"}`)
-	starts, _ := cutOff.target.counts()
-	c.Check(starts, qt.Equals, 1)
+	for name, reachesPlatform := range map[string]bool{"from all": false, "from other zones": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			zones := newCutZones(c, "a", "b")
+			connected, cutOff := zones[0], zones[1]
+			// The silence of a zone says nothing before that.
+			time.Sleep(2 * time.Second)
+			posted := make(chan string, 1)
+			go func() { posted <- cutOff.request(http.MethodPost).Body.String() }()
+			c.Assert(eventually(func() bool { _, running := cutOff.target.counts(); return running == 1 }), qt.IsTrue)
+			cutOff.reachesPlatform.Store(reachesPlatform)
+			cutOff.isCut.Store(true)
+			sentAt := time.Now()
+			c.Check(connected.request(http.MethodDelete).Code, qt.Equals, http.StatusOK)
+			c.Check(time.Since(sentAt) < 3*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(sentAt)))
+			if !reachesPlatform {
+				_, running := cutOff.target.counts()
+				c.Check(running, qt.Equals, 1)
+				cutOff.isCut.Store(false)
+			}
+			c.Check(eventually(func() bool { _, running := cutOff.target.counts(); return running == 0 }), qt.IsTrue)
+			c.Check(<-posted, qt.Equals, `{"state":"cancelled"}`)
+			c.Check(cutOff.request(http.MethodPost).Body.String(), qt.Equals, `{"state":"cancelled"}`)
+			starts, _ := cutOff.target.counts()
+			c.Check(starts, qt.Equals, 1)
+		})
+	}
 }
 
 // TestZoneThatIsCutOffSettlesNothing guards against an acknowledgement by a zone that
--- a/rattanzone/saved_cancellations_test.go
+++ b/rattanzone/saved_cancellations_test.go
@@ -37,7 +37,11 @@
 	})
 	c.Check(agent.mayStartJobs(start.Add(discoveryTime)), qt.IsFalse)
 	c.Check(agent.mayStartJobs(start.Add(maxLoadTime)), qt.IsTrue)
-	agent.cancellationLoop()
+	for range 2 {
+		c.Check(agent.loadCancellations(), qt.IsNotNil)
+		c.Check(agent.mayStartJobs(start), qt.IsFalse)
+	}
+	c.Check(agent.loadCancellations(), qt.IsNil)
 	c.Check(agent.mayStartJobs(start), qt.IsTrue)
 	_, remembered := agent.config.Cancellations.Contains("00000000000000aa", start)
 	c.Check(remembered, qt.IsTrue)
