--- a/rattanfront/cancellation.go
+++ b/rattanfront/cancellation.go
@@ -26,7 +26,8 @@
 	// JobUnknown means that no zone knows the job, and none will start it.
 	JobUnknown // unknown
 	// CancelUnconfirmed means that some zone that may run the job has neither
-	// confirmed the cancellation in time nor is known to be out of reach. It takes effect there later.
+	// confirmed the cancellation in time nor is known to be out of reach. It takes
+	// effect there later.
 	CancelUnconfirmed // unconfirmed
 	// CancelRefused means that too many requests cancel jobs that nobody knows, so
 	// that this one is not remembered everywhere.
