--- a/rattanfront/refused_test.go
+++ b/rattanfront/refused_test.go
@@ -171,6 +171,7 @@
 func (*homeInstance) Await(context.Context, int64)                              {}
 func (*homeInstance) Address(string) string                                     { return "" }
 func (*homeInstance) LastHeard(string) (time.Time, int64)                       { return time.Now(), 1 }
+func (*homeInstance) Reachability(time.Time) *rattanhome.Reachability           { return nil }
 func (*homeInstance) Suspended() time.Duration                                  { return 0 }
 func (*homeInstance) SentAt(_ string, _ time.Duration, now time.Time) time.Time { return now }
 func (*homeInstance) JobWithdrawn(string, string, string)                       {}
--- a/rattanhome/cancellation_test.go
+++ b/rattanhome/cancellation_test.go
@@ -88,6 +88,31 @@
 	c.Check(targets.startRequestCount(), qt.Equals, 1)
 }
 
+// TestFinishedJobIsKnownAsFinished guards against a cancellation that waits for other
+// zones although the home knows that the job has ended.
+func TestFinishedJobIsKnownAsFinished(t *testing.T) {
+	c := qt.New(t)
+	service, _ := newCancellingService(c, 20*time.Millisecond)
+	service.config.Membership = hearingMember{soleMember{service.config.Membership.LocalHome()}}
+	submission := testSubmission(1)
+	reply, err := service.Submit(context.Background(), requestOf(submission, "one"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(reply.Result.Outcome, qt.Equals, rattanscheduler.Succeeded)
+	cancelled := service.CancelForCaller(CallerCancellation{JobID: submission.Job.ID})
+	c.Check(cancelled.Confirmed && cancelled.Finished && !cancelled.Ended, qt.IsTrue)
+	c.Check(cancelled.Reachability, qt.DeepEquals, &Reachability{Zones: []string{"a"}})
+	c.Check(service.CancelForCaller(CallerCancellation{JobID: testSubmission(2).Job.ID}).Finished, qt.IsFalse)
+	service.config.Membership.LocalHome().Close()
+	c.Check(service.CancelForCaller(CallerCancellation{JobID: submission.Job.ID}).Reachability, qt.IsNil)
+}
+
+// hearingMember is a soleMember that has heard from its own zone only.
+type hearingMember struct{ soleMember }
+
+func (hearingMember) Reachability(time.Time) *Reachability {
+	return &Reachability{Zones: []string{"a"}}
+}
+
 // TestCancellationBesideSubmission guards against a job that runs although its
 // cancellation, which came at the same moment as its submission, was confirmed.
 func TestCancellationBesideSubmission(t *testing.T) {
@@ -151,3 +176,36 @@
 	home.Close()
 	c.Check(service.CancelForCaller(cancellation).Confirmed, qt.IsFalse)
 }
+
+// countingSaver counts what it saves, and fails if it is told to.
+type countingSaver struct {
+	saved []rattancancel.Cancellation
+	err   error
+}
+
+func (s *countingSaver) Save(_ context.Context, cancellation rattancancel.Cancellation, _ time.Time) error {
+	s.saved = append(s.saved, cancellation)
+	return s.err
+}
+
+// TestHomeSavesCancellationOnce guards against a write for each repeated cancellation,
+// against one that counts as saved after a failure, and against one by an instance that
+// is not the home.
+func TestHomeSavesCancellationOnce(t *testing.T) {
+	c := qt.New(t)
+	service, _ := newCancellingService(c, time.Minute)
+	saver := &countingSaver{err: rattancancel.ErrNotSaved}
+	service.config.Saver = saver
+	cancellation := CallerCancellation{JobID: testSubmission(1).Job.ID, Known: true}
+	service.CancelForCaller(cancellation)
+	cancellation.Known = false
+	c.Check(service.SaveCancellation(context.Background(), cancellation), qt.ErrorIs, rattancancel.ErrNotSaved)
+	saver.err = nil
+	for range 3 {
+		c.Check(service.SaveCancellation(context.Background(), cancellation), qt.IsNil)
+	}
+	want := rattancancel.Cancellation{JobID: cancellation.JobID, Known: true}
+	c.Check(saver.saved, qt.DeepEquals, []rattancancel.Cancellation{want, want})
+	service.config.Membership.LocalHome().Close()
+	c.Check(service.SaveCancellation(context.Background(), cancellation), qt.ErrorIs, errNotHome)
+}
--- a/rattanhome/service.go
+++ b/rattanhome/service.go
@@ -113,6 +113,9 @@
 	Address(name string) string
 	// LocalHome returns the home on this instance, or nil.
 	LocalHome() *Home
+	// Reachability returns from which zones this instance has heard lately, nil if
+	// that says nothing about the others.
+	Reachability(now time.Time) *Reachability
 }
 
 // ServiceJournal records why jobs were withdrawn.
@@ -140,8 +143,10 @@
 	// Cancellations contains the jobs that were cancelled by their callers. If it
 	// is nil, the service starts with an empty record.
 	Cancellations *rattancancel.Record
-	Journal       ServiceJournal
-	Clock         func() time.Time
+	// Saver saves cancellations for callers. If it is nil, none is saved.
+	Saver   CancellationSaver
+	Journal ServiceJournal
+	Clock   func() time.Time
 }
 
 // Service accepts jobs for the home on this instance, both from its own callers
@@ -210,6 +215,7 @@
 	node.Handle(MethodSubmit, s.onSubmit)
 	node.Handle(MethodCancel, s.onCancel)
 	node.Handle(MethodCancelForCaller, s.onCancelForCaller)
+	node.Handle(MethodSaveCancellation, s.onSaveCancellation)
 }
 
 // Submit waits for the result of a job.
--- a/rattanzone/speed_test.go
+++ b/rattanzone/speed_test.go
@@ -88,9 +88,10 @@
 func (quietJournal) StartListTold(StartListResult, int) {}
 func (quietJournal) StartsLearned(string, string, []rattanscheduler.OutstandingStart) {
 }
-func (quietJournal) DirectoryLost(error)    {}
-func (quietJournal) DirectoryRegained()     {}
-func (quietJournal) CrashStoreFailed(error) {}
+func (quietJournal) DirectoryLost(error)          {}
+func (quietJournal) DirectoryRegained()           {}
+func (quietJournal) CrashStoreFailed(error)       {}
+func (quietJournal) CancellationsNotLoaded(error) {}
 
 func (*recordingPeers) Notify(context.Context, string, string, []byte) error {
 	return nil
