Tell the next home of listed starts when it was elected without asking

A member, or the home of another zone, that was told of the starts of a lost home named them to instances that look for a home only. If it did not answer within the 100 ms of an election (paused, slow, a slow link between zones), or the list arrived late at a follower, the next home never learned of them, and started the task elsewhere.

Each instance now names the lists of the homes before the present one in its heartbeats to that home, and in its answers to them, until they expire. Lists of the present home are left out, so that it is not bound by its own starts.

--- a/rattanzone/crashes.go
+++ b/rattanzone/crashes.go
@@ -100,6 +100,7 @@
 		view.Crashes, view.CrashSequence = a.config.Crashes.Changes(m.crashesSeen, maxSentLosses, now)
 		view.CrashesMerged = m.crashesMerged
 		view.Cancellations = a.cancellationUpdate(m, now)
+		view.KeptStarts = a.keptForHome(m, now)
 	}
 	return view
 }
--- a/rattanzone/heartbeat.go
+++ b/rattanzone/heartbeat.go
@@ -198,7 +198,9 @@
 	}
 	reply := a.viewFor(view.Sender.Name)
 	a.mutex.Lock()
-	reply.KeptStarts = a.keptFor(view, a.config.Clock())
+	if kept := a.keptFor(view, a.config.Clock()); len(kept) > 0 {
+		reply.KeptStarts = kept
+	}
 	a.mutex.Unlock()
 	return mustMarshal(reply), nil
 }
--- a/rattanzone/start_list.go
+++ b/rattanzone/start_list.go
@@ -247,6 +247,18 @@
 	return a.keptStarts(view.Sender.Zone, now)
 }
 
+// keptForHome returns the start requests to name to the home of a zone: those that its
+// former homes have listed. It may not have reached this instance before it was elected.
+// The caller holds the mutex.
+func (a *Agent) keptForHome(receiver *member, now time.Time) []rattanscheduler.OutstandingStart {
+	home := a.homes[receiver.Zone]
+	if home == nil || home.claim.Name != receiver.Name {
+		return nil
+	}
+	starts := a.startRecord.ofFormerHomes(receiver.Zone, home.claim.FencingToken, now)
+	return starts[:min(len(starts), maxReturnedStarts)]
+}
+
 // remoteHomes returns the addresses at which an instance without a home asks the other
 // zones for what they know of the former one: the home of each zone, or some member of
 // a zone whose home is unknown.
--- a/rattanzone/start_list_test.go
+++ b/rattanzone/start_list_test.go
@@ -131,6 +131,27 @@
 	}
 }
 
+// TestHomeElectedWithoutToldInstanceLearnsFromIt guards against two runs of a task: the
+// instance that was told of its start did not answer while the next home was elected.
+func TestHomeElectedWithoutToldInstanceLearnsFromIt(t *testing.T) {
+	for _, zone := range []string{"z", "y"} {
+		z := &outstandingZones{C: qt.New(t), targets: &answerlessTargets{startedAt: map[string]int{}}}
+		told := z.newAgent("told", zone, "t1")
+		list := mustMarshal(startList("z", rattanhome.FencingTokenStep, 1, z.submission().Job.ID+".0.0.0"))
+		_, err := told.handleStartList(context.Background(), "lost", list)
+		z.Assert(err, qt.IsNil)
+		elected := z.newAgent("elected", "z", "t2")
+		home := z.claim(elected)
+		z.beat(elected, told)
+		go func() { _, _ = home.Submit(context.Background(), z.submission()) }()
+		z.awaitRequests(1)
+		z.targets.mutex.Lock()
+		z.Check(z.targets.startedAt["t0"] > 0, qt.IsTrue, qt.Commentf("told in zone %s: %v", zone, z.targets.startedAt))
+		z.targets.mutex.Unlock()
+		home.Close()
+	}
+}
+
 // TestListsToOtherZonesAreSpaced guards against a message to each zone for each start,
 // against the first list of a burst that waits, and against a last one that is never sent.
 func TestListsToOtherZonesAreSpaced(t *testing.T) {
--- a/rattanzone/start_record.go
+++ b/rattanzone/start_record.go
@@ -86,6 +86,14 @@
 	return r.matching(now, func(key homeKey, _ rattanhome.ListedStart) bool { return key.zone == zone })
 }
 
+// ofFormerHomes returns the start requests of the homes of a zone before one that may
+// still be carried out.
+func (r *startRecord) ofFormerHomes(zone string, fencingToken int64, now time.Time) []rattanscheduler.OutstandingStart {
+	return r.matching(now, func(key homeKey, _ rattanhome.ListedStart) bool {
+		return key.zone == zone && key.fencingToken < fencingToken
+	})
+}
+
 // ofJob returns the start requests of a job in the other zone that has listed it last,
 // with that zone.
 func (r *startRecord) ofJob(jobID, ownZone string, now time.Time) (zone string, starts []rattanscheduler.OutstandingStart) {
--- a/rattanzone/view.go
+++ b/rattanzone/view.go
@@ -64,7 +64,8 @@
 	// home, it contains those of all homes that the sender has heard of.
 	OutstandingStarts []rattanscheduler.OutstandingStart `json:",omitempty"`
 	// KeptStarts contains start requests of former homes of the receiver's zone that
-	// may still be carried out. It is sent to instances that know no home there.
+	// may still be carried out. It is sent to the home, and in answers to instances
+	// that know none.
 	KeptStarts []rattanscheduler.OutstandingStart `json:",omitempty"`
 	// Crashes holds changes of the sender's crash history with sequence numbers
 	// after CrashBase, up to which the receiver has merged it as far as the
