Name as many starts without an answer in heartbeats as lists contain

A start leaves the list 0.3 s after the time for its answer is over, because heartbeats have named it by then. They named the 100 with the most time left only. If more starts went unanswered at once (targets cut off under load), the rest was known to the home alone again, and lost with it.

Both bounds are the same now. TestHeartbeatNamesAsManyStartsAsList: 100 of 256 were known before, 256 now.

--- a/rattanzone/outstanding.go
+++ b/rattanzone/outstanding.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// maxSentStarts bounds the number of outstanding starts in one heartbeat.
-	maxSentStarts = 100
+	// maxSentStarts bounds the number of outstanding starts in one heartbeat. Those that
+	// leave a start list without an answer must fit.
+	maxSentStarts = rattanhome.MaxListedStarts
 	// maxReturnedStarts bounds the number of start requests of a former home in the
 	// answer to an instance of its zone.
 	maxReturnedStarts = 2 * rattanhome.MaxListedStarts
--- a/rattanzone/outstanding_test.go
+++ b/rattanzone/outstanding_test.go
@@ -226,6 +226,25 @@
 	z.Check(agent.view().OutstandingStarts, qt.HasLen, maxSentStarts)
 }
 
+// unansweredStarts returns that many start requests that may still be carried out.
+func unansweredStarts(count int) []rattanscheduler.OutstandingStart {
+	starts := make([]rattanscheduler.OutstandingStart, count)
+	for i := range starts {
+		starts[i] = rattanscheduler.OutstandingStart{Task: "t", Target: "a", Attempt: i + 1, Remaining: rattanscheduler.LateStartBound}
+	}
+	return starts
+}
+
+// TestHeartbeatNamesAsManyStartsAsList guards against starts that leave the list when
+// their answer is overdue, and that no heartbeat names because there are many.
+func TestHeartbeatNamesAsManyStartsAsList(t *testing.T) {
+	z := &outstandingZones{C: qt.New(t), targets: &answerlessTargets{startedAt: map[string]int{}}}
+	first, second := z.newAgent("first", "z", "t1"), z.newAgent("second", "z", "t2")
+	z.claim(first).AddOutstandingStarts(unansweredStarts(rattanhome.MaxListedStarts))
+	z.beat(second, first)
+	z.Check(second.outstanding.of("z", time.Now()), qt.HasLen, rattanhome.MaxListedStarts)
+}
+
 // TestOtherZoneRedirectsJobWithOutstandingStart guards against two runs of a task in
 // two zones: the caller sends its job again to another zone while a start request of
 // it may still be carried out in the first.
