Keep all starts of a deposed home at its own instance

A home that is deposed and home again within 15 s went on with the starts that fit into one heartbeat; the tasks of the others could start elsewhere.

--- a/rattanzone/outstanding.go
+++ b/rattanzone/outstanding.go
@@ -118,5 +118,5 @@
 	starts := home.OutstandingStarts()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.former.add(a.config.Self.Zone, starts, now)
+	a.former.keep(a.config.Self.Zone, starts, now)
 }
--- a/rattanzone/outstanding_test.go
+++ b/rattanzone/outstanding_test.go
@@ -245,6 +245,18 @@
 	z.Check(second.outstanding.of("z", time.Now()), qt.HasLen, rattanhome.MaxListedStarts)
 }
 
+// TestHomeThatReturnsKnowsAllItsStarts guards against a home that is deposed and home
+// again, and has forgotten the starts that do not fit into a heartbeat.
+func TestHomeThatReturnsKnowsAllItsStarts(t *testing.T) {
+	z := &outstandingZones{C: qt.New(t), targets: &answerlessTargets{startedAt: map[string]int{}}}
+	agent := z.newAgent("first", "z", "t1")
+	home := z.claim(agent)
+	home.AddOutstandingStarts(unansweredStarts(2 * rattanhome.MaxListedStarts))
+	home.Close()
+	agent.stepDownIfDeposed()
+	z.Check(z.claim(agent).OutstandingStarts(), qt.HasLen, 2*rattanhome.MaxListedStarts)
+}
+
 // TestOtherZoneRedirectsJobWithOutstandingStart guards against two runs of a task in
 // two zones: the caller sends its job again to another zone while a start request of
 // it may still be carried out in the first.
