--- a/rattannode/cut_zone_test.go
+++ b/rattannode/cut_zone_test.go
@@ -127,17 +127,30 @@
 	return s.zone.saved.Load(ctx)
 }
 
+// cutOffFrom reports whether a cut is between the zone and the instance at an address.
+func (z *cutZone) cutOffFrom(address string) bool {
+	return slices.ContainsFunc(z.others, func(other *cutZone) bool {
+		return other.self.Address == address && (other.isCut.Load() || z.isCut.Load())
+	})
+}
+
 // Call sends no call into or out of a zone that is cut off.
 func (z *cutZone) Call(ctx context.Context, address, method string, body []byte) ([]byte, error) {
-	for _, other := range z.others {
-		if other.self.Address == address && (other.isCut.Load() || z.isCut.Load()) {
-			<-ctx.Done()
-			return nil, errCut
-		}
+	if z.cutOffFrom(address) {
+		<-ctx.Done()
+		return nil, errCut
 	}
 	return z.Node.Call(ctx, address, method, body)
 }
 
+// Notify does the same for a message without an answer.
+func (z *cutZone) Notify(ctx context.Context, address, method string, body []byte) error {
+	if z.cutOffFrom(address) {
+		return errCut
+	}
+	return z.Node.Notify(ctx, address, method, body)
+}
+
 // Announce, Members and Withdraw implement rattanzone.Directory.
 func (z *cutZone) Announce(context.Context, rattanwork.Member) error {
 	if z.isCut.Load() && !z.reachesPlatform.Load() {
