Bind no task by a start whose run is listed already

A home that is told of a former home's start after its target has listed the run counted the start as outstanding for 15 s again: if the run failed, its task waited for that target, and other zones redirected the job. Lists that come with heartbeats after an election make that the usual order.

A start whose run the target lists as one of an earlier home is left out, as the listing settles it if it comes second. TestListedRunIsNotBoundByLateList fails before (1 outstanding start in place of 0).

--- a/rattanscheduler/outstanding.go
+++ b/rattanscheduler/outstanding.go
@@ -290,7 +290,7 @@
 func (s *Scheduler) AddOutstandingStarts(starts []OutstandingStart, now time.Time) {
 	for _, start := range starts {
 		remaining := min(start.Remaining, LateStartBound)
-		if remaining <= 0 {
+		if remaining <= 0 || s.hasOrphan(start) {
 			continue
 		}
 		s.addOutstanding(start.Task, outstandingStart{target: start.Target, attempt: start.Attempt, expiresAt: now.Add(remaining), earlierHome: true})
@@ -301,6 +301,16 @@
 	}
 }
 
+// hasOrphan reports whether the target of an earlier home's start request lists its run.
+func (s *Scheduler) hasOrphan(start OutstandingStart) bool {
+	target, ok := s.targets[start.Target]
+	if !ok {
+		return false
+	}
+	r, ok := target.runs[runKey{start.Task, start.Attempt}]
+	return ok && r.orphan
+}
+
 // AddRemoteStarts makes jobs that may have a start request under way in another zone
 // go on there: they are redirected if they are submitted here, or wait here.
 func (s *Scheduler) AddRemoteStarts(zone string, starts []OutstandingStart, now time.Time) {
--- a/rattanscheduler/outstanding_test.go
+++ b/rattanscheduler/outstanding_test.go
@@ -575,3 +575,16 @@
 	z.Check(z.scheduler.OutstandingStarts(z.now), qt.DeepEquals, []OutstandingStart{start})
 	z.Check(z.scheduler.OutstandingStarts(z.now.Add(4*time.Second)), qt.HasLen, 1)
 }
+
+// TestListedRunIsNotBoundByLateList guards against a task that waits for one target after
+// its run there has failed: other instances tell of its start after that is listed.
+func TestListedRunIsNotBoundByLateList(t *testing.T) {
+	z := newIncarnationZone(qt.New(t), 2)
+	start := OutstandingStart{jobA + ".0.0.0", "t0", 1, LateStartBound}
+	z.listRuns(0, rattanwork.Listing{Incarnation: firstIncarnation, Running: []rattanwork.Run{{Task: start.Task, Attempt: start.Attempt}}})
+	z.scheduler.AddOutstandingStarts([]OutstandingStart{start}, z.now)
+	z.Check(z.scheduler.OutstandingStarts(z.now), qt.HasLen, 0)
+	other := OutstandingStart{start.Task, "t0", 2, LateStartBound}
+	z.scheduler.AddOutstandingStarts([]OutstandingStart{other}, z.now)
+	z.Check(z.scheduler.OutstandingStarts(z.now), qt.HasLen, 1)
+}
