Test that an unanswered start stays in the lists

Planted, a start that leaves the lists as soon as the time for its answer is over was not noticed: nobody else knew of it until the next heartbeat. TestUnansweredStartStaysListed fails with that change, and passes in 10 of 10 runs without it.

--- a/rattanhome/start_list_test.go
+++ b/rattanhome/start_list_test.go
@@ -130,3 +130,22 @@
 	}
 	c.Check(exchange.told()[1].Starts, qt.HasLen, 0, qt.Commentf("the answered request stays listed"))
 }
+
+// TestUnansweredStartStaysListed guards against a start request that nobody else knows of
+// between the time for its answer and the next heartbeat.
+func TestUnansweredStartStaysListed(t *testing.T) {
+	c := qt.New(t)
+	targets, exchange := newFakeTargets(time.Millisecond), &heldExchange{release: make(chan struct{})}
+	close(exchange.release)
+	targets.loseStart = func(number int) bool { return number == 1 }
+	h := New(Config{FencingToken: FencingTokenStep, MaxLease: time.Second, Targets: targets, Observer: noopObserver{}, Exchange: exchange, Clock: time.Now})
+	c.Cleanup(h.Close)
+	h.UpdateTargets([]rattanwork.Target{fakeTarget("t0")}, true)
+	_, err := h.Submit(context.Background(), testSubmission(1))
+	c.Assert(err, qt.IsNil)
+	lists := exchange.told()
+	c.Assert(len(lists) >= 2, qt.IsTrue)
+	first := lists[0].Starts[0]
+	second := ListedStart{first.Task, first.Target, first.Attempt + 1}
+	c.Check(lists[1].Starts, qt.ContentEquals, []ListedStart{first, second})
+}
