Test that a home goes on while a list is told

Planted, a list that is told under the home's mutex was not noticed: all requests of the home would wait for a slow instance, 5 ms for each list.

--- a/rattanhome/start_list_test.go
+++ b/rattanhome/start_list_test.go
@@ -149,3 +149,29 @@
 	second := ListedStart{first.Task, first.Target, first.Attempt + 1}
 	c.Check(lists[1].Starts, qt.ContentEquals, []ListedStart{first, second})
 }
+
+// TestSlowExchangeHoldsUpNoOtherRequest guards against a home that does nothing else while
+// it tells a list.
+func TestSlowExchangeHoldsUpNoOtherRequest(t *testing.T) {
+	c := qt.New(t)
+	exchange := &heldExchange{release: make(chan struct{})}
+	h := New(Config{FencingToken: FencingTokenStep, MaxLease: time.Second, Targets: newFakeTargets(time.Millisecond), Observer: noopObserver{}, Exchange: exchange, Clock: time.Now})
+	c.Cleanup(h.Close)
+	c.Cleanup(func() { close(exchange.release) })
+	h.UpdateTargets([]rattanwork.Target{fakeTarget("t0")}, true)
+	go func() { _, _ = h.Submit(context.Background(), testSubmission(1)) }()
+	for deadline := time.Now().Add(5 * time.Second); len(exchange.told()) == 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(exchange.told(), qt.HasLen, 1)
+	answered := make(chan struct{})
+	go func() {
+		h.OutstandingStarts()
+		close(answered)
+	}()
+	select {
+	case <-answered:
+	case <-time.After(5 * time.Second):
+		c.Error("the home waits for its list")
+	}
+}
