--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -82,6 +82,9 @@
 	// maybeStarted is set if a run may have started, in which case the job
 	// cannot be refused.
 	maybeStarted bool
+	// unhosted is set while no known target could run the job and an earlier home may
+	// have started it.
+	unhosted bool
 	// hasLosses is set if a target was lost under one of the tasks.
 	hasLosses    bool
 	runCount     int
--- a/rattanscheduler/priority.go
+++ b/rattanscheduler/priority.go
@@ -253,7 +253,11 @@
 		list = append(list, s.pastDeadline(now)...)
 	}
 	for _, j := range list {
-		s.expireJob(j, now)
+		// A job without a target is refused as soon as the targets have listed their
+		// runs, which is a better answer.
+		if !j.unhosted || now.After(j.submission.Deadline) {
+			s.expireJob(j, now)
+		}
 	}
 }
 
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -307,10 +307,12 @@
 // refuseUnhostable refuses a job that has certainly not started and that no target
 // could ever run, and reports whether it has.
 func (s *Scheduler) refuseUnhostable(j *job, now time.Time) bool {
+	j.unhosted = false
 	if j.mayHaveStarted() || !s.targetsKnown || s.canEverRun(j) {
 		return false
 	}
-	if s.awaitsReconciliation(j, now) {
+	j.unhosted = s.awaitsReconciliation(j, now)
+	if j.unhosted {
 		s.unhosted = append(s.unhosted, j)
 		return false
 	}
--- a/rattanscheduler/takeover_test.go
+++ b/rattanscheduler/takeover_test.go
@@ -358,9 +358,10 @@
 			small.Capacity.MilliCPU = 1000
 			z.scheduler.UpdateTargets([]rattanwork.Target{small}, false, z.now)
 			submission := z.submission(jobA, 1)
+			submission.Objective, submission.LateUntil = z.now, z.now.Add(time.Millisecond)
 			z.scheduler.Submit(submission, z.now)
-			z.advance(time.Millisecond)
-			z.Check(z.scheduler.Take().Results, qt.HasLen, 0)
+			z.advance(inventoryReadTime)
+			z.Check(z.scheduler.Take().Results, qt.HasLen, 0, qt.Commentf("its answer has lost its value"))
 			targets := []rattanwork.Target{small}
 			if runs {
 				targets = append(targets, large)
