Test who is told of starts, and whom a list binds

Seven planted changes were not noticed by the tests of the package: no home of another zone told, no successor told beside two zones, no second member told, a home bound by a list of its own token or of another zone, a list to other zones that waits for good, and starts not named to an instance that knows the homes of other zones.

--- a/rattanzone/start_list_test.go
+++ b/rattanzone/start_list_test.go
@@ -217,3 +217,81 @@
 	c.Assert(sent(), qt.HasLen, 2)
 	c.Check(sent()[1], qt.Contains, `"Number":3`)
 }
+
+// TestStartListsGoToWhoMustKnow guards against starts that nobody knows of who is left:
+// the successor and the other zones, or a second member where there is no other zone.
+func TestStartListsGoToWhoMustKnow(t *testing.T) {
+	for zones, wantMembers := range [][]string{{"m1", "m2"}, {"m1"}, {"m1"}} {
+		c, now := qt.New(t), time.Now()
+		agent := New(Config{
+			Self: rattanwork.Member{Name: "home", Zone: "z"}, Peers: noPeers{}, Journal: quietJournal{},
+			DesiredState: &DesiredStateWatcher{}, Inventory: NewInventory(nil), Clock: time.Now,
+		})
+		for _, name := range []string{"m3", "m1", "m2"} {
+			agent.recordSender(&View{Sender: rattanwork.Member{Name: name, Zone: "z", Address: name}}, now)
+		}
+		var wantRemote []string
+		for i := range zones {
+			name := fmt.Sprint("h", i)
+			agent.mergeClaim(Claim{Zone: fmt.Sprint("y", i), Name: name, Address: name, FencingToken: 1}, name, now)
+			wantRemote = append(wantRemote, name)
+		}
+		members, remote := agent.toldAddresses(now)
+		c.Check(members, qt.DeepEquals, wantMembers)
+		c.Check(remote, qt.ContentEquals, wantRemote)
+	}
+}
+
+// TestOnlyListsOfFormerHomesBindLocalHome guards against tasks that wait for the target
+// of another zone, or for one that this home has asked itself.
+func TestOnlyListsOfFormerHomesBindLocalHome(t *testing.T) {
+	z := &outstandingZones{C: qt.New(t), targets: &answerlessTargets{startedAt: map[string]int{}}}
+	agent := z.newAgent("home", "z", "t1")
+	home := z.claim(agent)
+	receive := func(list *StartListMessage) int {
+		_, err := agent.handleStartList(context.Background(), "sender", mustMarshal(list))
+		z.Assert(err, qt.IsNil)
+		return len(home.OutstandingStarts())
+	}
+	z.Check(receive(startList("y", home.FencingToken()-1, 1, "j.0.0.0")), qt.Equals, 0)
+	z.Check(receive(startList("z", home.FencingToken(), 1, "j.0.0.0")), qt.Equals, 0)
+	z.Check(receive(startList("z", home.FencingToken()-1, 1, "k.0.0.0")), qt.Not(qt.Equals), 0)
+}
+
+// TestWaitingListReachesOtherZones guards against a last list that is never sent.
+func TestWaitingListReachesOtherZones(t *testing.T) {
+	c := qt.New(t)
+	peers := &blockedPeers{release: make(chan struct{})}
+	close(peers.release)
+	agent := New(Config{
+		Self: rattanwork.Member{Name: "home", Zone: "z"}, Peers: peers, Journal: quietJournal{},
+		DesiredState: &DesiredStateWatcher{}, Inventory: NewInventory(nil), Clock: time.Now,
+	})
+	agent.mergeClaim(Claim{Zone: "y", Name: "other", Address: "other", FencingToken: 1}, "other", time.Now())
+	for number := range int64(3) {
+		agent.Tell(rattanhome.StartList{FencingToken: 1, Number: number + 1})
+	}
+	lastSent := func() string {
+		peers.mutex.Lock()
+		defer peers.mutex.Unlock()
+		return strings.Join(peers.bodies, "")
+	}
+	for deadline := time.Now().Add(5 * time.Second); !strings.Contains(lastSent(), `"Number":3`) && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	c.Check(lastSent(), qt.Contains, `"Number":3`)
+}
+
+// TestKeptStartsAreNamedToZoneWithoutHome guards against an instance that asks for the
+// starts of its former home in vain because it knows the homes of other zones.
+func TestKeptStartsAreNamedToZoneWithoutHome(t *testing.T) {
+	z := &outstandingZones{C: qt.New(t), targets: &answerlessTargets{startedAt: map[string]int{}}}
+	other := z.newAgent("other", "y", "t1")
+	other.startRecord.replace(startList("z", 1, 1, "j.0.0.0"), time.Now())
+	for claimed, want := range map[string]int{"y": 1, "z": 0} {
+		view := &View{Sender: rattanwork.Member{Name: "asking", Zone: "z"}, Claims: []Claim{{Zone: claimed, Name: "n", FencingToken: 2}}}
+		other.mutex.Lock()
+		z.Check(other.keptFor(view, time.Now()), qt.HasLen, want)
+		other.mutex.Unlock()
+	}
+}
