--- a/rattanhome/renewer.go
+++ b/rattanhome/renewer.go
@@ -400,8 +400,9 @@
 }
 
 // sendStart sends a start request once it is told to other instances, and reports
-// the answer to the scheduler. If there is no answer, it raises the fencing token, so that the target no longer
-// executes the request once it has seen the new token, and requests a listing.
+// the answer to the scheduler. If there is no answer, it raises the fencing token, so
+// that the target no longer executes the request once it has seen the new token, and
+// requests a listing.
 func (l *leaseRenewer) sendStart(target *rattanwork.Target, request rattanwork.StartRequest, listed ListedStart, told <-chan struct{}) {
 	h := l.home
 	if !h.awaitTold(told) {
--- a/rattanzone/election.go
+++ b/rattanzone/election.go
@@ -89,8 +89,8 @@
 }
 
 // probeZone sends a heartbeat to all members of the zone, to the seeds, and to the
-// homes of other zones, which may know of start requests of the former home. It returns the views of the members of the zone that answer and are not shutting
-// down.
+// homes of other zones, which may know of start requests of the former home. It
+// returns the views of the members of the zone that answer and are not shutting down.
 func (a *Agent) probeZone() map[string]View {
 	addresses := map[string]bool{}
 	for _, m := range a.zoneMembers() {
