Test which lists a full record forgets and which it names to a home

The check for the last list alone is replaced by one for all that are kept, which it contains (64 lists with tokens above 64 are the newest 64).

--- a/rattanzone/start_list_test.go
+++ b/rattanzone/start_list_test.go
@@ -43,6 +43,8 @@
 	c.Check(record.replace(startList("a", 20, 1, "l.0"), now.Add(time.Second)), qt.IsTrue)
 	c.Check(record.replace(startList("b", 10, 1, "m.0"), now), qt.IsTrue)
 	c.Check(tasksOf("a", now), qt.ContentEquals, []string{"k.0", "l.0"})
+	c.Check(record.ofFormerHomes("a", 20, now), qt.HasLen, 1, qt.Commentf("the list of the present home is named to it"))
+	c.Check(record.ofFormerHomes("a", 10, now), qt.HasLen, 0)
 	zone, starts := record.ofJob("m", "a", now)
 	c.Check(zone, qt.Equals, "b")
 	c.Check(starts, qt.DeepEquals, []rattanscheduler.OutstandingStart{{Task: "m.0", Target: "t0", Attempt: 1, Remaining: rattanscheduler.LateStartBound}})
@@ -68,8 +70,9 @@
 	}
 	c.Check(record.lists, qt.HasLen, maxStartLists)
 	c.Check(record.ofZone("a", now.Add(time.Second)), qt.HasLen, maxStartLists)
-	_, newest := record.lists[homeKey{"a", 2 * maxStartLists}]
-	c.Check(newest, qt.IsTrue)
+	for token := range record.lists {
+		c.Check(token.fencingToken > maxStartLists, qt.IsTrue, qt.Commentf("%d is kept for a newer one", token.fencingToken))
+	}
 	record.replace(startList("a", 1000, 1), now.Add(time.Minute))
 	c.Check(record.lists, qt.HasLen, 1)
 }
