Read the evacuated zones with the desired state

An operator's request to evacuate a zone is a key beside the desired state. One watch and one range read of their common prefix return both, so that the number of calls to the store stays the same. The set keeps the revision as of which it is complete; a set of a lower revision never replaces it. Without evacuations the calls are as before.

--- a/rattannode/silent_store_test.go
+++ b/rattannode/silent_store_test.go
@@ -13,6 +13,7 @@
 	"github.com/rattanlever/rattanlever/platform"
 	"github.com/rattanlever/rattanlever/rattanmetric"
 	"github.com/rattanlever/rattanlever/rattansite"
+	"github.com/rattanlever/rattanlever/rattanwork"
 	"github.com/rattanlever/rattanlever/rattanzone"
 )
 
@@ -41,7 +42,7 @@
 	var group sync.WaitGroup
 	for range 4 {
 		group.Go(func() {
-			_, _, err := source.WaitForChange(context.Background(), 1<<40, 50*time.Millisecond)
+			_, err := source.WaitForChange(context.Background(), rattanwork.OperatorState{Revision: 1 << 40}, 50*time.Millisecond)
 			c.Check(err, qt.IsNil)
 		})
 	}
--- a/rattannode/version_test.go
+++ b/rattannode/version_test.go
@@ -112,12 +112,12 @@
 // silentSource is a store that does not answer.
 type silentSource struct{}
 
-func (silentSource) Current(ctx context.Context) ([]byte, int64, error) {
+func (silentSource) Current(ctx context.Context) (rattanwork.OperatorState, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return rattanwork.OperatorState{}, ctx.Err()
 }
 
-func (s silentSource) WaitForChange(ctx context.Context, _ int64, _ time.Duration) ([]byte, int64, error) {
+func (s silentSource) WaitForChange(ctx context.Context, _ rattanwork.OperatorState, _ time.Duration) (rattanwork.OperatorState, error) {
 	return s.Current(ctx)
 }
 
--- a/rattanwork/desired_state.go
+++ b/rattanwork/desired_state.go
@@ -73,3 +73,14 @@
 	}
 	return best, best != nil
 }
+
+// OperatorState is what an operator has written to the store, or what has changed of
+// it.
+type OperatorState struct {
+	// Document is the desired state, nil if there is none or it has not changed.
+	Document []byte
+	// Revision is the store revision after which further changes are to be read.
+	Revision int64
+	// Evacuations has the revision 0 if they are not read.
+	Evacuations Evacuations
+}
--- a/rattanzone/desired_state.go
+++ b/rattanzone/desired_state.go
@@ -18,21 +18,23 @@
 	watchTimeout = 900 * time.Millisecond
 	// watchRetryDelay is the least time from a call that fails to the next read.
 	watchRetryDelay = 200 * time.Millisecond
+	// storeSource names the store as the source of what is in force.
+	storeSource = "store"
 )
 
 // ErrStaleDesiredState reports that a desired state is older than the one in
 // force.
 const ErrStaleDesiredState = errors.ConstError("desired state is older than the one in force")
 
-// DesiredStateSource reads the desired state from the store.
+// DesiredStateSource reads from the store what an operator has written.
 type DesiredStateSource interface {
-	// Current returns the desired state and the store revision at which it was
-	// read. It returns rattanwork.ErrNoDesiredState if there is none.
-	Current(ctx context.Context) (document []byte, revision int64, err error)
-	// WaitForChange waits for a change after the revision, at most for the
-	// timeout. It returns the changed document, nil if there is none, and the
-	// revision to continue from.
-	WaitForChange(ctx context.Context, revision int64, timeout time.Duration) (document []byte, next int64, err error)
+	// Current returns what is in the store. It returns rattanwork.ErrNoDesiredState
+	// if there is neither a desired state nor a set of evacuations to return.
+	Current(ctx context.Context) (rattanwork.OperatorState, error)
+	// WaitForChange waits for a change after the revision of what is known, at most
+	// for the timeout. It returns what has changed, the evacuations as a whole, and
+	// the revision to continue from.
+	WaitForChange(ctx context.Context, known rattanwork.OperatorState, timeout time.Duration) (rattanwork.OperatorState, error)
 }
 
 // DesiredStateJournal records changes of the desired state and of the
@@ -51,6 +53,8 @@
 	Source  DesiredStateSource
 	Parse   func(document []byte) (*rattanwork.DesiredState, error)
 	Journal DesiredStateJournal
+	// Evacuations gets the evacuations that the source reads, nil if it reads none.
+	Evacuations *Evacuations
 	// Peers carries the transfers between instances. If it is nil, there are none.
 	Peers DocumentPeers
 	Clock func() time.Time
@@ -84,6 +88,12 @@
 	// Only the loop uses the fields below. revision is the store revision from which
 	// to continue, 0 if the state must be read.
 	revision int64
+	// evacuations is the set that was read from the store, as of revision. It may be
+	// older than the one in force.
+	evacuations rattanwork.Evacuations
+	// behind is set if the last answer of the store was older than the evacuations in
+	// force, because the store has lost changes.
+	behind bool
 	// unreachableSince is when the store stopped answering, zero while it answers.
 	unreachableSince time.Time
 }
@@ -252,12 +262,29 @@
 		w.transferFailed(ctx, source, err)
 		return
 	}
-	if w.revision != 0 {
-		w.revision = max(w.revision, received.revision)
-	}
+	w.continueFrom(received.revision)
 	w.Compared(begunAt)
 }
 
+// continueFrom keeps the store from sending again a desired state that another
+// instance has sent, which is the newest one up to the revision.
+func (w *DesiredStateWatcher) continueFrom(revision int64) {
+	if w.revision == 0 || w.behind || revision <= w.revision {
+		return
+	}
+	if w.config.Evacuations != nil {
+		// The set is complete up to its revision only. Changes before that, which the
+		// store sends again, lead to the same set.
+		known := w.config.Evacuations.Known()
+		if known.Revision <= w.revision {
+			return
+		}
+		w.evacuations = known
+		revision = min(revision, known.Revision)
+	}
+	w.revision = revision
+}
+
 // transferFailed records that a transfer from another instance has failed.
 func (w *DesiredStateWatcher) transferFailed(ctx context.Context, source rattanwork.Member, err error) {
 	if ctx.Err() != nil {
@@ -298,26 +325,34 @@
 
 // callStore reads the state or waits for a change.
 func (w *DesiredStateWatcher) callStore(ctx context.Context) error {
-	var document []byte
-	var next int64
+	var answer rattanwork.OperatorState
 	var err error
+	known := w.config.Evacuations.Known()
+	begunAt := w.config.Evacuations.BeginComparison()
 	if w.revision == 0 {
-		document, next, err = w.config.Source.Current(ctx)
+		answer, err = w.config.Source.Current(ctx)
 	} else {
-		document, next, err = w.config.Source.WaitForChange(ctx, w.revision, watchTimeout)
+		answer, err = w.config.Source.WaitForChange(ctx, rattanwork.OperatorState{Revision: w.revision, Evacuations: w.evacuations}, watchTimeout)
 	}
 	if err != nil {
 		return err
 	}
+	next := answer.Revision
 	if next < w.revision {
 		// The store has lost changes that another instance has seen.
 		next = 0
 	}
 	w.revision = next
-	if document != nil {
+	w.behind = answer.Revision < known.Revision
+	if next != 0 && w.config.Evacuations != nil {
+		w.evacuations = answer.Evacuations
+		w.config.Evacuations.Merge(answer.Evacuations, storeSource)
+		w.config.Evacuations.Compared(begunAt)
+	}
+	if answer.Document != nil {
 		// Errors are ignored: an older document is a stale read, and accept records
 		// an invalid one.
-		_ = w.accept(document, next, "store")
+		_ = w.accept(answer.Document, next, storeSource)
 	}
 	return nil
 }
--- a/rattanzone/desired_state_test.go
+++ b/rattanzone/desired_state_test.go
@@ -27,28 +27,28 @@
 	exhausted chan struct{}
 }
 
-func (s *scriptedSource) next(ctx context.Context) ([]byte, int64, error) {
+func (s *scriptedSource) next(ctx context.Context) (rattanwork.OperatorState, error) {
 	s.mutex.Lock()
 	if len(s.answers) == 0 {
 		s.mutex.Unlock()
 		close(s.exhausted)
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return rattanwork.OperatorState{}, ctx.Err()
 	}
 	answer := s.answers[0]
 	s.answers = s.answers[1:]
 	s.mutex.Unlock()
 	if answer.document == "" {
-		return nil, 1, answer.err
+		return rattanwork.OperatorState{Revision: 1}, answer.err
 	}
-	return []byte(answer.document), 1, answer.err
+	return rattanwork.OperatorState{Document: []byte(answer.document), Revision: 1}, answer.err
 }
 
-func (s *scriptedSource) Current(ctx context.Context) ([]byte, int64, error) {
+func (s *scriptedSource) Current(ctx context.Context) (rattanwork.OperatorState, error) {
 	return s.next(ctx)
 }
 
-func (s *scriptedSource) WaitForChange(ctx context.Context, _ int64, _ time.Duration) ([]byte, int64, error) {
+func (s *scriptedSource) WaitForChange(ctx context.Context, _ rattanwork.OperatorState, _ time.Duration) (rattanwork.OperatorState, error) {
 	return s.next(ctx)
 }
 
--- a/rattanzone/document_transfer_test.go
+++ b/rattanzone/document_transfer_test.go
@@ -76,19 +76,19 @@
 	reads    int
 }
 
-func (s *countingSource) Current(context.Context) ([]byte, int64, error) {
+func (s *countingSource) Current(context.Context) (rattanwork.OperatorState, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.reads++
-	return []byte(s.document), 1, nil
+	return rattanwork.OperatorState{Document: []byte(s.document), Revision: 1}, nil
 }
 
-func (s *countingSource) WaitForChange(ctx context.Context, revision int64, timeout time.Duration) ([]byte, int64, error) {
+func (s *countingSource) WaitForChange(ctx context.Context, known rattanwork.OperatorState, timeout time.Duration) (rattanwork.OperatorState, error) {
 	select {
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return rattanwork.OperatorState{}, ctx.Err()
 	case <-time.After(timeout):
-		return nil, revision, nil
+		return rattanwork.OperatorState{Revision: known.Revision}, nil
 	}
 }
 
--- a/rattanzone/freshness.go
+++ b/rattanzone/freshness.go
@@ -34,13 +34,16 @@
 	return !f.tickedAt.IsZero() && now.Sub(f.tickedAt) > silenceTimeout
 }
 
-// compared records a comparison, begun at that time, that brought no newer version.
-func (f *freshness) compared(begunAt time.Time) {
+// compared records a comparison, begun at that time, that brought no newer version,
+// and reports whether it was the first one since a pause.
+func (f *freshness) compared(begunAt time.Time) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if !begunAt.Before(f.resumedAt) {
-		f.resumedAt = time.Time{}
+	if f.resumedAt.IsZero() || begunAt.Before(f.resumedAt) {
+		return false
 	}
+	f.resumedAt = time.Time{}
+	return true
 }
 
 // current reports whether there was a comparison since the last pause.
@@ -50,6 +53,14 @@
 	return f.resumedAt.IsZero() && !f.pausedBefore(now)
 }
 
+// recentlyPaused reports whether this instance was paused without a comparison since,
+// unless it has noticed that longer ago than the limit.
+func (f *freshness) recentlyPaused(now time.Time, limit time.Duration) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.pausedBefore(now) || !f.resumedAt.IsZero() && now.Sub(f.resumedAt) < limit
+}
+
 // Tick implements DesiredStateStore.
 func (w *DesiredStateWatcher) Tick(now time.Time) (paused bool) {
 	return w.freshness.tick(now)
