Exchange the evacuated zones in heartbeats

An instance that the store rejects, or that starts during an outage, learns the set from the others. Evacuated zones are left out of the zones to which jobs may be redirected.

--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -83,6 +83,9 @@
 	// nil, there are no other instances.
 	Exchange StartExchange
 	Observer Observer
+	// Evacuation returns what is known of the evacuation of the zone. If it is nil,
+	// evacuations are not used.
+	Evacuation func(now time.Time) rattanwork.EvacuationStatus
 	// Suspended returns for how long the steady clock of this machine has stood
 	// still, 0 if it is nil.
 	Suspended func() time.Duration
@@ -212,6 +215,8 @@
 	// jobs for that reason.
 	Lag        time.Duration
 	Overloaded bool
+	// Evacuated is set if nothing may start in the zone.
+	Evacuated bool `json:",omitempty"`
 }
 
 // Load returns the current load.
@@ -291,6 +296,9 @@
 	h.scheduler.SetRemoteZones(zones)
 }
 
+// EvacuationChanged makes the home act on a change of what Config.Evacuation returns.
+func (h *Home) EvacuationChanged() {}
+
 // Submit waits for the result of a job and starts the job unless it is already
 // known. ErrDeposed and ErrClosed mean that the job must be submitted to another
 // home. If ctx ends, the job continues.
--- a/rattanzone/agent.go
+++ b/rattanzone/agent.go
@@ -89,7 +89,9 @@
 	Peers        Peers
 	Directory    Directory
 	DesiredState DesiredStateStore
-	Inventory    *Inventory
+	// Evacuations is exchanged with the other instances, nil if it is not used.
+	Evacuations *Evacuations
+	Inventory   *Inventory
 	// Crashes is exchanged with the other instances. If it is nil, the agent
 	// starts with an empty history.
 	Crashes *rattancrash.History
@@ -167,6 +169,8 @@
 	// local home last sent heartbeats to its own zone and to other zones.
 	lastZoneHeartbeat   time.Time
 	lastRemoteHeartbeat time.Time
+	// evacuationStatus is what the heartbeat loop last noticed of the own zone.
+	evacuationStatus rattanwork.EvacuationStatus
 }
 
 type member struct {
@@ -240,6 +244,9 @@
 	if a.config.SavedCancellations != nil {
 		a.loops.Go(a.cancellationLoop)
 	}
+	if a.config.Evacuations != nil {
+		a.loops.Go(a.evacuationLoop)
+	}
 	return nil
 }
 
@@ -278,15 +285,33 @@
 	return home.claim, true, a.homeChanged
 }
 
+// evacuationLoop tells the local home of changes of the evacuated zones at once.
+func (a *Agent) evacuationLoop() {
+	for {
+		changed := a.config.Evacuations.Changed()
+		if localHome := a.LocalHome(); localHome != nil {
+			localHome.SetRemoteZones(a.remoteCapacity(a.config.Clock()))
+			localHome.EvacuationChanged()
+		}
+		select {
+		case <-a.ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // remoteCapacity returns the free capacity of the other zones that have no
-// waiting tasks and whose home has reported its load recently and is not
-// overloaded itself.
+// waiting tasks, are not evacuated, and whose home has reported its load recently and
+// is not overloaded itself.
 func (a *Agent) remoteCapacity(now time.Time) []rattanscheduler.RemoteZone {
+	evacuations := a.config.Evacuations.Known()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	var capacities []rattanscheduler.RemoteZone
 	for zone, home := range a.homes {
-		if zone != a.config.Self.Zone && home.age(now) < maxLoadAge && home.claim.Load.WaitingTasks == 0 && !home.claim.Load.Overloaded {
+		load := &home.claim.Load
+		if zone != a.config.Self.Zone && home.age(now) < maxLoadAge && load.WaitingTasks == 0 && !load.Overloaded && !load.Evacuated && !evacuations.Contains(zone) {
 			capacities = append(capacities, rattanscheduler.RemoteZone{Zone: zone, FreeMilliCPU: home.claim.Load.FreeMilliCPU})
 		}
 	}
--- a/rattanzone/heartbeat.go
+++ b/rattanzone/heartbeat.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/rattanlever/rattanlever/rattanhome"
 	"github.com/rattanlever/rattanlever/rattanpeer"
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
@@ -64,6 +65,7 @@
 	a.sendKeepAlives()
 	if localHome := a.LocalHome(); localHome != nil {
 		localHome.SetRemoteZones(a.remoteCapacity(now))
+		a.noticeEvacuationStatus(localHome, now)
 		a.sendHomeHeartbeats(now)
 		return heartbeatInterval
 	}
@@ -81,6 +83,7 @@
 // follow it may be out of reach.
 func (a *Agent) noticePause(now time.Time) {
 	suspended := a.Suspended()
+	a.config.Evacuations.Tick(now)
 	paused := a.config.DesiredState.Tick(now) || suspended-a.lastSuspended > silenceTimeout
 	if paused {
 		a.lastZoneHeartbeat = time.Time{}
@@ -89,6 +92,16 @@
 	a.lastSuspended = suspended
 }
 
+// noticeEvacuationStatus tells the local home that the status of its zone has changed,
+// also by the passing of time.
+func (a *Agent) noticeEvacuationStatus(localHome *rattanhome.Home, now time.Time) {
+	status := a.config.Evacuations.Status(a.config.Self.Zone, now)
+	if status != a.evacuationStatus {
+		a.evacuationStatus = status
+		localHome.EvacuationChanged()
+	}
+}
+
 // sendHomeHeartbeats sends the heartbeats of the local home that are due to
 // members of its zone and to other zones.
 func (a *Agent) sendHomeHeartbeats(now time.Time) {
@@ -168,6 +181,7 @@
 	ctx, cancel := context.WithTimeout(a.ctx, heartbeatTimeout)
 	defer cancel()
 	begunAt := a.config.Clock()
+	comparisonBegunAt := a.config.Evacuations.BeginComparison()
 	body, err := a.config.Peers.Call(ctx, address, methodHeartbeat, mustMarshal(a.viewFor(a.memberAt(address))))
 	if err != nil {
 		return err
@@ -181,6 +195,9 @@
 	if view.DesiredVersion <= a.config.DesiredState.Version() {
 		a.config.DesiredState.Compared(begunAt)
 	}
+	if view.Evacuations != nil {
+		a.config.Evacuations.Compared(comparisonBegunAt)
+	}
 	return nil
 }
 
@@ -225,6 +242,7 @@
 		Uptime:            a.Uptime(now),
 		DesiredVersion:    a.config.DesiredState.Version(),
 		InventoryRevision: a.config.Inventory.Revision(),
+		Evacuations:       a.config.Evacuations.sendable(now),
 	}
 	if localHome != nil {
 		view.KeptTargets = a.config.Inventory.Kept()
@@ -269,6 +287,9 @@
 	kept := a.outstanding.keep(a.config.Self.Zone, view.KeptStarts, now)
 	fromHome, localHome := a.isFromHome(view), a.localHome
 	a.mutex.Unlock()
+	if view.Evacuations != nil {
+		a.config.Evacuations.Merge(*view.Evacuations, view.Sender.Name)
+	}
 	a.cancelJobs(cancelled)
 	if localHome != nil {
 		a.journalLearned(view.Sender.Zone, view.Sender.Name, learned)
--- a/rattanzone/message.go
+++ b/rattanzone/message.go
@@ -35,6 +35,7 @@
 	view.KeptTargets = validTargets(view.KeptTargets)
 	view.OutstandingStarts = validStarts(view.OutstandingStarts, maxSentStarts)
 	view.KeptStarts = validStarts(view.KeptStarts, maxReturnedStarts)
+	view.Evacuations = validEvacuations(view.Evacuations)
 	return &view, nil
 }
 
--- a/rattanzone/view.go
+++ b/rattanzone/view.go
@@ -79,6 +79,9 @@
 	// Cancellations is nil if the receiver is not known to the sender, or if the
 	// sender is of the former version.
 	Cancellations *CancellationUpdate `json:",omitempty"`
+	// Evacuations is nil if the sender does not know them, does not use them or is of
+	// the former version.
+	Evacuations *rattanwork.Evacuations `json:",omitempty"`
 }
 
 // homeRecord is a claim and the time at which its home was last heard from.
