Use evacuations where the settings state their delay

bounds.evacuate_ms enables the reading and the exchange of the evacuated zones. Their begin and end are logged with the revision and the source, and a gauge counts them.

--- a/rattanmetric/table.go
+++ b/rattanmetric/table.go
@@ -61,6 +61,7 @@
 	CancellationsTotal        = "rattanlever_cancellations_total"
 	CancelledSubmissionsTotal = "rattanlever_cancelled_submissions_total"
 	RememberedCancellations   = "rattanlever_remembered_cancellations"
+	EvacuatedZones            = "rattanlever_evacuated_zones"
 	StoreCallsTotal           = "rattanlever_store_calls_total"
 	LogLinesTotal             = "rattanlever_log_lines_total"
 	LogLinesDroppedTotal      = "rattanlever_log_lines_dropped_total"
@@ -144,6 +145,7 @@
 	{CancellationsTotal, KindCounter, []string{"outcome"}, "Callers' requests to cancel a job, by outcome."},
 	{CancelledSubmissionsTotal, KindCounter, nil, "Submissions of jobs that their callers have cancelled, before or after."},
 	{RememberedCancellations, KindGauge, nil, "Cancelled jobs that this instance remembers."},
+	{EvacuatedZones, KindGauge, nil, "Zones that are evacuated as far as this instance knows; only where evacuations are used."},
 	{StoreCallsTotal, KindCounter, nil, "Calls to the platform's metadata store."},
 	{LogLinesTotal, KindCounter, nil, "Log lines taken in for writing."},
 	{LogLinesDroppedTotal, KindCounter, nil, "Log lines dropped because the output was too slow."},
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -11,6 +11,7 @@
 	"github.com/rattanlever/rattanlever/rattanhome"
 	"github.com/rattanlever/rattanlever/rattanmetric"
 	"github.com/rattanlever/rattanlever/rattanscheduler"
+	"github.com/rattanlever/rattanlever/rattanwork"
 	"github.com/rattanlever/rattanlever/rattanzone"
 )
 
@@ -358,6 +359,16 @@
 	j.logger.WithFields(logrus.Fields{"Source": source, "Error": err.Error()}).Warn("desired state not received")
 }
 
+// EvacuationBegan records that nothing more may start in a zone.
+func (j *Journal) EvacuationBegan(evacuation rattanwork.Evacuation, revision int64, source string) {
+	j.logger.WithFields(logrus.Fields{"Zone": evacuation.Zone, "Since": evacuation.Since, "Revision": revision, "Source": source}).Warn("zone evacuation begun")
+}
+
+// EvacuationEnded records that the request to evacuate a zone was withdrawn.
+func (j *Journal) EvacuationEnded(zone string, revision int64, source string) {
+	j.logger.WithFields(logrus.Fields{"Zone": zone, "Revision": revision, "Source": source}).Info("zone evacuation ended")
+}
+
 // maxErrorLength bounds the bytes of an error that may contain what another
 // program has written.
 const maxErrorLength = 300
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -67,12 +67,14 @@
 
 // Node is one running instance.
 type Node struct {
-	config        Config
-	settings      atomic.Pointer[platform.Settings]
-	journal       *Journal
-	kernel        *rattankernel.Kernel
-	agent         *rattanzone.Agent
-	desiredState  *rattanzone.DesiredStateWatcher
+	config       Config
+	settings     atomic.Pointer[platform.Settings]
+	journal      *Journal
+	kernel       *rattankernel.Kernel
+	agent        *rattanzone.Agent
+	desiredState *rattanzone.DesiredStateWatcher
+	// evacuations is nil if the settings do not state that they are used.
+	evacuations   *rattanzone.Evacuations
 	callerHandler *rattanfront.Handler
 	store         *platform.Store
 	targetClient  *platform.TargetClient
@@ -124,12 +126,17 @@
 		SilenceTimeout:  peerSilence,
 		HandlerPanicked: n.journal.HandlerPanicked,
 	})
+	if settings.EvacuationDelay > 0 {
+		n.evacuations = rattanzone.NewEvacuations(rattanzone.EvacuationsConfig{Journal: n.journal, Suspended: n.suspended, Clock: n.config.Clock})
+		n.config.Registry.Gauge(rattanmetric.EvacuatedZones, func() float64 { return float64(len(n.evacuations.Known().Zones)) })
+	}
 	n.desiredState = rattanzone.NewDesiredStateWatcher(rattanzone.DesiredStateConfig{
-		Source:  &platform.DesiredStateSource{Store: n.store},
-		Parse:   platform.ParseDesiredState,
-		Journal: n.journal,
-		Peers:   peerNode,
-		Clock:   n.config.Clock,
+		Source:      &platform.DesiredStateSource{Store: n.store, Evacuations: n.evacuations != nil},
+		Parse:       platform.ParseDesiredState,
+		Journal:     n.journal,
+		Evacuations: n.evacuations,
+		Peers:       peerNode,
+		Clock:       n.config.Clock,
 	})
 	cancellationStore := &platform.CancellationStore{Store: n.store}
 	n.agent = rattanzone.New(rattanzone.Config{
@@ -138,6 +145,7 @@
 		Peers:              peerNode,
 		Directory:          &platform.Directory{Store: n.store},
 		DesiredState:       n.desiredState,
+		Evacuations:        n.evacuations,
 		Inventory:          rattanzone.NewInventory(platform.NewInventorySource(n.store, n.journal)),
 		Crashes:            n.crashes,
 		CrashStore:         &platform.CrashStore{Store: n.store},
@@ -193,6 +201,10 @@
 
 func (n *Node) newHome(fencingToken int64) *rattanhome.Home {
 	settings := n.settings.Load()
+	var evacuation func(now time.Time) rattanwork.EvacuationStatus
+	if n.evacuations != nil {
+		evacuation = func(now time.Time) rattanwork.EvacuationStatus { return n.evacuations.Status(settings.Zone, now) }
+	}
 	return rattanhome.New(rattanhome.Config{
 		FencingToken:  fencingToken,
 		MaxLease:      settings.MaxLease,
@@ -203,6 +215,7 @@
 		Targets:       n.targetClient,
 		Exchange:      n.agent,
 		Observer:      n.journal,
+		Evacuation:    evacuation,
 		Suspended:     n.suspended,
 		Clock:         n.config.Clock,
 	})
