--- a/rattanmetric/table.go
+++ b/rattanmetric/table.go
@@ -145,7 +145,7 @@
 	{CancellationsTotal, KindCounter, []string{"outcome"}, "Callers' requests to cancel a job, by outcome."},
 	{CancelledSubmissionsTotal, KindCounter, nil, "Submissions of jobs that their callers have cancelled, before or after."},
 	{RememberedCancellations, KindGauge, nil, "Cancelled jobs that this instance remembers."},
-	{EvacuatedZones, KindGauge, nil, "Zones that are evacuated as far as this instance knows; only where evacuations are used."},
+	{EvacuatedZones, KindGauge, nil, "Zones that are evacuated as far as this instance knows."},
 	{StoreCallsTotal, KindCounter, nil, "Calls to the platform's metadata store."},
 	{LogLinesTotal, KindCounter, nil, "Log lines taken in for writing."},
 	{LogLinesDroppedTotal, KindCounter, nil, "Log lines dropped because the output was too slow."},
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -128,7 +128,6 @@
 	})
 	if settings.EvacuationDelay > 0 {
 		n.evacuations = rattanzone.NewEvacuations(rattanzone.EvacuationsConfig{Journal: n.journal, Suspended: n.suspended, Clock: n.config.Clock})
-		n.config.Registry.Gauge(rattanmetric.EvacuatedZones, func() float64 { return float64(len(n.evacuations.Known().Zones)) })
 	}
 	n.desiredState = rattanzone.NewDesiredStateWatcher(rattanzone.DesiredStateConfig{
 		Source:      &platform.DesiredStateSource{Store: n.store, Evacuations: n.evacuations != nil},
@@ -156,6 +155,7 @@
 		Suspended:          n.suspended,
 		Clock:              n.config.Clock,
 	})
+	n.config.Registry.Gauge(rattanmetric.EvacuatedZones, func() float64 { return float64(len(n.evacuations.Known().Zones)) })
 	n.config.Registry.Gauge(rattanmetric.HomeLagSeconds, n.homeLagSeconds)
 	n.config.Registry.Gauge(rattanmetric.RememberedCancellations, func() float64 { return float64(n.cancellations.Len()) })
 	n.homeService = rattanhome.NewService(rattanhome.ServiceConfig{
