--- a/rattansite/documents.go
+++ b/rattansite/documents.go
@@ -26,6 +26,9 @@
 	CPUShare float64
 	// MemoryMB is the memory of the machine in megabytes, 0 if unknown.
 	MemoryMB int
+	// EvacuateMillis is the time in milliseconds from a request to evacuate a zone
+	// after which nothing may start there, 0 if evacuations are not used.
+	EvacuateMillis int
 }
 
 // File returns the content of the settings file.
@@ -34,6 +37,10 @@
 	for i, ip := range s.SeedIPs {
 		seeds[i] = ip + ":" + PeerPort
 	}
+	bounds := map[string]any{"max_hold_ms": 1000, "grace_s": 6, "retransmit_ms": 1300, "remote_penalty": 1.5}
+	if s.EvacuateMillis != 0 {
+		bounds["evacuate_ms"] = s.EvacuateMillis
+	}
 	data, err := json.Marshal(map[string]any{
 		"node_name": s.Name, "ip": s.IP, "zone": s.Zone, "region": "region", "control_mode": "call",
 		"listen": map[string]string{
@@ -42,7 +49,7 @@
 		"limits":     map[string]any{"cpu_share": s.CPUShare, "cores": 1, "memory_mb": s.MemoryMB},
 		"port_range": []int{7720, 7735}, "seeds": seeds,
 		"platform": map[string]any{"address": s.StoreAddress, "form": "kv"},
-		"bounds":   map[string]any{"max_hold_ms": 1000, "grace_s": 6, "retransmit_ms": 1300, "remote_penalty": 1.5},
+		"bounds":   bounds,
 	})
 	return data, errors.Trace(err)
 }
--- a/rattansite/invariants.go
+++ b/rattansite/invariants.go
@@ -20,7 +20,7 @@
 // InvariantChecker checks guarantees that are visible to targets and callers: a
 // task never has two runs at the same time, no target is overcommitted, only
 // submitted tasks run, a refused job does not run, a cancelled job is not started
-// later, and a job that is reported as complete has run all its tasks.
+// later, nothing starts in an evacuated zone after a bound, and a job that is reported as complete has run all its tasks.
 type InvariantChecker struct {
 	// Observe receives each start and end of a run, if it is set before the first.
 	Observe func(event string)
@@ -45,6 +45,10 @@
 	// cancelledAt when the cancelling of a job was accepted.
 	refused     map[string]bool
 	cancelledAt map[string]time.Time
+	// noStartsAfter holds the time for each evacuated zone after which nothing may
+	// start there, startsByZone the number of runs that targets have started.
+	noStartsAfter map[string]time.Time
+	startsByZone  map[string]int
 	// cancelTime is how long after its cancelling was accepted a job's tasks may be
 	// started.
 	cancelTime time.Duration
@@ -66,6 +70,8 @@
 		losses:          map[string]int{},
 		refused:         map[string]bool{},
 		cancelledAt:     map[string]time.Time{},
+		noStartsAfter:   map[string]time.Time{},
+		startsByZone:    map[string]int{},
 		cancelTime:      maxCancelTime,
 	}
 }
@@ -190,9 +196,10 @@
 }
 
 // runStarted records a start. With late, the target has executed it late.
-func (c *InvariantChecker) runStarted(target, task string, overcommitted, late bool) {
+func (c *InvariantChecker) runStarted(zone, target, task string, overcommitted, late bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.startedIn(zone, target, task, late)
 	c.observe("target %s: task %s starts, late %t", target, task, late)
 	c.starts++
 	c.startsByJob[jobID(task)]++
--- a/rattansite/invariants_test.go
+++ b/rattansite/invariants_test.go
@@ -17,7 +17,7 @@
 		c.cancelledAt[job] = time.Now().Add(-maxCancelTime - time.Second)
 	}
 	lose := func(c *InvariantChecker, target string) {
-		c.runStarted(target, task, false, false)
+		c.runStarted("a", target, task, false, false)
 		c.runEnded(target, task, outcomeCrashed)
 	}
 	tests := map[string]struct {
@@ -25,33 +25,33 @@
 		violates bool
 	}{
 		"two runs": {func(c *InvariantChecker) {
-			c.runStarted("i-1", task, false, false)
-			c.runStarted("i-2", task, false, true)
+			c.runStarted("a", "i-1", task, false, false)
+			c.runStarted("a", "i-2", task, false, true)
 		}, true},
 		"second run after the first": {func(c *InvariantChecker) {
 			lose(c, "i-1")
-			c.runStarted("i-2", task, false, false)
+			c.runStarted("a", "i-2", task, false, false)
 		}, false},
 		"refused and started later": {func(c *InvariantChecker) {
 			c.JobRefused(job)
-			c.runStarted("i-1", task, false, true)
+			c.runStarted("a", "i-1", task, false, true)
 		}, true},
 		"refused and sent again": {func(c *InvariantChecker) {
 			c.JobRefused(job)
 			c.JobSubmitted(job, TaskProfile{})
-			c.runStarted("i-1", task, false, false)
+			c.runStarted("a", "i-1", task, false, false)
 		}, false},
 		"cancelled and started at once": {func(c *InvariantChecker) {
 			c.JobCancelled(job)
-			c.runStarted("i-1", task, false, false)
+			c.runStarted("a", "i-1", task, false, false)
 		}, false},
 		"cancelled and started later": {func(c *InvariantChecker) {
 			cancelledLongAgo(c)
-			c.runStarted("i-1", task, false, false)
+			c.runStarted("a", "i-1", task, false, false)
 		}, true},
 		"cancelled and start executed late": {func(c *InvariantChecker) {
 			cancelledLongAgo(c)
-			c.runStarted("i-1", task, false, true)
+			c.runStarted("a", "i-1", task, false, true)
 		}, false},
 		"failed after one loss": {func(c *InvariantChecker) {
 			lose(c, "i-1")
@@ -67,6 +67,27 @@
 			c.endLost("i-2", task)
 			c.JobFailed(job, 1)
 		}, false},
+		"started after the bound for an evacuation": {func(c *InvariantChecker) {
+			c.ZoneEvacuated("a", -time.Second)
+			c.runStarted("a", "i-1", task, false, false)
+		}, true},
+		"started before the bound for an evacuation": {func(c *InvariantChecker) {
+			c.ZoneEvacuated("a", time.Minute)
+			c.runStarted("a", "i-1", task, false, false)
+		}, false},
+		"start before an evacuation executed late": {func(c *InvariantChecker) {
+			c.ZoneEvacuated("a", -time.Second)
+			c.runStarted("a", "i-1", task, false, true)
+		}, false},
+		"started in another zone": {func(c *InvariantChecker) {
+			c.ZoneEvacuated("b", -time.Second)
+			c.runStarted("a", "i-1", task, false, false)
+		}, false},
+		"started after an evacuation": {func(c *InvariantChecker) {
+			c.ZoneEvacuated("a", -time.Second)
+			c.EvacuationEnds("a")
+			c.runStarted("a", "i-1", task, false, false)
+		}, false},
 		"complete without a run": {func(c *InvariantChecker) { c.JobSucceeded(job, 1) }, true},
 	}
 	for name, test := range tests {
--- a/rattansite/target.go
+++ b/rattansite/target.go
@@ -454,7 +454,7 @@
 	profile := t.config.Checker.taskProfile(request.Task)
 	run := &targetRun{task: request.Task, attempt: request.Attempt, milliCPU: profile.MilliCPU, startedAt: time.Now(), duration: profile.Duration}
 	t.runs[request.Task] = run
-	t.config.Checker.runStarted(t.id, request.Task, t.usedMilliCPU() > t.config.MilliCPU, t.late)
+	t.config.Checker.runStarted(t.config.Zone, t.id, request.Task, t.usedMilliCPU() > t.config.MilliCPU, t.late)
 	outcome := outcomeDone
 	if t.faults.FailAll {
 		outcome = outcomeFailed
