Start nothing in an evacuated zone

A scheduler knows whether its zone is evacuated and starts no task while it is, or while that is not known. Jobs that have not started are redirected or refused at once; a job that would have to start a task ends, and is redirected once its runs are proven gone. The home checks the status at each event and again before a start request is sent, because the request waits for its list to be told.

--- a/rattanhome/authority.go
+++ b/rattanhome/authority.go
@@ -77,7 +77,8 @@
 }
 
 // now returns the present time. After a pause, the home gives no orders until its
-// targets have confirmed that they follow it. The caller holds the mutex.
+// targets have confirmed that they follow it. The status of the zone's evacuation applies
+// from then on. The caller holds the mutex.
 func (h *Home) now() time.Time {
 	now := h.config.Clock()
 	if !h.closed && h.authority.observe(now, h.suspended()) {
@@ -86,6 +87,7 @@
 			l.requestRelist()
 		}
 	}
+	h.applyEvacuation(now)
 	return now
 }
 
--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -82,7 +82,10 @@
 	// Exchange tells other instances of start requests before they are sent. If it is
 	// nil, there are no other instances.
 	Exchange StartExchange
-	Observer Observer
+	// Evacuation returns whether tasks may start in the zone. It is called with the
+	// home's mutex held, for each event. If it is nil, evacuations are not used.
+	Evacuation func(now time.Time) rattanwork.EvacuationStatus
+	Observer   Observer
 	// Suspended returns for how long the steady clock of this machine has stood
 	// still, 0 if it is nil.
 	Suspended func() time.Duration
@@ -163,6 +166,7 @@
 		raisedTokens: map[string]int64{},
 		idle:         true,
 	}
+	h.scheduler.SetEvacuation(h.evacuation(config.Clock()), config.Clock())
 	go h.tickLoop()
 	go h.tellStarts()
 	return h
@@ -212,6 +216,9 @@
 	// jobs for that reason.
 	Lag        time.Duration
 	Overloaded bool
+	// Evacuated is set if no task may start because the zone is evacuated, or because
+	// it is not known whether it is.
+	Evacuated bool `json:",omitempty"`
 }
 
 // Load returns the current load.
@@ -225,6 +232,7 @@
 		Jobs:         h.scheduler.Jobs(),
 		Lag:          h.lag.current(now),
 		Overloaded:   h.overloaded,
+		Evacuated:    h.evacuation(now) != rattanwork.EvacuationNone,
 	}
 }
 
--- a/rattanhome/renewer.go
+++ b/rattanhome/renewer.go
@@ -405,7 +405,7 @@
 // requests a listing.
 func (l *leaseRenewer) sendStart(target *rattanwork.Target, request rattanwork.StartRequest, listed ListedStart, told <-chan struct{}) {
 	h := l.home
-	if !h.awaitTold(told) {
+	if !h.awaitTold(told) || !l.admitStart(request, listed) {
 		return
 	}
 	sentAt, ctx, cancel := h.requestContext()
--- /dev/null
+++ b/rattanscheduler/evacuation.go
@@ -0,0 +1,156 @@
+package rattanscheduler
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rattanlever/rattanlever/rattanwork"
+)
+
+const (
+	// evacuationRetryAfter is the suggested retry delay of a job that is refused
+	// because the zone is evacuated. Other zones may have room by then.
+	evacuationRetryAfter = 2 * time.Second
+	// maxLeaveTime is how long a job that may have started waits for the proof that
+	// its runs are gone before it is ended without being redirected. A stop and the
+	// listing after it take two round trips.
+	maxLeaveTime = 600 * time.Millisecond
+	// listedStartTime is how long other instances may still list a start request that
+	// was answered or dropped: lists follow each other after 50 ms, those to another
+	// zone after at least 20 ms. Until then, another zone would send the job back.
+	listedStartTime = 100 * time.Millisecond
+	// listedUnansweredTime is the same after the time for the answer is over. Such
+	// requests stay listed for 300 ms.
+	listedUnansweredTime = 400 * time.Millisecond
+)
+
+// reasonEvacuated is the reason for the end of jobs of an evacuated zone.
+const reasonEvacuated = "zone is evacuated"
+
+// SetEvacuation sets whether tasks may start in the zone. It answers an operator's
+// request to empty a zone: jobs that would have to start a task are redirected, refused
+// or ended at once, and runs that are under way may end. While the status is unknown,
+// no task starts, and jobs wait.
+func (s *Scheduler) SetEvacuation(status rattanwork.EvacuationStatus, now time.Time) {
+	if status == s.evacuation {
+		return
+	}
+	s.evacuation = status
+	if status == rattanwork.EvacuationNone {
+		for _, j := range s.jobs {
+			j.leaveUntil = time.Time{}
+		}
+	}
+	s.endEvacuated(now)
+	s.schedule(now)
+}
+
+// Evacuation returns the status that was set last.
+func (s *Scheduler) Evacuation() rattanwork.EvacuationStatus {
+	return s.evacuation
+}
+
+// startsBlocked reports whether no task may start for the time being.
+func (s *Scheduler) startsBlocked() bool {
+	return s.held || s.evacuation != rattanwork.EvacuationNone
+}
+
+// endEvacuated ends the jobs that cannot continue in an evacuated zone, urgent ones
+// first.
+func (s *Scheduler) endEvacuated(now time.Time) {
+	if s.evacuation != rattanwork.EvacuationActive {
+		return
+	}
+	jobs := slices.SortedFunc(maps.Values(s.jobs), func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.submission.Priority, b.submission.Priority), a.submittedAt.Compare(b.submittedAt),
+			cmp.Compare(a.submission.Job.ID, b.submission.Job.ID))
+	})
+	for _, j := range jobs {
+		s.endIfEvacuated(j, now)
+	}
+}
+
+// endIfEvacuated ends a job that cannot continue because the zone is evacuated. A job
+// of which all remaining tasks are running continues. One that an earlier home may have
+// started is decided on once that is known.
+func (s *Scheduler) endIfEvacuated(j *job, now time.Time) {
+	if s.evacuation != rattanwork.EvacuationActive || j.outcome != Open || s.awaitsReconciliation(j, now) {
+		return
+	}
+	switch {
+	case !j.mayHaveStarted():
+		if now.Before(j.listedUntil) && s.bestRemoteZone(j, 1) >= 0 {
+			return
+		}
+		s.endJob(j, Refused, reasonEvacuated, evacuationRetryAfter, now)
+	case slices.ContainsFunc(j.tasks, func(t *task) bool { return t.state == taskWaiting }):
+		s.leave(j, now)
+	}
+}
+
+// leave stops the runs of a job that may have started and redirects the job once they
+// are proven gone. If there is no room elsewhere or no proof in time, the job ends
+// without a result.
+func (s *Scheduler) leave(j *job, now time.Time) {
+	if j.leaveUntil.IsZero() {
+		j.leaveUntil = now.Add(maxLeaveTime)
+	}
+	zone := s.zoneToLeaveFor(j)
+	if zone < 0 || !now.Before(j.leaveUntil) || slices.ContainsFunc(j.tasks, s.bound) {
+		s.endJob(j, Expired, reasonEvacuated, 0, now)
+		return
+	}
+	gone := true
+	for _, t := range j.tasks {
+		for _, r := range [...]*run{t.run, t.slowRun} {
+			if r != nil && r.state != runStopping {
+				r.state = runStopping
+				s.requestStop(r, now)
+			}
+		}
+		gone = gone && s.activeRuns[t.name] == 0
+	}
+	if !gone || now.Before(j.listedUntil) {
+		return
+	}
+	end := ending{outcome: Redirected, reason: reasonEvacuated, zone: s.reserveZone(j, zone), mayHaveStarted: true, moved: true}
+	s.finishJob(j, end, now)
+}
+
+// StartDropped records that a start request was not sent, because no task may start any
+// more. The task waits again, as if the request had not been decided on.
+func (s *Scheduler) StartDropped(targetID, taskName string, attempt int, now time.Time) {
+	target, ok := s.targets[targetID]
+	if !ok {
+		return
+	}
+	r, ok := target.runs[runKey{taskName, attempt}]
+	if !ok {
+		// The request had become void before it was sent.
+		s.settleStart(taskName, targetID, attempt)
+		s.advanceWaitingTask(taskName, now)
+		return
+	}
+	s.removeRun(r)
+	if t := r.task; t != nil && t.hasRun(r) {
+		j := t.job
+		j.recordEnd(r, "NotSent", now)
+		j.runCount--
+		j.listUntil(now.Add(listedStartTime))
+		t.clearRun(r)
+		if t.run == nil {
+			t.state = taskWaiting
+		}
+		s.advanceJob(j, now)
+	} else {
+		s.advanceWaitingTask(taskName, now)
+	}
+	s.schedule(now)
+}
+
+// listUntil records until when other instances may list a start request of the job.
+func (j *job) listUntil(until time.Time) {
+	j.listedUntil = later(j.listedUntil, until)
+}
--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -79,14 +79,15 @@
 	// sequence is the order in which jobs were first queued, 0 before that.
 	sequence uint64
 	outcome  Outcome
-	// maybeStarted is set if a run may have started, in which case the job
-	// cannot be refused.
+	// maybeStarted is set if a run may have started that this home has not
+	// requested for the job.
 	maybeStarted bool
 	// unhosted is set while no known target could run the job and an earlier home may
 	// have started it.
 	unhosted bool
 	// hasLosses is set if a target was lost under one of the tasks.
-	hasLosses    bool
+	hasLosses bool
+	// runCount is the number of requested runs, without requests that were dropped.
 	runCount     int
 	failureCount int
 	// firstStart is the time from submission to the first requested run.
@@ -94,6 +95,11 @@
 	// callersUntil is until when the callers of the job certainly wait, as of the
 	// last attempt to start its tasks, zero if there is no limit.
 	callersUntil time.Time
+	// listedUntil is until when other instances may list a start request of the job
+	// that has been answered or dropped. leaveUntil is until when the job waits for
+	// the proof that its runs are gone, zero unless it leaves an evacuated zone.
+	listedUntil time.Time
+	leaveUntil  time.Time
 	history      []RunRecord
 }
 
@@ -159,9 +165,10 @@
 	return j.tasks[first : first+j.submission.Job.Steps[step].Count]
 }
 
-// mayHaveStarted reports whether a run of the job may have started.
+// mayHaveStarted reports whether a run of the job may have started, in which case the
+// job cannot be refused.
 func (j *job) mayHaveStarted() bool {
-	return j.maybeStarted
+	return j.maybeStarted || j.runCount > 0
 }
 
 // task returns the task with the given name, or nil.
--- a/rattanscheduler/listing.go
+++ b/rattanscheduler/listing.go
@@ -129,6 +129,9 @@
 	}
 	if r.confirmedAt.IsZero() {
 		r.confirmedAt = now
+		if r.task != nil {
+			r.task.job.listUntil(now.Add(listedStartTime))
+		}
 		delete(s.unanswered, r)
 	}
 	if r.state == runRequested || r.state == runUncertain {
--- a/rattanscheduler/outstanding.go
+++ b/rattanscheduler/outstanding.go
@@ -75,6 +75,9 @@
 // recordUnanswered records that the time for the answer to a start request is over.
 func (s *Scheduler) recordUnanswered(r *run, now time.Time) {
 	r.unansweredAt = now
+	if r.task != nil {
+		r.task.job.listUntil(now.Add(listedUnansweredTime))
+	}
 	s.unanswered[r] = struct{}{}
 	s.recordStartChange(r.taskName, r.target.info.ID, r.attempt, StartUnanswered)
 }
--- a/rattanscheduler/placement.go
+++ b/rattanscheduler/placement.go
@@ -66,7 +66,7 @@
 // schedule starts waiting tasks on targets with sufficient free resources.
 func (s *Scheduler) schedule(now time.Time) {
 	s.refreshTargets(now)
-	if !s.held {
+	if !s.startsBlocked() {
 		s.startWaiting(now)
 	}
 }
--- a/rattanscheduler/priority.go
+++ b/rattanscheduler/priority.go
@@ -217,7 +217,7 @@
 // tooMuchBefore reports whether a job that has not started would miss its
 // objective because of the work before it.
 func (j *job) tooMuchBefore(work float64, pool *targetPool, now time.Time) bool {
-	if j.runCount > 0 || j.mayHaveStarted() {
+	if j.mayHaveStarted() {
 		return false
 	}
 	wait := time.Duration(work / float64(pool.expectedMilliCPU()))
--- a/rattanscheduler/progress.go
+++ b/rattanscheduler/progress.go
@@ -1,6 +1,10 @@
 package rattanscheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/rattanlever/rattanlever/rattanwork"
+)
 
 const (
 	// minProgressAge is the age of a run below which its progress is ignored:
@@ -60,6 +64,9 @@
 // canRestart reports whether a new run on another target is possible and could still
 // complete while the answer has value.
 func (s *Scheduler) canRestart(r *run, now time.Time) bool {
+	if s.evacuation != rattanwork.EvacuationNone {
+		return false
+	}
 	expected := s.estimator.expectedRunTime(r.task.job, r.task.stepIndex)
 	_, lateUntil := s.adjustedDeadlines(r.task.job)
 	return r.task.restarts < maxRestarts && !s.bound(r.task) && now.Add(expected).Before(lateUntil)
--- a/rattanscheduler/redirect.go
+++ b/rattanscheduler/redirect.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
 const (
@@ -26,6 +28,8 @@
 	until time.Time
 	// startedThere is set if that zone has told of a start.
 	startedThere bool
+	// moved is set if the job had started here before it was redirected.
+	moved bool
 }
 
 // redirectAgain redirects a job that was redirected before to the same zone,
@@ -67,10 +71,11 @@
 
 // Redirects reports whether a job is redirected to the zone where it may run. One that
 // may have started and was redirected here is not sent back, unless that zone has told
-// of a start: each of two zones may have redirected it to the other one.
+// of a start or the job had started here: each of two zones may have redirected it to
+// the other one.
 func (s *Scheduler) Redirects(submission Submission, now time.Time) bool {
 	earlier, ok := s.redirectedJobs[submission.Job.ID]
-	return ok && now.Before(earlier.until) && (earlier.startedThere || !submission.Resumed || !submission.Redirected)
+	return ok && now.Before(earlier.until) && (earlier.startedThere || earlier.moved || !submission.Resumed || !submission.Redirected)
 }
 
 // removeRedirections forgets the jobs whose callers no longer wait.
@@ -85,7 +90,7 @@
 
 // redirect redirects jobs that have not started to zones with free capacity.
 func (s *Scheduler) redirect(now time.Time) {
-	if !s.mayRedirect() {
+	if s.evacuation != rattanwork.EvacuationNone || !s.mayRedirect() {
 		return
 	}
 	for _, j := range s.waitingJobs() {
@@ -116,8 +121,23 @@
 	if best < 0 {
 		return ""
 	}
-	s.remoteZones[best].FreeMilliCPU -= j.readyMilliCPU()
-	return s.remoteZones[best].Zone
+	return s.reserveZone(j, best)
+}
+
+// reserveZone reserves capacity for a job in the zone with the index and returns the
+// zone.
+func (s *Scheduler) reserveZone(j *job, index int) string {
+	s.remoteZones[index].FreeMilliCPU -= j.readyMilliCPU()
+	return s.remoteZones[index].Zone
+}
+
+// zoneToLeaveFor returns the index of the zone to which a job that has started here is
+// redirected, or -1 if there is none.
+func (s *Scheduler) zoneToLeaveFor(j *job) int {
+	if !j.submission.Redirectable && !j.submission.Resumed && !j.submission.Redirected {
+		return -1
+	}
+	return s.roomiestZone(j, 1)
 }
 
 // bestRemoteZone returns the index of the zone with the most free capacity, or
@@ -127,6 +147,12 @@
 	if !j.submission.Redirectable || j.mayHaveStarted() {
 		return -1
 	}
+	return s.roomiestZone(j, copies)
+}
+
+// roomiestZone returns the index of the zone with the most free capacity, or -1 if that
+// has no room for the given number of copies of the job.
+func (s *Scheduler) roomiestZone(j *job, copies int) int {
 	best := -1
 	for i := range s.remoteZones {
 		if best < 0 || s.remoteZones[i].FreeMilliCPU > s.remoteZones[best].FreeMilliCPU {
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -29,7 +29,6 @@
 		j.firstStart = now.Sub(j.submittedAt)
 	}
 	j.runCount++
-	j.maybeStarted = true
 	j.recordStart(r, now)
 	s.output.Starts = append(s.output.Starts, StartRequest{
 		Target:     &target.info,
@@ -58,6 +57,9 @@
 	}
 	switch result := answer.Result; {
 	case result == rattanwork.StartAccepted:
+		if r.task != nil {
+			r.task.job.listUntil(now.Add(listedStartTime))
+		}
 		r.confirmedAt = now
 		r.startClock = answer.ClockMillis
 		if r.state == runRequested {
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -162,8 +162,10 @@
 	reconcileUntil time.Time
 	// latestLeaseEnd is the latest end of a lease on any target.
 	latestLeaseEnd time.Time
-	// held is set while no task may start.
-	held   bool
+	// held is set while no task may start because this home may have lost its
+	// authority, evacuation tells whether tasks may start in the zone.
+	held       bool
+	evacuation rattanwork.EvacuationStatus
 	output Output
 	// startWaiting starts the waiting tasks for which there are resources.
 	startWaiting func(now time.Time)
@@ -219,7 +221,8 @@
 
 // Busy reports whether Tick has decisions to make soon.
 func (s *Scheduler) Busy() bool {
-	return s.WaitingTasks() > 0 || len(s.unansweredStops) > 0 || len(s.orphans) > 0
+	return s.WaitingTasks() > 0 || len(s.unansweredStops) > 0 || len(s.orphans) > 0 ||
+		s.evacuation == rattanwork.EvacuationActive && len(s.jobs) > 0
 }
 
 // FreeMilliCPU returns the free processor capacity of the usable targets.
@@ -246,7 +249,7 @@
 	j := newJob(submission, now)
 	s.jobs[submission.Job.ID] = j
 	s.adoptRuns(j)
-	if s.refuseUnhostable(j, now) {
+	if s.evacuation != rattanwork.EvacuationActive && s.refuseUnhostable(j, now) {
 		return
 	}
 	s.advanceJob(j, now)
@@ -286,6 +289,7 @@
 	s.refreshEstimates(now)
 	s.refuseUnhosted(now)
 	s.endExpired(now)
+	s.endEvacuated(now)
 	s.schedule(now)
 	s.redirect(now)
 	s.refuseOverloaded(now)
@@ -384,6 +388,7 @@
 		return
 	}
 	s.reposition(j)
+	s.endIfEvacuated(j, now)
 }
 
 // ending is how a job ends.
@@ -391,10 +396,12 @@
 	outcome Outcome
 	reason  string
 	// retryAfter is set if the job is refused, zone if it is redirected, and
-	// mayHaveStarted if it may have started in that zone.
+	// mayHaveStarted if it may have started, here or in that zone. moved is set if
+	// it has started here.
 	retryAfter     time.Duration
 	zone           string
 	mayHaveStarted bool
+	moved          bool
 }
 
 // endJob ends a job. Instead of being refused, a job is redirected if that is allowed
@@ -423,7 +430,7 @@
 	j.outcome = end.outcome
 	delete(s.jobs, id)
 	if end.outcome == Redirected {
-		s.redirectedJobs[id] = redirection{zone: end.zone, until: j.submission.Deadline.Add(s.longestLease())}
+		s.redirectedJobs[id] = redirection{zone: end.zone, until: j.submission.Deadline.Add(s.longestLease()), moved: end.moved}
 	}
 	if (end.outcome == Cancelled || end.outcome == Expired) && j.mayHaveStarted() {
 		s.recordBegun(id, now)
--- a/rattanscheduler/speculation.go
+++ b/rattanscheduler/speculation.go
@@ -7,7 +7,7 @@
 // whether it has started one.
 func (s *Scheduler) startSpeculativeRun(slow *run, now time.Time) bool {
 	t := slow.task
-	if s.held || !t.step().Speculative || t.step().Gang || t.run != slow || t.slowRun != nil || s.hasLosses(t.name) || s.WaitingTasks() > 0 {
+	if s.startsBlocked() || !t.step().Speculative || t.step().Gang || t.run != slow || t.slowRun != nil || s.hasLosses(t.name) || s.WaitingTasks() > 0 {
 		return false
 	}
 	t.avoidTarget = slow.target
