--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -100,7 +100,7 @@
 	// the proof that its runs are gone, zero unless it leaves an evacuated zone.
 	listedUntil time.Time
 	leaveUntil  time.Time
-	history      []RunRecord
+	history     []RunRecord
 }
 
 // historyFor returns the run history to report for a job that ends with the
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -166,7 +166,7 @@
 	// authority, evacuation tells whether tasks may start in the zone.
 	held       bool
 	evacuation rattanwork.EvacuationStatus
-	output Output
+	output     Output
 	// startWaiting starts the waiting tasks for which there are resources.
 	startWaiting func(now time.Time)
 }
