Choose another zone by the room for the tasks of a job

A sum of free capacity does not show what fits: two tasks of 9 cores do not fit on 16. Homes report how many tasks of each size class fit, and the expected wait by priority; a job goes where it ends earliest and clearly earlier than here, among equals by the spare room. What was sent to a zone since its report is subtracted. A front whose job was refused by another zone returns to its own, whose home knows which zones were tried.

--- a/rattanday/product.go
+++ b/rattanday/product.go
@@ -141,7 +141,10 @@
 		var others []rattanscheduler.RemoteZone
 		for _, other := range s.zones {
 			if other != zone {
-				others = append(others, rattanscheduler.RemoteZone{Zone: other.name, FreeMilliCPU: other.scheduler.FreeMilliCPU(start.Add(s.now))})
+				now := start.Add(s.now)
+				others = append(others, rattanscheduler.RemoteZone{
+					Zone: other.name, FreeMilliCPU: other.scheduler.FreeMilliCPU(now), Rooms: other.scheduler.Rooms(now), ReportedAt: now,
+				})
 			}
 		}
 		zone.scheduler.SetRemoteZones(others)
--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -59,6 +60,10 @@
 	// job was redirected because this instance's zone had no capacity for it.
 	zone       string
 	redirected bool
+	// tried contains the zones that have redirected or refused the job, lastRefusal is
+	// the answer for the last refusal of another zone.
+	tried       []string
+	lastRefusal response
 	// earlierZone is the zone that redirected the job although an earlier submission to
 	// it was unsettled, "" if there is none.
 	earlierZone string
@@ -216,12 +221,7 @@
 			// Each of two zones may take the job for started in the other one.
 			s.wait(ctx, nil)
 		}
-		if s.submissions.unsettledCount() > 0 {
-			s.earlierZone = s.zone
-		}
-		s.zone = reply.Result.Zone
-		s.redirected = true
-		return response{}, false
+		return s.follow(reply.Result)
 	}
 	if reply.CancelledByCaller {
 		return cancelledResponse(), true
@@ -237,9 +237,47 @@
 		s.withdrawUnsettled()
 		return notCompleteResponse(reply.Result.Reason), true
 	}
+	if reply.Result.Outcome == rattanscheduler.Refused && s.redirected {
+		s.tryNextZone(reply.Result)
+		return response{}, false
+	}
 	return outcomeResponse(reply.Result), true
 }
 
+// follow goes on in the zone to which a job was redirected, or returns the last refusal
+// if that zone has refused the job already: a home of the former version does not know
+// which zones have.
+func (s *submission) follow(result rattanscheduler.JobResult) (response, bool) {
+	if !s.maybeStarted() && slices.Contains(s.tried, result.Zone) {
+		return s.lastRefusal, true
+	}
+	if s.submissions.unsettledCount() > 0 {
+		s.earlierZone = s.zone
+	}
+	s.addTried(s.zone)
+	s.zone = result.Zone
+	s.redirected = true
+	return response{}, false
+}
+
+// tryNextZone goes back to this instance's zone after the refusal of another zone. Its
+// home knows where the job was redirected. It starts the job, redirects it to a zone that
+// was not tried, or refuses it.
+func (s *submission) tryNextZone(result rattanscheduler.JobResult) {
+	s.lastRefusal = outcomeResponse(result)
+	s.addTried(s.zone)
+	s.zone = s.handler.config.Self.Zone
+	s.redirected = false
+	s.unreachableSince = time.Time{}
+}
+
+// addTried records that a zone has redirected or refused the job.
+func (s *submission) addTried(zone string) {
+	if !slices.Contains(s.tried, zone) {
+		s.tried = append(s.tried, zone)
+	}
+}
+
 // notAccepted reports whether the answer to a submission proves that it has started
 // no task and will not start any.
 func notAccepted(reply rattanhome.Reply, err error) bool {
@@ -297,6 +335,7 @@
 		EarlierHomes:   otherHomes,
 		Redirectable:   !resumed && !s.redirected,
 		Redirected:     s.redirected,
+		Tried:          s.tried,
 	}
 }
 
--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -212,6 +212,8 @@
 	FreeMilliCPU int
 	WaitingTasks int
 	Jobs         int
+	// Rooms is the room by service. It is not known of a home of the former version.
+	Rooms []rattanscheduler.ServiceRoom `json:",omitempty"`
 	// Lag is how late the home handles events. Overloaded is set if it refuses
 	// jobs for that reason.
 	Lag        time.Duration
@@ -230,6 +232,7 @@
 		FreeMilliCPU: h.scheduler.FreeMilliCPU(now),
 		WaitingTasks: h.scheduler.WaitingTasks(),
 		Jobs:         h.scheduler.Jobs(),
+		Rooms:        h.scheduler.Rooms(now),
 		Lag:          h.lag.current(now),
 		Overloaded:   h.overloaded,
 		Evacuated:    h.evacuation(now) != rattanwork.EvacuationNone,
@@ -292,7 +295,7 @@
 	h.flush(now)
 }
 
-// SetRemoteZones replaces the known free capacity of other availability zones.
+// SetRemoteZones replaces what is known of the room in other availability zones.
 func (h *Home) SetRemoteZones(zones []rattanscheduler.RemoteZone) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/rattanhome/service.go
+++ b/rattanhome/service.go
@@ -72,6 +72,8 @@
 	EarlierHomes int
 	Redirectable bool `json:"MayMove"`
 	Redirected   bool `json:",omitempty"`
+	// Tried contains the zones that have redirected or refused the job.
+	Tried []string `json:",omitempty"`
 }
 
 // Reply is the answer to a Request.
@@ -269,6 +271,7 @@
 		EarlierHomes: r.EarlierHomes,
 		Redirectable: r.Redirectable,
 		Redirected:   r.Redirected,
+		Tried:        r.Tried,
 	}
 }
 
--- a/rattanscheduler/evacuation.go
+++ b/rattanscheduler/evacuation.go
@@ -81,7 +81,7 @@
 	}
 	switch {
 	case !j.mayHaveStarted():
-		if now.Before(j.listedUntil) && s.bestRemoteZone(j, 1) >= 0 {
+		if now.Before(j.listedUntil) && s.bestRemoteZone(j, 1, now) >= 0 {
 			return
 		}
 		s.endJob(j, Refused, reasonEvacuated, evacuationRetryAfter, now)
@@ -97,7 +97,7 @@
 	if j.leaveUntil.IsZero() {
 		j.leaveUntil = now.Add(maxLeaveTime)
 	}
-	zone := s.zoneToLeaveFor(j)
+	zone := s.zoneToLeaveFor(j, now)
 	if zone < 0 || !now.Before(j.leaveUntil) || slices.ContainsFunc(j.tasks, s.bound) {
 		s.endJob(j, Expired, reasonEvacuated, 0, now)
 		return
@@ -115,7 +115,7 @@
 	if !gone || now.Before(j.listedUntil) {
 		return
 	}
-	end := ending{outcome: Redirected, reason: reasonEvacuated, zone: s.reserveZone(j, zone), mayHaveStarted: true, moved: true}
+	end := ending{outcome: Redirected, reason: reasonEvacuated, zone: s.reserveZone(j, zone, now), mayHaveStarted: true, moved: true}
 	s.finishJob(j, end, now)
 }
 
--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -87,6 +87,8 @@
 	unhosted bool
 	// hasLosses is set if a target was lost under one of the tasks.
 	hasLosses bool
+	// joined is set if the job was submitted again while it was in progress.
+	joined bool
 	// runCount is the number of requested runs, without requests that were dropped.
 	runCount     int
 	failureCount int
@@ -149,6 +151,7 @@
 
 // join applies what another submission of the job tells of its earlier submissions.
 func (j *job) join(other Submission) {
+	j.joined = true
 	j.submission.EarlierHomes = max(j.submission.EarlierHomes, other.EarlierHomes)
 	if other.Resumed {
 		j.submission.Resumed = true
--- a/rattanscheduler/pool.go
+++ b/rattanscheduler/pool.go
@@ -24,6 +24,8 @@
 	// capacityMilliCPU the total one of the usable targets.
 	freeMilliCPU     int
 	capacityMilliCPU int
+	// fits is the room on the indexed targets for tasks of each size class.
+	fits FitCounts
 	// awaitedMilliCPU is the total processor capacity of the targets that have
 	// not listed their runs yet and are expected to.
 	awaitedMilliCPU int
@@ -125,6 +127,7 @@
 		return
 	}
 	p.freeMilliCPU += t.free.MilliCPU
+	p.fits.add(t.free.MilliCPU, 1)
 	p.group(t.pooled.capacity).targets.insert(t)
 	p.byMemory.insert(t)
 	if t.info.Capacity.GPU > 0 {
@@ -157,6 +160,7 @@
 	}
 	if entry.indexed {
 		p.freeMilliCPU -= entry.free.MilliCPU
+		p.fits.add(entry.free.MilliCPU, -1)
 		p.group(entry.capacity).targets.remove(t)
 		p.byMemory.remove(t)
 		if index := slices.Index(p.byGPU.list, t); index >= 0 {
--- /dev/null
+++ b/rattanscheduler/room.go
@@ -0,0 +1,197 @@
+package rattanscheduler
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// sizeClasses is the number of size classes of tasks. Each class is larger by a
+	// quarter of a doubling than the one before, so that tasks of 8 cores plus or minus
+	// a fifth, of which two may or may not fit on 16 cores, fall into several classes.
+	sizeClasses = 29
+	// smallestClass is the processor demand of the first class in thousandths of a core.
+	// The last class has 128 times as much.
+	smallestClass = 500
+	// maxRooms bounds the number of services whose room is reported, maxWaits that of
+	// the priorities with a wait of their own.
+	maxRooms = 4
+	maxWaits = 4
+)
+
+// classSizes contains the processor demand of each class.
+var classSizes = func() (sizes [sizeClasses]int) {
+	// Thousandths of the powers of 2^(1/4).
+	steps := [...]int{1000, 1189, 1414, 1682}
+	for i := range sizes {
+		sizes[i] = smallestClass * steps[i%4] / 1000 << (i / 4)
+	}
+	return sizes
+}()
+
+// fitSymbols stand for numbers of tasks, symbolValues contains the least number that each
+// one stands for: exact up to 16, then in steps of a quarter.
+const fitSymbols = "0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+
+var symbolValues = func() (values [len(fitSymbols)]int) {
+	for i := range values {
+		values[i] = i
+		if i > 16 {
+			values[i] = values[i-1] * 5 / 4
+		}
+	}
+	return values
+}()
+
+// FitCounts contains, for each size class, how many tasks of that size fit on the targets
+// at the same time. A sum of free capacity does not tell: two tasks of 9 cores do not fit
+// on a target of 16.
+type FitCounts [sizeClasses]int
+
+// classOf returns the smallest class of tasks that are not smaller than the demand, false
+// if the demand is larger than all classes.
+func classOf(milliCPU int) (int, bool) {
+	class, _ := slices.BinarySearch(classSizes[:], milliCPU)
+	return class, class < sizeClasses
+}
+
+// add adds the room on a target with the free processor capacity, times sign.
+func (f *FitCounts) add(milliCPU, sign int) {
+	for class, size := range classSizes {
+		if size > milliCPU {
+			return
+		}
+		f[class] += sign * (milliCPU / size)
+	}
+}
+
+// of returns how many tasks with the demand fit at least.
+func (f *FitCounts) of(milliCPU int) int {
+	class, ok := classOf(milliCPU)
+	if !ok {
+		return 0
+	}
+	return f[class]
+}
+
+// take reserves room for tasks with the demand. Each one may take the place of a larger
+// task, or of several smaller ones.
+func (f *FitCounts) take(milliCPU, tasks int) {
+	for class, size := range classSizes {
+		f[class] = max(0, f[class]-tasks*max(1, (milliCPU+size-1)/size))
+	}
+}
+
+// MarshalText returns a symbol for each class up to the last one for which there is room.
+// Numbers are rounded down.
+func (f FitCounts) MarshalText() ([]byte, error) {
+	text := make([]byte, 0, sizeClasses)
+	for _, count := range f {
+		symbol, found := slices.BinarySearch(symbolValues[:], count)
+		if !found {
+			symbol--
+		}
+		if symbol <= 0 {
+			break
+		}
+		text = append(text, fitSymbols[symbol])
+	}
+	return text, nil
+}
+
+// UnmarshalText reads what MarshalText returns. Further classes and unknown symbols of
+// another version count as no room.
+func (f *FitCounts) UnmarshalText(text []byte) error {
+	*f = FitCounts{}
+	for class := range min(len(text), sizeClasses) {
+		if symbol := strings.IndexByte(fitSymbols, text[class]); symbol > 0 {
+			f[class] = symbolValues[symbol]
+		}
+	}
+	return nil
+}
+
+// ServiceRoom is the room for tasks of one service in a zone.
+type ServiceRoom struct {
+	Service string
+	Fits    FitCounts
+	// Waits is empty if no job waits. It is sorted by priority. A priority that is not
+	// listed waits as long as the next one before it.
+	Waits []PriorityWait `json:",omitempty"`
+}
+
+// PriorityWait is the expected wait of a new job.
+type PriorityWait struct {
+	Priority int
+	Millis   int64
+}
+
+// wait returns the expected wait of a new job.
+func (r *ServiceRoom) wait(priority int) time.Duration {
+	wait := time.Duration(0)
+	for _, entry := range r.Waits {
+		if entry.Priority <= priority {
+			wait = time.Duration(entry.Millis) * time.Millisecond
+		}
+	}
+	return wait
+}
+
+// Rooms returns the room for the services with the largest capacity, at most maxRooms of
+// them. The list is not nil.
+func (s *Scheduler) Rooms(now time.Time) []ServiceRoom {
+	s.refreshTargets(now)
+	names := make([]string, 0, len(s.services))
+	for name, state := range s.services {
+		if state.pool.expectedMilliCPU() > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(s.services[b].pool.expectedMilliCPU(), s.services[a].pool.expectedMilliCPU()), cmp.Compare(a, b))
+	})
+	names = names[:min(len(names), maxRooms)]
+	rooms := make([]ServiceRoom, 0, len(names))
+	for _, name := range names {
+		state := s.services[name]
+		rooms = append(rooms, ServiceRoom{Service: name, Fits: state.pool.fits, Waits: state.waits()})
+	}
+	return rooms
+}
+
+// waits returns the expected waits of new jobs, for at most maxWaits priorities. If there
+// are more, the last one has the wait of all others.
+func (s *serviceState) waits() []PriorityWait {
+	if s.queue.jobs == 0 {
+		return nil
+	}
+	work := map[int]float64{}
+	for _, class := range s.queue.classes {
+		priority := class.priority
+		if class.started {
+			priority = 0
+		}
+		for _, block := range class.blocks {
+			work[priority] += block.work
+		}
+	}
+	priorities := make([]int, 0, len(work))
+	for priority := range work {
+		priorities = append(priorities, priority)
+	}
+	slices.Sort(priorities)
+	var list []PriorityWait
+	ahead := 0.0
+	for _, priority := range priorities {
+		ahead += work[priority]
+		millis := time.Duration(ahead / float64(max(1, s.pool.expectedMilliCPU()))).Milliseconds()
+		if len(list) == maxWaits {
+			list[maxWaits-1].Millis = millis
+			continue
+		}
+		list = append(list, PriorityWait{Priority: priority, Millis: millis})
+	}
+	return list
+}
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -42,12 +42,9 @@
 	// Redirectable is set if the job may be redirected to another availability
 	// zone.
 	Redirectable bool
-}
-
-// RemoteZone is the free capacity of another availability zone.
-type RemoteZone struct {
-	Zone         string
-	FreeMilliCPU int
+	// Tried contains the zones that have redirected or refused the job. It is not
+	// redirected there again.
+	Tried []string
 }
 
 // StartRequest is the decision to start a run.
@@ -150,9 +147,10 @@
 	estimatesRefreshedAt time.Time
 	// deadlinesCheckedAt is when the deadlines of all jobs were last checked.
 	deadlinesCheckedAt time.Time
-	// remoteZones is the free capacity of other zones less that of jobs
-	// redirected since it was reported.
+	// remoteZones is the room of other zones less that of jobs redirected since it was
+	// reported; sent contains the jobs that were redirected lately.
 	remoteZones []RemoteZone
+	sent        []sentJob
 	// targetsKnown is set once any target of the zone is known, targetsCurrent
 	// once all targets are known that an earlier home may have used.
 	targetsKnown   bool
@@ -412,7 +410,7 @@
 	}
 	end := ending{outcome: outcome, reason: reason, retryAfter: retryAfter}
 	if outcome == Refused {
-		end.zone = s.reserveRemoteZone(j)
+		end.zone = s.reserveRemoteZone(j, now)
 	}
 	if end.zone != "" {
 		end.outcome = Redirected
@@ -430,7 +428,7 @@
 	j.outcome = end.outcome
 	delete(s.jobs, id)
 	if end.outcome == Redirected {
-		s.redirectedJobs[id] = redirection{zone: end.zone, until: j.submission.Deadline.Add(s.longestLease()), moved: end.moved}
+		s.redirectedJobs[id] = redirection{zone: end.zone, until: j.submission.Deadline.Add(s.longestLease()), moved: end.moved, followed: j.joined}
 	}
 	if (end.outcome == Cancelled || end.outcome == Expired) && j.mayHaveStarted() {
 		s.recordBegun(id, now)
--- a/rattanzone/agent.go
+++ b/rattanzone/agent.go
@@ -278,17 +278,21 @@
 	return home.claim, true, a.homeChanged
 }
 
-// remoteCapacity returns the free capacity of the other zones that have no
-// waiting tasks and whose home has reported its load recently and is not
-// overloaded itself.
+// remoteCapacity returns the room in the other zones whose home has reported its load
+// recently, is not overloaded itself and starts tasks. If a home of the former version
+// has waiting tasks, its free capacity says nothing about its room.
 func (a *Agent) remoteCapacity(now time.Time) []rattanscheduler.RemoteZone {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	var capacities []rattanscheduler.RemoteZone
 	for zone, home := range a.homes {
-		if zone != a.config.Self.Zone && home.age(now) < maxLoadAge && home.claim.Load.WaitingTasks == 0 && !home.claim.Load.Overloaded {
-			capacities = append(capacities, rattanscheduler.RemoteZone{Zone: zone, FreeMilliCPU: home.claim.Load.FreeMilliCPU})
+		load, age := &home.claim.Load, home.age(now)
+		if zone == a.config.Self.Zone || age >= maxLoadAge || load.Overloaded || load.Evacuated || (load.Rooms == nil && load.WaitingTasks > 0) {
+			continue
 		}
+		capacities = append(capacities, rattanscheduler.RemoteZone{
+			Zone: zone, FreeMilliCPU: load.FreeMilliCPU, Rooms: load.Rooms, ReportedAt: now.Add(-age),
+		})
 	}
 	slices.SortFunc(capacities, func(x, y rattanscheduler.RemoteZone) int { return strings.Compare(x.Zone, y.Zone) })
 	return capacities
