--- a/rattanday/product.go
+++ b/rattanday/product.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rattanlever/rattanlever/rattanscheduler"
@@ -40,6 +41,15 @@
 	// arrival there.
 	redirects []redirect
 	outcomes  map[*job]outcome
+	// evacuations are those of the day. tried contains, by job, the zones that have
+	// redirected or refused it.
+	evacuations []Evacuation
+	tried       map[*job][]string
+	// active counts, by task, the runs under way. doubleRuns and forbiddenStarts count
+	// starts of tasks that run already, and those in an evacuated zone.
+	active          map[string]int
+	doubleRuns      int
+	forbiddenStarts int
 }
 
 // home is the scheduler of one zone, with its targets.
@@ -67,6 +77,8 @@
 	job  *job
 	zone string
 	at   time.Duration
+	// started is set if the job may have started.
+	started bool
 }
 
 // outcome is how a job ended.
@@ -78,25 +90,43 @@
 // simulateHomes plays the jobs on one scheduler for each zone, given the targets
 // of the zones.
 func simulateHomes(zones [][]target, jobs []*job) map[*job]outcome {
-	s := &homes{jobs: map[string]*job{}, runTimes: map[string]time.Duration{}, outcomes: map[*job]outcome{}}
+	names := make([]string, len(zones))
+	for i := range names {
+		names[i] = fmt.Sprintf("zone-%d", i)
+	}
+	return newHomes(names, zones, nil).play(jobs)
+}
+
+// newHomes returns the schedulers of zones that are evacuated at times.
+func newHomes(names []string, zones [][]target, evacuations []Evacuation) *homes {
+	s := &homes{
+		jobs: map[string]*job{}, runTimes: map[string]time.Duration{}, outcomes: map[*job]outcome{}, evacuations: evacuations,
+		tried: map[*job][]string{}, active: map[string]int{},
+	}
 	for i, targets := range zones {
-		s.zones = append(s.zones, newHome(fmt.Sprintf("zone-%d", i), targets))
+		s.zones = append(s.zones, newHome(names[i], targets))
 	}
+	return s
+}
+
+// play plays the jobs and returns how they end.
+func (s *homes) play(jobs []*job) map[*job]outcome {
 	next := 0
 	for ; len(s.outcomes) < len(jobs); s.now += timeStep {
+		s.evacuate()
 		if s.now%loadInterval == 0 {
 			s.reportLoads()
 		}
 		for ; next < len(jobs) && jobs[next].arrival <= s.now; next++ {
-			s.submit(s.zones[jobs[next].zone], jobs[next], true)
+			s.submit(s.zones[jobs[next].zone], redirect{job: jobs[next]})
 		}
 		for len(s.redirects) > 0 && s.redirects[0].at <= s.now {
 			arrived := s.redirects[0]
 			s.redirects = s.redirects[1:]
-			s.submit(s.zone(arrived.zone), arrived.job, false)
+			s.submit(s.zone(arrived.zone), arrived)
 		}
 		for _, zone := range s.zones {
-			zone.listEnds(s.now)
+			s.listEnds(zone)
 			if s.now%tickInterval == 0 {
 				zone.scheduler.Tick(start.Add(s.now))
 			}
@@ -106,6 +136,22 @@
 	return s.outcomes
 }
 
+// evacuated reports whether a zone is evacuated now.
+func (s *homes) evacuated(zone string) bool {
+	return slices.ContainsFunc(s.evacuations, func(e Evacuation) bool { return e.covers(zone, s.now) })
+}
+
+// evacuate applies the evacuations that begin or end.
+func (s *homes) evacuate() {
+	for _, zone := range s.zones {
+		status := rattanwork.EvacuationNone
+		if s.evacuated(zone.name) {
+			status = rattanwork.EvacuationActive
+		}
+		zone.scheduler.SetEvacuation(status, start.Add(s.now))
+	}
+}
+
 func newHome(name string, targets []target) *home {
 	h := &home{
 		name:      name,
@@ -140,7 +186,7 @@
 	for _, zone := range s.zones {
 		var others []rattanscheduler.RemoteZone
 		for _, other := range s.zones {
-			if other != zone {
+			if other != zone && !s.evacuated(other.name) {
 				now := start.Add(s.now)
 				others = append(others, rattanscheduler.RemoteZone{
 					Zone: other.name, FreeMilliCPU: other.scheduler.FreeMilliCPU(now), Rooms: other.scheduler.Rooms(now), ReportedAt: now,
@@ -151,7 +197,9 @@
 	}
 }
 
-func (s *homes) submit(zone *home, j *job, redirectable bool) {
+// submit submits a job to the home of a zone, after a redirect or for the first time.
+func (s *homes) submit(zone *home, r redirect) {
+	j := r.job
 	request := &rattanwork.Job{ID: j.id, Steps: []rattanwork.Step{{
 		Count: len(j.runTimes), Resources: rattanwork.Resources{MilliCPU: j.kind.MilliCPU}, Estimate: j.declared,
 	}}}
@@ -163,10 +211,12 @@
 	}
 	now, arrival := start.Add(s.now), start.Add(j.arrival)
 	objective := j.kind.Latency.Std() + time.Duration(j.kind.Slack*float64(j.declared))
+	redirected := zone != s.zones[j.zone]
 	zone.scheduler.Submit(rattanscheduler.Submission{
 		Job: request, Service: service, Priority: j.kind.Priority, MaxAttempts: maxAttempts,
 		Objective: arrival.Add(objective), LateUntil: arrival.Add(rattanwork.LateFactor * objective),
-		SlackFactor: j.kind.Slack, Deadline: arrival.Add(j.kind.Timeout.Std()), Redirectable: redirectable,
+		SlackFactor: j.kind.Slack, Deadline: arrival.Add(j.kind.Timeout.Std()),
+		Resumed: r.started, Redirected: redirected, Redirectable: !redirected && !r.started, Tried: slices.Clone(s.tried[j]),
 	}, now)
 	zone.scheduler.CheckAdmission(j.id, now)
 }
@@ -175,19 +225,37 @@
 func (s *homes) apply(zone *home) {
 	output := zone.scheduler.Take()
 	for _, request := range output.Starts {
+		s.active[request.Task]++
+		if s.active[request.Task] > 1 {
+			s.doubleRuns++
+		}
+		if s.evacuated(zone.name) {
+			s.forbiddenStarts++
+		}
 		zone.start(request, s.runTimes[request.Task], s.now)
 	}
 	for _, request := range output.Stops {
 		zone.stop(request, s.now)
 	}
 	for _, result := range output.Results {
-		j := s.jobs[result.JobID]
-		if result.Outcome == rattanscheduler.Redirected {
-			s.redirects = append(s.redirects, redirect{job: j, zone: result.Zone, at: s.now + redirectTime})
-			continue
-		}
+		s.end(zone, result)
+	}
+}
+
+// end records the end of a job or submits it elsewhere. A job that another zone has
+// refused is submitted to its own zone again.
+func (s *homes) end(zone *home, result rattanscheduler.JobResult) {
+	j := s.jobs[result.JobID]
+	next := result.Zone
+	if result.Outcome == rattanscheduler.Refused && zone != s.zones[j.zone] {
+		next = s.zones[j.zone].name
+	}
+	if next == "" {
 		s.outcomes[j] = outcome{result: result.Outcome, end: s.now}
+		return
 	}
+	s.tried[j] = append(s.tried[j], zone.name)
+	s.redirects = append(s.redirects, redirect{job: j, zone: next, at: s.now + redirectTime, started: result.MayHaveStarted})
 }
 
 // start starts a run, given its run time on the fastest targets.
@@ -205,14 +273,16 @@
 	heap.Push(&h.ends, runEnd{at: now, target: request.Target.ID, task: request.Task, attempt: request.Attempt, kind: rattanwork.EndStopped})
 }
 
-// listEnds lists the runs that have ended to the scheduler.
-func (h *home) listEnds(now time.Duration) {
+// listEnds lists the runs that have ended to the scheduler of a zone.
+func (s *homes) listEnds(h *home) {
+	now := s.now
 	for len(h.ends) > 0 && h.ends[0].at <= now {
 		end := heap.Pop(&h.ends).(runEnd)
 		target := h.targets[end.target]
 		if !target.remove(end) {
 			continue
 		}
+		s.active[end.task]--
 		target.sequence++
 		h.scheduler.RunsListed(end.target, &rattanwork.Listing{
 			Running: target.list(now),
--- a/rattanscheduler/remote_zone.go
+++ b/rattanscheduler/remote_zone.go
@@ -26,6 +26,9 @@
 	// similarWait is the difference of waits up to which zones count as equal. Waits
 	// are known with a delay of up to 0.4 s and to the millisecond.
 	similarWait = 5 * time.Millisecond
+	// minWaitForRoom is the least expected wait in a zone that has no room, so that one
+	// with room is preferred.
+	minWaitForRoom = 2 * similarWait
 	// redirectTransit is the time within which a redirected job shows in the load of
 	// the other zone.
 	redirectTransit = 20 * time.Millisecond
@@ -48,10 +51,19 @@
 
 // sentJob is a job that was redirected lately.
 type sentJob struct {
-	zone    string
-	service string
-	at      time.Time
+	zone string
+	at   time.Time
+	need zoneNeed
+}
+
+// zoneNeed is what a job takes from a zone.
+type zoneNeed struct {
+	service  string
+	priority int
+	// demands are the tasks that start first, work is their expected processor time in
+	// nanoseconds times thousandths of a core.
 	demands []taskDemand
+	work    float64
 }
 
 // taskDemand is a number of tasks that can start at the same time.
@@ -60,15 +72,16 @@
 	tasks    int
 }
 
-// initialDemands returns the tasks of the job that start first.
-func (j *job) initialDemands() []taskDemand {
-	demands := make([]taskDemand, 0, len(j.submission.Job.Steps))
+// zoneNeed returns what the job takes from another zone.
+func (s *Scheduler) zoneNeed(j *job) zoneNeed {
+	need := zoneNeed{service: j.submission.Service, priority: j.submission.Priority}
 	for i := range j.submission.Job.Steps {
 		if step := &j.submission.Job.Steps[i]; len(step.After) == 0 {
-			demands = append(demands, taskDemand{milliCPU: step.Resources.MilliCPU, tasks: step.Count})
+			need.demands = append(need.demands, taskDemand{milliCPU: step.Resources.MilliCPU, tasks: step.Count})
+			need.work += float64(s.estimator.expectedRunTime(j, i)) * float64(step.Resources.MilliCPU*step.Count)
 		}
 	}
-	return demands
+	return need
 }
 
 // room returns the room for a service, and whether it is known.
@@ -83,16 +96,16 @@
 
 // spare returns for how many further tasks of the largest size there is room after the
 // given number of copies of a job, -1 if there is no room for those.
-func (z *RemoteZone) spare(service string, demands []taskDemand, copies int) int {
-	room, known := z.room(service)
+func (z *RemoteZone) spare(need *zoneNeed, copies int) int {
+	room, known := z.room(need.service)
 	if !known {
-		return z.spareSum(demands, copies)
+		return z.spareSum(need.demands, copies)
 	}
 	if room == nil {
 		return -1
 	}
 	fits, largest := room.Fits, 0
-	for _, demand := range demands {
+	for _, demand := range need.demands {
 		if fits.of(demand.milliCPU) < copies*demand.tasks {
 			return -1
 		}
@@ -115,10 +128,14 @@
 	return free / largest
 }
 
-// take subtracts the room of a redirected job.
-func (z *RemoteZone) take(service string, demands []taskDemand) {
-	room, _ := z.room(service)
-	for _, demand := range demands {
+// take subtracts the room of a redirected job, or adds its work to the waits if there is
+// no room for it.
+func (z *RemoteZone) take(need *zoneNeed) {
+	room, _ := z.room(need.service)
+	if room != nil && z.spare(need, 1) < 0 {
+		room.addWork(need.priority, need.work)
+	}
+	for _, demand := range need.demands {
 		z.FreeMilliCPU -= demand.tasks * demand.milliCPU
 		if room != nil {
 			room.Fits.take(demand.milliCPU, demand.tasks)
@@ -127,22 +144,37 @@
 }
 
 // wait returns the expected wait of a new job.
-func (z *RemoteZone) wait(submission *Submission) time.Duration {
-	if room, _ := z.room(submission.Service); room != nil {
-		return room.wait(submission.Priority)
+func (z *RemoteZone) wait(need *zoneNeed) time.Duration {
+	if room, _ := z.room(need.service); room != nil {
+		return room.wait(need.priority)
 	}
 	return 0
 }
 
+// waitForRoom returns the expected wait of a new job for which there is no room, false if
+// it is not known. As much capacity becomes free as the job needs itself in the time that
+// its work would take on all targets.
+func (z *RemoteZone) waitForRoom(need *zoneNeed) (time.Duration, bool) {
+	room, _ := z.room(need.service)
+	if room == nil || room.MilliCPU <= 0 {
+		return 0, false
+	}
+	return room.wait(need.priority) + max(minWaitForRoom, time.Duration(need.work/float64(room.MilliCPU))), true
+}
+
 // SetRemoteZones replaces what is known of the room in the other zones.
 func (s *Scheduler) SetRemoteZones(zones []RemoteZone) {
 	s.remoteZones = slices.Clone(zones)
 	for i := range s.remoteZones {
 		zone := &s.remoteZones[i]
 		zone.Rooms = slices.Clone(zone.Rooms)
-		for _, sent := range s.sent {
+		for k := range zone.Rooms {
+			zone.Rooms[k].Waits = slices.Clone(zone.Rooms[k].Waits)
+		}
+		for i := range s.sent {
+			sent := &s.sent[i]
 			if sent.zone == zone.Zone && !zone.ReportedAt.IsZero() && zone.ReportedAt.Before(sent.at.Add(redirectTransit)) {
-				zone.take(sent.service, sent.demands)
+				zone.take(&sent.need)
 			}
 		}
 	}
@@ -199,7 +231,10 @@
 		return
 	}
 	zone := s.bestRemoteZone(j, redirectHeadroom, now)
-	if zone < 0 || waiting.wait <= j.redirectCost()+s.remoteZones[zone].wait(&j.submission) {
+	if zone < 0 {
+		return
+	}
+	if need := s.zoneNeed(j); waiting.wait <= j.redirectCost()+s.remoteZones[zone].wait(&need) {
 		return
 	}
 	s.finishJob(j, ending{outcome: Redirected, reason: "another zone has room", zone: s.reserveZone(j, zone, now)}, now)
@@ -234,10 +269,10 @@
 // reserveZone reserves room for a job in the zone with the index and returns the
 // zone.
 func (s *Scheduler) reserveZone(j *job, index int, now time.Time) string {
-	zone, demands := &s.remoteZones[index], j.initialDemands()
-	zone.take(j.submission.Service, demands)
+	zone, need := &s.remoteZones[index], s.zoneNeed(j)
+	zone.take(&need)
 	s.sent = slices.DeleteFunc(s.sent, func(sent sentJob) bool { return now.Sub(sent.at) > sentRetention })
-	s.sent = append(s.sent, sentJob{zone: zone.Zone, service: j.submission.Service, at: now, demands: demands})
+	s.sent = append(s.sent, sentJob{zone: zone.Zone, at: now, need: need})
 	return zone.Zone
 }
 
@@ -261,63 +296,75 @@
 }
 
 // chooseZone returns the index of a zone that has room for the given number of copies of
-// the job and where it ends in time, or -1 if there is none. Among the zones where it
-// ends earliest, it is chosen at random by the ID of the job, in proportion to their
-// spare room: otherwise, all homes would choose the same zone at the same time.
+// the job and where it ends in time, or -1 if there is none. One copy may also wait for
+// room, if it meets its objective all the same. Among the zones where the job starts
+// earliest, one is chosen at random by the ID of the job, in proportion to the spare room:
+// otherwise, all homes would choose the same zone at the same time.
 func (s *Scheduler) chooseZone(j *job, copies int, now time.Time) int {
 	if len(s.remoteZones) == 0 {
 		return -1
 	}
-	demands, latest := j.initialDemands(), s.latestArrival(j)
-	spares := make([]int, len(s.remoteZones))
+	need := s.zoneNeed(j)
+	objective, lateUntil := s.latestStarts(j)
+	arrival := now.Add(j.redirectCost())
+	choices := make([]zoneChoice, len(s.remoteZones))
 	least := time.Duration(math.MaxInt64)
 	for i := range s.remoteZones {
-		zone := &s.remoteZones[i]
-		spares[i] = zone.spare(j.submission.Service, demands, copies)
-		wait := zone.wait(&j.submission)
-		if slices.Contains(j.submission.Tried, zone.Zone) || now.Add(j.redirectCost()+wait).After(latest) {
-			spares[i] = -1
+		zone, choice := &s.remoteZones[i], &choices[i]
+		if slices.Contains(j.submission.Tried, zone.Zone) {
+			continue
 		}
-		if spares[i] >= 0 {
-			least = min(least, wait)
+		choice.wait = zone.wait(&need)
+		if spare := zone.spare(&need, copies); spare >= 0 {
+			if !arrival.Add(choice.wait).After(lateUntil) {
+				choice.weight = spare + 1
+			}
+		} else if wait, known := zone.waitForRoom(&need); known && copies == 1 && !arrival.Add(wait).After(objective) {
+			choice.wait, choice.weight = wait, 1
 		}
-	}
-	total := 0
-	for i, spare := range spares {
-		if spare >= 0 && s.remoteZones[i].wait(&j.submission) <= least+similarWait {
-			total += spare + 1
-		} else {
-			spares[i] = -1
+		if choice.weight > 0 {
+			least = min(least, choice.wait)
 		}
 	}
-	return pick(spares, total, j.submission.Job.ID)
+	return pick(choices, least+similarWait, j.submission.Job.ID)
 }
 
-// latestArrival returns the time until which a job must start in another zone so that
-// its answer still has value.
-func (s *Scheduler) latestArrival(j *job) time.Time {
-	_, latest := s.adjustedDeadlines(j)
-	if j.submission.Deadline.Before(latest) {
-		latest = j.submission.Deadline
+// latestStarts returns the times until which a job must start in another zone to meet its
+// objective, and so that its answer has any value.
+func (s *Scheduler) latestStarts(j *job) (objective, lateUntil time.Time) {
+	objective, lateUntil = s.adjustedDeadlines(j)
+	if j.submission.Deadline.Before(lateUntil) {
+		lateUntil = j.submission.Deadline
 	}
-	return latest.Add(-time.Duration(s.estimator.ratio(j) * float64(j.criticalPath)))
+	runTime := time.Duration(s.estimator.ratio(j) * float64(j.criticalPath))
+	return objective.Add(-runTime), lateUntil.Add(-runTime)
+}
+
+// zoneChoice is a zone to which a job may be redirected.
+type zoneChoice struct {
+	wait time.Duration
+	// weight is 0 if the zone does not suit.
+	weight int
 }
 
-// pick returns the index of one of the entries that are not negative, each with a
-// probability in proportion to the entry plus one, or -1 if there is none. total is the
-// sum of these.
-func pick(entries []int, total int, key string) int {
+// pick returns the index of one of the choices whose wait is not longer than the given
+// one, with a probability in proportion to the weights, or -1 if there is none.
+func pick(choices []zoneChoice, longest time.Duration, key string) int {
+	total := 0
+	for i := range choices {
+		if choices[i].wait > longest {
+			choices[i].weight = 0
+		}
+		total += choices[i].weight
+	}
 	if total == 0 {
 		return -1
 	}
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(key))
 	rest := int(hash.Sum64() % uint64(total))
-	for i, entry := range entries {
-		if entry < 0 {
-			continue
-		}
-		if rest -= entry + 1; rest < 0 {
+	for i := range choices {
+		if rest -= choices[i].weight; rest < 0 {
 			return i
 		}
 	}
--- a/rattanscheduler/room.go
+++ b/rattanscheduler/room.go
@@ -76,11 +76,11 @@
 	return f[class]
 }
 
-// take reserves room for tasks with the demand. Each one may take the place of a larger
-// task, or of several smaller ones.
+// take reserves room for tasks with the demand. Since a task goes to the target that it
+// leaves the least room on, it takes the place of a larger task in proportion only.
 func (f *FitCounts) take(milliCPU, tasks int) {
 	for class, size := range classSizes {
-		f[class] = max(0, f[class]-tasks*max(1, (milliCPU+size-1)/size))
+		f[class] = max(0, f[class]-(tasks*milliCPU+size/2)/size)
 	}
 }
 
@@ -116,7 +116,9 @@
 // ServiceRoom is the room for tasks of one service in a zone.
 type ServiceRoom struct {
 	Service string
-	Fits    FitCounts
+	// MilliCPU is the capacity of the targets that take work.
+	MilliCPU int
+	Fits     FitCounts
 	// Waits is empty if no job waits. It is sorted by priority. A priority that is not
 	// listed waits as long as the next one before it.
 	Waits []PriorityWait `json:",omitempty"`
@@ -139,6 +141,21 @@
 	return wait
 }
 
+// addWork adds the work of a redirected job to the waits of the jobs that start after it.
+func (r *ServiceRoom) addWork(priority int, work float64) {
+	if r.MilliCPU <= 0 {
+		return
+	}
+	wait := r.wait(priority)
+	index, found := slices.BinarySearchFunc(r.Waits, priority, func(entry PriorityWait, priority int) int { return cmp.Compare(entry.Priority, priority) })
+	if !found {
+		r.Waits = slices.Insert(r.Waits, index, PriorityWait{Priority: priority, Millis: wait.Milliseconds()})
+	}
+	for i := range r.Waits[index:] {
+		r.Waits[index+i].Millis += time.Duration(work / float64(r.MilliCPU)).Milliseconds()
+	}
+}
+
 // Rooms returns the room for the services with the largest capacity, at most maxRooms of
 // them. The list is not nil.
 func (s *Scheduler) Rooms(now time.Time) []ServiceRoom {
@@ -156,7 +173,7 @@
 	rooms := make([]ServiceRoom, 0, len(names))
 	for _, name := range names {
 		state := s.services[name]
-		rooms = append(rooms, ServiceRoom{Service: name, Fits: state.pool.fits, Waits: state.waits()})
+		rooms = append(rooms, ServiceRoom{Service: name, MilliCPU: state.pool.expectedMilliCPU(), Fits: state.pool.fits, Waits: state.waits()})
 	}
 	return rooms
 }
