--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -60,8 +60,8 @@
 	// job was redirected because this instance's zone had no capacity for it.
 	zone       string
 	redirected bool
-	// tried contains the zones that have redirected or refused the job, lastRefusal is
-	// the answer for the last refusal of another zone.
+	// tried contains the zones that have redirected or refused the job, or were out of
+	// reach; lastRefusal is the answer for the last one.
 	tried       []string
 	lastRefusal response
 	// earlierZone is the zone that redirected the job although an earlier submission to
@@ -226,6 +226,10 @@
 	if reply.CancelledByCaller {
 		return cancelledResponse(), true
 	}
+	if err != nil && s.redirected && !s.maybeStarted() {
+		s.tryNextZone(response{status: http.StatusServiceUnavailable, retryAfter: unavailableRetryAfter, reason: "other zone out of reach"})
+		return response{}, false
+	}
 	// A home cancels the jobs of an instance that it considers dead, but the
 	// caller of this instance is still waiting.
 	if err != nil || reply.NotHome || reply.Result.Outcome == rattanscheduler.Cancelled {
@@ -238,7 +242,7 @@
 		return notCompleteResponse(reply.Result.Reason), true
 	}
 	if reply.Result.Outcome == rattanscheduler.Refused && s.redirected {
-		s.tryNextZone(reply.Result)
+		s.tryNextZone(outcomeResponse(reply.Result))
 		return response{}, false
 	}
 	return outcomeResponse(reply.Result), true
@@ -260,11 +264,11 @@
 	return response{}, false
 }
 
-// tryNextZone goes back to this instance's zone after the refusal of another zone. Its
-// home knows where the job was redirected. It starts the job, redirects it to a zone that
+// tryNextZone goes back to this instance's zone after another zone has refused the job or
+// was out of reach. The home of this zone knows where the job was redirected. It starts the job, redirects it to a zone that
 // was not tried, or refuses it.
-func (s *submission) tryNextZone(result rattanscheduler.JobResult) {
-	s.lastRefusal = outcomeResponse(result)
+func (s *submission) tryNextZone(refusal response) {
+	s.lastRefusal = refusal
 	s.addTried(s.zone)
 	s.zone = s.handler.config.Self.Zone
 	s.redirected = false
--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -235,7 +235,7 @@
 		Rooms:        h.scheduler.Rooms(now),
 		Lag:          h.lag.current(now),
 		Overloaded:   h.overloaded,
-		Evacuated:    h.evacuation(now) != rattanwork.EvacuationNone,
+		Evacuated:    h.scheduler.Evacuation() != rattanwork.EvacuationNone,
 	}
 }
 
--- a/rattanscheduler/remote_zone.go
+++ b/rattanscheduler/remote_zone.go
@@ -72,6 +72,15 @@
 	tasks    int
 }
 
+// largest returns the processor demand of the largest task.
+func (n *zoneNeed) largest() int {
+	largest := 0
+	for _, demand := range n.demands {
+		largest = max(largest, demand.milliCPU)
+	}
+	return largest
+}
+
 // zoneNeed returns what the job takes from another zone.
 func (s *Scheduler) zoneNeed(j *job) zoneNeed {
 	need := zoneNeed{service: j.submission.Service, priority: j.submission.Priority}
@@ -98,21 +107,20 @@
 // given number of copies of a job, -1 if there is no room for those.
 func (z *RemoteZone) spare(need *zoneNeed, copies int) int {
 	room, known := z.room(need.service)
-	if !known {
+	if !known || need.largest() > classSizes[sizeClasses-1] {
 		return z.spareSum(need.demands, copies)
 	}
 	if room == nil {
 		return -1
 	}
-	fits, largest := room.Fits, 0
+	fits := room.Fits
 	for _, demand := range need.demands {
 		if fits.of(demand.milliCPU) < copies*demand.tasks {
 			return -1
 		}
 		fits.take(demand.milliCPU, copies*demand.tasks)
-		largest = max(largest, demand.milliCPU)
 	}
-	return fits.of(largest)
+	return fits.of(need.largest())
 }
 
 // spareSum is the same as spare if only the sum of the free capacity is known.
@@ -186,8 +194,12 @@
 	if s.evacuation != rattanwork.EvacuationNone || !s.mayRedirect() {
 		return
 	}
-	for _, state := range s.services {
-		for _, waiting := range state.expectedWaits(now) {
+	for service, state := range s.services {
+		if state.queue.jobs == 0 {
+			continue
+		}
+		elsewhere := s.roomElsewhere(service)
+		for _, waiting := range state.expectedWaits(&elsewhere, now) {
 			s.redirectIfEarlier(waiting, now)
 		}
 	}
@@ -199,11 +211,33 @@
 	wait time.Duration
 }
 
-// expectedWaits returns the jobs of the service that have waited for redirectDelay, in
-// the order in which they start. Each one waits at least until the work before it is
+// roomElsewhere returns, for each size class, an upper bound of the room in any one zone.
+// Thousands of jobs may wait, and most of them fit nowhere.
+func (s *Scheduler) roomElsewhere(service string) FitCounts {
+	var most FitCounts
+	for i := range s.remoteZones {
+		zone := &s.remoteZones[i]
+		room, known := zone.room(service)
+		for class := range most {
+			switch {
+			case room != nil:
+				most[class] = max(most[class], room.Fits[class])
+			case known:
+			case class == 0:
+				most[class] = math.MaxInt
+			default:
+				most[class] = max(most[class], zone.FreeMilliCPU/classSizes[class-1])
+			}
+		}
+	}
+	return most
+}
+
+// expectedWaits returns the jobs of the service that have waited for redirectDelay and
+// may fit elsewhere, in the order in which they start. Each one waits at least until the work before it is
 // done, and until as much capacity is free as it needs itself. A job that has waited for
 // long already is expected to wait as long again.
-func (s *serviceState) expectedWaits(now time.Time) []expectedWait {
+func (s *serviceState) expectedWaits(elsewhere *FitCounts, now time.Time) []expectedWait {
 	var list []expectedWait
 	ahead := 0.0
 	s.queue.passes(now.UnixNano(), func(class *jobClass, keys keyRange) {
@@ -214,7 +248,7 @@
 					continue
 				}
 				ahead += entry.work
-				if waited := now.Sub(entry.job.submittedAt); waited >= redirectDelay {
+				if waited := now.Sub(entry.job.submittedAt); waited >= redirectDelay && elsewhere.mayFit(entry.demand.MilliCPU, redirectHeadroom*entry.tasks) {
 					wait := time.Duration(ahead / float64(max(1, s.pool.expectedMilliCPU())))
 					list = append(list, expectedWait{job: entry.job, wait: max(wait, waited)})
 				}
--- a/rattanscheduler/room.go
+++ b/rattanscheduler/room.go
@@ -76,6 +76,13 @@
 	return f[class]
 }
 
+// mayFit reports whether that many tasks with the demand may fit. Nothing is known of
+// tasks that are larger than all classes.
+func (f *FitCounts) mayFit(milliCPU, tasks int) bool {
+	class, ok := classOf(milliCPU)
+	return !ok || f[class] >= tasks
+}
+
 // take reserves room for tasks with the demand. Since a task goes to the target that it
 // leaves the least room on, it takes the place of a larger task in proportion only.
 func (f *FitCounts) take(milliCPU, tasks int) {
