--- a/rattanscheduler/evacuation_test.go
+++ b/rattanscheduler/evacuation_test.go
@@ -256,6 +256,29 @@
 	z.Check(output.Results[0].Zone, qt.Equals, "b")
 }
 
+// TestJobMovesOnceItsStartsAreNotListed guards against a job that another zone sends back,
+// because it has been told of a start here and not yet of the answer.
+func TestJobMovesOnceItsStartsAreNotListed(t *testing.T) {
+	z, start, other := halfStarted(qt.New(t))
+	z.scheduler.SetEvacuation(rattanwork.EvacuationActive, z.now)
+	z.endRun(start, rattanwork.EndStopped, other)
+	z.advance(time.Millisecond)
+	z.Check(z.scheduler.Take().Results, qt.HasLen, 0)
+	z.advance(listedStartTime)
+	z.Check(z.scheduler.Take().Results, qt.HasLen, 1)
+}
+
+// TestSecondEvacuationLeavesTime guards against a job that ends without a result at once,
+// because it had begun to leave in an earlier evacuation.
+func TestSecondEvacuationLeavesTime(t *testing.T) {
+	z, _, _ := halfStarted(qt.New(t))
+	z.scheduler.SetEvacuation(rattanwork.EvacuationActive, z.now)
+	z.scheduler.SetEvacuation(rattanwork.EvacuationNone, z.now)
+	z.now = z.now.Add(maxLeaveTime)
+	z.scheduler.SetEvacuation(rattanwork.EvacuationActive, z.now)
+	z.Check(z.scheduler.Take().Results, qt.HasLen, 0)
+}
+
 // TestStartedJobEndsWithoutProof guards against a job that waits for a target that does
 // not answer, against one that is redirected although a start without an answer may still
 // be carried out, and against a refusal of a job that has started.
