--- a/rattanscheduler/adoption.go
+++ b/rattanscheduler/adoption.go
@@ -69,6 +69,7 @@
 			j.hasLosses = true
 		}
 		t.attempt = max(t.attempt, s.lastOutstandingAttempt(t.name))
+		j.unansweredStart = j.unansweredStart || s.bound(t)
 		if _, ok := s.doneTasks[t.name]; ok {
 			delete(s.doneTasks, t.name)
 			s.markDone(t)
--- a/rattanscheduler/evacuation.go
+++ b/rattanscheduler/evacuation.go
@@ -21,9 +21,6 @@
 	// was answered or dropped: lists follow each other after 50 ms, those to another
 	// zone after at least 20 ms. Until then, another zone would send the job back.
 	listedStartTime = 100 * time.Millisecond
-	// listedUnansweredTime is the same after the time for the answer is over. Such
-	// requests stay listed for 300 ms.
-	listedUnansweredTime = 400 * time.Millisecond
 )
 
 // reasonEvacuated is the reason for the end of jobs of an evacuated zone.
@@ -92,13 +89,14 @@
 
 // leave stops the runs of a job that may have started and redirects the job once they
 // are proven gone. If there is no room elsewhere or no proof in time, the job ends
-// without a result.
+// without a result. So does a job that had a start without an answer: heartbeats may have
+// named it, and other zones would send the job back for LateStartBound.
 func (s *Scheduler) leave(j *job, now time.Time) {
 	if j.leaveUntil.IsZero() {
 		j.leaveUntil = now.Add(maxLeaveTime)
 	}
 	zone := s.zoneToLeaveFor(j, now)
-	if zone < 0 || !now.Before(j.leaveUntil) || slices.ContainsFunc(j.tasks, s.bound) {
+	if zone < 0 || !now.Before(j.leaveUntil) || j.unansweredStart || slices.ContainsFunc(j.tasks, s.bound) {
 		s.endJob(j, Expired, reasonEvacuated, 0, now)
 		return
 	}
--- a/rattanscheduler/evacuation_test.go
+++ b/rattanscheduler/evacuation_test.go
@@ -289,6 +289,9 @@
 	}{
 		"target is silent":  {prepare: func(*fakeZone, StartRequest) {}, wait: maxLeaveTime},
 		"no room elsewhere": {prepare: func(z *fakeZone, _ StartRequest) { z.scheduler.SetRemoteZones(nil) }},
+		"answer to a start was lost": {prepare: func(z *fakeZone, start StartRequest) {
+			z.scheduler.StartAnswered(start.Target.ID, start.Task, start.Attempt, rattanwork.StartAnswer{Result: rattanwork.StartUnknown}, z.now)
+		}},
 		"unanswered start of another task": {prepare: func(z *fakeZone, start StartRequest) {
 			z.scheduler.addOutstanding(jobA+".0.0.1", outstandingStart{target: start.Target.ID, attempt: 1, expiresAt: z.now.Add(LateStartBound)})
 		}},
--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -87,6 +87,8 @@
 	unhosted bool
 	// hasLosses is set if a target was lost under one of the tasks.
 	hasLosses bool
+	// unansweredStart is set if the answer to a start request of the job was lost.
+	unansweredStart bool
 	// joined is set if the job was submitted again while it was in progress.
 	joined bool
 	// runCount is the number of requested runs, without requests that were dropped.
--- a/rattanscheduler/outstanding.go
+++ b/rattanscheduler/outstanding.go
@@ -75,9 +75,6 @@
 // recordUnanswered records that the time for the answer to a start request is over.
 func (s *Scheduler) recordUnanswered(r *run, now time.Time) {
 	r.unansweredAt = now
-	if r.task != nil {
-		r.task.job.listUntil(now.Add(listedUnansweredTime))
-	}
 	s.unanswered[r] = struct{}{}
 	s.recordStartChange(r.taskName, r.target.info.ID, r.attempt, StartUnanswered)
 }
@@ -300,6 +297,7 @@
 		if t := s.task(start.Task); t != nil {
 			t.attempt = max(t.attempt, start.Attempt)
 			t.job.maybeStarted = true
+			t.job.unansweredStart = true
 		}
 	}
 }
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -52,6 +52,9 @@
 		s.lateAnswer(taskName, targetID, attempt, answer.Result, now)
 		return
 	}
+	if answer.Result == rattanwork.StartUnknown && r.task != nil {
+		r.task.job.unansweredStart = true
+	}
 	if r.state != runRequested && r.state != runStopping {
 		return
 	}
