--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -59,6 +60,10 @@
 	// job was redirected because this instance's zone had no capacity for it.
 	zone       string
 	redirected bool
+	// tried contains the zones that have redirected or refused the job, or were out of
+	// reach; lastRefusal is the answer for the last one.
+	tried       []string
+	lastRefusal response
 	// earlierZone is the zone that redirected the job although an earlier submission to
 	// it was unsettled, "" if there is none.
 	earlierZone string
@@ -216,16 +221,15 @@
 			// Each of two zones may take the job for started in the other one.
 			s.wait(ctx, nil)
 		}
-		if s.submissions.unsettledCount() > 0 {
-			s.earlierZone = s.zone
-		}
-		s.zone = reply.Result.Zone
-		s.redirected = true
-		return response{}, false
+		return s.follow(reply.Result)
 	}
 	if reply.CancelledByCaller {
 		return cancelledResponse(), true
 	}
+	if err != nil && s.redirected && !s.maybeStarted() {
+		s.tryNextZone(response{status: http.StatusServiceUnavailable, retryAfter: unavailableRetryAfter, reason: "other zone out of reach"})
+		return response{}, false
+	}
 	// A home cancels the jobs of an instance that it considers dead, but the
 	// caller of this instance is still waiting.
 	if err != nil || reply.NotHome || reply.Result.Outcome == rattanscheduler.Cancelled {
@@ -237,9 +241,47 @@
 		s.withdrawUnsettled()
 		return notCompleteResponse(reply.Result.Reason), true
 	}
+	if reply.Result.Outcome == rattanscheduler.Refused && s.redirected {
+		s.tryNextZone(outcomeResponse(reply.Result))
+		return response{}, false
+	}
 	return outcomeResponse(reply.Result), true
 }
 
+// follow goes on in the zone to which a job was redirected, or returns the last refusal
+// if that zone has refused the job already: a home of the former version does not know
+// which zones have.
+func (s *submission) follow(result rattanscheduler.JobResult) (response, bool) {
+	if !s.maybeStarted() && slices.Contains(s.tried, result.Zone) {
+		return s.lastRefusal, true
+	}
+	if s.submissions.unsettledCount() > 0 {
+		s.earlierZone = s.zone
+	}
+	s.addTried(s.zone)
+	s.zone = result.Zone
+	s.redirected = true
+	return response{}, false
+}
+
+// tryNextZone goes back to this instance's zone after another zone has refused the job or
+// was out of reach. The home of this zone knows where the job was redirected. It starts the job, redirects it to a zone that
+// was not tried, or refuses it.
+func (s *submission) tryNextZone(refusal response) {
+	s.lastRefusal = refusal
+	s.addTried(s.zone)
+	s.zone = s.handler.config.Self.Zone
+	s.redirected = false
+	s.unreachableSince = time.Time{}
+}
+
+// addTried records that a zone has redirected or refused the job.
+func (s *submission) addTried(zone string) {
+	if !slices.Contains(s.tried, zone) {
+		s.tried = append(s.tried, zone)
+	}
+}
+
 // notAccepted reports whether the answer to a submission proves that it has started
 // no task and will not start any.
 func notAccepted(reply rattanhome.Reply, err error) bool {
@@ -297,6 +339,7 @@
 		EarlierHomes:   otherHomes,
 		Redirectable:   !resumed && !s.redirected,
 		Redirected:     s.redirected,
+		Tried:          s.tried,
 	}
 }
 
--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -82,10 +82,10 @@
 	// Exchange tells other instances of start requests before they are sent. If it is
 	// nil, there are no other instances.
 	Exchange StartExchange
-	Observer Observer
-	// Evacuation returns what is known of the evacuation of the zone. If it is nil,
-	// evacuations are not used.
+	// Evacuation returns whether tasks may start in the zone. It is called with the
+	// home's mutex held, for each event. If it is nil, evacuations are not used.
 	Evacuation func(now time.Time) rattanwork.EvacuationStatus
+	Observer   Observer
 	// Suspended returns for how long the steady clock of this machine has stood
 	// still, 0 if it is nil.
 	Suspended func() time.Duration
@@ -166,6 +166,7 @@
 		raisedTokens: map[string]int64{},
 		idle:         true,
 	}
+	h.scheduler.SetEvacuation(h.evacuation(config.Clock()), config.Clock())
 	go h.tickLoop()
 	go h.tellStarts()
 	return h
@@ -211,11 +212,14 @@
 	FreeMilliCPU int
 	WaitingTasks int
 	Jobs         int
+	// Rooms is the room by service. It is not known of a home of the former version.
+	Rooms []rattanscheduler.ServiceRoom `json:",omitempty"`
 	// Lag is how late the home handles events. Overloaded is set if it refuses
 	// jobs for that reason.
 	Lag        time.Duration
 	Overloaded bool
-	// Evacuated is set if nothing may start in the zone.
+	// Evacuated is set if no task may start because the zone is evacuated, or because
+	// it is not known whether it is.
 	Evacuated bool `json:",omitempty"`
 }
 
@@ -228,8 +232,10 @@
 		FreeMilliCPU: h.scheduler.FreeMilliCPU(now),
 		WaitingTasks: h.scheduler.WaitingTasks(),
 		Jobs:         h.scheduler.Jobs(),
+		Rooms:        h.scheduler.Rooms(now),
 		Lag:          h.lag.current(now),
 		Overloaded:   h.overloaded,
+		Evacuated:    h.scheduler.Evacuation() != rattanwork.EvacuationNone,
 	}
 }
 
@@ -289,16 +295,13 @@
 	h.flush(now)
 }
 
-// SetRemoteZones replaces the known free capacity of other availability zones.
+// SetRemoteZones replaces what is known of the room in other availability zones.
 func (h *Home) SetRemoteZones(zones []rattanscheduler.RemoteZone) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.scheduler.SetRemoteZones(zones)
 }
 
-// EvacuationChanged makes the home act on a change of what Config.Evacuation returns.
-func (h *Home) EvacuationChanged() {}
-
 // Submit waits for the result of a job and starts the job unless it is already
 // known. ErrDeposed and ErrClosed mean that the job must be submitted to another
 // home. If ctx ends, the job continues.
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -29,7 +29,6 @@
 		j.firstStart = now.Sub(j.submittedAt)
 	}
 	j.runCount++
-	j.maybeStarted = true
 	j.recordStart(r, now)
 	s.output.Starts = append(s.output.Starts, StartRequest{
 		Target:     &target.info,
@@ -53,11 +52,17 @@
 		s.lateAnswer(taskName, targetID, attempt, answer.Result, now)
 		return
 	}
+	if answer.Result == rattanwork.StartUnknown && r.task != nil {
+		r.task.job.unansweredStart = true
+	}
 	if r.state != runRequested && r.state != runStopping {
 		return
 	}
 	switch result := answer.Result; {
 	case result == rattanwork.StartAccepted:
+		if r.task != nil {
+			r.task.job.listUntil(now.Add(listedStartTime))
+		}
 		r.confirmedAt = now
 		r.startClock = answer.ClockMillis
 		if r.state == runRequested {
