--- a/rattancmd/deployment_test.go
+++ b/rattancmd/deployment_test.go
@@ -60,6 +60,8 @@
 	mutex     sync.Mutex
 	instances []*serveInstance
 	version   int
+	// evacuateMillis is that of the instances' settings.
+	evacuateMillis int
 }
 
 // serveInstance is an instance that runs as a process of its own.
@@ -77,12 +79,19 @@
 // startDeployment starts the given numbers of instances and targets in each zone
 // and waits until the instances are ready.
 func startDeployment(t *testing.T, zones []string, instances, targets int) *deployment {
+	return startDeploymentWith(t, zones, instances, targets, 0)
+}
+
+// startDeploymentWith does the same for instances that use evacuations, unless
+// evacuateMillis is 0.
+func startDeploymentWith(t *testing.T, zones []string, instances, targets, evacuateMillis int) *deployment {
 	c := qt.New(t)
 	store, err := rattansite.NewStore()
 	c.Assert(err, qt.IsNil)
 	deployment := &deployment{
 		C: c, directory: t.TempDir(), store: store, checker: rattansite.NewInvariantChecker(),
-		ipPrefix: fmt.Sprintf("127.%d.%d.", processNetwork, deployments.Add(1)%250),
+		ipPrefix:       fmt.Sprintf("127.%d.%d.", processNetwork, deployments.Add(1)%250),
+		evacuateMillis: evacuateMillis,
 	}
 	t.Cleanup(deployment.close)
 	deployment.putDesired()
@@ -176,7 +185,7 @@
 	storeAddress, err := d.store.Listen()
 	d.Assert(err, qt.IsNil)
 	instance := &serveInstance{name: name, ip: ip, settingsFile: filepath.Join(d.directory, name+".json"), storeAddress: storeAddress}
-	settings := rattansite.InstanceSettings{Name: name, IP: ip, Zone: zone, StoreAddress: storeAddress}
+	settings := rattansite.InstanceSettings{Name: name, IP: ip, Zone: zone, StoreAddress: storeAddress, EvacuateMillis: d.evacuateMillis}
 	for _, other := range d.instances {
 		settings.SeedIPs = append(settings.SeedIPs, other.ip)
 	}
--- a/rattancmd/serve_test.go
+++ b/rattancmd/serve_test.go
@@ -65,19 +65,26 @@
 // except those that only faults cause.
 func (d *deployment) checkMetrics() {
 	d.Helper()
-	response, err := http.Get("http://" + d.homeOf("a").ip + ":7735/metrics")
-	d.Assert(err, qt.IsNil)
-	defer func() { _ = response.Body.Close() }()
-	page, err := io.ReadAll(response.Body)
-	d.Assert(err, qt.IsNil)
+	page := d.metrics(d.homeOf("a"))
 	faults := []string{rattanmetric.TargetsSilentTotal, rattanmetric.HomesDeposedTotal, rattanmetric.RunsLostTotal}
 	for _, definition := range rattanmetric.ServeMetrics() {
 		if !slices.Contains(faults, definition.Name) {
-			d.Check(string(page), qt.Contains, definition.Name)
+			d.Check(page, qt.Contains, definition.Name)
 		}
 	}
 }
 
+// metrics returns the page of an instance's metrics.
+func (d *deployment) metrics(instance *serveInstance) string {
+	d.Helper()
+	response, err := http.Get("http://" + instance.ip + ":7735/metrics")
+	d.Assert(err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	page, err := io.ReadAll(response.Body)
+	d.Assert(err, qt.IsNil)
+	return string(page)
+}
+
 func (d *deployment) checkGet(path string, status int, body string) {
 	d.Helper()
 	for _, instance := range d.instances {
--- a/rattanmetric/table.go
+++ b/rattanmetric/table.go
@@ -62,6 +62,7 @@
 	CancelledSubmissionsTotal = "rattanlever_cancelled_submissions_total"
 	RememberedCancellations   = "rattanlever_remembered_cancellations"
 	EvacuatedZones            = "rattanlever_evacuated_zones"
+	EvacuatedJobsTotal        = "rattanlever_evacuated_jobs_total"
 	StoreCallsTotal           = "rattanlever_store_calls_total"
 	LogLinesTotal             = "rattanlever_log_lines_total"
 	LogLinesDroppedTotal      = "rattanlever_log_lines_dropped_total"
@@ -146,6 +147,7 @@
 	{CancelledSubmissionsTotal, KindCounter, nil, "Submissions of jobs that their callers have cancelled, before or after."},
 	{RememberedCancellations, KindGauge, nil, "Cancelled jobs that this instance remembers."},
 	{EvacuatedZones, KindGauge, nil, "Zones that are evacuated as far as this instance knows."},
+	{EvacuatedJobsTotal, KindCounter, []string{"outcome"}, "Jobs of the own home that were redirected, refused or ended because its zone is evacuated, by outcome."},
 	{StoreCallsTotal, KindCounter, nil, "Calls to the platform's metadata store."},
 	{LogLinesTotal, KindCounter, nil, "Log lines taken in for writing."},
 	{LogLinesDroppedTotal, KindCounter, nil, "Log lines dropped because the output was too slow."},
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -33,6 +33,9 @@
 	// Rare events are shown before the first one.
 	registry.Counter(rattanmetric.CancelledSubmissionsTotal)
 	registry.Counter(rattanmetric.LearnedStartsTotal)
+	for _, outcome := range []rattanscheduler.Outcome{rattanscheduler.Redirected, rattanscheduler.Refused, rattanscheduler.Expired} {
+		registry.Counter(evacuatedJobsCounter(outcome))
+	}
 	for change := rattanscheduler.StartUnanswered; change <= rattanscheduler.StartExpired; change++ {
 		registry.Counter(startsCounter(change))
 	}
@@ -89,10 +92,23 @@
 	}
 }
 
+// reasonEvacuated is the reason that the scheduler states for the end of jobs of an
+// evacuated zone.
+const reasonEvacuated = "zone is evacuated"
+
+// evacuatedJobsCounter returns the name of the counter of the jobs that ended so
+// because their zone is evacuated.
+func evacuatedJobsCounter(outcome rattanscheduler.Outcome) string {
+	return rattanmetric.WithLabels(rattanmetric.EvacuatedJobsTotal, "outcome", outcome.String())
+}
+
 // JobEnded records how a job of the local home ended.
 func (j *Journal) JobEnded(result rattanscheduler.JobResult) {
 	j.startWait.Update(result.FirstStart.Seconds())
 	j.registry.Counter(rattanmetric.WithLabels(rattanmetric.JobOutcomesTotal, "outcome", result.Outcome.String())).Inc()
+	if result.Reason == reasonEvacuated {
+		j.registry.Counter(evacuatedJobsCounter(result.Outcome)).Inc()
+	}
 	fields := logrus.Fields{
 		"Job":          result.JobID,
 		"Outcome":      result.Outcome.String(),
--- a/rattanzone/evacuations_test.go
+++ b/rattanzone/evacuations_test.go
@@ -195,9 +195,17 @@
 	c.Check(e.Known(), qt.DeepEquals, evacuated(21, "d"))
 	// A store that has lost changes is read again.
 	source.answers <- operatorAnswer{state: rattanwork.OperatorState{Revision: 30, Evacuations: evacuated(30)}}
-	answer("watch from 30 with []", evacuated(25, "e"), nil)
+	c.Check(<-source.calls, qt.Equals, "watch from 30 with []")
+	e.freshness.tick(time.Now().Add(-time.Minute))
+	e.freshness.tick(time.Now().Add(-30 * time.Second))
+	c.Check(e.freshness.current(time.Now().Add(-30*time.Second)), qt.IsFalse)
+	source.answers <- operatorAnswer{state: rattanwork.OperatorState{Revision: 25, Evacuations: evacuated(25, "e")}}
 	c.Check(<-source.calls, qt.Equals, "read")
 	c.Check(e.Known(), qt.DeepEquals, evacuated(30))
+	c.Check(e.freshness.current(time.Now().Add(-30*time.Second)), qt.IsFalse, qt.Commentf("compared with changes to a set that the store does not have"))
+	source.answers <- operatorAnswer{state: rattanwork.OperatorState{Revision: 25, Evacuations: evacuated(25, "e")}}
+	c.Check(<-source.calls, qt.Equals, "watch from 25 with [{e 25}]")
+	c.Check(e.freshness.current(time.Now().Add(-30*time.Second)), qt.IsTrue)
 }
 
 // TestTransferLeavesNoGapInEvacuations guards against a watch that continues after
