--- a/rattanrig/disturbance.go
+++ b/rattanrig/disturbance.go
@@ -45,8 +45,11 @@
 	// AllKilled kills all instances, which start again later. It is played only if
 	// it is named.
 	AllKilled
+	// ZoneEvacuated makes the operator evacuate a zone for a while. It is played only
+	// if it is named: all instances use evacuations then.
+	ZoneEvacuated
 
-	kindCount = int(AllKilled) + 1
+	kindCount = int(ZoneEvacuated) + 1
 	// usualKinds is the number of kinds that are played unless some are named.
 	usualKinds = int(StoreAway) + 1
 )
@@ -75,7 +78,12 @@
 	// maxRestartDelay is shorter, because a run must still be active then.
 	maxRestartDelay = 4 * time.Second
 	maxHoldTime     = 3 * time.Second
-	lostShare       = 0.2
+	// evacuationBound is how long after the request tasks may start in an evacuated
+	// zone. The store may be away for maxOutage of it.
+	evacuationBound = 6 * time.Second
+	// maxEvacuation is longer, so that many evacuations outlast the bound.
+	maxEvacuation = 12 * time.Second
+	lostShare     = 0.2
 )
 
 // disturb begins disturbances until the context ends, and waits until all of them
@@ -121,6 +129,8 @@
 	case StoreAway:
 		r.began(kind, "")
 		r.disturbStore(random)
+	case ZoneEvacuated:
+		r.evacuate(random.IntN(len(r.config.Zones)), random)
 	default:
 		target := r.targets[random.IntN(len(r.targets))]
 		if !target.disturbing.TryLock() {
@@ -182,6 +192,23 @@
 	r.record("%v %s ends", kind, zone)
 }
 
+// evacuate evacuates a zone for a while, unless it is evacuated. The checker reports
+// what starts there after the bound.
+func (r *rig) evacuate(index int, random *rand.Rand) {
+	if !r.evacuating[index].TryLock() {
+		return
+	}
+	defer r.evacuating[index].Unlock()
+	zone := r.config.Zones[index]
+	r.began(ZoneEvacuated, zone)
+	r.store.Evacuate(zone)
+	r.checker.ZoneEvacuated(zone, evacuationBound)
+	time.Sleep(upTo(random, maxEvacuation))
+	r.checker.EvacuationEnds(zone)
+	r.store.EndEvacuation(zone)
+	r.record("%v %s ends", ZoneEvacuated, zone)
+}
+
 func (r *rig) disturbInstance(kind Kind, i *instance, random *rand.Rand) {
 	switch kind {
 	case InstancePaused:
--- a/rattanrig/instance.go
+++ b/rattanrig/instance.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -21,6 +22,8 @@
 	readyTimeout     = 500 * time.Millisecond
 	gracePeriod      = 6 * time.Second
 	settingsFileMode = 0o600
+	// evacuateMillis is that of the deployment that asks for evacuations.
+	evacuateMillis = 5000
 )
 
 // instance is an instance of the program that runs as a process of its own.
@@ -53,6 +56,9 @@
 		outputFile:   filepath.Join(config.Directory, name+".log"),
 	}
 	settings := rattansite.InstanceSettings{Name: name, IP: ip, Zone: zone, SeedIPs: seeds, StoreAddress: storeAddress}
+	if slices.Contains(config.Kinds, ZoneEvacuated) {
+		settings.EvacuateMillis = evacuateMillis
+	}
 	data, err := settings.File()
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/rattanrig/kind_string.go
+++ b/rattanrig/kind_string.go
@@ -20,11 +20,12 @@
 	_ = x[ZoneKilled-9]
 	_ = x[ZonePaused-10]
 	_ = x[AllKilled-11]
+	_ = x[ZoneEvacuated-12]
 }
 
-const _Kind_name = "InstanceKilledInstancePausedInstanceTerminatedTargetRestartedTargetSilentAnswersLostRequestsDelayedRequestOutlivesTargetStoreAwayZoneKilledZonePausedAllKilled"
+const _Kind_name = "InstanceKilledInstancePausedInstanceTerminatedTargetRestartedTargetSilentAnswersLostRequestsDelayedRequestOutlivesTargetStoreAwayZoneKilledZonePausedAllKilledZoneEvacuated"
 
-var _Kind_index = [...]uint8{0, 14, 28, 46, 61, 73, 84, 99, 120, 129, 139, 149, 158}
+var _Kind_index = [...]uint8{0, 14, 28, 46, 61, 73, 84, 99, 120, 129, 139, 149, 158, 171}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/rattanrig/rig.go
+++ b/rattanrig/rig.go
@@ -81,7 +81,9 @@
 	checker   *rattansite.InvariantChecker
 	instances []*instance
 	targets   []*disturbedTarget
-	log       *os.File
+	// evacuating holds a lock for each zone that is held while it is evacuated.
+	evacuating []sync.Mutex
+	log        *os.File
 
 	mutex  sync.Mutex
 	report Report
@@ -96,7 +98,7 @@
 
 // Run plays one seed and returns what was seen.
 func Run(ctx context.Context, config Config) (*Report, error) {
-	r := &rig{config: config, checker: rattansite.NewInvariantChecker(), report: Report{Seed: config.Seed}}
+	r := &rig{config: config, checker: rattansite.NewInvariantChecker(), evacuating: make([]sync.Mutex, len(config.Zones)), report: Report{Seed: config.Seed}}
 	r.checker.Observe = func(event string) { r.record("%s", event) }
 	defer r.close()
 	if err := r.open(); err != nil {
