--- a/rattancmd/evacuation_test.go
+++ b/rattancmd/evacuation_test.go
@@ -166,14 +166,24 @@
 }
 
 // TestServeEvacuationWhileHomeIsPaused guards against a home that goes on when it
-// resumes after the bound, because it has not read the request.
+// resumes after the bound, because it has not read the request. A home that the store
+// rejects learns of it from another zone.
 func TestServeEvacuationWhileHomeIsPaused(t *testing.T) {
 	t.Parallel()
-	for name, instances := range map[string]int{"alone in its zone": 1, "with a successor": 2} {
+	tests := map[string]struct {
+		instances int
+		outage    rattansite.Outage
+	}{
+		"alone in its zone":               {instances: 1},
+		"alone in its zone, store silent": {instances: 1, outage: rattansite.OutageSilent},
+		"with a successor":                {instances: 2},
+	}
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			deployment, load := startEvacuable(t, instances)
+			deployment, load := startEvacuable(t, test.instances)
 			home := deployment.homeOf("a")
+			deployment.store.SetOutageAt(home.storeAddress, test.outage)
 			home.pause(evacuationBound + time.Second)
 			time.Sleep(100 * time.Millisecond)
 			deployment.evacuate("a")
