--- a/rattanscheduler/room.go
+++ b/rattanscheduler/room.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -19,6 +21,8 @@
 	// the priorities with a wait of their own.
 	maxRooms = 4
 	maxWaits = 4
+	// maxReportedWait bounds a reported wait in milliseconds. Nobody waits for a day.
+	maxReportedWait = 86_400_000
 )
 
 // classSizes contains the processor demand of each class.
@@ -91,9 +95,9 @@
 	}
 }
 
-// MarshalText returns a symbol for each class up to the last one for which there is room.
+// String returns a symbol for each class up to the last one for which there is room.
 // Numbers are rounded down.
-func (f FitCounts) MarshalText() ([]byte, error) {
+func (f *FitCounts) String() string {
 	text := make([]byte, 0, sizeClasses)
 	for _, count := range f {
 		symbol, found := slices.BinarySearch(symbolValues[:], count)
@@ -105,19 +109,18 @@
 		}
 		text = append(text, fitSymbols[symbol])
 	}
-	return text, nil
+	return string(text)
 }
 
-// UnmarshalText reads what MarshalText returns. Further classes and unknown symbols of
+// parseFitCounts reads what String returns. Further classes and unknown symbols of
 // another version count as no room.
-func (f *FitCounts) UnmarshalText(text []byte) error {
-	*f = FitCounts{}
+func parseFitCounts(text string) (f FitCounts) {
 	for class := range min(len(text), sizeClasses) {
 		if symbol := strings.IndexByte(fitSymbols, text[class]); symbol > 0 {
 			f[class] = symbolValues[symbol]
 		}
 	}
-	return nil
+	return f
 }
 
 // ServiceRoom is the room for tasks of one service in a zone.
@@ -128,7 +131,7 @@
 	Fits     FitCounts
 	// Waits is empty if no job waits. It is sorted by priority. A priority that is not
 	// listed waits as long as the next one before it.
-	Waits []PriorityWait `json:",omitempty"`
+	Waits []PriorityWait
 }
 
 // PriorityWait is the expected wait of a new job.
@@ -137,6 +140,56 @@
 	Millis   int64
 }
 
+// MarshalText returns the room in few bytes, because each claim contains it: the counts,
+// the capacity, the waits as PRIORITY:MILLISECONDS and the service, separated by spaces.
+func (r ServiceRoom) MarshalText() ([]byte, error) {
+	waits := make([]string, len(r.Waits))
+	for i, entry := range r.Waits {
+		waits[i] = fmt.Sprintf("%d:%d", entry.Priority, entry.Millis)
+	}
+	return fmt.Appendf(nil, "%s %d %s %s", r.Fits.String(), r.MilliCPU, strings.Join(waits, ","), r.Service), nil
+}
+
+// UnmarshalText reads what MarshalText returns. In another form, the room is that of no
+// service: it is no reason to refuse a claim.
+func (r *ServiceRoom) UnmarshalText(text []byte) error {
+	*r = ServiceRoom{}
+	fields := strings.SplitN(string(text), " ", 4)
+	if len(fields) != 4 {
+		return nil
+	}
+	milliCPU, err := strconv.Atoi(fields[1])
+	if err != nil {
+		return nil
+	}
+	waits, ok := parseWaits(fields[2])
+	if !ok {
+		return nil
+	}
+	*r = ServiceRoom{Service: fields[3], MilliCPU: milliCPU, Fits: parseFitCounts(fields[0]), Waits: waits}
+	return nil
+}
+
+// parseWaits reads a list of waits.
+func parseWaits(text string) (waits []PriorityWait, ok bool) {
+	if text == "" {
+		return nil, true
+	}
+	for part := range strings.SplitSeq(text, ",") {
+		priority, millis, _ := strings.Cut(part, ":")
+		number, err := strconv.Atoi(priority)
+		if err != nil {
+			return nil, false
+		}
+		value, err := strconv.ParseInt(millis, 10, 64)
+		if err != nil || value < 0 || value > maxReportedWait {
+			return nil, false
+		}
+		waits = append(waits, PriorityWait{Priority: number, Millis: value})
+	}
+	return waits, true
+}
+
 // wait returns the expected wait of a new job.
 func (r *ServiceRoom) wait(priority int) time.Duration {
 	wait := time.Duration(0)
@@ -210,7 +263,7 @@
 	ahead := 0.0
 	for _, priority := range priorities {
 		ahead += work[priority]
-		millis := time.Duration(ahead / float64(max(1, s.pool.expectedMilliCPU()))).Milliseconds()
+		millis := int64(min(ahead/float64(max(1, s.pool.expectedMilliCPU()))/1e6, maxReportedWait))
 		if len(list) == maxWaits {
 			list[maxWaits-1].Millis = millis
 			continue
