--- a/rattanday/day.go
+++ b/rattanday/day.go
@@ -7,7 +7,6 @@
 
 import (
 	"os"
-	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -88,19 +87,6 @@
 	Kind   string
 }
 
-// Evacuation is the time in which nothing may start in a zone. A For of 0 lasts to the end
-// of the day.
-type Evacuation struct {
-	Zone string
-	At   rattanjson.Duration
-	For  rattanjson.Duration
-}
-
-// covers reports whether the zone is evacuated at the given time of the day.
-func (e *Evacuation) covers(zone string, at time.Duration) bool {
-	return zone == e.Zone && at >= e.At.Std() && (e.For == 0 || at < (e.At+e.For).Std())
-}
-
 // Read reads the description of a day from a JSON file and checks it.
 func Read(path string) (*Day, error) {
 	data, err := os.ReadFile(path)
@@ -207,16 +193,6 @@
 	return nil
 }
 
-func (d *Day) checkEvacuation(e *Evacuation) error {
-	switch {
-	case e.At < 0 || e.For < 0:
-		return invalidKey("At", "must not be negative, like For")
-	case !slices.ContainsFunc(d.Zones, func(zone Zone) bool { return zone.Name == e.Zone }):
-		return invalidKey("Zone", "no such zone")
-	}
-	return nil
-}
-
 func invalidKey(key, reason string) error {
 	return errors.WithType(errors.Errorf("%s: %s", key, reason), ErrInvalidDay)
 }
--- a/rattanday/evacuation_test.go
+++ b/rattanday/evacuation_test.go
@@ -35,15 +35,13 @@
 func playProduct(c *qt.C, day *Day, seed uint64) (*homes, Policy) {
 	c.Assert(day.Check(), qt.IsNil)
 	jobs := day.jobs(seed)
-	var names []string
 	var zones [][]target
 	for i := range day.Zones {
-		names = append(names, day.Zones[i].Name)
 		zones = append(zones, day.Zones[i].zoneTargets())
 	}
-	s := newHomes(names, zones, day.Evacuations)
+	s := playHomes(zones, jobs, day.simulatedEvacuations())
 	report := &Report{}
-	report.add("product", jobs, s.play(jobs))
+	report.add("product", jobs, s.outcomes)
 	c.Logf("%+v", report.Policies[0])
 	return s, report.Policies[0]
 }
--- a/rattanday/product.go
+++ b/rattanday/product.go
@@ -41,15 +41,7 @@
 	// arrival there.
 	redirects []redirect
 	outcomes  map[*job]outcome
-	// evacuations are those of the day. tried contains, by job, the zones that have
-	// redirected or refused it.
-	evacuations []Evacuation
-	tried       map[*job][]string
-	// active counts, by task, the runs under way. doubleRuns and forbiddenStarts count
-	// starts of tasks that run already, and those in an evacuated zone.
-	active          map[string]int
-	doubleRuns      int
-	forbiddenStarts int
+	evacuationRecord
 }
 
 // home is the scheduler of one zone, with its targets.
@@ -90,27 +82,18 @@
 // simulateHomes plays the jobs on one scheduler for each zone, given the targets
 // of the zones.
 func simulateHomes(zones [][]target, jobs []*job) map[*job]outcome {
-	names := make([]string, len(zones))
-	for i := range names {
-		names[i] = fmt.Sprintf("zone-%d", i)
-	}
-	return newHomes(names, zones, nil).play(jobs)
+	return playHomes(zones, jobs, nil).outcomes
 }
 
-// newHomes returns the schedulers of zones that are evacuated at times.
-func newHomes(names []string, zones [][]target, evacuations []Evacuation) *homes {
+// playHomes does the same with zones that are evacuated at times.
+func playHomes(zones [][]target, jobs []*job, evacuations []Evacuation) *homes {
 	s := &homes{
-		jobs: map[string]*job{}, runTimes: map[string]time.Duration{}, outcomes: map[*job]outcome{}, evacuations: evacuations,
-		tried: map[*job][]string{}, active: map[string]int{},
+		jobs: map[string]*job{}, runTimes: map[string]time.Duration{}, outcomes: map[*job]outcome{},
+		evacuationRecord: newEvacuationRecord(evacuations),
 	}
 	for i, targets := range zones {
-		s.zones = append(s.zones, newHome(names[i], targets))
+		s.zones = append(s.zones, newHome(zoneName(i), targets))
 	}
-	return s
-}
-
-// play plays the jobs and returns how they end.
-func (s *homes) play(jobs []*job) map[*job]outcome {
 	next := 0
 	for ; len(s.outcomes) < len(jobs); s.now += timeStep {
 		s.evacuate()
@@ -133,23 +116,7 @@
 			s.apply(zone)
 		}
 	}
-	return s.outcomes
-}
-
-// evacuated reports whether a zone is evacuated now.
-func (s *homes) evacuated(zone string) bool {
-	return slices.ContainsFunc(s.evacuations, func(e Evacuation) bool { return e.covers(zone, s.now) })
-}
-
-// evacuate applies the evacuations that begin or end.
-func (s *homes) evacuate() {
-	for _, zone := range s.zones {
-		status := rattanwork.EvacuationNone
-		if s.evacuated(zone.name) {
-			status = rattanwork.EvacuationActive
-		}
-		zone.scheduler.SetEvacuation(status, start.Add(s.now))
-	}
+	return s
 }
 
 func newHome(name string, targets []target) *home {
@@ -199,7 +166,7 @@
 
 // submit submits a job to the home of a zone, after a redirect or for the first time.
 func (s *homes) submit(zone *home, r redirect) {
-	j := r.job
+	j, redirected := r.job, zone != s.zones[r.job.zone]
 	request := &rattanwork.Job{ID: j.id, Steps: []rattanwork.Step{{
 		Count: len(j.runTimes), Resources: rattanwork.Resources{MilliCPU: j.kind.MilliCPU}, Estimate: j.declared,
 	}}}
@@ -211,7 +178,6 @@
 	}
 	now, arrival := start.Add(s.now), start.Add(j.arrival)
 	objective := j.kind.Latency.Std() + time.Duration(j.kind.Slack*float64(j.declared))
-	redirected := zone != s.zones[j.zone]
 	zone.scheduler.Submit(rattanscheduler.Submission{
 		Job: request, Service: service, Priority: j.kind.Priority, MaxAttempts: maxAttempts,
 		Objective: arrival.Add(objective), LateUntil: arrival.Add(rattanwork.LateFactor * objective),
@@ -225,37 +191,19 @@
 func (s *homes) apply(zone *home) {
 	output := zone.scheduler.Take()
 	for _, request := range output.Starts {
-		s.active[request.Task]++
-		if s.active[request.Task] > 1 {
-			s.doubleRuns++
-		}
-		if s.evacuated(zone.name) {
-			s.forbiddenStarts++
-		}
+		s.recordStart(zone, request)
 		zone.start(request, s.runTimes[request.Task], s.now)
 	}
 	for _, request := range output.Stops {
 		zone.stop(request, s.now)
 	}
 	for _, result := range output.Results {
-		s.end(zone, result)
-	}
-}
-
-// end records the end of a job or submits it elsewhere. A job that another zone has
-// refused is submitted to its own zone again.
-func (s *homes) end(zone *home, result rattanscheduler.JobResult) {
-	j := s.jobs[result.JobID]
-	next := result.Zone
-	if result.Outcome == rattanscheduler.Refused && zone != s.zones[j.zone] {
-		next = s.zones[j.zone].name
-	}
-	if next == "" {
+		j := s.jobs[result.JobID]
+		if s.goOn(zone, j, result) {
+			continue
+		}
 		s.outcomes[j] = outcome{result: result.Outcome, end: s.now}
-		return
 	}
-	s.tried[j] = append(s.tried[j], zone.name)
-	s.redirects = append(s.redirects, redirect{job: j, zone: next, at: s.now + redirectTime, started: result.MayHaveStarted})
 }
 
 // start starts a run, given its run time on the fastest targets.
--- a/rattanday/report.go
+++ b/rattanday/report.go
@@ -55,11 +55,7 @@
 		all = append(all, day.Zones[i].zoneTargets()...)
 	}
 	report := &Report{Seed: seed, Jobs: len(jobs)}
-	names := make([]string, len(day.Zones))
-	for i := range day.Zones {
-		names[i] = day.Zones[i].Name
-	}
-	product := newHomes(names, zones, day.Evacuations).play(jobs)
+	product := playHomes(zones, jobs, day.simulatedEvacuations()).outcomes
 	report.add("product", jobs, product)
 	merged := inOneZone(jobs)
 	report.add("with one zone", merged, simulateHomes([][]target{all}, merged))
--- a/rattanfront/redirect_test.go
+++ b/rattanfront/redirect_test.go
@@ -25,6 +25,8 @@
 	forgetful bool
 	answers   map[string]rattanscheduler.Outcome
 	lost      map[string]error
+	// unknown is a zone whose home is not known.
+	unknown string
 	// zones contains the zones to which the job was submitted.
 	zones []string
 }
@@ -34,6 +36,10 @@
 	if zone == "a" {
 		name = "self"
 	}
+	if zone == z.unknown {
+		z.advance(2 * homeWaitLimit)
+		return rattanzone.Claim{}, false, z.changed
+	}
 	return rattanzone.Claim{Zone: zone, Name: name, Address: name, FencingToken: int64(zone[0])}, true, z.changed
 }
 
@@ -73,13 +79,15 @@
 		forgetful bool
 		answers   map[string]rattanscheduler.Outcome
 		lost      map[string]error
+		unknown   string
 		status    int
 		zones     []string
 	}{
-		"first runs it":      {answers: map[string]rattanscheduler.Outcome{"b": succeeded}, status: http.StatusOK, zones: []string{"a", "b"}},
-		"second runs it":     {answers: map[string]rattanscheduler.Outcome{"b": refused, "c": succeeded}, status: http.StatusOK, zones: []string{"a", "b", "a", "c"}},
-		"all refuse":         {answers: map[string]rattanscheduler.Outcome{"b": refused, "c": refused}, status: http.StatusServiceUnavailable, zones: []string{"a", "b", "a", "c", "a"}},
-		"first out of reach": {lost: map[string]error{"b": rattanpeer.ErrUnreachable}, answers: map[string]rattanscheduler.Outcome{"c": succeeded}, status: http.StatusOK, zones: []string{"a", "b", "a", "c"}},
+		"first runs it":             {answers: map[string]rattanscheduler.Outcome{"b": succeeded}, status: http.StatusOK, zones: []string{"a", "b"}},
+		"second runs it":            {answers: map[string]rattanscheduler.Outcome{"b": refused, "c": succeeded}, status: http.StatusOK, zones: []string{"a", "b", "a", "c"}},
+		"all refuse":                {answers: map[string]rattanscheduler.Outcome{"b": refused, "c": refused}, status: http.StatusServiceUnavailable, zones: []string{"a", "b", "a", "c", "a"}},
+		"first out of reach":        {lost: map[string]error{"b": rattanpeer.ErrUnreachable}, answers: map[string]rattanscheduler.Outcome{"c": succeeded}, status: http.StatusOK, zones: []string{"a", "b", "a", "c"}},
+		"home of the first unknown": {unknown: "b", answers: map[string]rattanscheduler.Outcome{"c": succeeded}, status: http.StatusOK, zones: []string{"a", "a", "c"}},
 		"all out of reach": {
 			lost:   map[string]error{"b": rattanpeer.ErrUnreachable, "c": rattanpeer.ErrRefused},
 			status: http.StatusServiceUnavailable, zones: []string{"a", "b", "a", "c", "a"},
@@ -90,7 +98,7 @@
 		t.Run(name, func(t *testing.T) {
 			z := &redirectingZones{
 				fakeZones: &fakeZones{now: time.Now(), changed: make(chan struct{})},
-				others:    []string{"b", "c"}, forgetful: test.forgetful, answers: test.answers, lost: test.lost,
+				others:    []string{"b", "c"}, forgetful: test.forgetful, answers: test.answers, lost: test.lost, unknown: test.unknown,
 			}
 			c := qt.New(t)
 			c.Check(post(z), qt.Equals, test.status)
--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -166,6 +166,10 @@
 		claim, ok, homeChanged := s.handler.config.Homes.Home(s.zone)
 		if !ok {
 			if !s.maybeStarted() && s.handler.config.Clock().Sub(s.receivedAt) > homeWaitLimit {
+				if s.redirected {
+					s.tryNextZone(outOfReachResponse())
+					continue
+				}
 				return response{status: http.StatusServiceUnavailable, retryAfter: unavailableRetryAfter, reason: "zone has no home"}, false
 			}
 			s.wait(ctx, homeChanged)
@@ -227,7 +231,7 @@
 		return cancelledResponse(), true
 	}
 	if err != nil && s.redirected && !s.maybeStarted() {
-		s.tryNextZone(response{status: http.StatusServiceUnavailable, retryAfter: unavailableRetryAfter, reason: "other zone out of reach"})
+		s.tryNextZone(outOfReachResponse())
 		return response{}, false
 	}
 	// A home cancels the jobs of an instance that it considers dead, but the
@@ -275,6 +279,12 @@
 	s.unreachableSince = time.Time{}
 }
 
+// outOfReachResponse returns the response for a job that another zone certainly has not
+// got.
+func outOfReachResponse() response {
+	return response{status: http.StatusServiceUnavailable, retryAfter: unavailableRetryAfter, reason: "other zone out of reach"}
+}
+
 // addTried records that a zone has redirected or refused the job.
 func (s *submission) addTried(zone string) {
 	if !slices.Contains(s.tried, zone) {
