Log when a zone starts work without knowing the evacuations

A zone that reaches neither the store nor another instance goes on after 2 s, or 0.5 s after a pause. An operator who has evacuated a zone has to know that.

--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -385,6 +385,12 @@
 	j.logger.WithFields(logrus.Fields{"Zone": zone, "Revision": revision, "Source": source}).Info("zone evacuation ended")
 }
 
+// EvacuationsNotKnown records that work may start although it is not known, or was not
+// confirmed since a pause, which zones are evacuated.
+func (j *Journal) EvacuationsNotKnown(revision int64) {
+	j.logger.WithField("Revision", revision).Warn("zone evacuations not known")
+}
+
 // maxErrorLength bounds the bytes of an error that may contain what another
 // program has written.
 const maxErrorLength = 300
--- a/rattanzone/evacuations.go
+++ b/rattanzone/evacuations.go
@@ -24,6 +24,9 @@
 type EvacuationJournal interface {
 	EvacuationBegan(evacuation rattanwork.Evacuation, revision int64, source string)
 	EvacuationEnded(zone string, revision int64, source string)
+	// EvacuationsNotKnown reports that work may start although the set is not known,
+	// or was not compared since a pause, with the revision of the set or 0.
+	EvacuationsNotKnown(revision int64)
 }
 
 // EvacuationsConfig configures an Evacuations.
@@ -48,13 +51,15 @@
 	set atomic.Pointer[rattanwork.Evacuations]
 
 	mutex sync.Mutex
+	// waiting is set if nothing could start when the heartbeat loop last ran.
+	waiting bool
 	// changed is closed and replaced when the status of a zone may have changed.
 	changed chan struct{}
 }
 
 // NewEvacuations returns an Evacuations that does not know the set yet.
 func NewEvacuations(config EvacuationsConfig) *Evacuations {
-	e := &Evacuations{config: config, changed: make(chan struct{})}
+	e := &Evacuations{config: config, waiting: true, changed: make(chan struct{})}
 	e.startedAt = e.elapsed(config.Clock())
 	e.set.Store(&rattanwork.Evacuations{})
 	return e
@@ -83,17 +88,22 @@
 		return rattanwork.EvacuationNone
 	}
 	set := e.set.Load()
-	elapsed := e.elapsed(now)
 	switch {
 	case set.Contains(zone):
 		return rattanwork.EvacuationActive
-	case set.Revision == 0 && elapsed.Sub(e.startedAt) < maxEvacuationsUnknown, e.freshness.recentlyPaused(elapsed, maxEvacuationsStale):
+	case e.mustWait(set, e.elapsed(now)):
 		return rattanwork.EvacuationUnknown
 	default:
 		return rattanwork.EvacuationNone
 	}
 }
 
+// mustWait reports whether nothing may start for the time being because the set is not
+// known, or may have changed during a pause.
+func (e *Evacuations) mustWait(set *rattanwork.Evacuations, elapsed time.Time) bool {
+	return set.Revision == 0 && elapsed.Sub(e.startedAt) < maxEvacuationsUnknown || e.freshness.recentlyPaused(elapsed, maxEvacuationsStale)
+}
+
 // Merge takes over a set that is newer than the one in force.
 func (e *Evacuations) Merge(set rattanwork.Evacuations, source string) {
 	if e == nil {
@@ -143,8 +153,18 @@
 
 // Tick records that this instance runs, at least every silenceTimeout.
 func (e *Evacuations) Tick(now time.Time) {
-	if e != nil {
-		e.freshness.tick(e.elapsed(now))
+	if e == nil {
+		return
+	}
+	elapsed := e.elapsed(now)
+	e.freshness.tick(elapsed)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	set := e.set.Load()
+	waited := e.waiting
+	e.waiting = e.mustWait(set, elapsed)
+	if waited && !e.waiting && (set.Revision == 0 || !e.freshness.current(elapsed)) {
+		e.config.Journal.EvacuationsNotKnown(set.Revision)
 	}
 }
 
--- a/rattanzone/evacuations_test.go
+++ b/rattanzone/evacuations_test.go
@@ -37,6 +37,12 @@
 	j.entries = append(j.entries, fmt.Sprintf("%s ended at %d from %s", zone, revision, source))
 }
 
+func (j *evacuationJournal) EvacuationsNotKnown(revision int64) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.entries = append(j.entries, fmt.Sprintf("not known after %d", revision))
+}
+
 // evacuated returns a set of evacuations that began at the revision.
 func evacuated(revision int64, zones ...string) rattanwork.Evacuations {
 	set := rattanwork.Evacuations{Revision: revision}
@@ -134,6 +140,36 @@
 	c.Check(e.sendable(now), qt.IsNotNil)
 }
 
+// TestUnknownEvacuationsAreRecorded guards against a zone that starts work without the
+// set, at the start or after a pause, and does not say so, and against saying so when
+// the set became known in time.
+func TestUnknownEvacuationsAreRecorded(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	journal := &evacuationJournal{}
+	e := NewEvacuations(EvacuationsConfig{Journal: journal, Clock: func() time.Time { return now }})
+	run := func(duration time.Duration) {
+		for end := now.Add(duration); now.Before(end); now = now.Add(100 * time.Millisecond) {
+			e.Tick(now)
+		}
+	}
+	run(maxEvacuationsUnknown)
+	c.Check(journal.entries, qt.HasLen, 0)
+	run(time.Second)
+	c.Check(journal.entries, qt.DeepEquals, []string{"not known after 0"})
+	e.Merge(evacuated(5), "store")
+	for range 2 {
+		now = now.Add(time.Second)
+		run(maxEvacuationsStale + time.Second)
+	}
+	c.Check(journal.entries, qt.DeepEquals, []string{"not known after 0", "not known after 5", "not known after 5"})
+	now = now.Add(time.Second)
+	e.Tick(now)
+	e.Compared(e.BeginComparison())
+	run(maxEvacuationsStale + time.Second)
+	c.Check(journal.entries, qt.HasLen, 3)
+}
+
 // scriptedOperator is a store whose answers a test provides one by one.
 type scriptedOperator struct {
 	answers chan operatorAnswer
