--- a/rattancmd/evacuation_test.go
+++ b/rattancmd/evacuation_test.go
@@ -33,10 +33,12 @@
 	return deployment, load
 }
 
-// evacuate writes a request to evacuate the zone.
-func (d *deployment) evacuate(zone string) {
+// evacuate writes a request to evacuate the zone, and returns when.
+func (d *deployment) evacuate(zone string) time.Time {
 	d.store.Evacuate(zone)
+	evacuatedAt := time.Now()
 	d.checker.ZoneEvacuated(zone, evacuationBound)
+	return evacuatedAt
 }
 
 // awaitStarts waits until tasks start in a zone.
@@ -64,9 +66,10 @@
 // checkEvacuated lets callers send jobs until after the bound, and checks that they
 // are served in zone b and that nothing has started in zone a. The checker reports
 // what has.
-func (d *deployment) checkEvacuated(load *loadGenerator) {
+func (d *deployment) checkEvacuated(load *loadGenerator, evacuatedAt time.Time) {
 	d.Helper()
 	time.Sleep(evacuationBound)
+	d.Logf("last start in zone a %v after the request", d.checker.LastStartIn("a").Sub(evacuatedAt))
 	startsInA, startsInB := d.checker.StartsIn("a"), d.checker.StartsIn("b")
 	time.Sleep(evacuatedLoadTime)
 	d.Check(d.checker.StartsIn("a"), qt.Equals, startsInA)
@@ -80,11 +83,11 @@
 func TestServeEvacuation(t *testing.T) {
 	t.Parallel()
 	deployment, load := startEvacuable(t, 2)
-	deployment.evacuate("a")
+	evacuatedAt := deployment.evacuate("a")
 	for _, instance := range deployment.instances {
 		deployment.awaitEvacuated(instance, 1)
 	}
-	deployment.checkEvacuated(load)
+	deployment.checkEvacuated(load, evacuatedAt)
 	page := deployment.metrics(deployment.homeOf("a"))
 	deployment.Check(page, qt.Not(qt.Contains), rattanmetric.WithLabels(rattanmetric.EvacuatedJobsTotal, "outcome", "redirected")+" 0\n")
 
@@ -133,13 +136,13 @@
 			}
 			// Watches that have begun are answered.
 			time.Sleep(time.Second)
-			deployment.evacuate("a")
+			evacuatedAt := deployment.evacuate("a")
 			time.Sleep(50 * time.Millisecond)
 			deployment.store.SetOutage(outage)
 			for _, instance := range deployment.instances {
 				deployment.awaitEvacuated(instance, 1)
 			}
-			deployment.checkEvacuated(load)
+			deployment.checkEvacuated(load, evacuatedAt)
 			for _, instance := range deployment.instancesOf("a") {
 				deployment.kill(instance, syscall.SIGKILL)
 			}
@@ -147,7 +150,7 @@
 			deployment.start(started)
 			deployment.waitReady(started)
 			deployment.awaitEvacuated(started, 1)
-			deployment.checkEvacuated(load)
+			deployment.checkEvacuated(load, evacuatedAt)
 			load.finish()
 		})
 	}
@@ -159,9 +162,9 @@
 	t.Parallel()
 	deployment, load := startEvacuable(t, 3)
 	home := deployment.homeOf("a")
-	deployment.evacuate("a")
+	evacuatedAt := deployment.evacuate("a")
 	deployment.kill(home, syscall.SIGKILL)
-	deployment.checkEvacuated(load)
+	deployment.checkEvacuated(load, evacuatedAt)
 	load.finish()
 }
 
@@ -186,9 +189,9 @@
 			deployment.store.SetOutageAt(home.storeAddress, test.outage)
 			home.pause(evacuationBound + time.Second)
 			time.Sleep(100 * time.Millisecond)
-			deployment.evacuate("a")
+			evacuatedAt := deployment.evacuate("a")
 			time.Sleep(evacuationBound)
-			deployment.checkEvacuated(load)
+			deployment.checkEvacuated(load, evacuatedAt)
 			deployment.awaitEvacuated(home, 1)
 			load.finish()
 		})
--- a/rattansite/evacuation.go
+++ b/rattansite/evacuation.go
@@ -37,10 +37,18 @@
 	return c.startsByZone[zone]
 }
 
+// LastStartIn returns when a target of a zone has last started a run, zero if none has.
+func (c *InvariantChecker) LastStartIn(zone string) time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.lastStartIn[zone]
+}
+
 // startedIn records a start in a zone. With late, the target has executed it late.
 // The caller holds the mutex.
 func (c *InvariantChecker) startedIn(zone, target, task string, late bool) {
 	c.startsByZone[zone]++
+	c.lastStartIn[zone] = time.Now()
 	if limit, ok := c.noStartsAfter[zone]; ok && !late && time.Now().After(limit) {
 		c.recordViolation("task %s was started on %s %v after the bound for the evacuation of zone %s", task, target, time.Since(limit), zone)
 	}
--- a/rattansite/invariants.go
+++ b/rattansite/invariants.go
@@ -46,9 +46,11 @@
 	refused     map[string]bool
 	cancelledAt map[string]time.Time
 	// noStartsAfter holds the time for each evacuated zone after which nothing may
-	// start there, startsByZone the number of runs that targets have started.
+	// start there, startsByZone the number of runs that targets have started,
+	// lastStartIn when they have started the last one.
 	noStartsAfter map[string]time.Time
 	startsByZone  map[string]int
+	lastStartIn   map[string]time.Time
 	// cancelTime is how long after its cancelling was accepted a job's tasks may be
 	// started.
 	cancelTime time.Duration
@@ -72,6 +74,7 @@
 		cancelledAt:     map[string]time.Time{},
 		noStartsAfter:   map[string]time.Time{},
 		startsByZone:    map[string]int{},
+		lastStartIn:     map[string]time.Time{},
 		cancelTime:      maxCancelTime,
 	}
 }
