Test memory and descriptors of serve under callers that send too much

One test for each kind of overload: 200 callers, a machine of 64 MB in the settings, bound 48 MB resident (1,000 descriptors, bound 800; in the mix 400, bound 200).

--- /dev/null
+++ b/rattanoverload/overload_test.go
@@ -0,0 +1,148 @@
+package rattanoverload
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattansite"
+)
+
+const (
+	// machineMB is the memory of the machine in the settings. Of it, a process may
+	// have boundMB resident; the rest is left to the system.
+	machineMB = 64
+	boundMB   = machineMB * 3 / 4
+	// machineDescriptors is the number of descriptors in the settings, of which
+	// reservedDescriptors are reserved for files. In the test of a mix there are
+	// fewer than callers.
+	machineDescriptors  = 1000
+	mixDescriptors      = 400
+	reservedDescriptors = 200
+	// callerCount is the number of concurrent callers, of which one in completeOne
+	// sends the whole body. heavyCallers is the number of those that send a complete
+	// body whose steps take many times its size.
+	callerCount  = 200
+	completeOne  = 8
+	heavyCallers = 4
+	// overloadTime is how long the callers go on, ordinaryTime how long the ordinary
+	// caller sends its job again.
+	overloadTime = 4 * time.Second
+	ordinaryTime = 10 * time.Second
+)
+
+// TestOverloadLargeBodies guards against a process that runs out of memory when many
+// callers send a large body at once, most of them without its end.
+func TestOverloadLargeBodies(t *testing.T) {
+	body, heavyBody := paddedJob(bodyBytes), emptySteps(bodyBytes)
+	testOverload(t, limits{machineMB, machineDescriptors}, func(i int) caller {
+		switch {
+		case i < heavyCallers:
+			return whole(heavyBody, 0)
+		case i%completeOne == 0:
+			return whole(body, 0)
+		default:
+			return whole(body, missingBytes)
+		}
+	})
+}
+
+// TestOverloadPieces guards against a process that runs out of memory when many
+// callers send a large body piece by piece and stop short of its end.
+func TestOverloadPieces(t *testing.T) {
+	body := paddedJob(bodyBytes)
+	testOverload(t, limits{machineMB, machineDescriptors}, func(i int) caller {
+		if i%completeOne == 0 {
+			return pieces(body, 0)
+		}
+		return pieces(body, missingBytes)
+	})
+}
+
+// TestOverloadLargeChunks guards against a process that runs out of memory when many
+// callers send a body in large chunks and stop short of its end.
+func TestOverloadLargeChunks(t *testing.T) {
+	testOverloadChunks(t, largeChunk)
+}
+
+// TestOverloadSmallChunks guards against a process that runs out of memory when many
+// callers send a body in chunks of one byte and stop short of its end.
+func TestOverloadSmallChunks(t *testing.T) {
+	testOverloadChunks(t, smallChunk)
+}
+
+func testOverloadChunks(t *testing.T, size int) {
+	encoded := encodeChunks(paddedJob(bodyBytes), size)
+	testOverload(t, limits{machineMB, machineDescriptors}, func(i int) caller {
+		return chunks(encoded, i%completeOne == 0)
+	})
+}
+
+// TestOverloadMix guards against a process that runs out of memory or descriptors
+// when callers of all kinds come at once, with those that send a part of a header or
+// nothing.
+func TestOverloadMix(t *testing.T) {
+	body := paddedJob(bodyBytes)
+	kinds := []caller{
+		whole(body, missingBytes), pieces(body, missingBytes), chunks(encodeChunks(body, largeChunk), false),
+		chunks(encodeChunks(body, smallChunk), false), partialHead, idle, whole(body, 0),
+	}
+	heavy := whole(emptySteps(bodyBytes), 0)
+	testOverload(t, limits{machineMB, mixDescriptors}, func(i int) caller {
+		if i < heavyCallers {
+			return heavy
+		}
+		return kinds[i%len(kinds)]
+	})
+}
+
+// testOverload lets callers send requests to the home and checks that all processes
+// stay within their bounds, and that ordinary requests are answered while the
+// connections of the callers are still open.
+func testOverload(t *testing.T, limits limits, newCaller func(index int) caller) {
+	s := startSystem(t, limits)
+	home := s.home()
+	var meters []*descriptorMeter
+	for _, instance := range s.instances {
+		meters = append(meters, startDescriptorMeter(instance.command.Process.Pid))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	defer cancel()
+	for i := range callerCount {
+		callers.Go(func() { newCaller(i).repeat(ctx, home.ip+":"+rattansite.CallerPort, s.checker) })
+	}
+	time.Sleep(overloadTime)
+	for _, instance := range s.instances {
+		s.Check(s.ordinaryAnswered(instance), qt.IsTrue, qt.Commentf("%s answers an ordinary request", instance.name))
+	}
+	for i, instance := range s.instances {
+		descriptors := meters[i].end()
+		s.Check(instance.alive(), qt.IsTrue, qt.Commentf("process of %s", instance.name))
+		memory, err := peakResidentMB(instance.command.Process.Pid)
+		s.Check(err, qt.IsNil)
+		s.Logf("%s: home %t, peak of %d MB and %d descriptors", instance.name, instance == home, memory, descriptors)
+		s.Check(memory <= boundMB, qt.IsTrue, qt.Commentf("%s: %d MB resident, bound %d", instance.name, memory, boundMB))
+		bound := limits.descriptors - reservedDescriptors
+		s.Check(descriptors <= bound, qt.IsTrue, qt.Commentf("%s: %d descriptors, bound %d", instance.name, descriptors, bound))
+	}
+}
+
+// ordinaryAnswered reports whether the instance answers an ordinary job with its
+// result. A job that is refused or not answered is sent again.
+func (s *system) ordinaryAnswered(instance *instance) bool {
+	for end := time.Now().Add(ordinaryTime); time.Now().Before(end); {
+		status := ordinaryStatus(instance.ip, s.checker)
+		if status == http.StatusOK {
+			return true
+		}
+		s.Logf("%s: status %d of an ordinary request", instance.name, status)
+		time.Sleep(repeatDelay)
+	}
+	return false
+}
--- a/rattansite/documents.go
+++ b/rattansite/documents.go
@@ -1,6 +1,7 @@
 package rattansite
 
 import (
+	"cmp"
 	"encoding/json"
 
 	"github.com/juju/errors"
@@ -26,6 +27,9 @@
 	CPUShare float64
 	// MemoryMB is the memory of the machine in megabytes, 0 if unknown.
 	MemoryMB int
+	// MaxDescriptors is the number of descriptors that the process may have open, 0
+	// if unknown.
+	MaxDescriptors int
 }
 
 // File returns the content of the settings file.
@@ -39,7 +43,7 @@
 		"listen": map[string]string{
 			"front": s.IP + ":" + CallerPort, "readiness": s.IP + ":" + ReadinessPort, "control": s.IP + ":" + PeerPort,
 		},
-		"limits":     map[string]any{"cpu_share": s.CPUShare, "cores": 1, "memory_mb": s.MemoryMB},
+		"limits":     map[string]any{"cpu_share": s.CPUShare, "cores": 1, "memory_mb": s.MemoryMB, "max_fds": s.MaxDescriptors},
 		"port_range": []int{7720, 7735}, "seeds": seeds,
 		"platform": map[string]any{"address": s.StoreAddress, "form": "kv"},
 		"bounds":   map[string]any{"max_hold_ms": 1000, "grace_s": 6, "retransmit_ms": 1300, "remote_penalty": 1.5},
@@ -54,8 +58,13 @@
 	Service  string
 	Host     string
 	Prefixes []string
+	// MaxBodyBytes limits the body of a request, 0 for defaultMaxBodyBytes.
+	MaxBodyBytes int
 }
 
+// defaultMaxBodyBytes is the limit for a body in tests that state none.
+const defaultMaxBodyBytes = 20000
+
 // PutDesiredState writes a desired state to the store.
 func (s *Store) PutDesiredState(state DesiredState) error {
 	routes := make([]any, len(state.Prefixes))
@@ -68,6 +77,6 @@
 	return s.Put("op/config", map[string]any{
 		"version": state.Version, "routes": routes,
 		"services": []any{map[string]any{"name": state.Service, "rejects_overload": false}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 20000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": cmp.Or(state.MaxBodyBytes, defaultMaxBodyBytes), "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 }
