Bound the memory and descriptors that callers take

Each body was read on its own, so that a few hundred large ones that stop short ended a process. The package rattanlimit counts the bytes of all bodies, large headers and decoded jobs against one budget derived from the memory of the machine, a quarter of it reserved for small requests, and bounds connections by memory and descriptors. Bodies that make no progress are given up, first when others need their room. Jobs of other instances are counted at the home.

--- a/rattanfront/handler.go
+++ b/rattanfront/handler.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -20,6 +19,7 @@
 	"github.com/rattanlever/rattanlever/platform"
 	"github.com/rattanlever/rattanlever/rattancancel"
 	"github.com/rattanlever/rattanlever/rattanhome"
+	"github.com/rattanlever/rattanlever/rattanlimit"
 	"github.com/rattanlever/rattanlever/rattanwork"
 	"github.com/rattanlever/rattanlever/rattanzone"
 )
@@ -119,7 +119,10 @@
 	// Cancellations contains the jobs that were cancelled by their callers. If it
 	// is nil, the handler starts with an empty record.
 	Cancellations *rattancancel.Record
-	Journal       Journal
+	// Bodies reads the bodies of requests. If it is nil, they are bounded as on a
+	// machine of unknown size.
+	Bodies  *rattanlimit.Bodies
+	Journal Journal
 	// Uptime returns the time since the start of this instance, 0 if it is nil.
 	Uptime func(now time.Time) time.Duration
 	Clock  func() time.Time
@@ -159,6 +162,11 @@
 	if config.Cancellations == nil {
 		config.Cancellations = rattancancel.NewRecord(config.Clock())
 	}
+	if config.Bodies == nil {
+		limits := rattanlimit.ForMachine(0, 0)
+		budget := rattanlimit.NewBudget(limits.BodyBytes, limits.ReservedBytes)
+		config.Bodies = rattanlimit.NewBodies(budget, nil, config.Clock)
+	}
 	h := &Handler{
 		config:        config,
 		pending:       map[string]map[*submission]context.CancelCauseFunc{},
@@ -208,8 +216,12 @@
 	if h.shutdownDeadline.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
+	if r.Method != http.MethodPost {
+		rattanlimit.Skip(w, r, receivedAt)
+	}
 	state := h.config.DesiredState.State()
 	if state == nil {
+		rattanlimit.Skip(w, r, receivedAt)
 		refuse(w, http.StatusServiceUnavailable, unavailableRetryAfter, "no desired state yet")
 		return
 	}
@@ -222,6 +234,7 @@
 		state, route, ok = h.matchCurrent(r, receivedAt)
 	}
 	if !ok {
+		rattanlimit.Skip(w, r, receivedAt)
 		respond(w, http.StatusNotFound, platform.ErrorBody(noSuchQueue))
 		return
 	}
@@ -248,16 +261,26 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+	body, held, err := h.config.Bodies.Receive(w, r, limit)
+	switch {
+	case errors.Is(err, rattanlimit.ErrTooLarge):
 		s.recordAnswer(http.StatusRequestEntityTooLarge, "body too large")
 		respond(w, http.StatusRequestEntityTooLarge, platform.ErrorBody("body too large"))
 		return
-	}
-	if err != nil {
+	case errors.Is(err, rattanlimit.ErrNoRoom) || errors.Is(err, rattanlimit.ErrSlow):
+		// No line for each of them: the bodies record them.
+		refuse(w, http.StatusServiceUnavailable, unavailableRetryAfter, err.Error())
+		return
+	case err != nil:
 		s.recordAnswer(0, "body not received")
 		return
 	}
+	defer held.Release()
+	size := platform.DecodedSize(body)
+	if !held.Resize(int64(len(body)) + size) {
+		refuse(w, http.StatusServiceUnavailable, unavailableRetryAfter, rattanlimit.ErrNoRoom.Error())
+		return
+	}
 	job, err := platform.ParseJob(s.id, body)
 	switch {
 	case errors.Is(err, platform.ErrUnsupported):
@@ -270,6 +293,7 @@
 		return
 	}
 	s.job = job
+	held.Resize(size)
 	if resp, refused := routeRefusal(s.route); refused {
 		resp.write(w, s)
 		return
--- a/rattanmetric/table.go
+++ b/rattanmetric/table.go
@@ -61,6 +61,9 @@
 	CancellationsTotal        = "rattanlever_cancellations_total"
 	CancelledSubmissionsTotal = "rattanlever_cancelled_submissions_total"
 	RememberedCancellations   = "rattanlever_remembered_cancellations"
+	HeldBytes                 = "rattanlever_held_bytes"
+	CallerConnections         = "rattanlever_caller_connections"
+	CallersLimitedTotal       = "rattanlever_callers_limited_total"
 	StoreCallsTotal           = "rattanlever_store_calls_total"
 	LogLinesTotal             = "rattanlever_log_lines_total"
 	LogLinesDroppedTotal      = "rattanlever_log_lines_dropped_total"
@@ -144,6 +147,9 @@
 	{CancellationsTotal, KindCounter, []string{"outcome"}, "Callers' requests to cancel a job, by outcome."},
 	{CancelledSubmissionsTotal, KindCounter, nil, "Submissions of jobs that their callers have cancelled, before or after."},
 	{RememberedCancellations, KindGauge, nil, "Cancelled jobs that this instance remembers."},
+	{HeldBytes, KindGauge, []string{"source"}, "Bytes held for requests: of callers (bodies, large headers, decoded jobs), and of jobs of other instances at the home."},
+	{CallerConnections, KindGauge, nil, "Open connections of callers."},
+	{CallersLimitedTotal, KindCounter, []string{"cause"}, "Requests refused and connections closed to bound memory and descriptors, by cause. They are not part of rattanlever_requests_total."},
 	{StoreCallsTotal, KindCounter, nil, "Calls to the platform's metadata store."},
 	{LogLinesTotal, KindCounter, nil, "Log lines taken in for writing."},
 	{LogLinesDroppedTotal, KindCounter, nil, "Log lines dropped because the output was too slow."},
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -22,6 +22,7 @@
 	"github.com/rattanlever/rattanlever/rattanfront"
 	"github.com/rattanlever/rattanlever/rattanhome"
 	"github.com/rattanlever/rattanlever/rattankernel"
+	"github.com/rattanlever/rattanlever/rattanlimit"
 	"github.com/rattanlever/rattanlever/rattanmetric"
 	"github.com/rattanlever/rattanlever/rattanpeer"
 	"github.com/rattanlever/rattanlever/rattanwork"
@@ -80,6 +81,7 @@
 	cancellations *rattancancel.Record
 	homeService   *rattanhome.Service
 	callerServer  *khttp.Server
+	intake        *intake
 	suspension    suspensionMeter
 	shuttingDown  atomic.Bool
 	app           *kratos.App
@@ -95,6 +97,7 @@
 		cancellations: rattancancel.NewRecord(config.Clock()),
 	}
 	n.settings.Store(&config.Settings)
+	n.intake = newIntake(&config)
 	n.journal = NewJournal(config.Logger, config.Registry)
 	n.store = platform.NewStore(config.Settings.StoreAddress)
 	config.Registry.CounterFunc(rattanmetric.StoreCallsTotal, n.store.Calls.Load)
@@ -160,6 +163,7 @@
 		Clock:         n.config.Clock,
 	})
 	n.homeService.RegisterHandlers(peerNode)
+	peerNode.Wrap(rattanhome.MethodSubmit, n.intake.limitSubmissions)
 	n.callerHandler = rattanfront.New(rattanfront.Config{
 		Self:          self,
 		Homes:         n.agent,
@@ -167,6 +171,7 @@
 		Peers:         peerNode,
 		DesiredState:  n.desiredState,
 		Cancellations: n.cancellations,
+		Bodies:        n.intake.bodies,
 		Journal:       n.journal,
 		Uptime:        n.agent.Uptime,
 		Clock:         n.config.Clock,
@@ -210,19 +215,19 @@
 
 func (n *Node) buildApp() error {
 	settings := n.config.Settings
-	callerServer, err := newHTTPServer(settings.CallerAddress, n.callerHandler)
+	callerServer, err := newHTTPServer(settings.CallerAddress, n.callerHandler, n.intake.connections)
 	if err != nil {
 		return errors.Annotate(err, "listen.front")
 	}
-	readinessServer, err := newHTTPServer(settings.ReadinessAddress, http.HandlerFunc(n.serveReady))
+	readinessServer, err := newHTTPServer(settings.ReadinessAddress, n.intake.withoutBody(n.serveReady), n.intake.probes())
 	if err != nil {
 		return errors.Annotate(err, "listen.readiness")
 	}
-	metricsServer, err := newHTTPServer(settings.MetricsAddress, http.HandlerFunc(n.serveMetrics))
+	metricsServer, err := newHTTPServer(settings.MetricsAddress, n.intake.withoutBody(n.serveMetrics), n.intake.probes())
 	if err != nil {
 		return errors.Annotate(err, "metrics")
 	}
-	callerServer.ConnContext = rattanfront.WithConnection
+	callerServer.ConnContext = n.intake.contextOf
 	n.callerServer = callerServer
 	n.app = kratos.New(
 		kratos.Name(settings.Instance),
@@ -236,25 +241,28 @@
 	return nil
 }
 
-// newHTTPServer returns a server that passes all requests to the handler. It
+// newHTTPServer returns a server that passes all requests to the handler and bounds
+// its connections. It
 // bypasses the router of kratos, which redirects requests whose path is not in
 // clean form.
-func newHTTPServer(address string, handler http.Handler) (*khttp.Server, error) {
+func newHTTPServer(address string, handler http.Handler, connections *rattanlimit.Connections) (*khttp.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	server := khttp.NewServer(
-		khttp.Listener(listener),
+		khttp.Listener(connections.Listen(listener)),
 		khttp.Timeout(0),
 		// Without an endpoint, kratos lists the network interfaces, which the
 		// machines of the platform do not permit.
 		khttp.Endpoint(&url.URL{Scheme: "http", Host: address}),
-		khttp.Filter(func(http.Handler) http.Handler { return handler }),
+		khttp.Filter(func(http.Handler) http.Handler { return connections.Handler(handler) }),
 	)
 	server.ReadHeaderTimeout = readHeaderTimeout
 	server.IdleTimeout = idleTimeout
 	server.MaxHeaderBytes = maxHeaderBytes
+	server.ConnContext = rattanlimit.WithConnection
+	server.ConnState = connections.StateChanged
 	return server, nil
 }
 
--- a/rattanpeer/node.go
+++ b/rattanpeer/node.go
@@ -166,6 +166,11 @@
 	n.handlers[method] = handler
 }
 
+// Wrap replaces the handler of a method by the one that wrap returns for it.
+func (n *Node) Wrap(method string, wrap func(Handler) Handler) {
+	n.handlers[method] = wrap(n.handlers[method])
+}
+
 // Name returns the service name that the kernel uses.
 func (n *Node) Name() string {
 	return "Links"
