Let the home decide which jobs without room are refused

A job of another instance for which the home has no memory was refused before the home saw it, also if it was already running. The home refuses it now only if it is new.

--- a/rattanfront/handler.go
+++ b/rattanfront/handler.go
@@ -24,14 +24,9 @@
 	"github.com/rattanlever/rattanlever/rattanzone"
 )
 
-const (
-	// unavailableRetryAfter is the Retry-After time if the zone has no home, if
-	// no desired state is known or if the instance is shutting down.
-	unavailableRetryAfter = time.Second
-	// defaultMaxBody limits the size of a body while the desired state sets no
-	// limit.
-	defaultMaxBody = 256 << 10
-)
+// unavailableRetryAfter is the Retry-After time if the zone has no home, if no desired
+// state is known, if the instance is shutting down or if it has no room.
+const unavailableRetryAfter = time.Second
 
 // HomeLocator finds the home of a zone.
 type HomeLocator interface {
@@ -257,28 +252,14 @@
 
 // submit decodes a job from the request body, runs it and answers.
 func (h *Handler) submit(w http.ResponseWriter, r *http.Request, s *submission) {
-	limit := s.state.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	body, held, err := h.config.Bodies.Receive(w, r, limit)
-	switch {
-	case errors.Is(err, rattanlimit.ErrTooLarge):
-		s.recordAnswer(http.StatusRequestEntityTooLarge, "body too large")
-		respond(w, http.StatusRequestEntityTooLarge, platform.ErrorBody("body too large"))
-		return
-	case errors.Is(err, rattanlimit.ErrNoRoom) || errors.Is(err, rattanlimit.ErrSlow):
-		// No line for each of them: the bodies record them.
-		refuse(w, http.StatusServiceUnavailable, unavailableRetryAfter, err.Error())
-		return
-	case err != nil:
-		s.recordAnswer(0, "body not received")
+	body, held, ok := h.receive(w, r, s)
+	if !ok {
 		return
 	}
 	defer held.Release()
 	size := platform.DecodedSize(body)
 	if !held.Resize(int64(len(body)) + size) {
-		refuse(w, http.StatusServiceUnavailable, unavailableRetryAfter, rattanlimit.ErrNoRoom.Error())
+		h.refuseWithoutRoom(w, s.id, rattanlimit.ErrNoRoom)
 		return
 	}
 	job, err := platform.ParseJob(s.id, body)
--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -313,7 +313,7 @@
 	}
 	h.addRemoteStarts(id, now)
 	h.waiters[id] = append(h.waiters[id], waiter)
-	if !h.shed(submission, now) {
+	if !h.refuseWithoutRoom(ctx, submission, now) && !h.shed(submission, now) {
 		h.scheduler.Submit(submission, now)
 		h.scheduler.CheckAdmission(id, now)
 	}
--- a/rattanlimit/cause.go
+++ b/rattanlimit/cause.go
@@ -5,14 +5,15 @@
 // Cause states why a request was refused or a connection was closed.
 type Cause int
 
-// Causes. The requests concerned have started nothing.
+// Causes. The requests concerned have started nothing, except PeerJobWithoutRoom.
 const (
 	// BodyRefused means that the budget had no room for a body.
 	BodyRefused Cause = iota
 	// JobRefused means that the budget had no room for a decoded job.
 	JobRefused
-	// PeerJobRefused means that the budget had no room for a job of another instance.
-	PeerJobRefused
+	// PeerJobWithoutRoom means that the budget had no room for a job of another
+	// instance, which the home refuses unless it may have started.
+	PeerJobWithoutRoom
 	// BodyStalled means that a body did not advance in time.
 	BodyStalled
 	// BodyTooLong means that a body was not complete in time.
--- a/rattanlimit/cause_string.go
+++ b/rattanlimit/cause_string.go
@@ -10,7 +10,7 @@
 	var x [1]struct{}
 	_ = x[BodyRefused-0]
 	_ = x[JobRefused-1]
-	_ = x[PeerJobRefused-2]
+	_ = x[PeerJobWithoutRoom-2]
 	_ = x[BodyStalled-3]
 	_ = x[BodyTooLong-4]
 	_ = x[BodyEvicted-5]
@@ -19,9 +19,9 @@
 	_ = x[ConnectionRefused-8]
 }
 
-const _Cause_name = "BodyRefusedJobRefusedPeerJobRefusedBodyStalledBodyTooLongBodyEvictedHeaderRefusedConnectionEvictedConnectionRefused"
+const _Cause_name = "BodyRefusedJobRefusedPeerJobWithoutRoomBodyStalledBodyTooLongBodyEvictedHeaderRefusedConnectionEvictedConnectionRefused"
 
-var _Cause_index = [...]uint8{0, 11, 21, 35, 46, 57, 68, 81, 98, 115}
+var _Cause_index = [...]uint8{0, 11, 21, 39, 50, 61, 72, 85, 102, 119}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/rattannode/limits.go
+++ b/rattannode/limits.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/rattanlever/rattanlever/platform"
@@ -17,7 +15,6 @@
 	"github.com/rattanlever/rattanlever/rattanlimit"
 	"github.com/rattanlever/rattanlever/rattanmetric"
 	"github.com/rattanlever/rattanlever/rattanpeer"
-	"github.com/rattanlever/rattanlever/rattanscheduler"
 )
 
 const (
@@ -28,8 +25,6 @@
 	// limitLogInterval is the least time between two log lines about callers that
 	// were limited.
 	limitLogInterval = 10 * time.Second
-	// peerRetryAfter is the Retry-After time of a job for which the home has no room.
-	peerRetryAfter = time.Second
 )
 
 // intake bounds what the instance holds for callers and for other instances.
@@ -77,22 +72,15 @@
 	})
 }
 
-// limitSubmissions returns a handler of jobs of other instances that refuses those
-// for which this instance has no room.
+// limitSubmissions returns a handler of jobs of other instances that counts what they
+// take and tells the home for which of them there is no room.
 func (in *intake) limitSubmissions(next rattanpeer.Handler) rattanpeer.Handler {
 	return func(ctx context.Context, sender string, body []byte) ([]byte, error) {
-		mayHaveStarted := func() bool {
-			var request struct{ Resumed bool }
-			return json.Unmarshal(body, &request) == nil && request.Resumed
-		}
-		release, ok := in.peerJobs.Admit(platform.DecodedSize(body), mayHaveStarted)
-		if !ok {
-			data, err := json.Marshal(rattanhome.Reply{NotAccepted: true, Result: rattanscheduler.JobResult{
-				Outcome: rattanscheduler.Refused, Reason: rattanlimit.ErrNoRoom.Error(), RetryAfter: peerRetryAfter,
-			}})
-			return data, errors.Trace(err)
-		}
+		release, hasRoom := in.peerJobs.Admit(platform.DecodedSize(body))
 		defer release()
+		if !hasRoom {
+			ctx = rattanhome.WithoutRoom(ctx)
+		}
 		return next(ctx, sender, body)
 	}
 }
