--- a/rattanlimit/bodies.go
+++ b/rattanlimit/bodies.go
@@ -26,6 +26,8 @@
 	// others are as large as all before, but not larger than maxSegment.
 	firstSegment = 512
 	maxSegment   = 16 << 10
+	// maxLimit bounds the limit of a body, so that sums cannot overflow.
+	maxLimit = 1 << 30
 	// sweepInterval is the interval at which bodies that are being received are
 	// examined.
 	sweepInterval = 250 * time.Millisecond
@@ -108,6 +110,7 @@
 }
 
 func (b *Bodies) receive(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, Held, error) {
+	limit = min(limit, maxLimit)
 	if r.ContentLength > limit {
 		return nil, Held{}, ErrTooLarge
 	}
@@ -222,10 +225,12 @@
 	return false
 }
 
-// evict gives up bodies that do not advance, until so many bytes become free.
+// evict gives up bodies that do not advance, until so many bytes become free. It
+// examines some, in the random order of the map.
 func (b *Bodies) evict(bytes int64, now time.Time) {
+	examined := 0
 	for other := range b.receiving {
-		if bytes <= 0 {
+		if examined++; bytes <= 0 || examined > maxExamined {
 			return
 		}
 		if !other.aborted && other.progress.evictable(now) {
--- a/rattanlimit/connections.go
+++ b/rattanlimit/connections.go
@@ -149,11 +149,16 @@
 	return connection, true
 }
 
-// leastUseful returns the connection to close for a new one, nil if there is none.
+// leastUseful returns the connection to close for a new one, nil if there is none. Of
+// many connections it examines some, in the random order of the map.
 func (c *Connections) leastUseful(now time.Time) *Connection {
 	var victim *Connection
 	var victimUsage usage
+	examined := 0
 	for connection := range c.open {
+		if examined++; examined > maxExamined {
+			break
+		}
 		current := connection.currentUsage()
 		rank, best := current.rank(now), victimUsage.rank(now)
 		if rank == 0 {
--- a/rattanlimit/progress.go
+++ b/rattanlimit/progress.go
@@ -18,6 +18,9 @@
 	// evictAfter is the time without progress after which a body or a connection
 	// makes room for others when there is none.
 	evictAfter = time.Second
+	// maxExamined bounds the number of bodies or connections that are examined to make
+	// room for one, so that a flood of refusals costs little processor time.
+	maxExamined = 256
 )
 
 // progress describes how far a body has arrived.
