--- a/rattanfront/handler.go
+++ b/rattanfront/handler.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -20,18 +19,14 @@
 	"github.com/rattanlever/rattanlever/platform"
 	"github.com/rattanlever/rattanlever/rattancancel"
 	"github.com/rattanlever/rattanlever/rattanhome"
+	"github.com/rattanlever/rattanlever/rattanlimit"
 	"github.com/rattanlever/rattanlever/rattanwork"
 	"github.com/rattanlever/rattanlever/rattanzone"
 )
 
-const (
-	// unavailableRetryAfter is the Retry-After time if the zone has no home, if
-	// no desired state is known or if the instance is shutting down.
-	unavailableRetryAfter = time.Second
-	// defaultMaxBody limits the size of a body while the desired state sets no
-	// limit.
-	defaultMaxBody = 256 << 10
-)
+// unavailableRetryAfter is the Retry-After time if the zone has no home, if no desired
+// state is known, if the instance is shutting down or if it has no room.
+const unavailableRetryAfter = time.Second
 
 // HomeLocator finds the home of a zone.
 type HomeLocator interface {
@@ -119,7 +114,10 @@
 	// Cancellations contains the jobs that were cancelled by their callers. If it
 	// is nil, the handler starts with an empty record.
 	Cancellations *rattancancel.Record
-	Journal       Journal
+	// Bodies reads the bodies of requests. If it is nil, they are bounded as on a
+	// machine of unknown size.
+	Bodies  *rattanlimit.Bodies
+	Journal Journal
 	// Uptime returns the time since the start of this instance, 0 if it is nil.
 	Uptime func(now time.Time) time.Duration
 	Clock  func() time.Time
@@ -159,6 +157,11 @@
 	if config.Cancellations == nil {
 		config.Cancellations = rattancancel.NewRecord(config.Clock())
 	}
+	if config.Bodies == nil {
+		limits := rattanlimit.ForMachine(0, 0)
+		budget := rattanlimit.NewBudget(limits.BodyBytes, limits.ReservedBytes)
+		config.Bodies = rattanlimit.NewBodies(budget, nil, config.Clock)
+	}
 	h := &Handler{
 		config:        config,
 		pending:       map[string]map[*submission]context.CancelCauseFunc{},
@@ -208,8 +211,12 @@
 	if h.shutdownDeadline.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
+	if r.Method != http.MethodPost {
+		rattanlimit.Skip(w, r, receivedAt)
+	}
 	state := h.config.DesiredState.State()
 	if state == nil {
+		rattanlimit.Skip(w, r, receivedAt)
 		refuse(w, http.StatusServiceUnavailable, unavailableRetryAfter, "no desired state yet")
 		return
 	}
@@ -222,6 +229,7 @@
 		state, route, ok = h.matchCurrent(r, receivedAt)
 	}
 	if !ok {
+		rattanlimit.Skip(w, r, receivedAt)
 		respond(w, http.StatusNotFound, platform.ErrorBody(noSuchQueue))
 		return
 	}
@@ -244,18 +252,14 @@
 
 // submit decodes a job from the request body, runs it and answers.
 func (h *Handler) submit(w http.ResponseWriter, r *http.Request, s *submission) {
-	limit := s.state.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
-		s.recordAnswer(http.StatusRequestEntityTooLarge, "body too large")
-		respond(w, http.StatusRequestEntityTooLarge, platform.ErrorBody("body too large"))
+	body, held, ok := h.receive(w, r, s)
+	if !ok {
 		return
 	}
-	if err != nil {
-		s.recordAnswer(0, "body not received")
+	defer held.Release()
+	size := platform.DecodedSize(body)
+	if !held.Resize(int64(len(body)) + size) {
+		h.refuseWithoutRoom(w, s.id, rattanlimit.ErrNoRoom)
 		return
 	}
 	job, err := platform.ParseJob(s.id, body)
@@ -270,6 +274,7 @@
 		return
 	}
 	s.job = job
+	held.Resize(size)
 	if resp, refused := routeRefusal(s.route); refused {
 		resp.write(w, s)
 		return
--- a/rattanmetric/table.go
+++ b/rattanmetric/table.go
@@ -63,6 +63,9 @@
 	RememberedCancellations   = "rattanlever_remembered_cancellations"
 	EvacuatedZones            = "rattanlever_evacuated_zones"
 	EvacuatedJobsTotal        = "rattanlever_evacuated_jobs_total"
+	HeldBytes                 = "rattanlever_held_bytes"
+	CallerConnections         = "rattanlever_caller_connections"
+	CallersLimitedTotal       = "rattanlever_callers_limited_total"
 	StoreCallsTotal           = "rattanlever_store_calls_total"
 	LogLinesTotal             = "rattanlever_log_lines_total"
 	LogLinesDroppedTotal      = "rattanlever_log_lines_dropped_total"
@@ -148,6 +151,9 @@
 	{RememberedCancellations, KindGauge, nil, "Cancelled jobs that this instance remembers."},
 	{EvacuatedZones, KindGauge, nil, "Zones that are evacuated as far as this instance knows."},
 	{EvacuatedJobsTotal, KindCounter, []string{"outcome"}, "Jobs of the own home that were redirected, refused or ended because its zone is evacuated, by outcome."},
+	{HeldBytes, KindGauge, []string{"source"}, "Bytes held for requests: of callers (bodies, large headers, decoded jobs), and of jobs of other instances at the home."},
+	{CallerConnections, KindGauge, nil, "Open connections of callers."},
+	{CallersLimitedTotal, KindCounter, []string{"cause"}, "Requests refused and connections closed to bound memory and descriptors, by cause. They are not part of rattanlever_requests_total."},
 	{StoreCallsTotal, KindCounter, nil, "Calls to the platform's metadata store."},
 	{LogLinesTotal, KindCounter, nil, "Log lines taken in for writing."},
 	{LogLinesDroppedTotal, KindCounter, nil, "Log lines dropped because the output was too slow."},
