Forget redirected jobs in the order of their times

Each redirect looked through all jobs that were redirected in the last 0.6 s. When an evacuation began with 5,000 waiting jobs, the home redirected them for 430 ms under its mutex, nearly long enough to be taken for lost (BenchmarkEvacuationBegins). The list is sorted by time, so the old jobs are a prefix of it: 32 ms.

--- a/rattanscheduler/remote_zone.go
+++ b/rattanscheduler/remote_zone.go
@@ -305,11 +305,21 @@
 func (s *Scheduler) reserveZone(j *job, index int, now time.Time) string {
 	zone, need := &s.remoteZones[index], s.zoneNeed(j)
 	zone.take(&need)
-	s.sent = slices.DeleteFunc(s.sent, func(sent sentJob) bool { return now.Sub(sent.at) > sentRetention })
+	s.forgetSent(now)
 	s.sent = append(s.sent, sentJob{zone: zone.Zone, at: now, need: need})
 	return zone.Zone
 }
 
+// forgetSent forgets the jobs that were redirected long ago. They are sorted by time, and
+// thousands may be redirected at once.
+func (s *Scheduler) forgetSent(now time.Time) {
+	old := 0
+	for old < len(s.sent) && now.Sub(s.sent[old].at) > sentRetention {
+		old++
+	}
+	s.sent = slices.Delete(s.sent, 0, old)
+}
+
 // zoneToLeaveFor returns the index of the zone to which a job that has started here is
 // redirected, or -1 if there is none.
 func (s *Scheduler) zoneToLeaveFor(j *job, now time.Time) int {
