Wait after each answer to a start before a job moves to another zone

A job of an evacuated zone moves only once other zones no longer list its starts, because they would send it back. That was recorded for accepted and dropped starts only. After a refused start, or a run that was listed as ended before the answer to its start, the job moved at once: the other zone sent it back, this one sent it there again, and so on until the caller gave up. Each answer now counts, also a late one.

--- a/rattanscheduler/evacuation.go
+++ b/rattanscheduler/evacuation.go
@@ -164,6 +164,16 @@
 	s.schedule(now)
 }
 
+// recordAnswer records the answer to a start request of the job, which is listed no longer
+// after that, or that there is none.
+func (j *job) recordAnswer(result rattanwork.StartResult, now time.Time) {
+	if result == rattanwork.StartUnknown {
+		j.unansweredStart = true
+		return
+	}
+	j.listUntil(now.Add(listedStartTime))
+}
+
 // listUntil records until when other instances may list a start request of the job.
 func (j *job) listUntil(until time.Time) {
 	j.listedUntil = later(j.listedUntil, until)
--- a/rattanscheduler/evacuation_test.go
+++ b/rattanscheduler/evacuation_test.go
@@ -381,3 +381,41 @@
 		z.Check(z.scheduler.Take().Stops, qt.HasLen, map[bool]int{true: 1}[status == rattanwork.EvacuationNone], qt.Commentf(status.String()))
 	}
 }
+
+// TestListedStartDelaysRedirect guards against a job that two zones send back and forth
+// until its caller gives up: the other zone has been told of a start, and not yet that the
+// target has refused it, or that the run has ended.
+func TestListedStartDelaysRedirect(t *testing.T) {
+	tests := map[string]func(z *fakeZone, start StartRequest){
+		"refused": func(z *fakeZone, start StartRequest) {
+			z.scheduler.StartAnswered("t0", start.Task, start.Attempt, rattanwork.StartAnswer{Result: rattanwork.StartNoResources}, z.now)
+		},
+		"refused after the run was stopped": func(z *fakeZone, start StartRequest) {
+			z.endRun(start, rattanwork.EndStopped)
+			z.now = z.now.Add(listedStartTime - time.Millisecond)
+			z.scheduler.StartAnswered("t0", start.Task, start.Attempt, rattanwork.StartAnswer{Result: rattanwork.StartStaleAttempt}, z.now)
+		},
+		"ended before the answer": func(z *fakeZone, start StartRequest) {
+			z.endRun(start, rattanwork.EndStopped)
+		},
+	}
+	for name, end := range tests {
+		t.Run(name, func(t *testing.T) {
+			z := newReconciledZone(qt.New(t), 1)
+			z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: 200000}})
+			submission := z.submission(jobA, 1)
+			submission.Redirectable = true
+			z.scheduler.Submit(submission, z.now)
+			start := z.scheduler.Take().Starts[0]
+			z.scheduler.SetEvacuation(rattanwork.EvacuationActive, z.now)
+			end(z, start)
+			z.advance(2 * time.Millisecond)
+			z.Check(z.scheduler.Take().Results, qt.HasLen, 0)
+			z.advance(listedStartTime)
+			results := z.scheduler.Take().Results
+			z.Assert(results, qt.HasLen, 1)
+			z.Check(results[0].Outcome, qt.Equals, Redirected)
+			z.Check(results[0].MayHaveStarted, qt.IsTrue)
+		})
+	}
+}
--- a/rattanscheduler/listing.go
+++ b/rattanscheduler/listing.go
@@ -169,6 +169,9 @@
 		return
 	}
 	t.job.recordEnd(r, end.Kind.String(), now)
+	if r.confirmedAt.IsZero() {
+		t.job.listUntil(now.Add(listedStartTime))
+	}
 	if end.Checkpoint != "" && t.step().SavesProgress {
 		t.saveCheckpoint(end.Checkpoint)
 	}
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -50,19 +50,19 @@
 	r, ok := target.runs[runKey{taskName, attempt}]
 	if !ok {
 		s.lateAnswer(taskName, targetID, attempt, answer.Result, now)
+		if t := s.task(taskName); t != nil {
+			t.job.recordAnswer(answer.Result, now)
+		}
 		return
 	}
-	if answer.Result == rattanwork.StartUnknown && r.task != nil {
-		r.task.job.unansweredStart = true
+	if r.task != nil {
+		r.task.job.recordAnswer(answer.Result, now)
 	}
 	if r.state != runRequested && r.state != runStopping {
 		return
 	}
 	switch result := answer.Result; {
 	case result == rattanwork.StartAccepted:
-		if r.task != nil {
-			r.task.job.listUntil(now.Add(listedStartTime))
-		}
 		r.confirmedAt = now
 		r.startClock = answer.ClockMillis
 		if r.state == runRequested {
