Keep the zones that were tried when submissions of a job join

A job that one zone had moved here joined a copy that was submitted to this zone, whose list of tried zones was empty. When this zone was evacuated too, the job could be moved back to the first zone, and both sent it to each other until the caller gave up. The zones that any submission has tried are now excluded.

--- a/rattanscheduler/evacuation_test.go
+++ b/rattanscheduler/evacuation_test.go
@@ -419,3 +419,20 @@
 		})
 	}
 }
+
+// TestJoinedJobIsNotSentBack guards against a job that two zones send back and forth until
+// its caller gives up: one has moved it here, where it joined a copy that was submitted to
+// this zone, and it is moved back.
+func TestJoinedJobIsNotSentBack(t *testing.T) {
+	z, start, other := halfStarted(qt.New(t))
+	moved := z.submission(jobA, 2)
+	moved.Resumed, moved.Redirected, moved.Tried = true, true, []string{"b"}
+	z.scheduler.Submit(moved, z.now)
+	z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: 200000}, {Zone: "c", FreeMilliCPU: 30000}})
+	z.scheduler.SetEvacuation(rattanwork.EvacuationActive, z.now)
+	z.endRun(start, rattanwork.EndStopped, other)
+	z.advance(listedStartTime)
+	results := z.scheduler.Take().Results
+	z.Assert(results, qt.HasLen, 1)
+	z.Check(results[0].Zone, qt.Equals, "c")
+}
--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -1,6 +1,7 @@
 package rattanscheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rattanlever/rattanlever/rattanwork"
@@ -151,10 +152,16 @@
 	return j
 }
 
-// join applies what another submission of the job tells of its earlier submissions.
+// join applies what another submission of the job tells of its earlier submissions and of
+// the zones that were tried.
 func (j *job) join(other Submission) {
 	j.joined = true
 	j.submission.EarlierHomes = max(j.submission.EarlierHomes, other.EarlierHomes)
+	for _, zone := range other.Tried {
+		if !slices.Contains(j.submission.Tried, zone) {
+			j.submission.Tried = append(slices.Clip(j.submission.Tried), zone)
+		}
+	}
 	if other.Resumed {
 		j.submission.Resumed = true
 		j.maybeStarted = true
