Follow a job that another zone sends back before any zone has refused it

A job that was redirected to another zone can join a copy there that was submitted to that zone, and be redirected with it to the first zone. The front took that for a zone that had refused the job, and answered with a refusal that did not exist: an empty answer with status 200, which stands for a result. It now goes on in the first zone, as before.

--- a/rattanfront/redirect_test.go
+++ b/rattanfront/redirect_test.go
@@ -122,3 +122,39 @@
 	c.Check(slices.Contains(z.zones[1:], "a"), qt.IsFalse, qt.Commentf("%v", z.zones))
 	c.Check(slices.Contains(z.zones, "c"), qt.IsFalse, qt.Commentf("%v", z.zones))
 }
+
+// returningZones redirects a job from each of two zones to the other one, until it is
+// submitted for the third time.
+type returningZones struct {
+	redirectingZones
+}
+
+func (z *returningZones) answer(zone, other string) rattanhome.Reply {
+	z.zones = append(z.zones, zone)
+	result := rattanscheduler.JobResult{Outcome: rattanscheduler.Redirected, Zone: other}
+	if len(z.zones) > 2 {
+		result = rattanscheduler.JobResult{Outcome: rattanscheduler.Failed}
+	}
+	return rattanhome.Reply{Result: result}
+}
+
+func (z *returningZones) Submit(context.Context, *rattanhome.Request) (rattanhome.Reply, error) {
+	return z.answer("a", "b"), nil
+}
+
+func (z *returningZones) Call(_ context.Context, address, method string, _ []byte) ([]byte, error) {
+	if method != rattanhome.MethodSubmit {
+		return []byte("{}"), nil
+	}
+	return json.Marshal(z.answer(address, "a"))
+}
+
+// TestReturnedJobIsAnswered guards against an empty answer, which counts as a result, to a
+// job that another zone sends back before any zone has refused it: it joined a copy there
+// that was submitted to that zone.
+func TestReturnedJobIsAnswered(t *testing.T) {
+	z := &returningZones{redirectingZones{fakeZones: &fakeZones{now: time.Now(), changed: make(chan struct{})}}}
+	c := qt.New(t)
+	c.Check(post(z), qt.Equals, http.StatusOK)
+	c.Check(z.zones, qt.DeepEquals, []string{"a", "b", "a"})
+}
--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -253,10 +253,10 @@
 }
 
 // follow goes on in the zone to which a job was redirected, or returns the last refusal
-// if that zone has refused the job already: a home of the former version does not know
-// which zones have.
+// if the home of this zone names a zone that has refused the job already: one of the former
+// version does not know which zones have. A zone that sends a job back has not refused it.
 func (s *submission) follow(result rattanscheduler.JobResult) (response, bool) {
-	if !s.maybeStarted() && slices.Contains(s.tried, result.Zone) {
+	if !s.redirected && !s.maybeStarted() && slices.Contains(s.tried, result.Zone) {
 		return s.lastRefusal, true
 	}
 	if s.submissions.unsettledCount() > 0 {
@@ -269,8 +269,8 @@
 }
 
 // tryNextZone goes back to this instance's zone after another zone has refused the job or
-// was out of reach. The home of this zone knows where the job was redirected. It starts the job, redirects it to a zone that
-// was not tried, or refuses it.
+// was out of reach. The home of this zone knows where the job was redirected. It starts the
+// job, redirects it to a zone that was not tried, or refuses it.
 func (s *submission) tryNextZone(refusal response) {
 	s.lastRefusal = refusal
 	s.addTried(s.zone)
