Leave overlong zone names out of the evacuations that are sent

A key with a name over 256 bytes made receivers ignore the whole set of evacuations, so that an instance that the store rejects did not learn of a request for a real zone, and could start tasks there after the bound. No zone has such a name: it is now left out of the set that is sent.

--- a/rattanzone/evacuations.go
+++ b/rattanzone/evacuations.go
@@ -195,15 +195,23 @@
 		return nil
 	}
 	set := e.set.Load()
+	if slices.ContainsFunc(set.Zones, hasLongName) {
+		set = &rattanwork.Evacuations{Revision: set.Revision, Zones: slices.DeleteFunc(slices.Clone(set.Zones), hasLongName)}
+	}
 	if set.Revision == 0 || len(set.Zones) > maxEvacuations || e.freshness.recentlyPaused(e.elapsed(now), maxEvacuationsStale) {
 		return nil
 	}
 	return set
 }
 
+// hasLongName reports whether the name of the zone is not sent. No zone has such a name.
+func hasLongName(evacuation rattanwork.Evacuation) bool {
+	return len(evacuation.Zone) > maxZoneLength
+}
+
 const (
-	// maxEvacuations and maxZoneLength bound the bytes of a set in a heartbeat. A
-	// larger set is read from the store only.
+	// maxEvacuations and maxZoneLength bound the bytes of a set in a heartbeat. A set of
+	// more zones is read from the store only, and so are longer names.
 	maxEvacuations = 256
 	maxZoneLength  = 256
 	// maxRevision is the highest store revision that JSON numbers represent exactly.
@@ -217,7 +225,7 @@
 		return nil
 	}
 	for i, evacuation := range set.Zones {
-		if evacuation.Zone == "" || len(evacuation.Zone) > maxZoneLength || evacuation.Since <= 0 {
+		if evacuation.Zone == "" || hasLongName(evacuation) || evacuation.Since <= 0 {
 			return nil
 		}
 		if i > 0 && strings.Compare(set.Zones[i-1].Zone, evacuation.Zone) >= 0 {
--- a/rattanzone/evacuations_test.go
+++ b/rattanzone/evacuations_test.go
@@ -389,3 +389,17 @@
 	agent.merge(&View{Sender: rattanwork.Member{Name: "front-b", Zone: "b"}, Claims: claims, Evacuations: &set})
 	c.Check(agent.remoteCapacity(now), qt.DeepEquals, []rattanscheduler.RemoteZone{{Zone: "b", FreeMilliCPU: 1000, ReportedAt: now}})
 }
+
+// TestLongZoneNameIsNotSent guards against instances that ignore all evacuations of a
+// heartbeat, and so do not learn them without the store, because an operator has written a
+// key with a name that no zone has.
+func TestLongZoneNameIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	state := NewEvacuations(EvacuationsConfig{Journal: &evacuationJournal{}, Clock: time.Now})
+	state.Merge(evacuated(5, "a", "b"+strings.Repeat("z", maxZoneLength), "c"), storeSource)
+	view, err := decodeView(mustMarshal(View{Sender: rattanwork.Member{Name: "other", Zone: "b"}, Evacuations: state.sendable(time.Now())}))
+	c.Assert(err, qt.IsNil)
+	c.Assert(view.Evacuations, qt.IsNotNil)
+	c.Check(*view.Evacuations, qt.DeepEquals, evacuated(5, "a", "c"))
+	c.Check(state.Known().Zones, qt.HasLen, 3)
+}
