Keep a slow run while the evacuation of the zone is unknown

A run that is too slow to end in time is stopped for a restart, or its job ends if none is possible. While the evacuation is unknown, at most 2 s after a start and 0.5 s after a pause, no restart is possible, so the job ended with 504 although it could be restarted soon. It now goes on until the status is known.

--- a/rattanscheduler/evacuation_test.go
+++ b/rattanscheduler/evacuation_test.go
@@ -436,3 +436,23 @@
 	z.Assert(results, qt.HasLen, 1)
 	z.Check(results[0].Zone, qt.Equals, "c")
 }
+
+// TestStragglerIsKeptWhileEvacuationIsUnknown guards against ending a job whose task is too
+// slow, for want of a restart that may be allowed half a second later.
+func TestStragglerIsKeptWhileEvacuationIsUnknown(t *testing.T) {
+	z := newReconciledZone(qt.New(t), 2)
+	submission := z.submission(jobA, 1)
+	submission.LateUntil, submission.Deadline = z.now.Add(2*time.Second), z.now.Add(2*time.Second)
+	z.scheduler.Submit(submission, z.now)
+	start := z.scheduler.Take().Starts[0]
+	z.accept(start)
+	list := func() Output {
+		z.scheduler.RunsListed(start.Target.ID, &rattanwork.Listing{Running: []rattanwork.Run{{Task: start.Task, Attempt: 1, Percent: 5}}}, z.now, z.voidBefore, z.now)
+		return z.scheduler.Take()
+	}
+	z.scheduler.SetEvacuation(rattanwork.EvacuationUnknown, z.now)
+	z.now = z.now.Add(400 * time.Millisecond)
+	z.Check(list().Results, qt.HasLen, 0)
+	z.scheduler.SetEvacuation(rattanwork.EvacuationNone, z.now)
+	z.Check(list().Stops, qt.HasLen, 1)
+}
--- a/rattanscheduler/progress.go
+++ b/rattanscheduler/progress.go
@@ -44,7 +44,7 @@
 		r.task.restarts++
 		r.state = runStopping
 		s.requestStop(r, now)
-	case missesDeadline:
+	case missesDeadline && s.evacuation != rattanwork.EvacuationUnknown:
 		s.endJob(r.task.job, Expired, "a task is too slow to end in time", 0, now)
 	}
 }
