Remember beyond the end of a job that a start of it went unanswered

A job of an evacuated zone that had a start without an answer ends with 504, because other zones have heard of the start and send the job back here for 15 s. The job that its caller submits again did not know of that once the start was settled here: it was redirected, and the zones sent it to each other until the caller gave up. The time until which other zones may remember the start now outlasts the job.

--- a/rattanscheduler/adoption.go
+++ b/rattanscheduler/adoption.go
@@ -61,6 +61,7 @@
 	if _, begun := s.begunJobs[j.submission.Job.ID]; begun {
 		j.maybeStarted = true
 	}
+	j.unansweredUntil = s.unansweredJobs[j.submission.Job.ID]
 	for _, t := range j.tasks {
 		if s.mayHaveStarted(t.name) {
 			j.maybeStarted = true
@@ -69,7 +70,9 @@
 			j.hasLosses = true
 		}
 		t.attempt = max(t.attempt, s.lastOutstandingAttempt(t.name))
-		j.unansweredStart = j.unansweredStart || s.bound(t)
+		for _, start := range s.outstanding[t.name] {
+			j.unansweredUntil = later(j.unansweredUntil, start.expiresAt)
+		}
 		if _, ok := s.doneTasks[t.name]; ok {
 			delete(s.doneTasks, t.name)
 			s.markDone(t)
--- a/rattanscheduler/evacuation.go
+++ b/rattanscheduler/evacuation.go
@@ -105,14 +105,14 @@
 
 // leave stops the runs of a job that may have started and redirects the job once they
 // are proven gone. If there is no room elsewhere or no proof in time, the job ends
-// without a result. So does a job that had a start without an answer: heartbeats may have
-// named it, and other zones would send the job back for LateStartBound.
+// without a result. So does a job that had a start without an answer in the last
+// LateStartBound: heartbeats may have named it, and other zones would send the job back.
 func (s *Scheduler) leave(j *job, now time.Time) {
 	if j.leaveUntil.IsZero() {
 		j.leaveUntil = now.Add(maxLeaveTime)
 	}
 	zone := s.zoneToLeaveFor(j, now)
-	if zone < 0 || !now.Before(j.leaveUntil) || j.unansweredStart || slices.ContainsFunc(j.tasks, s.bound) {
+	if zone < 0 || !now.Before(j.leaveUntil) || now.Before(j.unansweredUntil) || slices.ContainsFunc(j.tasks, s.bound) {
 		s.endJob(j, Expired, reasonEvacuated, 0, now)
 		return
 	}
@@ -168,7 +168,7 @@
 // after that, or that there is none.
 func (j *job) recordAnswer(result rattanwork.StartResult, now time.Time) {
 	if result == rattanwork.StartUnknown {
-		j.unansweredStart = true
+		j.unansweredUntil = now.Add(LateStartBound)
 		return
 	}
 	j.listUntil(now.Add(listedStartTime))
--- a/rattanscheduler/evacuation_test.go
+++ b/rattanscheduler/evacuation_test.go
@@ -456,3 +456,27 @@
 	z.scheduler.SetEvacuation(rattanwork.EvacuationNone, z.now)
 	z.Check(list().Stops, qt.HasLen, 1)
 }
+
+// TestUnansweredStartOutlastsItsJob guards against a job that two zones send back and forth
+// until its caller gives up: a start of its former submission went unanswered, which
+// heartbeats have told the other zone, and was settled here since.
+func TestUnansweredStartOutlastsItsJob(t *testing.T) {
+	z, start, other := halfStarted(qt.New(t))
+	z.scheduler.StartAnswered("t0", start.Task, start.Attempt, rattanwork.StartAnswer{Result: rattanwork.StartUnknown}, z.now)
+	z.scheduler.SetEvacuation(rattanwork.EvacuationActive, z.now)
+	z.Assert(z.scheduler.Take().Results[0].Outcome, qt.Equals, Expired)
+	z.endRun(start, rattanwork.EndStopped, other)
+	outcomeAfter := func(delay time.Duration) Outcome {
+		z.advance(delay)
+		z.scheduler.Take()
+		again := z.submission(jobA, 2)
+		again.Redirectable, again.Resumed = true, true
+		z.scheduler.Submit(again, z.now)
+		results := z.scheduler.Take().Results
+		z.Assert(results, qt.HasLen, 1)
+		return results[0].Outcome
+	}
+	z.Check(outcomeAfter(1300*time.Millisecond), qt.Equals, Expired)
+	z.Check(outcomeAfter(begunJobRetention), qt.Equals, Expired)
+	z.Check(outcomeAfter(LateStartBound-begunJobRetention), qt.Equals, Redirected)
+}
--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -88,8 +88,9 @@
 	unhosted bool
 	// hasLosses is set if a target was lost under one of the tasks.
 	hasLosses bool
-	// unansweredStart is set if the answer to a start request of the job was lost.
-	unansweredStart bool
+	// unansweredUntil is until when other zones may remember a start request of the job
+	// whose answer was lost, zero if there was none.
+	unansweredUntil time.Time
 	// joined is set if the job was submitted again while it was in progress.
 	joined bool
 	// runCount is the number of requested runs, without requests that were dropped.
--- a/rattanscheduler/outstanding.go
+++ b/rattanscheduler/outstanding.go
@@ -297,7 +297,7 @@
 		if t := s.task(start.Task); t != nil {
 			t.attempt = max(t.attempt, start.Attempt)
 			t.job.maybeStarted = true
-			t.job.unansweredStart = true
+			t.job.unansweredUntil = later(t.job.unansweredUntil, now.Add(remaining))
 		}
 	}
 }
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -132,6 +132,9 @@
 	// returningJobs contains the same jobs for as long as a start request of them may
 	// be carried out.
 	returningJobs map[string]time.Time
+	// unansweredJobs contains those of them that had a start request without an answer,
+	// with the time until which other zones may remember it.
+	unansweredJobs map[string]time.Time
 	// unhosted contains the jobs that no known target could run when they were
 	// submitted and that an earlier home may have started.
 	unhosted []*job
@@ -181,6 +184,7 @@
 		doneTasks:       map[string]time.Time{},
 		begunJobs:       map[string]time.Time{},
 		returningJobs:   map[string]time.Time{},
+		unansweredJobs:  map[string]time.Time{},
 		redirectedJobs:  map[string]redirection{},
 		estimator:       newRunTimeEstimator(),
 		unansweredStops: map[*run]struct{}{},
@@ -294,6 +298,7 @@
 	removeExpired(s.doneTasks, now)
 	removeExpired(s.begunJobs, now)
 	removeExpired(s.returningJobs, now)
+	removeExpired(s.unansweredJobs, now)
 	s.removeRedirections(now)
 }
 
@@ -432,6 +437,9 @@
 	}
 	if (end.outcome == Cancelled || end.outcome == Expired) && j.mayHaveStarted() {
 		s.recordBegun(id, now)
+		if now.Before(j.unansweredUntil) {
+			s.unansweredJobs[id] = j.unansweredUntil
+		}
 	}
 	s.dequeue(j)
 	j.ready = nil
