--- a/rattanscheduler/remote_zone.go
+++ b/rattanscheduler/remote_zone.go
@@ -234,9 +234,9 @@
 }
 
 // expectedWaits returns the jobs of the service that have waited for redirectDelay and
-// may fit elsewhere, in the order in which they start. Each one waits at least until the work before it is
-// done, and until as much capacity is free as it needs itself. A job that has waited for
-// long already is expected to wait as long again.
+// may fit elsewhere, in the order in which they start. Each one waits at least until the
+// work before it is done, and until as much capacity is free as it needs itself. A job that
+// has waited for long already is expected to wait as long again.
 func (s *serviceState) expectedWaits(elsewhere *FitCounts, now time.Time) []expectedWait {
 	var list []expectedWait
 	ahead := 0.0
--- a/rattanscheduler/room.go
+++ b/rattanscheduler/room.go
@@ -21,7 +21,8 @@
 	// the priorities with a wait of their own.
 	maxRooms = 4
 	maxWaits = 4
-	// maxReportedWait bounds a reported wait in milliseconds. Nobody waits for a day.
+	// maxReportedWait bounds a reported wait in milliseconds: a day, for which no caller
+	// waits.
 	maxReportedWait = 86_400_000
 )
 
--- a/rattansite/invariants.go
+++ b/rattansite/invariants.go
@@ -20,7 +20,8 @@
 // InvariantChecker checks guarantees that are visible to targets and callers: a
 // task never has two runs at the same time, no target is overcommitted, only
 // submitted tasks run, a refused job does not run, a cancelled job is not started
-// later, nothing starts in an evacuated zone after a bound, and a job that is reported as complete has run all its tasks.
+// later, nothing starts in an evacuated zone after a bound, and a job that is reported as
+// complete has run all its tasks.
 type InvariantChecker struct {
 	// Observe receives each start and end of a run, if it is set before the first.
 	Observe func(event string)
