Wait for the room in other zones when a new home is in an evacuated zone

In an evacuated zone it refused the waiting jobs, or ended them with 504, as soon as its targets had listed their runs, although other zones had room. These jobs now wait until any zone with room is known, 0.25 s after the takeover at most.

--- a/rattanscheduler/evacuation.go
+++ b/rattanscheduler/evacuation.go
@@ -20,6 +20,9 @@
 	// was answered or dropped: lists follow each other after 50 ms, those to another
 	// zone after at least 20 ms. Until then, another zone would send the job back.
 	listedStartTime = 100 * time.Millisecond
+	// remoteZonesTime is how long after a takeover jobs wait until the room in other
+	// zones is known. The home learns of it with its first heartbeats, after 150 ms.
+	remoteZonesTime = 250 * time.Millisecond
 )
 
 // reasonEvacuated is the reason for the end of jobs of an evacuated zone.
@@ -57,7 +60,7 @@
 // first. It runs in each tick, so that running jobs cost little, and what applies to all
 // jobs is found out once: that takes a look at all targets.
 func (s *Scheduler) endEvacuated(now time.Time) {
-	if s.evacuation != rattanwork.EvacuationActive || len(s.jobs) == 0 || s.awaitsListings(now) {
+	if s.evacuation != rattanwork.EvacuationActive || len(s.jobs) == 0 || s.awaitsRemoteZones(now) || s.awaitsListings(now) {
 		return
 	}
 	reconciling := s.reconciling(now)
@@ -82,11 +85,17 @@
 // of which all remaining tasks are running continues. One that an earlier home may have
 // started is decided on once that is known.
 func (s *Scheduler) endIfEvacuated(j *job, now time.Time) {
-	if s.evacuation == rattanwork.EvacuationActive && j.hasWaitingTask() && !s.awaitsReconciliation(j, now) {
+	if s.evacuation == rattanwork.EvacuationActive && j.hasWaitingTask() && !s.awaitsRemoteZones(now) && !s.awaitsReconciliation(j, now) {
 		s.endBlocked(j, now)
 	}
 }
 
+// awaitsRemoteZones reports whether this home has just taken over and does not know yet
+// to which zones it can redirect jobs.
+func (s *Scheduler) awaitsRemoteZones(now time.Time) bool {
+	return !s.remoteZonesKnown && now.Sub(s.config.TakeoverTime) < remoteZonesTime
+}
+
 // endBlocked ends a job of which a task would have to start.
 func (s *Scheduler) endBlocked(j *job, now time.Time) {
 	switch {
--- a/rattanscheduler/evacuation_test.go
+++ b/rattanscheduler/evacuation_test.go
@@ -480,3 +480,34 @@
 	z.Check(outcomeAfter(begunJobRetention), qt.Equals, Expired)
 	z.Check(outcomeAfter(LateStartBound-begunJobRetention), qt.Equals, Redirected)
 }
+
+// TestNewHomeWaitsForRoomElsewhere guards against a home that has just taken over and ends
+// or refuses all jobs of its evacuated zone, before it knows of the room in other zones;
+// and against jobs that wait for longer if it does not learn of any.
+func TestNewHomeWaitsForRoomElsewhere(t *testing.T) {
+	for _, resumed := range []bool{false, true} {
+		for _, learns := range []bool{false, true} {
+			t.Run(fmt.Sprint("resumed ", resumed, ", learns ", learns), func(t *testing.T) {
+				z := newReconciledZone(qt.New(t), 1)
+				z.scheduler = New(Config{MaxLease: time.Second, RemotePenalty: 1.5, TakeoverTime: z.now})
+				z.scheduler.UpdateTargets([]rattanwork.Target{testTarget(0)}, true, z.now)
+				z.listRuns(0, rattanwork.Listing{})
+				z.scheduler.SetEvacuation(rattanwork.EvacuationActive, z.now)
+				submission := z.submission(jobA, 1)
+				submission.Redirectable, submission.Resumed = true, resumed
+				z.scheduler.Submit(submission, z.now)
+				z.advance(10 * time.Millisecond)
+				z.Assert(z.scheduler.Take().Results, qt.HasLen, 0)
+				if learns {
+					z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: 200000}})
+					z.advance(10 * time.Millisecond)
+				} else {
+					z.advance(remoteZonesTime)
+				}
+				results := z.scheduler.Take().Results
+				z.Assert(results, qt.HasLen, 1)
+				z.Check(results[0].Outcome == Redirected, qt.Equals, learns)
+			})
+		}
+	}
+}
--- a/rattanscheduler/remote_zone.go
+++ b/rattanscheduler/remote_zone.go
@@ -172,6 +172,7 @@
 
 // SetRemoteZones replaces what is known of the room in the other zones.
 func (s *Scheduler) SetRemoteZones(zones []RemoteZone) {
+	s.remoteZonesKnown = s.remoteZonesKnown || len(zones) > 0
 	s.remoteZones = slices.Clone(zones)
 	for i := range s.remoteZones {
 		zone := &s.remoteZones[i]
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -151,9 +151,11 @@
 	// deadlinesCheckedAt is when the deadlines of all jobs were last checked.
 	deadlinesCheckedAt time.Time
 	// remoteZones is the room of other zones less that of jobs redirected since it was
-	// reported; sent contains the jobs that were redirected lately.
-	remoteZones []RemoteZone
-	sent        []sentJob
+	// reported, remoteZonesKnown is set once there was any; sent contains the jobs that
+	// were redirected lately.
+	remoteZones      []RemoteZone
+	remoteZonesKnown bool
+	sent             []sentJob
 	// targetsKnown is set once any target of the zone is known, targetsCurrent
 	// once all targets are known that an earlier home may have used.
 	targetsKnown   bool
