Let the benchmarks of evacuations know of another zone

A home that knows of no other zone decides nothing for 0.25 s after its takeover, so the tick that is measured, and checked for allocations, looked at no job.

--- a/rattanscheduler/evacuation_bench_test.go
+++ b/rattanscheduler/evacuation_bench_test.go
@@ -10,8 +10,9 @@
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
-// submitMany submits jobs that may be redirected.
+// submitMany submits jobs that may be redirected to another zone.
 func (z *fakeZone) submitMany(jobs int) {
+	z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: 1 << 30}})
 	for i := range jobs {
 		submission := z.submission(fmt.Sprintf("%016x", i+1), 1)
 		submission.Redirectable = true
@@ -50,7 +51,6 @@
 		b.StopTimer()
 		z := newReconciledZone(qt.New(b), 1)
 		z.scheduler.SetHeld(true, z.now)
-		z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: 1 << 30}})
 		z.submitMany(5000)
 		b.StartTimer()
 		z.scheduler.SetEvacuation(rattanwork.EvacuationActive, z.now)
