--- a/rattanscheduler/evacuation.go
+++ b/rattanscheduler/evacuation.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -21,6 +20,9 @@
 	// was answered or dropped: lists follow each other after 50 ms, those to another
 	// zone after at least 20 ms. Until then, another zone would send the job back.
 	listedStartTime = 100 * time.Millisecond
+	// remoteZonesTime is how long after a takeover jobs wait until the room in other
+	// zones is known. The home learns of it with its first heartbeats, after 150 ms.
+	remoteZonesTime = 250 * time.Millisecond
 )
 
 // reasonEvacuated is the reason for the end of jobs of an evacuated zone.
@@ -55,17 +57,27 @@
 }
 
 // endEvacuated ends the jobs that cannot continue in an evacuated zone, urgent ones
-// first.
+// first. It runs in each tick, so that running jobs cost little, and what applies to all
+// jobs is found out once: that takes a look at all targets.
 func (s *Scheduler) endEvacuated(now time.Time) {
-	if s.evacuation != rattanwork.EvacuationActive {
+	if s.evacuation != rattanwork.EvacuationActive || len(s.jobs) == 0 || s.awaitsRemoteZones(now) || s.awaitsListings(now) {
 		return
 	}
-	jobs := slices.SortedFunc(maps.Values(s.jobs), func(a, b *job) int {
+	reconciling := s.reconciling(now)
+	var jobs []*job
+	for _, j := range s.jobs {
+		if j.hasWaitingTask() && !(j.submission.Resumed && reconciling) {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *job) int {
 		return cmp.Or(cmp.Compare(a.submission.Priority, b.submission.Priority), a.submittedAt.Compare(b.submittedAt),
 			cmp.Compare(a.submission.Job.ID, b.submission.Job.ID))
 	})
 	for _, j := range jobs {
-		s.endIfEvacuated(j, now)
+		if !s.awaitsEarlierHome(j, now) {
+			s.endBlocked(j, now)
+		}
 	}
 }
 
@@ -73,30 +85,43 @@
 // of which all remaining tasks are running continues. One that an earlier home may have
 // started is decided on once that is known.
 func (s *Scheduler) endIfEvacuated(j *job, now time.Time) {
-	if s.evacuation != rattanwork.EvacuationActive || j.outcome != Open || s.awaitsReconciliation(j, now) {
-		return
+	if s.evacuation == rattanwork.EvacuationActive && j.hasWaitingTask() && !s.awaitsRemoteZones(now) && !s.awaitsReconciliation(j, now) {
+		s.endBlocked(j, now)
 	}
+}
+
+// awaitsRemoteZones reports whether this home has just taken over and does not know yet
+// to which zones it can redirect jobs.
+func (s *Scheduler) awaitsRemoteZones(now time.Time) bool {
+	return !s.remoteZonesKnown && now.Sub(s.config.TakeoverTime) < remoteZonesTime
+}
+
+// endBlocked ends a job of which a task would have to start.
+func (s *Scheduler) endBlocked(j *job, now time.Time) {
 	switch {
-	case !j.mayHaveStarted():
-		if now.Before(j.listedUntil) && s.bestRemoteZone(j, 1, now) >= 0 {
-			return
-		}
-		s.endJob(j, Refused, reasonEvacuated, evacuationRetryAfter, now)
-	case slices.ContainsFunc(j.tasks, func(t *task) bool { return t.state == taskWaiting }):
+	case j.outcome != Open:
+	case j.mayHaveStarted():
 		s.leave(j, now)
+	case !now.Before(j.listedUntil) || s.bestRemoteZone(j, 1, now) < 0:
+		s.endJob(j, Refused, reasonEvacuated, evacuationRetryAfter, now)
 	}
 }
 
+// hasWaitingTask reports whether some task of the job waits, also for an earlier step.
+func (j *job) hasWaitingTask() bool {
+	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.state == taskWaiting })
+}
+
 // leave stops the runs of a job that may have started and redirects the job once they
 // are proven gone. If there is no room elsewhere or no proof in time, the job ends
-// without a result. So does a job that had a start without an answer: heartbeats may have
-// named it, and other zones would send the job back for LateStartBound.
+// without a result. So does a job that had a start without an answer in the last
+// LateStartBound: heartbeats may have named it, and other zones would send the job back.
 func (s *Scheduler) leave(j *job, now time.Time) {
 	if j.leaveUntil.IsZero() {
 		j.leaveUntil = now.Add(maxLeaveTime)
 	}
 	zone := s.zoneToLeaveFor(j, now)
-	if zone < 0 || !now.Before(j.leaveUntil) || j.unansweredStart || slices.ContainsFunc(j.tasks, s.bound) {
+	if zone < 0 || !now.Before(j.leaveUntil) || now.Before(j.unansweredUntil) || slices.ContainsFunc(j.tasks, s.bound) {
 		s.endJob(j, Expired, reasonEvacuated, 0, now)
 		return
 	}
@@ -148,6 +173,16 @@
 	s.schedule(now)
 }
 
+// recordAnswer records the answer to a start request of the job, which is listed no longer
+// after that, or that there is none.
+func (j *job) recordAnswer(result rattanwork.StartResult, now time.Time) {
+	if result == rattanwork.StartUnknown {
+		j.unansweredUntil = now.Add(LateStartBound)
+		return
+	}
+	j.listUntil(now.Add(listedStartTime))
+}
+
 // listUntil records until when other instances may list a start request of the job.
 func (j *job) listUntil(until time.Time) {
 	j.listedUntil = later(j.listedUntil, until)
--- a/rattanscheduler/evacuation_test.go
+++ b/rattanscheduler/evacuation_test.go
@@ -381,3 +381,133 @@
 		z.Check(z.scheduler.Take().Stops, qt.HasLen, map[bool]int{true: 1}[status == rattanwork.EvacuationNone], qt.Commentf(status.String()))
 	}
 }
+
+// TestListedStartDelaysRedirect guards against a job that two zones send back and forth
+// until its caller gives up: the other zone has been told of a start, and not yet that the
+// target has refused it, or that the run has ended.
+func TestListedStartDelaysRedirect(t *testing.T) {
+	tests := map[string]func(z *fakeZone, start StartRequest){
+		"refused": func(z *fakeZone, start StartRequest) {
+			z.scheduler.StartAnswered("t0", start.Task, start.Attempt, rattanwork.StartAnswer{Result: rattanwork.StartNoResources}, z.now)
+		},
+		"refused after the run was stopped": func(z *fakeZone, start StartRequest) {
+			z.endRun(start, rattanwork.EndStopped)
+			z.now = z.now.Add(listedStartTime - time.Millisecond)
+			z.scheduler.StartAnswered("t0", start.Task, start.Attempt, rattanwork.StartAnswer{Result: rattanwork.StartStaleAttempt}, z.now)
+		},
+		"ended before the answer": func(z *fakeZone, start StartRequest) {
+			z.endRun(start, rattanwork.EndStopped)
+		},
+	}
+	for name, end := range tests {
+		t.Run(name, func(t *testing.T) {
+			z := newReconciledZone(qt.New(t), 1)
+			z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: 200000}})
+			submission := z.submission(jobA, 1)
+			submission.Redirectable = true
+			z.scheduler.Submit(submission, z.now)
+			start := z.scheduler.Take().Starts[0]
+			z.scheduler.SetEvacuation(rattanwork.EvacuationActive, z.now)
+			end(z, start)
+			z.advance(2 * time.Millisecond)
+			z.Check(z.scheduler.Take().Results, qt.HasLen, 0)
+			z.advance(listedStartTime)
+			results := z.scheduler.Take().Results
+			z.Assert(results, qt.HasLen, 1)
+			z.Check(results[0].Outcome, qt.Equals, Redirected)
+			z.Check(results[0].MayHaveStarted, qt.IsTrue)
+		})
+	}
+}
+
+// TestJoinedJobIsNotSentBack guards against a job that two zones send back and forth until
+// its caller gives up: one has moved it here, where it joined a copy that was submitted to
+// this zone, and it is moved back.
+func TestJoinedJobIsNotSentBack(t *testing.T) {
+	z, start, other := halfStarted(qt.New(t))
+	moved := z.submission(jobA, 2)
+	moved.Resumed, moved.Redirected, moved.Tried = true, true, []string{"b"}
+	z.scheduler.Submit(moved, z.now)
+	z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: 200000}, {Zone: "c", FreeMilliCPU: 30000}})
+	z.scheduler.SetEvacuation(rattanwork.EvacuationActive, z.now)
+	z.endRun(start, rattanwork.EndStopped, other)
+	z.advance(listedStartTime)
+	results := z.scheduler.Take().Results
+	z.Assert(results, qt.HasLen, 1)
+	z.Check(results[0].Zone, qt.Equals, "c")
+}
+
+// TestStragglerIsKeptWhileEvacuationIsUnknown guards against ending a job whose task is too
+// slow, for want of a restart that may be allowed half a second later.
+func TestStragglerIsKeptWhileEvacuationIsUnknown(t *testing.T) {
+	z := newReconciledZone(qt.New(t), 2)
+	submission := z.submission(jobA, 1)
+	submission.LateUntil, submission.Deadline = z.now.Add(2*time.Second), z.now.Add(2*time.Second)
+	z.scheduler.Submit(submission, z.now)
+	start := z.scheduler.Take().Starts[0]
+	z.accept(start)
+	list := func() Output {
+		z.scheduler.RunsListed(start.Target.ID, &rattanwork.Listing{Running: []rattanwork.Run{{Task: start.Task, Attempt: 1, Percent: 5}}}, z.now, z.voidBefore, z.now)
+		return z.scheduler.Take()
+	}
+	z.scheduler.SetEvacuation(rattanwork.EvacuationUnknown, z.now)
+	z.now = z.now.Add(400 * time.Millisecond)
+	z.Check(list().Results, qt.HasLen, 0)
+	z.scheduler.SetEvacuation(rattanwork.EvacuationNone, z.now)
+	z.Check(list().Stops, qt.HasLen, 1)
+}
+
+// TestUnansweredStartOutlastsItsJob guards against a job that two zones send back and forth
+// until its caller gives up: a start of its former submission went unanswered, which
+// heartbeats have told the other zone, and was settled here since.
+func TestUnansweredStartOutlastsItsJob(t *testing.T) {
+	z, start, other := halfStarted(qt.New(t))
+	z.scheduler.StartAnswered("t0", start.Task, start.Attempt, rattanwork.StartAnswer{Result: rattanwork.StartUnknown}, z.now)
+	z.scheduler.SetEvacuation(rattanwork.EvacuationActive, z.now)
+	z.Assert(z.scheduler.Take().Results[0].Outcome, qt.Equals, Expired)
+	z.endRun(start, rattanwork.EndStopped, other)
+	outcomeAfter := func(delay time.Duration) Outcome {
+		z.advance(delay)
+		z.scheduler.Take()
+		again := z.submission(jobA, 2)
+		again.Redirectable, again.Resumed = true, true
+		z.scheduler.Submit(again, z.now)
+		results := z.scheduler.Take().Results
+		z.Assert(results, qt.HasLen, 1)
+		return results[0].Outcome
+	}
+	z.Check(outcomeAfter(1300*time.Millisecond), qt.Equals, Expired)
+	z.Check(outcomeAfter(begunJobRetention), qt.Equals, Expired)
+	z.Check(outcomeAfter(LateStartBound-begunJobRetention), qt.Equals, Redirected)
+}
+
+// TestNewHomeWaitsForRoomElsewhere guards against a home that has just taken over and ends
+// or refuses all jobs of its evacuated zone, before it knows of the room in other zones;
+// and against jobs that wait for longer if it does not learn of any.
+func TestNewHomeWaitsForRoomElsewhere(t *testing.T) {
+	for _, resumed := range []bool{false, true} {
+		for _, learns := range []bool{false, true} {
+			t.Run(fmt.Sprint("resumed ", resumed, ", learns ", learns), func(t *testing.T) {
+				z := newReconciledZone(qt.New(t), 1)
+				z.scheduler = New(Config{MaxLease: time.Second, RemotePenalty: 1.5, TakeoverTime: z.now})
+				z.scheduler.UpdateTargets([]rattanwork.Target{testTarget(0)}, true, z.now)
+				z.listRuns(0, rattanwork.Listing{})
+				z.scheduler.SetEvacuation(rattanwork.EvacuationActive, z.now)
+				submission := z.submission(jobA, 1)
+				submission.Redirectable, submission.Resumed = true, resumed
+				z.scheduler.Submit(submission, z.now)
+				z.advance(10 * time.Millisecond)
+				z.Assert(z.scheduler.Take().Results, qt.HasLen, 0)
+				if learns {
+					z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: 200000}})
+					z.advance(10 * time.Millisecond)
+				} else {
+					z.advance(remoteZonesTime)
+				}
+				results := z.scheduler.Take().Results
+				z.Assert(results, qt.HasLen, 1)
+				z.Check(results[0].Outcome == Redirected, qt.Equals, learns)
+			})
+		}
+	}
+}
--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -1,6 +1,7 @@
 package rattanscheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rattanlever/rattanlever/rattanwork"
@@ -87,8 +88,9 @@
 	unhosted bool
 	// hasLosses is set if a target was lost under one of the tasks.
 	hasLosses bool
-	// unansweredStart is set if the answer to a start request of the job was lost.
-	unansweredStart bool
+	// unansweredUntil is until when other zones may remember a start request of the job
+	// whose answer was lost, zero if there was none.
+	unansweredUntil time.Time
 	// joined is set if the job was submitted again while it was in progress.
 	joined bool
 	// runCount is the number of requested runs, without requests that were dropped.
@@ -151,10 +153,16 @@
 	return j
 }
 
-// join applies what another submission of the job tells of its earlier submissions.
+// join applies what another submission of the job tells of its earlier submissions and of
+// the zones that were tried.
 func (j *job) join(other Submission) {
 	j.joined = true
 	j.submission.EarlierHomes = max(j.submission.EarlierHomes, other.EarlierHomes)
+	for _, zone := range other.Tried {
+		if !slices.Contains(j.submission.Tried, zone) {
+			j.submission.Tried = append(slices.Clip(j.submission.Tried), zone)
+		}
+	}
 	if other.Resumed {
 		j.submission.Resumed = true
 		j.maybeStarted = true
--- a/rattanscheduler/remote_zone.go
+++ b/rattanscheduler/remote_zone.go
@@ -172,6 +172,7 @@
 
 // SetRemoteZones replaces what is known of the room in the other zones.
 func (s *Scheduler) SetRemoteZones(zones []RemoteZone) {
+	s.remoteZonesKnown = s.remoteZonesKnown || len(zones) > 0
 	s.remoteZones = slices.Clone(zones)
 	for i := range s.remoteZones {
 		zone := &s.remoteZones[i]
@@ -234,9 +235,9 @@
 }
 
 // expectedWaits returns the jobs of the service that have waited for redirectDelay and
-// may fit elsewhere, in the order in which they start. Each one waits at least until the work before it is
-// done, and until as much capacity is free as it needs itself. A job that has waited for
-// long already is expected to wait as long again.
+// may fit elsewhere, in the order in which they start. Each one waits at least until the
+// work before it is done, and until as much capacity is free as it needs itself. A job that
+// has waited for long already is expected to wait as long again.
 func (s *serviceState) expectedWaits(elsewhere *FitCounts, now time.Time) []expectedWait {
 	var list []expectedWait
 	ahead := 0.0
@@ -305,11 +306,21 @@
 func (s *Scheduler) reserveZone(j *job, index int, now time.Time) string {
 	zone, need := &s.remoteZones[index], s.zoneNeed(j)
 	zone.take(&need)
-	s.sent = slices.DeleteFunc(s.sent, func(sent sentJob) bool { return now.Sub(sent.at) > sentRetention })
+	s.forgetSent(now)
 	s.sent = append(s.sent, sentJob{zone: zone.Zone, at: now, need: need})
 	return zone.Zone
 }
 
+// forgetSent forgets the jobs that were redirected long ago. They are sorted by time, and
+// thousands may be redirected at once.
+func (s *Scheduler) forgetSent(now time.Time) {
+	old := 0
+	for old < len(s.sent) && now.Sub(s.sent[old].at) > sentRetention {
+		old++
+	}
+	s.sent = slices.Delete(s.sent, 0, old)
+}
+
 // zoneToLeaveFor returns the index of the zone to which a job that has started here is
 // redirected, or -1 if there is none.
 func (s *Scheduler) zoneToLeaveFor(j *job, now time.Time) int {
