Add rattanlever where, which tells where a job would go now

The command asks one instance of serve over its metrics listener. The instance matches the route and asks the home of its zone with the new peer method PreviewJob. The preview of the scheduler uses the functions that decide on submitted jobs and leaves the state of the scheduler as it was.

--- a/rattancmd/main.go
+++ b/rattancmd/main.go
@@ -85,6 +85,7 @@
 		reportCommand(std),
 		serveCommand(std),
 		standinCommand(std),
+		whereCommand(std),
 	}
 }
 
--- a/rattancmd/main_test.go
+++ b/rattancmd/main_test.go
@@ -112,6 +112,13 @@
 		{"standin platform --target a=b", "", "--target a=b: want NAME="},
 		{"standin platform --target a=b,c,d,0", "", "SLOTS: want at least 1"},
 		{"standin target --count 0", "", "--count"},
+		{"where -", "{}", "--host"},
+		{"where --host h -", "{}", "--path"},
+		{"where --host h --path /q/", "", "FILE"},
+		{"where --host h --path /q/ --timeout 0s -", "{}", "--timeout"},
+		{"where --host h --path /q/ --address here -", "{}", `--address: "here"`},
+		{"where --host h --path /q/ -", "{", "-: not a JSON value"},
+		{"where --host h --path /q/ -", strings.Repeat(" ", 262_145), "-: 262145 bytes, at most 262144"},
 	} {
 		t.Run(test.args, func(t *testing.T) {
 			c := qt.New(t)
@@ -145,6 +152,8 @@
 		{"keys make --directory /dev/null/x Caller/app", "--directory"},
 		{"standin platform --address 192.0.2.1:1", "--address"},
 		{"standin target --platform " + unusedAddress, "--platform"},
+		{"where --host h --path /q/ " + missing, missing},
+		{"where --host h --path /q/ --address " + unusedAddress + " ../docs/examples/listaforge.json", unusedAddress},
 	} {
 		t.Run(test.args, func(t *testing.T) {
 			c := qt.New(t)
--- a/rattanhome/service.go
+++ b/rattanhome/service.go
@@ -148,7 +148,9 @@
 	// Saver saves cancellations for callers. If it is nil, none is saved.
 	Saver   CancellationSaver
 	Journal ServiceJournal
-	Clock   func() time.Time
+	// Knowledge is stated in previews. If it is nil, they state none.
+	Knowledge Knowledge
+	Clock     func() time.Time
 }
 
 // Service accepts jobs for the home on this instance, both from its own callers
@@ -218,6 +220,7 @@
 	node.Handle(MethodCancel, s.onCancel)
 	node.Handle(MethodCancelForCaller, s.onCancelForCaller)
 	node.Handle(MethodSaveCancellation, s.onSaveCancellation)
+	node.Handle(MethodPreview, s.onPreview)
 }
 
 // Submit waits for the result of a job.
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -76,6 +76,7 @@
 	// evacuations is nil if the settings do not state that they are used.
 	evacuations   *rattanzone.Evacuations
 	callerHandler *rattanfront.Handler
+	where         *rattanfront.Where
 	store         *platform.Store
 	targetClient  *platform.TargetClient
 	crashes       *rattancrash.History
@@ -165,9 +166,18 @@
 		Cancellations: n.cancellations,
 		Saver:         rattancancel.NewSaver(rattancancel.SaverConfig{Store: cancellationStore, Journal: n.journal, Clock: n.config.Clock}),
 		Journal:       n.journal,
+		Knowledge:     n.agent,
 		Clock:         n.config.Clock,
 	})
 	n.homeService.RegisterHandlers(peerNode)
+	n.where = rattanfront.NewWhere(rattanfront.WhereConfig{
+		Self:         self,
+		Homes:        n.agent,
+		LocalHome:    n.homeService,
+		Peers:        peerNode,
+		DesiredState: n.desiredState,
+		Clock:        n.config.Clock,
+	})
 	n.callerHandler = rattanfront.New(rattanfront.Config{
 		Self:          self,
 		Homes:         n.agent,
@@ -341,7 +351,11 @@
 	return ok
 }
 
-func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+func (n *Node) serveMetrics(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == rattanfront.WherePath {
+		n.where.ServeHTTP(w, r)
+		return
+	}
 	n.config.Registry.Write(w)
 	rattanmetric.WriteProcess(w)
 }
--- a/rattanscheduler/priority.go
+++ b/rattanscheduler/priority.go
@@ -93,6 +93,13 @@
 		s.lastSequence++
 		j.sequence = s.lastSequence
 	}
+	s.updateEntry(j)
+	queue := &s.service(j.submission.Service).queue
+	j.class = queue.insert(j.runCount > 0, j.submission.Priority, j.entry)
+}
+
+// updateEntry recomputes the place of a job with ready tasks in its queue.
+func (s *Scheduler) updateEntry(j *job) {
 	j.timing = s.timing(j)
 	j.entry = queueEntry{
 		expiresAt: j.timing.expiresAt.UnixNano(),
@@ -102,8 +109,6 @@
 		tasks:     len(j.ready),
 		job:       j,
 	}
-	queue := &s.service(j.submission.Service).queue
-	j.class = queue.insert(j.runCount > 0, j.submission.Priority, j.entry)
 }
 
 // dequeue removes a job from its queue.
@@ -225,9 +230,15 @@
 }
 
 func (s *Scheduler) refuseForBacklog(j *job, now time.Time) {
-	s.endJob(j, Refused, "too much work before it", s.backlog(j.submission.Service), now)
+	s.endJob(j, Refused, reasonTooMuchBefore, s.backlog(j.submission.Service), now)
 }
 
+// Reasons for refusing a job for lack of resources.
+const (
+	reasonTooMuchBefore = "too much work before it"
+	reasonCannotStart   = "cannot start in time"
+)
+
 // overloadTolerance is how far the expected wait may exceed a job's slack
 // before the job is refused. It allows for errors of the estimate.
 const overloadTolerance = 20 * time.Millisecond
@@ -285,17 +296,20 @@
 		s.endJob(j, Expired, "cannot end in time", 0, now)
 		return
 	}
-	s.endJob(j, Refused, "cannot start in time", s.backlog(j.submission.Service), now)
+	s.endJob(j, Refused, reasonCannotStart, s.backlog(j.submission.Service), now)
 }
 
 // backlog returns how long the waiting work of a service would keep all its
 // usable targets busy.
 func (s *Scheduler) backlog(service string) time.Duration {
-	state := s.service(service)
-	if state.pool.expectedMilliCPU() == 0 {
+	return s.service(service).backlog()
+}
+
+func (s *serviceState) backlog() time.Duration {
+	if s.pool.expectedMilliCPU() == 0 {
 		return noTargetRetryAfter
 	}
-	return max(time.Second, time.Duration(state.queue.work/float64(state.pool.expectedMilliCPU())))
+	return max(time.Second, time.Duration(s.queue.work/float64(s.pool.expectedMilliCPU())))
 }
 
 // describeRoom returns what decides on refusing a job or letting it wait.
--- a/rattanscheduler/remote_zone.go
+++ b/rattanscheduler/remote_zone.go
@@ -260,18 +260,29 @@
 
 // redirectIfEarlier redirects a waiting job if it ends clearly earlier in another zone.
 func (s *Scheduler) redirectIfEarlier(waiting expectedWait, now time.Time) {
+	if zone := s.earlierZone(waiting, now); zone >= 0 {
+		s.finishJob(waiting.job, ending{outcome: Redirected, reason: reasonEarlierElsewhere, zone: s.reserveZone(waiting.job, zone, now)}, now)
+	}
+}
+
+// reasonEarlierElsewhere is the reason for redirecting a job that waits.
+const reasonEarlierElsewhere = "another zone has room"
+
+// earlierZone returns the index of another zone where a waiting job ends clearly earlier,
+// or -1 if there is none.
+func (s *Scheduler) earlierZone(waiting expectedWait, now time.Time) int {
 	j := waiting.job
 	if s.awaitsReconciliation(j, now) {
-		return
+		return -1
 	}
 	zone := s.bestRemoteZone(j, redirectHeadroom, now)
 	if zone < 0 {
-		return
+		return -1
 	}
 	if need := s.zoneNeed(j); waiting.wait <= j.redirectCost()+s.remoteZones[zone].wait(&need) {
-		return
+		return -1
 	}
-	s.finishJob(j, ending{outcome: Redirected, reason: "another zone has room", zone: s.reserveZone(j, zone, now)}, now)
+	return zone
 }
 
 // redirectCost returns by how much later a job starts if it is redirected.
