--- a/rattanscheduler/preview_test.go
+++ b/rattanscheduler/preview_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -184,6 +185,63 @@
 	}
 }
 
+// TestPreviewOfRandomJobs guards against a preview that differs from what happens to the
+// job in zones with other jobs of several sizes, priorities and deadlines.
+func TestPreviewOfRandomJobs(t *testing.T) {
+	outcomes := map[PreviewOutcome]int{}
+	for seed := range uint64(500) {
+		c := qt.New(t)
+		random := rand.New(rand.NewPCG(seed, 1))
+		z := newReconciledZone(c, 1+random.IntN(4))
+		if random.IntN(2) == 0 {
+			z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: random.IntN(100_000)}, {Zone: "c", FreeMilliCPU: random.IntN(100_000)}})
+		}
+		for i := range random.IntN(30) {
+			z.scheduler.Submit(randomSubmission(z, random, fmt.Sprintf("%016x", i+1)), z.now)
+			z.advance(time.Duration(random.IntN(4)) * time.Millisecond)
+		}
+		z.scheduler.Take()
+		submission := randomSubmission(z, random, previewedJob)
+		before := fingerprint(z)
+		preview := z.scheduler.Preview(submission, z.now)
+		c.Assert(fingerprint(z), qt.Equals, before, qt.Commentf("seed %d", seed))
+		outcomes[preview.Outcome]++
+		// A tick that follows may decide otherwise: the slack of the job becomes less, and
+		// other jobs may be redirected before it.
+		outputs := submit(z, submission)[:2]
+		if preview.After > 0 {
+			preview.Outcome = PreviewWaits
+		}
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { checkPreview(qt.New(t), preview, outputs) })
+	}
+	c := qt.New(t)
+	for _, outcome := range []PreviewOutcome{PreviewStarts, PreviewWaits, PreviewRedirected, PreviewRefused} {
+		c.Check(outcomes[outcome] > 20, qt.IsTrue, qt.Commentf("%v", outcomes))
+	}
+}
+
+// randomSubmission returns a job with one or two steps.
+func randomSubmission(z *fakeZone, random *rand.Rand, id string) Submission {
+	submission := z.submission(id, 1+random.IntN(4))
+	step := &submission.Job.Steps[0]
+	step.Resources.MilliCPU = 2000 + random.IntN(20_000)
+	step.Estimate = time.Duration(10+random.IntN(300)) * time.Millisecond
+	step.Gang = random.IntN(4) == 0
+	if random.IntN(4) == 0 {
+		second := *step
+		second.Gang = false
+		if random.IntN(2) == 0 {
+			second.After = []int{0}
+		}
+		submission.Job.Steps = append(submission.Job.Steps, second)
+	}
+	submission.Priority = random.IntN(3)
+	submission.Redirectable = random.IntN(2) == 0
+	objective := time.Duration(random.IntN(1000)) * time.Millisecond
+	submission.Objective, submission.LateUntil = z.now.Add(objective), z.now.Add(3*objective)
+	return submission
+}
+
 // outputsOf returns the decisions without pointers to targets.
 func outputsOf(outputs []Output) (list []string) {
 	for _, output := range outputs {
