Preview jobs of an evacuated zone just after a takeover as submissions decide, and read their bodies

A new home waits for the room in other zones before it refuses jobs, which the preview did not. The metrics listener skipped the bodies of previews.

--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -246,7 +246,7 @@
 	if err != nil {
 		return errors.Annotate(err, "listen.readiness")
 	}
-	metricsServer, err := newHTTPServer(settings.MetricsAddress, n.intake.withoutBody(n.serveMetrics), n.intake.probes())
+	metricsServer, err := newHTTPServer(settings.MetricsAddress, n.metricsHandler(), n.intake.probes())
 	if err != nil {
 		return errors.Annotate(err, "metrics")
 	}
@@ -359,11 +359,19 @@
 	return ok
 }
 
-func (n *Node) serveMetrics(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == rattanfront.WherePath {
-		n.where.ServeHTTP(w, r)
-		return
-	}
+// metricsHandler serves the previews of jobs, whose bodies it reads, and the metrics.
+func (n *Node) metricsHandler() http.Handler {
+	metrics := n.intake.withoutBody(n.serveMetrics)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == rattanfront.WherePath {
+			n.where.ServeHTTP(w, r)
+			return
+		}
+		metrics.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	n.config.Registry.Write(w)
 	rattanmetric.WriteProcess(w)
 }
--- a/rattanscheduler/preview.go
+++ b/rattanscheduler/preview.go
@@ -186,6 +186,9 @@
 	awaits := s.awaitsReconciliation(j, p.now)
 	switch {
 	case awaits:
+	case s.evacuation == rattanwork.EvacuationActive && s.awaitsRemoteZones(p.now):
+		p.end(PreviewWaits, "the home does not know the room in other zones yet")
+		return
 	case s.evacuation == rattanwork.EvacuationActive:
 		p.refuse(reasonEvacuated, evacuationRetryAfter)
 		return
