Let started jobs go first also when late, where routes have several priorities

Cause: a started job that has become late stood behind all on-time jobs without a run. Where jobs of several priorities keep coming, it got nothing any more, could not be refused, and ended without an answer: its runs were wasted.

Change: in a service to which jobs of more than one priority were submitted, started jobs stand before all others. With one priority the order is as before.

--- a/rattanscheduler/placement.go
+++ b/rattanscheduler/placement.go
@@ -21,6 +21,9 @@
 type serviceState struct {
 	pool  *targetPool
 	queue jobQueue
+	// submitted is set once a job was submitted, priority is that of the last one.
+	submitted bool
+	priority  int
 }
 
 // service returns the state of a service.
--- a/rattanscheduler/placement_test.go
+++ b/rattanscheduler/placement_test.go
@@ -23,8 +23,10 @@
 				list = append(list, j)
 			}
 		}
+		mixed := s.service(testService).queue.mixed
 		slices.SortFunc(list, func(a, b *job) int {
 			return cmp.Or(
+				compareTrueFirst(mixed && a.runCount > 0, mixed && b.runCount > 0),
 				cmp.Compare(a.timing.classify(now), b.timing.classify(now)),
 				compareTrueFirst(a.runCount > 0, b.runCount > 0),
 				cmp.Compare(a.submission.Priority, b.submission.Priority),
--- a/rattanscheduler/queue.go
+++ b/rattanscheduler/queue.go
@@ -61,15 +61,18 @@
 
 // jobQueue holds the waiting jobs of one service in the order in which they may
 // start: on-time jobs before late ones, then started jobs first, then by
-// priority, and finally by the latest start. It answers a load of far more
+// priority, and finally by the latest start. With several priorities, started jobs
+// come first also if they are late. It answers a load of far more
 // waiting jobs than there are resources for: the search for the next job that
 // fits skips whole blocks of jobs that do not.
 type jobQueue struct {
 	// classes are sorted in the order of their jobs.
 	classes []*jobClass
-	jobs    int
-	tasks   int
-	work    float64
+	// mixed is set once jobs of more than one priority were submitted.
+	mixed bool
+	jobs  int
+	tasks int
+	work  float64
 }
 
 // jobClass holds jobs that differ only in their latest start.
@@ -146,8 +149,25 @@
 // passes calls visit with the classes and key ranges in the order in which
 // their jobs may start.
 func (q *jobQueue) passes(now int64, visit func(class *jobClass, keys keyRange)) {
+	if !q.mixed {
+		visitClasses(q.classes, now, visit)
+		return
+	}
+	// Jobs of other priorities keep coming, so that a started job which is late would
+	// get nothing behind those on time, and its runs would be wasted.
+	started := 0
+	for started < len(q.classes) && q.classes[started].started {
+		started++
+	}
+	visitClasses(q.classes[:started], now, visit)
+	visitClasses(q.classes[started:], now, visit)
+}
+
+// visitClasses calls visit for the on-time jobs of the classes and then for the late
+// ones.
+func visitClasses(classes []*jobClass, now int64, visit func(class *jobClass, keys keyRange)) {
 	for _, keys := range [...]keyRange{onTimeKeys(now), lateKeys(now)} {
-		for _, class := range q.classes {
+		for _, class := range classes {
 			visit(class, keys)
 		}
 	}
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -245,6 +245,7 @@
 	}
 	j := newJob(submission, now)
 	s.jobs[submission.Job.ID] = j
+	s.service(submission.Service).notePriority(submission.Priority)
 	s.adoptRuns(j)
 	if s.refuseUnhostable(j, now) {
 		return
