Expect waits from when runs end, where routes have several priorities

Cause: admission divided the queued work before a job by the sum of the capacity.

Change: with several priorities, a service keeps incrementally when its runs are expected to release capacity (intervals of 16 ms; a start and an end change one of them). The expected wait of a job is the time until that covers the waiting demand before it and its own; capacity that is free while tasks wait does not count, and that of runs on targets which drain counts in proportion. Used in admission, the review of waiting jobs, Retry-After and the room that a refusal states. Without known ends for half of the used capacity (after a takeover), and with one priority, decisions are as before.

--- a/rattanscheduler/placement.go
+++ b/rattanscheduler/placement.go
@@ -21,6 +21,10 @@
 type serviceState struct {
 	pool  *targetPool
 	queue jobQueue
+	// releases tells when running tasks are expected to end.
+	releases releaseSchedule
+	// waits contains how actual waits differ from those that follow from releases.
+	waits map[waitKey]waitRatio
 	// submitted is set once a job was submitted, priority is that of the last one.
 	submitted bool
 	priority  int
@@ -30,7 +34,7 @@
 func (s *Scheduler) service(name string) *serviceState {
 	state, ok := s.services[name]
 	if !ok {
-		state = &serviceState{pool: newTargetPool()}
+		state = &serviceState{pool: newTargetPool(), waits: map[waitKey]waitRatio{}}
 		s.services[name] = state
 	}
 	return state
@@ -141,6 +145,9 @@
 		started = true
 	}
 	if started {
+		if len(j.ready) == 0 {
+			s.service(j.submission.Service).observeWait(j, pass.now)
+		}
 		s.reposition(j)
 	}
 }
--- a/rattanscheduler/priority.go
+++ b/rattanscheduler/priority.go
@@ -100,8 +100,10 @@
 		demand:    j.readyDemand(),
 		work:      s.queuedWork(j),
 		tasks:     len(j.ready),
+		milliCPU:  j.readyMilliCPU(),
 		job:       j,
 	}
+	j.waitKey = waitKeyOf(j.submission.Priority, j.entry.demand.MilliCPU)
 	queue := &s.service(j.submission.Service).queue
 	j.class = queue.insert(j.runCount > 0, j.submission.Priority, j.entry)
 }
@@ -164,6 +166,9 @@
 	if state.queue.jobs == 0 || state.pool.mostlyUnknown() {
 		return nil
 	}
+	if state.expectsEnds() {
+		return s.overloadedByEnds(state, now)
+	}
 	var list []*job
 	workAhead := 0.0
 	reconciling := s.reconciling(now)
@@ -209,7 +214,15 @@
 	if j.class == nil || state.pool.mostlyUnknown() || s.awaitsReconciliation(j, now) {
 		return
 	}
-	if j.tooMuchBefore(state.queue.workBefore(j, now.UnixNano()), state.pool, now) {
+	before := state.queue.backlogBefore(j, now.UnixNano())
+	if state.expectsEnds() {
+		j.expectedWait = state.waitByEnds(j, before, now)
+		if state.startsTooLate(j, before, now) {
+			s.refuseForBacklog(j, now)
+		}
+		return
+	}
+	if j.tooMuchBefore(before.work, state.pool, now) {
 		s.refuseForBacklog(j, now)
 	}
 }
@@ -225,7 +238,11 @@
 }
 
 func (s *Scheduler) refuseForBacklog(j *job, now time.Time) {
-	s.endJob(j, Refused, "too much work before it", s.backlog(j.submission.Service), now)
+	reason := "too much work before it"
+	if s.service(j.submission.Service).expectsEnds() {
+		reason = "no room expected in time"
+	}
+	s.endJob(j, Refused, reason, s.backlog(j.submission.Service, now), now)
 }
 
 // overloadTolerance is how far the expected wait may exceed a job's slack
@@ -285,13 +302,17 @@
 		s.endJob(j, Expired, "cannot end in time", 0, now)
 		return
 	}
-	s.endJob(j, Refused, "cannot start in time", s.backlog(j.submission.Service), now)
+	s.endJob(j, Refused, "cannot start in time", s.backlog(j.submission.Service, now), now)
 }
 
 // backlog returns how long the waiting work of a service would keep all its
 // usable targets busy.
-func (s *Scheduler) backlog(service string) time.Duration {
+func (s *Scheduler) backlog(service string, now time.Time) time.Duration {
 	state := s.service(service)
+	if state.expectsEnds() {
+		waiting := backlogSum{state.queue.work, state.queue.milliCPU}
+		return max(time.Second, state.releases.wait(waiting, state.pool.usedMilliCPU(), now))
+	}
 	if state.pool.expectedMilliCPU() == 0 {
 		return noTargetRetryAfter
 	}
@@ -308,7 +329,7 @@
 		WaitingTasks:    state.queue.tasks,
 	}
 	if j.class != nil && state.pool.expectedMilliCPU() > 0 {
-		room.ExpectedWait = time.Duration(state.queue.workBefore(j, now.UnixNano()) / float64(state.pool.expectedMilliCPU()))
+		room.ExpectedWait = state.expectedWait(j, state.queue.backlogBefore(j, now.UnixNano()), now)
 	}
 	for _, target := range s.targets {
 		if target.info.Service == j.submission.Service && !target.info.Draining && !target.pooled.usable {
--- a/rattanscheduler/queue.go
+++ b/rattanscheduler/queue.go
@@ -51,8 +51,9 @@
 	// work is the expected processor time of the ready tasks, in nanoseconds
 	// times thousandths of a core.
 	work float64
-	// tasks is the number of ready tasks.
-	tasks int
+	// tasks is the number of ready tasks, milliCPU their demand together.
+	tasks    int
+	milliCPU int
 	// expiresAt is the time, in Unix nanoseconds, from which on the answer has
 	// no value.
 	expiresAt int64
@@ -73,6 +74,8 @@
 	jobs  int
 	tasks int
 	work  float64
+	// milliCPU is the demand of all waiting tasks together.
+	milliCPU int
 }
 
 // jobClass holds jobs that differ only in their latest start.
@@ -87,10 +90,11 @@
 type jobBlock struct {
 	entries []queueEntry
 	// demand is the least demand of any entry and expiresAt the earliest expiry.
-	// work is the sum over all entries.
+	// work and milliCPU are the sums over all entries.
 	demand    rattanwork.Resources
 	expiresAt int64
 	work      float64
+	milliCPU  int
 }
 
 // compare sorts classes: started jobs come first, because the work done for a
@@ -117,6 +121,7 @@
 	q.jobs++
 	q.tasks += entry.tasks
 	q.work += entry.work
+	q.milliCPU += entry.milliCPU
 	return class
 }
 
@@ -126,6 +131,7 @@
 	q.jobs--
 	q.tasks -= entry.tasks
 	q.work -= entry.work
+	q.milliCPU -= entry.milliCPU
 	if q.jobs == 0 {
 		// Drops the rounding errors of earlier sums.
 		q.work = 0
@@ -173,9 +179,9 @@
 	}
 }
 
-// workBefore returns the work of all jobs that may start before the given one.
-func (q *jobQueue) workBefore(j *job, now int64) float64 {
-	work := 0.0
+// backlogBefore returns the work of all jobs that may start before the given one.
+func (q *jobQueue) backlogBefore(j *job, now int64) backlogSum {
+	backlog := backlogSum{}
 	passed := false
 	q.passes(now, func(class *jobClass, keys keyRange) {
 		if passed {
@@ -186,9 +192,9 @@
 			keys.before = key
 			passed = true
 		}
-		work += class.workIn(keys)
+		class.addBacklog(keys, &backlog)
 	})
-	return work
+	return backlog
 }
 
 // blockOf returns the index of the block that contains the key or, if no block
@@ -255,6 +261,7 @@
 	b.demand = b.entries[0].demand
 	b.expiresAt = b.entries[0].expiresAt
 	b.work = 0
+	b.milliCPU = 0
 	for i := range b.entries {
 		b.include(&b.entries[i])
 	}
@@ -265,6 +272,7 @@
 	b.demand = minDemand(b.demand, entry.demand)
 	b.expiresAt = min(b.expiresAt, entry.expiresAt)
 	b.work += entry.work
+	b.milliCPU += entry.milliCPU
 }
 
 // firstFitting returns the first entry in the range whose demand the resources
@@ -353,21 +361,19 @@
 	return list
 }
 
-// workIn returns the work of the entries in the range.
-func (c *jobClass) workIn(keys keyRange) float64 {
-	work := 0.0
+// addBacklog adds the work of the entries in the range.
+func (c *jobClass) addBacklog(keys keyRange, backlog *backlogSum) {
 	c.blocksIn(keys, func(block *jobBlock, whole bool) {
 		if whole {
-			work += block.work
+			backlog.add(block.work, block.milliCPU)
 			return
 		}
 		for i := range block.entries {
-			if keys.contains(block.entries[i].key) {
-				work += block.entries[i].work
+			if entry := &block.entries[i]; keys.contains(entry.key) {
+				backlog.add(entry.work, entry.milliCPU)
 			}
 		}
 	})
-	return work
 }
 
 // minDemand returns the lesser amount of each resource.
--- a/rattanscheduler/queue_test.go
+++ b/rattanscheduler/queue_test.go
@@ -95,7 +95,7 @@
 		}
 		work := 0.0
 		for _, j := range plain.jobs {
-			if got := state.queue.workBefore(j, now.UnixNano()); got != work {
+			if got := state.queue.backlogBefore(j, now.UnixNano()).work; got != work {
 				t.Fatalf("work before %v is %g, want %g", j.entry.key, got, work)
 			}
 			work += j.entry.work
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -23,8 +23,12 @@
 	t.run = r
 	s.addRun(r)
 	target.reserve(r.resources)
-	s.service(target.info.Service).pool.refresh(target, now)
+	state := s.service(target.info.Service)
+	state.pool.refresh(target, now)
 	j := t.job
+	if state.queue.mixed {
+		r.release = state.releases.add(r.resources.MilliCPU, s.estimator.expectedRunTime(j, t.stepIndex), now)
+	}
 	if j.runCount == 0 {
 		j.firstStart = now.Sub(j.submittedAt)
 	}
@@ -155,6 +159,7 @@
 	delete(r.target.runs, runKey{r.taskName, r.attempt})
 	delete(s.unansweredStops, r)
 	delete(s.unanswered, r)
+	r.release.remove()
 	if r.suspect {
 		r.target.suspects--
 	}
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -429,6 +429,7 @@
 	if (end.outcome == Cancelled || end.outcome == Expired) && j.mayHaveStarted() {
 		s.recordBegun(id, now)
 	}
+	s.service(j.submission.Service).observeWait(j, now)
 	s.dequeue(j)
 	j.ready = nil
 	for _, t := range j.tasks {
--- a/rattanscheduler/shortage_test.go
+++ b/rattanscheduler/shortage_test.go
@@ -47,3 +47,51 @@
 func TestOnePriorityKeepsItsOrder(t *testing.T) {
 	qt.New(t).Check(startsAfterLate(t, 1, 1), qt.Equals, jobB)
 }
+
+// submitToFullTarget fills a target with two tasks of the estimate and of the less
+// urgent priority, submits a job of one task for which 200 ms are left and returns its
+// result, if it has one at once.
+func submitToFullTarget(t *testing.T, estimate time.Duration, priority int) []JobResult {
+	z := newReconciledZone(qt.New(t), 1)
+	z.scheduler.service(testService).notePriority(0)
+	long := z.patientSubmission(jobA)
+	long.Priority = priority
+	long.Job.Steps[0].Count = 2
+	long.Job.Steps[0].Estimate = estimate
+	z.scheduler.Submit(long, z.now)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 2)
+	urgent := z.submission(jobB, 1)
+	z.scheduler.Submit(urgent, z.now)
+	z.scheduler.CheckAdmission(jobB, z.now)
+	return z.scheduler.Take().Results
+}
+
+// TestInfeasibleJobIsRefusedAtOnce guards against holding a job until it is late
+// although the runs that have all room are known to end after that.
+func TestInfeasibleJobIsRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	results := submitToFullTarget(t, 900*time.Millisecond, 1)
+	c.Assert(results, qt.HasLen, 1)
+	c.Check(results[0].Outcome, qt.Equals, Refused)
+	c.Check(results[0].Elapsed, qt.Equals, time.Duration(0))
+	c.Check(results[0].Reason, qt.Equals, "no room expected in time")
+	c.Check(results[0].Room.ExpectedWait > 800*time.Millisecond && results[0].Room.ExpectedWait < time.Second, qt.IsTrue)
+	c.Check(submitToFullTarget(t, 150*time.Millisecond, 1), qt.HasLen, 0)
+	c.Check(submitToFullTarget(t, 900*time.Millisecond, 0), qt.HasLen, 0)
+}
+
+// TestRestIsNotRefused guards against refusing a job that has started because the rest
+// of its tasks are expected to start too late.
+func TestRestIsNotRefused(t *testing.T) {
+	z := newReconciledZone(qt.New(t), 1)
+	z.scheduler.service(testService).notePriority(1)
+	job := z.submission(jobA, 9)
+	job.Job.Steps[0].Estimate = 250 * time.Millisecond
+	z.scheduler.Submit(job, z.now)
+	z.scheduler.CheckAdmission(jobA, z.now)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 2)
+	for range 5 {
+		z.advance(10 * time.Millisecond)
+		z.Assert(z.scheduler.Take().Results, qt.HasLen, 0)
+	}
+}
