Keep a least share of the capacity for each priority

Cause: with strict priorities, a flood of urgent jobs leaves the others only the rooms that no urgent task fits into, and admission counts all urgent work as before them.

With one priority nothing changes.

--- a/rattanscheduler/queue.go
+++ b/rattanscheduler/queue.go
@@ -197,6 +197,15 @@
 	return backlog
 }
 
+// classBacklog returns the work of the on-time jobs of its class before the job.
+func (q *jobQueue) classBacklog(j *job, now int64) backlogSum {
+	backlog := backlogSum{}
+	keys := onTimeKeys(now)
+	keys.before = j.entry.key
+	j.class.addBacklog(keys, &backlog)
+	return backlog
+}
+
 // blockOf returns the index of the block that contains the key or, if no block
 // does, that the key belongs into.
 func (c *jobClass) blockOf(key queueKey) int {
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -27,7 +27,9 @@
 	state.pool.refresh(target, now)
 	j := t.job
 	if state.queue.mixed {
-		r.release = state.releases.add(r.resources.MilliCPU, s.estimator.expectedRunTime(j, t.stepIndex), now)
+		expected := s.estimator.expectedRunTime(j, t.stepIndex)
+		r.release = state.releases.add(r.resources.MilliCPU, expected, now)
+		state.recordShare(j.submission.Priority, float64(expected)*float64(r.resources.MilliCPU), now)
 	}
 	if j.runCount == 0 {
 		j.firstStart = now.Sub(j.submittedAt)
--- a/rattanscheduler/shortage.go
+++ b/rattanscheduler/shortage.go
@@ -27,12 +27,20 @@
 }
 
 // startsTooLate reports whether a job that has not started would miss its objective
-// because its last task is expected to start too late.
-func (state *serviceState) startsTooLate(j *job, before backlogSum, now time.Time) bool {
+// because its last task is expected to start too late, also with the least share of its
+// priority. before is all work before it, inClass that of its class.
+func (state *serviceState) startsTooLate(j *job, before, inClass backlogSum, now time.Time) bool {
 	if j.runCount > 0 || j.mayHaveStarted() {
 		return false
 	}
-	return state.expectedWait(j, before, now) > max(j.timing.slack(now), 0)+overloadTolerance
+	latest := max(j.timing.slack(now), 0) + overloadTolerance
+	if state.expectedWait(j, before, now) <= latest {
+		return false
+	}
+	if !state.owed(j.submission.Priority, now) {
+		return true
+	}
+	return state.waitByShare(j, inClass) > latest || state.expectedWait(j, inClass, now) > latest
 }
 
 // overloadedByEnds returns the waiting jobs that are expected to start too late because
@@ -45,10 +53,16 @@
 	ahead := backlogSum{}
 	reconciling := s.reconciling(now)
 	factor := state.largestWaitFactor()
+	var current *jobClass
+	inClass := backlogSum{}
 	state.queue.passes(now.UnixNano(), func(class *jobClass, keys keyRange) {
 		class.blocksIn(keys, func(block *jobBlock, whole bool) {
+			if class != current {
+				current, inClass = class, backlogSum{}
+			}
 			if whole && (class.started || state.blockStartsInTime(block, ahead, factor, now)) {
 				ahead.add(block.work, block.milliCPU)
+				inClass.add(block.work, block.milliCPU)
 				return
 			}
 			for i := range block.entries {
@@ -56,11 +70,12 @@
 				if !keys.contains(entry.key) {
 					continue
 				}
-				if !(reconciling && entry.job.submission.Resumed) && state.startsTooLate(entry.job, ahead, now) {
+				if !(reconciling && entry.job.submission.Resumed) && state.startsTooLate(entry.job, ahead, inClass, now) {
 					list = append(list, entry.job)
 					continue
 				}
 				ahead.add(entry.work, entry.milliCPU)
+				inClass.add(entry.work, entry.milliCPU)
 			}
 		})
 	})
--- a/rattanscheduler/shortage_test.go
+++ b/rattanscheduler/shortage_test.go
@@ -1,6 +1,8 @@
 package rattanscheduler
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,3 +97,52 @@
 		z.Assert(z.scheduler.Take().Results, qt.HasLen, 0)
 	}
 }
+
+// TestLeastShare guards against a priority that gets nothing while more urgent jobs take
+// all room, and against one that gets much more than its least share.
+func TestLeastShare(t *testing.T) {
+	c := qt.New(t)
+	z := newReconciledZone(c, 10)
+	// Urgent jobs ask for 1.5 times the 20 places for tasks of 100 ms, less urgent
+	// ones for half of that.
+	started := map[bool]int{}
+	sequences := map[string]int64{}
+	type end struct {
+		at    time.Time
+		start StartRequest
+	}
+	var running []end
+	begin := z.now
+	for step := 0; z.now.Sub(begin) < 3*time.Second; step++ {
+		for i := range 4 {
+			submission := z.submission(fmt.Sprintf("%015x%x", step, i), 1)
+			if i == 3 {
+				submission.Priority = 1
+			}
+			z.scheduler.Submit(submission, z.now)
+			z.scheduler.CheckAdmission(submission.Job.ID, z.now)
+		}
+		for _, start := range z.scheduler.Take().Starts {
+			started[strings.HasPrefix(start.Task[15:], "3")]++
+			z.scheduler.StartAnswered(start.Target.ID, start.Task, start.Attempt, rattanwork.StartAnswer{Result: rattanwork.StartAccepted}, z.now)
+			running = append(running, end{z.now.Add(100 * time.Millisecond), start})
+		}
+		z.advance(10 * time.Millisecond)
+		for len(running) > 0 && !running[0].at.After(z.now) {
+			ended := running[0].start
+			running = running[1:]
+			id := ended.Target.ID
+			sequences[id]++
+			var others []StartRequest
+			for _, other := range running {
+				if other.start.Target.ID == id {
+					others = append(others, other.start)
+				}
+			}
+			z.scheduler.RunsListed(id, &rattanwork.Listing{Running: runsOf(others...), Ended: []rattanwork.End{{Sequence: sequences[id], Task: ended.Task, Attempt: ended.Attempt, Kind: rattanwork.EndDone}}}, z.now, z.voidBefore, z.now)
+		}
+	}
+	share := float64(started[true]) / float64(started[true]+started[false])
+	c.Check(share > 0.03 && share < 0.15, qt.IsTrue, qt.Commentf("%v", started))
+	c.Check(started[true]+started[false] > 500, qt.IsTrue, qt.Commentf("%v", started))
+}
