--- a/rattanday/report_test.go
+++ b/rattanday/report_test.go
@@ -130,3 +130,32 @@
 	day.Losses[0].Every = 0
 	c.Check(day.Check(), qt.ErrorIs, ErrInvalidDay)
 }
+
+// TestShortageKeepsAnswers guards against a shortage in which jobs are begun and then
+// end without an answer, or in which a kind is starved. Without the rules for shortage
+// 3.5% of the jobs were lost and 0.833 of the worth was served, with them 0.3% and 0.845.
+func TestShortageKeepsAnswers(t *testing.T) {
+	c := qt.New(t)
+	day, err := Read("../deploy/traffic/shortage.json")
+	c.Assert(err, qt.IsNil)
+	jobs := day.jobs(1)
+	var zones [][]target
+	for i := range day.Zones {
+		zones = append(zones, day.zoneTargets(&day.Zones[i]))
+	}
+	ends := simulateHomes(zones, jobs)
+	report := &Report{}
+	report.add("product", jobs, ends)
+	product := report.Policies[0]
+	c.Check(product.Lost <= 0.01, qt.IsTrue, qt.Commentf("%+v", product))
+	c.Check(product.Worth >= 0.835, qt.IsTrue, qt.Commentf("%+v", product))
+	for i := range day.Kinds {
+		outcomes := &Outcomes{}
+		for _, j := range jobs {
+			if j.kind == &day.Kinds[i] {
+				outcomes.add(j, ends)
+			}
+		}
+		c.Check(outcomes.Served >= 0.7*outcomes.Work, qt.IsTrue, qt.Commentf("%s %+v", day.Kinds[i].Name, outcomes))
+	}
+}
--- a/rattanscheduler/release_test.go
+++ b/rattanscheduler/release_test.go
@@ -1,6 +1,7 @@
 package rattanscheduler
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -124,3 +125,33 @@
 	}
 	c.Check(state.waits[waitKey{}].factor(), qt.Equals, maxWaitFactor)
 }
+
+// BenchmarkAdmission measures what a start, an end and an admission add while jobs of
+// several priorities wait: the start and the end of a run in the expected releases, and
+// the expected wait of a job.
+func BenchmarkAdmission(b *testing.B) {
+	for _, targets := range []int{350, 8700} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			now := time.Unix(1_800_000_000, 0)
+			state := &serviceState{pool: newTargetPool(), waits: map[waitKey]waitRatio{}}
+			state.queue.mixed = true
+			state.pool.capacityMilliCPU = targets * 16000
+			var runs []release
+			for i := range 2 * targets {
+				runs = append(runs, state.releases.add(8000, time.Duration(20+i%900)*time.Millisecond, now))
+			}
+			// The waiting work takes 100 ms of the capacity.
+			ahead := backlogSum{work: float64(targets*16000) * float64(100*time.Millisecond), milliCPU: targets * 8000}
+			j := &job{entry: queueEntry{work: 8 * 8000 * 60e6, tasks: 8, milliCPU: 64000}}
+			b.ReportAllocs()
+			next := 0
+			for b.Loop() {
+				runs[next].remove()
+				now = now.Add(time.Microsecond)
+				runs[next] = state.releases.add(8000, time.Duration(20+next%900)*time.Millisecond, now)
+				next = (next + 1) % len(runs)
+				state.expectedWait(j, ahead, now)
+			}
+		})
+	}
+}
