Count jobs without room by outcome and reason

rattanlever_jobs_without_room_total counts the refused, redirected and expired jobs of a home by outcome and reason, so that the refusals for expected ends of runs can be told from the others.

--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -32,6 +32,7 @@
 	// Rare events are shown before the first one.
 	registry.Counter(rattanmetric.CancelledSubmissionsTotal)
 	registry.Counter(rattanmetric.LearnedStartsTotal)
+	registry.Counter(withoutRoomCounter(rattanscheduler.Refused, rattanscheduler.ReasonNoRoomInTime))
 	for change := rattanscheduler.StartUnanswered; change <= rattanscheduler.StartExpired; change++ {
 		registry.Counter(startsCounter(change))
 	}
@@ -51,6 +52,12 @@
 	return journal
 }
 
+// withoutRoomCounter returns the name of the counter of the jobs that ended for lack of
+// room by outcome and reason.
+func withoutRoomCounter(outcome rattanscheduler.Outcome, reason string) string {
+	return rattanmetric.WithLabels(rattanmetric.JobsWithoutRoomTotal, "outcome", outcome.String(), "reason", reason)
+}
+
 func milliseconds(duration time.Duration) float64 {
 	return float64(duration.Microseconds()) / 1000
 }
@@ -92,6 +99,9 @@
 func (j *Journal) JobEnded(result rattanscheduler.JobResult) {
 	j.startWait.Update(result.FirstStart.Seconds())
 	j.registry.Counter(rattanmetric.WithLabels(rattanmetric.JobOutcomesTotal, "outcome", result.Outcome.String())).Inc()
+	if result.Room != nil {
+		j.registry.Counter(withoutRoomCounter(result.Outcome, result.Reason)).Inc()
+	}
 	fields := logrus.Fields{
 		"Job":          result.JobID,
 		"Outcome":      result.Outcome.String(),
--- a/rattanscheduler/priority.go
+++ b/rattanscheduler/priority.go
@@ -240,7 +240,7 @@
 func (s *Scheduler) refuseForBacklog(j *job, now time.Time) {
 	reason := "too much work before it"
 	if s.service(j.submission.Service).expectsEnds() {
-		reason = "no room expected in time"
+		reason = ReasonNoRoomInTime
 	}
 	s.endJob(j, Refused, reason, s.backlog(j.submission.Service, now), now)
 }
