Expect ends of runs only where no target has room for a task

A home that holds all starts (after a pause, before its targets are known to be current) has jobs that wait although there is room. Beside few runs, the expected wait by their ends refused such a job at once. A job for a task of which a target has room is now judged as before. TestHeldJobIsNotRefused fails without the change.

--- a/rattanscheduler/priority.go
+++ b/rattanscheduler/priority.go
@@ -216,7 +216,9 @@
 	}
 	before := state.queue.backlogBefore(j, now.UnixNano())
 	if state.expectsEnds() {
-		j.expectedWait = state.waitByEnds(j, before, now)
+		if state.awaitsEnds(j) {
+			j.expectedWait = state.waitByEnds(j, before, now)
+		}
 		if state.startsTooLate(j, before, state.queue.classBacklog(j, now.UnixNano()), now) {
 			s.refuseForBacklog(j, now)
 		}
--- a/rattanscheduler/shortage.go
+++ b/rattanscheduler/shortage.go
@@ -10,10 +10,16 @@
 	state.submitted, state.priority = true, priority
 }
 
+// awaitsEnds reports whether the job waits for the ends of runs. A job for a task of which
+// a target has room waits for something else, such as a lease or a listing.
+func (state *serviceState) awaitsEnds(j *job) bool {
+	return state.expectsEnds() && !j.entry.demand.FitsIn(state.pool.maxFree())
+}
+
 // expectedWait returns how long the job is expected to wait, given the work before it:
-// for its last task where expected ends of runs are used.
+// for its last task if it waits for the ends of runs.
 func (state *serviceState) expectedWait(j *job, before backlogSum, now time.Time) time.Duration {
-	if !state.expectsEnds() {
+	if !state.awaitsEnds(j) {
 		return time.Duration(before.work / float64(state.pool.expectedMilliCPU()))
 	}
 	return time.Duration(state.waits[j.waitKey].factor() * float64(state.waitByEnds(j, before, now)))
--- a/rattanscheduler/shortage_test.go
+++ b/rattanscheduler/shortage_test.go
@@ -98,6 +98,24 @@
 	}
 }
 
+// TestHeldJobIsNotRefused guards against refusing a job because of the ends of few runs
+// although there is room, while no task may start for another reason.
+func TestHeldJobIsNotRefused(t *testing.T) {
+	z := newReconciledZone(qt.New(t), 4)
+	z.scheduler.service(testService).notePriority(1)
+	long := z.patientSubmission(jobA)
+	long.Job.Steps[0].Estimate = 900 * time.Millisecond
+	z.scheduler.Submit(long, z.now)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 1)
+	z.scheduler.SetHeld(true, z.now)
+	z.scheduler.Submit(z.submission(jobB, 4), z.now)
+	z.scheduler.CheckAdmission(jobB, z.now)
+	z.advance(10 * time.Millisecond)
+	z.Assert(z.scheduler.Take().Results, qt.HasLen, 0)
+	z.scheduler.SetHeld(false, z.now)
+	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 4)
+}
+
 // TestLeastShare guards against a priority that gets nothing while more urgent jobs take
 // all room, and against one that gets much more than its least share.
 func TestLeastShare(t *testing.T) {
