--- a/rattanday/day.go
+++ b/rattanday/day.go
@@ -27,7 +27,7 @@
 	// Evacuations apply to the product alone: the schedulers with advantages over it
 	// keep all targets.
 	Evacuations []Evacuation `json:",omitempty"`
-	Losses []Loss
+	Losses      []Loss
 }
 
 // Zone is an availability zone with its targets and the jobs of its callers.
