--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -99,10 +99,6 @@
 	}
 }
 
-// reasonEvacuated is the reason that the scheduler states for the end of jobs of an
-// evacuated zone.
-const reasonEvacuated = "zone is evacuated"
-
 // evacuatedJobsCounter returns the name of the counter of the jobs that ended so
 // because their zone is evacuated.
 func evacuatedJobsCounter(outcome rattanscheduler.Outcome) string {
@@ -113,7 +109,7 @@
 func (j *Journal) JobEnded(result rattanscheduler.JobResult) {
 	j.startWait.Update(result.FirstStart.Seconds())
 	j.registry.Counter(rattanmetric.WithLabels(rattanmetric.JobOutcomesTotal, "outcome", result.Outcome.String())).Inc()
-	if result.Reason == reasonEvacuated {
+	if result.Reason == rattanscheduler.ReasonEvacuated {
 		j.registry.Counter(evacuatedJobsCounter(result.Outcome)).Inc()
 	}
 	if result.Room != nil {
--- a/rattanscheduler/evacuation.go
+++ b/rattanscheduler/evacuation.go
@@ -25,8 +25,8 @@
 	remoteZonesTime = 250 * time.Millisecond
 )
 
-// reasonEvacuated is the reason for the end of jobs of an evacuated zone.
-const reasonEvacuated = "zone is evacuated"
+// ReasonEvacuated is the reason for the end of a job of an evacuated zone.
+const ReasonEvacuated = "zone is evacuated"
 
 // SetEvacuation sets whether tasks may start in the zone. It answers an operator's
 // request to empty a zone: jobs that would have to start a task are redirected, refused
@@ -103,7 +103,7 @@
 	case j.mayHaveStarted():
 		s.leave(j, now)
 	case !now.Before(j.listedUntil) || s.bestRemoteZone(j, 1, now) < 0:
-		s.endJob(j, Refused, reasonEvacuated, evacuationRetryAfter, now)
+		s.endJob(j, Refused, ReasonEvacuated, evacuationRetryAfter, now)
 	}
 }
 
@@ -122,7 +122,7 @@
 	}
 	zone := s.zoneToLeaveFor(j, now)
 	if zone < 0 || !now.Before(j.leaveUntil) || now.Before(j.unansweredUntil) || slices.ContainsFunc(j.tasks, s.bound) {
-		s.endJob(j, Expired, reasonEvacuated, 0, now)
+		s.endJob(j, Expired, ReasonEvacuated, 0, now)
 		return
 	}
 	gone := true
@@ -138,7 +138,7 @@
 	if !gone || now.Before(j.listedUntil) {
 		return
 	}
-	end := ending{outcome: Redirected, reason: reasonEvacuated, zone: s.reserveZone(j, zone, now), mayHaveStarted: true, moved: true}
+	end := ending{outcome: Redirected, reason: ReasonEvacuated, zone: s.reserveZone(j, zone, now), mayHaveStarted: true, moved: true}
 	s.finishJob(j, end, now)
 }
 
--- a/rattanscheduler/evacuation_test.go
+++ b/rattanscheduler/evacuation_test.go
@@ -166,7 +166,7 @@
 	results = z.scheduler.Take().Results
 	z.Assert(results, qt.HasLen, 1)
 	z.Check(results[0].Outcome, qt.Equals, Refused)
-	z.Check(results[0].Reason, qt.Equals, reasonEvacuated)
+	z.Check(results[0].Reason, qt.Equals, ReasonEvacuated)
 }
 
 // TestJobsWaitWhileEvacuationIsUnknown guards against jobs that are lost or refused
--- a/rattanscheduler/preview.go
+++ b/rattanscheduler/preview.go
@@ -190,7 +190,7 @@
 		p.end(PreviewWaits, "the home does not know the room in other zones yet")
 		return
 	case s.evacuation == rattanwork.EvacuationActive:
-		p.refuse(reasonEvacuated, evacuationRetryAfter)
+		p.refuse(ReasonEvacuated, evacuationRetryAfter)
 		return
 	case s.targetsKnown && !s.canEverRun(j):
 		p.refuse("no target for it", noTargetRetryAfter)
