--- a/rattanday/product.go
+++ b/rattanday/product.go
@@ -48,10 +48,14 @@
 	scheduler *rattanscheduler.Scheduler
 	targets   map[string]*simulatedTarget
 	ends      eventQueue[runEnd]
+	// inventory describes the targets, in the order of the zone.
+	inventory []rattanwork.Target
 }
 
 type simulatedTarget struct {
-	speed    float64
+	speed float64
+	// slowdown is the factor by which runs take longer at present.
+	slowdown float64
 	sequence int64
 	running  []simulatedRun
 }
@@ -59,8 +63,11 @@
 type simulatedRun struct {
 	task    string
 	attempt int
-	started time.Duration
-	end     time.Duration
+	// done is the part of the run that was complete at doneAt, when it started or
+	// the speed of its target last changed.
+	done   float64
+	doneAt time.Duration
+	end    time.Duration
 }
 
 type redirect struct {
@@ -78,6 +85,12 @@
 // simulateHomes plays the jobs on one scheduler for each zone, given the targets
 // of the zones.
 func simulateHomes(zones [][]target, jobs []*job) map[*job]outcome {
+	return simulateChanges(zones, jobs, nil, 0)
+}
+
+// simulateChanges plays the jobs while the speeds of targets change. The targets
+// list their runs at the interval, or only ends if it is 0.
+func simulateChanges(zones [][]target, jobs []*job, slowdowns []slowdown, listInterval time.Duration) map[*job]outcome {
 	s := &homes{jobs: map[string]*job{}, runTimes: map[string]time.Duration{}, outcomes: map[*job]outcome{}}
 	for i, targets := range zones {
 		s.zones = append(s.zones, newHome(fmt.Sprintf("zone-%d", i), targets))
@@ -95,8 +108,10 @@
 			s.redirects = s.redirects[1:]
 			s.submit(s.zone(arrived.zone), arrived.job, false)
 		}
-		for _, zone := range s.zones {
+		for i, zone := range s.zones {
+			zone.changeSpeeds(i, slowdowns, s.now)
 			zone.listEnds(s.now)
+			zone.listRuns(listInterval, s.now)
 			if s.now%tickInterval == 0 {
 				zone.scheduler.Tick(start.Add(s.now))
 			}
@@ -112,15 +127,14 @@
 		scheduler: rattanscheduler.New(rattanscheduler.Config{MaxLease: maxLease, RemotePenalty: 1, TakeoverTime: start}),
 		targets:   map[string]*simulatedTarget{},
 	}
-	var inventory []rattanwork.Target
 	for i, target := range targets {
 		id := fmt.Sprintf("%s-%d", name, i)
-		h.targets[id] = &simulatedTarget{speed: target.speed}
-		inventory = append(inventory, rattanwork.Target{
+		h.targets[id] = &simulatedTarget{speed: target.speed, slowdown: 1}
+		h.inventory = append(h.inventory, rattanwork.Target{
 			ID: id, Service: service, Zone: name, Capacity: rattanwork.Resources{MilliCPU: target.milliCPU, MemoryMB: memoryMB},
 		})
 	}
-	h.scheduler.UpdateTargets(inventory, true, start)
+	h.scheduler.UpdateTargets(h.inventory, true, start)
 	for id := range h.targets {
 		h.scheduler.RunsListed(id, &rattanwork.Listing{}, start, start, start)
 	}
@@ -190,8 +204,8 @@
 // start starts a run, given its run time on the fastest targets.
 func (h *home) start(request rattanscheduler.StartRequest, runTime, now time.Duration) {
 	target := h.targets[request.Target.ID]
-	end := now + time.Duration(target.speed*float64(runTime))
-	target.running = append(target.running, simulatedRun{task: request.Task, attempt: request.Attempt, started: now, end: end})
+	end := now + time.Duration(target.speed*target.slowdown*float64(runTime))
+	target.running = append(target.running, simulatedRun{task: request.Task, attempt: request.Attempt, doneAt: now, end: end})
 	heap.Push(&h.ends, runEnd{at: end, target: request.Target.ID, task: request.Task, attempt: request.Attempt, kind: rattanwork.EndDone})
 	h.scheduler.StartAnswered(request.Target.ID, request.Task, request.Attempt, rattanwork.StartAnswer{Result: rattanwork.StartAccepted}, start.Add(now))
 }
@@ -218,11 +232,11 @@
 	}
 }
 
-// remove removes the run and reports whether it was active: a stopped run has no
-// second end.
+// remove removes the run and reports whether it was active and has ended: a stopped
+// run has no second end, and an end is void after a change of speed.
 func (t *simulatedTarget) remove(end runEnd) bool {
 	for i, run := range t.running {
-		if run.task == end.task && run.attempt == end.attempt {
+		if run.task == end.task && run.attempt == end.attempt && (end.kind != rattanwork.EndDone || run.end == end.at) {
 			t.running = append(t.running[:i:i], t.running[i+1:]...)
 			return true
 		}
@@ -234,7 +248,7 @@
 func (t *simulatedTarget) list(now time.Duration) []rattanwork.Run {
 	var runs []rattanwork.Run
 	for _, run := range t.running {
-		percent := int(100 * (now - run.started) / (run.end - run.started))
+		percent := int(100 * run.progress(now))
 		runs = append(runs, rattanwork.Run{Task: run.task, Attempt: run.attempt, Percent: percent})
 	}
 	return runs
--- /dev/null
+++ b/rattanday/slowdown_test.go
@@ -0,0 +1,96 @@
+package rattanday
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rattanlever/rattanlever/rattanjson"
+)
+
+// slowDay returns a day of one zone at the given load of its capacity, with tasks
+// of 60, 200 and 900 ms.
+func slowDay(length time.Duration, targets int, load float64, speeds ...float64) *Day {
+	kind := func(name string, share float64, tasks, priority int, runTime time.Duration) Kind {
+		return Kind{
+			Name: name, Share: share, MinTasks: tasks, MaxTasks: tasks, MilliCPU: 8000, RunTime: rattanjson.Duration(runTime), Sigma: 0.3,
+			TailShare: 0.03, TailFactor: 7, DeclaredFactor: 1.4, Latency: rattanjson.Duration(60 * time.Millisecond), Slack: 2,
+			Timeout: rattanjson.Duration(8 * time.Second), Worth: 1, LateWorth: 0.25, Priority: priority,
+		}
+	}
+	day := &Day{
+		Length: rattanjson.Duration(length),
+		Zones:  []Zone{{Name: "z", Targets: targets, MilliCPU: []int{16000, 16000, 24000}, Speeds: speeds}},
+		Kinds: []Kind{
+			kind("short", 0.3, 8, 0, 60*time.Millisecond), kind("medium", 0.5, 2, 1, 200*time.Millisecond), kind("long", 0.2, 4, 2, 900*time.Millisecond),
+		},
+	}
+	work, shares, capacity := 0.0, 0.0, 0.0
+	for i := range day.Kinds {
+		k := &day.Kinds[i]
+		mean := k.RunTime.Std().Seconds() * (1 + k.TailShare*(k.TailFactor-1)) * 1.046
+		work += k.Share * float64(k.MinTasks) * mean
+		shares += k.Share
+	}
+	for _, target := range day.Zones[0].zoneTargets() {
+		capacity += float64(target.milliCPU/8000) / target.speed
+	}
+	day.Zones[0].JobsPerSecond = load * capacity * shares / work
+	return day
+}
+
+// playedDays is the number of days over which playSlow counts.
+const playedDays = 6
+
+// playSlow returns what callers get from the product during the seconds from first
+// to last while targets change their speeds, and logs all seconds.
+func playSlow(c *qt.C, day *Day, first, last int, slowdowns ...slowdown) secondCounts {
+	c.Assert(day.Check(), qt.IsNil)
+	var seconds []secondCounts
+	for seed := uint64(1); seed <= playedDays; seed++ {
+		jobs := day.jobs(seed)
+		outcomes := simulateChanges([][]target{day.Zones[0].zoneTargets()}, jobs, slowdowns, 150*time.Millisecond)
+		seconds = countBySecond(seconds, jobs, outcomes)
+	}
+	sum := secondCounts{}
+	for i, count := range seconds {
+		c.Logf("%2d s: %v", i, count)
+		if i >= first && i <= last {
+			sum.jobs += count.jobs
+			sum.late += count.late
+			sum.worthless += count.worthless
+		}
+	}
+	c.Logf("%d s to %d s: %v", first, last, sum)
+	return sum
+}
+
+// TestSlowTargets guards against late answers while a third of the targets is slow
+// and the others have room.
+func TestSlowTargets(t *testing.T) {
+	for _, load := range []float64{0.4, 0.55, 0.7, 0.9} {
+		t.Run(fmt.Sprintf("load %.2f", load), func(t *testing.T) {
+			playSlow(qt.New(t), slowDay(16*time.Second, 48, load, 1), 2, 11, slowdown{at: 2 * time.Second, length: 10 * time.Second, step: 3, factor: 3})
+		})
+	}
+}
+
+// TestUsualTargets shows what callers get where no speed changes.
+func TestUsualTargets(t *testing.T) {
+	for _, load := range []float64{0.7, 0.9} {
+		t.Run(fmt.Sprintf("load %.2f", load), func(t *testing.T) {
+			playSlow(qt.New(t), slowDay(16*time.Second, 48, load, 1), 2, 11)
+		})
+	}
+}
+
+// TestUnequalTargets shows what callers get where speeds differ by nature.
+func TestUnequalTargets(t *testing.T) {
+	for _, load := range []float64{0.4, 0.7, 0.9} {
+		t.Run(fmt.Sprintf("load %.2f", load), func(t *testing.T) {
+			playSlow(qt.New(t), slowDay(16*time.Second, 48, load, 1.6, 1, 2.67, 1, 1.6), 2, 15)
+		})
+	}
+}
