Learn the speeds of targets and avoid slow ones

Run times were learned for each service and priority, so targets that had become slow kept getting work. The scheduler now learns the speed of each target from the ends and the progress of its runs, relative to the median of the service's targets, and places tasks by classes of speed. A task that would be late only on a slow target waits for another one. Capacity sums count a slow target by its speed.

--- a/rattanday/slowdown_test.go
+++ b/rattanday/slowdown_test.go
@@ -68,29 +68,44 @@
 }
 
 // TestSlowTargets guards against late answers while a third of the targets is slow
-// and the others have room.
+// and the others have room, and against jobs that are lost because they wait for
+// these.
 func TestSlowTargets(t *testing.T) {
-	for _, load := range []float64{0.4, 0.55, 0.7, 0.9} {
-		t.Run(fmt.Sprintf("load %.2f", load), func(t *testing.T) {
-			playSlow(qt.New(t), slowDay(16*time.Second, 48, load, 1), 2, 11, slowdown{at: 2 * time.Second, length: 10 * time.Second, step: 3, factor: 3})
+	tests := []struct{ load, maxLate, maxWorthless float64 }{{0.4, 0.08, 0.015}, {0.55, 0.08, 0.015}, {0.7, 0.08, 0.025}, {0.9, 0.09, 0.07}}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("load %.2f", test.load), func(t *testing.T) {
+			c := qt.New(t)
+			got := playSlow(c, slowDay(16*time.Second, 48, test.load, 1), 2, 11, slowdown{at: 2 * time.Second, length: 10 * time.Second, step: 3, factor: 3})
+			got.check(c, test.maxLate, test.maxWorthless)
 		})
 	}
 }
 
-// TestUsualTargets shows what callers get where no speed changes.
+// check fails the test if more than these shares of the jobs are late or without a
+// value.
+func (c secondCounts) check(test *qt.C, maxLate, maxWorthless float64) {
+	test.Check(float64(c.late) <= maxLate*float64(c.jobs), qt.IsTrue, qt.Commentf("%v", c))
+	test.Check(float64(c.worthless) <= maxWorthless*float64(c.jobs), qt.IsTrue, qt.Commentf("%v", c))
+}
+
+// TestUsualTargets guards against usual targets that are taken for slow ones and
+// avoided, where no speed changes.
 func TestUsualTargets(t *testing.T) {
 	for _, load := range []float64{0.7, 0.9} {
 		t.Run(fmt.Sprintf("load %.2f", load), func(t *testing.T) {
-			playSlow(qt.New(t), slowDay(16*time.Second, 48, load, 1), 2, 11)
+			c := qt.New(t)
+			playSlow(c, slowDay(16*time.Second, 48, load, 1), 2, 15).check(c, 0.005, 0.015)
 		})
 	}
 }
 
-// TestUnequalTargets shows what callers get where speeds differ by nature.
+// TestUnequalTargets guards against late answers where speeds differ by nature.
 func TestUnequalTargets(t *testing.T) {
-	for _, load := range []float64{0.4, 0.7, 0.9} {
-		t.Run(fmt.Sprintf("load %.2f", load), func(t *testing.T) {
-			playSlow(qt.New(t), slowDay(16*time.Second, 48, load, 1.6, 1, 2.67, 1, 1.6), 2, 15)
+	tests := []struct{ load, maxLate float64 }{{0.4, 0.05}, {0.7, 0.06}, {0.9, 0.12}}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("load %.2f", test.load), func(t *testing.T) {
+			c := qt.New(t)
+			playSlow(c, slowDay(16*time.Second, 48, test.load, 1.6, 1, 2.67, 1, 1.6), 2, 15).check(c, test.maxLate, 0.025)
 		})
 	}
 }
--- a/rattanscheduler/gang.go
+++ b/rattanscheduler/gang.go
@@ -129,7 +129,7 @@
 func (s *Scheduler) placeTasks(tasks []*task, candidates []*target) []*target {
 	targets := make([]*target, 0, len(tasks))
 	for _, t := range tasks {
-		target := s.bestOf(t, candidates).target
+		target := s.bestOf(t, candidates, maxSlowClass).target
 		if target == nil {
 			break
 		}
--- a/rattanscheduler/listing.go
+++ b/rattanscheduler/listing.go
@@ -40,7 +40,7 @@
 	for _, listed := range listing.Running {
 		key := runKey{listed.Task, listed.Attempt}
 		running[key] = true
-		s.handleListedRun(target, key, listed, now)
+		s.handleListedRun(target, key, listed, listing.ClockMillis, now)
 	}
 	for _, r := range target.snapshot() {
 		if running[runKey{r.taskName, r.attempt}] {
@@ -87,6 +87,7 @@
 		return
 	}
 	s.recordChange(target, TargetRestarted)
+	target.speed = targetSpeed{compared: target.speed.compared}
 	target.lossesOpen = true
 	for _, r := range target.snapshot() {
 		loss := target.lossByRestart(r, now)
@@ -107,7 +108,7 @@
 // handleListedRun processes a run that a target lists as active. A run that
 // this home did not request is adopted by its task if the task waits for a run;
 // otherwise it is kept as an orphan until its job is resubmitted.
-func (s *Scheduler) handleListedRun(target *target, key runKey, listed rattanwork.Run, now time.Time) {
+func (s *Scheduler) handleListedRun(target *target, key runKey, listed rattanwork.Run, clockMillis int64, now time.Time) {
 	r, ok := target.runs[key]
 	if !ok {
 		late := s.carriedOutLate(key, target)
@@ -141,6 +142,7 @@
 	if listed.Checkpoint != "" {
 		r.task.saveCheckpoint(listed.Checkpoint)
 	}
+	s.observeProgress(r, listed.Percent, clockMillis, now)
 	s.updateProgress(r, listed.Percent, now)
 }
 
@@ -195,7 +197,8 @@
 		r.target.health.recordSuccess()
 	}
 	if exact {
-		s.estimator.observe(t.job, t.stepIndex, r, runTime)
+		s.estimator.observe(t.job, t.stepIndex, r, r.target.usualRunTime(runTime))
+		s.observeEnd(t, r, runTime, now)
 	}
 	s.stopOtherRuns(t, r, now)
 	s.markDone(t)
--- a/rattanscheduler/placement.go
+++ b/rattanscheduler/placement.go
@@ -19,8 +19,9 @@
 
 // serviceState holds the targets and the waiting jobs of one service.
 type serviceState struct {
-	pool  *targetPool
-	queue jobQueue
+	pool   *targetPool
+	queue  jobQueue
+	speeds speedComparison
 }
 
 // service returns the state of a service.
@@ -90,6 +91,8 @@
 type placementPass struct {
 	pool *targetPool
 	now  time.Time
+	// declines counts the tasks that declined slow targets.
+	declines int
 	// failed contains demands for which no target was found. Resources only
 	// become scarcer during a pass, so larger demands need no search.
 	failed []demand
@@ -107,7 +110,7 @@
 	pass := &placementPass{pool: state.pool, now: now}
 	state.queue.passes(now.UnixNano(), func(class *jobClass, keys keyRange) {
 		for {
-			entry, found := class.firstFitting(keys, state.pool.maxFree())
+			entry, found := class.firstFitting(keys, pass.available())
 			if !found {
 				return
 			}
@@ -119,6 +122,15 @@
 	})
 }
 
+// available returns, for each resource, the largest amount that is free on one of
+// the targets that the pass considers.
+func (p *placementPass) available() rattanwork.Resources {
+	if p.declines >= maxDeclines {
+		return p.pool.maxFree(p.pool.baseClass())
+	}
+	return p.pool.maxFree(maxSlowClass)
+}
+
 // startReadyTasks starts as many ready tasks of the job as there are resources
 // for.
 func (s *Scheduler) startReadyTasks(j *job, pass *placementPass) {
@@ -157,8 +169,13 @@
 	if s.bound(t) {
 		return s.boundTarget(t)
 	}
-	best := s.searchPool(t, pass.pool)
-	restricted := t.lastFailedTarget != nil || step.MaxPerTarget != 0 || t.job.leaseOutlastsCallers(s.latestLeaseEnd)
+	slowest := s.slowestClass(t, pass.pool, pass.now)
+	best := s.searchPool(t, pass.pool, slowest)
+	declines := best == nil && slowest < pass.pool.slowestClass()
+	if declines {
+		pass.declines++
+	}
+	restricted := declines || t.lastFailedTarget != nil || step.MaxPerTarget != 0 || t.job.leaseOutlastsCallers(s.latestLeaseEnd)
 	if best == nil && !restricted && len(pass.failed) < maxFailedDemands {
 		pass.failed = append(pass.failed, required)
 	}
@@ -176,25 +193,37 @@
 	return false
 }
 
-// searchPool returns the best target of the pool for a task, or nil. It looks
-// first at the targets near the task's data, then at the others in the order of
-// the processor capacity that they would have left.
-func (s *Scheduler) searchPool(t *task, pool *targetPool) *target {
+// searchPool returns the best target of the pool for a task, or nil, among those of
+// the slowest class and faster ones. It looks first at the targets near the task's
+// data, then at the others by class, and in each in the order of the processor
+// capacity that they would have left.
+func (s *Scheduler) searchPool(t *task, pool *targetPool, slowest int) *target {
 	step := t.step()
 	best := scoredTarget{}
 	penalty := 0.0
 	if step.Rack != "" {
-		best = s.bestOf(t, pool.byLabel[step.Rack])
+		best = s.bestOf(t, pool.byLabel[step.Rack], slowest)
 		penalty = s.config.RemotePenalty
 	}
 	for _, group := range pool.groups {
+		floor := penalty + slowPenalty(group.class)
+		if group.class > slowest || (best.target != nil && floor > best.score) {
+			break
+		}
 		list := group.targets.list
 		for _, target := range list[group.targets.search(step.Resources.MilliCPU, ""):] {
-			if best.target != nil && s.remainingShare(t, target)+penalty > best.score {
+			least := s.remainingShare(t, target) + floor
+			if best.target != nil && least > best.score {
 				break
 			}
-			if s.suits(t, target) {
-				best = best.better(scoredTarget{target, s.score(t, target)})
+			if !s.suits(t, target) {
+				continue
+			}
+			candidate := scoredTarget{target, s.score(t, target)}
+			best = best.better(candidate)
+			if candidate.score == least {
+				// The others have a higher score, or the same and a higher name.
+				break
 			}
 		}
 	}
@@ -215,11 +244,12 @@
 	return s
 }
 
-// bestOf returns the best of the listed targets for a task.
-func (s *Scheduler) bestOf(t *task, list []*target) scoredTarget {
+// bestOf returns the best of the listed targets for a task, among those of the
+// slowest class and faster ones.
+func (s *Scheduler) bestOf(t *task, list []*target, slowest int) scoredTarget {
 	best := scoredTarget{}
 	for _, target := range list {
-		if target.pooled.indexed && s.suits(t, target) {
+		if target.pooled.indexed && target.pooled.class <= slowest && s.suits(t, target) {
 			best = best.better(scoredTarget{target, s.score(t, target)})
 		}
 	}
@@ -267,10 +297,11 @@
 // target goes where it harms the fewest others, away from other such tasks, so that
 // the next loss tells them apart.
 func (s *Scheduler) score(t *task, target *target) float64 {
-	score := s.remainingShare(t, target)
+	penalty := slowPenalty(target.speed.class)
 	if rack := t.step().Rack; rack != "" && !target.info.HasLabel(rack) {
-		score += s.config.RemotePenalty
+		penalty += s.config.RemotePenalty
 	}
+	score := s.remainingShare(t, target) + penalty
 	if t.avoidTarget == target {
 		score += avoidPenalty
 	}
--- a/rattanscheduler/placement_test.go
+++ b/rattanscheduler/placement_test.go
@@ -41,8 +41,9 @@
 func startPlain(s *Scheduler, j *job, now time.Time) {
 	for _, t := range slices.Clone(j.ready) {
 		best := scoredTarget{}
+		slowest := s.slowestClass(t, s.service(j.submission.Service).pool, now)
 		for _, target := range s.targets {
-			if target.usable(now) && target.free.MilliCPU > 0 && s.suits(t, target) {
+			if target.usable(now) && target.free.MilliCPU > 0 && target.speed.class <= slowest && s.suits(t, target) {
 				best = best.better(scoredTarget{target, s.score(t, target)})
 			}
 		}
@@ -205,7 +206,7 @@
 func (p *schedulerPair) changeTargets() {
 	index := rapid.IntRange(0, len(p.targets)-1).Draw(p.T, "target")
 	id := p.targets[index].ID
-	switch rapid.IntRange(0, 4).Draw(p.T, "change") {
+	switch rapid.IntRange(0, 6).Draw(p.T, "change") {
 	case 0:
 		p.targets[index].Draining = !p.targets[index].Draining
 	case 1:
@@ -218,6 +219,12 @@
 	case 4:
 		remaining := slices.Delete(slices.Clone(p.targets), index, index+1)
 		p.each(func(s *Scheduler) { s.UpdateTargets(remaining, true, p.now) })
+	default:
+		class := rapid.IntRange(0, maxSlowClass).Draw(p.T, "class")
+		p.each(func(s *Scheduler) {
+			s.targets[id].speed.slowness = slowClassStep * float64(class)
+			s.classifySpeed(s.targets[id])
+		})
 	}
 	p.each(func(s *Scheduler) { s.UpdateTargets(p.targets, true, p.now) })
 }
--- a/rattanscheduler/pool.go
+++ b/rattanscheduler/pool.go
@@ -12,7 +12,8 @@
 // that can take new work, so that finding the best one for a task does not
 // depend on how many others are full.
 type targetPool struct {
-	// groups contains the indexed targets by processor capacity.
+	// groups contains the indexed targets by class of speed, the fastest first, and
+	// by processor capacity.
 	groups []*targetGroup
 	// byMemory and byGPU contain the indexed targets sorted by the free amount
 	// of these resources; byGPU contains only targets with accelerators.
@@ -21,17 +22,20 @@
 	// byLabel contains all targets of the service by label.
 	byLabel map[string][]*target
 	// freeMilliCPU is the free processor capacity of the indexed targets,
-	// capacityMilliCPU the total one of the usable targets.
+	// capacityMilliCPU the total one of the usable targets, at the usual speed:
+	// a target of half the speed counts half. classMilliCPU divides it by class.
 	freeMilliCPU     int
 	capacityMilliCPU int
+	classMilliCPU    [maxSlowClass + 1]int
 	// awaitedMilliCPU is the total processor capacity of the targets that have
 	// not listed their runs yet and are expected to.
 	awaitedMilliCPU int
 }
 
-// targetGroup contains the indexed targets with the same processor capacity,
-// sorted by their free one.
+// targetGroup contains the indexed targets with the same class of speed and
+// processor capacity, sorted by their free one.
 type targetGroup struct {
+	class    int
 	milliCPU int
 	targets  sortedTargets
 }
@@ -45,6 +49,7 @@
 	// awaited is set if the target is expected to take new work soon.
 	awaited  bool
 	capacity int
+	class    int
 	free     rattanwork.Resources
 }
 
@@ -119,13 +124,14 @@
 	if !t.usable(now) {
 		return
 	}
-	t.pooled = poolEntry{usable: true, indexed: t.free.MilliCPU > 0, capacity: t.info.Capacity.MilliCPU, free: t.free}
-	p.capacityMilliCPU += t.pooled.capacity
+	t.pooled = poolEntry{usable: true, indexed: t.free.MilliCPU > 0, capacity: t.info.Capacity.MilliCPU, class: t.speed.class, free: t.free}
+	p.capacityMilliCPU += t.pooled.usualMilliCPU()
+	p.classMilliCPU[t.pooled.class] += t.pooled.usualMilliCPU()
 	if !t.pooled.indexed {
 		return
 	}
 	p.freeMilliCPU += t.free.MilliCPU
-	p.group(t.pooled.capacity).targets.insert(t)
+	p.group(t.pooled.class, t.pooled.capacity).targets.insert(t)
 	p.byMemory.insert(t)
 	if t.info.Capacity.GPU > 0 {
 		p.byGPU.insert(t)
@@ -150,14 +156,15 @@
 func (p *targetPool) withdraw(t *target) {
 	entry := t.pooled
 	if entry.usable {
-		p.capacityMilliCPU -= entry.capacity
+		p.capacityMilliCPU -= entry.usualMilliCPU()
+		p.classMilliCPU[entry.class] -= entry.usualMilliCPU()
 	}
 	if entry.awaited {
 		p.awaitedMilliCPU -= entry.capacity
 	}
 	if entry.indexed {
 		p.freeMilliCPU -= entry.free.MilliCPU
-		p.group(entry.capacity).targets.remove(t)
+		p.group(entry.class, entry.capacity).targets.remove(t)
 		p.byMemory.remove(t)
 		if index := slices.Index(p.byGPU.list, t); index >= 0 {
 			p.byGPU.list = slices.Delete(p.byGPU.list, index, index+1)
@@ -166,22 +173,34 @@
 	t.pooled = poolEntry{}
 }
 
-// group returns the group of targets with the given processor capacity.
-func (p *targetPool) group(milliCPU int) *targetGroup {
+// usualMilliCPU returns the processor capacity of a target of usual speed that does
+// the same work.
+func (e *poolEntry) usualMilliCPU() int {
+	if e.class == 0 {
+		return e.capacity
+	}
+	return int(float64(e.capacity) / slowFactorOf(e.class))
+}
+
+// group returns the group of targets with the given class and processor capacity.
+func (p *targetPool) group(class, milliCPU int) *targetGroup {
 	index, found := slices.BinarySearchFunc(p.groups, milliCPU, func(g *targetGroup, milliCPU int) int {
-		return cmp.Compare(g.milliCPU, milliCPU)
+		return cmp.Or(cmp.Compare(g.class, class), cmp.Compare(g.milliCPU, milliCPU))
 	})
 	if !found {
-		p.groups = slices.Insert(p.groups, index, &targetGroup{milliCPU: milliCPU, targets: sortedTargets{amount: milliCPUOf}})
+		p.groups = slices.Insert(p.groups, index, &targetGroup{class: class, milliCPU: milliCPU, targets: sortedTargets{amount: milliCPUOf}})
 	}
 	return p.groups[index]
 }
 
 // maxFree returns, for each resource, the largest amount that is free on one
-// target.
-func (p *targetPool) maxFree() rattanwork.Resources {
+// target. Processor capacity counts up to the class of speed.
+func (p *targetPool) maxFree(slowest int) rattanwork.Resources {
 	largest := rattanwork.Resources{MemoryMB: p.byMemory.maximum(), GPU: p.byGPU.maximum()}
 	for _, group := range p.groups {
+		if group.class > slowest {
+			break
+		}
 		largest.MilliCPU = max(largest.MilliCPU, group.targets.maximum())
 	}
 	return largest
--- a/rattanscheduler/priority.go
+++ b/rattanscheduler/priority.go
@@ -304,7 +304,7 @@
 	room := &Room{
 		Slack:           s.timing(j).slack(now),
 		FreeMilliCPU:    state.pool.freeMilliCPU,
-		LargestMilliCPU: state.pool.maxFree().MilliCPU,
+		LargestMilliCPU: state.pool.maxFree(maxSlowClass).MilliCPU,
 		WaitingTasks:    state.queue.tasks,
 	}
 	if j.class != nil && state.pool.expectedMilliCPU() > 0 {
--- a/rattanscheduler/speculation.go
+++ b/rattanscheduler/speculation.go
@@ -12,7 +12,8 @@
 	}
 	t.avoidTarget = slow.target
 	s.refreshTargets(now)
-	target := s.searchPool(t, s.service(t.job.submission.Service).pool)
+	pool := s.service(t.job.submission.Service).pool
+	target := s.searchPool(t, pool, s.slowestClass(t, pool, now))
 	if target == nil || target == slow.target {
 		return false
 	}
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -53,6 +53,8 @@
 	orphan bool
 	// suspect is set if targets were lost under the task before this run.
 	suspect bool
+	// observed is the progress from which the speed of the target was last learned.
+	observed observedProgress
 	// countedSlow is set if the run was counted against its target as slow.
 	countedSlow bool
 	// lost describes the loss of the incarnation that the run was requested of,
@@ -119,6 +121,7 @@
 	// failures.
 	suspendedUntil time.Time
 	health         health
+	speed          targetSpeed
 	// leaving is set if the inventory shows that the target drains. lossesOpen
 	// is set until the next listing tells what has become of the incarnations
 	// that were lost.
