Wait for faster targets only where that ends a task earlier

A task now declines a slow target only if the work that already waits for faster ones lets it end earlier there, and never one of the first slow class.

--- a/rattanscheduler/placement.go
+++ b/rattanscheduler/placement.go
@@ -91,8 +91,10 @@
 type placementPass struct {
 	pool *targetPool
 	now  time.Time
-	// declines counts the tasks that declined slow targets.
-	declines int
+	// declines counts the tasks that declined slow targets, declinedWork is their
+	// expected processor time in nanoseconds times thousandths of a core.
+	declines     int
+	declinedWork float64
 	// failed contains demands for which no target was found. Resources only
 	// become scarcer during a pass, so larger demands need no search.
 	failed []demand
@@ -126,7 +128,8 @@
 // the targets that the pass considers.
 func (p *placementPass) available() rattanwork.Resources {
 	if p.declines >= maxDeclines {
-		return p.pool.maxFree(p.pool.baseClass())
+		base, _ := p.pool.baseClass()
+		return p.pool.maxFree(base)
 	}
 	return p.pool.maxFree(maxSlowClass)
 }
@@ -169,11 +172,12 @@
 	if s.bound(t) {
 		return s.boundTarget(t)
 	}
-	slowest := s.slowestClass(t, pass.pool, pass.now)
+	slowest := s.slowestClass(t, pass.pool, pass.declinedWork, pass.now)
 	best := s.searchPool(t, pass.pool, slowest)
-	declines := best == nil && slowest < pass.pool.slowestClass()
+	declines := best == nil && slowest < pass.pool.slowestClass() && s.searchPool(t, pass.pool, maxSlowClass) != nil
 	if declines {
 		pass.declines++
+		pass.declinedWork += float64(s.estimator.expectedRunTime(t.job, t.stepIndex)) * float64(required.resources.MilliCPU)
 	}
 	restricted := declines || t.lastFailedTarget != nil || step.MaxPerTarget != 0 || t.job.leaseOutlastsCallers(s.latestLeaseEnd)
 	if best == nil && !restricted && len(pass.failed) < maxFailedDemands {
--- a/rattanscheduler/placement_test.go
+++ b/rattanscheduler/placement_test.go
@@ -32,24 +32,32 @@
 				cmp.Compare(a.sequence, b.sequence),
 			)
 		})
+		declinedWork := 0.0
 		for _, j := range list {
-			startPlain(s, j, now)
+			startPlain(s, j, &declinedWork, now)
 		}
 	}
 }
 
-func startPlain(s *Scheduler, j *job, now time.Time) {
+func startPlain(s *Scheduler, j *job, declinedWork *float64, now time.Time) {
 	for _, t := range slices.Clone(j.ready) {
 		best := scoredTarget{}
-		slowest := s.slowestClass(t, s.service(j.submission.Service).pool, now)
+		slowest, declines := s.slowestClass(t, s.service(j.submission.Service).pool, *declinedWork, now), false
 		for _, target := range s.targets {
-			if target.usable(now) && target.free.MilliCPU > 0 && target.speed.class <= slowest && s.suits(t, target) {
+			if !target.usable(now) || target.free.MilliCPU <= 0 || !s.suits(t, target) {
+				continue
+			}
+			if target.speed.class > slowest {
+				declines = true
+			} else {
 				best = best.better(scoredTarget{target, s.score(t, target)})
 			}
 		}
 		if best.target != nil {
 			j.removeReady(t)
 			s.startRun(t, best.target, now)
+		} else if declines {
+			*declinedWork += float64(s.estimator.expectedRunTime(j, t.stepIndex)) * float64(t.resources().MilliCPU)
 		}
 	}
 	s.reposition(j)
--- a/rattanscheduler/slow_placement.go
+++ b/rattanscheduler/slow_placement.go
@@ -10,6 +10,9 @@
 	// be able to complete in time: declared run times are off by 40%, and the longest
 	// task of a job takes longer than the mean.
 	onTimeMargin = 1.6
+	// maxAcceptedClass is the class up to which a task does not decline a target:
+	// waiting gains too little to leave capacity unused.
+	maxAcceptedClass = 1
 	// maxDeclines is the number of tasks that may decline slow targets in a pass
 	// before it considers only the others: each further one would be a search
 	// without a result.
@@ -27,11 +30,11 @@
 }
 
 // slowestClass returns the class of the slowest targets on which the task may start
-// now. A task that would be late only there waits for a faster target, as long as
-// there are enough of these that it need not wait long; admission control bounds
-// the wait. A task that is late on any target starts where its answer still has
-// value.
-func (s *Scheduler) slowestClass(t *task, pool *targetPool, now time.Time) int {
+// now. A task that would be late only there waits for a faster target if it is
+// expected to end there earlier, given the work that waits before it, in nanoseconds
+// times thousandths of a core. A task that is late on any target starts where its
+// answer still has value.
+func (s *Scheduler) slowestClass(t *task, pool *targetPool, workBefore float64, now time.Time) int {
 	slowest := pool.slowestClass()
 	if slowest == 0 {
 		return 0
@@ -45,8 +48,12 @@
 	if deadline := t.job.submission.Deadline; deadline.Before(limit) {
 		limit = deadline
 	}
-	for class := pool.baseClass() + 1; class <= slowest; class++ {
-		if now.Add(time.Duration(margin * slowFactorOf(class) * float64(expected))).After(limit) {
+	base, faster := pool.baseClass()
+	wait := workBefore / float64(max(1, faster))
+	for class := max(base, maxAcceptedClass) + 1; class <= slowest; class++ {
+		runTime := slowFactorOf(class) * float64(expected)
+		endsEarlier := slowFactorOf(base)*float64(expected)+wait < runTime
+		if endsEarlier && now.Add(time.Duration(margin*runTime)).After(limit) {
 			return class - 1
 		}
 	}
@@ -64,14 +71,13 @@
 }
 
 // baseClass returns the fastest class that has, together with all faster ones, a
-// sufficient share of the capacity.
-func (p *targetPool) baseClass() int {
-	faster := 0
-	for class, milliCPU := range p.classMilliCPU {
-		faster += milliCPU
-		if float64(faster) >= minFasterShare*float64(p.capacityMilliCPU) {
-			return class
+// sufficient share of the capacity, and the capacity of all these.
+func (p *targetPool) baseClass() (class, milliCPU int) {
+	for class, added := range p.classMilliCPU {
+		milliCPU += added
+		if float64(milliCPU) >= minFasterShare*float64(p.capacityMilliCPU) {
+			return class, milliCPU
 		}
 	}
-	return maxSlowClass
+	return maxSlowClass, milliCPU
 }
--- a/rattanscheduler/speculation.go
+++ b/rattanscheduler/speculation.go
@@ -13,7 +13,7 @@
 	t.avoidTarget = slow.target
 	s.refreshTargets(now)
 	pool := s.service(t.job.submission.Service).pool
-	target := s.searchPool(t, pool, s.slowestClass(t, pool, now))
+	target := s.searchPool(t, pool, s.slowestClass(t, pool, 0, now))
 	if target == nil || target == slow.target {
 		return false
 	}
