Count targets that have just started as slow until they are warm

Targets are slow for some time after their start and tell how long in their inventory entries (cold_left_ms), which was not read. A cold target now counts as slower by a factor that is learned from all cold targets, at first half of the usual speed; the time left is counted down between heartbeats. Runs on a target that is known to be slow or cold count as failures of the target only if they are slow for it.

--- a/rattanday/product.go
+++ b/rattanday/product.go
@@ -56,8 +56,10 @@
 	speed float64
 	// slowdown is the factor by which runs take longer at present.
 	slowdown float64
-	sequence int64
-	running  []simulatedRun
+	// coldUntil is until when the target is cold, as the inventory tells.
+	coldUntil time.Duration
+	sequence  int64
+	running   []simulatedRun
 }
 
 type simulatedRun struct {
--- a/rattanday/slowdown.go
+++ b/rattanday/slowdown.go
@@ -18,6 +18,8 @@
 	step  int
 	// factor is the factor by which runs take longer.
 	factor float64
+	// cold is set if the targets state in the inventory how long it remains.
+	cold bool
 }
 
 // heartbeatInterval is the interval at which targets describe themselves in the
@@ -37,8 +39,25 @@
 		}
 		for index := change.first; index < len(h.inventory); index += change.step {
 			h.changeSpeed(h.inventory[index].ID, factor, now)
+			if change.cold && now == change.at {
+				h.targets[h.inventory[index].ID].coldUntil = now + change.length
+			}
 		}
+		if change.cold {
+			h.describe(now)
+		}
+	}
+	if now%heartbeatInterval == 0 {
+		h.describe(now)
+	}
+}
+
+// describe updates the inventory.
+func (h *home) describe(now time.Duration) {
+	for i := range h.inventory {
+		h.inventory[i].ColdLeft = max(0, h.targets[h.inventory[i].ID].coldUntil-now)
 	}
+	h.scheduler.UpdateTargets(h.inventory, true, start.Add(now))
 }
 
 // changeSpeed postpones or advances the ends of the target's runs.
--- a/rattanday/slowdown_test.go
+++ b/rattanday/slowdown_test.go
@@ -109,3 +109,27 @@
 		})
 	}
 }
+
+// TestColdTargets guards against late answers while targets that have just started
+// are slow: a part of them, or all that return to a zone.
+func TestColdTargets(t *testing.T) {
+	tests := map[string]struct {
+		load    float64
+		cold    slowdown
+		maxLate float64
+	}{
+		"a quarter": {0.6, slowdown{at: 2 * time.Second, length: 4 * time.Second, step: 4, factor: 2, cold: true}, 0.02},
+		"half":      {0.6, slowdown{at: 2 * time.Second, length: 4 * time.Second, step: 2, factor: 2.5, cold: true}, 0.08},
+		"all":       {0.4, slowdown{at: 2 * time.Second, length: 4 * time.Second, step: 1, factor: 2, cold: true}, 0.05},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			unknown := test.cold
+			unknown.cold = false
+			day := slowDay(8*time.Second, 48, test.load, 1)
+			playSlow(c, day, 2, 5, unknown)
+			playSlow(c, day, 2, 5, test.cold).check(c, test.maxLate, 0.03)
+		})
+	}
+}
--- a/rattanscheduler/listing.go
+++ b/rattanscheduler/listing.go
@@ -87,7 +87,7 @@
 		return
 	}
 	s.recordChange(target, TargetRestarted)
-	target.speed = targetSpeed{compared: target.speed.compared}
+	target.speed = targetSpeed{compared: target.speed.compared, coldListed: target.speed.coldListed}
 	target.lossesOpen = true
 	for _, r := range target.snapshot() {
 		loss := target.lossByRestart(r, now)
@@ -191,13 +191,13 @@
 // handleTaskDone completes a task after one of its runs has succeeded.
 func (s *Scheduler) handleTaskDone(t *task, r *run, listing *rattanwork.Listing, now time.Time) {
 	runTime, exact := r.runTime(listing, now)
-	if s.tooSlow(r, runTime) {
+	if s.tooSlowForTarget(r, runTime) {
 		s.recordSlowRun(r, now)
 	} else {
 		r.target.health.recordSuccess()
 	}
 	if exact {
-		s.estimator.observe(t.job, t.stepIndex, r, r.target.usualRunTime(runTime))
+		s.estimator.observe(t.job, t.stepIndex, r, s.usualRunTime(r.target, runTime))
 		s.observeEnd(t, r, runTime, now)
 	}
 	s.stopOtherRuns(t, r, now)
--- a/rattanscheduler/placement.go
+++ b/rattanscheduler/placement.go
@@ -28,7 +28,7 @@
 func (s *Scheduler) service(name string) *serviceState {
 	state, ok := s.services[name]
 	if !ok {
-		state = &serviceState{pool: newTargetPool()}
+		state = &serviceState{pool: newTargetPool(), speeds: newSpeedComparison()}
 		s.services[name] = state
 	}
 	return state
@@ -55,6 +55,7 @@
 		s.touch(t)
 	}
 	s.suspended = waiting
+	s.warmTargets(now)
 	for _, t := range s.touched {
 		t.touched = false
 		if s.targets[t.info.ID] == t {
--- a/rattanscheduler/progress.go
+++ b/rattanscheduler/progress.go
@@ -30,7 +30,7 @@
 	minRunTime := time.Duration(float64(elapsed) * 100 / float64(percent+1))
 	missesDeadline := r.task.slowRun == nil && r.knownSince.Add(minRunTime).After(r.task.job.submission.Deadline)
 	slow := s.tooSlow(r, minRunTime)
-	if slow && !r.countedSlow {
+	if slow && !r.countedSlow && s.tooSlowForTarget(r, minRunTime) {
 		r.countedSlow = true
 		s.recordSlowRun(r, now)
 	}
@@ -52,6 +52,13 @@
 	return !r.orphan && expected > 0 && runTime > slowFactor*expected+slowTolerance
 }
 
+// tooSlowForTarget reports whether a run time is longer than errors of the estimate
+// and the speed of the target can explain. A target that is known to be slow is used
+// as such.
+func (s *Scheduler) tooSlowForTarget(r *run, runTime time.Duration) bool {
+	return s.tooSlow(r, s.usualRunTime(r.target, runTime))
+}
+
 // recordSlowRun counts a slow run as a failure of its target.
 func (s *Scheduler) recordSlowRun(r *run, now time.Time) {
 	s.suspend(r.target, r.target.health.recordFailure(r.task.job), "slow", now)
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -111,6 +111,10 @@
 	// suspended those that are usable again after their suspension.
 	touched   []*target
 	suspended []*target
+	// cold contains the targets that have started lately, coldCheckAt is when to
+	// check them for those that have become warm.
+	cold        []*target
+	coldCheckAt time.Time
 	// orphans contains, by task, the runs of jobs that have not been submitted
 	// to this home.
 	orphans map[string]*run
--- a/rattanscheduler/slow_placement.go
+++ b/rattanscheduler/slow_placement.go
@@ -42,13 +42,13 @@
 	expected := s.estimator.expectedRunTime(t.job, t.stepIndex)
 	limit, lateUntil := s.adjustedDeadlines(t.job)
 	margin := onTimeMargin
-	if now.Add(expected).After(limit) {
+	base, faster := pool.baseClass()
+	if now.Add(time.Duration(slowFactorOf(base) * float64(expected))).After(limit) {
 		limit, margin = lateUntil, 1
 	}
 	if deadline := t.job.submission.Deadline; deadline.Before(limit) {
 		limit = deadline
 	}
-	base, faster := pool.baseClass()
 	wait := workBefore / float64(max(1, faster))
 	for class := max(base, maxAcceptedClass) + 1; class <= slowest; class++ {
 		runTime := slowFactorOf(class) * float64(expected)
--- a/rattanscheduler/speed.go
+++ b/rattanscheduler/speed.go
@@ -53,13 +53,20 @@
 	// slowness is the moving average of the logarithms of run times, relative to
 	// those of other targets at the same time.
 	slowness float64
-	// class is the slowness in powers of slowClassFactor, 0 for targets of usual
-	// speed and faster ones, at most maxSlowClass.
-	class int
+	// class is the slowness at present in powers of slowClassFactor, 0 for targets of
+	// usual speed and faster ones, at most maxSlowClass. warmClass leaves out that
+	// the target is cold.
+	class     int
+	warmClass int
 	// observedAt is when a run of the target was last observed, compared is set
 	// while the target is among those that are compared.
 	observedAt time.Time
 	compared   bool
+	// cold is set if the target is slow because it has started lately, until
+	// coldUntil. coldListed is set while the end of that time is awaited.
+	cold       bool
+	coldUntil  time.Time
+	coldListed bool
 }
 
 // observedProgress is the progress of a run as of the last observation.
@@ -78,6 +85,10 @@
 type speedComparison struct {
 	// level is the median of the logarithms of actual to expected run times.
 	level float64
+	// coldness is the logarithm of the run times of cold targets relative to warm
+	// ones.
+	coldness  float64
+	coldClass int
 	// compared contains the targets observed during the comparisonWindow.
 	compared []*target
 	// observations counts those since the last comparison.
@@ -85,6 +96,10 @@
 	sorted       []float64
 }
 
+func newSpeedComparison() speedComparison {
+	return speedComparison{coldness: initialColdness, coldClass: nextClass(0, initialColdness)}
+}
+
 // slowFactorOf returns the run times in a class relative to the usual ones.
 func slowFactorOf(class int) float64 {
 	return slowFactors[class]
@@ -141,13 +156,18 @@
 func (s *Scheduler) observeSpeed(target *target, ratio, weight float64, now time.Time) {
 	comparison := &s.service(target.info.Service).speeds
 	speed := &target.speed
+	speed.observedAt = now
+	if speed.cold {
+		comparison.observeCold(ratio, weight)
+		s.classifySpeed(target)
+		return
+	}
 	deviation := ratio - comparison.level - speed.slowness
 	gain := observationGain
 	if deviation < -recoveryGap {
 		gain = recoveryGain
 	}
 	speed.slowness += gain * weight * min(max(deviation, -maxDeviation), maxDeviation)
-	speed.observedAt = now
 	if !speed.compared {
 		speed.compared = true
 		comparison.compared = append(comparison.compared, target)
@@ -164,7 +184,7 @@
 func (s *Scheduler) compareSpeeds(comparison *speedComparison, now time.Time) {
 	comparison.observations = 0
 	comparison.compared = slices.DeleteFunc(comparison.compared, func(t *target) bool {
-		t.speed.compared = s.targets[t.info.ID] == t && now.Sub(t.speed.observedAt) <= comparisonWindow
+		t.speed.compared = s.targets[t.info.ID] == t && !t.speed.cold && now.Sub(t.speed.observedAt) <= comparisonWindow
 		return !t.speed.compared
 	})
 	if len(comparison.compared) < minCompared {
@@ -185,10 +205,10 @@
 
 // classifySpeed puts a target into the class of its slowness.
 func (s *Scheduler) classifySpeed(t *target) {
-	class := t.speed.class
-	position := t.speed.slowness / slowClassStep
-	if position > float64(class)+enterMargin || position < float64(class)-leaveMargin {
-		class = min(max(int(math.Round(position)), 0), maxSlowClass)
+	t.speed.warmClass = nextClass(t.speed.warmClass, t.speed.slowness)
+	class := t.speed.warmClass
+	if t.speed.cold {
+		class = min(class+s.service(t.info.Service).speeds.coldClass, maxSlowClass)
 	}
 	if class != t.speed.class {
 		t.speed.class = class
@@ -196,11 +216,20 @@
 	}
 }
 
+// nextClass returns the class of a slowness, given the class so far.
+func nextClass(class int, slowness float64) int {
+	position := slowness / slowClassStep
+	if position > float64(class)+enterMargin || position < float64(class)-leaveMargin {
+		return min(max(int(math.Round(position)), 0), maxSlowClass)
+	}
+	return class
+}
+
 // usualRunTime returns the run time that a run of the target would have had on a
 // target of usual speed.
-func (t *target) usualRunTime(runTime time.Duration) time.Duration {
+func (s *Scheduler) usualRunTime(t *target, runTime time.Duration) time.Duration {
 	if t.speed.class == 0 {
 		return runTime
 	}
-	return time.Duration(float64(runTime) / math.Exp(t.speed.slowness))
+	return time.Duration(float64(runTime) / math.Exp(s.totalSlowness(t)))
 }
--- a/rattanscheduler/speed_test.go
+++ b/rattanscheduler/speed_test.go
@@ -252,6 +252,75 @@
 	z.Check(pool.classMilliCPU, qt.Equals, [maxSlowClass + 1]int{})
 }
 
+// describeCold updates the inventory with a time for which the first targets remain
+// cold.
+func (z *speedZone) describeCold(count int, left time.Duration) {
+	var list []rattanwork.Target
+	for i := range z.targets {
+		info := testTarget(i)
+		if i < count {
+			info.ColdLeft = left
+		}
+		list = append(list, info)
+	}
+	z.scheduler.UpdateTargets(list, true, z.now)
+}
+
+// TestColdTargetsCountAsSlow guards against tasks that start on targets that have
+// just started while warm ones have room, and against targets that stay cold when
+// their time is over or when their entry is no longer updated.
+func TestColdTargetsCountAsSlow(t *testing.T) {
+	z := newSpeedZone(qt.New(t), 6)
+	z.describeCold(2, 5*time.Second)
+	z.Check(z.slow(), qt.DeepEquals, []string{"t0", "t1"})
+	pool := z.scheduler.service(testService).pool
+	z.Check(pool.expectedMilliCPU(), qt.Equals, 4*32000+2*int(32000/slowFactorOf(2)))
+	starts := z.start(8)
+	for _, start := range starts {
+		z.Check(start.Target.ID, qt.Not(qt.Equals), "t0")
+		z.Check(start.Target.ID, qt.Not(qt.Equals), "t1")
+	}
+	z.end(starts, slowed(1), 0)
+	z.play(1, slowed(2, "t0", "t1"), 0)
+	z.Check(z.slow(), qt.DeepEquals, []string{"t0", "t1"})
+	z.advance(5 * time.Second)
+	z.Check(z.slow(), qt.HasLen, 0)
+	z.Check(pool.expectedMilliCPU(), qt.Equals, 6*32000)
+	z.Check(z.scheduler.cold, qt.HasLen, 0)
+	z.describeCold(1, 500*time.Millisecond)
+	z.describeCold(1, 0)
+	z.Check(z.slow(), qt.HasLen, 0)
+}
+
+// TestColdnessIsLearned guards against cold targets that count as much slower or
+// faster than they are.
+func TestColdnessIsLearned(t *testing.T) {
+	for factor, class := range map[float64]int{1: 0, 1.5: 1, 2.25: 2, 4: 3} {
+		t.Run(fmt.Sprint(factor), func(t *testing.T) {
+			z := newSpeedZone(qt.New(t), 6)
+			z.play(2, slowed(1), 0)
+			for range 20 {
+				z.describeCold(2, time.Minute)
+				z.play(1, slowed(factor, "t0", "t1"), 0)
+			}
+			z.Check(z.scheduler.targets["t0"].speed.class, qt.Equals, class)
+			z.Check(z.scheduler.targets["t4"].speed.class, qt.Equals, 0)
+			z.describeCold(0, 0)
+			z.Check(z.slow(), qt.HasLen, 0)
+		})
+	}
+}
+
+// TestFalseColdness guards against entries with a false cold time that keep jobs from
+// running.
+func TestFalseColdness(t *testing.T) {
+	z := newSpeedZone(qt.New(t), 2)
+	z.describeCold(2, time.Hour)
+	starts := z.start(4)
+	z.Check(starts, qt.HasLen, 4)
+	z.end(starts, slowed(1), 0)
+}
+
 // BenchmarkSelectTarget measures one decision with a part of the targets slow.
 func BenchmarkSelectTarget(b *testing.B) {
 	for _, targets := range []int{350, 8700} {
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -230,6 +230,7 @@
 		s.addTarget(t)
 		s.awaitListings(now)
 		s.recordChange(t, TargetAppeared)
+		s.recordCold(t, &info, now)
 		return
 	}
 	if !t.vanishedAt.IsZero() {
@@ -240,6 +241,7 @@
 		s.recordChange(t, TargetDraining)
 	}
 	s.recordHeartbeat(t, &info, now)
+	s.recordCold(t, &info, now)
 	if t.info.Equal(&info) {
 		return
 	}
