Probe slow targets and report them

A slow target got no work while others had room, so that nobody saw it return to its usual speed. It now gets a task from time to time that is expected to end on time there: after 4 s without an observation, twice as long after each probe, half a second after a run of about the usual time. Its slowness shrinks while nothing is observed. Targets that are slow for half a second, and their return, are logged.

--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -216,6 +217,9 @@
 		fields["Reason"] = event.Reason
 		fields["PauseMS"] = milliseconds(event.Suspension)
 	}
+	if event.Change == rattanscheduler.TargetSlow {
+		fields["RunTimeFactor"] = math.Round(10*event.RunTimeFactor) / 10
+	}
 	j.logger.WithFields(fields).Info("target changed")
 }
 
--- a/rattanscheduler/event.go
+++ b/rattanscheduler/event.go
@@ -25,6 +25,10 @@
 	// TargetRemoved means that a vanished target was removed because nothing
 	// can run on it any more.
 	TargetRemoved // TargetForgotten
+	// TargetSlow means that runs on the target take longer than usual.
+	TargetSlow
+	// TargetNormal means that a slow target is of usual speed again.
+	TargetNormal
 )
 
 // TargetEvent reports a change of one target.
@@ -34,6 +38,8 @@
 	// Reason is a short reason for a suspension, Suspension its duration.
 	Reason     string
 	Suspension time.Duration
+	// RunTimeFactor is the factor by which runs on a slow target take longer.
+	RunTimeFactor float64
 	// Runs is the number of runs that are or may be active on the target.
 	Runs int
 }
--- a/rattanscheduler/listing.go
+++ b/rattanscheduler/listing.go
@@ -87,7 +87,7 @@
 		return
 	}
 	s.recordChange(target, TargetRestarted)
-	target.speed = targetSpeed{compared: target.speed.compared, coldListed: target.speed.coldListed}
+	target.speed = target.speed.restarted()
 	target.lossesOpen = true
 	for _, r := range target.snapshot() {
 		loss := target.lossByRestart(r, now)
--- a/rattanscheduler/placement.go
+++ b/rattanscheduler/placement.go
@@ -56,6 +56,7 @@
 	}
 	s.suspended = waiting
 	s.warmTargets(now)
+	s.checkSlowTargets(now)
 	for _, t := range s.touched {
 		t.touched = false
 		if s.targets[t.info.ID] == t {
@@ -173,6 +174,9 @@
 	if s.bound(t) {
 		return s.boundTarget(t)
 	}
+	if probe := s.selectProbe(t, pass); probe != nil {
+		return probe
+	}
 	slowest := s.slowestClass(t, pass.pool, pass.declinedWork, pass.now)
 	best := s.searchPool(t, pass.pool, slowest)
 	declines := best == nil && slowest < pass.pool.slowestClass() && s.searchPool(t, pass.pool, maxSlowClass) != nil
--- a/rattanscheduler/placement_test.go
+++ b/rattanscheduler/placement_test.go
@@ -41,6 +41,11 @@
 
 func startPlain(s *Scheduler, j *job, declinedWork *float64, now time.Time) {
 	for _, t := range slices.Clone(j.ready) {
+		if probe := s.selectProbe(t, &placementPass{pool: s.service(j.submission.Service).pool, now: now}); probe != nil {
+			j.removeReady(t)
+			s.startRun(t, probe, now)
+			continue
+		}
 		best := scoredTarget{}
 		slowest, declines := s.slowestClass(t, s.service(j.submission.Service).pool, *declinedWork, now), false
 		for _, target := range s.targets {
--- a/rattanscheduler/pool.go
+++ b/rattanscheduler/pool.go
@@ -30,6 +30,9 @@
 	// awaitedMilliCPU is the total processor capacity of the targets that have
 	// not listed their runs yet and are expected to.
 	awaitedMilliCPU int
+	// probes contains slow targets on which a task is to be started to learn whether
+	// they still are.
+	probes []*target
 }
 
 // targetGroup contains the indexed targets with the same class of speed and
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -111,6 +111,10 @@
 	// suspended those that are usable again after their suspension.
 	touched   []*target
 	suspended []*target
+	// slow contains the targets whose runs take longer than usual, slowCheckAt is when
+	// to check them.
+	slow        []*target
+	slowCheckAt time.Time
 	// cold contains the targets that have started lately, coldCheckAt is when to
 	// check them for those that have become warm.
 	cold        []*target
--- a/rattanscheduler/slow_targets.go
+++ b/rattanscheduler/slow_targets.go
@@ -22,8 +22,8 @@
 // SlowTargets returns the slowest targets, at most maxSlowTargets.
 func (s *Scheduler) SlowTargets(now time.Time) []SlowTarget {
 	var list []SlowTarget
-	for _, t := range s.targets {
-		if t.speed.class > 0 {
+	for _, t := range s.slow {
+		if t.speed.warmClass > 0 {
 			list = append(list, SlowTarget{Target: t.info.ID, Incarnation: t.incarnation, Slowness: t.speed.slowness, Age: now.Sub(t.speed.observedAt)})
 		}
 	}
--- a/rattanscheduler/speed.go
+++ b/rattanscheduler/speed.go
@@ -67,6 +67,17 @@
 	cold       bool
 	coldUntil  time.Time
 	coldListed bool
+	// slowSince is since when the target counts as slow for a reason other than a
+	// cold start, reported is set once that was reported. slowListed is set while the
+	// target is among the slow ones.
+	slowSince  time.Time
+	reported   bool
+	slowListed bool
+	// decayedAt is when the slowness last shrank for want of observations, probedAt
+	// when the last probe was selected, probeInterval the time until the next one.
+	decayedAt     time.Time
+	probedAt      time.Time
+	probeInterval time.Duration
 }
 
 // observedProgress is the progress of a run as of the last observation.
@@ -100,6 +111,11 @@
 	return speedComparison{coldness: initialColdness, coldClass: nextClass(0, initialColdness)}
 }
 
+// restarted returns what is known of the next incarnation.
+func (t *targetSpeed) restarted() targetSpeed {
+	return targetSpeed{compared: t.compared, coldListed: t.coldListed, slowListed: t.slowListed, reported: t.reported}
+}
+
 // slowFactorOf returns the run times in a class relative to the usual ones.
 func slowFactorOf(class int) float64 {
 	return slowFactors[class]
@@ -167,6 +183,9 @@
 	if deviation < -recoveryGap {
 		gain = recoveryGain
 	}
+	if deviation < -usualShare*speed.slowness {
+		speed.probeInterval = quickProbeInterval
+	}
 	speed.slowness += gain * weight * min(max(deviation, -maxDeviation), maxDeviation)
 	if !speed.compared {
 		speed.compared = true
@@ -206,6 +225,10 @@
 // classifySpeed puts a target into the class of its slowness.
 func (s *Scheduler) classifySpeed(t *target) {
 	t.speed.warmClass = nextClass(t.speed.warmClass, t.speed.slowness)
+	if t.speed.warmClass > 0 && !t.speed.slowListed {
+		t.speed.slowListed = true
+		s.slow = append(s.slow, t)
+	}
 	class := t.speed.warmClass
 	if t.speed.cold {
 		class = min(class+s.service(t.info.Service).speeds.coldClass, maxSlowClass)
