Tell a successor which targets are slow

A new home had to learn the speeds of targets anew, during the seconds in which it has the most to catch up. It does not apply to other incarnations of a target. The metric rattanlever_slow_targets counts slow and cold targets.

--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -256,6 +256,27 @@
 	return h.scheduler.TargetsInUse()
 }
 
+// SlowTargets returns the slowest targets.
+func (h *Home) SlowTargets() []rattanscheduler.SlowTarget {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.scheduler.SlowTargets(h.config.Clock())
+}
+
+// SlowTargetCount returns the number of slow and cold targets.
+func (h *Home) SlowTargetCount() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.scheduler.SlowTargetCount()
+}
+
+// AddSlowTargets adds what an earlier home of the zone has learned of slow targets.
+func (h *Home) AddSlowTargets(targets []rattanscheduler.SlowTarget) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.scheduler.AddSlowTargets(targets, h.now())
+}
+
 // OutstandingStarts returns the start requests that may still be carried out.
 func (h *Home) OutstandingStarts() []rattanscheduler.OutstandingStart {
 	h.mutex.Lock()
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -149,6 +149,7 @@
 		Clock:              n.config.Clock,
 	})
 	n.config.Registry.Gauge(rattanmetric.HomeLagSeconds, n.homeLagSeconds)
+	n.config.Registry.Gauge(rattanmetric.SlowTargets, n.slowTargets)
 	n.config.Registry.Gauge(rattanmetric.RememberedCancellations, func() float64 { return float64(n.cancellations.Len()) })
 	n.homeService = rattanhome.NewService(rattanhome.ServiceConfig{
 		Name:          self.Name,
@@ -191,6 +192,14 @@
 	return home.Load().Lag.Seconds()
 }
 
+func (n *Node) slowTargets() float64 {
+	home := n.agent.LocalHome()
+	if home == nil {
+		return 0
+	}
+	return float64(home.SlowTargetCount())
+}
+
 func (n *Node) newHome(fencingToken int64) *rattanhome.Home {
 	settings := n.settings.Load()
 	return rattanhome.New(rattanhome.Config{
--- a/rattanscheduler/listing.go
+++ b/rattanscheduler/listing.go
@@ -29,6 +29,7 @@
 	}
 	s.targetAnswered(target, now)
 	target.recordAnswer(now)
+	s.confirmIncarnation(target)
 	s.touch(target)
 	for _, end := range listing.Ended {
 		if end.Sequence > target.lastSequence {
@@ -88,6 +89,7 @@
 	}
 	s.recordChange(target, TargetRestarted)
 	target.speed = target.speed.restarted()
+	s.classifySpeed(target)
 	target.lossesOpen = true
 	for _, r := range target.snapshot() {
 		loss := target.lossByRestart(r, now)
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -115,6 +115,9 @@
 	// to check them.
 	slow        []*target
 	slowCheckAt time.Time
+	// slowTargets is the list of these for other instances, as of slowTargetsAt.
+	slowTargets   []SlowTarget
+	slowTargetsAt time.Time
 	// cold contains the targets that have started lately, coldCheckAt is when to
 	// check them for those that have become warm.
 	cold        []*target
--- a/rattanscheduler/speed.go
+++ b/rattanscheduler/speed.go
@@ -67,6 +67,10 @@
 	cold       bool
 	coldUntil  time.Time
 	coldListed bool
+	// inherited is set if the speed was learned by an earlier home, for the
+	// incarnation, and the target has not listed its runs since.
+	inherited   bool
+	incarnation int64
 	// slowSince is since when the target counts as slow for a reason other than a
 	// cold start, reported is set once that was reported. slowListed is set while the
 	// target is among the slow ones.
@@ -113,7 +117,7 @@
 
 // restarted returns what is known of the next incarnation.
 func (t *targetSpeed) restarted() targetSpeed {
-	return targetSpeed{compared: t.compared, coldListed: t.coldListed, slowListed: t.slowListed, reported: t.reported}
+	return targetSpeed{class: t.class, compared: t.compared, coldListed: t.coldListed, slowListed: t.slowListed, reported: t.reported}
 }
 
 // slowFactorOf returns the run times in a class relative to the usual ones.
--- a/rattanscheduler/speed_test.go
+++ b/rattanscheduler/speed_test.go
@@ -28,6 +28,8 @@
 	jobs      int
 	// events are the changes of targets in the last round.
 	events []TargetEvent
+	// incarnation is that of all targets.
+	incarnation int64
 }
 
 func newSpeedZone(c *qt.C, targets int) *speedZone {
@@ -66,7 +68,7 @@
 		elapsed := runTime(id)
 		longest = max(longest, elapsed)
 		arrival := begin.Add(elapsed + delay)
-		z.scheduler.RunsListed(id, &rattanwork.Listing{ClockMillis: z.clock + elapsed.Milliseconds(), Prompt: true, Ended: ended}, arrival, z.voidBefore, arrival)
+		z.scheduler.RunsListed(id, &rattanwork.Listing{Incarnation: z.incarnation, ClockMillis: z.clock + elapsed.Milliseconds(), Prompt: true, Ended: ended}, arrival, z.voidBefore, arrival)
 	}
 	z.clock += (longest + roundPause).Milliseconds()
 	z.now = begin.Add(longest + delay + roundPause)
@@ -218,6 +220,7 @@
 	for i := range 4 {
 		z.listRuns(i, rattanwork.Listing{Incarnation: 1})
 	}
+	z.incarnation = 1
 	z.play(4, slowed(3, "t1"), 0)
 	z.Check(z.slow(), qt.DeepEquals, []string{"t1"})
 	z.listRuns(1, rattanwork.Listing{Incarnation: 2})
@@ -370,6 +373,37 @@
 	}
 }
 
+// TestSlowTargetsSurviveTakeover guards against a successor that has to learn the speeds
+// of targets anew, and against one that applies them to other incarnations.
+func TestSlowTargetsSurviveTakeover(t *testing.T) {
+	z := newSpeedZone(qt.New(t), 4)
+	for i := range 4 {
+		z.listRuns(i, rattanwork.Listing{Incarnation: 7})
+	}
+	z.incarnation = 7
+	z.play(6, slowed(3, "t1", "t2"), 0)
+	told := z.scheduler.SlowTargets(z.now)
+	z.Assert(told, qt.HasLen, 2)
+	z.Check(z.scheduler.SlowTargetCount(), qt.Equals, 2)
+	successor := newSpeedZone(z.C, 0)
+	successor.targets = 4
+	successor.describeCold(0, 0)
+	successor.scheduler.AddSlowTargets(append(told, SlowTarget{Target: "t3", Slowness: 1, Age: time.Hour}, SlowTarget{Target: "unknown", Slowness: 1}), successor.now)
+	for i := range 4 {
+		incarnation := int64(7)
+		if i == 2 {
+			incarnation = 8
+		}
+		successor.listRuns(i, rattanwork.Listing{Incarnation: incarnation})
+	}
+	z.Check(successor.slow(), qt.DeepEquals, []string{"t1"})
+	for _, start := range successor.start(6) {
+		z.Check(start.Target.ID, qt.Not(qt.Equals), "t1")
+	}
+	successor.scheduler.AddSlowTargets([]SlowTarget{{Target: "t0", Incarnation: 7, Slowness: 1e300}}, successor.now)
+	z.Check(successor.scheduler.targets["t0"].speed.class, qt.Equals, maxSlowClass)
+}
+
 // TestSlowTargetsAreReported guards against slow targets that operators do not learn
 // of, and against a line for each change of an estimate.
 func TestSlowTargetsAreReported(t *testing.T) {
--- a/rattanzone/agent.go
+++ b/rattanzone/agent.go
@@ -127,6 +127,8 @@
 	// homeMissingSince is the time since which the home of this zone has not
 	// answered, zero while it answers.
 	homeMissingSince time.Time
+	// slowTargets is what the home of this zone has told last.
+	slowTargets slowTargetReport
 	// electionBackoffUntil keeps this instance out of the election after
 	// another home has deposed it, so that it does not compete with a home that
 	// it cannot reach.
--- a/rattanzone/crashes.go
+++ b/rattanzone/crashes.go
@@ -94,7 +94,7 @@
 	defer a.mutex.Unlock()
 	if m, ok := a.members[receiver]; ok {
 		if m.Zone != a.config.Self.Zone {
-			view.KeptTargets, view.OverdueTargets = nil, nil
+			view.KeptTargets, view.OverdueTargets, view.SlowTargets = nil, nil, nil
 		}
 		view.CrashBase = m.crashesSeen
 		view.Crashes, view.CrashSequence = a.config.Crashes.Changes(m.crashesSeen, maxSentLosses, now)
--- a/rattanzone/election.go
+++ b/rattanzone/election.go
@@ -146,11 +146,13 @@
 	a.localHome = a.config.NewHome(claim.FencingToken)
 	localHome := a.localHome
 	a.lastZoneHeartbeat = time.Time{}
+	slowTargets := a.slowTargets.at(now)
 	a.notifyHomeChange()
 	a.mutex.Unlock()
 	a.config.Journal.HomeChanged(claim, reason)
 	a.tellNewHome(localHome, now)
 	localHome.UpdateTargets(a.config.Inventory.ZoneTargets(self.Zone, now), false)
+	localHome.AddSlowTargets(slowTargets)
 	a.config.Inventory.RequestRefresh(now)
 	a.sendHomeHeartbeats(now)
 }
--- a/rattanzone/heartbeat.go
+++ b/rattanzone/heartbeat.go
@@ -229,6 +229,7 @@
 	if localHome != nil {
 		view.KeptTargets = a.config.Inventory.Kept()
 		view.OverdueTargets = a.config.Inventory.Overdue(a.config.Self.Zone, now)
+		view.SlowTargets = localHome.SlowTargets()
 		view.OutstandingStarts = localHome.OutstandingStarts()
 		a.refreshLocalClaim(localHome.Load(), localHome.FencingToken(), now)
 	}
@@ -268,6 +269,9 @@
 	learned := a.outstanding.add(view.Sender.Zone, view.OutstandingStarts, now)
 	kept := a.outstanding.keep(a.config.Self.Zone, view.KeptStarts, now)
 	fromHome, localHome := a.isFromHome(view), a.localHome
+	if fromHome {
+		a.slowTargets = slowTargetReport{targets: view.SlowTargets, receivedAt: now}
+	}
 	a.mutex.Unlock()
 	a.cancelJobs(cancelled)
 	if localHome != nil {
--- a/rattanzone/message.go
+++ b/rattanzone/message.go
@@ -33,6 +33,7 @@
 	}
 	view.Claims = slices.DeleteFunc(view.Claims, func(claim Claim) bool { return !claim.isValid() })
 	view.KeptTargets = validTargets(view.KeptTargets)
+	view.SlowTargets = validSlowTargets(view.SlowTargets)
 	view.OutstandingStarts = validStarts(view.OutstandingStarts, maxSentStarts)
 	view.KeptStarts = validStarts(view.KeptStarts, maxReturnedStarts)
 	return &view, nil
--- a/rattanzone/view.go
+++ b/rattanzone/view.go
@@ -59,6 +59,10 @@
 	// its zone, misses, with the time since which it awaits them. It is sent to
 	// members of the zone only.
 	OverdueTargets map[string]time.Duration `json:",omitempty"`
+	// SlowTargets contains the slowest targets, as the sender, the home of its zone,
+	// has learned. It is sent to members of the zone only, any of which may succeed
+	// it; a home that knows of none sends none, like one of the former version.
+	SlowTargets []rattanscheduler.SlowTarget `json:",omitempty"`
 	// OutstandingStarts contains start requests of the sender, as the home of its
 	// zone or its former home, that may still be carried out. While the zone has no
 	// home, it contains those of all homes that the sender has heard of.
