Probe a slow target again soon if a run shows half of the slowness

With few targets in use the usual speed is known less well, and a target that was normal again kept its class for up to a minute between probes (18 of 200 runs of TestSlowTargetIsProbed with the ends in random order; none of 200 now).

--- a/rattanscheduler/probe.go
+++ b/rattanscheduler/probe.go
@@ -15,10 +15,10 @@
 	// until a run there takes about the usual time.
 	probeInterval    = 4 * time.Second
 	maxProbeInterval = 64 * time.Second
-	// quickProbeInterval is the interval after a run that took at most a third of the
+	// quickProbeInterval is the interval after a run that took at most half of the
 	// estimated additional time; usualShare is the rest.
 	quickProbeInterval = 500 * time.Millisecond
-	usualShare         = 2.0 / 3
+	usualShare         = 0.5
 	// probeDecay is the factor by which the slowness of a target shrinks with each
 	// probeInterval without an observation, down to the first slow class. Without that
 	// no task might ever have the time for a probe.
