--- a/rattanday/day.go
+++ b/rattanday/day.go
@@ -27,6 +27,7 @@
 	// Evacuations apply to the product alone: the schedulers with advantages over it
 	// keep all targets.
 	Evacuations []Evacuation `json:",omitempty"`
+	Losses      []Loss
 }
 
 // Zone is an availability zone with its targets and the jobs of its callers.
@@ -54,6 +55,9 @@
 	MinTasks int
 	MaxTasks int
 	MilliCPU int
+	// MilliCPUSpread is the part by which the demand of a job's tasks is above or
+	// below MilliCPU at most.
+	MilliCPUSpread float64
 	// RunTime is the median run time of a task on the fastest targets, Sigma the
 	// standard deviation of its logarithm. A part of TailShare of the tasks runs
 	// TailFactor times as long.
@@ -87,6 +91,14 @@
 	Kind   string
 }
 
+// Loss takes targets out of service for a while. Their runs go on.
+type Loss struct {
+	At  rattanjson.Duration
+	For rattanjson.Duration
+	// Every is n if the loss takes every n-th target of each zone.
+	Every int
+}
+
 // Read reads the description of a day from a JSON file and checks it.
 func Read(path string) (*Day, error) {
 	data, err := os.ReadFile(path)
@@ -130,6 +142,11 @@
 			return errors.Annotatef(err, "Evacuations[%d]", i)
 		}
 	}
+	for i := range d.Losses {
+		if d.Losses[i].For <= 0 || d.Losses[i].At < 0 || d.Losses[i].Every <= 0 {
+			return errors.Annotatef(invalidKey("For", "must be positive, like Every, and At not negative"), "Losses[%d]", i)
+		}
+	}
 	return nil
 }
 
@@ -162,6 +179,8 @@
 		return invalidKey("MinTasks", "must be at least 1 and at most MaxTasks")
 	case k.MilliCPU <= 0 || k.RunTime <= 0:
 		return invalidKey("RunTime", "must be positive, like MilliCPU")
+	case k.MilliCPUSpread < 0 || k.MilliCPUSpread >= 1:
+		return invalidKey("MilliCPUSpread", "must be from 0 to below 1")
 	case k.TailShare < 0 || k.TailShare > 1 || (k.TailShare > 0 && k.TailFactor < 1):
 		return invalidKey("TailShare", "must be from 0 to 1, and TailFactor at least 1")
 	case k.DeclaredFactor < 1:
@@ -202,3 +221,19 @@
 func (b *Burst) covers(at time.Duration, zone *Zone, kind *Kind) bool {
 	return at >= b.At.Std() && at < (b.At+b.For).Std() && (b.Zone == "" || b.Zone == zone.Name) && (b.Kind == "" || b.Kind == kind.Name)
 }
+
+// takes reports whether the target with the index is out of service at the given
+// time of the day.
+func (l *Loss) takes(at time.Duration, index int) bool {
+	return at >= l.At.Std() && at < (l.At+l.For).Std() && index%l.Every == 0
+}
+
+// lost reports whether the target with the index in its zone is out of service.
+func (d *Day) lost(at time.Duration, index int) bool {
+	for i := range d.Losses {
+		if d.Losses[i].takes(at, index) {
+			return true
+		}
+	}
+	return false
+}
--- a/rattanday/evacuation_test.go
+++ b/rattanday/evacuation_test.go
@@ -37,7 +37,7 @@
 	jobs := day.jobs(seed)
 	var zones [][]target
 	for i := range day.Zones {
-		zones = append(zones, day.Zones[i].zoneTargets())
+		zones = append(zones, day.zoneTargets(&day.Zones[i]))
 	}
 	s := playHomes(zones, jobs, day.simulatedEvacuations())
 	report := &Report{}
--- a/rattanday/job.go
+++ b/rattanday/job.go
@@ -18,6 +18,8 @@
 	// arrival is the time since the start of the day.
 	arrival  time.Duration
 	declared time.Duration
+	// milliCPU is the demand of each task.
+	milliCPU int
 	runTimes []time.Duration
 	longest  time.Duration
 }
@@ -30,6 +32,15 @@
 	return min(j.arrival+duration, deadline), min(j.arrival+rattanwork.LateFactor*duration, deadline)
 }
 
+// work returns the processor time of the job in core-seconds.
+func (j *job) work() float64 {
+	sum := 0.0
+	for _, runTime := range j.runTimes {
+		sum += runTime.Seconds() * float64(j.milliCPU) / 1000
+	}
+	return sum
+}
+
 // worthAt returns the value of an answer that is complete at the given time.
 func (j *job) worthAt(end time.Duration) float64 {
 	onTime, lateUntil := j.objective()
@@ -84,7 +95,10 @@
 }
 
 func (k *Kind) draw(random *rand.Rand, index, zone int, at time.Duration) *job {
-	j := &job{id: fmt.Sprintf("%016x", index), zone: zone, kind: k, arrival: at}
+	j := &job{id: fmt.Sprintf("%016x", index), zone: zone, kind: k, arrival: at, milliCPU: k.MilliCPU}
+	if k.MilliCPUSpread > 0 {
+		j.milliCPU = int(float64(k.MilliCPU) * (1 + k.MilliCPUSpread*(2*random.Float64()-1)))
+	}
 	for range k.MinTasks + random.IntN(k.MaxTasks-k.MinTasks+1) {
 		factor := math.Exp(k.Sigma * random.NormFloat64())
 		if random.Float64() < k.TailShare {
--- a/rattanday/omniscient.go
+++ b/rattanday/omniscient.go
@@ -13,13 +13,18 @@
 	// speed is the factor by which run times are longer than on the fastest
 	// targets.
 	speed float64
+	// lost reports whether the target is out of service at a time of the day.
+	lost func(at time.Duration) bool
 }
 
 // zoneTargets returns the targets of a zone.
-func (z *Zone) zoneTargets() []target {
+func (d *Day) zoneTargets(z *Zone) []target {
 	targets := make([]target, z.Targets)
 	for i := range targets {
-		targets[i] = target{milliCPU: z.MilliCPU[i%len(z.MilliCPU)], speed: z.Speeds[i%len(z.Speeds)]}
+		targets[i] = target{
+			milliCPU: z.MilliCPU[i%len(z.MilliCPU)], speed: z.Speeds[i%len(z.Speeds)],
+			lost: func(at time.Duration) bool { return d.lost(at, i) },
+		}
 	}
 	return targets
 }
@@ -69,9 +74,12 @@
 	// freeTotal is the sum of free, which are the free capacities of the targets
 	// by index. The fastest targets come first.
 	freeTotal int
-	waiting   []*waitingJob
-	running   eventQueue[slot]
-	ends      map[*job]time.Duration
+	// lost contains the targets that are out of service. Their capacity is not in
+	// free, which may then be negative.
+	lost    []bool
+	waiting []*waitingJob
+	running eventQueue[slot]
+	ends    map[*job]time.Duration
 }
 
 // waitingJob is a job with tasks that have not started.
@@ -114,13 +122,34 @@
 		o.free = append(o.free, target.milliCPU)
 		o.freeTotal += target.milliCPU
 	}
+	o.lost = make([]bool, len(o.targets))
 	return o
 }
 
+// updateLost takes targets out of service or back, and reports whether it has.
+func (o *omniscient) updateLost(now time.Duration) bool {
+	changed := false
+	for i, target := range o.targets {
+		lost := target.lost != nil && target.lost(now)
+		if lost == o.lost[i] {
+			continue
+		}
+		change := target.milliCPU
+		if lost {
+			change = -change
+		}
+		o.lost[i] = lost
+		o.free[i] += change
+		o.freeTotal += change
+		changed = true
+	}
+	return changed
+}
+
 func (o *omniscient) run(jobs []*job) map[*job]time.Duration {
 	next := 0
 	for now := time.Duration(0); next < len(jobs) || len(o.waiting) > 0; now += timeStep {
-		changed := false
+		changed := o.updateLost(now)
 		for ; next < len(jobs) && jobs[next].arrival <= now; next++ {
 			o.add(jobs[next])
 			changed = true
@@ -152,7 +181,7 @@
 		for _, runTime := range runTimes {
 			work += runTime
 		}
-		w.rank = -j.kind.Worth / (work.Seconds() * float64(j.kind.MilliCPU))
+		w.rank = -j.kind.Worth / (work.Seconds() * float64(j.milliCPU))
 	}
 	index, _ := slices.BinarySearchFunc(o.waiting, w, o.order.compare)
 	o.waiting = slices.Insert(o.waiting, index, w)
@@ -171,7 +200,7 @@
 	}
 	for _, included := range passes {
 		for _, w := range o.waiting {
-			if len(w.runTimes) > 0 && o.freeTotal >= w.job.kind.MilliCPU && included(w) {
+			if len(w.runTimes) > 0 && o.freeTotal >= w.job.milliCPU && included(w) {
 				o.startTasks(w, now)
 			}
 		}
@@ -181,7 +210,7 @@
 
 // startTasks starts tasks of a job on the fastest targets that have room.
 func (o *omniscient) startTasks(w *waitingJob, now time.Duration) {
-	demand := w.job.kind.MilliCPU
+	demand := w.job.milliCPU
 	if o.order.whole && !o.hasRoom(demand, len(w.runTimes)) {
 		return
 	}
@@ -206,7 +235,7 @@
 // hasRoom reports whether the targets have room for that many tasks.
 func (o *omniscient) hasRoom(milliCPU, tasks int) bool {
 	for _, free := range o.free {
-		tasks -= free / milliCPU
+		tasks -= max(0, free) / milliCPU
 		if tasks <= 0 {
 			return true
 		}
--- a/rattanday/product.go
+++ b/rattanday/product.go
@@ -34,9 +34,8 @@
 type homes struct {
 	zones []*home
 	jobs  map[string]*job
-	// runTimes contains the true run time of each task.
-	runTimes map[string]time.Duration
-	now      time.Duration
+	tasks map[string]simulatedTask
+	now   time.Duration
 	// redirects are the jobs on their way to another zone, in the order of their
 	// arrival there.
 	redirects []redirect
@@ -49,20 +48,30 @@
 	name      string
 	scheduler *rattanscheduler.Scheduler
 	targets   map[string]*simulatedTarget
+	inventory []rattanwork.Target
 	ends      eventQueue[runEnd]
 }
 
 type simulatedTarget struct {
 	speed    float64
+	milliCPU int
+	lost     func(at time.Duration) bool
 	sequence int64
 	running  []simulatedRun
 }
 
 type simulatedRun struct {
-	task    string
-	attempt int
-	started time.Duration
-	end     time.Duration
+	task     string
+	attempt  int
+	milliCPU int
+	started  time.Duration
+	end      time.Duration
+}
+
+// simulatedTask is a task as only its target knows it.
+type simulatedTask struct {
+	runTime  time.Duration
+	milliCPU int
 }
 
 type redirect struct {
@@ -77,6 +86,11 @@
 type outcome struct {
 	result rattanscheduler.Outcome
 	end    time.Duration
+	// room is set if the job was not completed although a target of some zone had
+	// room for a task of it.
+	room bool
+	// reason is the scheduler's explanation of the outcome.
+	reason string
 }
 
 // simulateHomes plays the jobs on one scheduler for each zone, given the targets
@@ -88,7 +102,7 @@
 // playHomes does the same with zones that are evacuated at times.
 func playHomes(zones [][]target, jobs []*job, evacuations []Evacuation) *homes {
 	s := &homes{
-		jobs: map[string]*job{}, runTimes: map[string]time.Duration{}, outcomes: map[*job]outcome{},
+		jobs: map[string]*job{}, tasks: map[string]simulatedTask{}, outcomes: map[*job]outcome{},
 		evacuationRecord: newEvacuationRecord(evacuations),
 	}
 	for i, targets := range zones {
@@ -109,6 +123,7 @@
 			s.submit(s.zone(arrived.zone), arrived)
 		}
 		for _, zone := range s.zones {
+			zone.updateLost(s.now)
 			s.listEnds(zone)
 			if s.now%tickInterval == 0 {
 				zone.scheduler.Tick(start.Add(s.now))
@@ -125,21 +140,52 @@
 		scheduler: rattanscheduler.New(rattanscheduler.Config{MaxLease: maxLease, RemotePenalty: 1, TakeoverTime: start}),
 		targets:   map[string]*simulatedTarget{},
 	}
-	var inventory []rattanwork.Target
 	for i, target := range targets {
 		id := fmt.Sprintf("%s-%d", name, i)
-		h.targets[id] = &simulatedTarget{speed: target.speed}
-		inventory = append(inventory, rattanwork.Target{
+		h.targets[id] = &simulatedTarget{speed: target.speed, milliCPU: target.milliCPU, lost: target.lost}
+		h.inventory = append(h.inventory, rattanwork.Target{
 			ID: id, Service: service, Zone: name, Capacity: rattanwork.Resources{MilliCPU: target.milliCPU, MemoryMB: memoryMB},
 		})
 	}
-	h.scheduler.UpdateTargets(inventory, true, start)
+	h.scheduler.UpdateTargets(h.inventory, true, start)
 	for id := range h.targets {
 		h.scheduler.RunsListed(id, &rattanwork.Listing{}, start, start, start)
 	}
 	return h
 }
 
+// updateLost shows in the inventory which targets drain.
+func (h *home) updateLost(now time.Duration) {
+	changed := false
+	for i := range h.inventory {
+		lost := h.targets[h.inventory[i].ID].lost(now)
+		changed = changed || lost != h.inventory[i].Draining
+		h.inventory[i].Draining = lost
+	}
+	if changed {
+		h.scheduler.UpdateTargets(h.inventory, true, start.Add(now))
+	}
+}
+
+// hasRoom reports whether a target has room for a task.
+func (h *home) hasRoom(milliCPU int, now time.Duration) bool {
+	for _, target := range h.targets {
+		free := target.milliCPU
+		for _, run := range target.running {
+			free -= run.milliCPU
+		}
+		if free >= milliCPU && !target.lost(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasRoom reports whether a target of any zone has room for a task of the job.
+func (s *homes) hasRoom(j *job) bool {
+	return slices.ContainsFunc(s.zones, func(zone *home) bool { return zone.hasRoom(j.milliCPU, s.now) })
+}
+
 func (s *homes) zone(name string) *home {
 	for _, zone := range s.zones {
 		if zone.name == name {
@@ -168,12 +214,12 @@
 func (s *homes) submit(zone *home, r redirect) {
 	j, redirected := r.job, zone != s.zones[r.job.zone]
 	request := &rattanwork.Job{ID: j.id, Steps: []rattanwork.Step{{
-		Count: len(j.runTimes), Resources: rattanwork.Resources{MilliCPU: j.kind.MilliCPU}, Estimate: j.declared,
+		Count: len(j.runTimes), Resources: rattanwork.Resources{MilliCPU: j.milliCPU}, Estimate: j.declared,
 	}}}
 	s.jobs[j.id] = j
 	index := 0
 	for name := range request.TaskNames() {
-		s.runTimes[name] = j.runTimes[index]
+		s.tasks[name] = simulatedTask{runTime: j.runTimes[index], milliCPU: j.milliCPU}
 		index++
 	}
 	now, arrival := start.Add(s.now), start.Add(j.arrival)
@@ -192,7 +238,7 @@
 	output := zone.scheduler.Take()
 	for _, request := range output.Starts {
 		s.recordStart(zone, request)
-		zone.start(request, s.runTimes[request.Task], s.now)
+		zone.start(request, s.tasks[request.Task], s.now)
 	}
 	for _, request := range output.Stops {
 		zone.stop(request, s.now)
@@ -202,15 +248,18 @@
 		if s.goOn(zone, j, result) {
 			continue
 		}
-		s.outcomes[j] = outcome{result: result.Outcome, end: s.now}
+		s.outcomes[j] = outcome{
+			result: result.Outcome, end: s.now, reason: result.Reason,
+			room: result.Outcome != rattanscheduler.Succeeded && s.hasRoom(j),
+		}
 	}
 }
 
-// start starts a run, given its run time on the fastest targets.
-func (h *home) start(request rattanscheduler.StartRequest, runTime, now time.Duration) {
+// start starts a run of a task.
+func (h *home) start(request rattanscheduler.StartRequest, task simulatedTask, now time.Duration) {
 	target := h.targets[request.Target.ID]
-	end := now + time.Duration(target.speed*float64(runTime))
-	target.running = append(target.running, simulatedRun{task: request.Task, attempt: request.Attempt, started: now, end: end})
+	end := now + time.Duration(target.speed*float64(task.runTime))
+	target.running = append(target.running, simulatedRun{task: request.Task, attempt: request.Attempt, milliCPU: task.milliCPU, started: now, end: end})
 	heap.Push(&h.ends, runEnd{at: end, target: request.Target.ID, task: request.Task, attempt: request.Attempt, kind: rattanwork.EndDone})
 	h.scheduler.StartAnswered(request.Target.ID, request.Task, request.Attempt, rattanwork.StartAnswer{Result: rattanwork.StartAccepted}, start.Add(now))
 }
--- a/rattanday/report.go
+++ b/rattanday/report.go
@@ -42,6 +42,49 @@
 	Jobs       int
 	Product    float64
 	Omniscient float64
+	// Outcomes is how the product ends the jobs.
+	Outcomes Outcomes
+}
+
+// Outcomes counts jobs by how they end.
+type Outcomes struct {
+	OnTime  int
+	Late    int
+	Refused int
+	// RefusedWithRoom counts those refused jobs for a task of which a target of some
+	// zone had room.
+	RefusedWithRoom int
+	// Lost counts the jobs that ended without a value otherwise.
+	Lost int
+	// Work is the processor time of all jobs in core-seconds, Served that of the
+	// jobs on time and a fifth of that of the late ones.
+	Work   float64
+	Served float64
+}
+
+// lateShare is the part of its processor time for which a late job counts as served.
+const lateShare = 0.2
+
+func (o *Outcomes) add(j *job, outcomes map[*job]outcome) {
+	ended := outcomes[j]
+	onTime, lateUntil := j.objective()
+	work := j.work()
+	o.Work += work
+	switch {
+	case ended.result == rattanscheduler.Refused:
+		o.Refused++
+		if ended.room {
+			o.RefusedWithRoom++
+		}
+	case ended.result == rattanscheduler.Succeeded && ended.end <= onTime:
+		o.OnTime++
+		o.Served += work
+	case ended.result == rattanscheduler.Succeeded && ended.end <= lateUntil:
+		o.Late++
+		o.Served += lateShare * work
+	default:
+		o.Lost++
+	}
 }
 
 // Play plays the day on the product and on schedulers with advantages over it.
@@ -51,8 +94,8 @@
 	var zones [][]target
 	var all []target
 	for i := range day.Zones {
-		zones = append(zones, day.Zones[i].zoneTargets())
-		all = append(all, day.Zones[i].zoneTargets()...)
+		zones = append(zones, day.zoneTargets(&day.Zones[i]))
+		all = append(all, day.zoneTargets(&day.Zones[i])...)
 	}
 	report := &Report{Seed: seed, Jobs: len(jobs)}
 	product := playHomes(zones, jobs, day.simulatedEvacuations()).outcomes
@@ -147,6 +190,7 @@
 			possible += j.kind.Worth
 			part.Product += worthOf(j, product)
 			part.Omniscient += worthOf(j, omniscient)
+			part.Outcomes.add(j, product)
 		}
 	}
 	part.Product, part.Omniscient = ratio(part.Product, possible), ratio(part.Omniscient, possible)
@@ -168,9 +212,12 @@
 	for _, policy := range r.Policies {
 		fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t\n", policy.Name, policy.Worth, policy.OnTime, policy.Late, policy.Refused, policy.Lost)
 	}
-	fmt.Fprintf(table, "\npart\tjobs\tproduct\tomniscient\t\n")
+	fmt.Fprintf(table, "\npart\tjobs\tproduct\tomniscient\ton time\tlate\trefused\twith room\tlost\tserved work\t\n")
 	for _, part := range slices.Concat(r.Kinds, r.Zones) {
-		fmt.Fprintf(table, "%s\t%d\t%.3f\t%.3f\t\n", part.Name, part.Jobs, part.Product, part.Omniscient)
+		share := func(count int) float64 { return ratio(float64(count), float64(part.Jobs)) }
+		o := &part.Outcomes
+		fmt.Fprintf(table, "%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t\n", part.Name, part.Jobs, part.Product, part.Omniscient,
+			share(o.OnTime), share(o.Late), share(o.Refused), share(o.RefusedWithRoom), share(o.Lost), ratio(o.Served, o.Work))
 	}
 	return errors.Trace(table.Flush())
 }
--- a/rattanday/report_test.go
+++ b/rattanday/report_test.go
@@ -64,6 +64,11 @@
 		c.Check(sum > 0.999 && sum < 1.001, qt.IsTrue, qt.Commentf("%+v", policy))
 		c.Check(policy.Worth <= 1, qt.IsTrue)
 	}
+	for _, kind := range report.Kinds {
+		o := &kind.Outcomes
+		c.Check(o.OnTime+o.Late+o.Refused+o.Lost, qt.Equals, kind.Jobs)
+		c.Check(o.RefusedWithRoom <= o.Refused && o.Served <= o.Work, qt.IsTrue, qt.Commentf("%+v", o))
+	}
 	product, omniscient := report.Policies[0], report.Policies[3]
 	c.Check(omniscient.Worth >= product.Worth, qt.IsTrue, qt.Commentf("%+v", report.Policies))
 	var first, second bytes.Buffer
@@ -79,7 +84,7 @@
 	urgent := *kind
 	urgent.Priority, urgent.Worth = -1, 0.5
 	task := func(kind *Kind, runTimes ...time.Duration) *job {
-		j := &job{kind: kind, runTimes: runTimes}
+		j := &job{kind: kind, milliCPU: kind.MilliCPU, runTimes: runTimes}
 		for _, runTime := range runTimes {
 			j.longest = max(j.longest, runTime)
 		}
@@ -106,3 +111,56 @@
 		})
 	}
 }
+
+// TestLossesTakeTargets guards against a loss of targets that takes nothing from the
+// product or from the omniscient scheduler, or that does not end.
+func TestLossesTakeTargets(t *testing.T) {
+	c := qt.New(t)
+	day := uniformDay(3*time.Second, 0.8)
+	whole := Play(day, 1)
+	day.Losses = []Loss{{At: rattanjson.Duration(time.Second), For: rattanjson.Duration(time.Second), Every: 2}}
+	c.Assert(day.Check(), qt.IsNil)
+	halved := Play(day, 1)
+	for _, policy := range []int{0, 3} {
+		c.Check(halved.Policies[policy].Worth < whole.Policies[policy].Worth, qt.IsTrue, qt.Commentf("%+v", halved.Policies[policy]))
+	}
+	// A third of the jobs arrive while half of the targets are out of service, which
+	// takes at most half of the worth of these jobs and a little after them.
+	c.Check(halved.Policies[0].Worth > 0.7, qt.IsTrue, qt.Commentf("%+v", halved.Policies[0]))
+	day.Losses[0].Every = 0
+	c.Check(day.Check(), qt.ErrorIs, ErrInvalidDay)
+}
+
+// TestShortageKeepsAnswers guards against a shortage in which jobs are begun and then
+// end without an answer, or in which a kind is starved. The bounds are targets of the
+// product: 99% of the accepted jobs end in time, and no kind is served 0.1 less of its
+// work than all.
+func TestShortageKeepsAnswers(t *testing.T) {
+	c := qt.New(t)
+	report := playShortage(c)
+	product := report.Policies[0]
+	c.Check(product.Lost <= 0.01, qt.IsTrue, qt.Commentf("%+v", product))
+	served, work := 0.0, 0.0
+	for _, kind := range report.Kinds {
+		served += kind.Outcomes.Served
+		work += kind.Outcomes.Work
+	}
+	for _, kind := range report.Kinds {
+		c.Check(kind.Outcomes.Served/kind.Outcomes.Work >= served/work-0.1, qt.IsTrue, qt.Commentf("%s %+v, all %v of %v", kind.Name, kind.Outcomes, served, work))
+	}
+}
+
+// TestShortageServesNearOmniscient guards against a shortage in which the product serves
+// less than 95% of the worth that an omniscient scheduler could.
+func TestShortageServesNearOmniscient(t *testing.T) {
+	c := qt.New(t)
+	report := playShortage(c)
+	product, omniscient := report.Policies[0], report.Policies[3]
+	c.Check(product.Worth >= 0.95*omniscient.Worth, qt.IsTrue, qt.Commentf("%+v %+v", product, omniscient))
+}
+
+func playShortage(c *qt.C) *Report {
+	day, err := Read("../deploy/traffic/shortage.json")
+	c.Assert(err, qt.IsNil)
+	return Play(day, 1)
+}
--- a/rattanmetric/table.go
+++ b/rattanmetric/table.go
@@ -47,6 +47,7 @@
 	RequestsTotal             = "rattanlever_requests_total"
 	RequestSeconds            = "rattanlever_request_seconds"
 	JobOutcomesTotal          = "rattanlever_job_outcomes_total"
+	JobsWithoutRoomTotal      = "rattanlever_jobs_without_room_total"
 	JobStartWaitSeconds       = "rattanlever_job_start_wait_seconds"
 	TargetsSilentTotal        = "rattanlever_targets_silent_total"
 	TargetChangesTotal        = "rattanlever_target_changes_total"
@@ -135,6 +136,7 @@
 	{RequestsTotal, KindCounter, []string{"status"}, "Submissions of callers on the users' platform by status class of the answer; none if the caller left."},
 	{RequestSeconds, KindHistogram, nil, "Time from a submission's arrival to its answer, on the users' platform."},
 	{JobOutcomesTotal, KindCounter, []string{"outcome"}, "Jobs of the own home that ended, by outcome."},
+	{JobsWithoutRoomTotal, KindCounter, []string{"outcome", "reason"}, "Jobs of the own home that were refused or redirected, or expired, by outcome and reason."},
 	{JobStartWaitSeconds, KindHistogram, nil, "Time from a job's arrival at its home to the order of its first run."},
 	{TargetsSilentTotal, KindCounter, nil, "Times that a target stopped answering its home."},
 	{TargetChangesTotal, KindCounter, []string{"change"}, "Changes in what the own home believes of targets, by kind of change."},
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -36,6 +36,7 @@
 	for _, outcome := range []rattanscheduler.Outcome{rattanscheduler.Redirected, rattanscheduler.Refused, rattanscheduler.Expired} {
 		registry.Counter(evacuatedJobsCounter(outcome))
 	}
+	registry.Counter(withoutRoomCounter(rattanscheduler.Refused, rattanscheduler.ReasonNoRoomInTime))
 	for change := rattanscheduler.StartUnanswered; change <= rattanscheduler.StartExpired; change++ {
 		registry.Counter(startsCounter(change))
 	}
@@ -55,6 +56,12 @@
 	return journal
 }
 
+// withoutRoomCounter returns the name of the counter of the jobs that ended for lack of
+// room by outcome and reason.
+func withoutRoomCounter(outcome rattanscheduler.Outcome, reason string) string {
+	return rattanmetric.WithLabels(rattanmetric.JobsWithoutRoomTotal, "outcome", outcome.String(), "reason", reason)
+}
+
 func milliseconds(duration time.Duration) float64 {
 	return float64(duration.Microseconds()) / 1000
 }
@@ -105,6 +112,9 @@
 	if result.Reason == rattanscheduler.ReasonEvacuated {
 		j.registry.Counter(evacuatedJobsCounter(result.Outcome)).Inc()
 	}
+	if result.Room != nil {
+		j.registry.Counter(withoutRoomCounter(result.Outcome, result.Reason)).Inc()
+	}
 	fields := logrus.Fields{
 		"Job":          result.JobID,
 		"Outcome":      result.Outcome.String(),
--- a/rattanscheduler/placement.go
+++ b/rattanscheduler/placement.go
@@ -21,13 +21,22 @@
 type serviceState struct {
 	pool  *targetPool
 	queue jobQueue
+	// releases tells when running tasks are expected to end.
+	releases releaseSchedule
+	// waits contains how actual waits differ from those that follow from releases.
+	waits map[waitKey]waitRatio
+	// shares contains the work that each priority has started lately.
+	shares map[int]*startedShare
+	// submitted is set once a job was submitted, priority is that of the last one.
+	submitted bool
+	priority  int
 }
 
 // service returns the state of a service.
 func (s *Scheduler) service(name string) *serviceState {
 	state, ok := s.services[name]
 	if !ok {
-		state = &serviceState{pool: newTargetPool()}
+		state = &serviceState{pool: newTargetPool(), waits: map[waitKey]waitRatio{}, shares: map[int]*startedShare{}}
 		s.services[name] = state
 	}
 	return state
@@ -105,20 +114,31 @@
 // the free resources of some target.
 func (s *Scheduler) scheduleService(state *serviceState, now time.Time) {
 	pass := &placementPass{pool: state.pool, now: now}
+	owedDone := !state.queue.mixed
 	state.queue.passes(now.UnixNano(), func(class *jobClass, keys keyRange) {
-		for {
-			entry, found := class.firstFitting(keys, state.pool.maxFree())
-			if !found {
-				return
-			}
-			keys.after = entry.key
-			if !entry.job.expired(now) && !s.awaitsReconciliation(entry.job, now) && s.callersWait(entry.job, now) {
-				s.startReadyTasks(entry.job, pass)
-			}
+		if !owedDone && !class.started {
+			owedDone = true
+			s.scheduleOwed(state, pass)
 		}
+		s.scheduleClass(class, keys, pass, nil)
 	})
 }
 
+// scheduleClass visits, in order, the jobs of a class that may fit, while the condition
+// holds if there is one.
+func (s *Scheduler) scheduleClass(class *jobClass, keys keyRange, pass *placementPass, while func() bool) {
+	for while == nil || while() {
+		entry, found := class.firstFitting(keys, pass.pool.maxFree())
+		if !found {
+			return
+		}
+		keys.after = entry.key
+		if !entry.job.expired(pass.now) && !s.awaitsReconciliation(entry.job, pass.now) && s.callersWait(entry.job, pass.now) {
+			s.startReadyTasks(entry.job, pass)
+		}
+	}
+}
+
 // startReadyTasks starts as many ready tasks of the job as there are resources
 // for.
 func (s *Scheduler) startReadyTasks(j *job, pass *placementPass) {
@@ -138,6 +158,9 @@
 		started = true
 	}
 	if started {
+		if len(j.ready) == 0 {
+			s.service(j.submission.Service).observeWait(j, pass.now)
+		}
 		s.reposition(j)
 	}
 }
--- a/rattanscheduler/placement_test.go
+++ b/rattanscheduler/placement_test.go
@@ -23,8 +23,10 @@
 				list = append(list, j)
 			}
 		}
+		mixed := s.service(testService).queue.mixed
 		slices.SortFunc(list, func(a, b *job) int {
 			return cmp.Or(
+				compareTrueFirst(mixed && a.runCount > 0, mixed && b.runCount > 0),
 				cmp.Compare(a.timing.classify(now), b.timing.classify(now)),
 				compareTrueFirst(a.runCount > 0, b.runCount > 0),
 				cmp.Compare(a.submission.Priority, b.submission.Priority),
@@ -32,12 +34,34 @@
 				cmp.Compare(a.sequence, b.sequence),
 			)
 		})
-		for _, j := range list {
+		started := len(list)
+		if mixed {
+			started = len(slices.DeleteFunc(slices.Clone(list), func(j *job) bool { return j.runCount == 0 }))
+		}
+		for _, j := range list[:started] {
+			startPlain(s, j, now)
+		}
+		if mixed {
+			startPlainOwed(s, list[started:], now)
+		}
+		for _, j := range list[started:] {
 			startPlain(s, j, now)
 		}
 	}
 }
 
+// startPlainOwed starts on-time jobs of the priorities that have less than their least
+// share.
+func startPlainOwed(s *Scheduler, list []*job, now time.Time) {
+	for priority := range 3 {
+		for _, j := range list {
+			if j.submission.Priority == priority && j.timing.classify(now) == timelinessOnTime && s.service(testService).owed(priority, now) {
+				startPlain(s, j, now)
+			}
+		}
+	}
+}
+
 func startPlain(s *Scheduler, j *job, now time.Time) {
 	for _, t := range slices.Clone(j.ready) {
 		best := scoredTarget{}
--- a/rattanscheduler/preview.go
+++ b/rattanscheduler/preview.go
@@ -204,14 +204,18 @@
 	s, j := p.scheduler, p.job
 	j.sequence = s.lastSequence + 1
 	s.updateEntry(j)
-	// The classes are copied because the class of the job may not exist yet.
-	queue := jobQueue{classes: slices.Clone(p.state.queue.classes), work: p.state.queue.work + j.entry.work}
-	j.class = queue.class(false, j.submission.Priority)
-	work := queue.workBefore(j, p.now.UnixNano())
-	p.preview.WorkAhead = rattanjson.Duration(work / 1000)
+	// The state is copied with the classes, because the class of the job may not exist yet.
+	state := *p.state
+	state.notePriority(j.submission.Priority)
+	state.queue.classes = slices.Clone(state.queue.classes)
+	state.queue.work += j.entry.work
+	state.queue.milliCPU += j.entry.milliCPU
+	j.class = state.queue.class(false, j.submission.Priority)
+	before := state.queue.backlogBefore(j, p.now.UnixNano())
+	p.preview.WorkAhead = rattanjson.Duration(before.work / 1000)
 	p.preview.Slack = rattanjson.Duration(j.timing.slack(p.now))
-	if capacity := p.state.pool.expectedMilliCPU(); capacity > 0 {
-		p.preview.ExpectedWait = rattanjson.Duration(work / float64(capacity))
+	if state.pool.expectedMilliCPU() > 0 {
+		p.preview.ExpectedWait = rattanjson.Duration(state.expectedWait(j, before, p.now))
 	}
 	if !awaits && !s.startsBlocked() && !j.expired(p.now) && p.place() {
 		p.end(PreviewStarts, "a target has room for it")
@@ -222,19 +226,19 @@
 		return
 	}
 	// The backlog includes the work of the job itself.
-	backlog := (&serviceState{pool: p.state.pool, queue: queue}).backlog()
+	backlog := state.backlog(p.now)
 	switch {
 	case awaits:
 		p.end(PreviewWaits, "not all targets have listed their runs since the home took over")
 		return
-	case !p.state.pool.mostlyUnknown() && j.tooMuchBefore(work, p.state.pool, p.now):
-		p.refuse(reasonTooMuchBefore, backlog)
+	case !state.pool.mostlyUnknown() && state.refusesNew(j, before, p.now):
+		p.refuse(state.backlogReason(), backlog)
 		return
 	case j.expired(p.now):
 		p.refuse(reasonCannotStart, backlog)
 		return
 	}
-	if p.redirect(work + j.entry.work) {
+	if p.redirect(before.work + j.entry.work) {
 		return
 	}
 	p.end(PreviewWaits, p.waitReason())
--- a/rattanscheduler/priority.go
+++ b/rattanscheduler/priority.go
@@ -107,8 +107,10 @@
 		demand:    j.readyDemand(),
 		work:      s.queuedWork(j),
 		tasks:     len(j.ready),
+		milliCPU:  j.readyMilliCPU(),
 		job:       j,
 	}
+	j.waitKey = waitKeyOf(j.submission.Priority, j.entry.demand.MilliCPU)
 }
 
 // dequeue removes a job from its queue.
@@ -169,6 +171,9 @@
 	if state.queue.jobs == 0 || state.pool.mostlyUnknown() {
 		return nil
 	}
+	if state.expectsEnds() {
+		return s.overloadedByEnds(state, now)
+	}
 	var list []*job
 	workAhead := 0.0
 	reconciling := s.reconciling(now)
@@ -214,11 +219,24 @@
 	if j.class == nil || state.pool.mostlyUnknown() || s.awaitsReconciliation(j, now) {
 		return
 	}
-	if j.tooMuchBefore(state.queue.workBefore(j, now.UnixNano()), state.pool, now) {
+	before := state.queue.backlogBefore(j, now.UnixNano())
+	if state.awaitsEnds(j) {
+		j.expectedWait = state.waitByEnds(j, before, now)
+	}
+	if state.refusesNew(j, before, now) {
 		s.refuseForBacklog(j, now)
 	}
 }
 
+// refusesNew reports whether a job that has just been queued would miss its objective,
+// given the work before it.
+func (s *serviceState) refusesNew(j *job, before backlogSum, now time.Time) bool {
+	if s.expectsEnds() {
+		return s.startsTooLate(j, before, s.queue.classBacklog(j, now.UnixNano()), now)
+	}
+	return j.tooMuchBefore(before.work, s.pool, now)
+}
+
 // tooMuchBefore reports whether a job that has not started would miss its
 // objective because of the work before it.
 func (j *job) tooMuchBefore(work float64, pool *targetPool, now time.Time) bool {
@@ -230,7 +248,16 @@
 }
 
 func (s *Scheduler) refuseForBacklog(j *job, now time.Time) {
-	s.endJob(j, Refused, reasonTooMuchBefore, s.backlog(j.submission.Service), now)
+	state := s.service(j.submission.Service)
+	s.endJob(j, Refused, state.backlogReason(), state.backlog(now), now)
+}
+
+// backlogReason returns the reason for refusing a job that would miss its objective.
+func (s *serviceState) backlogReason() string {
+	if s.expectsEnds() {
+		return ReasonNoRoomInTime
+	}
+	return reasonTooMuchBefore
 }
 
 // Reasons for refusing a job for lack of resources.
@@ -296,16 +323,20 @@
 		s.endJob(j, Expired, "cannot end in time", 0, now)
 		return
 	}
-	s.endJob(j, Refused, reasonCannotStart, s.backlog(j.submission.Service), now)
+	s.endJob(j, Refused, reasonCannotStart, s.backlog(j.submission.Service, now), now)
 }
 
 // backlog returns how long the waiting work of a service would keep all its
 // usable targets busy.
-func (s *Scheduler) backlog(service string) time.Duration {
-	return s.service(service).backlog()
+func (s *Scheduler) backlog(service string, now time.Time) time.Duration {
+	return s.service(service).backlog(now)
 }
 
-func (s *serviceState) backlog() time.Duration {
+func (s *serviceState) backlog(now time.Time) time.Duration {
+	if s.expectsEnds() {
+		waiting := backlogSum{s.queue.work, s.queue.milliCPU}
+		return max(time.Second, s.releases.wait(waiting, s.pool.usedMilliCPU(), now))
+	}
 	if s.pool.expectedMilliCPU() == 0 {
 		return noTargetRetryAfter
 	}
@@ -322,7 +353,7 @@
 		WaitingTasks:    state.queue.tasks,
 	}
 	if j.class != nil && state.pool.expectedMilliCPU() > 0 {
-		room.ExpectedWait = time.Duration(state.queue.workBefore(j, now.UnixNano()) / float64(state.pool.expectedMilliCPU()))
+		room.ExpectedWait = state.expectedWait(j, state.queue.backlogBefore(j, now.UnixNano()), now)
 	}
 	if s.evacuation != rattanwork.EvacuationActive {
 		room.WithheldMilliCPU = s.withheldMilliCPU(j.submission.Service)
@@ -347,3 +378,12 @@
 	}
 	return withheld
 }
+
+// readyMilliCPU returns the total processor demand of the job's ready tasks.
+func (j *job) readyMilliCPU() int {
+	sum := 0
+	for _, t := range j.ready {
+		sum += t.resources().MilliCPU
+	}
+	return sum
+}
--- a/rattanscheduler/queue.go
+++ b/rattanscheduler/queue.go
@@ -51,8 +51,9 @@
 	// work is the expected processor time of the ready tasks, in nanoseconds
 	// times thousandths of a core.
 	work float64
-	// tasks is the number of ready tasks.
-	tasks int
+	// tasks is the number of ready tasks, milliCPU their demand together.
+	tasks    int
+	milliCPU int
 	// expiresAt is the time, in Unix nanoseconds, from which on the answer has
 	// no value.
 	expiresAt int64
@@ -61,15 +62,20 @@
 
 // jobQueue holds the waiting jobs of one service in the order in which they may
 // start: on-time jobs before late ones, then started jobs first, then by
-// priority, and finally by the latest start. It answers a load of far more
+// priority, and finally by the latest start. With several priorities, started jobs
+// come first also if they are late. It answers a load of far more
 // waiting jobs than there are resources for: the search for the next job that
 // fits skips whole blocks of jobs that do not.
 type jobQueue struct {
 	// classes are sorted in the order of their jobs.
 	classes []*jobClass
-	jobs    int
-	tasks   int
-	work    float64
+	// mixed is set once jobs of more than one priority were submitted.
+	mixed bool
+	jobs  int
+	tasks int
+	work  float64
+	// milliCPU is the demand of all waiting tasks together.
+	milliCPU int
 }
 
 // jobClass holds jobs that differ only in their latest start.
@@ -84,10 +90,11 @@
 type jobBlock struct {
 	entries []queueEntry
 	// demand is the least demand of any entry and expiresAt the earliest expiry.
-	// work is the sum over all entries.
+	// work and milliCPU are the sums over all entries.
 	demand    rattanwork.Resources
 	expiresAt int64
 	work      float64
+	milliCPU  int
 }
 
 // compare sorts classes: started jobs come first, because the work done for a
@@ -114,6 +121,7 @@
 	q.jobs++
 	q.tasks += entry.tasks
 	q.work += entry.work
+	q.milliCPU += entry.milliCPU
 	return class
 }
 
@@ -123,6 +131,7 @@
 	q.jobs--
 	q.tasks -= entry.tasks
 	q.work -= entry.work
+	q.milliCPU -= entry.milliCPU
 	if q.jobs == 0 {
 		// Drops the rounding errors of earlier sums.
 		q.work = 0
@@ -146,16 +155,33 @@
 // passes calls visit with the classes and key ranges in the order in which
 // their jobs may start.
 func (q *jobQueue) passes(now int64, visit func(class *jobClass, keys keyRange)) {
+	if !q.mixed {
+		visitClasses(q.classes, now, visit)
+		return
+	}
+	// Jobs of other priorities keep coming, so that a started job which is late would
+	// get nothing behind those on time, and its runs would be wasted.
+	started := 0
+	for started < len(q.classes) && q.classes[started].started {
+		started++
+	}
+	visitClasses(q.classes[:started], now, visit)
+	visitClasses(q.classes[started:], now, visit)
+}
+
+// visitClasses calls visit for the on-time jobs of the classes and then for the late
+// ones.
+func visitClasses(classes []*jobClass, now int64, visit func(class *jobClass, keys keyRange)) {
 	for _, keys := range [...]keyRange{onTimeKeys(now), lateKeys(now)} {
-		for _, class := range q.classes {
+		for _, class := range classes {
 			visit(class, keys)
 		}
 	}
 }
 
-// workBefore returns the work of all jobs that may start before the given one.
-func (q *jobQueue) workBefore(j *job, now int64) float64 {
-	work := 0.0
+// backlogBefore returns the work of all jobs that may start before the given one.
+func (q *jobQueue) backlogBefore(j *job, now int64) backlogSum {
+	backlog := backlogSum{}
 	passed := false
 	q.passes(now, func(class *jobClass, keys keyRange) {
 		if passed {
@@ -166,9 +192,18 @@
 			keys.before = key
 			passed = true
 		}
-		work += class.workIn(keys)
+		class.addBacklog(keys, &backlog)
 	})
-	return work
+	return backlog
+}
+
+// classBacklog returns the work of the on-time jobs of its class before the job.
+func (q *jobQueue) classBacklog(j *job, now int64) backlogSum {
+	backlog := backlogSum{}
+	keys := onTimeKeys(now)
+	keys.before = j.entry.key
+	j.class.addBacklog(keys, &backlog)
+	return backlog
 }
 
 // blockOf returns the index of the block that contains the key or, if no block
@@ -235,6 +270,7 @@
 	b.demand = b.entries[0].demand
 	b.expiresAt = b.entries[0].expiresAt
 	b.work = 0
+	b.milliCPU = 0
 	for i := range b.entries {
 		b.include(&b.entries[i])
 	}
@@ -245,6 +281,7 @@
 	b.demand = minDemand(b.demand, entry.demand)
 	b.expiresAt = min(b.expiresAt, entry.expiresAt)
 	b.work += entry.work
+	b.milliCPU += entry.milliCPU
 }
 
 // firstFitting returns the first entry in the range whose demand the resources
@@ -333,21 +370,19 @@
 	return list
 }
 
-// workIn returns the work of the entries in the range.
-func (c *jobClass) workIn(keys keyRange) float64 {
-	work := 0.0
+// addBacklog adds the work of the entries in the range.
+func (c *jobClass) addBacklog(keys keyRange, backlog *backlogSum) {
 	c.blocksIn(keys, func(block *jobBlock, whole bool) {
 		if whole {
-			work += block.work
+			backlog.add(block.work, block.milliCPU)
 			return
 		}
 		for i := range block.entries {
-			if keys.contains(block.entries[i].key) {
-				work += block.entries[i].work
+			if entry := &block.entries[i]; keys.contains(entry.key) {
+				backlog.add(entry.work, entry.milliCPU)
 			}
 		}
 	})
-	return work
 }
 
 // minDemand returns the lesser amount of each resource.
--- a/rattanscheduler/queue_test.go
+++ b/rattanscheduler/queue_test.go
@@ -14,13 +14,15 @@
 
 // plainQueue is a model of jobQueue that keeps its jobs in one sorted list.
 type plainQueue struct {
-	jobs []*job
-	now  time.Time
+	jobs  []*job
+	now   time.Time
+	mixed bool
 }
 
 func (q *plainQueue) sort() {
 	slices.SortFunc(q.jobs, func(a, b *job) int {
 		return cmp.Or(
+			compareTrueFirst(q.mixed && a.class.started, q.mixed && b.class.started),
 			compareTrueFirst(!a.timing.latestStart.Before(q.now), !b.timing.latestStart.Before(q.now)),
 			a.class.compare(b.class),
 			a.entry.key.compare(b.entry.key),
@@ -56,8 +58,9 @@
 func TestQueueMatchesPlainList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1_800_000_000, 0)
-		plain := &plainQueue{now: now}
+		plain := &plainQueue{now: now, mixed: rapid.Bool().Draw(t, "mixed")}
 		state := &serviceState{pool: newTargetPool()}
+		state.queue.mixed = plain.mixed
 		state.pool.capacityMilliCPU = rapid.IntRange(1, 2_000_000).Draw(t, "capacity")
 		s := New(Config{TakeoverTime: now.Add(-time.Hour)})
 		for sequence := range uint64(rapid.IntRange(1, 600).Draw(t, "jobs")) {
@@ -92,7 +95,7 @@
 		}
 		work := 0.0
 		for _, j := range plain.jobs {
-			if got := state.queue.workBefore(j, now.UnixNano()); got != work {
+			if got := state.queue.backlogBefore(j, now.UnixNano()).work; got != work {
 				t.Fatalf("work before %v is %g, want %g", j.entry.key, got, work)
 			}
 			work += j.entry.work
--- a/rattanscheduler/result.go
+++ b/rattanscheduler/result.go
@@ -26,6 +26,10 @@
 	Redirected
 )
 
+// ReasonNoRoomInTime is the reason of a refusal because the runs that have the room are
+// expected to end too late.
+const ReasonNoRoomInTime = "no room expected in time"
+
 // JobResult is the result of a job.
 type JobResult struct {
 	JobID   string
--- a/rattanscheduler/room.go
+++ b/rattanscheduler/room.go
@@ -234,14 +234,14 @@
 	rooms := make([]ServiceRoom, 0, len(names))
 	for _, name := range names {
 		state := s.services[name]
-		rooms = append(rooms, ServiceRoom{Service: name, MilliCPU: state.pool.expectedMilliCPU(), Fits: state.pool.fits, Waits: state.waits()})
+		rooms = append(rooms, ServiceRoom{Service: name, MilliCPU: state.pool.expectedMilliCPU(), Fits: state.pool.fits, Waits: state.reportedWaits()})
 	}
 	return rooms
 }
 
-// waits returns the expected waits of new jobs, for at most maxWaits priorities. If there
+// reportedWaits returns the expected waits of new jobs, for at most maxWaits priorities. If there
 // are more, the last one has the wait of all others.
-func (s *serviceState) waits() []PriorityWait {
+func (s *serviceState) reportedWaits() []PriorityWait {
 	if s.queue.jobs == 0 {
 		return nil
 	}
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -23,8 +23,14 @@
 	t.run = r
 	s.addRun(r)
 	target.reserve(r.resources)
-	s.service(target.info.Service).pool.refresh(target, now)
+	state := s.service(target.info.Service)
+	state.pool.refresh(target, now)
 	j := t.job
+	if state.queue.mixed {
+		expected := s.estimator.expectedRunTime(j, t.stepIndex)
+		r.release = state.releases.add(r.resources.MilliCPU, expected, now)
+		state.recordShare(j.submission.Priority, float64(expected)*float64(r.resources.MilliCPU), now)
+	}
 	if j.runCount == 0 {
 		j.firstStart = now.Sub(j.submittedAt)
 	}
@@ -160,6 +166,7 @@
 	delete(r.target.runs, runKey{r.taskName, r.attempt})
 	delete(s.unansweredStops, r)
 	delete(s.unanswered, r)
+	r.release.remove()
 	if r.suspect {
 		r.target.suspects--
 	}
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -252,6 +252,7 @@
 	}
 	j := newJob(submission, now)
 	s.jobs[submission.Job.ID] = j
+	s.service(submission.Service).notePriority(submission.Priority)
 	s.adoptRuns(j)
 	if s.evacuation != rattanwork.EvacuationActive && s.refuseUnhostable(j, now) {
 		return
@@ -443,6 +444,7 @@
 			s.unansweredJobs[id] = j.unansweredUntil
 		}
 	}
+	s.service(j.submission.Service).observeWait(j, now)
 	s.dequeue(j)
 	j.ready = nil
 	for _, t := range j.tasks {
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -31,7 +31,9 @@
 	taskName  string
 	attempt   int
 	resources rattanwork.Resources
-	state     runState
+	// release is what the run adds to the expected releases of capacity.
+	release release
+	state   runState
 	// task is nil for runs of an earlier home that are not adopted, and for
 	// runs of ended jobs.
 	task *task
