--- a/rattanscheduler/placement.go
+++ b/rattanscheduler/placement.go
@@ -158,9 +158,6 @@
 		started = true
 	}
 	if started {
-		if len(j.ready) == 0 {
-			s.service(j.submission.Service).observeWait(j, pass.now)
-		}
 		s.reposition(j)
 	}
 }
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -31,6 +31,9 @@
 		r.release = state.releases.add(r.resources.MilliCPU, expected, now)
 		state.recordShare(j.submission.Priority, float64(expected)*float64(r.resources.MilliCPU), now)
 	}
+	if len(j.ready) == 0 {
+		state.observeWait(j, now)
+	}
 	if j.runCount == 0 {
 		j.firstStart = now.Sub(j.submittedAt)
 	}
