Derive what was stored or computed twice in the admission of jobs

The key of a learned wait follows from the entry of a job, so that it needs no field and no logarithm each time a job is queued. One function turns work into the time that it occupies the targets, instead of six divisions. mayHaveStarted includes requested runs.

--- a/rattanscheduler/capacity.go
+++ b/rattanscheduler/capacity.go
@@ -194,8 +194,10 @@
 	size     int
 }
 
-func waitKeyOf(priority, milliCPU int) waitKey {
-	return waitKey{priority, int(sizesPerDoubling * math.Log2(float64(max(1, milliCPU))))}
+// waitKey returns what the error of the job's expected wait depends on, as of the last
+// time at which tasks of it were ready.
+func (j *job) waitKey() waitKey {
+	return waitKey{j.submission.Priority, int(sizesPerDoubling * math.Log2(float64(max(1, j.entry.demand.MilliCPU))))}
 }
 
 // waitRatio holds moving averages of the expected and actual waits.
@@ -224,11 +226,12 @@
 	}
 	expected, actual := j.expectedWait, now.Sub(j.submittedAt)
 	j.expectedWait = 0
-	ratio := state.waits[j.waitKey]
+	key := j.waitKey()
+	ratio := state.waits[key]
 	// A job that ends before its tasks have started would have waited longer.
 	if j.outcome != Open && float64(actual) < ratio.factor()*float64(expected) {
 		return
 	}
 	ratio.observe(expected, actual)
-	state.waits[j.waitKey] = ratio
+	state.waits[key] = ratio
 }
--- a/rattanscheduler/job.go
+++ b/rattanscheduler/job.go
@@ -78,9 +78,8 @@
 	entry  queueEntry
 	timing timing
 	// expectedWait is the wait that was expected at the submission by when runs end, 0
-	// once all tasks have started; waitKey is what the error of it depends on.
+	// once all tasks have started.
 	expectedWait time.Duration
-	waitKey      waitKey
 	// sequence is the order in which jobs were first queued, 0 before that.
 	sequence uint64
 	outcome  Outcome
--- a/rattanscheduler/pool.go
+++ b/rattanscheduler/pool.go
@@ -149,6 +149,12 @@
 	return p.capacityMilliCPU + p.awaitedMilliCPU
 }
 
+// timeFor returns how long the work, in nanoseconds times thousandths of a core, occupies
+// these targets.
+func (p *targetPool) timeFor(work float64) time.Duration {
+	return time.Duration(work / float64(max(1, p.expectedMilliCPU())))
+}
+
 // withdraw removes a target from the indexes.
 func (p *targetPool) withdraw(t *target) {
 	entry := t.pooled
--- a/rattanscheduler/preview.go
+++ b/rattanscheduler/preview.go
@@ -250,7 +250,7 @@
 	if p.scheduler.evacuation != rattanwork.EvacuationNone {
 		return false
 	}
-	wait := max(redirectDelay, time.Duration(work/float64(max(1, p.state.pool.expectedMilliCPU()))))
+	wait := max(redirectDelay, p.state.pool.timeFor(work))
 	zone := p.scheduler.earlierZone(expectedWait{job: p.job, wait: wait}, p.now)
 	if zone < 0 {
 		return false
--- a/rattanscheduler/priority.go
+++ b/rattanscheduler/priority.go
@@ -110,7 +110,6 @@
 		milliCPU:  j.readyMilliCPU(),
 		job:       j,
 	}
-	j.waitKey = waitKeyOf(j.submission.Priority, j.entry.demand.MilliCPU)
 }
 
 // dequeue removes a job from its queue.
@@ -203,8 +202,7 @@
 // startsInTime reports whether even the last job of the block would not wait
 // longer than the first one may.
 func (b *jobBlock) startsInTime(workAhead float64, pool *targetPool, now time.Time) bool {
-	wait := time.Duration((workAhead + b.work) / float64(pool.expectedMilliCPU()))
-	return wait <= max(time.Duration(b.entries[0].key.latestStart-now.UnixNano()), 0)+overloadTolerance
+	return pool.timeFor(workAhead+b.work) <= max(time.Duration(b.entries[0].key.latestStart-now.UnixNano()), 0)+overloadTolerance
 }
 
 // CheckAdmission refuses a job that has just been submitted if it cannot meet
@@ -243,8 +241,7 @@
 	if j.mayHaveStarted() {
 		return false
 	}
-	wait := time.Duration(work / float64(pool.expectedMilliCPU()))
-	return wait > max(j.timing.slack(now), 0)+overloadTolerance
+	return pool.timeFor(work) > max(j.timing.slack(now), 0)+overloadTolerance
 }
 
 func (s *Scheduler) refuseForBacklog(j *job, now time.Time) {
@@ -340,7 +337,7 @@
 	if s.pool.expectedMilliCPU() == 0 {
 		return noTargetRetryAfter
 	}
-	return max(time.Second, time.Duration(s.queue.work/float64(s.pool.expectedMilliCPU())))
+	return max(time.Second, s.pool.timeFor(s.queue.work))
 }
 
 // describeRoom returns what decides on refusing a job or letting it wait.
--- a/rattanscheduler/release_test.go
+++ b/rattanscheduler/release_test.go
@@ -110,7 +110,7 @@
 	observe := func(expected, actual time.Duration, outcome Outcome) float64 {
 		j := &job{submittedAt: now.Add(-actual), expectedWait: expected, outcome: outcome}
 		state.observeWait(j, now)
-		return state.waits[j.waitKey].factor()
+		return state.waits[j.waitKey()].factor()
 	}
 	c.Check(observe(100*time.Millisecond, 10*time.Millisecond, Refused), qt.Equals, 1.0)
 	first := observe(100*time.Millisecond, 50*time.Millisecond, Open)
--- a/rattanscheduler/remote_zone.go
+++ b/rattanscheduler/remote_zone.go
@@ -250,8 +250,7 @@
 				}
 				ahead += entry.work
 				if waited := now.Sub(entry.job.submittedAt); waited >= redirectDelay && elsewhere.mayFit(entry.demand.MilliCPU, redirectHeadroom*entry.tasks) {
-					wait := time.Duration(ahead / float64(max(1, s.pool.expectedMilliCPU())))
-					list = append(list, expectedWait{job: entry.job, wait: max(wait, waited)})
+					list = append(list, expectedWait{job: entry.job, wait: max(s.pool.timeFor(ahead), waited)})
 				}
 			}
 		})
--- a/rattanscheduler/shortage.go
+++ b/rattanscheduler/shortage.go
@@ -20,9 +20,9 @@
 // for its last task if it waits for the ends of runs.
 func (state *serviceState) expectedWait(j *job, before backlogSum, now time.Time) time.Duration {
 	if !state.awaitsEnds(j) {
-		return time.Duration(before.work / float64(state.pool.expectedMilliCPU()))
+		return state.pool.timeFor(before.work)
 	}
-	return time.Duration(state.waits[j.waitKey].factor() * float64(state.waitByEnds(j, before, now)))
+	return time.Duration(state.waits[j.waitKey()].factor() * float64(state.waitByEnds(j, before, now)))
 }
 
 // waitByEnds returns how long the last task of the job would wait if all capacity that
@@ -36,7 +36,7 @@
 // because its last task is expected to start too late, also with the least share of its
 // priority. before is all work before it, inClass that of its class.
 func (state *serviceState) startsTooLate(j *job, before, inClass backlogSum, now time.Time) bool {
-	if j.runCount > 0 || j.mayHaveStarted() {
+	if j.mayHaveStarted() {
 		return false
 	}
 	latest := max(j.timing.slack(now), 0) + overloadTolerance
