--- a/rattanhome/evacuation.go
+++ b/rattanhome/evacuation.go
@@ -28,11 +28,8 @@
 // carried out by the event or, if that carries out nothing, by the next tick. The caller
 // holds the mutex.
 func (h *Home) applyEvacuation(now time.Time) {
-	if h.closed || h.config.Evacuation == nil {
-		return
-	}
-	status := h.config.Evacuation(now)
-	if status == h.scheduler.Evacuation() {
+	status := h.evacuation(now)
+	if h.closed || status == h.scheduler.Evacuation() {
 		return
 	}
 	h.scheduler.SetEvacuation(status, now)
--- a/rattanzone/agent.go
+++ b/rattanzone/agent.go
@@ -169,8 +169,6 @@
 	// local home last sent heartbeats to its own zone and to other zones.
 	lastZoneHeartbeat   time.Time
 	lastRemoteHeartbeat time.Time
-	// evacuationStatus is what the heartbeat loop last noticed of the own zone.
-	evacuationStatus rattanwork.EvacuationStatus
 }
 
 type member struct {
--- a/rattanzone/heartbeat.go
+++ b/rattanzone/heartbeat.go
@@ -8,7 +8,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/rattanlever/rattanlever/rattanhome"
 	"github.com/rattanlever/rattanlever/rattanpeer"
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
@@ -65,7 +64,6 @@
 	a.sendKeepAlives()
 	if localHome := a.LocalHome(); localHome != nil {
 		localHome.SetRemoteZones(a.remoteCapacity(now))
-		a.noticeEvacuationStatus(localHome, now)
 		a.sendHomeHeartbeats(now)
 		return heartbeatInterval
 	}
@@ -92,15 +90,6 @@
 	a.lastSuspended = suspended
 }
 
-// noticeEvacuationStatus tells the local home that the status of its zone has changed,
-// also by the passing of time.
-func (a *Agent) noticeEvacuationStatus(localHome *rattanhome.Home, now time.Time) {
-	status := a.config.Evacuations.Status(a.config.Self.Zone, now)
-	if status != a.evacuationStatus {
-		a.evacuationStatus = status
-		localHome.EvacuationChanged()
-	}
-}
 
 // sendHomeHeartbeats sends the heartbeats of the local home that are due to
 // members of its zone and to other zones.
