--- a/rattancmd/wherecmd.go
+++ b/rattancmd/wherecmd.go
@@ -23,12 +23,8 @@
 	errNotTold = errors.ConstError("nothing can be told")
 )
 
-const (
-	// maxWhereBody is the largest body that an instance accepts.
-	maxWhereBody = 262_144
-	// maxWhereAnswer bounds the answer of an instance, which takes a few kilobytes.
-	maxWhereAnswer = 1 << 20
-)
+// maxWhereAnswer bounds the answer of an instance, which takes a few kilobytes.
+const maxWhereAnswer = 1 << 20
 
 type whereOptions struct {
 	Address []string      `long:"address" value-name:"ADDRESS" default:"127.0.0.1:7735" description:"metrics address of an instance of serve, repeatable; the next one is asked if one cannot tell"`
@@ -65,8 +61,8 @@
 	if err != nil {
 		return err
 	}
-	if len(body) > maxWhereBody {
-		return usageError("%s: %d bytes, at most %d", o.Args.File, len(body), maxWhereBody)
+	if len(body) > rattanfront.MaxWhereBody {
+		return usageError("%s: %d bytes, at most %d", o.Args.File, len(body), rattanfront.MaxWhereBody)
 	}
 	if !json.Valid(body) {
 		return usageError("%s: not a JSON value", o.Args.File)
--- a/rattanfront/cancellation.go
+++ b/rattanfront/cancellation.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strings"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/rattanlever/rattanlever/platform"
 	"github.com/rattanlever/rattanlever/rattanhome"
 	"github.com/rattanlever/rattanlever/rattanzone"
@@ -253,19 +250,9 @@
 
 // callCancelForCaller sends a cancellation to another instance.
 func (h *Handler) callCancelForCaller(ctx context.Context, address string, request rattanhome.CallerCancellation) (rattanhome.CancellationReply, error) {
-	var reply rattanhome.CancellationReply
-	body, err := json.Marshal(request)
-	if err != nil {
-		return reply, errors.Trace(err)
-	}
 	ctx, cancel := context.WithTimeout(ctx, withdrawalCallTimeout)
 	defer cancel()
-	answer, err := h.config.Peers.Call(ctx, address, rattanhome.MethodCancelForCaller, body)
-	if err != nil {
-		return reply, err
-	}
-	err = json.Unmarshal(answer, &reply)
-	return reply, errors.Annotatef(err, "decode reply of %s", address)
+	return callHome[rattanhome.CancellationReply](ctx, h.config.Peers, address, rattanhome.MethodCancelForCaller, request)
 }
 
 // registerPending records a submission of this instance's caller. It returns false
--- a/rattanfront/handler.go
+++ b/rattanfront/handler.go
@@ -305,18 +305,23 @@
 	if claim.Name == h.config.Self.Name {
 		return h.config.LocalHome.Submit(ctx, request)
 	}
+	return callHome[rattanhome.Reply](ctx, h.config.Peers, claim.Address, rattanhome.MethodSubmit, request)
+}
+
+// callHome sends a request to the home at an address and returns its reply.
+func callHome[Reply any](ctx context.Context, peers Peers, address, method string, request any) (Reply, error) {
+	var reply, none Reply
 	body, err := json.Marshal(request)
 	if err != nil {
-		return rattanhome.Reply{}, errors.Trace(err)
+		return none, errors.Trace(err)
 	}
-	answer, err := h.config.Peers.Call(ctx, claim.Address, rattanhome.MethodSubmit, body)
+	answer, err := peers.Call(ctx, address, method, body)
 	if err != nil {
-		return rattanhome.Reply{}, err
+		return none, err
 	}
-	var reply rattanhome.Reply
 	if err := json.Unmarshal(answer, &reply); err != nil {
 		// What could be decoded may be a part only.
-		return rattanhome.Reply{}, errors.Annotatef(err, "decode reply of %s", claim.Name)
+		return none, errors.Annotatef(err, "decode reply of %s", address)
 	}
 	return reply, nil
 }
--- a/rattanfront/submission.go
+++ b/rattanfront/submission.go
@@ -329,27 +329,33 @@
 	if otherHomes == 0 {
 		firstUnsettled, homeToken = s.submissions.first, claim.FencingToken
 	}
+	request := s.jobRequest(now)
+	request.Submitter = s.handler.config.Self.Name
+	request.Incarnation = s.handler.config.Self.Incarnation
+	request.Sequence = s.sequence
+	request.FirstUnsettled = firstUnsettled
+	request.HomeToken = homeToken
+	request.Uptime = s.handler.uptime(now)
+	request.Resumed = resumed
+	request.EarlierHomes = otherHomes
+	request.Redirectable = !resumed && !s.redirected
+	request.Redirected = s.redirected
+	request.Tried = s.tried
+	return request
+}
+
+// jobRequest returns a request with what the job and its route state.
+func (s *submission) jobRequest(now time.Time) *rattanhome.Request {
 	return &rattanhome.Request{
-		Submitter:      s.handler.config.Self.Name,
-		Incarnation:    s.handler.config.Self.Incarnation,
-		Sequence:       s.sequence,
-		FirstUnsettled: firstUnsettled,
-		HomeToken:      homeToken,
-		Uptime:         s.handler.uptime(now),
-		Version:        s.state.Version,
-		Job:            s.job,
-		Service:        s.route.Service,
-		Priority:       s.route.Priority,
-		MaxAttempts:    s.route.MaxAttempts,
-		Objective:      s.objective.Sub(now),
-		LateUntil:      s.lateUntil.Sub(now),
-		SlackFactor:    s.route.SlackFactor,
-		Deadline:       s.deadline.Sub(now),
-		Resumed:        resumed,
-		EarlierHomes:   otherHomes,
-		Redirectable:   !resumed && !s.redirected,
-		Redirected:     s.redirected,
-		Tried:          s.tried,
+		Version:     s.state.Version,
+		Job:         s.job,
+		Service:     s.route.Service,
+		Priority:    s.route.Priority,
+		MaxAttempts: s.route.MaxAttempts,
+		Objective:   s.objective.Sub(now),
+		LateUntil:   s.lateUntil.Sub(now),
+		SlackFactor: s.route.SlackFactor,
+		Deadline:    s.deadline.Sub(now),
 	}
 }
 
--- a/rattanfront/where.go
+++ b/rattanfront/where.go
@@ -23,6 +23,8 @@
 const (
 	// WherePath is the path of the preview on the metrics listener.
 	WherePath = "/where"
+	// MaxWhereBody is the size of the largest body in bytes.
+	MaxWhereBody = defaultMaxBody
 	// whereBodyTimeout and whereHomeTimeout bound one request to less than a second.
 	whereBodyTimeout = 400 * time.Millisecond
 	whereHomeTimeout = 400 * time.Millisecond
@@ -142,13 +144,13 @@
 
 // readWhereBody returns the body, or the status with which the request is refused.
 func readWhereBody(w http.ResponseWriter, r *http.Request) (body []byte, status int, err error) {
-	if r.ContentLength > defaultMaxBody {
+	if r.ContentLength > MaxWhereBody {
 		return nil, http.StatusRequestEntityTooLarge, errors.New("body too large")
 	}
-	// Not every writer has a deadline; that of the server does.
+	// Not every writer has a deadline; that of the server does, by the time of the system.
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(whereBodyTimeout))
-	body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, defaultMaxBody))
+	body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, MaxWhereBody))
 	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
 		return nil, http.StatusRequestEntityTooLarge, errors.New("body too large")
 	}
@@ -231,18 +233,9 @@
 
 // previewRequest returns a request that is never submitted, as the first one of a caller.
 func (s *submission) previewRequest() *rattanhome.Request {
-	return &rattanhome.Request{
-		Version:      s.state.Version,
-		Job:          s.job,
-		Service:      s.route.Service,
-		Priority:     s.route.Priority,
-		MaxAttempts:  s.route.MaxAttempts,
-		Objective:    s.objective.Sub(s.receivedAt),
-		LateUntil:    s.lateUntil.Sub(s.receivedAt),
-		SlackFactor:  s.route.SlackFactor,
-		Deadline:     s.deadline.Sub(s.receivedAt),
-		Redirectable: true,
-	}
+	request := s.jobRequest(s.receivedAt)
+	request.Redirectable = true
+	return request
 }
 
 // preview asks the home that holds the claim.
@@ -250,19 +243,7 @@
 	if claim.Name == h.config.Self.Name {
 		return h.config.LocalHome.Preview(request), nil
 	}
-	body, err := json.Marshal(request)
-	if err != nil {
-		return rattanhome.PreviewReply{}, errors.Trace(err)
-	}
-	answer, err := h.config.Peers.Call(ctx, claim.Address, rattanhome.MethodPreview, body)
-	if err != nil {
-		return rattanhome.PreviewReply{}, err
-	}
-	var reply rattanhome.PreviewReply
-	if err := json.Unmarshal(answer, &reply); err != nil {
-		return rattanhome.PreviewReply{}, errors.Annotate(err, "decode reply")
-	}
-	return reply, nil
+	return callHome[rattanhome.PreviewReply](ctx, h.config.Peers, claim.Address, rattanhome.MethodPreview, request)
 }
 
 func respondWhere(w http.ResponseWriter, status int, reply any) {
--- a/rattanzone/heartbeat.go
+++ b/rattanzone/heartbeat.go
@@ -90,7 +90,6 @@
 	a.lastSuspended = suspended
 }
 
-
 // sendHomeHeartbeats sends the heartbeats of the local home that are due to
 // members of its zone and to other zones.
 func (a *Agent) sendHomeHeartbeats(now time.Time) {
