--- a/rattanoverload/caller_test.go
+++ b/rattanoverload/caller_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/rattanlever/rattanlever/rattanprocess"
 	"github.com/rattanlever/rattanlever/rattansite"
 )
 
@@ -44,7 +45,7 @@
 // head returns the head of a request that submits a job with a new ID.
 func (c *connection) head(framing string) string {
 	c.id = newJobID(c.checker)
-	return fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: 4000\r\n%s\r\n\r\n", prefix, c.id, host, framing)
+	return fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: 4000\r\n%s\r\n\r\n", rattanprocess.Prefix, c.id, rattanprocess.Host, framing)
 }
 
 // newJobID returns the ID of a new job and tells the checker of it.
@@ -175,7 +176,7 @@
 
 // partialHead is a caller that sends a part of a large header and stops.
 func partialHead(_ context.Context, connection *connection) error {
-	_, err := io.WriteString(connection, "POST "+prefix+" HTTP/1.1\r\nHost: "+host+"\r\nX-Filler: "+strings.Repeat("x", 15000))
+	_, err := io.WriteString(connection, "POST "+rattanprocess.Prefix+" HTTP/1.1\r\nHost: "+rattanprocess.Host+"\r\nX-Filler: "+strings.Repeat("x", 15000))
 	return err
 }
 
@@ -186,14 +187,12 @@
 
 // ordinaryStatus sends one ordinary request and returns the status of the answer, 0
 // if there is none.
-func ordinaryStatus(ip string, checker *rattansite.InvariantChecker) int {
+func ordinaryStatus(instance *rattanprocess.Instance, checker *rattansite.InvariantChecker) int {
 	id := newJobID(checker)
-	request, err := http.NewRequest(http.MethodPost, "http://"+ip+":"+rattansite.CallerPort+prefix+id, strings.NewReader(job))
+	request, err := instance.NewRequest(context.Background(), http.MethodPost, rattanprocess.Prefix+id, []byte(job), 4*time.Second)
 	if err != nil {
 		return 0
 	}
-	request.Host = host
-	request.Header.Set("X-Deadline-Ms", "4000")
 	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
--- a/rattanoverload/overload_test.go
+++ b/rattanoverload/overload_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rattanlever/rattanlever/rattanprocess"
 	"github.com/rattanlever/rattanlever/rattansite"
 )
 
@@ -105,43 +106,44 @@
 // connections of the callers are still open.
 func testOverload(t *testing.T, limits limits, newCaller func(index int) caller) {
 	s := startSystem(t, limits)
-	home := s.home()
-	var meters []*descriptorMeter
-	for _, instance := range s.instances {
-		meters = append(meters, startDescriptorMeter(instance.command.Process.Pid))
+	home := s.Home(zone)
+	s.Assert(home, qt.IsNotNil)
+	var meters []*rattanprocess.DescriptorMeter
+	for _, instance := range s.Instances {
+		meters = append(meters, instance.StartDescriptorMeter())
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	defer callers.Wait()
 	defer cancel()
 	for i := range callerCount {
-		callers.Go(func() { newCaller(i).repeat(ctx, home.ip+":"+rattansite.CallerPort, s.checker) })
+		callers.Go(func() { newCaller(i).repeat(ctx, home.IP+":"+rattansite.CallerPort, s.Checker) })
 	}
 	time.Sleep(overloadTime)
-	for _, instance := range s.instances {
-		s.Check(s.ordinaryAnswered(instance), qt.IsTrue, qt.Commentf("%s answers an ordinary request", instance.name))
+	for _, instance := range s.Instances {
+		s.Check(s.ordinaryAnswered(instance), qt.IsTrue, qt.Commentf("%s answers an ordinary request", instance.Name))
 	}
-	for i, instance := range s.instances {
-		descriptors := meters[i].end()
-		s.Check(instance.alive(), qt.IsTrue, qt.Commentf("process of %s", instance.name))
-		memory, err := peakResidentMB(instance.command.Process.Pid)
+	for i, instance := range s.Instances {
+		descriptors := meters[i].End()
+		s.Check(instance.Alive(), qt.IsTrue, qt.Commentf("process of %s", instance.Name))
+		memory, err := instance.PeakResidentMB()
 		s.Check(err, qt.IsNil)
-		s.Logf("%s: home %t, peak of %d MB and %d descriptors", instance.name, instance == home, memory, descriptors)
-		s.Check(memory <= boundMB, qt.IsTrue, qt.Commentf("%s: %d MB resident, bound %d", instance.name, memory, boundMB))
+		s.Logf("%s: home %t, peak of %d MB and %d descriptors", instance.Name, instance == home, memory, descriptors)
+		s.Check(memory <= boundMB, qt.IsTrue, qt.Commentf("%s: %d MB resident, bound %d", instance.Name, memory, boundMB))
 		bound := limits.descriptors - reservedDescriptors
-		s.Check(descriptors <= bound, qt.IsTrue, qt.Commentf("%s: %d descriptors, bound %d", instance.name, descriptors, bound))
+		s.Check(descriptors <= bound, qt.IsTrue, qt.Commentf("%s: %d descriptors, bound %d", instance.Name, descriptors, bound))
 	}
 }
 
 // ordinaryAnswered reports whether the instance answers an ordinary job with its
 // result. A job that is refused or not answered is sent again.
-func (s *system) ordinaryAnswered(instance *instance) bool {
+func (s *system) ordinaryAnswered(instance *rattanprocess.Instance) bool {
 	for end := time.Now().Add(ordinaryTime); time.Now().Before(end); {
-		status := ordinaryStatus(instance.ip, s.checker)
+		status := ordinaryStatus(instance, s.Checker)
 		if status == http.StatusOK {
 			return true
 		}
-		s.Logf("%s: status %d of an ordinary request", instance.name, status)
+		s.Logf("%s: status %d of an ordinary request", instance.Name, status)
 		time.Sleep(repeatDelay)
 	}
 	return false
--- a/rattanoverload/measure_test.go
+++ b/rattanprocess/measure.go
@@ -1,4 +1,4 @@
-package rattanoverload
+package rattanprocess
 
 import (
 	"fmt"
@@ -13,8 +13,9 @@
 // the memory needs no samples, because the kernel records it.
 const sampleInterval = 20 * time.Millisecond
 
-// peakResidentMB returns the highest resident memory of a process since its start.
-func peakResidentMB(pid int) (int, error) {
+// PeakResidentMB returns the highest resident memory of the process since its start.
+func (i *Instance) PeakResidentMB() (int, error) {
+	pid := i.process().Pid
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0, err
@@ -28,15 +29,17 @@
 	return 0, fmt.Errorf("process %d has no VmHWM", pid)
 }
 
-// descriptorMeter records the highest number of open descriptors of a process.
-type descriptorMeter struct {
+// DescriptorMeter records the highest number of open descriptors of a process.
+type DescriptorMeter struct {
 	peak atomic.Int64
 	stop chan struct{}
 	done chan struct{}
 }
 
-func startDescriptorMeter(pid int) *descriptorMeter {
-	meter := &descriptorMeter{stop: make(chan struct{}), done: make(chan struct{})}
+// StartDescriptorMeter starts a meter for the process that runs.
+func (i *Instance) StartDescriptorMeter() *DescriptorMeter {
+	pid := i.process().Pid
+	meter := &DescriptorMeter{stop: make(chan struct{}), done: make(chan struct{})}
 	go func() {
 		defer close(meter.done)
 		for {
@@ -53,8 +56,8 @@
 	return meter
 }
 
-// end stops the meter and returns the highest number.
-func (m *descriptorMeter) end() int {
+// End stops the meter and returns the highest number.
+func (m *DescriptorMeter) End() int {
 	close(m.stop)
 	<-m.done
 	return int(m.peak.Load())
