--- a/rattanrig/caller.go
+++ b/rattanrig/caller.go
@@ -1,16 +1,15 @@
 package rattanrig
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/rattanlever/rattanlever/rattanprocess"
 	"github.com/rattanlever/rattanlever/rattansite"
 )
 
@@ -79,7 +78,7 @@
 		tasks: tasks, deadline: deadlineBase + 3*runTime, ended: make(chan struct{}),
 	}
 	j.body = fmt.Appendf(nil, `{"spec":"s","best_effort":true,"steps":[{"count":%d,"cpu":%d,"mem_mb":64,"estimate_ms":%d}]}`, tasks, milliCPU, runTime.Milliseconds())
-	c.rig.checker.JobSubmitted(j.id, rattansite.TaskProfile{MilliCPU: milliCPU, Duration: runTime})
+	c.rig.deployment.Checker.JobSubmitted(j.id, rattansite.TaskProfile{MilliCPU: milliCPU, Duration: runTime})
 	return j
 }
 
@@ -96,13 +95,13 @@
 	uncertain := false
 	for range maxAttempts {
 		answer := c.rig.post(j, c.rig.instances[c.random.IntN(len(c.rig.instances))])
-		switch answer.status {
+		switch answer.Status {
 		case http.StatusOK:
-			c.rig.jobEnded(j, answer.body)
+			c.rig.jobEnded(j, answer.Body)
 			return
 		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 			if !uncertain {
-				c.rig.checker.JobRefused(j.id)
+				c.rig.deployment.Checker.JobRefused(j.id)
 			}
 			c.rig.count(func(report *Report) { report.Refused++ })
 			return
@@ -110,7 +109,7 @@
 			uncertain = true
 		default:
 			if !j.cancelled.Load() {
-				c.rig.violate("job %s was answered with status %d: %s", j.id, answer.status, answer.body)
+				c.rig.violate("job %s was answered with status %d: %s", j.id, answer.Status, answer.Body)
 			}
 			return
 		}
@@ -128,10 +127,10 @@
 func (r *rig) jobEnded(j *job, body string) {
 	switch {
 	case strings.Contains(body, `"succeeded"`):
-		r.checker.JobSucceeded(j.id, j.tasks)
+		r.deployment.Checker.JobSucceeded(j.id, j.tasks)
 		r.count(func(report *Report) { report.Succeeded++ })
 	case strings.Contains(body, `"failed"`):
-		r.checker.JobFailed(j.id, j.tasks)
+		r.deployment.Checker.JobFailed(j.id, j.tasks)
 		r.count(func(report *Report) { report.Failed++ })
 	case !j.cancelSent.Load():
 		r.violate("job %s, which nobody has cancelled, was answered with %s", j.id, body)
@@ -149,11 +148,11 @@
 		j.cancelSent.Store(true)
 		answer := r.request(r.instances[random.IntN(len(r.instances))], http.MethodDelete, j, cancelTimeout)
 		// Both answers say that the job does not go on.
-		if answer.status == http.StatusOK || answer.status == http.StatusGone {
-			r.checker.JobCancelled(j.id)
+		if answer.Status == http.StatusOK || answer.Status == http.StatusGone {
+			r.deployment.Checker.JobCancelled(j.id)
 			j.cancelled.Store(true)
 			r.count(func(report *Report) {
-				if answer.status == http.StatusOK {
+				if answer.Status == http.StatusOK {
 					report.Cancelled++
 				} else {
 					report.CancelsRefused++
@@ -167,15 +166,15 @@
 
 // post sends a job to an instance, which must answer within the deadline unless it
 // is disturbed meanwhile.
-func (r *rig) post(j *job, i *instance) answer {
+func (r *rig) post(j *job, i *instance) rattanprocess.Answer {
 	sentAt := time.Now()
 	got := r.request(i, http.MethodPost, j, j.deadline+answerSlack)
-	if got.status != noAnswer {
+	if got.Status != noAnswer {
 		return got
 	}
 	r.count(func(report *Report) { report.Unanswered++ })
 	if time.Since(sentAt) >= j.deadline+answerSlack && i.undisturbedSince(sentAt) {
-		r.violate("job %s got no answer from %s within %v", j.id, i.name, j.deadline+answerSlack)
+		r.violate("job %s got no answer from %s within %v", j.id, i.Name, j.deadline+answerSlack)
 	}
 	return got
 }
@@ -183,32 +182,15 @@
 // noAnswer is the status of a request without an answer.
 const noAnswer = 0
 
-// answer is the answer to a request.
-type answer struct {
-	status int
-	body   string
-}
-
 // request sends a request for a job on a connection of its own.
-func (r *rig) request(i *instance, method string, j *job, timeout time.Duration) (got answer) {
-	r.record("caller: %s job %s at %s", method, j.id, i.name)
-	defer func() { r.record("caller: %s job %s at %s: %d %s", method, j.id, i.name, got.status, got.body) }()
+func (r *rig) request(i *instance, method string, j *job, timeout time.Duration) (got rattanprocess.Answer) {
+	r.record("caller: %s job %s at %s", method, j.id, i.Name)
+	defer func() { r.record("caller: %s job %s at %s: %d %s", method, j.id, i.Name, got.Status, got.Body) }()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+i.ip+":"+rattansite.CallerPort+prefix+j.id, bytes.NewReader(j.body))
-	if err != nil {
-		return answer{}
-	}
-	request.Host = host
-	request.Header.Set("X-Deadline-Ms", fmt.Sprint(j.deadline.Milliseconds()))
-	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
-	if err != nil {
-		return answer{}
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
+	request, err := i.NewRequest(ctx, method, rattanprocess.Prefix+j.id, j.body, j.deadline)
 	if err != nil {
-		return answer{}
+		return rattanprocess.Answer{}
 	}
-	return answer{response.StatusCode, string(data)}
+	return rattanprocess.AnswerTo((&http.Transport{DisableKeepAlives: true}).RoundTrip, request)
 }
--- a/rattanrig/disturbance.go
+++ b/rattanrig/disturbance.go
@@ -120,7 +120,7 @@
 			return
 		}
 		defer i.disturbing.Unlock()
-		r.began(kind, i.name)
+		r.began(kind, i.Name)
 		r.disturbInstance(kind, i, random)
 	case ZoneKilled, ZonePaused:
 		r.disturbZones(kind, r.config.Zones[random.IntN(len(r.config.Zones))], random)
@@ -161,7 +161,7 @@
 func (r *rig) disturbZones(kind Kind, zone string, random *rand.Rand) {
 	var list []*instance
 	for _, i := range r.instances {
-		if zone != allZones && i.zone != zone {
+		if zone != allZones && i.Zone != zone {
 			continue
 		}
 		if !i.disturbing.TryLock() {
@@ -186,7 +186,7 @@
 		}
 		i.end(syscall.SIGKILL)
 		if err := i.start(); err != nil {
-			r.violate("%s does not start: %v", i.name, err)
+			r.violate("%s does not start: %v", i.Name, err)
 		}
 	}
 	r.record("%v %s ends", kind, zone)
@@ -201,11 +201,11 @@
 	defer r.evacuating[index].Unlock()
 	zone := r.config.Zones[index]
 	r.began(ZoneEvacuated, zone)
-	r.store.Evacuate(zone)
-	r.checker.ZoneEvacuated(zone, evacuationBound)
+	r.deployment.Store.Evacuate(zone)
+	r.deployment.Checker.ZoneEvacuated(zone, evacuationBound)
 	time.Sleep(upTo(random, maxEvacuation))
-	r.checker.EvacuationEnds(zone)
-	r.store.EndEvacuation(zone)
+	r.deployment.Checker.EvacuationEnds(zone)
+	r.deployment.Store.EndEvacuation(zone)
 	r.record("%v %s ends", ZoneEvacuated, zone)
 }
 
@@ -217,7 +217,7 @@
 		i.signal(syscall.SIGCONT)
 	case InstanceTerminated:
 		if i.end(syscall.SIGTERM) {
-			r.violate("%s has not ended %v after SIGTERM", i.name, gracePeriod)
+			r.violate("%s has not ended %v after SIGTERM", i.Name, gracePeriod)
 		}
 	default:
 		i.end(syscall.SIGKILL)
@@ -225,10 +225,10 @@
 	if kind != InstancePaused {
 		time.Sleep(upTo(random, maxDownTime))
 		if err := i.start(); err != nil {
-			r.violate("%s does not start: %v", i.name, err)
+			r.violate("%s does not start: %v", i.Name, err)
 		}
 	}
-	r.record("%v %s ends", kind, i.name)
+	r.record("%v %s ends", kind, i.Name)
 }
 
 func (r *rig) disturbTarget(kind Kind, target *disturbedTarget, random *rand.Rand) {
@@ -272,9 +272,9 @@
 func (r *rig) disturbStore(random *rand.Rand) {
 	outages := []rattansite.Outage{rattansite.OutageRefusing, rattansite.OutageSilent, rattansite.OutageLosingResponses}
 	outage := outages[random.IntN(len(outages))]
-	set := r.store.SetOutage
+	set := r.deployment.Store.SetOutage
 	if i := random.IntN(2 * len(r.instances)); i < len(r.instances) {
-		set = func(outage rattansite.Outage) { r.store.SetOutageAt(r.instances[i].storeAddress, outage) }
+		set = func(outage rattansite.Outage) { r.deployment.Store.SetOutageAt(r.instances[i].StoreAddress, outage) }
 	}
 	set(outage)
 	time.Sleep(upTo(random, maxOutage))
--- a/rattanrig/rig.go
+++ b/rattanrig/rig.go
@@ -7,27 +7,24 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/rattanlever/rattanlever/rattanprocess"
 	"github.com/rattanlever/rattanlever/rattansite"
 )
 
 const (
-	service           = "service"
-	host              = "queue.example"
-	prefix            = "/queue/"
-	targetMilliCPU    = 16000
-	targetMemoryMB    = 65536
-	heartbeatInterval = 500 * time.Millisecond
-	desiredVersion    = 3
-	logFileName       = "events.log"
+	targetMilliCPU = 16000
+	targetMemoryMB = 65536
+	desiredVersion = 3
+	logFileName    = "events.log"
 )
 
 // Config configures a run of the rig.
@@ -76,11 +73,10 @@
 
 // rig is a deployment in a run.
 type rig struct {
-	config    Config
-	store     *rattansite.Store
-	checker   *rattansite.InvariantChecker
-	instances []*instance
-	targets   []*disturbedTarget
+	config     Config
+	deployment *rattanprocess.Deployment
+	instances  []*instance
+	targets    []*disturbedTarget
 	// evacuating holds a lock for each zone that is held while it is evacuated.
 	evacuating []sync.Mutex
 	log        *os.File
@@ -98,14 +94,13 @@
 
 // Run plays one seed and returns what was seen.
 func Run(ctx context.Context, config Config) (*Report, error) {
-	r := &rig{config: config, checker: rattansite.NewInvariantChecker(), evacuating: make([]sync.Mutex, len(config.Zones)), report: Report{Seed: config.Seed}}
-	r.checker.Observe = func(event string) { r.record("%s", event) }
+	r := &rig{config: config, evacuating: make([]sync.Mutex, len(config.Zones)), report: Report{Seed: config.Seed}}
 	defer r.close()
 	if err := r.open(); err != nil {
 		return nil, err
 	}
 	r.play(ctx)
-	r.report.Violations = append(r.report.Violations, r.checker.Violations()...)
+	r.report.Violations = append(r.report.Violations, r.deployment.Checker.Violations()...)
 	for _, violation := range r.report.Violations {
 		r.record("violation: %s", violation)
 	}
@@ -118,15 +113,14 @@
 	if r.log, err = os.Create(filepath.Join(r.config.Directory, logFileName)); err != nil {
 		return errors.Trace(err)
 	}
-	if r.store, err = rattansite.NewStore(); err != nil {
-		return errors.Trace(err)
+	if r.deployment, err = rattanprocess.NewDeployment(r.config.Binary, r.config.Directory); err != nil {
+		return err
 	}
-	if err := r.store.PutDesiredState(rattansite.DesiredState{Version: desiredVersion, Service: service, Host: host, Prefixes: []string{prefix}}); err != nil {
+	r.deployment.Checker.Observe = func(event string) { r.record("%s", event) }
+	state := rattansite.DesiredState{Version: desiredVersion, Service: rattanprocess.Service, Host: rattanprocess.Host, Prefixes: []string{rattanprocess.Prefix}}
+	if err := r.deployment.Store.PutDesiredState(state); err != nil {
 		return errors.Trace(err)
 	}
-	// The addresses are not drawn from the seed, so that two runs can play one.
-	network := fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), rand.IntN(250))
-	var seeds []string
 	for _, zone := range r.config.Zones {
 		for number := range r.config.TargetsPerZone {
 			if err := r.addTarget(fmt.Sprintf("i-%s-%d", zone, number+1), zone); err != nil {
@@ -134,20 +128,17 @@
 			}
 		}
 		for number := range r.config.InstancesPerZone {
-			ip := fmt.Sprintf("%s%d", network, 10+len(r.instances))
-			instance, err := newInstance(r.config, r.store, fmt.Sprintf("front-%s-%d", zone, number+1), zone, ip, seeds)
+			instance, err := r.addInstance(fmt.Sprintf("front-%s-%d", zone, number+1), zone)
 			if err != nil {
 				return err
 			}
-			seeds = append(seeds, ip)
-			r.instances = append(r.instances, instance)
 			if err := instance.start(); err != nil {
 				return err
 			}
 		}
 	}
 	for _, instance := range r.instances {
-		if err := instance.waitReady(); err != nil {
+		if err := instance.WaitReady(&http.Client{Timeout: readyTimeout}, startTimeout); err != nil {
 			return err
 		}
 	}
@@ -155,12 +146,9 @@
 }
 
 func (r *rig) addTarget(id, zone string) error {
-	target, err := rattansite.NewTarget(rattansite.TargetConfig{
-		ID: id, Service: service, Zone: zone, Labels: []string{"a", "r1-1"}, MilliCPU: targetMilliCPU, MemoryMB: targetMemoryMB,
-		Store: r.store, Checker: r.checker, Heartbeat: heartbeatInterval,
-	})
+	target, err := r.deployment.AddTarget(rattansite.TargetConfig{ID: id, Zone: zone, MilliCPU: targetMilliCPU, MemoryMB: targetMemoryMB})
 	if err != nil {
-		return errors.Trace(err)
+		return err
 	}
 	r.targets = append(r.targets, &disturbedTarget{Target: target, name: id})
 	return nil
@@ -179,14 +167,8 @@
 }
 
 func (r *rig) close() {
-	for _, instance := range r.instances {
-		instance.end(syscall.SIGKILL)
-	}
-	for _, target := range r.targets {
-		target.Close()
-	}
-	if r.store != nil {
-		r.store.Close()
+	if r.deployment != nil {
+		r.deployment.Close()
 	}
 	if r.log != nil {
 		_ = r.log.Close()
--- a/rattanrig/rig_test.go
+++ b/rattanrig/rig_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/exec"
 	"os/signal"
 	"path/filepath"
 	"strings"
@@ -15,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rattanlever/rattanlever/rattanprocess"
 	"github.com/rattanlever/rattanlever/rattanrig"
 )
 
@@ -32,9 +32,8 @@
 // TestSeeds guards against two runs of a task, refused jobs that run, cancelled jobs
 // that start, overcommitted targets and missing answers under disturbances.
 func TestSeeds(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "rattanlever")
-	output, err := exec.Command("go", "build", "-o", binary, "github.com/rattanlever/rattanlever").CombinedOutput()
-	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", output))
+	binary, err := rattanprocess.Build(t.TempDir())
+	qt.Assert(t, err, qt.IsNil)
 	// The processes of the rig end with an interrupted test.
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
