--- a/rattancmd/cancel_all_killed_test.go
+++ b/rattancmd/cancel_all_killed_test.go
@@ -37,7 +37,7 @@
 				rig.signal(instance, syscall.SIGKILL)
 			}
 			for _, instance := range rig.instances {
-				<-instance.ended
+				<-instance.Ended()
 				rig.start(instance)
 			}
 			rig.waitReady(rig.front)
--- a/rattancmd/cancel_test.go
+++ b/rattancmd/cancel_test.go
@@ -1,6 +1,7 @@
 package rattancmd_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -54,12 +55,7 @@
 
 // delete sends a DELETE request for a job.
 func (d *deployment) delete(instance *serveInstance, id string) serveAnswer {
-	request, err := http.NewRequest(http.MethodDelete, "http://"+instance.ip+":"+rattansite.CallerPort+queuePrefix+id, nil)
-	if err != nil {
-		return serveAnswer{}
-	}
-	request.Host = queueHost
-	return answerTo(&http.Client{}, request)
+	return request(context.Background(), &http.Client{}, instance, http.MethodDelete, queuePrefix+id, nil, 0)
 }
 
 // cancel cancels the job, and checks the status and that nothing of it runs on or
@@ -132,7 +128,7 @@
 	rig := newCancelRig(t, []string{"a"})
 	answers := rig.submit(rig.front)
 	rig.waitForStarts(cancelledJob, 2)
-	rig.front.pause(3 * time.Second)
+	rig.front.Pause(3 * time.Second)
 	time.Sleep(2500 * time.Millisecond)
 	rig.cancel(rig.home, http.StatusOK, http.StatusGone)
 	rig.checkCancelled(<-answers)
@@ -155,7 +151,7 @@
 		"home killed":            {submitFirst: true, between: func(r *cancelRig) { r.kill(r.home, syscall.SIGKILL) }},
 		"home killed, unknown":   {between: func(r *cancelRig) { r.kill(r.home, syscall.SIGKILL) }},
 		"receiver killed":        {submitFirst: true, between: func(r *cancelRig) { r.kill(r.front, syscall.SIGKILL) }},
-		"home paused":            {submitFirst: true, between: func(r *cancelRig) { r.home.pause(2 * time.Second); time.Sleep(settleTime) }},
+		"home paused":            {submitFirst: true, between: func(r *cancelRig) { r.home.Pause(2 * time.Second); time.Sleep(settleTime) }},
 		"home handed over":       {submitFirst: true, between: func(r *cancelRig) { r.kill(r.home, syscall.SIGTERM) }},
 		"all instances replaced": {submitFirst: true, between: func(r *cancelRig) { r.replaceAll(settleTime) }},
 	}
--- a/rattancmd/cancel_zone_test.go
+++ b/rattancmd/cancel_zone_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -14,7 +13,7 @@
 func (d *deployment) instancesOf(zone string) []*serveInstance {
 	var list []*serveInstance
 	for _, instance := range d.instances {
-		if strings.Contains(instance.name, "-"+zone+"-") {
+		if instance.Zone == zone {
 			list = append(list, instance)
 		}
 	}
--- a/rattancmd/cluster_test.go
+++ b/rattancmd/cluster_test.go
@@ -26,6 +26,7 @@
 	"github.com/rattanlever/rattanlever/rattanjob"
 	"github.com/rattanlever/rattanlever/rattanjson"
 	"github.com/rattanlever/rattanlever/rattanplatform"
+	"github.com/rattanlever/rattanlever/rattanprocess"
 	"github.com/rattanlever/rattanlever/rattansettings"
 	"github.com/rattanlever/rattanlever/rattanstandin"
 )
@@ -63,23 +64,10 @@
 var binary string
 
 func TestMain(m *testing.M) {
-	os.Exit(buildAndRun(m))
-}
-
-func buildAndRun(m *testing.M) int {
-	directory, err := os.MkdirTemp("", "rattanlever")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(directory) }()
-	binary = filepath.Join(directory, "rattanlever")
-	build := exec.Command("go", "build", "-o", binary, "github.com/rattanlever/rattanlever")
-	if output, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, output)
-		return 1
-	}
-	return m.Run()
+	os.Exit(rattanprocess.BuildAndRun(func(built string) int {
+		binary = built
+		return m.Run()
+	}))
 }
 
 // process is a running process of the program.
@@ -296,17 +284,12 @@
 		_ = started.command.Process.Kill()
 		<-started.ended
 		if cl.c.Failed() {
-			cl.c.Logf("%s: %s", started.name, outputTail(started.output.String()))
+			cl.c.Logf("%s: %s", started.name, rattanprocess.Tail(started.output.String()))
 		}
 	})
 	return started
 }
 
-func outputTail(text string) string {
-	const maxLength = 2000
-	return text[max(0, len(text)-maxLength):]
-}
-
 // health returns the health that the instance reports, and whether it is ready.
 func (cl *cluster) health(entry *process) (health rattanentry.Health, ready bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/rattancmd/desired_state_test.go
+++ b/rattancmd/desired_state_test.go
@@ -37,7 +37,7 @@
 			reached := deployment.followers("b", deployment.homeOf("b"))[0]
 			for _, instance := range deployment.instances {
 				if instance != reached {
-					deployment.store.SetOutageAt(instance.storeAddress, test.outage)
+					deployment.store.SetOutageAt(instance.StoreAddress, test.outage)
 				}
 			}
 			time.Sleep(time.Second)
@@ -66,7 +66,7 @@
 	load := deployment.startLoad(4)
 	load.waitForSuccess(time.Now())
 	for i, instance := range deployment.instances {
-		instance.pause(pause)
+		instance.Pause(pause)
 		time.Sleep(pause / 2)
 		prefix := fmt.Sprintf("/added-%d/", i)
 		deployment.putDesired(prefix)
@@ -85,14 +85,14 @@
 	home := deployment.homeOf("a")
 	for _, instance := range []*serveInstance{deployment.followers("a", home)[0], home} {
 		for round := range 5 {
-			prefix := fmt.Sprintf("/added-%s-%d/", instance.name, round)
-			deployment.Assert(instance.command.Process.Signal(syscall.SIGSTOP), qt.IsNil)
+			prefix := fmt.Sprintf("/added-%s-%d/", instance.Name, round)
+			deployment.Assert(instance.Signal(syscall.SIGSTOP), qt.IsNil)
 			deployment.putDesired(prefix)
 			time.Sleep(maxPropagationDelay)
 			statuses := make(chan int, 1)
 			go func() { statuses <- deployment.get(instance, prefix).Status }()
 			time.Sleep(100 * time.Millisecond)
-			deployment.Assert(instance.command.Process.Signal(syscall.SIGCONT), qt.IsNil)
+			deployment.Assert(instance.Signal(syscall.SIGCONT), qt.IsNil)
 			deployment.Check(<-statuses, qt.Equals, http.StatusOK, qt.Commentf("%s", prefix))
 			time.Sleep(500 * time.Millisecond)
 		}
--- a/rattancmd/evacuation_test.go
+++ b/rattancmd/evacuation_test.go
@@ -58,7 +58,7 @@
 	line := fmt.Sprintf("%s %d\n", rattanmetric.EvacuatedZones, zones)
 	for deadline := time.Now().Add(evacuationBound); !strings.Contains(d.metrics(instance), line); time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			d.Fatalf("%s does not know of %d evacuated zones", instance.name, zones)
+			d.Fatalf("%s does not know of %d evacuated zones", instance.Name, zones)
 		}
 	}
 }
@@ -111,9 +111,9 @@
 	// Log lines reach the output with a delay.
 	time.Sleep(300 * time.Millisecond)
 	for _, instance := range deployment.instances {
-		output := instance.output.String()
+		output := instance.Output()
 		for _, message := range []string{"zone evacuation begun", "zone evacuation ended"} {
-			deployment.Check(strings.Count(output, message), qt.Equals, 2, qt.Commentf("%s: %s", instance.name, message))
+			deployment.Check(strings.Count(output, message), qt.Equals, 2, qt.Commentf("%s: %s", instance.Name, message))
 		}
 	}
 }
@@ -131,7 +131,7 @@
 			reached := deployment.followers("b", deployment.homeOf("b"))[0]
 			for _, instance := range deployment.instances {
 				if instance != reached {
-					deployment.store.SetOutageAt(instance.storeAddress, outage)
+					deployment.store.SetOutageAt(instance.StoreAddress, outage)
 				}
 			}
 			// Watches that have begun are answered.
@@ -186,8 +186,8 @@
 			t.Parallel()
 			deployment, load := startEvacuable(t, test.instances)
 			home := deployment.homeOf("a")
-			deployment.store.SetOutageAt(home.storeAddress, test.outage)
-			home.pause(evacuationBound + time.Second)
+			deployment.store.SetOutageAt(home.StoreAddress, test.outage)
+			home.Pause(evacuationBound + time.Second)
 			time.Sleep(100 * time.Millisecond)
 			evacuatedAt := deployment.evacuate("a")
 			time.Sleep(evacuationBound)
--- a/rattancmd/lost_instance_test.go
+++ b/rattancmd/lost_instance_test.go
@@ -85,7 +85,7 @@
 
 // signal sends a signal to the process of an instance.
 func (d *deployment) signal(instance *serveInstance, signal syscall.Signal) {
-	d.Check(instance.command.Process.Signal(signal), qt.IsNil)
+	d.Check(instance.Signal(signal), qt.IsNil)
 }
 
 // TestServeStaleRequestStartsNothing guards against a run for a caller that has
--- a/rattancmd/odd_entries_test.go
+++ b/rattancmd/odd_entries_test.go
@@ -92,10 +92,8 @@
 func (d *deployment) checkRunning() {
 	d.Helper()
 	for _, instance := range d.instances {
-		select {
-		case <-instance.ended:
-			d.Errorf("%s has ended", instance.name)
-		default:
+		if !instance.Alive() {
+			d.Errorf("%s has ended", instance.Name)
 		}
 	}
 }
@@ -107,6 +105,6 @@
 	id := fmt.Sprintf("%016x", 0xb0000+d.checker.Starts())
 	d.checker.JobSubmitted(id, rattansite.TaskProfile{MilliCPU: 16000, Duration: 100 * time.Millisecond})
 	answer := d.send(&http.Client{}, instance, id, []byte(`{"spec":"s","best_effort":true,"steps":[{"count":2,"cpu":16000,"mem_mb":64,"estimate_ms":100}]}`))
-	d.Check(answer.Status, qt.Equals, http.StatusOK, qt.Commentf("%s: %s", instance.name, answer.Body))
+	d.Check(answer.Status, qt.Equals, http.StatusOK, qt.Commentf("%s: %s", instance.Name, answer.Body))
 	d.Check(d.checker.StartsOf(id), qt.Equals, 2)
 }
--- a/rattancmd/redirect_test.go
+++ b/rattancmd/redirect_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -39,8 +39,8 @@
 func TestServeRedirectedJobRunsOnce(t *testing.T) {
 	t.Parallel()
 	none := func(*serveInstance) {}
-	kill := func(home *serveInstance) { _ = home.command.Process.Kill() }
-	pause := func(home *serveInstance) { home.pause(450 * time.Millisecond) }
+	kill := func(home *serveInstance) { _ = home.Signal(syscall.SIGKILL) }
+	pause := func(home *serveInstance) { home.Pause(450 * time.Millisecond) }
 	tests := map[string]struct {
 		// throughHome is set if the instance of the job is the home of its zone.
 		throughHome bool
@@ -89,18 +89,12 @@
 	deployment.Logf("%d starts", deployment.checker.StartsOf(redirectedJob))
 }
 
-// pause stops the process of an instance for the duration.
-func (i *serveInstance) pause(duration time.Duration) {
-	_ = i.command.Process.Signal(syscall.SIGSTOP)
-	time.AfterFunc(duration, func() { _ = i.command.Process.Signal(syscall.SIGCONT) })
-}
-
 // TestServeJobOfPausedRemoteHomeRunsOnce guards against two runs of a task in two
 // zones: the home of the other zone is paused just before it would stop the job,
 // and goes on with it when it wakes.
 func TestServeJobOfPausedRemoteHomeRunsOnce(t *testing.T) {
 	t.Parallel()
-	redirectAndLose(t, true, func(home *serveInstance) { home.pause(700 * time.Millisecond) })
+	redirectAndLose(t, true, func(home *serveInstance) { home.Pause(700 * time.Millisecond) })
 }
 
 // TestServeJobOfKilledZoneRunsOnce guards against two runs of a task in two zones:
@@ -134,11 +128,5 @@
 
 // followers returns the instances of a zone other than its home.
 func (d *deployment) followers(zone string, home *serveInstance) []*serveInstance {
-	var list []*serveInstance
-	for _, instance := range d.instances {
-		if instance != home && strings.Contains(instance.name, "-"+zone+"-") {
-			list = append(list, instance)
-		}
-	}
-	return list
+	return slices.DeleteFunc(d.instancesOf(zone), func(instance *serveInstance) bool { return instance == home })
 }
--- a/rattancmd/refused_test.go
+++ b/rattancmd/refused_test.go
@@ -52,14 +52,14 @@
 		id := fmt.Sprintf("%016x", 0xd0+i)
 		answers[id] = deployment.submitLateJob(front, id, duration)
 		deployment.waitForStarts(id, 1)
-		deployment.store.SetOutageAt(front.storeAddress, rattansite.OutageSilent)
+		deployment.store.SetOutageAt(front.StoreAddress, rattansite.OutageSilent)
 	}
 	for _, front := range followers {
-		deployment.Assert(front.command.Process.Signal(syscall.SIGSTOP), qt.IsNil)
+		deployment.Assert(front.Signal(syscall.SIGSTOP), qt.IsNil)
 	}
 	time.Sleep(forgetTime)
 	for _, front := range followers {
-		deployment.Assert(front.command.Process.Signal(syscall.SIGCONT), qt.IsNil)
+		deployment.Assert(front.Signal(syscall.SIGCONT), qt.IsNil)
 		time.Sleep(wakeInterval)
 	}
 	deployment.putDesiredRoutes(prefix)
--- a/rattancmd/serve_test.go
+++ b/rattancmd/serve_test.go
@@ -77,7 +77,7 @@
 // metrics returns the page of an instance's metrics.
 func (d *deployment) metrics(instance *serveInstance) string {
 	d.Helper()
-	response, err := http.Get("http://" + instance.ip + ":7735/metrics")
+	response, err := http.Get("http://" + instance.IP + ":7735/metrics")
 	d.Assert(err, qt.IsNil)
 	defer func() { _ = response.Body.Close() }()
 	page, err := io.ReadAll(response.Body)
@@ -150,9 +150,9 @@
 	load.waitForSuccess(time.Now())
 	for _, pause := range []time.Duration{400 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second} {
 		home := deployment.homeOf("a")
-		deployment.Assert(home.command.Process.Signal(syscall.SIGSTOP), qt.IsNil)
+		deployment.Assert(home.Signal(syscall.SIGSTOP), qt.IsNil)
 		time.Sleep(pause)
-		deployment.Assert(home.command.Process.Signal(syscall.SIGCONT), qt.IsNil)
+		deployment.Assert(home.Signal(syscall.SIGCONT), qt.IsNil)
 		time.Sleep(time.Second)
 		deployment.Check(load.waitForSuccess(time.Now()) < maxRecoveryTime, qt.IsTrue)
 	}
@@ -224,10 +224,10 @@
 	load := deployment.startLoad(6)
 	load.waitForSuccess(time.Now())
 	for _, instance := range deployment.instances {
-		_ = instance.command.Process.Kill()
+		_ = instance.Signal(syscall.SIGKILL)
 	}
 	for _, instance := range deployment.instances {
-		<-instance.ended
+		<-instance.Ended()
 	}
 	for _, instance := range deployment.instances {
 		deployment.start(instance)
@@ -264,7 +264,7 @@
 	time.Sleep(300 * time.Millisecond)
 	movedJobs := 0
 	for _, instance := range all[:2] {
-		movedJobs += strings.Count(instance.output.String(), `"Zone":"b"`)
+		movedJobs += strings.Count(instance.Output(), `"Zone":"b"`)
 	}
 	deployment.Check(movedJobs > 0, qt.IsTrue)
 }
--- a/rattancmd/shutdown_test.go
+++ b/rattancmd/shutdown_test.go
@@ -39,19 +39,19 @@
 			instance := deployment.instances[0]
 			deployment.store.SetOutage(test.outage)
 			startedAt := time.Now()
-			deployment.Assert(instance.command.Process.Signal(syscall.SIGTERM), qt.IsNil)
+			deployment.Assert(instance.Signal(syscall.SIGTERM), qt.IsNil)
 			if test.connected {
 				// Opened late, so that it is still new when the server ends.
 				time.Sleep(2 * time.Second)
-				conn, err := net.Dial("tcp", instance.ip+":"+rattansite.CallerPort)
+				conn, err := net.Dial("tcp", instance.IP+":"+rattansite.CallerPort)
 				deployment.Assert(err, qt.IsNil)
 				defer func() { _ = conn.Close() }()
 			}
-			<-instance.ended
-			deployment.Check(instance.command.ProcessState.ExitCode(), qt.Equals, 0)
+			<-instance.Ended()
+			deployment.Check(instance.ExitCode(), qt.Equals, 0)
 			deployment.Check(time.Since(startedAt) < gracePeriod-time.Second, qt.IsTrue, qt.Commentf("ended after %s", time.Since(startedAt)))
 			deployment.store.SetOutage(rattansite.OutageNone)
-			deployment.Check(deployment.storeHas("rattan/members/"+instance.name), qt.Equals, test.wantEntry)
+			deployment.Check(deployment.storeHas("rattan/members/"+instance.Name), qt.Equals, test.wantEntry)
 		})
 	}
 }
@@ -68,13 +68,13 @@
 	defer func() { _ = reader.Close() }()
 	defer func() { _ = writer.Close() }()
 	fillPipe(deployment.C, writer)
-	deployment.startWithOutput(instance, writer)
+	deployment.Assert(instance.StartWithOutput(writer), qt.IsNil)
 	deployment.waitReady(instance)
 	startedAt := time.Now()
-	deployment.Assert(instance.command.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	deployment.Assert(instance.Signal(syscall.SIGTERM), qt.IsNil)
 	select {
-	case <-instance.ended:
-		deployment.Check(instance.command.ProcessState.ExitCode(), qt.Equals, 0)
+	case <-instance.Ended():
+		deployment.Check(instance.ExitCode(), qt.Equals, 0)
 	case <-time.After(gracePeriod - time.Second):
 		deployment.Errorf("not ended after %s", time.Since(startedAt))
 	}
--- a/rattancmd/stale_sign_test.go
+++ b/rattancmd/stale_sign_test.go
@@ -56,7 +56,7 @@
 			deployment.Check(answer.Status, qt.Equals, http.StatusOK)
 			deployment.Check(deployment.checker.StartsOf(lateJob), qt.Equals, 1)
 			// A slow machine may leave the new instance no time to send the job.
-			deployment.Logf("the home has read the job: %t", strings.Contains(home.output.String(), lateJob))
+			deployment.Logf("the home has read the job: %t", strings.Contains(home.Output(), lateJob))
 		})
 	}
 }
@@ -69,9 +69,9 @@
 	deployment := startDeployment(t, []string{"a", "b"}, 2, 2)
 	home, otherZone := deployment.homeOf("a"), deployment.homeOf("b")
 	for _, entry := range []*serveInstance{home, deployment.followers("a", home)[0]} {
-		id := entry.name[len(entry.name)-1:] + lateJob[1:]
+		id := entry.Name[len(entry.Name)-1:] + lateJob[1:]
 		deployment.checker.JobSubmitted(id, rattansite.TaskProfile{MilliCPU: 4000, Duration: lateJobTime})
-		conn, err := net.Dial("tcp", entry.ip+":"+rattansite.CallerPort)
+		conn, err := net.Dial("tcp", entry.IP+":"+rattansite.CallerPort)
 		deployment.Assert(err, qt.IsNil)
 		t.Cleanup(func() { _ = conn.Close() })
 		body := lateJobBody(lateJobTime)
--- a/rattancmd/start_list_test.go
+++ b/rattancmd/start_list_test.go
@@ -18,10 +18,10 @@
 
 func (h *heldStart) killAll(instances []*serveInstance) {
 	for _, instance := range instances {
-		_ = instance.command.Process.Signal(syscall.SIGKILL)
+		_ = instance.Signal(syscall.SIGKILL)
 	}
 	for _, instance := range instances {
-		<-instance.ended
+		<-instance.Ended()
 	}
 }
 
--- a/rattancmd/where_test.go
+++ b/rattancmd/where_test.go
@@ -18,7 +18,7 @@
 // where runs the command against an instance and returns its exit code and its output.
 func (d *deployment) where(instance *serveInstance, path, body string) (code int, report rattanfront.WhereReport, errOut string) {
 	d.Helper()
-	command := exec.Command(binary, "where", "--address", "127.0.0.1:1", "--address", instance.ip+":7735", "--host", queueHost, "--path", path, "-")
+	command := exec.Command(binary, "where", "--address", "127.0.0.1:1", "--address", instance.IP+":7735", "--host", queueHost, "--path", path, "-")
 	var stdout, stderr bytes.Buffer
 	command.Stdin, command.Stdout, command.Stderr = strings.NewReader(body), &stdout, &stderr
 	if err := command.Run(); err != nil && command.ProcessState == nil {
@@ -50,8 +50,8 @@
 	for _, instance := range deployment.instances {
 		code, report, errOut := deployment.where(instance, queuePrefix+id, whereJob(8000))
 		deployment.Assert(code, qt.Equals, 0, qt.Commentf("%s", errOut))
-		deployment.Check(report.Instance, qt.Equals, instance.name)
-		deployment.Check(report.Home, qt.Equals, home.name)
+		deployment.Check(report.Instance, qt.Equals, instance.Name)
+		deployment.Check(report.Home, qt.Equals, home.Name)
 		deployment.Check(report.Service, qt.Equals, queueService)
 		deployment.Check(report.Evacuation, qt.Equals, "none")
 		deployment.Check(report.EvacuationsRevision > 0, qt.IsTrue)
@@ -83,6 +83,6 @@
 
 	deployment.Check(deployment.checker.StartsIn("a"), qt.Equals, startsBefore)
 	for _, instance := range deployment.instances {
-		deployment.Check(strings.Contains(instance.output.String(), id), qt.IsFalse)
+		deployment.Check(strings.Contains(instance.Output(), id), qt.IsFalse)
 	}
 }
--- a/rattanprocess/instance.go
+++ b/rattanprocess/instance.go
@@ -125,6 +125,12 @@
 	<-i.Ended()
 }
 
+// Pause stops the process for the duration, without waiting for its end.
+func (i *Instance) Pause(duration time.Duration) {
+	_ = i.Signal(syscall.SIGSTOP)
+	time.AfterFunc(duration, func() { _ = i.Signal(syscall.SIGCONT) })
+}
+
 // Alive reports whether the process has not ended.
 func (i *Instance) Alive() bool {
 	select {
