--- a/rattancmd/cluster_test.go
+++ b/rattancmd/cluster_test.go
@@ -64,10 +64,7 @@
 var binary string
 
 func TestMain(m *testing.M) {
-	os.Exit(rattanprocess.BuildAndRun(func(built string) int {
-		binary = built
-		return m.Run()
-	}))
+	os.Exit(rattanprocess.BuildAndRun(&binary, m.Run))
 }
 
 // process is a running process of the program.
--- a/rattancmd/deployment_test.go
+++ b/rattancmd/deployment_test.go
@@ -67,16 +67,16 @@
 	deployment.putDesired()
 	for _, zone := range zones {
 		for i := range targets {
-			target, err := processes.AddTarget(rattansite.TargetConfig{
+			_, err := processes.AddTarget(rattansite.TargetConfig{
 				ID: fmt.Sprintf("i-%s-%d", zone, i), Zone: zone, MilliCPU: 32000, MemoryMB: 4096, CrashTime: targetCrashTime, CrashChangesID: i%2 == 0,
 			})
 			c.Assert(err, qt.IsNil)
-			deployment.targets = append(deployment.targets, target)
 		}
 		for i := range instances {
 			deployment.start(deployment.addInstance(fmt.Sprintf("front-%s-%d", zone, i+1), zone))
 		}
 	}
+	deployment.targets = processes.Targets
 	for _, instance := range deployment.instances {
 		deployment.waitReady(instance)
 	}
--- a/rattanoverload/overload_test.go
+++ b/rattanoverload/overload_test.go
@@ -40,7 +40,7 @@
 // callers send a large body at once, most of them without its end.
 func TestOverloadLargeBodies(t *testing.T) {
 	body, heavyBody := paddedJob(bodyBytes), emptySteps(bodyBytes)
-	testOverload(t, limits{machineMB, machineDescriptors}, func(i int) caller {
+	testOverload(t, machineDescriptors, func(i int) caller {
 		switch {
 		case i < heavyCallers:
 			return whole(heavyBody, 0)
@@ -56,7 +56,7 @@
 // callers send a large body piece by piece and stop short of its end.
 func TestOverloadPieces(t *testing.T) {
 	body := paddedJob(bodyBytes)
-	testOverload(t, limits{machineMB, machineDescriptors}, func(i int) caller {
+	testOverload(t, machineDescriptors, func(i int) caller {
 		if i%completeOne == 0 {
 			return pieces(body, 0)
 		}
@@ -78,7 +78,7 @@
 
 func testOverloadChunks(t *testing.T, size int) {
 	encoded := encodeChunks(paddedJob(bodyBytes), size)
-	testOverload(t, limits{machineMB, machineDescriptors}, func(i int) caller {
+	testOverload(t, machineDescriptors, func(i int) caller {
 		return chunks(encoded, i%completeOne == 0)
 	})
 }
@@ -93,7 +93,7 @@
 		chunks(encodeChunks(body, smallChunk), false), partialHead, idle, whole(body, 0),
 	}
 	heavy := whole(emptySteps(bodyBytes), 0)
-	testOverload(t, limits{machineMB, mixDescriptors}, func(i int) caller {
+	testOverload(t, mixDescriptors, func(i int) caller {
 		if i < heavyCallers {
 			return heavy
 		}
@@ -104,8 +104,8 @@
 // testOverload lets callers send requests to the home and checks that all processes
 // stay within their bounds, and that ordinary requests are answered while the
 // connections of the callers are still open.
-func testOverload(t *testing.T, limits limits, newCaller func(index int) caller) {
-	s := startSystem(t, limits)
+func testOverload(t *testing.T, maxDescriptors int, newCaller func(index int) caller) {
+	s := startSystem(t, maxDescriptors)
 	home := s.Home(zone)
 	s.Assert(home, qt.IsNotNil)
 	var meters []*rattanprocess.DescriptorMeter
@@ -130,7 +130,7 @@
 		s.Check(err, qt.IsNil)
 		s.Logf("%s: home %t, peak of %d MB and %d descriptors", instance.Name, instance == home, memory, descriptors)
 		s.Check(memory <= boundMB, qt.IsTrue, qt.Commentf("%s: %d MB resident, bound %d", instance.Name, memory, boundMB))
-		bound := limits.descriptors - reservedDescriptors
+		bound := maxDescriptors - reservedDescriptors
 		s.Check(descriptors <= bound, qt.IsTrue, qt.Commentf("%s: %d descriptors, bound %d", instance.Name, descriptors, bound))
 	}
 }
--- a/rattanoverload/system_test.go
+++ b/rattanoverload/system_test.go
@@ -31,16 +31,7 @@
 	if os.Getenv(runVariable) == "" {
 		os.Exit(m.Run())
 	}
-	os.Exit(rattanprocess.BuildAndRun(func(built string) int {
-		binary = built
-		return m.Run()
-	}))
-}
-
-// limits are the limits of a machine in its settings file.
-type limits struct {
-	memoryMB    int
-	descriptors int
+	os.Exit(rattanprocess.BuildAndRun(&binary, m.Run))
 }
 
 // system is a deployment of two instances in one zone.
@@ -49,8 +40,9 @@
 	*rattanprocess.Deployment
 }
 
-// startSystem starts the processes with the limits and waits until they are ready.
-func startSystem(t *testing.T, limits limits) *system {
+// startSystem starts the processes, whose settings state the number of descriptors,
+// and waits until they are ready.
+func startSystem(t *testing.T, descriptors int) *system {
 	if os.Getenv(runVariable) == "" {
 		t.Skipf("measures memory of processes and runs apart from other tests: set %s=1 (see .ci/run)", runVariable)
 	}
@@ -70,7 +62,7 @@
 	}
 	for i := range instanceCount {
 		instance, err := deployment.AddInstance(rattansite.InstanceSettings{
-			Name: fmt.Sprintf("front-a-%d", i+1), Zone: zone, MemoryMB: limits.memoryMB, MaxDescriptors: limits.descriptors,
+			Name: fmt.Sprintf("front-a-%d", i+1), Zone: zone, MemoryMB: machineMB, MaxDescriptors: descriptors,
 		})
 		c.Assert(err, qt.IsNil)
 		c.Assert(instance.Start(), qt.IsNil)
--- a/rattanprocess/build.go
+++ b/rattanprocess/build.go
@@ -19,19 +19,18 @@
 	return binary, errors.Annotatef(err, "build: %s", output)
 }
 
-// BuildAndRun builds the program in a temporary directory, calls run with its path,
+// BuildAndRun builds the program in a temporary directory, stores its path, calls run,
 // and returns the exit code of run, or 1 if the program cannot be built.
-func BuildAndRun(run func(binary string) int) int {
+func BuildAndRun(binary *string, run func() int) int {
 	directory, err := os.MkdirTemp("", "rattanlever")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
-	binary, err := Build(directory)
-	if err != nil {
+	if *binary, err = Build(directory); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	return run(binary)
+	return run()
 }
--- a/rattanprocess/deployment.go
+++ b/rattanprocess/deployment.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"regexp"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -31,19 +32,18 @@
 )
 
 // Each deployment has the addresses of a network 127.x.y.*. The first one of a test
-// process is random and the others follow it, so that deployments that run at the
-// same time do not share an address.
+// process is random and the others follow it, so that deployments of parallel tests
+// never share an address.
 const (
 	firstNetwork = 20
 	networks     = 200
 	subnetworks  = 250
 )
 
-var lastNetwork atomic.Uint32
-
-func init() {
-	lastNetwork.Store(rand.Uint32N(networks * subnetworks))
-}
+var (
+	randomNetwork = rand.IntN(networks * subnetworks)
+	deployments   atomic.Int64
+)
 
 // Deployment consists of instances that run as processes, and of stand-ins for the
 // platform and the targets in the test process.
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	network := lastNetwork.Add(1) % (networks * subnetworks)
+	network := (randomNetwork + int(deployments.Add(1))) % (networks * subnetworks)
 	return &Deployment{
 		Store: store, Checker: rattansite.NewInvariantChecker(), binary: binary, directory: directory,
 		network: fmt.Sprintf("127.%d.%d.", firstNetwork+network/subnetworks, network%subnetworks),
@@ -108,12 +108,6 @@
 // log lines about changes of homes, or nil if there is none.
 func (d *Deployment) Home(zone string) *Instance {
 	time.Sleep(logDelay)
-	instances := map[string]*Instance{}
-	for _, instance := range d.Instances {
-		if instance.Zone == zone {
-			instances[instance.Name] = instance
-		}
-	}
 	var home *Instance
 	latestFence := 0.0
 	for _, instance := range d.Instances {
@@ -125,8 +119,10 @@
 			if json.Unmarshal([]byte(line), &entry) != nil || entry.Message != "home changed" || entry.Fence <= latestFence {
 				continue
 			}
-			if candidate := instances[entry.Home]; candidate != nil {
-				home, latestFence = candidate, entry.Fence
+			for _, candidate := range d.Instances {
+				if candidate.Name == entry.Home && candidate.Zone == zone {
+					home, latestFence = candidate, entry.Fence
+				}
 			}
 		}
 	}
@@ -177,11 +173,8 @@
 	for _, instance := range d.Instances {
 		var lines strings.Builder
 		for line := range strings.Lines(instance.Output()) {
-			for _, text := range texts {
-				if strings.Contains(line, text) {
-					lines.WriteString(line)
-					break
-				}
+			if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) }) {
+				lines.WriteString(line)
 			}
 		}
 		if lines.Len() > 0 {
