--- a/rattanoverload/overload_test.go
+++ b/rattanoverload/overload_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rattanlever/rattanlever/rattanprocess"
 	"github.com/rattanlever/rattanlever/rattansite"
 )
 
@@ -39,7 +40,7 @@
 // callers send a large body at once, most of them without its end.
 func TestOverloadLargeBodies(t *testing.T) {
 	body, heavyBody := paddedJob(bodyBytes), emptySteps(bodyBytes)
-	testOverload(t, limits{machineMB, machineDescriptors}, func(i int) caller {
+	testOverload(t, machineDescriptors, func(i int) caller {
 		switch {
 		case i < heavyCallers:
 			return whole(heavyBody, 0)
@@ -55,7 +56,7 @@
 // callers send a large body piece by piece and stop short of its end.
 func TestOverloadPieces(t *testing.T) {
 	body := paddedJob(bodyBytes)
-	testOverload(t, limits{machineMB, machineDescriptors}, func(i int) caller {
+	testOverload(t, machineDescriptors, func(i int) caller {
 		if i%completeOne == 0 {
 			return pieces(body, 0)
 		}
@@ -77,7 +78,7 @@
 
 func testOverloadChunks(t *testing.T, size int) {
 	encoded := encodeChunks(paddedJob(bodyBytes), size)
-	testOverload(t, limits{machineMB, machineDescriptors}, func(i int) caller {
+	testOverload(t, machineDescriptors, func(i int) caller {
 		return chunks(encoded, i%completeOne == 0)
 	})
 }
@@ -92,7 +93,7 @@
 		chunks(encodeChunks(body, smallChunk), false), partialHead, idle, whole(body, 0),
 	}
 	heavy := whole(emptySteps(bodyBytes), 0)
-	testOverload(t, limits{machineMB, mixDescriptors}, func(i int) caller {
+	testOverload(t, mixDescriptors, func(i int) caller {
 		if i < heavyCallers {
 			return heavy
 		}
@@ -103,45 +104,46 @@
 // testOverload lets callers send requests to the home and checks that all processes
 // stay within their bounds, and that ordinary requests are answered while the
 // connections of the callers are still open.
-func testOverload(t *testing.T, limits limits, newCaller func(index int) caller) {
-	s := startSystem(t, limits)
-	home := s.home()
-	var meters []*descriptorMeter
-	for _, instance := range s.instances {
-		meters = append(meters, startDescriptorMeter(instance.command.Process.Pid))
+func testOverload(t *testing.T, maxDescriptors int, newCaller func(index int) caller) {
+	s := startSystem(t, maxDescriptors)
+	home := s.Home(zone)
+	s.Assert(home, qt.IsNotNil)
+	var meters []*rattanprocess.DescriptorMeter
+	for _, instance := range s.Instances {
+		meters = append(meters, instance.StartDescriptorMeter())
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	defer callers.Wait()
 	defer cancel()
 	for i := range callerCount {
-		callers.Go(func() { newCaller(i).repeat(ctx, home.ip+":"+rattansite.CallerPort, s.checker) })
+		callers.Go(func() { newCaller(i).repeat(ctx, home.IP+":"+rattansite.CallerPort, s.Checker) })
 	}
 	time.Sleep(overloadTime)
-	for _, instance := range s.instances {
-		s.Check(s.ordinaryAnswered(instance), qt.IsTrue, qt.Commentf("%s answers an ordinary request", instance.name))
+	for _, instance := range s.Instances {
+		s.Check(s.ordinaryAnswered(instance), qt.IsTrue, qt.Commentf("%s answers an ordinary request", instance.Name))
 	}
-	for i, instance := range s.instances {
-		descriptors := meters[i].end()
-		s.Check(instance.alive(), qt.IsTrue, qt.Commentf("process of %s", instance.name))
-		memory, err := peakResidentMB(instance.command.Process.Pid)
+	for i, instance := range s.Instances {
+		descriptors := meters[i].End()
+		s.Check(instance.Alive(), qt.IsTrue, qt.Commentf("process of %s", instance.Name))
+		memory, err := instance.PeakResidentMB()
 		s.Check(err, qt.IsNil)
-		s.Logf("%s: home %t, peak of %d MB and %d descriptors", instance.name, instance == home, memory, descriptors)
-		s.Check(memory <= boundMB, qt.IsTrue, qt.Commentf("%s: %d MB resident, bound %d", instance.name, memory, boundMB))
-		bound := limits.descriptors - reservedDescriptors
-		s.Check(descriptors <= bound, qt.IsTrue, qt.Commentf("%s: %d descriptors, bound %d", instance.name, descriptors, bound))
+		s.Logf("%s: home %t, peak of %d MB and %d descriptors", instance.Name, instance == home, memory, descriptors)
+		s.Check(memory <= boundMB, qt.IsTrue, qt.Commentf("%s: %d MB resident, bound %d", instance.Name, memory, boundMB))
+		bound := maxDescriptors - reservedDescriptors
+		s.Check(descriptors <= bound, qt.IsTrue, qt.Commentf("%s: %d descriptors, bound %d", instance.Name, descriptors, bound))
 	}
 }
 
 // ordinaryAnswered reports whether the instance answers an ordinary job with its
 // result. A job that is refused or not answered is sent again.
-func (s *system) ordinaryAnswered(instance *instance) bool {
+func (s *system) ordinaryAnswered(instance *rattanprocess.Instance) bool {
 	for end := time.Now().Add(ordinaryTime); time.Now().Before(end); {
-		status := ordinaryStatus(instance.ip, s.checker)
+		status := ordinaryStatus(instance, s.Checker)
 		if status == http.StatusOK {
 			return true
 		}
-		s.Logf("%s: status %d of an ordinary request", instance.name, status)
+		s.Logf("%s: status %d of an ordinary request", instance.Name, status)
 		time.Sleep(repeatDelay)
 	}
 	return false
