Use the estimate of admission control for reported waits and redirects

Where most ends of runs are known, the waits reported to other zones, the wait of a job in its own zone before a redirect, and Retry-After follow the expected ends of runs, the learned factors and the least share, as admission control does. A job that has room in another zone does not wait there for the ends that its report states. With one priority, decisions are as before.

BenchmarkAdmission measured a job without demand, which never waits for ends of runs; it has a demand now.

--- a/rattanscheduler/capacity.go
+++ b/rattanscheduler/capacity.go
@@ -32,8 +32,12 @@
 	// overdue and overdueResidual are the same sums of the runs that should have ended.
 	overdue         int64
 	overdueResidual int64
-	// total is the capacity of all runs in the schedule.
+	// total is the capacity of all runs in the schedule, runs their number.
 	total int64
+	runs  int
+	// rate is the sum over the same runs of capacity divided by expected run time, in
+	// millionths of a core for each millisecond: what they release on average.
+	rate int64
 }
 
 // release is a run's part of a schedule.
@@ -42,6 +46,7 @@
 	interval int64
 	milliCPU int64
 	residual int64
+	rate     int64
 }
 
 func intervalOf(at time.Time) int64 {
@@ -66,10 +71,13 @@
 func (s *releaseSchedule) add(milliCPU int, expected time.Duration, now time.Time) release {
 	s.advance(now)
 	r := release{schedule: s, milliCPU: int64(milliCPU), residual: int64(milliCPU) * (expected / overdueFraction).Milliseconds()}
+	r.rate = r.milliCPU * 1000 / max(1, expected.Milliseconds())
 	r.interval = min(max(intervalOf(now.Add(expected)), s.first), s.first+releaseIntervals-1)
 	s.milliCPU[r.interval%releaseIntervals] += r.milliCPU
 	s.residual[r.interval%releaseIntervals] += r.residual
 	s.total += r.milliCPU
+	s.runs++
+	s.rate += r.rate
 	return r
 }
 
@@ -91,6 +99,8 @@
 		s.residual[r.interval%releaseIntervals] -= r.residual
 	}
 	s.total -= r.milliCPU
+	s.runs--
+	s.rate -= r.rate
 	r.schedule = nil
 }
 
@@ -156,6 +166,12 @@
 	return intervals, float64(s.overdue) / float64(intervals)
 }
 
+// turnover returns the time in which as much capacity is released as runs use, if each
+// one that ends is followed by one like it.
+func (s *releaseSchedule) turnover() time.Duration {
+	return time.Duration(float64(s.total) * 1000 / float64(max(1, s.rate)) * float64(time.Millisecond))
+}
+
 // expectsEnds reports whether the expected wait of jobs follows from the expected ends
 // of runs: several priorities share the targets, and most of these ends are known.
 func (state *serviceState) expectsEnds() bool {
@@ -175,7 +191,8 @@
 // Tasks of one size do not get all capacity that is released: a part of it is in rooms
 // that are too small for them, and smaller tasks take others. Small tasks get more than
 // their turn. How the waits of jobs differ from the expected ones for that reason is
-// learned for each priority and size.
+// learned for each priority and size, and for each priority as a whole, since other zones
+// do not tell which size of job they ask for.
 
 const (
 	// waitWeight is the weight of a new observation, minWaitFactor and maxWaitFactor
@@ -186,6 +203,8 @@
 	// sizesPerDoubling is the number of sizes that are told apart between a demand and
 	// its double.
 	sizesPerDoubling = 8
+	// allSizes stands for the jobs of all sizes of a priority.
+	allSizes = -1
 )
 
 // waitKey is a priority and size of tasks.
@@ -197,7 +216,11 @@
 // waitKey returns what the error of the job's expected wait depends on, as of the last
 // time at which tasks of it were ready.
 func (j *job) waitKey() waitKey {
-	return waitKey{j.submission.Priority, int(sizesPerDoubling * math.Log2(float64(max(1, j.entry.demand.MilliCPU))))}
+	return waitKeyOf(j.submission.Priority, j.entry.demand.MilliCPU)
+}
+
+func waitKeyOf(priority, milliCPU int) waitKey {
+	return waitKey{priority, int(sizesPerDoubling * math.Log2(float64(max(1, milliCPU))))}
 }
 
 // waitRatio holds moving averages of the expected and actual waits.
@@ -227,11 +250,13 @@
 	expected, actual := j.expectedWait, now.Sub(j.submittedAt)
 	j.expectedWait = 0
 	key := j.waitKey()
-	ratio := state.waits[key]
 	// A job that ends before its tasks have started would have waited longer.
-	if j.outcome != Open && float64(actual) < ratio.factor()*float64(expected) {
+	if j.outcome != Open && float64(actual) < state.waits[key].factor()*float64(expected) {
 		return
 	}
-	ratio.observe(expected, actual)
-	state.waits[key] = ratio
+	for _, learned := range [...]waitKey{key, {key.priority, allSizes}} {
+		ratio := state.waits[learned]
+		ratio.observe(expected, actual)
+		state.waits[learned] = ratio
+	}
 }
--- a/rattanscheduler/preview.go
+++ b/rattanscheduler/preview.go
@@ -75,8 +75,8 @@
 	// Starts lists the first starts.
 	Starts []PlannedStart `json:",omitempty"`
 	// WorkAhead is the expected processor time of the work that starts before the job,
-	// in seconds of one core. ExpectedWait is how long that occupies the targets, Slack
-	// how long the job may wait.
+	// in seconds of one core. ExpectedWait is for how long the job is expected to wait
+	// because of it, Slack how long it may wait.
 	WorkAhead    rattanjson.Duration
 	ExpectedWait rattanjson.Duration
 	Slack        rattanjson.Duration
@@ -209,13 +209,12 @@
 	state.notePriority(j.submission.Priority)
 	state.queue.classes = slices.Clone(state.queue.classes)
 	state.queue.work += j.entry.work
-	state.queue.milliCPU += j.entry.milliCPU
 	j.class = state.queue.class(false, j.submission.Priority)
 	before := state.queue.backlogBefore(j, p.now.UnixNano())
 	p.preview.WorkAhead = rattanjson.Duration(before.work / 1000)
 	p.preview.Slack = rattanjson.Duration(j.timing.slack(p.now))
 	if state.pool.expectedMilliCPU() > 0 {
-		p.preview.ExpectedWait = rattanjson.Duration(state.expectedWait(j, before, p.now))
+		p.preview.ExpectedWait = rattanjson.Duration(state.waitOfQueued(j, before, p.now))
 	}
 	if !awaits && !s.startsBlocked() && !j.expired(p.now) && p.place() {
 		p.end(PreviewStarts, "a target has room for it")
@@ -226,32 +225,34 @@
 		return
 	}
 	// The backlog includes the work of the job itself.
-	backlog := state.backlog(p.now)
+	retryAfter := state.retryAfter(j, p.now)
 	switch {
 	case awaits:
 		p.end(PreviewWaits, "not all targets have listed their runs since the home took over")
 		return
 	case !state.pool.mostlyUnknown() && state.refusesNew(j, before, p.now):
-		p.refuse(state.backlogReason(), backlog)
+		p.refuse(state.backlogReason(), retryAfter)
 		return
 	case j.expired(p.now):
-		p.refuse(reasonCannotStart, backlog)
+		p.refuse(reasonCannotStart, retryAfter)
 		return
 	}
-	if p.redirect(before.work + j.entry.work) {
+	waiting := waitingJob{state: &state, job: j, before: before, waited: redirectDelay}
+	if state.queue.mixed {
+		waiting.inClass = state.queue.classBacklog(j, p.now.UnixNano())
+	}
+	if p.redirect(waiting) {
 		return
 	}
 	p.end(PreviewWaits, p.waitReason())
 }
 
-// redirect decides whether the job would be redirected instead of waiting, where work is
-// the work up to and including the job.
-func (p *previewer) redirect(work float64) bool {
+// redirect decides whether the job would be redirected instead of waiting.
+func (p *previewer) redirect(waiting waitingJob) bool {
 	if p.scheduler.evacuation != rattanwork.EvacuationNone {
 		return false
 	}
-	wait := max(redirectDelay, p.state.pool.timeFor(work))
-	zone := p.scheduler.earlierZone(expectedWait{job: p.job, wait: wait}, p.now)
+	zone := p.scheduler.earlierZone(waiting, p.now)
 	if zone < 0 {
 		return false
 	}
@@ -390,7 +391,7 @@
 			Zone:         zone.Zone,
 			FreeMilliCPU: zone.FreeMilliCPU,
 			HasRoom:      zone.spare(&need, 1) >= 0,
-			ExpectedWait: rattanjson.Duration(zone.wait(&need)),
+			ExpectedWait: rattanjson.Duration(zone.newJobWait(&need)),
 			Age:          ageOf(zone.ReportedAt, now),
 		})
 	}
--- a/rattanscheduler/priority.go
+++ b/rattanscheduler/priority.go
@@ -219,7 +219,7 @@
 	}
 	before := state.queue.backlogBefore(j, now.UnixNano())
 	if state.awaitsEnds(j) {
-		j.expectedWait = state.waitByEnds(j, before, now)
+		j.expectedWait = state.waitByEnds(state.waitDemand(j), before, now)
 	}
 	if state.refusesNew(j, before, now) {
 		s.refuseForBacklog(j, now)
@@ -246,7 +246,7 @@
 
 func (s *Scheduler) refuseForBacklog(j *job, now time.Time) {
 	state := s.service(j.submission.Service)
-	s.endJob(j, Refused, state.backlogReason(), state.backlog(now), now)
+	s.endJob(j, Refused, state.backlogReason(), state.retryAfter(j, now), now)
 }
 
 // backlogReason returns the reason for refusing a job that would miss its objective.
@@ -320,23 +320,19 @@
 		s.endJob(j, Expired, "cannot end in time", 0, now)
 		return
 	}
-	s.endJob(j, Refused, reasonCannotStart, s.backlog(j.submission.Service, now), now)
+	s.endJob(j, Refused, reasonCannotStart, s.service(j.submission.Service).retryAfter(j, now), now)
 }
 
-// backlog returns how long the waiting work of a service would keep all its
-// usable targets busy.
-func (s *Scheduler) backlog(service string, now time.Time) time.Duration {
-	return s.service(service).backlog(now)
-}
-
-func (s *serviceState) backlog(now time.Time) time.Duration {
-	if s.expectsEnds() {
-		waiting := backlogSum{s.queue.work, s.queue.milliCPU}
-		return max(time.Second, s.releases.wait(waiting, s.pool.usedMilliCPU(), now))
-	}
+// retryAfter returns the suggested retry delay of a job that is refused for lack of
+// resources: the time for which the job would wait or, if that is not known, for which
+// all waiting work would keep the usable targets busy.
+func (s *serviceState) retryAfter(j *job, now time.Time) time.Duration {
 	if s.pool.expectedMilliCPU() == 0 {
 		return noTargetRetryAfter
 	}
+	if s.expectsEnds() {
+		return max(time.Second, s.waitOfQueued(j, s.queue.backlogBefore(j, now.UnixNano()), now))
+	}
 	return max(time.Second, s.pool.timeFor(s.queue.work))
 }
 
@@ -350,7 +346,7 @@
 		WaitingTasks:    state.queue.tasks,
 	}
 	if j.class != nil && state.pool.expectedMilliCPU() > 0 {
-		room.ExpectedWait = state.expectedWait(j, state.queue.backlogBefore(j, now.UnixNano()), now)
+		room.ExpectedWait = state.waitOfQueued(j, state.queue.backlogBefore(j, now.UnixNano()), now)
 	}
 	if s.evacuation != rattanwork.EvacuationActive {
 		room.WithheldMilliCPU = s.withheldMilliCPU(j.submission.Service)
--- a/rattanscheduler/queue.go
+++ b/rattanscheduler/queue.go
@@ -74,8 +74,6 @@
 	jobs  int
 	tasks int
 	work  float64
-	// milliCPU is the demand of all waiting tasks together.
-	milliCPU int
 }
 
 // jobClass holds jobs that differ only in their latest start.
@@ -121,7 +119,6 @@
 	q.jobs++
 	q.tasks += entry.tasks
 	q.work += entry.work
-	q.milliCPU += entry.milliCPU
 	return class
 }
 
@@ -131,7 +128,6 @@
 	q.jobs--
 	q.tasks -= entry.tasks
 	q.work -= entry.work
-	q.milliCPU -= entry.milliCPU
 	if q.jobs == 0 {
 		// Drops the rounding errors of earlier sums.
 		q.work = 0
--- a/rattanscheduler/release_test.go
+++ b/rattanscheduler/release_test.go
@@ -8,6 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
 // TestReleaseScheduleMatchesPlainList guards against sums that keep runs that have
@@ -142,7 +144,7 @@
 			}
 			// The waiting work takes 100 ms of the capacity.
 			ahead := backlogSum{work: float64(targets*16000) * float64(100*time.Millisecond), milliCPU: targets * 8000}
-			j := &job{entry: queueEntry{work: 8 * 8000 * 60e6, tasks: 8, milliCPU: 64000}}
+			j := &job{entry: queueEntry{demand: rattanwork.Resources{MilliCPU: 8000}, work: 8 * 8000 * 60e6, tasks: 8, milliCPU: 64000}}
 			b.ReportAllocs()
 			next := 0
 			for b.Loop() {
@@ -150,7 +152,7 @@
 				now = now.Add(time.Microsecond)
 				runs[next] = state.releases.add(8000, time.Duration(20+next%900)*time.Millisecond, now)
 				next = (next + 1) % len(runs)
-				state.expectedWait(j, ahead, now)
+				state.expectedWait(state.waitDemand(j), ahead, now)
 			}
 		})
 	}
--- a/rattanscheduler/remote_zone.go
+++ b/rattanscheduler/remote_zone.go
@@ -60,10 +60,17 @@
 type zoneNeed struct {
 	service  string
 	priority int
+	// mixed is set if the service has jobs of several priorities.
+	mixed bool
 	// demands are the tasks that start first, work is their expected processor time in
 	// nanoseconds times thousandths of a core.
 	demands []taskDemand
 	work    float64
+	// extraWork is what a zone without room gets done, after the reported wait, until the
+	// last task of the job starts. sizeFactor is by how much jobs with tasks of this size
+	// wait longer than others of their priority.
+	extraWork  float64
+	sizeFactor float64
 }
 
 // taskDemand is a number of tasks that can start at the same time.
@@ -83,13 +90,20 @@
 
 // zoneNeed returns what the job takes from another zone.
 func (s *Scheduler) zoneNeed(j *job) zoneNeed {
-	need := zoneNeed{service: j.submission.Service, priority: j.submission.Priority}
+	need := zoneNeed{service: j.submission.Service, priority: j.submission.Priority, sizeFactor: 1}
 	for i := range j.submission.Job.Steps {
 		if step := &j.submission.Job.Steps[i]; len(step.After) == 0 {
 			need.demands = append(need.demands, taskDemand{milliCPU: step.Resources.MilliCPU, tasks: step.Count})
 			need.work += float64(s.estimator.expectedRunTime(j, i)) * float64(step.Resources.MilliCPU*step.Count)
 		}
 	}
+	need.extraWork = need.work
+	if state, ok := s.services[need.service]; ok {
+		need.mixed = state.mixedWith(need.priority)
+		if state.expectsEnds() {
+			state.followEnds(&need)
+		}
+	}
 	return need
 }
 
@@ -151,7 +165,27 @@
 	}
 }
 
-// wait returns the expected wait of a new job.
+// newJobWait returns the expected wait of a new job: as reported or, where a service has
+// several priorities, as redirects compare it.
+func (z *RemoteZone) newJobWait(need *zoneNeed) time.Duration {
+	if !need.mixed || z.spare(need, 1) >= 0 {
+		return z.waitWithRoom(need)
+	}
+	wait, _ := z.waitForRoom(need)
+	return wait
+}
+
+// waitWithRoom returns the expected wait of a new job for which there is room. Where a
+// service has several priorities, the reported wait is that for the ends of runs, and a job
+// that has room does not wait for these: the jobs that do are larger.
+func (z *RemoteZone) waitWithRoom(need *zoneNeed) time.Duration {
+	if need.mixed {
+		return 0
+	}
+	return z.wait(need)
+}
+
+// wait returns the reported wait of a new job.
 func (z *RemoteZone) wait(need *zoneNeed) time.Duration {
 	if room, _ := z.room(need.service); room != nil {
 		return room.wait(need.priority)
@@ -161,13 +195,14 @@
 
 // waitForRoom returns the expected wait of a new job for which there is no room, false if
 // it is not known. As much capacity becomes free as the job needs itself in the time that
-// its work would take on all targets.
+// its work, or that of the runs which release it, would take on all targets.
 func (z *RemoteZone) waitForRoom(need *zoneNeed) (time.Duration, bool) {
 	room, _ := z.room(need.service)
 	if room == nil || room.MilliCPU <= 0 {
 		return 0, false
 	}
-	return room.wait(need.priority) + max(minWaitForRoom, time.Duration(need.work/float64(room.MilliCPU))), true
+	reported := time.Duration(need.sizeFactor * float64(room.wait(need.priority)))
+	return reported + max(minWaitForRoom, time.Duration(need.extraWork/float64(room.MilliCPU))), true
 }
 
 // SetRemoteZones replaces what is known of the room in the other zones.
@@ -200,16 +235,31 @@
 			continue
 		}
 		elsewhere := s.roomElsewhere(service)
-		for _, waiting := range state.expectedWaits(&elsewhere, now) {
+		for _, waiting := range state.redirectable(&elsewhere, now) {
 			s.redirectIfEarlier(waiting, now)
 		}
 	}
 }
 
-// expectedWait is how long a job is expected to wait in this zone.
-type expectedWait struct {
-	job  *job
-	wait time.Duration
+// waitingJob is a job that waits in this zone.
+type waitingJob struct {
+	state *serviceState
+	job   *job
+	// before is all work before the job, inClass that of its class.
+	before  backlogSum
+	inClass backlogSum
+	waited  time.Duration
+}
+
+// wait returns how long the job is expected to wait. Without expected ends of runs, that is
+// at least until the work before it is done, and until as much capacity is free as it needs
+// itself, and a job that has waited for long already is expected to wait as long again.
+func (w *waitingJob) wait(now time.Time) time.Duration {
+	demand := w.state.waitDemand(w.job)
+	if demand.byEnds {
+		return w.state.admissionWait(demand, w.before, w.inClass, 0, now)
+	}
+	return max(w.state.pool.timeFor(w.before.work+w.job.entry.work), w.waited)
 }
 
 // roomElsewhere returns, for each size class, an upper bound of the room in any one zone.
@@ -234,24 +284,24 @@
 	return most
 }
 
-// expectedWaits returns the jobs of the service that have waited for redirectDelay and
-// may fit elsewhere, in the order in which they start. Each one waits at least until the
-// work before it is done, and until as much capacity is free as it needs itself. A job that
-// has waited for long already is expected to wait as long again.
-func (s *serviceState) expectedWaits(elsewhere *FitCounts, now time.Time) []expectedWait {
-	var list []expectedWait
-	ahead := 0.0
+// redirectable returns the jobs of the service that have waited for redirectDelay and
+// may fit elsewhere, in the order in which they start.
+func (s *serviceState) redirectable(elsewhere *FitCounts, now time.Time) []waitingJob {
+	var list []waitingJob
+	ahead := backlogSum{}
 	s.queue.passes(now.UnixNano(), func(class *jobClass, keys keyRange) {
+		inClass := backlogSum{}
 		class.blocksIn(keys, func(block *jobBlock, _ bool) {
 			for i := range block.entries {
 				entry := &block.entries[i]
 				if !keys.contains(entry.key) {
 					continue
 				}
-				ahead += entry.work
 				if waited := now.Sub(entry.job.submittedAt); waited >= redirectDelay && elsewhere.mayFit(entry.demand.MilliCPU, redirectHeadroom*entry.tasks) {
-					list = append(list, expectedWait{job: entry.job, wait: max(s.pool.timeFor(ahead), waited)})
+					list = append(list, waitingJob{state: s, job: entry.job, before: ahead, inClass: inClass, waited: waited})
 				}
+				ahead.add(entry.work, entry.milliCPU)
+				inClass.add(entry.work, entry.milliCPU)
 			}
 		})
 	})
@@ -259,7 +309,7 @@
 }
 
 // redirectIfEarlier redirects a waiting job if it ends clearly earlier in another zone.
-func (s *Scheduler) redirectIfEarlier(waiting expectedWait, now time.Time) {
+func (s *Scheduler) redirectIfEarlier(waiting waitingJob, now time.Time) {
 	if zone := s.earlierZone(waiting, now); zone >= 0 {
 		s.finishJob(waiting.job, ending{outcome: Redirected, reason: reasonEarlierElsewhere, zone: s.reserveZone(waiting.job, zone, now)}, now)
 	}
@@ -270,7 +320,7 @@
 
 // earlierZone returns the index of another zone where a waiting job ends clearly earlier,
 // or -1 if there is none.
-func (s *Scheduler) earlierZone(waiting expectedWait, now time.Time) int {
+func (s *Scheduler) earlierZone(waiting waitingJob, now time.Time) int {
 	j := waiting.job
 	if s.awaitsReconciliation(j, now) {
 		return -1
@@ -279,7 +329,7 @@
 	if zone < 0 {
 		return -1
 	}
-	if need := s.zoneNeed(j); waiting.wait <= j.redirectCost()+s.remoteZones[zone].wait(&need) {
+	if need := s.zoneNeed(j); waiting.wait(now) <= j.redirectCost()+s.remoteZones[zone].waitWithRoom(&need) {
 		return -1
 	}
 	return zone
@@ -369,8 +419,8 @@
 		if slices.Contains(j.submission.Tried, zone.Zone) {
 			continue
 		}
-		choice.wait = zone.wait(&need)
 		if spare := zone.spare(&need, copies); spare >= 0 {
+			choice.wait = zone.waitWithRoom(&need)
 			if !arrival.Add(choice.wait).After(lateUntil) {
 				choice.weight = spare + 1
 			}
--- a/rattanscheduler/remote_zone_test.go
+++ b/rattanscheduler/remote_zone_test.go
@@ -219,8 +219,8 @@
 	z.scheduler.Submit(z.submission(jobA, 1), z.now)
 	z.now = z.now.Add(redirectDelay)
 	elsewhere := z.scheduler.roomElsewhere(testService)
-	z.Check(z.scheduler.service(testService).expectedWaits(&elsewhere, z.now), qt.HasLen, 0)
+	z.Check(z.scheduler.service(testService).redirectable(&elsewhere, z.now), qt.HasLen, 0)
 	elsewhere = FitCounts{}
 	elsewhere.add(32000, 1)
-	z.Check(z.scheduler.service(testService).expectedWaits(&elsewhere, z.now), qt.HasLen, 1)
+	z.Check(z.scheduler.service(testService).redirectable(&elsewhere, z.now), qt.HasLen, 1)
 }
--- a/rattanscheduler/result.go
+++ b/rattanscheduler/result.go
@@ -64,7 +64,7 @@
 // Room is what the scheduler knew of free resources when a job ended for lack
 // of them.
 type Room struct {
-	// ExpectedWait is the time until the work before the job is done, Slack how
+	// ExpectedWait is how long the job is expected to wait for the work before it, Slack how
 	// long the start of the job could be delayed.
 	ExpectedWait time.Duration
 	Slack        time.Duration
--- a/rattanscheduler/room.go
+++ b/rattanscheduler/room.go
@@ -130,8 +130,8 @@
 	// MilliCPU is the capacity of the targets that take work.
 	MilliCPU int
 	Fits     FitCounts
-	// Waits is empty if no job waits. It is sorted by priority. A priority that is not
-	// listed waits as long as the next one before it.
+	// Waits is empty if no job waits and the usual tasks have room. It is sorted by
+	// priority. A priority that is not listed waits as long as the next one before it.
 	Waits []PriorityWait
 }
 
@@ -234,14 +234,17 @@
 	rooms := make([]ServiceRoom, 0, len(names))
 	for _, name := range names {
 		state := s.services[name]
-		rooms = append(rooms, ServiceRoom{Service: name, MilliCPU: state.pool.expectedMilliCPU(), Fits: state.pool.fits, Waits: state.reportedWaits()})
+		rooms = append(rooms, ServiceRoom{Service: name, MilliCPU: state.pool.expectedMilliCPU(), Fits: state.pool.fits, Waits: state.reportedWaits(now)})
 	}
 	return rooms
 }
 
 // reportedWaits returns the expected waits of new jobs, for at most maxWaits priorities. If there
 // are more, the last one has the wait of all others.
-func (s *serviceState) reportedWaits() []PriorityWait {
+func (s *serviceState) reportedWaits(now time.Time) []PriorityWait {
+	if s.expectsEnds() && !s.pool.mostlyUnknown() {
+		return s.waitsByEnds(now)
+	}
 	if s.queue.jobs == 0 {
 		return nil
 	}
@@ -264,12 +267,43 @@
 	ahead := 0.0
 	for _, priority := range priorities {
 		ahead += work[priority]
-		millis := int64(min(ahead/float64(max(1, s.pool.expectedMilliCPU()))/1e6, maxReportedWait))
-		if len(list) == maxWaits {
-			list[maxWaits-1].Millis = millis
+		list = appendWait(list, priority, ahead/float64(max(1, s.pool.expectedMilliCPU())))
+	}
+	return list
+}
+
+// appendWait appends a wait in nanoseconds to a list of at most maxWaits.
+func appendWait(list []PriorityWait, priority int, wait float64) []PriorityWait {
+	millis := int64(min(wait/1e6, maxReportedWait))
+	if len(list) == maxWaits {
+		list[maxWaits-1].Millis = millis
+		return list
+	}
+	return append(list, PriorityWait{Priority: priority, Millis: millis})
+}
+
+// waitsByEnds returns for how long admission control expects new jobs to wait for the ends
+// of runs, behind all jobs of their priority. Such a job has one task, as large as the
+// running ones on average: the zone that asks adds the time for the work of its job.
+func (s *serviceState) waitsByEnds(now time.Time) []PriorityWait {
+	usual := waitDemand{own: backlogSum{milliCPU: int(s.releases.total) / s.releases.runs}, byEnds: true}
+	if s.queue.jobs == 0 && usual.own.milliCPU <= s.pool.maxFree().MilliCPU {
+		return nil
+	}
+	list := make([]PriorityWait, 0, maxWaits)
+	ahead := backlogSum{}
+	for _, class := range s.queue.classes {
+		if class.started {
+			for _, block := range class.blocks {
+				ahead.add(block.work, block.milliCPU)
+			}
 			continue
 		}
-		list = append(list, PriorityWait{Priority: priority, Millis: millis})
+		inClass := backlogSum{}
+		class.addBacklog(onTimeKeys(now.UnixNano()), &inClass)
+		ahead.add(inClass.work, inClass.milliCPU)
+		usual.priority, usual.factor = class.priority, s.waits[waitKey{class.priority, allSizes}].factor()
+		list = appendWait(list, class.priority, float64(s.admissionWait(usual, ahead, inClass, 0, now)))
 	}
 	return list
 }
--- a/rattanscheduler/shares.go
+++ b/rattanscheduler/shares.go
@@ -54,9 +54,8 @@
 
 // waitByShare returns how long a job waits at most if its priority only gets its least
 // share, given the work of its class before it.
-func (state *serviceState) waitByShare(j *job, before backlogSum) time.Duration {
-	work := before.work + j.entry.work*float64(j.entry.tasks-1)/float64(j.entry.tasks)
-	return time.Duration(work / (minShare * float64(state.pool.capacityMilliCPU)))
+func (state *serviceState) waitByShare(demand waitDemand, before backlogSum) time.Duration {
+	return time.Duration((before.work + demand.own.work) / (minShare * float64(state.pool.capacityMilliCPU)))
 }
 
 // scheduleOwed starts on-time jobs of the priorities that have started less than their
--- a/rattanscheduler/wait_model_test.go
+++ b/rattanscheduler/wait_model_test.go
@@ -9,10 +9,15 @@
 )
 
 // sharedZone returns a zone whose target has no room for the usual tasks, because it runs
-// two of the given run time, in a service that two priorities share.
+// two of the given run time, in a service that has had jobs of three priorities.
 func sharedZone(c *qt.C, runTime time.Duration) *fakeZone {
 	z := newReconciledZone(c, 1)
-	z.scheduler.service(testService).notePriority(0)
+	z.scheduler.SetHeld(true, z.now)
+	for priority := range 3 {
+		z.submitLong(jobA, priority, 1, runTime)
+		z.scheduler.Cancel(jobA, z.now)
+	}
+	z.scheduler.SetHeld(false, z.now)
 	z.submitLong(jobB, 1, 2, runTime)
 	z.Assert(z.scheduler.Take().Starts, qt.HasLen, 2)
 	return z
@@ -68,9 +73,7 @@
 		"short waits are learned there": {func(c *qt.C) *fakeZone {
 			z := sharedZone(c, 300*time.Millisecond)
 			for range 100 {
-				waiting := &job{submission: z.submission(jobA, 1), submittedAt: z.now, expectedWait: time.Second}
-				waiting.entry.demand.MilliCPU = 14000
-				z.scheduler.service(testService).observeWait(waiting, z.now)
+				z.learnWait(14000, time.Second, 0)
 			}
 			return z
 		}, 14000, Redirected},
@@ -94,6 +97,13 @@
 	}
 }
 
+// learnWait lets a job of one size wait for another time than expected.
+func (z *fakeZone) learnWait(milliCPU int, expected, actual time.Duration) {
+	waiting := &job{submission: z.submission(jobA, 1), submittedAt: z.now.Add(-actual), expectedWait: expected}
+	waiting.entry.demand.MilliCPU = milliCPU
+	z.scheduler.service(testService).observeWait(waiting, z.now)
+}
+
 // smallJob returns an urgent job of one task.
 func smallJob(z *fakeZone, id string, milliCPU int, runTime time.Duration) Submission {
 	submission := z.submission(id, 1)
@@ -136,6 +146,41 @@
 	}
 }
 
+// TestWaitElsewhereDependsOnJob guards against taking the wait of a large or wide job in
+// another zone for that of a usual one.
+func TestWaitElsewhereDependsOnJob(t *testing.T) {
+	z := sharedZone(qt.New(t), 400*time.Millisecond)
+	other := roomyZone("b", 10, 0, PriorityWait{0, 100})
+	wait := func(tasks, milliCPU int) time.Duration {
+		submission := z.submission(previewedJob, tasks)
+		submission.Job.Steps[0].Resources.MilliCPU = milliCPU
+		need := z.scheduler.zoneNeed(newJob(submission, z.now))
+		wait, known := other.waitForRoom(&need)
+		z.Check(known, qt.IsTrue)
+		return wait
+	}
+	z.Check(wait(1, 14000), qt.Equals, 100*time.Millisecond+minWaitForRoom)
+	// Runs that end release 8 of the 320 cores in 10 ms.
+	z.Check(wait(9, 14000), qt.Equals, 240*time.Millisecond)
+	for range 100 {
+		z.learnWait(14000, 100*time.Millisecond, 400*time.Millisecond)
+		z.learnWait(7000, 100*time.Millisecond, 0)
+	}
+	z.Check(wait(1, 14000) > 150*time.Millisecond, qt.IsTrue, qt.Commentf("%v", wait(1, 14000)))
+	z.Check(wait(1, 7000) < 80*time.Millisecond, qt.IsTrue, qt.Commentf("%v", wait(1, 7000)))
+}
+
+// TestRetryAfterIsWaitOfJob guards against callers that are told to come back after less
+// urgent work is done, or before the job could be accepted.
+func TestRetryAfterIsWaitOfJob(t *testing.T) {
+	z := sharedZone(qt.New(t), 3*time.Second)
+	z.submitLong(jobA, 2, 20, 3*time.Second)
+	results := z.submitNew(smallJob(z, previewedJob, 14000, 100*time.Millisecond))
+	z.Assert(results, qt.HasLen, 1)
+	z.Check(results[0].RetryAfter, qt.Equals, results[0].Room.ExpectedWait)
+	z.Check((results[0].RetryAfter-3*time.Second).Abs() < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", results[0].RetryAfter))
+}
+
 // BenchmarkReport measures the room that each claim contains, while jobs wait.
 func BenchmarkReport(b *testing.B) {
 	for _, waiting := range []int{0, 1000, 10000} {
