Count the class of a late job alike at its submission and in later reviews

The review of waiting jobs kept the on-time work of a class for its late jobs if no other class had jobs, and CheckAdmission counted no late work before a late job, so that a job was admitted and refused in the same instant.

--- a/rattanscheduler/preview_test.go
+++ b/rattanscheduler/preview_test.go
@@ -205,6 +205,8 @@
 		z := newReconciledZone(c, 1+random.IntN(4))
 		if random.IntN(2) == 0 {
 			z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: random.IntN(100_000)}, {Zone: "c", FreeMilliCPU: random.IntN(100_000)}})
+		} else if random.IntN(2) == 0 {
+			z.scheduler.SetRemoteZones([]RemoteZone{roomyZone("b", 3, random.IntN(20_000), PriorityWait{0, random.Int64N(100)}, PriorityWait{1, random.Int64N(1000)})})
 		}
 		for i := range random.IntN(30) {
 			z.scheduler.Submit(randomSubmission(z, random, fmt.Sprintf("%016x", i+1)), z.now)
--- a/rattanscheduler/queue.go
+++ b/rattanscheduler/queue.go
@@ -193,10 +193,14 @@
 	return backlog
 }
 
-// classBacklog returns the work of the on-time jobs of its class before the job.
+// classBacklog returns the work of the jobs of its class before the job that are on time
+// or, if it is late itself, late.
 func (q *jobQueue) classBacklog(j *job, now int64) backlogSum {
 	backlog := backlogSum{}
 	keys := onTimeKeys(now)
+	if !keys.contains(j.entry.key) {
+		keys = lateKeys(now)
+	}
 	keys.before = j.entry.key
 	j.class.addBacklog(keys, &backlog)
 	return backlog
--- a/rattanscheduler/shortage.go
+++ b/rattanscheduler/shortage.go
@@ -123,13 +123,9 @@
 	ahead := backlogSum{}
 	reconciling := s.reconciling(now)
 	factor := state.largestWaitFactor()
-	var current *jobClass
-	inClass := backlogSum{}
 	state.queue.passes(now.UnixNano(), func(class *jobClass, keys keyRange) {
+		inClass := backlogSum{}
 		class.blocksIn(keys, func(block *jobBlock, whole bool) {
-			if class != current {
-				current, inClass = class, backlogSum{}
-			}
 			if whole && (class.started || state.blockStartsInTime(block, ahead, factor, now)) {
 				ahead.add(block.work, block.milliCPU)
 				inClass.add(block.work, block.milliCPU)
