--- a/rattanscheduler/queue.go
+++ b/rattanscheduler/queue.go
@@ -74,8 +74,6 @@
 	jobs  int
 	tasks int
 	work  float64
-	// milliCPU is the demand of all waiting tasks together.
-	milliCPU int
 }
 
 // jobClass holds jobs that differ only in their latest start.
@@ -121,7 +119,6 @@
 	q.jobs++
 	q.tasks += entry.tasks
 	q.work += entry.work
-	q.milliCPU += entry.milliCPU
 	return class
 }
 
@@ -131,7 +128,6 @@
 	q.jobs--
 	q.tasks -= entry.tasks
 	q.work -= entry.work
-	q.milliCPU -= entry.milliCPU
 	if q.jobs == 0 {
 		// Drops the rounding errors of earlier sums.
 		q.work = 0
@@ -197,10 +193,14 @@
 	return backlog
 }
 
-// classBacklog returns the work of the on-time jobs of its class before the job.
+// classBacklog returns the work of the jobs of its class before the job that are on time
+// or, if it is late itself, late.
 func (q *jobQueue) classBacklog(j *job, now int64) backlogSum {
 	backlog := backlogSum{}
 	keys := onTimeKeys(now)
+	if !keys.contains(j.entry.key) {
+		keys = lateKeys(now)
+	}
 	keys.before = j.entry.key
 	j.class.addBacklog(keys, &backlog)
 	return backlog
