Bound every wait between SIGTERM and the exit of an instance

With requests until the last moment, a silent store and an output that nobody reads, the bounds of a shutdown added up to 5.95 s of the 6 s: requests until 5.4 s, then 150 ms for the servers, 250 ms for the services and 150 ms for the last log lines.

- The hand-over of a zone asked silent members one after the other, 250 ms each, without a bound for all.

--- a/rattancmd/shutdown_test.go
+++ b/rattancmd/shutdown_test.go
@@ -1,9 +1,13 @@
 package rattancmd_test
 
 import (
+	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -38,6 +42,7 @@
 			deployment := startDeployment(t, []string{"a"}, 1, 1)
 			instance := deployment.instances[0]
 			deployment.store.SetOutage(test.outage)
+			lateness := measureLateness(t)
 			startedAt := time.Now()
 			deployment.Assert(instance.command.Process.Signal(syscall.SIGTERM), qt.IsNil)
 			if test.connected {
@@ -48,14 +53,32 @@
 				defer func() { _ = conn.Close() }()
 			}
 			<-instance.ended
+			elapsed := time.Since(startedAt)
 			deployment.Check(instance.command.ProcessState.ExitCode(), qt.Equals, 0)
-			deployment.Check(time.Since(startedAt) < gracePeriod-time.Second, qt.IsTrue, qt.Commentf("ended after %s", time.Since(startedAt)))
+			deployment.Check(elapsed < gracePeriod-time.Second, qt.IsTrue, qt.Commentf("ended after %s; this process ran up to %s late", elapsed, time.Duration(lateness.Load())))
 			deployment.store.SetOutage(rattansite.OutageNone)
 			deployment.Check(deployment.storeHas("rattan/members/"+instance.name), qt.Equals, test.wantEntry)
 		})
 	}
 }
 
+// measureLateness measures by how much this process runs late at the most, until the
+// test ends. The end of another process is seen that much later.
+func measureLateness(t *testing.T) *atomic.Int64 {
+	const interval = 10 * time.Millisecond
+	var lateness atomic.Int64
+	go func() {
+		for t.Context().Err() == nil {
+			before := time.Now()
+			time.Sleep(interval)
+			if late := int64(time.Since(before) - interval); late > lateness.Load() {
+				lateness.Store(late)
+			}
+		}
+	}()
+	return &lateness
+}
+
 // TestServeEndsWithUnreadOutput guards against an instance that is killed at the
 // end of its grace period because nobody reads its output.
 func TestServeEndsWithUnreadOutput(t *testing.T) {
@@ -80,6 +103,78 @@
 	}
 }
 
+// TestServeEndsWithinGracePeriodOnSmallMachine guards against an instance that is
+// killed at the end of its grace period because the bounds of its waits leave no time
+// for a small share of a processor: requests are in progress until the last moment,
+// the store is silent, nobody reads the output, and the process runs for 14.4% of the
+// time.
+func TestServeEndsWithinGracePeriodOnSmallMachine(t *testing.T) {
+	t.Parallel()
+	deployment := startDeployment(t, []string{"a"}, 1, 1)
+	instance := deployment.instances[0]
+	deployment.kill(instance, syscall.SIGKILL)
+	reader, writer, err := os.Pipe()
+	deployment.Assert(err, qt.IsNil)
+	defer func() { _ = reader.Close() }()
+	defer func() { _ = writer.Close() }()
+	fillPipe(deployment.C, writer)
+	deployment.startWithOutput(instance, writer)
+	deployment.waitReady(instance)
+	answers := make(chan serveAnswer)
+	const requests = 10
+	for i := range requests {
+		id := fmt.Sprintf("%016x", 0xaa0+i)
+		deployment.checker.JobSubmitted(id, rattansite.TaskProfile{MilliCPU: 500, Duration: 2 * gracePeriod})
+		body := `{"spec":"s","best_effort":true,"steps":[{"count":1,"cpu":500,"mem_mb":64,"estimate_ms":12000}]}`
+		go func() {
+			answers <- deployment.sendWithDeadline(&http.Client{}, instance, id, []byte(body), 3*gracePeriod)
+		}()
+	}
+	deployment.waitStarts(requests)
+	deployment.store.SetOutage(rattansite.OutageSilent)
+	defer slowDown(instance.command.Process)()
+	lateness := measureLateness(t)
+	startedAt := time.Now()
+	deployment.Assert(instance.command.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	<-instance.ended
+	elapsed := time.Since(startedAt)
+	deployment.Logf("ended after %s; this process ran up to %s late", elapsed, time.Duration(lateness.Load()))
+	deployment.Check(elapsed < gracePeriod, qt.IsTrue)
+	deployment.Check(instance.command.ProcessState.ExitCode(), qt.Equals, 0)
+	for range requests {
+		answer := <-answers
+		deployment.Check(answer.Status, qt.Equals, http.StatusGatewayTimeout, qt.Commentf("%s", answer.Body))
+	}
+}
+
+// waitStarts returns once tasks have started that many times.
+func (d *deployment) waitStarts(want int) {
+	d.Helper()
+	for deadline := time.Now().Add(startTimeout); d.checker.Starts() < want; time.Sleep(10 * time.Millisecond) {
+		d.Assert(time.Now().Before(deadline), qt.IsTrue)
+	}
+}
+
+// slowDown lets a process run for 14.4% of the time, in periods of 100 ms like a
+// machine with that share of a processor, until the returned function is called.
+func slowDown(process *os.Process) (restore func()) {
+	const running, stopped = 14400 * time.Microsecond, 85600 * time.Microsecond
+	ctx, cancel := context.WithCancel(context.Background())
+	var loop sync.WaitGroup
+	loop.Go(func() {
+		for ctx.Err() == nil {
+			_ = process.Signal(syscall.SIGSTOP)
+			time.Sleep(stopped)
+			_ = process.Signal(syscall.SIGCONT)
+			time.Sleep(running)
+		}
+	})
+	return func() {
+		cancel()
+		loop.Wait()
+	}
+}
+
 // fillPipe writes to the pipe until it takes no more.
 func fillPipe(c *qt.C, writer *os.File) {
 	c.Assert(writer.SetWriteDeadline(time.Now().Add(100*time.Millisecond)), qt.IsNil)
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -30,20 +30,6 @@
 )
 
 const (
-	// ingressRemovalTime is how long the ingress may send new connections to an
-	// instance after it has stopped being ready: it probes every second and
-	// removes an instance after two failed probes.
-	ingressRemovalTime = 2300 * time.Millisecond
-	// processExitMargin is the part of the grace period that is reserved for
-	// the exit of the process.
-	processExitMargin = 600 * time.Millisecond
-	// serverStopTimeout bounds the time for closing the HTTP servers after
-	// their requests have ended: connections on which no request has arrived
-	// would keep a server open for seconds.
-	serverStopTimeout = 150 * time.Millisecond
-	// kernelStopTimeout bounds the time for stopping the services, which remove
-	// the instance from the directory.
-	kernelStopTimeout = 250 * time.Millisecond
 	// peerSilence is the time after which a silent connection to a peer is
 	// tested with a ping. The connection is closed after twice that time.
 	peerSilence = 250 * time.Millisecond
@@ -52,7 +38,6 @@
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 16 << 10
-	drainPollInterval = 20 * time.Millisecond
 )
 
 // Config configures a Node.
@@ -87,7 +72,9 @@
 	intake        *intake
 	suspension    suspensionMeter
 	shuttingDown  atomic.Bool
-	app           *kratos.App
+	// exitDue receives a value when Run must return, whatever is still being stopped.
+	exitDue chan struct{}
+	app     *kratos.App
 }
 
 // New opens the listeners of an instance and assembles its components.
@@ -98,6 +85,7 @@
 		targetClient:  platform.NewTargetClient(),
 		crashes:       rattancrash.NewHistory(config.Clock()),
 		cancellations: rattancancel.NewRecord(config.Clock()),
+		exitDue:       make(chan struct{}, 1),
 	}
 	n.settings.Store(&config.Settings)
 	n.intake = newIntake(&config)
@@ -295,45 +283,21 @@
 	defer stopReloads()
 	go n.watchSettings(reloadCtx)
 	n.config.Logger.WithFields(logrus.Fields{"Instance": n.config.Settings.Instance, "Zone": n.config.Settings.Zone}).Info("started")
-	err := n.app.Run()
+	err := n.runApp()
 	n.config.Logger.WithField("Instance", n.config.Settings.Instance).Info("stopped")
 	return errors.Trace(err)
 }
 
-// drain prepares the instance for its stop, before the listeners are closed. It
-// hands the zone over to another instance, waits until the ingress has stopped
-// sending connections and the requests in progress have ended, and aborts the
-// submissions that remain shortly before the end of the grace period.
-func (n *Node) drain(ctx context.Context) error {
-	startedAt := n.config.Clock()
-	deadline := startedAt.Add(n.settings.Load().GracePeriod - processExitMargin)
-	n.shuttingDown.Store(true)
-	n.callerHandler.BeginShutdown(deadline)
-	n.config.Logger.WithField("Active", n.callerHandler.ActiveRequests()).Info("stopping")
-	n.agent.Resign(ctx)
-	n.waitUntil(startedAt.Add(ingressRemovalTime), func() bool { return false })
-	n.callerServer.SetKeepAlivesEnabled(false)
-	n.waitUntil(deadline, func() bool { return n.callerHandler.ActiveRequests() == 0 })
-	n.callerHandler.AbortPending()
-	return nil
-}
-
-// stopKernel stops the services. The context of the application has already
-// ended. The instance has done its work, so a failure only delays until its
-// entry in the directory expires.
-func (n *Node) stopKernel(ctx context.Context) error {
-	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), kernelStopTimeout)
-	defer cancel()
-	if err := n.kernel.Stop(stopCtx); err != nil {
-		n.config.Logger.WithField("Error", err.Error()).Warn("services not stopped")
-	}
-	return nil
-}
-
-// waitUntil returns when the condition holds or the deadline has passed.
-func (n *Node) waitUntil(deadline time.Time, condition func() bool) {
-	for n.config.Clock().Before(deadline) && !condition() {
-		time.Sleep(drainPollInterval)
+// runApp runs the application until it has stopped, or until the process must end.
+func (n *Node) runApp() error {
+	ended := make(chan error, 1)
+	go func() { ended <- n.app.Run() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-n.exitDue:
+		n.config.Logger.Warn("not stopped before the end of the grace period")
+		return nil
 	}
 }
 
--- a/rattanzone/election.go
+++ b/rattanzone/election.go
@@ -223,7 +223,8 @@
 	a.notifyHomeChange()
 }
 
-// Resign hands the zone over to another member before this instance stops.
+// Resign hands the zone over to another member before this instance stops. It asks
+// no further member once ctx has ended.
 func (a *Agent) Resign(ctx context.Context) {
 	a.mutex.Lock()
 	a.terminating = true
@@ -233,7 +234,7 @@
 		return
 	}
 	for _, successor := range a.successors() {
-		if a.handOver(ctx, successor) == nil {
+		if ctx.Err() != nil || a.handOver(ctx, successor) == nil {
 			return
 		}
 	}
--- a/rattanzone/election_test.go
+++ b/rattanzone/election_test.go
@@ -1,6 +1,8 @@
 package rattanzone
 
 import (
+	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -93,3 +95,39 @@
 		c.Error("the home was not closed")
 	}
 }
+
+// silentPeers answers no call.
+type silentPeers struct {
+	noPeers
+	calls atomic.Int64
+}
+
+func (p *silentPeers) Call(ctx context.Context, _, _ string, _ []byte) ([]byte, error) {
+	p.calls.Add(1)
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestResignEndsInTime guards against a shutdown that asks one silent member after the
+// other until the grace period is over.
+func TestResignEndsInTime(t *testing.T) {
+	const members = 40
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	peers := &silentPeers{}
+	agent := New(Config{
+		Self: rattanwork.Member{Name: "self", Zone: "a"}, Peers: peers, Journal: quietJournal{},
+		DesiredState: &DesiredStateWatcher{}, Inventory: NewInventory(nil), Clock: func() time.Time { return now },
+	})
+	agent.localHome = rattanhome.New(rattanhome.Config{FencingToken: 1, MaxLease: time.Second, Observer: idleObserver{}, Clock: func() time.Time { return now }})
+	defer agent.localHome.Close()
+	for i := range members {
+		name := fmt.Sprintf("m%d", i)
+		agent.members[name] = &member{Member: rattanwork.Member{Name: name, Zone: "a", Address: name}, lastHeard: now}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
+	defer cancel()
+	agent.Resign(ctx)
+	c.Check(ctx.Err(), qt.IsNotNil)
+	c.Check(peers.calls.Load() < members/2, qt.IsTrue, qt.Commentf("%d members asked", peers.calls.Load()))
+}
