Use cold targets only where no other target has room

Targets are slow for some time after their start and state how long in their inventory entries (cold_left_ms), which was not read. The pool orders its targets by speed class, so that the search that finds the best fit tries cold ones last. A job that has not started and would be late on a cold target is redirected if it ends clearly earlier in another zone. The room that other zones see leaves cold targets out; admission control and the capacity do not.

--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -239,6 +239,13 @@
 	}
 }
 
+// ColdTargets returns the number of targets that are slow after their start.
+func (h *Home) ColdTargets() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.scheduler.ColdTargets()
+}
+
 // UpdateTargets replaces the list of the zone's targets. The list is current if
 // it was read from the inventory after this home was created.
 func (h *Home) UpdateTargets(targets []rattanwork.Target, current bool) {
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -239,6 +239,9 @@
 		fields["Reason"] = event.Reason
 		fields["PauseMS"] = milliseconds(event.Suspension)
 	}
+	if event.Change == rattanscheduler.TargetCold {
+		fields["ColdLeftMS"] = milliseconds(event.ColdLeft)
+	}
 	j.logger.WithFields(fields).Info("target changed")
 }
 
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -161,6 +161,7 @@
 	})
 	n.config.Registry.Gauge(rattanmetric.EvacuatedZones, func() float64 { return float64(len(n.evacuations.Known().Zones)) })
 	n.config.Registry.Gauge(rattanmetric.HomeLagSeconds, n.homeLagSeconds)
+	n.config.Registry.Gauge(rattanmetric.WithLabels(rattanmetric.SlowTargets, "cause", "Cold"), n.countTargets((*rattanhome.Home).ColdTargets))
 	n.config.Registry.Gauge(rattanmetric.RememberedCancellations, func() float64 { return float64(n.cancellations.Len()) })
 	n.homeService = rattanhome.NewService(rattanhome.ServiceConfig{
 		Name:          self.Name,
@@ -214,6 +215,17 @@
 	return home.Load().Lag.Seconds()
 }
 
+// countTargets returns a function that counts targets of the local home, 0 if there is
+// none.
+func (n *Node) countTargets(count func(home *rattanhome.Home) int) func() float64 {
+	return func() float64 {
+		if home := n.agent.LocalHome(); home != nil {
+			return float64(count(home))
+		}
+		return 0
+	}
+}
+
 func (n *Node) newHome(fencingToken int64) *rattanhome.Home {
 	settings := n.settings.Load()
 	var evacuation func(now time.Time) rattanwork.EvacuationStatus
--- a/rattanscheduler/enum_string.go
+++ b/rattanscheduler/enum_string.go
@@ -39,11 +39,13 @@
 	_ = x[TargetRestarted-4]
 	_ = x[TargetSuspended-5]
 	_ = x[TargetRemoved-6]
+	_ = x[TargetCold-7]
+	_ = x[TargetWarm-8]
 }
 
-const _TargetChange_name = "TargetAppearedTargetDrainingTargetVanishedTargetOutdatedTargetRestartedTargetSuspendedTargetForgotten"
+const _TargetChange_name = "TargetAppearedTargetDrainingTargetVanishedTargetOutdatedTargetRestartedTargetSuspendedTargetForgottenTargetColdTargetWarm"
 
-var _TargetChange_index = [...]uint8{0, 14, 28, 42, 56, 71, 86, 101}
+var _TargetChange_index = [...]uint8{0, 14, 28, 42, 56, 71, 86, 101, 111, 121}
 
 func (i TargetChange) String() string {
 	idx := int(i) - 0
--- a/rattanscheduler/event.go
+++ b/rattanscheduler/event.go
@@ -25,6 +25,10 @@
 	// TargetRemoved means that a vanished target was removed because nothing
 	// can run on it any more.
 	TargetRemoved // TargetForgotten
+	// TargetCold means that the target has started lately and is slow for some time.
+	TargetCold
+	// TargetWarm means that this time is over.
+	TargetWarm
 )
 
 // TargetEvent reports a change of one target.
@@ -34,6 +38,8 @@
 	// Reason is a short reason for a suspension, Suspension its duration.
 	Reason     string
 	Suspension time.Duration
+	// ColdLeft is how long a cold target remains so.
+	ColdLeft time.Duration
 	// Runs is the number of runs that are or may be active on the target.
 	Runs int
 }
--- a/rattanscheduler/gang.go
+++ b/rattanscheduler/gang.go
@@ -99,7 +99,7 @@
 }
 
 // targetsByRack groups the targets by rack, with the rack that has the most
-// free processor capacity first.
+// free processor capacity on targets of usual speed first, then the most on any.
 func targetsByRack(usable []*target) [][]*target {
 	byRack := map[string][]*target{}
 	for _, t := range usable {
@@ -110,15 +110,22 @@
 		list = append(list, members)
 	}
 	slices.SortFunc(list, func(a, b []*target) int {
-		return cmp.Or(cmp.Compare(freeMilliCPU(b), freeMilliCPU(a)), cmp.Compare(a[0].info.Rack, b[0].info.Rack))
+		return cmp.Or(
+			cmp.Compare(freeMilliCPU(b, classUsual), freeMilliCPU(a, classUsual)),
+			cmp.Compare(freeMilliCPU(b, classCold), freeMilliCPU(a, classCold)),
+			cmp.Compare(a[0].info.Rack, b[0].info.Rack),
+		)
 	})
 	return list
 }
 
-func freeMilliCPU(targets []*target) int {
+// freeMilliCPU returns the free processor capacity of the targets up to a speed class.
+func freeMilliCPU(targets []*target, slowest speedClass) int {
 	sum := 0
 	for _, t := range targets {
-		sum += t.free.MilliCPU
+		if t.speed.class <= slowest {
+			sum += t.free.MilliCPU
+		}
 	}
 	return sum
 }
--- a/rattanscheduler/listing.go
+++ b/rattanscheduler/listing.go
@@ -200,7 +200,11 @@
 	} else {
 		r.target.health.recordSuccess()
 	}
-	if exact {
+	switch {
+	case !exact:
+	case r.cold:
+		s.observeCold(r, runTime)
+	default:
 		s.estimator.observe(t.job, t.stepIndex, r, runTime)
 	}
 	s.stopOtherRuns(t, r, now)
--- a/rattanscheduler/placement.go
+++ b/rattanscheduler/placement.go
@@ -11,7 +11,8 @@
 const avoidPenalty = 100
 
 // suspectPenalty keeps other tasks away from a target that runs a task under which
-// a target was lost. It outweighs all terms but that of an avoided target.
+// a target was lost. It outweighs all terms but those of an avoided and of a cold
+// target, given a remote penalty of up to 1.5.
 const suspectPenalty = 10
 
 // maxFailedDemands bounds the number of demands that a pass remembers.
@@ -27,6 +28,8 @@
 	waits map[waitKey]waitRatio
 	// shares contains the work that each priority has started lately.
 	shares map[int]*startedShare
+	// coldFactor is the learned factor by which run times on cold targets are longer.
+	coldFactor float64
 	// submitted is set once a job was submitted, priority is that of the last one.
 	submitted bool
 	priority  int
@@ -36,7 +39,7 @@
 func (s *Scheduler) service(name string) *serviceState {
 	state, ok := s.services[name]
 	if !ok {
-		state = &serviceState{pool: newTargetPool(), waits: map[waitKey]waitRatio{}, shares: map[int]*startedShare{}}
+		state = &serviceState{pool: newTargetPool(), coldFactor: initialColdFactor, waits: map[waitKey]waitRatio{}, shares: map[int]*startedShare{}}
 		s.services[name] = state
 	}
 	return state
@@ -63,6 +66,7 @@
 		s.touch(t)
 	}
 	s.suspended = waiting
+	s.warmTargets(now)
 	for _, t := range s.touched {
 		t.touched = false
 		if s.targets[t.info.ID] == t {
@@ -150,6 +154,9 @@
 			i++
 			continue
 		}
+		if target.speed.class == classCold && s.leaveCold(j, target, pass.now) {
+			return
+		}
 		if !s.grantsLease(target, pass.now) {
 			continue
 		}
@@ -197,8 +204,8 @@
 }
 
 // searchPool returns the best target of the pool for a task, or nil. It looks
-// first at the targets near the task's data, then at the others in the order of
-// the processor capacity that they would have left.
+// first at the targets near the task's data, then at the others by speed class, and
+// within a class in the order of the processor capacity that they would have left.
 func (s *Scheduler) searchPool(t *task, pool *targetPool) *target {
 	step := t.step()
 	best := scoredTarget{}
@@ -208,13 +215,24 @@
 		penalty = s.config.RemotePenalty
 	}
 	for _, group := range pool.groups {
+		classPenalty := s.classPenalty(group.class)
+		if best.target != nil && classPenalty+penalty > best.score {
+			break
+		}
 		list := group.targets.list
 		for _, target := range list[group.targets.search(step.Resources.MilliCPU, ""):] {
-			if best.target != nil && s.remainingShare(t, target)+penalty > best.score {
+			least := s.remainingShare(t, target) + classPenalty + penalty
+			if best.target != nil && least > best.score {
 				break
 			}
-			if s.suits(t, target) {
-				best = best.better(scoredTarget{target, s.score(t, target)})
+			if !s.suits(t, target) {
+				continue
+			}
+			score := s.score(t, target)
+			best = best.better(scoredTarget{target, score})
+			if score == least {
+				// The next ones have a higher score, or the same and a higher name.
+				break
 			}
 		}
 	}
@@ -287,7 +305,7 @@
 // target goes where it harms the fewest others, away from other such tasks, so that
 // the next loss tells them apart.
 func (s *Scheduler) score(t *task, target *target) float64 {
-	score := s.remainingShare(t, target)
+	score := s.remainingShare(t, target) + s.classPenalty(target.speed.class)
 	if rack := t.step().Rack; rack != "" && !target.info.HasLabel(rack) {
 		score += s.config.RemotePenalty
 	}
--- a/rattanscheduler/pool.go
+++ b/rattanscheduler/pool.go
@@ -12,7 +12,8 @@
 // that can take new work, so that finding the best one for a task does not
 // depend on how many others are full.
 type targetPool struct {
-	// groups contains the indexed targets by processor capacity.
+	// groups contains the indexed targets by speed class, the fastest first, and by
+	// processor capacity.
 	groups []*targetGroup
 	// byMemory and byGPU contain the indexed targets sorted by the free amount
 	// of these resources; byGPU contains only targets with accelerators.
@@ -24,16 +25,21 @@
 	// capacityMilliCPU the total one of the usable targets.
 	freeMilliCPU     int
 	capacityMilliCPU int
-	// fits is the room on the indexed targets for tasks of each size class.
+	// coldFreeMilliCPU is the free processor capacity of the indexed targets that are
+	// cold.
+	coldFreeMilliCPU int
+	// fits is the room on the indexed targets for tasks of each size class, without
+	// cold targets.
 	fits FitCounts
 	// awaitedMilliCPU is the total processor capacity of the targets that have
 	// not listed their runs yet and are expected to.
 	awaitedMilliCPU int
 }
 
-// targetGroup contains the indexed targets with the same processor capacity,
-// sorted by their free one.
+// targetGroup contains the indexed targets with the same speed class and processor
+// capacity, sorted by their free one.
 type targetGroup struct {
+	class    speedClass
 	milliCPU int
 	targets  sortedTargets
 }
@@ -47,6 +53,7 @@
 	// awaited is set if the target is expected to take new work soon.
 	awaited  bool
 	capacity int
+	class    speedClass
 	free     rattanwork.Resources
 }
 
@@ -121,20 +128,29 @@
 	if !t.usable(now) {
 		return
 	}
-	t.pooled = poolEntry{usable: true, indexed: t.free.MilliCPU > 0, capacity: t.info.Capacity.MilliCPU, free: t.free}
+	t.pooled = poolEntry{usable: true, indexed: t.free.MilliCPU > 0, capacity: t.info.Capacity.MilliCPU, class: t.speed.class, free: t.free}
 	p.capacityMilliCPU += t.pooled.capacity
 	if !t.pooled.indexed {
 		return
 	}
-	p.freeMilliCPU += t.free.MilliCPU
-	p.fits.add(t.free.MilliCPU, 1)
-	p.group(t.pooled.capacity).targets.insert(t)
+	p.addFree(&t.pooled, 1)
+	p.group(t.pooled.class, t.pooled.capacity).targets.insert(t)
 	p.byMemory.insert(t)
 	if t.info.Capacity.GPU > 0 {
 		p.byGPU.insert(t)
 	}
 }
 
+// addFree adds the free processor capacity of an indexed target, times sign.
+func (p *targetPool) addFree(entry *poolEntry, sign int) {
+	p.freeMilliCPU += sign * entry.free.MilliCPU
+	if entry.class == classCold {
+		p.coldFreeMilliCPU += sign * entry.free.MilliCPU
+		return
+	}
+	p.fits.add(entry.free.MilliCPU, sign)
+}
+
 // mostlyUnknown reports whether so few of the expected targets have listed their
 // runs that the capacity says nothing about the wait of a job. That is so for
 // some milliseconds after a home has taken over: the first targets take a part of
@@ -165,9 +181,8 @@
 		p.awaitedMilliCPU -= entry.capacity
 	}
 	if entry.indexed {
-		p.freeMilliCPU -= entry.free.MilliCPU
-		p.fits.add(entry.free.MilliCPU, -1)
-		p.group(entry.capacity).targets.remove(t)
+		p.addFree(&entry, -1)
+		p.group(entry.class, entry.capacity).targets.remove(t)
 		p.byMemory.remove(t)
 		if index := slices.Index(p.byGPU.list, t); index >= 0 {
 			p.byGPU.list = slices.Delete(p.byGPU.list, index, index+1)
@@ -176,13 +191,14 @@
 	t.pooled = poolEntry{}
 }
 
-// group returns the group of targets with the given processor capacity.
-func (p *targetPool) group(milliCPU int) *targetGroup {
+// group returns the group of targets with the given speed class and processor
+// capacity.
+func (p *targetPool) group(class speedClass, milliCPU int) *targetGroup {
 	index, found := slices.BinarySearchFunc(p.groups, milliCPU, func(g *targetGroup, milliCPU int) int {
-		return cmp.Compare(g.milliCPU, milliCPU)
+		return cmp.Or(cmp.Compare(g.class, class), cmp.Compare(g.milliCPU, milliCPU))
 	})
 	if !found {
-		p.groups = slices.Insert(p.groups, index, &targetGroup{milliCPU: milliCPU, targets: sortedTargets{amount: milliCPUOf}})
+		p.groups = slices.Insert(p.groups, index, &targetGroup{class: class, milliCPU: milliCPU, targets: sortedTargets{amount: milliCPUOf}})
 	}
 	return p.groups[index]
 }
--- a/rattanscheduler/preview.go
+++ b/rattanscheduler/preview.go
@@ -218,7 +218,9 @@
 		p.preview.ExpectedWait = rattanjson.Duration(state.expectedWait(j, before, p.now))
 	}
 	if !awaits && !s.startsBlocked() && !j.expired(p.now) && p.place() {
-		p.end(PreviewStarts, "a target has room for it")
+		if p.preview.Zone == "" {
+			p.end(PreviewStarts, "a target has room for it")
+		}
 		return
 	}
 	if p.gangSkipped {
@@ -290,7 +292,7 @@
 }
 
 // place selects targets for the first ready tasks and reports whether there is one for
-// any. Resources are reserved only during the search. Jobs that wait need no regard: no
+// any. A job that would be late on a cold target may be redirected instead. Resources are reserved only during the search. Jobs that wait need no regard: no
 // target had room for them at the last event.
 func (p *previewer) place() bool {
 	s, j := p.scheduler, p.job
@@ -318,9 +320,18 @@
 		if t.tentativeTarget != nil {
 			continue
 		}
-		if target := s.selectTarget(t, pass); target != nil {
-			p.reserve(t, target, targetReason(t, target))
+		target := s.selectTarget(t, pass)
+		if target == nil {
+			continue
+		}
+		if target.speed.class == classCold && p.preview.StartingTasks == 0 {
+			if zone := s.zoneBesideCold(j, target, p.now); zone >= 0 {
+				p.preview.Zone = s.remoteZones[zone].Zone
+				p.end(PreviewRedirected, reasonOnlyCold)
+				return true
+			}
 		}
+		p.reserve(t, target, targetReason(t, target))
 	}
 	return p.preview.StartingTasks > 0
 }
@@ -330,6 +341,9 @@
 	if rack := t.step().Rack; rack != "" && target.info.HasLabel(rack) {
 		return "near the data of the task"
 	}
+	if target.speed.class > classUsual {
+		return "no faster target has room for it"
+	}
 	return "least share of its capacity left over"
 }
 
--- a/rattanscheduler/progress.go
+++ b/rattanscheduler/progress.go
@@ -52,7 +52,7 @@
 // tooSlow reports whether a run time is longer than errors of the estimate can
 // explain.
 func (s *Scheduler) tooSlow(r *run, runTime time.Duration) bool {
-	expected := s.estimator.expectedRunTime(r.task.job, r.task.stepIndex)
+	expected := s.expectedRunTime(r)
 	return !r.orphan && expected > 0 && runTime > slowFactor*expected+slowTolerance
 }
 
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -19,7 +19,7 @@
 func (s *Scheduler) startRun(t *task, target *target, now time.Time) {
 	t.attempt++
 	t.state = taskActive
-	r := &run{target: target, taskName: t.name, attempt: t.attempt, resources: t.resources(), task: t, knownSince: now, suspect: s.isSuspect(t)}
+	r := &run{target: target, taskName: t.name, attempt: t.attempt, resources: t.resources(), task: t, knownSince: now, suspect: s.isSuspect(t), cold: target.speed.class == classCold}
 	t.run = r
 	s.addRun(r)
 	target.reserve(r.resources)
@@ -27,7 +27,7 @@
 	state.pool.refresh(target, now)
 	j := t.job
 	if state.queue.mixed {
-		expected := s.estimator.expectedRunTime(j, t.stepIndex)
+		expected := s.expectedRunTime(r)
 		r.release = state.releases.add(r.resources.MilliCPU, expected, now)
 		state.recordShare(j.submission.Priority, float64(expected)*float64(r.resources.MilliCPU), now)
 	}
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -108,6 +108,10 @@
 	// suspended those that are usable again after their suspension.
 	touched   []*target
 	suspended []*target
+	// cold contains the cold targets, coldCheckedAt is when they were last checked for
+	// those that have become warm.
+	cold          []*target
+	coldCheckedAt time.Time
 	// orphans contains, by task, the runs of jobs that have not been submitted
 	// to this home.
 	orphans map[string]*run
@@ -229,12 +233,13 @@
 		s.evacuation == rattanwork.EvacuationActive && len(s.jobs) > 0
 }
 
-// FreeMilliCPU returns the free processor capacity of the usable targets.
+// FreeMilliCPU returns the free processor capacity of the usable targets that are
+// warm.
 func (s *Scheduler) FreeMilliCPU(now time.Time) int {
 	s.refreshTargets(now)
 	free := 0
 	for _, state := range s.services {
-		free += state.pool.freeMilliCPU
+		free += state.pool.freeMilliCPU - state.pool.coldFreeMilliCPU
 	}
 	return free
 }
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -55,6 +55,8 @@
 	orphan bool
 	// suspect is set if targets were lost under the task before this run.
 	suspect bool
+	// cold is set if the target was cold at the start of the run.
+	cold bool
 	// countedSlow is set if the run was counted against its target as slow.
 	countedSlow bool
 	// lost describes the loss of the incarnation that the run was requested of,
@@ -126,6 +128,7 @@
 	// that were lost.
 	leaving    bool
 	lossesOpen bool
+	speed      targetSpeed
 	// pooled is the state of the target in the indexes of its pool. touched is
 	// set if the target has changed since, suspensionPending while the end of
 	// its suspension is awaited.
@@ -229,6 +232,7 @@
 		s.addTarget(t)
 		s.awaitListings(now)
 		s.recordChange(t, TargetAppeared)
+		s.recordCold(t, info.ColdLeft, now)
 		return
 	}
 	if !t.vanishedAt.IsZero() {
@@ -239,6 +243,7 @@
 		s.recordChange(t, TargetDraining)
 	}
 	s.recordHeartbeat(t, &info, now)
+	s.recordCold(t, info.ColdLeft, now)
 	if t.info.Equal(&info) {
 		return
 	}
--- a/rattanwork/target.go
+++ b/rattanwork/target.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// MaxColdLeft bounds how long a target counts as cold after a heartbeat.
+const MaxColdLeft = time.Minute
+
 // Target is a worker as described in the inventory.
 type Target struct {
 	// ID is the target's name; a restarted target may reuse it.
@@ -22,6 +25,10 @@
 	// Incarnation identifies the target's incarnation: its start time in Unix
 	// milliseconds.
 	Incarnation int64 `json:"Born"`
+	// ColdLeft is how much longer the target remains slow after its start, as of its
+	// last heartbeat, less the time since then where it is used, 0 if it is warm or
+	// this is not known.
+	ColdLeft time.Duration `json:",omitempty"`
 	// Sequence changes with each heartbeat of the target.
 	Sequence int64 `json:",omitempty"`
 	// HeardAt is when a heartbeat of the target was last read from the inventory,
@@ -42,8 +49,8 @@
 }
 
 // Equal reports whether two descriptions are the same. Rack is not compared
-// because Labels contains it, Sequence and the times of heartbeats because they do
-// not describe the target.
+// because Labels contains it, ColdLeft, Sequence and the times of heartbeats because
+// they do not describe the target.
 func (t *Target) Equal(other *Target) bool {
 	return t.ID == other.ID && t.Service == other.Service && t.Address == other.Address && t.Zone == other.Zone &&
 		t.Draining == other.Draining && t.Capacity == other.Capacity && t.Incarnation == other.Incarnation && slices.Equal(t.Labels, other.Labels)
--- a/rattanzone/inventory.go
+++ b/rattanzone/inventory.go
@@ -146,6 +146,7 @@
 	for _, e := range i.targets {
 		if e.target.Zone == zone {
 			target := e.target
+			target.ColdLeft = max(0, target.ColdLeft-now.Sub(e.heardAt))
 			if i.showsHeartbeats(now) {
 				target.HeardAt, target.AwaitedSince = e.heardAt, i.awaitedSince(e)
 			}
@@ -354,6 +355,7 @@
 		if ok && known.revision != 0 && known.target.Equal(&target) {
 			known.missingSince = time.Time{}
 			known.target.Sequence, known.heardAt = target.Sequence, heardAt
+			known.target.ColdLeft = target.ColdLeft
 			continue
 		}
 		changed = true
