--- a/rattanscheduler/remote_zone.go
+++ b/rattanscheduler/remote_zone.go
@@ -310,7 +310,7 @@
 
 // redirectIfEarlier redirects a waiting job if it ends clearly earlier in another zone.
 func (s *Scheduler) redirectIfEarlier(waiting waitingJob, now time.Time) {
-	if zone := s.earlierZone(waiting, now); zone >= 0 {
+	if zone := s.earlierZone(waiting.job, waiting.wait(now), now); zone >= 0 {
 		s.finishJob(waiting.job, ending{outcome: Redirected, reason: reasonEarlierElsewhere, zone: s.reserveZone(waiting.job, zone, now)}, now)
 	}
 }
@@ -318,10 +318,9 @@
 // reasonEarlierElsewhere is the reason for redirecting a job that waits.
 const reasonEarlierElsewhere = "another zone has room"
 
-// earlierZone returns the index of another zone where a waiting job ends clearly earlier,
-// or -1 if there is none.
-func (s *Scheduler) earlierZone(waiting waitingJob, now time.Time) int {
-	j := waiting.job
+// earlierZone returns the index of another zone where a job ends clearly earlier than here,
+// given its wait here, or -1 if there is none.
+func (s *Scheduler) earlierZone(j *job, wait time.Duration, now time.Time) int {
 	if s.awaitsReconciliation(j, now) {
 		return -1
 	}
@@ -329,7 +328,7 @@
 	if zone < 0 {
 		return -1
 	}
-	if need := s.zoneNeed(j); waiting.wait(now) <= j.redirectCost()+s.remoteZones[zone].waitWithRoom(&need) {
+	if need := s.zoneNeed(j); wait <= j.redirectCost()+s.remoteZones[zone].waitWithRoom(&need) {
 		return -1
 	}
 	return zone
