--- a/rattancmd/loadgenerator_test.go
+++ b/rattancmd/loadgenerator_test.go
@@ -79,6 +79,8 @@
 			g.unanswered.Add(1)
 		case answer.Status != http.StatusGatewayTimeout:
 			g.unexpected.Add(1)
+			g.deployment.Logf("job %s was answered with status %d by %s: %s", id, answer.Status, instance.Name, answer.Body)
+			g.deployment.processes.LogLines(g.deployment, id)
 			return
 		}
 		outcomeUnknown = true
--- a/rattanprocess/deployment.go
+++ b/rattanprocess/deployment.go
@@ -157,19 +157,20 @@
 	for _, violation := range d.Checker.Violations() {
 		test.Errorf("invariant violated: %s", violation)
 		if id := jobIDPattern.FindString(violation); id != "" {
-			d.logLines(test, id)
+			d.LogLines(test, id)
 		}
 	}
 	if test.Failed() {
-		d.logLines(test, `"home `, `"target `)
+		d.LogLines(test, `"home `, `"target `)
 		for _, instance := range d.Instances {
 			test.Logf("%s: %s", instance.Name, Tail(instance.Output()))
 		}
 	}
 }
 
-// logLines logs the lines of all outputs that contain one of the texts.
-func (d *Deployment) logLines(test reporter, texts ...string) {
+// LogLines logs the lines of all outputs that contain one of the texts.
+func (d *Deployment) LogLines(test reporter, texts ...string) {
+	time.Sleep(logDelay)
 	for _, instance := range d.Instances {
 		var lines strings.Builder
 		for line := range strings.Lines(instance.Output()) {
