Learn the speeds of targets and use slow ones last

Run times were learned by service and priority only, so that slow targets kept their share of the work. Each target now has an estimate of its run times relative to the median of its service at the same time, from ends of runs and from the progress in its listings. Targets that are slower by 1.5 and more are in classes of their own, which the search of the pool tries in turn; no task waits for a faster target, and admission control and the capacity stay as they are. A slow target that was not observed for 4 s counts as usual until its runs show otherwise.

--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -246,6 +246,14 @@
 	return h.scheduler.ColdTargets()
 }
 
+// SlowTargets returns the number of targets whose runs have taken longer than those of
+// others.
+func (h *Home) SlowTargets() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.scheduler.SlowTargets()
+}
+
 // UpdateTargets replaces the list of the zone's targets. The list is current if
 // it was read from the inventory after this home was created.
 func (h *Home) UpdateTargets(targets []rattanwork.Target, current bool) {
--- a/rattanmetric/table.go
+++ b/rattanmetric/table.go
@@ -149,7 +149,7 @@
 	{HomeChangesTotal, KindCounter, nil, "Changes of the zone's home that this instance has seen."},
 	{HomesDeposedTotal, KindCounter, nil, "Times that the own home lost its authority to another instance."},
 	{HomeLagSeconds, KindGauge, nil, "How late the own home handles events because it lacks processor time, 0 if it is not the home."},
-	{SlowTargets, KindGauge, []string{"cause"}, "Targets of the own home that get work only if faster ones have no room, by cause: Cold after their start. 0 if this instance is not the home."},
+	{SlowTargets, KindGauge, []string{"cause"}, "Targets of the own home that get work only if faster ones have no room, by cause: Cold after their start, Learned from their runs. 0 if this instance is not the home."},
 	{CancellationsTotal, KindCounter, []string{"outcome"}, "Callers' requests to cancel a job, by outcome."},
 	{CancelledSubmissionsTotal, KindCounter, nil, "Submissions of jobs that their callers have cancelled, before or after."},
 	{RememberedCancellations, KindGauge, nil, "Cancelled jobs that this instance remembers."},
--- a/rattannode/journal.go
+++ b/rattannode/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -242,6 +243,9 @@
 	if event.Change == rattanscheduler.TargetCold {
 		fields["ColdLeftMS"] = milliseconds(event.ColdLeft)
 	}
+	if event.Change == rattanscheduler.TargetSlow {
+		fields["RunTimeFactor"] = math.Round(10*event.RunTimeFactor) / 10
+	}
 	j.logger.WithFields(fields).Info("target changed")
 }
 
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -162,6 +162,7 @@
 	n.config.Registry.Gauge(rattanmetric.EvacuatedZones, func() float64 { return float64(len(n.evacuations.Known().Zones)) })
 	n.config.Registry.Gauge(rattanmetric.HomeLagSeconds, n.homeLagSeconds)
 	n.config.Registry.Gauge(rattanmetric.WithLabels(rattanmetric.SlowTargets, "cause", "Cold"), n.countTargets((*rattanhome.Home).ColdTargets))
+	n.config.Registry.Gauge(rattanmetric.WithLabels(rattanmetric.SlowTargets, "cause", "Learned"), n.countTargets((*rattanhome.Home).SlowTargets))
 	n.config.Registry.Gauge(rattanmetric.RememberedCancellations, func() float64 { return float64(n.cancellations.Len()) })
 	n.homeService = rattanhome.NewService(rattanhome.ServiceConfig{
 		Name:          self.Name,
--- a/rattanscheduler/cold.go
+++ b/rattanscheduler/cold.go
@@ -41,7 +41,7 @@
 
 // warmTargets ends the cold time of the targets for which it is over.
 func (s *Scheduler) warmTargets(now time.Time) {
-	if len(s.cold) == 0 || now.Sub(s.coldCheckedAt) < coldCheckInterval {
+	if now.Sub(s.coldCheckedAt) < coldCheckInterval {
 		return
 	}
 	s.coldCheckedAt = now
@@ -53,7 +53,7 @@
 		case now.Before(t.speed.coldUntil):
 			remaining = append(remaining, t)
 		default:
-			t.speed.class = classUsual
+			t.speed.class = t.speed.learned
 			s.touch(t)
 			s.recordChange(t, TargetWarm)
 		}
--- a/rattanscheduler/enum_string.go
+++ b/rattanscheduler/enum_string.go
@@ -41,11 +41,13 @@
 	_ = x[TargetRemoved-6]
 	_ = x[TargetCold-7]
 	_ = x[TargetWarm-8]
+	_ = x[TargetSlow-9]
+	_ = x[TargetNormal-10]
 }
 
-const _TargetChange_name = "TargetAppearedTargetDrainingTargetVanishedTargetOutdatedTargetRestartedTargetSuspendedTargetForgottenTargetColdTargetWarm"
+const _TargetChange_name = "TargetAppearedTargetDrainingTargetVanishedTargetOutdatedTargetRestartedTargetSuspendedTargetForgottenTargetColdTargetWarmTargetSlowTargetNormal"
 
-var _TargetChange_index = [...]uint8{0, 14, 28, 42, 56, 71, 86, 101, 111, 121}
+var _TargetChange_index = [...]uint8{0, 14, 28, 42, 56, 71, 86, 101, 111, 121, 131, 143}
 
 func (i TargetChange) String() string {
 	idx := int(i) - 0
--- a/rattanscheduler/event.go
+++ b/rattanscheduler/event.go
@@ -29,6 +29,10 @@
 	TargetCold
 	// TargetWarm means that this time is over.
 	TargetWarm
+	// TargetSlow means that runs on the target take longer than on others.
+	TargetSlow
+	// TargetNormal means that a slow target is of usual speed again.
+	TargetNormal
 )
 
 // TargetEvent reports a change of one target.
@@ -40,6 +44,8 @@
 	Suspension time.Duration
 	// ColdLeft is how long a cold target remains so.
 	ColdLeft time.Duration
+	// RunTimeFactor is the factor by which runs on a slow target take longer.
+	RunTimeFactor float64
 	// Runs is the number of runs that are or may be active on the target.
 	Runs int
 }
--- a/rattanscheduler/listing.go
+++ b/rattanscheduler/listing.go
@@ -40,7 +40,7 @@
 	for _, listed := range listing.Running {
 		key := runKey{listed.Task, listed.Attempt}
 		running[key] = true
-		s.handleListedRun(target, key, listed, now)
+		s.handleListedRun(target, key, listed, listing.ClockMillis, now)
 	}
 	for _, r := range target.snapshot() {
 		if running[runKey{r.taskName, r.attempt}] {
@@ -87,6 +87,7 @@
 		return
 	}
 	s.recordChange(target, TargetRestarted)
+	s.forgetSpeed(target)
 	target.lossesOpen = true
 	for _, r := range target.snapshot() {
 		loss := target.lossByRestart(r, now)
@@ -107,7 +108,7 @@
 // handleListedRun processes a run that a target lists as active. A run that
 // this home did not request is adopted by its task if the task waits for a run;
 // otherwise it is kept as an orphan until its job is resubmitted.
-func (s *Scheduler) handleListedRun(target *target, key runKey, listed rattanwork.Run, now time.Time) {
+func (s *Scheduler) handleListedRun(target *target, key runKey, listed rattanwork.Run, clockMillis int64, now time.Time) {
 	r, ok := target.runs[key]
 	if !ok {
 		late := s.carriedOutLate(key, target)
@@ -144,7 +145,7 @@
 	if listed.Checkpoint != "" {
 		r.task.saveCheckpoint(listed.Checkpoint)
 	}
-	s.updateProgress(r, listed.Percent, now)
+	s.updateProgress(r, listed.Percent, clockMillis, now)
 }
 
 // handleEndedRun processes a run that a target lists as ended. If this home has
@@ -195,7 +196,8 @@
 // handleTaskDone completes a task after one of its runs has succeeded.
 func (s *Scheduler) handleTaskDone(t *task, r *run, listing *rattanwork.Listing, now time.Time) {
 	runTime, exact := r.runTime(listing, now)
-	if s.tooSlow(r, runTime) {
+	expected := s.expectedRunTime(r)
+	if r.tooSlow(runTime, expected) {
 		s.recordSlowRun(r, now)
 	} else {
 		r.target.health.recordSuccess()
@@ -206,6 +208,7 @@
 		s.observeCold(r, runTime)
 	default:
 		s.estimator.observe(t.job, t.stepIndex, r, runTime)
+		s.observeEnd(r, runTime, expected, now)
 	}
 	s.stopOtherRuns(t, r, now)
 	s.markDone(t)
--- a/rattanscheduler/placement.go
+++ b/rattanscheduler/placement.go
@@ -30,6 +30,7 @@
 	shares map[int]*startedShare
 	// coldFactor is the learned factor by which run times on cold targets are longer.
 	coldFactor float64
+	speeds     speedComparison
 	// submitted is set once a job was submitted, priority is that of the last one.
 	submitted bool
 	priority  int
@@ -66,7 +67,12 @@
 		s.touch(t)
 	}
 	s.suspended = waiting
-	s.warmTargets(now)
+	if len(s.cold) > 0 {
+		s.warmTargets(now)
+	}
+	if len(s.slow) > 0 {
+		s.checkSlowTargets(now)
+	}
 	for _, t := range s.touched {
 		t.touched = false
 		if s.targets[t.info.ID] == t {
@@ -215,13 +221,16 @@
 		penalty = s.config.RemotePenalty
 	}
 	for _, group := range pool.groups {
-		classPenalty := s.classPenalty(group.class)
-		if best.target != nil && classPenalty+penalty > best.score {
-			break
+		floor := penalty
+		if group.class > classUsual {
+			floor = s.classPenalty(group.class) + penalty
+			if best.target != nil && floor > best.score {
+				break
+			}
 		}
 		list := group.targets.list
 		for _, target := range list[group.targets.search(step.Resources.MilliCPU, ""):] {
-			least := s.remainingShare(t, target) + classPenalty + penalty
+			least := s.remainingShare(t, target) + floor
 			if best.target != nil && least > best.score {
 				break
 			}
@@ -305,10 +314,14 @@
 // target goes where it harms the fewest others, away from other such tasks, so that
 // the next loss tells them apart.
 func (s *Scheduler) score(t *task, target *target) float64 {
-	score := s.remainingShare(t, target) + s.classPenalty(target.speed.class)
+	penalty := 0.0
+	if target.speed.class > classUsual {
+		penalty = s.classPenalty(target.speed.class)
+	}
 	if rack := t.step().Rack; rack != "" && !target.info.HasLabel(rack) {
-		score += s.config.RemotePenalty
+		penalty += s.config.RemotePenalty
 	}
+	score := s.remainingShare(t, target) + penalty
 	if t.avoidTarget == target {
 		score += avoidPenalty
 	}
--- a/rattanscheduler/pool.go
+++ b/rattanscheduler/pool.go
@@ -39,9 +39,16 @@
 // targetGroup contains the indexed targets with the same speed class and processor
 // capacity, sorted by their free one.
 type targetGroup struct {
-	class    speedClass
-	milliCPU int
-	targets  sortedTargets
+	class   speedClass
+	key     groupKey
+	targets sortedTargets
+}
+
+// groupKey orders groups by speed class, then by processor capacity.
+type groupKey int64
+
+func newGroupKey(class speedClass, milliCPU int) groupKey {
+	return groupKey(class)<<32 + groupKey(milliCPU)
 }
 
 // poolEntry is the state of a target as of its last indexing.
@@ -52,8 +59,8 @@
 	indexed bool
 	// awaited is set if the target is expected to take new work soon.
 	awaited  bool
-	capacity int
 	class    speedClass
+	capacity int
 	free     rattanwork.Resources
 }
 
@@ -194,11 +201,11 @@
 // group returns the group of targets with the given speed class and processor
 // capacity.
 func (p *targetPool) group(class speedClass, milliCPU int) *targetGroup {
-	index, found := slices.BinarySearchFunc(p.groups, milliCPU, func(g *targetGroup, milliCPU int) int {
-		return cmp.Or(cmp.Compare(g.class, class), cmp.Compare(g.milliCPU, milliCPU))
+	index, found := slices.BinarySearchFunc(p.groups, newGroupKey(class, milliCPU), func(g *targetGroup, key groupKey) int {
+		return cmp.Compare(g.key, key)
 	})
 	if !found {
-		p.groups = slices.Insert(p.groups, index, &targetGroup{class: class, milliCPU: milliCPU, targets: sortedTargets{amount: milliCPUOf}})
+		p.groups = slices.Insert(p.groups, index, &targetGroup{class: class, key: newGroupKey(class, milliCPU), targets: sortedTargets{amount: milliCPUOf}})
 	}
 	return p.groups[index]
 }
--- a/rattanscheduler/progress.go
+++ b/rattanscheduler/progress.go
@@ -26,14 +26,16 @@
 // restarted elsewhere while the answer still has value. If the job cannot
 // complete in time, it is ended early, so that the caller learns it at once and
 // the resources become free.
-func (s *Scheduler) updateProgress(r *run, percent int, now time.Time) {
+func (s *Scheduler) updateProgress(r *run, percent int, clockMillis int64, now time.Time) {
 	elapsed := now.Sub(r.knownSince)
 	if r.orphan || r.state != runConfirmed || elapsed < minProgressAge {
 		return
 	}
+	expected := s.expectedRunTime(r)
+	s.observeProgress(r, percent, expected, clockMillis, now)
 	minRunTime := time.Duration(float64(elapsed) * 100 / float64(percent+1))
 	missesDeadline := r.task.slowRun == nil && r.knownSince.Add(minRunTime).After(r.task.job.submission.Deadline)
-	slow := s.tooSlow(r, minRunTime)
+	slow := r.tooSlow(minRunTime, expected)
 	if slow && !r.countedSlow {
 		r.countedSlow = true
 		s.recordSlowRun(r, now)
@@ -51,8 +53,7 @@
 
 // tooSlow reports whether a run time is longer than errors of the estimate can
 // explain.
-func (s *Scheduler) tooSlow(r *run, runTime time.Duration) bool {
-	expected := s.expectedRunTime(r)
+func (r *run) tooSlow(runTime, expected time.Duration) bool {
 	return !r.orphan && expected > 0 && runTime > slowFactor*expected+slowTolerance
 }
 
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -112,6 +112,10 @@
 	// those that have become warm.
 	cold          []*target
 	coldCheckedAt time.Time
+	// slow contains the targets that were learned to be slow, slowCheckedAt is when they
+	// were last checked.
+	slow          []*target
+	slowCheckedAt time.Time
 	// orphans contains, by task, the runs of jobs that have not been submitted
 	// to this home.
 	orphans map[string]*run
--- a/rattanscheduler/speed_bench_test.go
+++ b/rattanscheduler/speed_bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -46,18 +47,21 @@
 		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
 			z := newReconciledZone(qt.New(b), targets)
 			var running []StartRequest
-			clock := int64(1000)
-			number := 0
+			begin, number := z.now, 0
+			clock := func() int64 { return 1000 + z.now.Sub(begin).Milliseconds() }
 			submit := func() {
 				z.scheduler.Submit(z.benchSubmission(number, 14000), z.now)
 				number++
 				starts := z.scheduler.Take().Starts
 				for _, start := range starts {
-					z.scheduler.StartAnswered(start.Target.ID, start.Task, 1, rattanwork.StartAnswer{Result: rattanwork.StartAccepted, ClockMillis: clock}, z.now)
+					z.scheduler.StartAnswered(start.Target.ID, start.Task, 1, rattanwork.StartAnswer{Result: rattanwork.StartAccepted, ClockMillis: clock()}, z.now)
 				}
 				running = append(running, starts...)
 			}
+			// Each target runs two tasks at a time, which take as long as declared.
+			interval := z.benchSubmission(0, 14000).Job.Steps[0].Estimate / time.Duration(2*targets)
 			for range 2*targets + 100 {
+				z.now = z.now.Add(interval)
 				submit()
 			}
 			sequence := int64(0)
@@ -66,12 +70,9 @@
 				ending := running[0]
 				running = running[1:]
 				sequence++
-				if sequence%10 == 0 {
-					z.now = z.now.Add(1e6)
-					clock++
-				}
+				z.now = z.now.Add(interval)
 				listing := rattanwork.Listing{
-					ClockMillis: clock, Prompt: true,
+					ClockMillis: clock(), Prompt: true,
 					Ended: []rattanwork.End{{Sequence: sequence, Task: ending.Task, Attempt: 1, Kind: rattanwork.EndDone}},
 				}
 				target := z.scheduler.targets[ending.Target.ID]
@@ -86,3 +87,48 @@
 		})
 	}
 }
+
+// BenchmarkCompareSpeeds measures one run time of each of the targets of a comparison, the
+// comparison, and the update of the indexes if the classes of a third of them change.
+func BenchmarkCompareSpeeds(b *testing.B) {
+	for _, targets := range speedBenchTargets {
+		for _, changing := range []bool{false, true} {
+			b.Run(fmt.Sprintf("targets=%d/changing=%t", targets, changing), func(b *testing.B) {
+				z := newReconciledZone(qt.New(b), targets)
+				random := rand.New(rand.NewPCG(1, 1))
+				var runs []*run
+				t := newJob(z.benchSubmission(1, 8000), z.now).tasks[0]
+				for i := range targets {
+					target := z.scheduler.targets[fmt.Sprintf("t%d", i)]
+					target.free.MilliCPU = random.IntN(target.info.Capacity.MilliCPU)
+					z.scheduler.touch(target)
+					runs = append(runs, &run{target: target, task: t, attempt: 1})
+				}
+				z.scheduler.refreshTargets(z.now)
+				compared := min(targets, maxCompared)
+				next := 0
+				b.ReportAllocs()
+				for b.Loop() {
+					z.now = z.now.Add(comparisonInterval)
+					for k := range compared {
+						r := runs[(next+k)%targets]
+						if changing && k%3 == 0 {
+							slowness := 4 * classStep
+							if r.target.speed.learned > classUsual {
+								slowness = 0
+							}
+							r.target.speed.slowness = slowness
+						}
+						now := z.now
+						if k == compared-1 {
+							now = now.Add(comparisonInterval)
+						}
+						z.scheduler.observeEnd(r, 100*time.Millisecond, 100*time.Millisecond, now)
+					}
+					next += compared
+					z.scheduler.refreshTargets(z.now)
+				}
+			})
+		}
+	}
+}
--- a/rattanscheduler/speed_test.go
+++ b/rattanscheduler/speed_test.go
@@ -1,6 +1,7 @@
 package rattanscheduler
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -53,11 +54,14 @@
 	z.take()
 }
 
-// start submits a patient job and returns its starts.
-func (z *speedZone) start(tasks int) []StartRequest {
+// start submits a patient job of tasks of which two fit on a target, and returns its
+// starts.
+func (z *speedZone) start(tasks int) []StartRequest { return z.startSized(tasks, 14000) }
+
+func (z *speedZone) startSized(tasks, milliCPU int) []StartRequest {
 	z.jobs++
 	submission := z.patientSubmission(fmt.Sprintf("%016x", z.jobs))
-	submission.Job.Steps[0].Count = tasks
+	submission.Job.Steps[0].Count, submission.Job.Steps[0].Resources.MilliCPU = tasks, milliCPU
 	z.scheduler.Submit(submission, z.now)
 	starts := z.take().Starts
 	for _, start := range starts {
@@ -76,7 +80,7 @@
 		z.sequences[id]++
 		ends[id] = append(ends[id], rattanwork.End{Sequence: z.sequences[id], Task: start.Task, Attempt: start.Attempt, Kind: rattanwork.EndDone})
 	}
-	for _, id := range slices.Sorted(maps.Keys(ends)) {
+	for _, id := range slices.SortedFunc(maps.Keys(ends), func(a, b string) int { return cmp.Or(cmp.Compare(runTime(a), runTime(b)), cmp.Compare(a, b)) }) {
 		elapsed := runTime(id)
 		longest = max(longest, elapsed)
 		arrival := begin.Add(elapsed + delay)
@@ -172,10 +176,31 @@
 			learned := z.scheduler.service(testService).coldFactor
 			z.Check(learned > 0.95*factor && learned < 1.05*factor, qt.IsTrue, qt.Commentf("%v", learned))
 			z.Check(z.scheduler.estimator.learned, qt.HasLen, 0)
+			z.describeCold(3, usualTime/2)
+			z.play(1, slowed(1), 0)
+			z.Check(z.scheduler.service(testService).coldFactor, qt.Equals, learned, qt.Commentf("warm at the end"))
 		})
 	}
 }
 
+// TestStepPrefersRackOfUsualSpeed guards against a step that is placed on a rack of cold
+// targets while another rack has as much room.
+func TestStepPrefersRackOfUsualSpeed(t *testing.T) {
+	z := newSpeedZone(qt.New(t), 4)
+	for _, target := range z.scheduler.targets {
+		target.info.Rack = target.info.Labels[1]
+	}
+	z.describeCold(2, time.Minute)
+	submission := z.submission(jobA, 3)
+	submission.Job.Steps[0].SameRack = true
+	z.scheduler.Submit(submission, z.now)
+	starts := z.take().Starts
+	z.Assert(starts, qt.HasLen, 3)
+	for _, start := range starts {
+		z.Check(start.Target.Rack, qt.Equals, "r1")
+	}
+}
+
 // TestFalseColdTime guards against an entry with a false cold time that keeps jobs from
 // running, or applies for longer than a minute.
 func TestFalseColdTime(t *testing.T) {
@@ -251,3 +276,181 @@
 		})
 	})
 }
+
+// TestSlowTargetsAreFound guards against slow targets that get work while others have
+// room, against tasks that wait while only slow ones have, and against targets that
+// never return to normal.
+func TestSlowTargetsAreFound(t *testing.T) {
+	z := newSpeedZone(qt.New(t), 9)
+	capacity := z.scheduler.service(testService).pool.expectedMilliCPU()
+	z.play(2, slowed(1), 0)
+	z.Check(z.slow(), qt.HasLen, 0)
+	z.play(8, slowed(3, "t0", "t4", "t8"), 0)
+	z.Check(z.slow(), qt.DeepEquals, []string{"t0", "t4", "t8"})
+	z.Check(z.scheduler.SlowTargets(), qt.Equals, 3)
+	z.Check(z.scheduler.service(testService).pool.expectedMilliCPU(), qt.Equals, capacity)
+	starts := z.start(12)
+	z.Assert(starts, qt.HasLen, 12)
+	for _, start := range starts {
+		z.Check(slices.Contains(z.slow(), start.Target.ID), qt.IsFalse)
+	}
+	more := z.start(6)
+	z.Assert(more, qt.HasLen, 6, qt.Commentf("tasks wait although slow targets have room"))
+	z.end(append(starts, more...), slowed(1), 0)
+	z.play(10, slowed(1), 0)
+	z.Check(z.slow(), qt.HasLen, 0)
+	z.Check(z.scheduler.slow, qt.HasLen, 0)
+	z.Check(z.changes()[TargetSlow], qt.Equals, 3)
+	z.Check(z.changes()[TargetNormal], qt.Equals, 3)
+}
+
+// TestSpeedClassFollowsFactor guards against classes that do not fit the run times, also
+// where speeds differ by nature.
+func TestSpeedClassFollowsFactor(t *testing.T) {
+	for factor, class := range map[float64]speedClass{0.6: 0, 1: 0, 1.4: 0, 1.7: 1, 2.6: 2} {
+		t.Run(fmt.Sprint(factor), func(t *testing.T) {
+			z := newSpeedZone(qt.New(t), 9)
+			z.play(20, slowed(factor, "t1"), 0)
+			z.Check(z.scheduler.targets["t1"].speed.class, qt.Equals, class)
+			z.Check(z.scheduler.targets["t2"].speed.class, qt.Equals, classUsual)
+		})
+	}
+	qt.Check(t, nextClass(classUsual, 9), qt.Equals, classSlowest)
+	qt.Check(t, nextClass(classSlowest, 1.2), qt.Equals, classSlowest, qt.Commentf("close to its bound"))
+	qt.Check(t, nextClass(classSlowest, -9), qt.Equals, classUsual)
+}
+
+// TestUsualTargetsAreNotTakenForSlow guards against slow targets where the cause is
+// another: all are slow at once, the home is late, all run times are declared too low,
+// or one task is much longer than the others of its kind.
+func TestUsualTargetsAreNotTakenForSlow(t *testing.T) {
+	tests := map[string]struct {
+		targets int
+		runTime func(target string) time.Duration
+		delay   time.Duration
+		noClock bool
+	}{
+		"all slow":               {targets: 9, runTime: func(string) time.Duration { return 3 * usualTime }},
+		"all slow, few targets":  {targets: 3, runTime: func(string) time.Duration { return 3 * usualTime }},
+		"home late":              {targets: 9, runTime: slowed(1), delay: 2 * time.Second},
+		"home late, no clocks":   {targets: 9, runTime: slowed(1), delay: 2 * time.Second, noClock: true},
+		"some a little longer":   {targets: 9, runTime: slowed(1.2, "t2", "t3")},
+		"two targets, one slow":  {targets: 2, runTime: slowed(3, "t1")},
+		"most fast, some slower": {targets: 9, runTime: slowed(0.4, "t0", "t1", "t2", "t3")},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			z := newSpeedZone(qt.New(t), test.targets)
+			if test.noClock {
+				z.clock = -time.Hour.Milliseconds()
+			}
+			z.play(3, slowed(1), 0)
+			for range 6 {
+				z.play(1, test.runTime, test.delay)
+				z.Check(z.slow(), qt.HasLen, 0)
+			}
+			z.play(6, slowed(1), 0)
+			z.Check(z.slow(), qt.HasLen, 0)
+		})
+	}
+	t.Run("one long task", func(t *testing.T) {
+		z := newSpeedZone(qt.New(t), 9)
+		z.play(3, slowed(1), 0)
+		starts := z.start(9)
+		z.Assert(starts[8].Target.ID, qt.Equals, "t4", qt.Commentf("the only task there"))
+		z.end(starts, slowed(7, "t4"), 0)
+		z.advance(comparisonTimeout)
+		z.end(z.start(9), slowed(1), 0)
+		slowness := z.scheduler.targets["t4"].speed.slowness
+		z.Check(slowness > 0 && slowness < maxDeviation/formerWeight, qt.IsTrue, qt.Commentf("%v", slowness))
+		z.end(z.start(9), slowed(1), 0)
+		z.Check(z.slow(), qt.HasLen, 0)
+	})
+}
+
+// listProgress lists the progress of runs on all targets after the time by their clocks.
+func (z *speedZone) listProgress(starts []StartRequest, elapsed func(target string) time.Duration, percent func(target string) int) {
+	running := map[string][]rattanwork.Run{}
+	for _, start := range starts {
+		id := start.Target.ID
+		running[id] = append(running[id], rattanwork.Run{Task: start.Task, Attempt: start.Attempt, Percent: percent(id)})
+	}
+	for _, id := range slices.Sorted(maps.Keys(running)) {
+		z.scheduler.RunsListed(id, &rattanwork.Listing{ClockMillis: z.clock + elapsed(id).Milliseconds(), Running: running[id]}, z.now, z.voidBefore, z.now)
+	}
+}
+
+// TestProgressTellsSlowTargets guards against targets that are found to be slow only
+// when long tasks end there, and against arrival times that are preferred to clocks.
+func TestProgressTellsSlowTargets(t *testing.T) {
+	z := newSpeedZone(qt.New(t), 9)
+	z.play(3, slowed(1), 0)
+	starts := z.startSized(126, 2250)
+	z.Assert(starts, qt.HasLen, 126)
+	// The home handles all listings at the same time, late.
+	z.now = z.now.Add(2 * usualTime)
+	z.listProgress(starts, slowed(4, "t5"), func(string) int { return 98 })
+	z.Check(z.slow(), qt.HasLen, 0)
+	// The next end lets the targets be compared.
+	z.end(starts[:1], slowed(1), 0)
+	z.Check(z.slow(), qt.DeepEquals, []string{"t5"})
+}
+
+// TestFalseProgress guards against jobs that do not run, and against usual targets that
+// count as slow, because some targets claim false progress or state false clocks.
+func TestFalseProgress(t *testing.T) {
+	z := newSpeedZone(qt.New(t), 9)
+	z.play(2, slowed(1), 0)
+	claims := map[string]int{"t0": 0, "t1": 100, "t2": -5, "t3": 1 << 30}
+	for range 6 {
+		starts := z.start(18)
+		z.Assert(starts, qt.HasLen, 18)
+		z.now = z.now.Add(usualTime)
+		z.listProgress(starts, slowed(1), func(id string) int {
+			if claim, ok := claims[id]; ok {
+				return claim
+			}
+			return 99
+		})
+		z.end(starts, func(id string) time.Duration {
+			return map[string]time.Duration{"t1": 3 * usualTime, "t4": -time.Hour}[id] + usualTime
+		}, 0)
+		for _, id := range []string{"t5", "t6", "t7", "t8"} {
+			z.Check(z.scheduler.targets[id].speed.class, qt.Equals, classUsual)
+		}
+	}
+	for id, target := range z.scheduler.targets {
+		z.Check(target.speed.slowness > -10 && target.speed.slowness < 10, qt.IsTrue, qt.Commentf("%s: %v", id, target.speed.slowness))
+	}
+}
+
+// TestSlowTargetIsTriedAgain guards against a slow target that is never used again while
+// others have room, and against a log line for each time that it is tried in vain.
+func TestSlowTargetIsTriedAgain(t *testing.T) {
+	for name, factor := range map[string]float64{"still slow": 3, "usual again": 1} {
+		t.Run(name, func(t *testing.T) {
+			z := newSpeedZone(qt.New(t), 9)
+			z.play(7, slowed(3, "t1"), 0)
+			z.Assert(z.slow(), qt.DeepEquals, []string{"t1"})
+			for range 3 {
+				z.advance(speedRetention)
+				z.Check(z.slow(), qt.HasLen, 0)
+				z.take()
+				z.play(2, slowed(factor, "t1"), 0)
+				z.Check(len(z.slow()) > 0, qt.Equals, factor > 1)
+			}
+			z.Check(z.changes()[TargetSlow], qt.Equals, 1)
+			z.Check(z.changes()[TargetNormal] > 0, qt.Equals, factor == 1)
+		})
+	}
+}
+
+// TestRestartedTargetIsOfUsualSpeed guards against a new incarnation that is avoided for
+// the speed of the former one.
+func TestRestartedTargetIsOfUsualSpeed(t *testing.T) {
+	z := newSpeedZone(qt.New(t), 9)
+	z.play(7, slowed(3, "t1"), 0)
+	z.Assert(z.slow(), qt.DeepEquals, []string{"t1"})
+	z.listRuns(1, rattanwork.Listing{Incarnation: 2})
+	z.Check(z.slow(), qt.HasLen, 0)
+}
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -57,6 +57,8 @@
 	suspect bool
 	// cold is set if the target was cold at the start of the run.
 	cold bool
+	// progressSeen is set once the progress of the run has told of the target's speed.
+	progressSeen bool
 	// countedSlow is set if the run was counted against its target as slow.
 	countedSlow bool
 	// lost describes the loss of the incarnation that the run was requested of,
@@ -128,13 +130,13 @@
 	// that were lost.
 	leaving    bool
 	lossesOpen bool
-	speed      targetSpeed
 	// pooled is the state of the target in the indexes of its pool. touched is
 	// set if the target has changed since, suspensionPending while the end of
 	// its suspension is awaited.
 	pooled            poolEntry
 	touched           bool
 	suspensionPending bool
+	speed             targetSpeed
 }
 
 func (t *target) reserve(resources rattanwork.Resources) {
@@ -215,7 +217,9 @@
 // addTarget makes a target known.
 func (s *Scheduler) addTarget(t *target) {
 	s.targets[t.info.ID] = t
-	s.service(t.info.Service).pool.add(t)
+	state := s.service(t.info.Service)
+	state.pool.add(t)
+	t.speed.comparison = &state.speeds
 	s.touch(t)
 }
 
