--- a/rattanscheduler/preview.go
+++ b/rattanscheduler/preview.go
@@ -292,7 +292,7 @@
 }
 
 // place selects targets for the first ready tasks and reports whether there is one for
-// any. A job that would be late on a cold target may be redirected instead. Resources are reserved only during the search. Jobs that wait need no regard: no
+// any. A job that may be late on a cold target is redirected instead if possible. Resources are reserved only during the search. Jobs that wait need no regard: no
 // target had room for them at the last event.
 func (p *previewer) place() bool {
 	s, j := p.scheduler, p.job
