--- a/rattanscheduler/speed_bench_test.go
+++ b/rattanscheduler/speed_bench_test.go
@@ -11,124 +11,78 @@
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
-// speedBenchTargets are the numbers of targets of a home in service, of the largest
-// deployment in service, and of that in two years.
-var speedBenchTargets = []int{117, 350, 8700}
-
-// BenchmarkSelectTarget measures one decision among targets with different amounts of
+// benchSpeeds runs a benchmark with the numbers of targets of a home in service, of the
+// largest deployment in service and of that in two years, which have different amounts of
 // free capacity.
-func BenchmarkSelectTarget(b *testing.B) {
-	for _, targets := range speedBenchTargets {
-		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
-			z := newReconciledZone(qt.New(b), targets)
+func benchSpeeds(b *testing.B, run func(b *testing.B, z *fakeZone, targets []*target)) {
+	for _, count := range []int{117, 350, 8700} {
+		b.Run(fmt.Sprintf("targets=%d", count), func(b *testing.B) {
+			z := newReconciledZone(qt.New(b), count)
 			random := rand.New(rand.NewPCG(1, 1))
-			pool := z.scheduler.service(testService).pool
-			for i := range targets {
+			var targets []*target
+			for i := range count {
 				target := z.scheduler.targets[fmt.Sprintf("t%d", i)]
 				target.free.MilliCPU = random.IntN(target.info.Capacity.MilliCPU)
-				pool.refresh(target, z.now)
+				z.scheduler.touch(target)
+				targets = append(targets, target)
 			}
-			task := newJob(z.benchSubmission(1, 8000), z.now).tasks[0]
-			pass := &placementPass{pool: pool, now: z.now}
+			z.scheduler.refreshTargets(z.now)
 			b.ReportAllocs()
-			for b.Loop() {
-				pass.failed = pass.failed[:0]
-				z.scheduler.selectTarget(task, pass)
-			}
+			run(b, z, targets)
 		})
 	}
 }
 
+// BenchmarkSelectTarget measures one decision.
+func BenchmarkSelectTarget(b *testing.B) {
+	benchSpeeds(b, func(b *testing.B, z *fakeZone, _ []*target) {
+		task := newJob(z.benchSubmission(1, 8000), z.now).tasks[0]
+		pass := &placementPass{pool: z.scheduler.service(testService).pool, now: z.now}
+		for b.Loop() {
+			pass.failed = pass.failed[:0]
+			z.scheduler.selectTarget(task, pass)
+		}
+	})
+}
+
 // BenchmarkTaskEvents measures all events of one task while the targets are full and
 // other jobs wait: the end of an earlier run in a listing with the progress of another
 // one, the submission, the start and its answer.
 func BenchmarkTaskEvents(b *testing.B) {
-	for _, targets := range speedBenchTargets {
-		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
-			z := newReconciledZone(qt.New(b), targets)
-			var running []StartRequest
-			begin, number := z.now, 0
-			clock := func() int64 { return 1000 + z.now.Sub(begin).Milliseconds() }
-			submit := func() {
-				z.scheduler.Submit(z.benchSubmission(number, 14000), z.now)
-				number++
-				starts := z.scheduler.Take().Starts
-				for _, start := range starts {
-					z.scheduler.StartAnswered(start.Target.ID, start.Task, 1, rattanwork.StartAnswer{Result: rattanwork.StartAccepted, ClockMillis: clock()}, z.now)
-				}
-				running = append(running, starts...)
-			}
-			// Each target runs two tasks at a time, which take as long as declared.
-			interval := z.benchSubmission(0, 14000).Job.Steps[0].Estimate / time.Duration(2*targets)
-			for range 2*targets + 100 {
-				z.now = z.now.Add(interval)
-				submit()
+	benchSpeeds(b, func(b *testing.B, z *fakeZone, targets []*target) {
+		for _, target := range targets {
+			target.free = target.info.Capacity
+			z.scheduler.touch(target)
+		}
+		var running []StartRequest
+		begin, number := z.now, 0
+		clock := func() int64 { return 1000 + z.now.Sub(begin).Milliseconds() }
+		// Each target runs two tasks at a time, which take as long as declared.
+		submit := func() {
+			submission := z.benchSubmission(number, 14000)
+			z.now = z.now.Add(submission.Job.Steps[0].Estimate / time.Duration(2*len(targets)))
+			z.scheduler.Submit(submission, z.now)
+			number++
+			starts := z.scheduler.Take().Starts
+			for _, start := range starts {
+				z.scheduler.StartAnswered(start.Target.ID, start.Task, 1, rattanwork.StartAnswer{Result: rattanwork.StartAccepted, ClockMillis: clock()}, z.now)
 			}
-			sequence := int64(0)
-			b.ReportAllocs()
-			for b.Loop() {
-				ending := running[0]
-				running = running[1:]
-				sequence++
-				z.now = z.now.Add(interval)
-				listing := rattanwork.Listing{
-					ClockMillis: clock(), Prompt: true,
-					Ended: []rattanwork.End{{Sequence: sequence, Task: ending.Task, Attempt: 1, Kind: rattanwork.EndDone}},
-				}
-				target := z.scheduler.targets[ending.Target.ID]
-				for key := range target.runs {
-					if key.taskName != ending.Task {
-						listing.Running = append(listing.Running, rattanwork.Run{Task: key.taskName, Attempt: key.attempt, Percent: 50})
-					}
+			running = append(running, starts...)
+		}
+		for range 2*len(targets) + 100 {
+			submit()
+		}
+		for b.Loop() {
+			ending := running[0]
+			running = running[1:]
+			listing := rattanwork.Listing{ClockMillis: clock(), Prompt: true, Ended: []rattanwork.End{{Sequence: int64(number), Task: ending.Task, Attempt: 1, Kind: rattanwork.EndDone}}}
+			for key := range z.scheduler.targets[ending.Target.ID].runs {
+				if key.taskName != ending.Task {
+					listing.Running = append(listing.Running, rattanwork.Run{Task: key.taskName, Attempt: key.attempt, Percent: 50})
 				}
-				z.scheduler.RunsListed(ending.Target.ID, &listing, z.now, z.voidBefore, z.now)
-				submit()
 			}
-		})
-	}
-}
-
-// BenchmarkCompareSpeeds measures one run time of each of the targets of a comparison, the
-// comparison, and the update of the indexes if the classes of a third of them change.
-func BenchmarkCompareSpeeds(b *testing.B) {
-	for _, targets := range speedBenchTargets {
-		for _, changing := range []bool{false, true} {
-			b.Run(fmt.Sprintf("targets=%d/changing=%t", targets, changing), func(b *testing.B) {
-				z := newReconciledZone(qt.New(b), targets)
-				random := rand.New(rand.NewPCG(1, 1))
-				var runs []*run
-				t := newJob(z.benchSubmission(1, 8000), z.now).tasks[0]
-				for i := range targets {
-					target := z.scheduler.targets[fmt.Sprintf("t%d", i)]
-					target.free.MilliCPU = random.IntN(target.info.Capacity.MilliCPU)
-					z.scheduler.touch(target)
-					runs = append(runs, &run{target: target, task: t, attempt: 1})
-				}
-				z.scheduler.refreshTargets(z.now)
-				compared := min(targets, maxCompared)
-				next := 0
-				b.ReportAllocs()
-				for b.Loop() {
-					z.now = z.now.Add(comparisonInterval)
-					for k := range compared {
-						r := runs[(next+k)%targets]
-						if changing && k%3 == 0 {
-							slowness := 4 * classStep
-							if r.target.speed.learned > classUsual {
-								slowness = 0
-							}
-							r.target.speed.slowness = slowness
-						}
-						now := z.now
-						if k == compared-1 {
-							now = now.Add(comparisonInterval)
-						}
-						z.scheduler.observeEnd(r, 100*time.Millisecond, 100*time.Millisecond, now)
-					}
-					next += compared
-					z.scheduler.refreshTargets(z.now)
-				}
-			})
+			z.scheduler.RunsListed(ending.Target.ID, &listing, z.now, z.voidBefore, z.now)
+			submit()
 		}
-	}
+	})
 }
--- a/rattanzone/inventory_test.go
+++ b/rattanzone/inventory_test.go
@@ -499,21 +499,14 @@
 // TestColdTimeIsCountedDown guards against targets that stay cold because their entries
 // change only with their heartbeats.
 func TestColdTimeIsCountedDown(t *testing.T) {
-	c := qt.New(t)
 	now := time.Unix(1_800_000_000, 0)
 	inventory := NewInventory(nil)
-	target := rattanwork.Target{ID: "t", Zone: "a", ColdLeft: 2 * time.Second, Sequence: 1}
-	left := func() time.Duration { return inventory.ZoneTargets("a", now)[0].ColdLeft }
-	put := func() { inventory.update(rattanwork.Inventory{Revision: 7, Targets: []rattanwork.Target{target}}, now) }
-	put()
-	c.Check(left(), qt.Equals, 2*time.Second)
-	now = now.Add(1500 * time.Millisecond)
-	c.Check(left(), qt.Equals, 500*time.Millisecond)
-	put()
-	c.Check(left(), qt.Equals, 500*time.Millisecond, qt.Commentf("the same entry was read again"))
-	target.Sequence, target.ColdLeft = 2, 400*time.Millisecond
-	put()
-	c.Check(left(), qt.Equals, 400*time.Millisecond)
-	now = now.Add(time.Minute)
-	c.Check(left(), qt.Equals, time.Duration(0))
+	for _, step := range []struct{ pause, left, want time.Duration }{
+		{0, 2000, 2000}, {1500, 2000, 500}, {100, 400, 400}, {60_000, 400, 0},
+	} {
+		now = now.Add(step.pause * time.Millisecond)
+		target := rattanwork.Target{ID: "t", Zone: "a", ColdLeft: step.left * time.Millisecond, Sequence: int64(step.left)}
+		inventory.update(rattanwork.Inventory{Revision: 7, Targets: []rattanwork.Target{target}}, now)
+		qt.Check(t, inventory.ZoneTargets("a", now)[0].ColdLeft, qt.Equals, step.want*time.Millisecond)
+	}
 }
