--- a/rattanscheduler/speed_test.go
+++ b/rattanscheduler/speed_test.go
@@ -220,8 +220,9 @@
 			z.scheduler.Submit(submission, z.now)
 			output := z.scheduler.Take()
 			z.Check(len(output.Starts) == 0, qt.Equals, test.leaves)
+			z.Check(len(output.Results) == 1, qt.Equals, test.leaves)
 			for _, result := range output.Results {
-				z.Check([]string{result.Zone, result.Reason}, qt.DeepEquals, []string{preview.Zone, reasonOnlyCold})
+				z.Check([]string{result.Outcome.String(), result.Zone, result.Reason}, qt.DeepEquals, []string{Redirected.String(), preview.Zone, reasonOnlyCold})
 			}
 		})
 	}
