--- a/rattanfront/handler.go
+++ b/rattanfront/handler.go
@@ -308,14 +308,19 @@
 	return callHome[rattanhome.Reply](ctx, h.config.Peers, claim.Address, rattanhome.MethodSubmit, request)
 }
 
-// callHome sends a request to the home at an address and returns its reply.
-func callHome[Reply any](ctx context.Context, peers Peers, address, method string, request any) (Reply, error) {
-	var reply, none Reply
+// sendToHome sends a request to the home at an address and returns the encoded reply.
+func sendToHome(ctx context.Context, peers Peers, address, method string, request any) ([]byte, error) {
 	body, err := json.Marshal(request)
 	if err != nil {
-		return none, errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
-	answer, err := peers.Call(ctx, address, method, body)
+	return peers.Call(ctx, address, method, body)
+}
+
+// callHome does the same and returns the decoded reply.
+func callHome[Reply any](ctx context.Context, peers Peers, address, method string, request any) (Reply, error) {
+	var reply, none Reply
+	answer, err := sendToHome(ctx, peers, address, method, request)
 	if err != nil {
 		return none, err
 	}
--- a/rattanfront/saved_cancellation.go
+++ b/rattanfront/saved_cancellation.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/rattanlever/rattanlever/rattanhome"
 	"github.com/rattanlever/rattanlever/rattanzone"
 )
@@ -40,10 +37,6 @@
 	if claim.Name == h.config.Self.Name {
 		return h.config.LocalHome.SaveCancellation(ctx, request)
 	}
-	body, err := json.Marshal(request)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	_, err = h.config.Peers.Call(ctx, claim.Address, rattanhome.MethodSaveCancellation, body)
+	_, err := sendToHome(ctx, h.config.Peers, claim.Address, rattanhome.MethodSaveCancellation, request)
 	return err
 }
--- a/rattanfront/withdrawal.go
+++ b/rattanfront/withdrawal.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/juju/errors"
@@ -54,12 +53,8 @@
 		h.config.LocalHome.Cancel(cancellation)
 		return nil
 	}
-	body, err := json.Marshal(cancellation)
-	if err != nil {
-		return errors.Trace(err)
-	}
 	ctx, cancel := context.WithTimeout(ctx, withdrawalCallTimeout)
 	defer cancel()
-	_, err = h.config.Peers.Call(ctx, claim.Address, rattanhome.MethodCancel, body)
+	_, err := sendToHome(ctx, h.config.Peers, claim.Address, rattanhome.MethodCancel, cancellation)
 	return err
 }
