--- a/rattancmd/shutdown_test.go
+++ b/rattancmd/shutdown_test.go
@@ -79,20 +79,27 @@
 	return &lateness
 }
 
-// TestServeEndsWithUnreadOutput guards against an instance that is killed at the
-// end of its grace period because nobody reads its output.
-func TestServeEndsWithUnreadOutput(t *testing.T) {
-	t.Parallel()
+// startWithUnreadOutput starts a deployment of one instance, whose output is a pipe that is
+// full and that nobody reads.
+func startWithUnreadOutput(t *testing.T) (*deployment, *serveInstance) {
 	deployment := startDeployment(t, []string{"a"}, 1, 1)
 	instance := deployment.instances[0]
 	deployment.kill(instance, syscall.SIGKILL)
 	reader, writer, err := os.Pipe()
 	deployment.Assert(err, qt.IsNil)
-	defer func() { _ = reader.Close() }()
-	defer func() { _ = writer.Close() }()
+	t.Cleanup(func() { _ = reader.Close() })
+	t.Cleanup(func() { _ = writer.Close() })
 	fillPipe(deployment.C, writer)
 	deployment.Assert(instance.StartWithOutput(writer), qt.IsNil)
 	deployment.waitReady(instance)
+	return deployment, instance
+}
+
+// TestServeEndsWithUnreadOutput guards against an instance that is killed at the
+// end of its grace period because nobody reads its output.
+func TestServeEndsWithUnreadOutput(t *testing.T) {
+	t.Parallel()
+	deployment, instance := startWithUnreadOutput(t)
 	startedAt := time.Now()
 	deployment.Assert(instance.Signal(syscall.SIGTERM), qt.IsNil)
 	select {
@@ -110,16 +117,7 @@
 // time.
 func TestServeEndsWithinGracePeriodOnSmallMachine(t *testing.T) {
 	t.Parallel()
-	deployment := startDeployment(t, []string{"a"}, 1, 1)
-	instance := deployment.instances[0]
-	deployment.kill(instance, syscall.SIGKILL)
-	reader, writer, err := os.Pipe()
-	deployment.Assert(err, qt.IsNil)
-	defer func() { _ = reader.Close() }()
-	defer func() { _ = writer.Close() }()
-	fillPipe(deployment.C, writer)
-	deployment.Assert(instance.StartWithOutput(writer), qt.IsNil)
-	deployment.waitReady(instance)
+	deployment, instance := startWithUnreadOutput(t)
 	answers := make(chan serveAnswer)
 	const requests = 10
 	for i := range requests {
--- a/rattanhome/evacuation_test.go
+++ b/rattanhome/evacuation_test.go
@@ -38,18 +38,14 @@
 		result, _ := h.Submit(context.Background(), testSubmission(1))
 		ended <- result
 	}()
-	for deadline := time.Now().Add(5 * time.Second); len(exchange.told()) == 0 && time.Now().Before(deadline); {
-		time.Sleep(time.Millisecond)
-	}
+	exchange.awaitTold(1)
 	c.Assert(exchange.told(), qt.HasLen, 1)
 	status.Store(int64(rattanwork.EvacuationActive))
 	close(exchange.release)
 	result := <-ended
 	c.Check(result.Outcome, qt.Equals, rattanscheduler.Refused)
 	c.Check(targets.startRequestCount(), qt.Equals, 0)
-	for deadline := time.Now().Add(5 * time.Second); len(exchange.told()) < 2 && time.Now().Before(deadline); {
-		time.Sleep(time.Millisecond)
-	}
+	exchange.awaitTold(2)
 	c.Assert(len(exchange.told()) > 1, qt.IsTrue)
 	c.Check(exchange.told()[1].Starts, qt.HasLen, 0, qt.Commentf("the dropped request stays listed"))
 }
--- a/rattanhome/start_list_test.go
+++ b/rattanhome/start_list_test.go
@@ -102,6 +102,13 @@
 	return h.lists
 }
 
+// awaitTold waits until that many lists were told, for 5 s at most.
+func (h *heldExchange) awaitTold(count int) {
+	for deadline := time.Now().Add(5 * time.Second); len(h.told()) < count && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestStartIsSentAfterItIsTold guards against a start request that nobody but its home
 // knows of when it is sent.
 func TestStartIsSentAfterItIsTold(t *testing.T) {
@@ -115,9 +122,7 @@
 		result, _ := h.Submit(context.Background(), testSubmission(1))
 		ended <- result
 	}()
-	for deadline := time.Now().Add(5 * time.Second); len(exchange.told()) == 0 && time.Now().Before(deadline); {
-		time.Sleep(time.Millisecond)
-	}
+	exchange.awaitTold(1)
 	c.Assert(exchange.told(), qt.HasLen, 1)
 	c.Check(exchange.told()[0].FencingToken, qt.Equals, int64(FencingTokenStep))
 	c.Check(exchange.told()[0].Starts, qt.DeepEquals, []ListedStart{{testSubmission(1).Job.ID + ".0.0.0", "t0", 1}})
@@ -125,9 +130,7 @@
 	c.Check(targets.startRequestCount(), qt.Equals, 0)
 	close(exchange.release)
 	c.Check((<-ended).Outcome, qt.Equals, rattanscheduler.Succeeded)
-	for deadline := time.Now().Add(5 * time.Second); len(exchange.told()) < 2 && time.Now().Before(deadline); {
-		time.Sleep(time.Millisecond)
-	}
+	exchange.awaitTold(2)
 	c.Check(exchange.told()[1].Starts, qt.HasLen, 0, qt.Commentf("the answered request stays listed"))
 }
 
@@ -160,9 +163,7 @@
 	c.Cleanup(func() { close(exchange.release) })
 	h.UpdateTargets([]rattanwork.Target{fakeTarget("t0")}, true)
 	go func() { _, _ = h.Submit(context.Background(), testSubmission(1)) }()
-	for deadline := time.Now().Add(5 * time.Second); len(exchange.told()) == 0 && time.Now().Before(deadline); {
-		time.Sleep(time.Millisecond)
-	}
+	exchange.awaitTold(1)
 	c.Assert(exchange.told(), qt.HasLen, 1)
 	answered := make(chan struct{})
 	go func() {
--- a/rattanscheduler/evacuation_test.go
+++ b/rattanscheduler/evacuation_test.go
@@ -326,17 +326,24 @@
 	z.Check(z.scheduler.Take().Results, qt.HasLen, 0)
 }
 
-// TestDroppedStartCountsAsNotSent guards against a job that is answered as possibly
-// started, or keeps resources, although its only start request was never sent, and
-// against a redirect while other zones list that request and send the job back.
-func TestDroppedStartCountsAsNotSent(t *testing.T) {
-	z := newReconciledZone(qt.New(t), 1)
+// evacuatedAfterStart returns a zone that is evacuated while the start request of a job's
+// only task is under way, with room for the job in another zone.
+func evacuatedAfterStart(c *qt.C) (z *fakeZone, start StartRequest) {
+	z = newReconciledZone(c, 1)
 	z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: 200000}})
 	submission := z.submission(jobA, 1)
 	submission.Redirectable = true
 	z.scheduler.Submit(submission, z.now)
-	start := z.scheduler.Take().Starts[0]
+	start = z.scheduler.Take().Starts[0]
 	z.scheduler.SetEvacuation(rattanwork.EvacuationActive, z.now)
+	return z, start
+}
+
+// TestDroppedStartCountsAsNotSent guards against a job that is answered as possibly
+// started, or keeps resources, although its only start request was never sent, and
+// against a redirect while other zones list that request and send the job back.
+func TestDroppedStartCountsAsNotSent(t *testing.T) {
+	z, start := evacuatedAfterStart(qt.New(t))
 	z.Assert(z.scheduler.Take().Results, qt.HasLen, 0)
 	z.scheduler.StartDropped("t0", start.Task, start.Attempt, z.now)
 	z.Check(z.scheduler.targets["t0"].free, qt.Equals, testTarget(0).Capacity)
@@ -364,16 +371,23 @@
 	z.Check(starts[0].Attempt, qt.Equals, 2)
 }
 
+// runningUntilDeadline returns a zone of two targets with the run of a job that must end
+// within 2 s.
+func runningUntilDeadline(c *qt.C) (z *fakeZone, start StartRequest) {
+	z = newReconciledZone(c, 2)
+	submission := z.submission(jobA, 1)
+	submission.LateUntil, submission.Deadline = z.now.Add(2*time.Second), z.now.Add(2*time.Second)
+	z.scheduler.Submit(submission, z.now)
+	start = z.scheduler.Take().Starts[0]
+	z.accept(start)
+	return z, start
+}
+
 // TestStragglerIsNotRestarted guards against stopping a run for a restart that may not
 // follow.
 func TestStragglerIsNotRestarted(t *testing.T) {
 	for _, status := range []rattanwork.EvacuationStatus{rattanwork.EvacuationNone, rattanwork.EvacuationActive, rattanwork.EvacuationUnknown} {
-		z := newReconciledZone(qt.New(t), 2)
-		submission := z.submission(jobA, 1)
-		submission.LateUntil, submission.Deadline = z.now.Add(2*time.Second), z.now.Add(2*time.Second)
-		z.scheduler.Submit(submission, z.now)
-		start := z.scheduler.Take().Starts[0]
-		z.accept(start)
+		z, start := runningUntilDeadline(qt.New(t))
 		z.scheduler.targets[start.Target.ID].suspendedUntil = z.now.Add(time.Second)
 		z.scheduler.SetEvacuation(status, z.now)
 		z.now = z.now.Add(500 * time.Millisecond)
@@ -401,13 +415,7 @@
 	}
 	for name, end := range tests {
 		t.Run(name, func(t *testing.T) {
-			z := newReconciledZone(qt.New(t), 1)
-			z.scheduler.SetRemoteZones([]RemoteZone{{Zone: "b", FreeMilliCPU: 200000}})
-			submission := z.submission(jobA, 1)
-			submission.Redirectable = true
-			z.scheduler.Submit(submission, z.now)
-			start := z.scheduler.Take().Starts[0]
-			z.scheduler.SetEvacuation(rattanwork.EvacuationActive, z.now)
+			z, start := evacuatedAfterStart(qt.New(t))
 			end(z, start)
 			z.advance(2 * time.Millisecond)
 			z.Check(z.scheduler.Take().Results, qt.HasLen, 0)
@@ -440,12 +448,7 @@
 // TestStragglerIsKeptWhileEvacuationIsUnknown guards against ending a job whose task is too
 // slow, for want of a restart that may be allowed half a second later.
 func TestStragglerIsKeptWhileEvacuationIsUnknown(t *testing.T) {
-	z := newReconciledZone(qt.New(t), 2)
-	submission := z.submission(jobA, 1)
-	submission.LateUntil, submission.Deadline = z.now.Add(2*time.Second), z.now.Add(2*time.Second)
-	z.scheduler.Submit(submission, z.now)
-	start := z.scheduler.Take().Starts[0]
-	z.accept(start)
+	z, start := runningUntilDeadline(qt.New(t))
 	list := func() Output {
 		z.scheduler.RunsListed(start.Target.ID, &rattanwork.Listing{Running: []rattanwork.Run{{Task: start.Task, Attempt: 1, Percent: 5}}}, z.now, z.voidBefore, z.now)
 		return z.scheduler.Take()
