Simplify cold targets, sums of waiting work and the choice of a zone

- A target is warm or cold; the speed classes had two values left, 0 and 4.
- Entries and blocks of the queue hold a backlogSum instead of its two fields.
- The comparison with another zone uses the wait that chooseZone has computed, instead of computing what the job needs a second time for each waiting job.
- The tests of cold targets have no delay of listings, which was always 0.

--- a/rattanscheduler/capacity.go
+++ b/rattanscheduler/capacity.go
@@ -183,9 +183,9 @@
 	return p.capacityMilliCPU - p.freeMilliCPU
 }
 
-func (b *backlogSum) add(work float64, milliCPU int) {
-	b.work += work
-	b.milliCPU += milliCPU
+func (b *backlogSum) add(other backlogSum) {
+	b.work += other.work
+	b.milliCPU += other.milliCPU
 }
 
 // Tasks of one size do not get all capacity that is released: a part of it is in rooms
--- a/rattanscheduler/cold.go
+++ b/rattanscheduler/cold.go
@@ -16,6 +16,9 @@
 	// coldGain is the weight of a run on a cold target. All cold targets of a service
 	// share one factor, since each is cold for a few runs only.
 	coldGain = 0.05
+	// coldWeight is the penalty of a cold target in multiples of the most by which the
+	// remaining share and the remote penalty differ between targets.
+	coldWeight = 4
 	// coldCheckInterval is the interval at which cold targets are checked for those
 	// that have become warm.
 	coldCheckInterval = 20 * time.Millisecond
@@ -25,15 +28,15 @@
 func (s *Scheduler) recordCold(t *target, left time.Duration, now time.Time) {
 	if left <= 0 {
 		// A cold target whose entry says that it is warm becomes so at the next check.
-		t.speed.coldUntil = time.Time{}
+		t.coldUntil = time.Time{}
 		return
 	}
 	left = min(left, rattanwork.MaxColdLeft)
-	t.speed.coldUntil = now.Add(left)
-	if t.speed.class == classCold {
+	t.coldUntil = now.Add(left)
+	if t.cold {
 		return
 	}
-	t.speed.class = classCold
+	t.cold = true
 	s.touch(t)
 	s.cold = append(s.cold, t)
 	s.output.Targets = append(s.output.Targets, TargetEvent{Target: t.info.ID, Change: TargetCold, ColdLeft: left, Runs: len(t.runs)})
@@ -50,10 +53,10 @@
 		switch {
 		case s.targets[t.info.ID] != t:
 			// The target was removed.
-		case now.Before(t.speed.coldUntil):
+		case now.Before(t.coldUntil):
 			remaining = append(remaining, t)
 		default:
-			t.speed.class = classUsual
+			t.cold = false
 			s.touch(t)
 			s.recordChange(t, TargetWarm)
 		}
@@ -67,6 +70,14 @@
 	return len(s.cold)
 }
 
+// coldPenalty returns the term of a cold target in its score, 0 for a warm one.
+func (s *Scheduler) coldPenalty(cold bool) float64 {
+	if !cold {
+		return 0
+	}
+	return coldWeight * (1 + s.config.RemotePenalty)
+}
+
 // expectedRunTime returns the expected run time of a run of a task.
 func (s *Scheduler) expectedRunTime(r *run) time.Duration {
 	expected := s.estimator.expectedRunTime(r.task.job, r.task.stepIndex)
@@ -80,7 +91,7 @@
 // after the cold time tell nothing, since a part of them was fast.
 func (s *Scheduler) observeCold(r *run, runTime time.Duration) {
 	expected := s.estimator.expectedRunTime(r.task.job, r.task.stepIndex)
-	if r.orphan || expected <= 0 || r.knownSince.Add(runTime).After(r.target.speed.coldUntil) {
+	if r.orphan || expected <= 0 || r.knownSince.Add(runTime).After(r.target.coldUntil) {
 		return
 	}
 	state := s.service(r.target.info.Service)
@@ -92,7 +103,7 @@
 // run is slow for no longer than the target is cold.
 func (s *Scheduler) coldDelay(t *target, expected time.Duration, now time.Time) time.Duration {
 	factor := s.service(t.info.Service).coldFactor
-	left := float64(t.speed.coldUntil.Sub(now))
+	left := float64(t.coldUntil.Sub(now))
 	return time.Duration(math.Max(0, min((factor-1)*float64(expected), (1-1/factor)*left)))
 }
 
--- a/rattanscheduler/speed_test.go
+++ b/rattanscheduler/cold_test.go
@@ -13,12 +13,12 @@
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
-// usualTime is the declared run time of the tasks of a speedZone, and their run time
-// on a target of usual speed.
+// usualTime is the declared run time of the tasks of a coldZone, and their run time
+// on a warm target.
 const usualTime = 100 * time.Millisecond
 
-// speedZone is a zone of targets whose clocks are given by the test.
-type speedZone struct {
+// coldZone is a zone of targets whose clocks are given by the test.
+type coldZone struct {
 	*fakeZone
 	targets   int
 	clock     int64
@@ -28,11 +28,11 @@
 	events []TargetEvent
 }
 
-func newSpeedZone(c *qt.C, targets int) *speedZone {
-	return &speedZone{fakeZone: newReconciledZone(c, targets), targets: targets, clock: 5000, sequences: map[string]int64{}}
+func newColdZone(c *qt.C, targets int) *coldZone {
+	return &coldZone{fakeZone: newReconciledZone(c, targets), targets: targets, clock: 5000, sequences: map[string]int64{}}
 }
 
-func (z *speedZone) take() Output {
+func (z *coldZone) take() Output {
 	output := z.scheduler.Take()
 	z.events = append(z.events, output.Targets...)
 	return output
@@ -40,7 +40,7 @@
 
 // describeCold updates the inventory with a time for which the first targets remain
 // cold.
-func (z *speedZone) describeCold(count int, left time.Duration) {
+func (z *coldZone) describeCold(count int, left time.Duration) {
 	var list []rattanwork.Target
 	for i := range z.targets {
 		info := testTarget(i)
@@ -54,7 +54,7 @@
 }
 
 // start submits a patient job and returns its starts.
-func (z *speedZone) start(tasks int) []StartRequest {
+func (z *coldZone) start(tasks int) []StartRequest {
 	z.jobs++
 	submission := z.patientSubmission(fmt.Sprintf("%016x", z.jobs))
 	submission.Job.Steps[0].Count = tasks
@@ -66,9 +66,8 @@
 	return starts
 }
 
-// end lists the ends of the runs after their run times by the clocks of the targets;
-// the listings arrive with a delay.
-func (z *speedZone) end(starts []StartRequest, runTime func(target string) time.Duration, delay time.Duration) {
+// end lists the ends of the runs after their run times by the clocks of the targets.
+func (z *coldZone) end(starts []StartRequest, runTime func(target string) time.Duration) {
 	begin, longest := z.now, time.Duration(0)
 	ends := map[string][]rattanwork.End{}
 	for _, start := range starts {
@@ -79,27 +78,20 @@
 	for _, id := range slices.Sorted(maps.Keys(ends)) {
 		elapsed := runTime(id)
 		longest = max(longest, elapsed)
-		arrival := begin.Add(elapsed + delay)
+		arrival := begin.Add(elapsed)
 		z.scheduler.RunsListed(id, &rattanwork.Listing{ClockMillis: z.clock + elapsed.Milliseconds(), Prompt: true, Ended: ends[id]}, arrival, z.voidBefore, arrival)
 	}
 	z.clock += (longest + time.Second).Milliseconds()
-	z.now = begin.Add(longest + delay + 100*time.Millisecond)
+	z.now = begin.Add(longest + 100*time.Millisecond)
 	z.scheduler.Tick(z.now)
 	z.take()
 }
 
-// play runs rounds of two tasks on each target.
-func (z *speedZone) play(rounds int, runTime func(target string) time.Duration, delay time.Duration) {
-	for range rounds {
-		z.end(z.start(2*z.targets), runTime, delay)
-	}
-}
-
-// slow returns the targets that are not of usual speed.
-func (z *speedZone) slow() []string {
+// cold returns the cold targets.
+func (z *coldZone) cold() []string {
 	var list []string
 	for i := range z.targets {
-		if id := fmt.Sprintf("t%d", i); z.scheduler.targets[id].speed.class > classUsual {
+		if id := fmt.Sprintf("t%d", i); z.scheduler.targets[id].cold {
 			list = append(list, id)
 		}
 	}
@@ -107,7 +99,7 @@
 }
 
 // changes counts the changes of targets so far.
-func (z *speedZone) changes() map[TargetChange]int {
+func (z *coldZone) changes() map[TargetChange]int {
 	counts := map[TargetChange]int{}
 	for _, event := range z.events {
 		counts[event.Change]++
@@ -129,34 +121,34 @@
 // warm ones have room or wait while cold ones have, and against targets that stay cold
 // when their time is over or their entry is no longer updated.
 func TestColdTargetsAreSecondChoice(t *testing.T) {
-	z := newSpeedZone(qt.New(t), 6)
+	z := newColdZone(qt.New(t), 6)
 	pool := z.scheduler.service(testService).pool
 	capacity := pool.expectedMilliCPU()
 	z.describeCold(2, 5*time.Second)
-	z.Check(z.slow(), qt.DeepEquals, []string{"t0", "t1"})
+	z.Check(z.cold(), qt.DeepEquals, []string{"t0", "t1"})
 	z.Check(pool.expectedMilliCPU(), qt.Equals, capacity)
 	starts := z.start(8)
 	z.Check(z.scheduler.FreeMilliCPU(z.now), qt.Equals, 4*4000)
 	z.Check(z.scheduler.Rooms(z.now)[0].Fits.of(10000), qt.Equals, 0)
 	for _, start := range starts {
-		z.Check(slices.Contains(z.slow(), start.Target.ID), qt.IsFalse)
+		z.Check(slices.Contains(z.cold(), start.Target.ID), qt.IsFalse)
 	}
 	more := z.start(4)
 	z.Assert(more, qt.HasLen, 4, qt.Commentf("tasks wait although cold targets have room"))
-	z.end(append(starts, more...), slowed(2, "t0", "t1"), 0)
-	z.Check(z.slow(), qt.DeepEquals, []string{"t0", "t1"})
+	z.end(append(starts, more...), slowed(2, "t0", "t1"))
+	z.Check(z.cold(), qt.DeepEquals, []string{"t0", "t1"})
 	z.advance(5 * time.Second)
-	z.Check(z.slow(), qt.HasLen, 0)
+	z.Check(z.cold(), qt.HasLen, 0)
 	z.Check(z.scheduler.ColdTargets(), qt.Equals, 0)
 	z.Check(z.scheduler.FreeMilliCPU(z.now), qt.Equals, capacity)
 	z.take()
 	z.Check(z.changes()[TargetCold], qt.Equals, 2)
 	z.Check(z.changes()[TargetWarm], qt.Equals, 2)
 	z.describeCold(1, 500*time.Millisecond)
-	z.Check(z.slow(), qt.HasLen, 1)
+	z.Check(z.cold(), qt.HasLen, 1)
 	z.describeCold(1, 0)
 	z.advance(coldCheckInterval)
-	z.Check(z.slow(), qt.HasLen, 0)
+	z.Check(z.cold(), qt.HasLen, 0)
 }
 
 // TestColdFactorIsLearned guards against expected run times on cold targets that do not
@@ -164,10 +156,10 @@
 func TestColdFactorIsLearned(t *testing.T) {
 	for _, factor := range []float64{1, 1.5, 4} {
 		t.Run(fmt.Sprint(factor), func(t *testing.T) {
-			z := newSpeedZone(qt.New(t), 3)
+			z := newColdZone(qt.New(t), 3)
 			for range 40 {
 				z.describeCold(3, time.Minute)
-				z.play(1, slowed(factor, "t0", "t1", "t2"), 0)
+				z.end(z.start(2*z.targets), slowed(factor, "t0", "t1", "t2"))
 			}
 			learned := z.scheduler.service(testService).coldFactor
 			z.Check(learned > 0.95*factor && learned < 1.05*factor, qt.IsTrue, qt.Commentf("%v", learned))
@@ -179,13 +171,13 @@
 // TestFalseColdTime guards against an entry with a false cold time that keeps jobs from
 // running, or applies for longer than a minute.
 func TestFalseColdTime(t *testing.T) {
-	z := newSpeedZone(qt.New(t), 2)
+	z := newColdZone(qt.New(t), 2)
 	z.describeCold(2, time.Hour)
 	starts := z.start(4)
 	z.Check(starts, qt.HasLen, 4)
-	z.end(starts, slowed(1), 0)
+	z.end(starts, slowed(1))
 	z.advance(rattanwork.MaxColdLeft)
-	z.Check(z.slow(), qt.HasLen, 0)
+	z.Check(z.cold(), qt.HasLen, 0)
 }
 
 // TestJobLeavesColdTargets guards against a job that is late on a cold target although
@@ -206,7 +198,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			z := newSpeedZone(qt.New(t), 2)
+			z := newColdZone(qt.New(t), 2)
 			z.describeCold(2, test.coldLeft)
 			other := ServiceRoom{Service: testService, MilliCPU: 90000, Waits: []PriorityWait{{Millis: test.remoteWait}}}
 			other.Fits.add(90000, 1)
@@ -231,7 +223,7 @@
 }
 
 // TestPlacementBySpeedMatchesPlainAlgorithm guards against an order of the indexes by
-// speed class in which a better target is missed.
+// warm and cold targets in which a better one is missed.
 func TestPlacementBySpeedMatchesPlainAlgorithm(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := newSchedulerPair(t)
--- a/rattanscheduler/evacuation.go
+++ b/rattanscheduler/evacuation.go
@@ -102,7 +102,7 @@
 	case j.outcome != Open:
 	case j.mayHaveStarted():
 		s.leave(j, now)
-	case !now.Before(j.listedUntil) || s.bestRemoteZone(j, 1, now) < 0:
+	case !now.Before(j.listedUntil) || s.bestRemoteZone(j, now) < 0:
 		s.endJob(j, Refused, ReasonEvacuated, evacuationRetryAfter, now)
 	}
 }
--- a/rattanscheduler/gang.go
+++ b/rattanscheduler/gang.go
@@ -99,7 +99,7 @@
 }
 
 // targetsByRack groups the targets by rack, with the rack that has the most
-// free processor capacity on targets of usual speed first, then the most on any.
+// free processor capacity on warm targets first, then the most on any.
 func targetsByRack(usable []*target) [][]*target {
 	byRack := map[string][]*target{}
 	for _, t := range usable {
@@ -111,19 +111,20 @@
 	}
 	slices.SortFunc(list, func(a, b []*target) int {
 		return cmp.Or(
-			cmp.Compare(freeMilliCPU(b, classUsual), freeMilliCPU(a, classUsual)),
-			cmp.Compare(freeMilliCPU(b, classCold), freeMilliCPU(a, classCold)),
+			cmp.Compare(freeMilliCPU(b, false), freeMilliCPU(a, false)),
+			cmp.Compare(freeMilliCPU(b, true), freeMilliCPU(a, true)),
 			cmp.Compare(a[0].info.Rack, b[0].info.Rack),
 		)
 	})
 	return list
 }
 
-// freeMilliCPU returns the free processor capacity of the targets up to a speed class.
-func freeMilliCPU(targets []*target, slowest speedClass) int {
+// freeMilliCPU returns the free processor capacity of the targets, with or without the
+// cold ones.
+func freeMilliCPU(targets []*target, withCold bool) int {
 	sum := 0
 	for _, t := range targets {
-		if t.speed.class <= slowest {
+		if withCold || !t.cold {
 			sum += t.free.MilliCPU
 		}
 	}
--- a/rattanscheduler/placement.go
+++ b/rattanscheduler/placement.go
@@ -154,7 +154,7 @@
 			i++
 			continue
 		}
-		if target.speed.class == classCold && s.leaveCold(j, target, pass.now) {
+		if target.cold && s.leaveCold(j, target, pass.now) {
 			return
 		}
 		if !s.grantsLease(target, pass.now) {
@@ -204,8 +204,8 @@
 }
 
 // searchPool returns the best target of the pool for a task, or nil. It looks
-// first at the targets near the task's data, then at the others by speed class, and
-// within a class in the order of the processor capacity that they would have left.
+// first at the targets near the task's data, then at the warm and then at the cold
+// others, in the order of the processor capacity that they would have left.
 func (s *Scheduler) searchPool(t *task, pool *targetPool) *target {
 	step := t.step()
 	best := scoredTarget{}
@@ -215,13 +215,13 @@
 		penalty = s.config.RemotePenalty
 	}
 	for _, group := range pool.groups {
-		classPenalty := s.classPenalty(group.class)
-		if best.target != nil && classPenalty+penalty > best.score {
+		coldPenalty := s.coldPenalty(group.cold)
+		if best.target != nil && coldPenalty+penalty > best.score {
 			break
 		}
 		list := group.targets.list
 		for _, target := range list[group.targets.search(step.Resources.MilliCPU, ""):] {
-			least := s.remainingShare(t, target) + classPenalty + penalty
+			least := s.remainingShare(t, target) + coldPenalty + penalty
 			if best.target != nil && least > best.score {
 				break
 			}
@@ -305,7 +305,7 @@
 // target goes where it harms the fewest others, away from other such tasks, so that
 // the next loss tells them apart.
 func (s *Scheduler) score(t *task, target *target) float64 {
-	score := s.remainingShare(t, target) + s.classPenalty(target.speed.class)
+	score := s.remainingShare(t, target) + s.coldPenalty(target.cold)
 	if rack := t.step().Rack; rack != "" && !target.info.HasLabel(rack) {
 		score += s.config.RemotePenalty
 	}
--- a/rattanscheduler/pool.go
+++ b/rattanscheduler/pool.go
@@ -12,8 +12,7 @@
 // that can take new work, so that finding the best one for a task does not
 // depend on how many others are full.
 type targetPool struct {
-	// groups contains the indexed targets by speed class, the fastest first, and by
-	// processor capacity.
+	// groups contains the indexed targets, the warm ones first, by processor capacity.
 	groups []*targetGroup
 	// byMemory and byGPU contain the indexed targets sorted by the free amount
 	// of these resources; byGPU contains only targets with accelerators.
@@ -36,10 +35,10 @@
 	awaitedMilliCPU int
 }
 
-// targetGroup contains the indexed targets with the same speed class and processor
-// capacity, sorted by their free one.
+// targetGroup contains the indexed targets with the same processor capacity that are
+// warm, or those that are cold, sorted by their free capacity.
 type targetGroup struct {
-	class    speedClass
+	cold     bool
 	milliCPU int
 	targets  sortedTargets
 }
@@ -53,7 +52,7 @@
 	// awaited is set if the target is expected to take new work soon.
 	awaited  bool
 	capacity int
-	class    speedClass
+	cold     bool
 	free     rattanwork.Resources
 }
 
@@ -128,13 +127,13 @@
 	if !t.usable(now) {
 		return
 	}
-	t.pooled = poolEntry{usable: true, indexed: t.free.MilliCPU > 0, capacity: t.info.Capacity.MilliCPU, class: t.speed.class, free: t.free}
+	t.pooled = poolEntry{usable: true, indexed: t.free.MilliCPU > 0, capacity: t.info.Capacity.MilliCPU, cold: t.cold, free: t.free}
 	p.capacityMilliCPU += t.pooled.capacity
 	if !t.pooled.indexed {
 		return
 	}
 	p.addFree(&t.pooled, 1)
-	p.group(t.pooled.class, t.pooled.capacity).targets.insert(t)
+	p.group(t.pooled.cold, t.pooled.capacity).targets.insert(t)
 	p.byMemory.insert(t)
 	if t.info.Capacity.GPU > 0 {
 		p.byGPU.insert(t)
@@ -144,7 +143,7 @@
 // addFree adds the free processor capacity of an indexed target, times sign.
 func (p *targetPool) addFree(entry *poolEntry, sign int) {
 	p.freeMilliCPU += sign * entry.free.MilliCPU
-	if entry.class == classCold {
+	if entry.cold {
 		p.coldFreeMilliCPU += sign * entry.free.MilliCPU
 		return
 	}
@@ -182,7 +181,7 @@
 	}
 	if entry.indexed {
 		p.addFree(&entry, -1)
-		p.group(entry.class, entry.capacity).targets.remove(t)
+		p.group(entry.cold, entry.capacity).targets.remove(t)
 		p.byMemory.remove(t)
 		if index := slices.Index(p.byGPU.list, t); index >= 0 {
 			p.byGPU.list = slices.Delete(p.byGPU.list, index, index+1)
@@ -191,14 +190,13 @@
 	t.pooled = poolEntry{}
 }
 
-// group returns the group of targets with the given speed class and processor
-// capacity.
-func (p *targetPool) group(class speedClass, milliCPU int) *targetGroup {
+// group returns the group of warm or cold targets with the given processor capacity.
+func (p *targetPool) group(cold bool, milliCPU int) *targetGroup {
 	index, found := slices.BinarySearchFunc(p.groups, milliCPU, func(g *targetGroup, milliCPU int) int {
-		return cmp.Or(cmp.Compare(g.class, class), cmp.Compare(g.milliCPU, milliCPU))
+		return cmp.Or(compareTrueFirst(cold, g.cold), cmp.Compare(g.milliCPU, milliCPU))
 	})
 	if !found {
-		p.groups = slices.Insert(p.groups, index, &targetGroup{class: class, milliCPU: milliCPU, targets: sortedTargets{amount: milliCPUOf}})
+		p.groups = slices.Insert(p.groups, index, &targetGroup{cold: cold, milliCPU: milliCPU, targets: sortedTargets{amount: milliCPUOf}})
 	}
 	return p.groups[index]
 }
--- a/rattanscheduler/preview.go
+++ b/rattanscheduler/preview.go
@@ -239,11 +239,8 @@
 		p.refuse(reasonCannotStart, retryAfter)
 		return
 	}
-	waiting := waitingJob{state: &state, job: j, before: before, waited: redirectDelay}
-	if state.queue.mixed {
-		waiting.inClass = state.queue.classBacklog(j, p.now.UnixNano())
-	}
-	if p.redirect(waiting) {
+	inClass := state.queue.classBacklog(j, p.now.UnixNano())
+	if p.redirect(waitingJob{state: &state, job: j, before: before, inClass: inClass, waited: redirectDelay}) {
 		return
 	}
 	p.end(PreviewWaits, p.waitReason())
@@ -283,7 +280,7 @@
 
 // refuse refuses the job, or redirects it if another zone has room for it.
 func (p *previewer) refuse(reason string, retryAfter time.Duration) {
-	if zone := p.scheduler.bestRemoteZone(p.job, 1, p.now); zone >= 0 {
+	if zone := p.scheduler.bestRemoteZone(p.job, p.now); zone >= 0 {
 		p.preview.Zone = p.scheduler.remoteZones[zone].Zone
 		p.end(PreviewRedirected, reason)
 		return
@@ -326,7 +323,7 @@
 		if target == nil {
 			continue
 		}
-		if target.speed.class == classCold && p.preview.StartingTasks == 0 {
+		if target.cold && p.preview.StartingTasks == 0 {
 			if zone := s.zoneBesideCold(j, target, p.now); zone >= 0 {
 				p.preview.Zone = s.remoteZones[zone].Zone
 				p.end(PreviewRedirected, reasonOnlyCold)
@@ -343,7 +340,7 @@
 	if rack := t.step().Rack; rack != "" && target.info.HasLabel(rack) {
 		return "near the data of the task"
 	}
-	if target.speed.class > classUsual {
+	if target.cold {
 		return "no faster target has room for it"
 	}
 	return "least share of its capacity left over"
--- a/rattanscheduler/priority.go
+++ b/rattanscheduler/priority.go
@@ -102,13 +102,12 @@
 func (s *Scheduler) updateEntry(j *job) {
 	j.timing = s.timing(j)
 	j.entry = queueEntry{
-		expiresAt: j.timing.expiresAt.UnixNano(),
-		key:       queueKey{latestStart: j.timing.latestStart.UnixNano(), sequence: j.sequence},
-		demand:    j.readyDemand(),
-		work:      s.queuedWork(j),
-		tasks:     len(j.ready),
-		milliCPU:  j.readyMilliCPU(),
-		job:       j,
+		expiresAt:  j.timing.expiresAt.UnixNano(),
+		key:        queueKey{latestStart: j.timing.latestStart.UnixNano(), sequence: j.sequence},
+		demand:     j.readyDemand(),
+		backlogSum: backlogSum{work: s.queuedWork(j), milliCPU: j.readyMilliCPU()},
+		tasks:      len(j.ready),
+		job:        j,
 	}
 }
 
--- a/rattanscheduler/queue.go
+++ b/rattanscheduler/queue.go
@@ -48,12 +48,9 @@
 	key queueKey
 	// demand is the least amount of each resource that a ready task requires.
 	demand rattanwork.Resources
-	// work is the expected processor time of the ready tasks, in nanoseconds
-	// times thousandths of a core.
-	work float64
-	// tasks is the number of ready tasks, milliCPU their demand together.
-	tasks    int
-	milliCPU int
+	// backlogSum is the work of the ready tasks, tasks their number.
+	backlogSum
+	tasks int
 	// expiresAt is the time, in Unix nanoseconds, from which on the answer has
 	// no value.
 	expiresAt int64
@@ -87,12 +84,11 @@
 // jobBlock holds adjacent entries of a class.
 type jobBlock struct {
 	entries []queueEntry
-	// demand is the least demand of any entry and expiresAt the earliest expiry.
-	// work and milliCPU are the sums over all entries.
+	// backlogSum is the sum over all entries, demand the least demand of any and
+	// expiresAt the earliest expiry.
+	backlogSum
 	demand    rattanwork.Resources
 	expiresAt int64
-	work      float64
-	milliCPU  int
 }
 
 // compare sorts classes: started jobs come first, because the work done for a
@@ -269,8 +265,7 @@
 func (b *jobBlock) summarize() {
 	b.demand = b.entries[0].demand
 	b.expiresAt = b.entries[0].expiresAt
-	b.work = 0
-	b.milliCPU = 0
+	b.backlogSum = backlogSum{}
 	for i := range b.entries {
 		b.include(&b.entries[i])
 	}
@@ -280,8 +275,7 @@
 func (b *jobBlock) include(entry *queueEntry) {
 	b.demand = minDemand(b.demand, entry.demand)
 	b.expiresAt = min(b.expiresAt, entry.expiresAt)
-	b.work += entry.work
-	b.milliCPU += entry.milliCPU
+	b.add(entry.backlogSum)
 }
 
 // firstFitting returns the first entry in the range whose demand the resources
@@ -374,12 +368,12 @@
 func (c *jobClass) addBacklog(keys keyRange, backlog *backlogSum) {
 	c.blocksIn(keys, func(block *jobBlock, whole bool) {
 		if whole {
-			backlog.add(block.work, block.milliCPU)
+			backlog.add(block.backlogSum)
 			return
 		}
 		for i := range block.entries {
 			if entry := &block.entries[i]; keys.contains(entry.key) {
-				backlog.add(entry.work, entry.milliCPU)
+				backlog.add(entry.backlogSum)
 			}
 		}
 	})
--- a/rattanscheduler/queue_test.go
+++ b/rattanscheduler/queue_test.go
@@ -69,12 +69,12 @@
 			j.timing.latestStart = now.Add(time.Duration(rapid.IntRange(-200, 900).Draw(t, "slack")) * time.Millisecond)
 			j.timing.expiresAt = j.timing.latestStart.Add(time.Second)
 			j.entry = queueEntry{
-				key:       queueKey{latestStart: j.timing.latestStart.UnixNano(), sequence: sequence + 1},
-				demand:    rattanwork.Resources{MilliCPU: rapid.IntRange(1, 40).Draw(t, "cpu"), MemoryMB: rapid.IntRange(1, 40).Draw(t, "memory")},
-				work:      float64(rapid.IntRange(1, 8_000).Draw(t, "work")) * float64(time.Second),
-				tasks:     1,
-				expiresAt: j.timing.expiresAt.UnixNano(),
-				job:       j,
+				key:        queueKey{latestStart: j.timing.latestStart.UnixNano(), sequence: sequence + 1},
+				demand:     rattanwork.Resources{MilliCPU: rapid.IntRange(1, 40).Draw(t, "cpu"), MemoryMB: rapid.IntRange(1, 40).Draw(t, "memory")},
+				backlogSum: backlogSum{work: float64(rapid.IntRange(1, 8_000).Draw(t, "work")) * float64(time.Second)},
+				tasks:      1,
+				expiresAt:  j.timing.expiresAt.UnixNano(),
+				job:        j,
 			}
 			j.class = state.queue.insert(j.runCount > 0, j.submission.Priority, j.entry)
 			plain.jobs = append(plain.jobs, j)
--- a/rattanscheduler/release_test.go
+++ b/rattanscheduler/release_test.go
@@ -144,7 +144,7 @@
 			}
 			// The waiting work takes 100 ms of the capacity.
 			ahead := backlogSum{work: float64(targets*16000) * float64(100*time.Millisecond), milliCPU: targets * 8000}
-			j := &job{entry: queueEntry{demand: rattanwork.Resources{MilliCPU: 8000}, work: 8 * 8000 * 60e6, tasks: 8, milliCPU: 64000}}
+			j := &job{entry: queueEntry{demand: rattanwork.Resources{MilliCPU: 8000}, backlogSum: backlogSum{work: 8 * 8000 * 60e6, milliCPU: 64000}, tasks: 8}}
 			b.ReportAllocs()
 			next := 0
 			for b.Loop() {
--- a/rattanscheduler/remote_zone.go
+++ b/rattanscheduler/remote_zone.go
@@ -122,7 +122,7 @@
 func (z *RemoteZone) spare(need *zoneNeed, copies int) int {
 	room, known := z.room(need.service)
 	if !known || need.largest() > classSizes[sizeClasses-1] {
-		return z.spareSum(need.demands, copies)
+		return z.spareSum(need, copies)
 	}
 	if room == nil {
 		return -1
@@ -138,16 +138,15 @@
 }
 
 // spareSum is the same as spare if only the sum of the free capacity is known.
-func (z *RemoteZone) spareSum(demands []taskDemand, copies int) int {
-	free, largest := z.FreeMilliCPU, 1
-	for _, demand := range demands {
+func (z *RemoteZone) spareSum(need *zoneNeed, copies int) int {
+	free := z.FreeMilliCPU
+	for _, demand := range need.demands {
 		free -= copies * demand.tasks * demand.milliCPU
-		largest = max(largest, demand.milliCPU)
 	}
 	if free < 0 {
 		return -1
 	}
-	return free / largest
+	return free / max(1, need.largest())
 }
 
 // take subtracts the room of a redirected job, or adds its work to the waits if there is
@@ -300,8 +299,8 @@
 				if waited := now.Sub(entry.job.submittedAt); waited >= redirectDelay && elsewhere.mayFit(entry.demand.MilliCPU, redirectHeadroom*entry.tasks) {
 					list = append(list, waitingJob{state: s, job: entry.job, before: ahead, inClass: inClass, waited: waited})
 				}
-				ahead.add(entry.work, entry.milliCPU)
-				inClass.add(entry.work, entry.milliCPU)
+				ahead.add(entry.backlogSum)
+				inClass.add(entry.backlogSum)
 			}
 		})
 	})
@@ -321,14 +320,11 @@
 // earlierZone returns the index of another zone where a job ends clearly earlier than here,
 // given its wait here, or -1 if there is none.
 func (s *Scheduler) earlierZone(j *job, wait time.Duration, now time.Time) int {
-	if s.awaitsReconciliation(j, now) {
+	if !j.redirectable() || s.awaitsReconciliation(j, now) {
 		return -1
 	}
-	zone := s.bestRemoteZone(j, redirectHeadroom, now)
-	if zone < 0 {
-		return -1
-	}
-	if need := s.zoneNeed(j); wait <= j.redirectCost()+s.remoteZones[zone].waitWithRoom(&need) {
+	zone, waitThere := s.chooseZone(j, redirectHeadroom, now)
+	if zone < 0 || wait <= j.redirectCost()+waitThere {
 		return -1
 	}
 	return zone
@@ -353,7 +349,7 @@
 // reserveRemoteZone reserves room for a job in another zone and returns the
 // zone, or "" if the job may not be redirected or fits into no zone.
 func (s *Scheduler) reserveRemoteZone(j *job, now time.Time) string {
-	best := s.bestRemoteZone(j, 1, now)
+	best := s.bestRemoteZone(j, now)
 	if best < 0 {
 		return ""
 	}
@@ -386,27 +382,33 @@
 	if !j.submission.Redirectable && !j.submission.Resumed && !j.submission.Redirected {
 		return -1
 	}
-	return s.chooseZone(j, 1, now)
+	zone, _ := s.chooseZone(j, 1, now)
+	return zone
 }
 
-// bestRemoteZone returns the index of the zone to which a job that has not started is
-// redirected, or -1 if the job may not be redirected or no zone has room for the given
-// number of copies of it.
-func (s *Scheduler) bestRemoteZone(j *job, copies int, now time.Time) int {
-	if !j.submission.Redirectable || j.mayHaveStarted() {
+// bestRemoteZone returns the index of the zone to which a job is redirected that would be
+// refused, or -1 if the job may not be redirected or no zone has room for it.
+func (s *Scheduler) bestRemoteZone(j *job, now time.Time) int {
+	if !j.redirectable() {
 		return -1
 	}
-	return s.chooseZone(j, copies, now)
+	zone, _ := s.chooseZone(j, 1, now)
+	return zone
+}
+
+// redirectable reports whether the job may be redirected as one that has not started.
+func (j *job) redirectable() bool {
+	return j.submission.Redirectable && !j.mayHaveStarted()
 }
 
 // chooseZone returns the index of a zone that has room for the given number of copies of
-// the job and where it ends in time, or -1 if there is none. One copy may also wait for
+// the job and where it ends in time, and its wait there, or -1 if there is none. One copy may also wait for
 // room, if it meets its objective all the same. Among the zones where the job starts
 // earliest, one is chosen at random by the ID of the job, in proportion to the spare room:
 // otherwise, all homes would choose the same zone at the same time.
-func (s *Scheduler) chooseZone(j *job, copies int, now time.Time) int {
+func (s *Scheduler) chooseZone(j *job, copies int, now time.Time) (index int, wait time.Duration) {
 	if len(s.remoteZones) == 0 {
-		return -1
+		return -1, 0
 	}
 	need := s.zoneNeed(j)
 	objective, lateUntil := s.latestStarts(j)
@@ -430,7 +432,10 @@
 			least = min(least, choice.wait)
 		}
 	}
-	return pick(choices, least+similarWait, j.submission.Job.ID)
+	if index = pick(choices, least+similarWait, j.submission.Job.ID); index >= 0 {
+		wait = choices[index].wait
+	}
+	return index, wait
 }
 
 // latestStarts returns the times until which a job must start in another zone to meet its
--- a/rattanscheduler/room.go
+++ b/rattanscheduler/room.go
@@ -295,13 +295,13 @@
 	for _, class := range s.queue.classes {
 		if class.started {
 			for _, block := range class.blocks {
-				ahead.add(block.work, block.milliCPU)
+				ahead.add(block.backlogSum)
 			}
 			continue
 		}
 		inClass := backlogSum{}
 		class.addBacklog(onTimeKeys(now.UnixNano()), &inClass)
-		ahead.add(inClass.work, inClass.milliCPU)
+		ahead.add(inClass)
 		usual.priority, usual.factor = class.priority, s.waits[waitKey{class.priority, allSizes}].factor()
 		list = appendWait(list, class.priority, float64(s.admissionWait(usual, ahead, inClass, 0, now)))
 	}
--- a/rattanscheduler/runs.go
+++ b/rattanscheduler/runs.go
@@ -19,7 +19,7 @@
 func (s *Scheduler) startRun(t *task, target *target, now time.Time) {
 	t.attempt++
 	t.state = taskActive
-	r := &run{target: target, taskName: t.name, attempt: t.attempt, resources: t.resources(), task: t, knownSince: now, suspect: s.isSuspect(t), cold: target.speed.class == classCold}
+	r := &run{target: target, taskName: t.name, attempt: t.attempt, resources: t.resources(), task: t, knownSince: now, suspect: s.isSuspect(t), cold: target.cold}
 	t.run = r
 	s.addRun(r)
 	target.reserve(r.resources)
--- a/rattanscheduler/shortage.go
+++ b/rattanscheduler/shortage.go
@@ -59,7 +59,7 @@
 // waitByEnds returns how long the last task of a job would wait if all capacity that
 // runs release were used.
 func (state *serviceState) waitByEnds(demand waitDemand, before backlogSum, now time.Time) time.Duration {
-	before.add(demand.own.work, demand.own.milliCPU)
+	before.add(demand.own)
 	return state.releases.wait(before, state.pool.usedMilliCPU(), now)
 }
 
@@ -127,8 +127,8 @@
 		inClass := backlogSum{}
 		class.blocksIn(keys, func(block *jobBlock, whole bool) {
 			if whole && (class.started || state.blockStartsInTime(block, ahead, factor, now)) {
-				ahead.add(block.work, block.milliCPU)
-				inClass.add(block.work, block.milliCPU)
+				ahead.add(block.backlogSum)
+				inClass.add(block.backlogSum)
 				return
 			}
 			for i := range block.entries {
@@ -140,8 +140,8 @@
 					list = append(list, entry.job)
 					continue
 				}
-				ahead.add(entry.work, entry.milliCPU)
-				inClass.add(entry.work, entry.milliCPU)
+				ahead.add(entry.backlogSum)
+				inClass.add(entry.backlogSum)
 			}
 		})
 	})
@@ -151,7 +151,7 @@
 // blockStartsInTime reports whether even the last job of the block would not wait longer
 // than the first one may.
 func (state *serviceState) blockStartsInTime(block *jobBlock, before backlogSum, factor float64, now time.Time) bool {
-	before.add(block.work, block.milliCPU)
+	before.add(block.backlogSum)
 	used := state.pool.usedMilliCPU()
 	latest := float64(max(block.entries[0].key.latestStart-now.UnixNano(), 0)+int64(overloadTolerance)) / factor
 	// All present runs end within the time that the schedule covers.
--- a/rattanscheduler/target.go
+++ b/rattanscheduler/target.go
@@ -128,7 +128,10 @@
 	// that were lost.
 	leaving    bool
 	lossesOpen bool
-	speed      targetSpeed
+	// cold is set while the target is slow because it has started lately, at least until
+	// coldUntil. Tasks start on cold targets only if no warm one has room.
+	cold      bool
+	coldUntil time.Time
 	// pooled is the state of the target in the indexes of its pool. touched is
 	// set if the target has changed since, suspensionPending while the end of
 	// its suspension is awaited.
