--- a/rattanoverload/overload_test.go
+++ b/rattanoverload/overload_test.go
@@ -1,16 +1,11 @@
 package rattanoverload
 
 import (
-	"context"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
-	qt "github.com/frankban/quicktest"
-
 	"github.com/rattanlever/rattanlever/rattanprocess"
-	"github.com/rattanlever/rattanlever/rattansite"
 )
 
 const (
@@ -87,18 +82,23 @@
 // when callers of all kinds come at once, with those that send a part of a header or
 // nothing.
 func TestOverloadMix(t *testing.T) {
+	testOverload(t, mixDescriptors, mixedCaller())
+}
+
+// mixedCaller returns a function that returns callers of all kinds.
+func mixedCaller() func(index int) caller {
 	body := paddedJob(bodyBytes)
 	kinds := []caller{
 		whole(body, missingBytes), pieces(body, missingBytes), chunks(encodeChunks(body, largeChunk), false),
 		chunks(encodeChunks(body, smallChunk), false), partialHead, idle, whole(body, 0),
 	}
 	heavy := whole(emptySteps(bodyBytes), 0)
-	testOverload(t, mixDescriptors, func(i int) caller {
+	return func(i int) caller {
 		if i < heavyCallers {
 			return heavy
 		}
 		return kinds[i%len(kinds)]
-	})
+	}
 }
 
 // testOverload lets callers send requests to the home and checks that all processes
@@ -106,33 +106,9 @@
 // connections of the callers are still open.
 func testOverload(t *testing.T, maxDescriptors int, newCaller func(index int) caller) {
 	s := startSystem(t, maxDescriptors)
-	home := s.Home(zone)
-	s.Assert(home, qt.IsNotNil)
-	var meters []*rattanprocess.DescriptorMeter
-	for _, instance := range s.Instances {
-		meters = append(meters, instance.StartDescriptorMeter())
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var callers sync.WaitGroup
-	defer callers.Wait()
-	defer cancel()
-	for i := range callerCount {
-		callers.Go(func() { newCaller(i).repeat(ctx, home.IP+":"+rattansite.CallerPort, s.Checker) })
-	}
-	time.Sleep(overloadTime)
-	for _, instance := range s.Instances {
-		s.Check(s.ordinaryAnswered(instance), qt.IsTrue, qt.Commentf("%s answers an ordinary request", instance.Name))
-	}
-	for i, instance := range s.Instances {
-		descriptors := meters[i].End()
-		s.Check(instance.Alive(), qt.IsTrue, qt.Commentf("process of %s", instance.Name))
-		memory, err := instance.PeakResidentMB()
-		s.Check(err, qt.IsNil)
-		s.Logf("%s: home %t, peak of %d MB and %d descriptors", instance.Name, instance == home, memory, descriptors)
-		s.Check(memory <= boundMB, qt.IsTrue, qt.Commentf("%s: %d MB resident, bound %d", instance.Name, memory, boundMB))
-		bound := maxDescriptors - reservedDescriptors
-		s.Check(descriptors <= bound, qt.IsTrue, qt.Commentf("%s: %d descriptors, bound %d", instance.Name, descriptors, bound))
-	}
+	meters := s.startMeters()
+	s.overload(crowd{callers: callerCount, newCaller: newCaller}, func() { s.checkOrdinary() })
+	s.checkBounds(meters, maxDescriptors)
 }
 
 // ordinaryAnswered reports whether the instance answers an ordinary job with its
--- a/rattanoverload/system_test.go
+++ b/rattanoverload/system_test.go
@@ -34,15 +34,27 @@
 	os.Exit(rattanprocess.BuildAndRun(&binary, m.Run))
 }
 
-// system is a deployment of two instances in one zone.
+// system is a deployment with two instances and two targets in each zone.
 type system struct {
 	*qt.C
 	*rattanprocess.Deployment
 }
 
-// startSystem starts the processes, whose settings state the number of descriptors,
-// and waits until they are ready.
+// desiredState returns the desired state in a version.
+func desiredState(version int) rattansite.DesiredState {
+	return rattansite.DesiredState{
+		Version: version, Service: rattanprocess.Service, Host: rattanprocess.Host, Prefixes: []string{rattanprocess.Prefix}, MaxBodyBytes: maxBodyBytes,
+	}
+}
+
+// startSystem starts the processes of one zone; see startZones.
 func startSystem(t *testing.T, descriptors int) *system {
+	return startZones(t, descriptors, zone)
+}
+
+// startZones starts the processes, whose settings state the number of descriptors, and
+// waits until they are ready.
+func startZones(t *testing.T, descriptors int, zones ...string) *system {
 	if os.Getenv(runVariable) == "" {
 		t.Skipf("measures memory of processes and runs apart from other tests: set %s=1 (see .ci/run)", runVariable)
 	}
@@ -53,22 +65,28 @@
 		deployment.Close()
 		deployment.Report(c)
 	})
-	c.Assert(deployment.Store.PutDesiredState(rattansite.DesiredState{
-		Version: 1, Service: rattanprocess.Service, Host: rattanprocess.Host, Prefixes: []string{rattanprocess.Prefix}, MaxBodyBytes: maxBodyBytes,
-	}), qt.IsNil)
+	s := &system{c, deployment}
+	c.Assert(deployment.Store.PutDesiredState(desiredState(1)), qt.IsNil)
+	for _, name := range zones {
+		s.addZone(name, descriptors)
+	}
+	for _, instance := range deployment.Instances {
+		c.Assert(instance.WaitReady(http.DefaultClient, startTimeout), qt.IsNil)
+	}
+	return s
+}
+
+// addZone adds the targets of a zone and starts its instances.
+func (s *system) addZone(name string, descriptors int) {
 	for i := range targetCount {
-		_, err := deployment.AddTarget(rattansite.TargetConfig{ID: fmt.Sprintf("i-%d", i), Zone: zone, MilliCPU: 32000, MemoryMB: 4096})
-		c.Assert(err, qt.IsNil)
+		_, err := s.AddTarget(rattansite.TargetConfig{ID: fmt.Sprintf("i-%s-%d", name, i), Zone: name, MilliCPU: 32000, MemoryMB: 4096})
+		s.Assert(err, qt.IsNil)
 	}
 	for i := range instanceCount {
-		instance, err := deployment.AddInstance(rattansite.InstanceSettings{
-			Name: fmt.Sprintf("front-a-%d", i+1), Zone: zone, MemoryMB: machineMB, MaxDescriptors: descriptors,
+		instance, err := s.AddInstance(rattansite.InstanceSettings{
+			Name: fmt.Sprintf("front-%s-%d", name, i+1), Zone: name, MemoryMB: machineMB, MaxDescriptors: descriptors,
 		})
-		c.Assert(err, qt.IsNil)
-		c.Assert(instance.Start(), qt.IsNil)
-	}
-	for _, instance := range deployment.Instances {
-		c.Assert(instance.WaitReady(http.DefaultClient, startTimeout), qt.IsNil)
+		s.Assert(err, qt.IsNil)
+		s.Assert(instance.Start(), qt.IsNil)
 	}
-	return &system{c, deployment}
 }
