Bound what the kernel holds for a caller's connection

Callers saw: nothing, until the machine runs out of memory and the process is killed. Bytes that are received and not yet read count toward memory_mb.

Cause: no socket had a bound on its buffers. By default the kernel holds 114 to 128 KB for a connection that nobody reads, from its first byte on and before it is accepted; a connection counted 16 KB, and the backlog was that of the system (4,096).

Change: the caller, readiness and metrics listeners bound their receive and send buffers before they listen, so that connections inherit the bounds (12 and 8 KB are held at most), and their backlog. A connection counts 36 KB against a third of the memory beyond 36 MB; 144 MB still allow 1,024.

--- a/rattanlimit/limits.go
+++ b/rattanlimit/limits.go
@@ -2,14 +2,18 @@
 // and the request bodies of callers take, whatever callers send.
 package rattanlimit
 
-// Shares of the machine's memory. Together with the heap of an idle instance, of
-// some 10 MB, they stay below the soft limit of the runtime, a third of the memory
-// (rattannode.TuneCollection), so that an overload does not make it collect garbage
-// without end.
+// Reciprocal shares of the machine's memory. What the process itself holds of them stays,
+// with the heap of an idle instance of some 10 MB, below the soft limit of the runtime, a
+// third of the memory (rattannode.TuneCollection), so that an overload does not make it
+// collect garbage without end.
 const (
-	bodyShare       = 12
-	peerShare       = 12
-	connectionShare = 6
+	bodyShare = 12
+	peerShare = 12
+	// connectionShare is that of connections, in the process and in the kernel, of what
+	// is beyond baseBytes.
+	connectionShare = 3
+	// backlogShare is that of connections that wait to be accepted.
+	backlogShare = 32
 	// reservedShare is the reciprocal share of the bytes for bodies that is reserved
 	// for small ones.
 	reservedShare = 4
@@ -22,14 +26,22 @@
 	defaultDescriptors = 4096
 	// reservedDescriptors are those that the platform reserves for files.
 	reservedDescriptors = 200
-	// connectionBytes is what a connection takes: the buffers of the server, two
-	// goroutine stacks and a request with a usual header.
+	// connectionBytes is what a connection takes in the process: the buffers of the
+	// server, two goroutine stacks and a request with a usual header.
 	connectionBytes = 16 << 10
+	// kernelBytes is what a connection takes in the kernel, which counts toward the
+	// memory of the machine.
+	kernelBytes = receivedBytes + sentBytes
 	// minBodyBytes is enough for one body of 262,144 bytes that decodes to the most
 	// that such a body can, on the smallest machine.
 	minBodyBytes = 6 << 20
-	// minConnections is the bound on connections of the smallest machine.
+	// baseBytes is what an idle process, of some 20 MB, takes with the least that the
+	// bodies of callers and the jobs of other instances may.
+	baseBytes = 24<<20 + 2*minBodyBytes
+	// minConnections is the bound on connections of the smallest machine, minBacklog
+	// that on connections that wait to be accepted.
 	minConnections = 64
+	minBacklog     = 32
 )
 
 // Limits are the bounds of one instance.
@@ -41,8 +53,10 @@
 	ReservedBytes int64
 	// PeerBytes bounds the bytes that the home holds for jobs of other instances.
 	PeerBytes int64
-	// Connections bounds the connections of callers.
+	// Connections bounds the connections of callers, Backlog those that wait to be
+	// accepted.
 	Connections int
+	Backlog     int
 }
 
 // ForMachine returns the limits for a machine with so many bytes of memory and so
@@ -55,12 +69,14 @@
 		descriptors = defaultDescriptors
 	}
 	bodyBytes := max(minBodyBytes, memory/bodyShare)
+	connectionMemory := (memory - baseBytes) / connectionShare
 	// A third of the descriptors is left to peers, targets and the store.
-	connections := min((descriptors-reservedDescriptors)*2/3, int(memory/connectionShare/connectionBytes))
+	connections := min((descriptors-reservedDescriptors)*2/3, int(connectionMemory/(connectionBytes+kernelBytes)))
 	return Limits{
 		BodyBytes:     bodyBytes,
 		ReservedBytes: bodyBytes / reservedShare,
 		PeerBytes:     max(minBodyBytes, memory/peerShare),
 		Connections:   max(minConnections, connections),
+		Backlog:       max(minBacklog, int(memory/backlogShare/receivedBytes)),
 	}
 }
--- a/rattannode/limits.go
+++ b/rattannode/limits.go
@@ -31,8 +31,10 @@
 type intake struct {
 	bodies      *rattanlimit.Bodies
 	connections *rattanlimit.Connections
-	peerJobs    *rattanlimit.Jobs
-	clock       func() time.Time
+	// backlog bounds the connections of callers that wait to be accepted.
+	backlog  int
+	peerJobs *rattanlimit.Jobs
+	clock    func() time.Time
 }
 
 func newIntake(config *Config) *intake {
@@ -43,6 +45,7 @@
 	in := &intake{
 		bodies:      rattanlimit.NewBodies(callers, journal, config.Clock),
 		connections: rattanlimit.NewConnections(limits.Connections, callers, journal, config.Clock),
+		backlog:     limits.Backlog,
 		peerJobs:    rattanlimit.NewJobs(peers, journal),
 		clock:       config.Clock,
 	}
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -238,15 +238,15 @@
 
 func (n *Node) buildApp() error {
 	settings := n.config.Settings
-	callerServer, err := newHTTPServer(settings.CallerAddress, n.callerHandler, n.intake.connections)
+	callerServer, err := newHTTPServer(settings.CallerAddress, n.callerHandler, n.intake.connections, n.intake.backlog)
 	if err != nil {
 		return errors.Annotate(err, "listen.front")
 	}
-	readinessServer, err := newHTTPServer(settings.ReadinessAddress, n.intake.withoutBody(n.serveReady), n.intake.probes())
+	readinessServer, err := newHTTPServer(settings.ReadinessAddress, n.intake.withoutBody(n.serveReady), n.intake.probes(), probeConnections)
 	if err != nil {
 		return errors.Annotate(err, "listen.readiness")
 	}
-	metricsServer, err := newHTTPServer(settings.MetricsAddress, n.metricsHandler(), n.intake.probes())
+	metricsServer, err := newHTTPServer(settings.MetricsAddress, n.metricsHandler(), n.intake.probes(), probeConnections)
 	if err != nil {
 		return errors.Annotate(err, "metrics")
 	}
@@ -265,11 +265,10 @@
 }
 
 // newHTTPServer returns a server that passes all requests to the handler and bounds
-// its connections. It
-// bypasses the router of kratos, which redirects requests whose path is not in
-// clean form.
-func newHTTPServer(address string, handler http.Handler, connections *rattanlimit.Connections) (*khttp.Server, error) {
-	listener, err := net.Listen("tcp", address)
+// its connections, of which a backlog waits to be accepted. It bypasses the router of
+// kratos, which redirects requests whose path is not in clean form.
+func newHTTPServer(address string, handler http.Handler, connections *rattanlimit.Connections, backlog int) (*khttp.Server, error) {
+	listener, err := rattanlimit.Listen(address, backlog)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
