Refuse a job only if no home can have run it

Callers saw: 503 for jobs that had run. A job that was submitted through another instance, or to another zone, or before a takeover was refused for want of memory, with 413, or without a desired state, as if it had never run.

Cause: a refusal before the submission looked at the pending requests of the same instance only. Homes forget a job 4 to 5 s after its end.

Change: a home remembers for at least 30 s which jobs have ended, and tells other instances (JobPresence). An instance refuses a job that it does not submit only if the homes of all zones state that it is absent; otherwise the answer is 504, after which the caller sends the same ID again. A home that was elected less than 30 s ago, cannot be asked, or has forgotten, is uncertain. Questions are bounded in rate and time. A home marks its own refusals of such jobs too.

Works because what a home knows of an ID costs no byte of the body, and because a home that cannot know says so.

--- a/rattanfront/cancellation.go
+++ b/rattanfront/cancellation.go
@@ -82,7 +82,7 @@
 // by which a job was accepted may have been removed since.
 func (h *Handler) cancelWithoutRoute(w http.ResponseWriter, r *http.Request, now time.Time) {
 	outcome, answered := InvalidID, true
-	if id := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]; platform.IsJobID(id) {
+	if id := lastSegment(r.URL.Path); platform.IsJobID(id) {
 		outcome, answered = h.awaitCancellation(r.Context(), id, now)
 	}
 	switch {
@@ -94,6 +94,11 @@
 	}
 }
 
+// lastSegment returns the part of a path that is the ID of a job, whatever the route is.
+func lastSegment(path string) string {
+	return path[strings.LastIndexByte(path, '/')+1:]
+}
+
 // awaitCancellation cancels a job and returns the outcome. It returns false if the
 // caller has left.
 func (h *Handler) awaitCancellation(ctx context.Context, id string, now time.Time) (CancelOutcome, bool) {
--- a/rattanfront/handler.go
+++ b/rattanfront/handler.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/rattanlever/rattanlever/platform"
 	"github.com/rattanlever/rattanlever/rattancancel"
@@ -48,6 +49,7 @@
 	Cancel(cancellation rattanhome.Cancellation) bool
 	CancelForCaller(cancellation rattanhome.CallerCancellation) rattanhome.CancellationReply
 	SaveCancellation(ctx context.Context, cancellation rattanhome.CallerCancellation) error
+	Presence(jobID string) rattanhome.JobPresence
 }
 
 // Peers sends calls to other instances.
@@ -127,6 +129,8 @@
 type Handler struct {
 	config         Config
 	activeRequests atomic.Int64
+	// lookups limits how often homes are asked about jobs that are refused.
+	lookups *rate.Limiter
 	// saves is the number of cancellations that are being saved.
 	saves atomic.Int64
 	// submissions is the sequence number of the last submission to a home.
@@ -164,6 +168,7 @@
 	}
 	h := &Handler{
 		config:        config,
+		lookups:       rate.NewLimiter(lookupRate, lookupBurst),
 		pending:       map[string]map[*submission]context.CancelCauseFunc{},
 		cancellations: map[string]*cancellation{},
 	}
@@ -217,7 +222,7 @@
 	state := h.config.DesiredState.State()
 	if state == nil {
 		rattanlimit.Skip(w, r, receivedAt)
-		refuse(w, http.StatusServiceUnavailable, unavailableRetryAfter, "no desired state yet")
+		h.refuseUnread(w, lastSegment(r.URL.Path), "no desired state yet")
 		return
 	}
 	route, ok := state.Match(hostName(r.Host), r.URL.Path)
@@ -259,7 +264,7 @@
 	defer held.Release()
 	size := platform.DecodedSize(body)
 	if !held.Resize(int64(len(body)) + size) {
-		h.refuseWithoutRoom(w, s.id, rattanlimit.ErrNoRoom)
+		h.refuseUnread(w, s.id, rattanlimit.ErrNoRoom.Error())
 		return
 	}
 	job, err := platform.ParseJob(s.id, body)
@@ -281,8 +286,7 @@
 	}
 	s.setDeadlines()
 	if deadline := h.shutdownDeadline.Load(); deadline != nil && s.lateUntil.After(*deadline) {
-		s.recordAnswer(http.StatusServiceUnavailable, "instance stops")
-		refuse(w, http.StatusServiceUnavailable, unavailableRetryAfter, "instance stops")
+		s.recordAnswer(h.refuseUnread(w, s.id, "instance stops"), "instance stops")
 		return
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
--- a/rattanfront/receive.go
+++ b/rattanfront/receive.go
@@ -22,27 +22,22 @@
 	body, held, err := h.config.Bodies.Receive(w, r, limit)
 	switch {
 	case errors.Is(err, rattanlimit.ErrTooLarge):
-		s.recordAnswer(http.StatusRequestEntityTooLarge, "body too large")
-		respond(w, http.StatusRequestEntityTooLarge, platform.ErrorBody("body too large"))
+		h.answerTooLarge(w, s)
 	case errors.Is(err, rattanlimit.ErrNoRoom) || errors.Is(err, rattanlimit.ErrSlow):
-		h.refuseWithoutRoom(w, s.id, err)
+		h.refuseUnread(w, s.id, err.Error())
 	case err != nil:
 		s.recordAnswer(0, "body not received")
 	}
 	return body, held, err == nil
 }
 
-// refuseWithoutRoom refuses a job whose request is not held any longer. It is not
-// recorded like other answers, because a flood of such requests must not fill the log;
-// the bodies count it. A job that runs for another request of its caller is not
-// refused.
-func (h *Handler) refuseWithoutRoom(w http.ResponseWriter, id string, err error) {
-	h.mutex.Lock()
-	_, pending := h.pending[id]
-	h.mutex.Unlock()
-	if pending {
-		respond(w, http.StatusGatewayTimeout, platform.ErrorBody(err.Error()))
-		return
+// answerTooLarge answers a request whose body is too large. A job that may have run under
+// the same ID is not reported as rejected.
+func (h *Handler) answerTooLarge(w http.ResponseWriter, s *submission) {
+	status := http.StatusRequestEntityTooLarge
+	if h.mayHaveRun(s.id) {
+		status = http.StatusGatewayTimeout
 	}
-	refuse(w, http.StatusServiceUnavailable, unavailableRetryAfter, err.Error())
+	s.recordAnswer(status, "body too large")
+	respond(w, status, platform.ErrorBody("body too large"))
 }
--- a/rattanfront/submission_test.go
+++ b/rattanfront/submission_test.go
@@ -28,8 +28,21 @@
 	local   rattanhome.Reply
 	remote  []func(z *fakeZones) (rattanhome.Reply, error)
 	changed chan struct{}
+	// presences contains what the homes of zones a and b know of a job that is not
+	// absent.
+	presences map[string]rattanhome.JobPresence
 }
 
+// presence returns what the home of a zone knows of a job.
+func (z *fakeZones) presence(zone string) rattanhome.JobPresence {
+	if presence, ok := z.presences[zone]; ok {
+		return presence
+	}
+	return rattanhome.JobAbsent
+}
+
+func (z *fakeZones) Presence(string) rattanhome.JobPresence { return z.presence("a") }
+
 func (z *fakeZones) clock() time.Time {
 	z.mutex.Lock()
 	defer z.mutex.Unlock()
@@ -65,6 +78,9 @@
 }
 
 func (z *fakeZones) Call(_ context.Context, _, method string, _ []byte) ([]byte, error) {
+	if method == rattanhome.MethodPresence {
+		return json.Marshal(rattanhome.PresenceReply{Presence: z.presence("b")})
+	}
 	if method != rattanhome.MethodSubmit {
 		return []byte("{}"), nil
 	}
--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -112,8 +112,10 @@
 	mutex     sync.Mutex
 	scheduler *rattanscheduler.Scheduler
 	waiters   map[string][]chan rattanscheduler.JobResult
-	// results caches the results of ended jobs for repeated submissions.
+	// results caches the results of ended jobs for repeated submissions, history
+	// remembers for longer which jobs there were.
 	results  map[string]cachedResult
+	history  jobHistory
 	renewers map[string]*leaseRenewer
 	pending  pendingStarts
 	// raisedTokens contains the fencing tokens of removed targets for which they
@@ -162,6 +164,7 @@
 		}),
 		waiters:      map[string][]chan rattanscheduler.JobResult{},
 		results:      map[string]cachedResult{},
+		history:      newJobHistory(config.Clock()),
 		renewers:     map[string]*leaseRenewer{},
 		raisedTokens: map[string]int64{},
 		idle:         true,
@@ -414,6 +417,12 @@
 // handleResult passes a job's result to the callers that wait for it, and
 // caches the results that apply to repeated submissions too.
 func (h *Home) handleResult(result rattanscheduler.JobResult, now time.Time) {
+	if result.Outcome != rattanscheduler.Refused {
+		h.history.add(result.JobID, now)
+	} else if h.history.presence(result.JobID, now) == JobPresent {
+		// The scheduler has forgotten an earlier submission.
+		result.MayHaveStarted = true
+	}
 	h.config.Observer.JobEnded(result)
 	if result.Outcome == rattanscheduler.Succeeded || result.Outcome == rattanscheduler.Failed {
 		h.results[result.JobID] = cachedResult{result: result, expiresAt: now.Add(resultRetention)}
--- a/rattanhome/service.go
+++ b/rattanhome/service.go
@@ -221,6 +221,7 @@
 	node.Handle(MethodCancelForCaller, s.onCancelForCaller)
 	node.Handle(MethodSaveCancellation, s.onSaveCancellation)
 	node.Handle(MethodPreview, s.onPreview)
+	node.Handle(MethodPresence, s.onPresence)
 }
 
 // Submit waits for the result of a job.
--- a/rattanscheduler/result.go
+++ b/rattanscheduler/result.go
@@ -36,8 +36,8 @@
 	Outcome Outcome
 	// Zone is the zone to which a redirected job must be submitted.
 	Zone string
-	// MayHaveStarted is set if a redirected job was submitted to that zone
-	// before.
+	// MayHaveStarted is set if a redirected job was submitted to that zone before, or if
+	// a refused job may have run in an earlier submission.
 	MayHaveStarted bool
 	// RetryAfter is the expected time until a refused job could be accepted.
 	RetryAfter time.Duration
