Count connections of refused callers until they are closed

Callers saw: nothing, until the machine runs out of memory.

Cause: after the answer to a request whose body is not read, the server keeps a goroutine and its buffers for 0.5 s, also if the connection is closed for another one meanwhile, and then without being counted. 1,400 refusals a second were 700 such goroutines, 10 MB that no limit knew of.

Change: Connection.Close lets the caller read the answer by itself, with a timer instead of a goroutine. The connection counts until it is closed.

Evidence: TestRefusedConnectionsTakeNoGoroutines fails without the change (50 connections keep their goroutines).

--- a/rattanlimit/bodies.go
+++ b/rattanlimit/bodies.go
@@ -341,13 +341,23 @@
 	if r.ContentLength == 0 {
 		return
 	}
-	// The server closes a connection with unread data later than the answer, so that
-	// the caller can still read it, only if a body exceeds the limit of such a reader.
-	_, _ = http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
+	lingerAfter(w, r)
 	w.Header()["Connection"] = []string{"close"}
 	_ = http.NewResponseController(w).SetReadDeadline(past)
 }
 
+// lingerAfter makes the connection stay open for a moment after the answer, so that the
+// caller can still read it.
+func lingerAfter(w http.ResponseWriter, r *http.Request) {
+	if connection := connectionOf(r.Context()); connection != nil {
+		connection.linger()
+		return
+	}
+	// The server does the same if a body exceeds the limit of such a reader, but keeps a
+	// goroutine and buffers meanwhile.
+	_, _ = http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
+}
+
 // Skip bounds what the server does with the body of a request that no handler reads:
 // it waits for a small one, so that the connection can be used again.
 func Skip(w http.ResponseWriter, r *http.Request, now time.Time) {
--- a/rattanlimit/connections.go
+++ b/rattanlimit/connections.go
@@ -25,9 +25,14 @@
 // read it.
 const writeTimeout = 10 * time.Second
 
-// answerTime is how long a connection is kept after the answer to a request that was
-// refused, for the caller to read it. The server keeps it for up to 500 ms.
-const answerTime = 100 * time.Millisecond
+const (
+	// lingerTime is how long a connection stays open after the answer to a request that
+	// was refused unread. If it were closed at once, the caller's unread data would reset
+	// it before the caller has read the answer.
+	lingerTime = 500 * time.Millisecond
+	// answerTime is the part of it for which the connection is kept if others need it.
+	answerTime = 100 * time.Millisecond
+)
 
 // phase is what a connection is used for at present.
 type phase int
@@ -144,7 +149,7 @@
 	c.mutex.Unlock()
 	if victim != nil {
 		c.journal.CallerLimited(ConnectionEvicted)
-		_ = victim.Close()
+		_ = victim.closeNow()
 	}
 	return connection, true
 }
@@ -188,7 +193,9 @@
 	// counts for them.
 	headerBytes int64
 	header      Share
-	closed      bool
+	// lingers is set if Close must let the caller read the answer.
+	lingers bool
+	closed  bool
 }
 
 // WithConnection returns the context for the requests on a connection that was
@@ -254,8 +261,39 @@
 	return c.header.Resize(headerCopies*(c.headerBytes-freeHeaderBytes), false)
 }
 
-// Close closes the connection and ends its counting.
+// Close closes the connection, later if its caller may still have to read the answer. The
+// connection counts until then, but takes no goroutine and no buffers of the server.
 func (c *Connection) Close() error {
+	if !c.endLinger() {
+		return c.closeNow()
+	}
+	if err := c.CloseWrite(); err != nil {
+		return c.closeNow()
+	}
+	// The connection is lost already if this fails.
+	time.AfterFunc(lingerTime, func() { _ = c.closeNow() })
+	return nil
+}
+
+// linger makes the next Close let the caller read the answer.
+func (c *Connection) linger() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.lingers = true
+}
+
+// endLinger reports whether Close must let the caller read the answer, which it must only
+// once.
+func (c *Connection) endLinger() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	lingers := c.lingers && !c.closed
+	c.lingers = false
+	return lingers
+}
+
+// closeNow closes the connection and ends its counting.
+func (c *Connection) closeNow() error {
 	c.connections.remove(c)
 	c.mutex.Lock()
 	c.closed = true
