Bound the tasks and the requests of a home

Callers saw: no answer to ordinary requests beside small, valid bodies whose jobs have up to 1,000 tasks. The process of the home grew beyond the memory of its machine.

Cause: what was counted for a job followed from its body. Each task takes 215 bytes at its submission and some 1 KB later, each start request a connection and goroutines; 200 jobs were 43 MB. Stop requests, which the scheduler repeats until they are answered, waited in 10,000 goroutines once requests were bounded alone. Refused jobs created their tasks first.

Change: a home bounds the tasks of the jobs in progress (Config.MaxTasks) and the start and stop requests under way (Config.MaxRequests). A new job without room is refused without creating its tasks; one that may have started gets 504. A quarter of the tasks is reserved for jobs of up to 16.

--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -86,6 +86,10 @@
 	// home's mutex held, for each event. If it is nil, evacuations are not used.
 	Evacuation func(now time.Time) rattanwork.EvacuationStatus
 	Observer   Observer
+	// MaxTasks bounds the tasks of all jobs in progress, MaxRequests the start requests
+	// and the stop requests that are under way at the same time. 0 means no bound.
+	MaxTasks    int
+	MaxRequests int
 	// Suspended returns for how long the steady clock of this machine has stood
 	// still, 0 if it is nil.
 	Suspended func() time.Duration
@@ -102,6 +106,8 @@
 	// of start requests at once.
 	wake       chan struct{}
 	startAdded chan struct{}
+	// starts and stops bound the requests under way.
+	starts, stops requestLimit
 	// deposed is closed when the home is closed, or deposed because a target
 	// follows another home.
 	deposed chan struct{}
@@ -154,6 +160,8 @@
 		cancel:     cancel,
 		wake:       make(chan struct{}, 1),
 		startAdded: make(chan struct{}, 1),
+		starts:     newRequestLimit(config.MaxRequests),
+		stops:      newRequestLimit(config.MaxRequests),
 		deposed:    make(chan struct{}),
 		scheduler: rattanscheduler.New(rattanscheduler.Config{
 			MaxLease:      config.MaxLease,
@@ -334,7 +342,7 @@
 	}
 	h.addRemoteStarts(id, now)
 	h.waiters[id] = append(h.waiters[id], waiter)
-	if !h.refuseWithoutRoom(ctx, submission, now) && !h.shed(submission, now) {
+	if !h.rejectWithoutRoom(ctx, submission, now) && !h.shed(submission, now) {
 		h.scheduler.Submit(submission, now)
 		h.scheduler.CheckAdmission(id, now)
 	}
--- a/rattanhome/presence.go
+++ b/rattanhome/presence.go
@@ -89,7 +89,11 @@
 func (h *Home) Presence(jobID string) JobPresence {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	now := h.now()
+	return h.presence(jobID, h.now())
+}
+
+// presence does the same. The caller holds the mutex.
+func (h *Home) presence(jobID string, now time.Time) JobPresence {
 	switch {
 	case h.closed || h.authority.uncertain():
 		return JobUncertain
--- a/rattanhome/renewer.go
+++ b/rattanhome/renewer.go
@@ -405,7 +405,11 @@
 // requests a listing.
 func (l *leaseRenewer) sendStart(target *rattanwork.Target, request rattanwork.StartRequest, listed ListedStart, told <-chan struct{}) {
 	h := l.home
-	if !h.awaitTold(told) || !l.admitStart(request, listed) {
+	if !h.awaitTold(told) || !h.starts.acquire(h.ctx) {
+		return
+	}
+	defer h.starts.release()
+	if !l.admitStart(request, listed) {
 		return
 	}
 	sentAt, ctx, cancel := h.requestContext()
@@ -496,6 +500,10 @@
 
 // stopRun sends a stop request. The caller holds the home's mutex.
 func (l *leaseRenewer) stopRun(request rattanscheduler.StopRequest) {
+	if !l.home.stops.tryAcquire() {
+		// The scheduler repeats the request.
+		return
+	}
 	target := *request.Target
 	go l.sendStop(&target, request, l.fencingToken)
 }
@@ -505,6 +513,7 @@
 // that were not answered.
 func (l *leaseRenewer) sendStop(target *rattanwork.Target, request rattanscheduler.StopRequest, fencingToken int64) {
 	h := l.home
+	defer h.stops.release()
 	sentAt, ctx, cancel := h.requestContext()
 	defer cancel()
 	err := h.config.Targets.Stop(ctx, target, request.Task, request.Attempt, fencingToken)
--- a/rattanhome/room.go
+++ b/rattanhome/room.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rattanlever/rattanlever/rattanscheduler"
+	"github.com/rattanlever/rattanlever/rattanwork"
 )
 
 // noRoomRetryAfter is the suggested retry delay of a job for which the home has no
@@ -20,12 +21,53 @@
 	return context.WithValue(ctx, noRoomKey{}, true)
 }
 
-// refuseWithoutRoom refuses a new job for which there is no memory, and reports
-// whether it has. The caller holds the mutex.
-func (h *Home) refuseWithoutRoom(ctx context.Context, submission rattanscheduler.Submission, now time.Time) bool {
-	if ctx.Value(noRoomKey{}) == nil || !h.scheduler.IsNew(submission, now) {
+// smallJobTasks is the number of tasks up to which a job may use the reserved part of
+// Config.MaxTasks. reservedTaskShare is the reciprocal share that is reserved.
+const (
+	smallJobTasks     = 16
+	reservedTaskShare = 4
+)
+
+// hasRoom reports whether there is room for the tasks of a further job. A job has up to
+// 1,000 tasks, each of which takes several times the bytes of the whole body. The caller
+// holds the mutex.
+func (h *Home) hasRoom(job *rattanwork.Job) bool {
+	limit := h.config.MaxTasks
+	if limit == 0 {
+		return true
+	}
+	tasks := job.Tasks()
+	if tasks > smallJobTasks {
+		limit -= limit / reservedTaskShare
+	}
+	return h.scheduler.Tasks()+tasks <= limit
+}
+
+// rejectWithoutRoom ends the submission of a job for which there is no memory, and
+// reports whether it has. A new job is refused. One that may have started goes on,
+// unless it has too many tasks for the home: its outcome stays unknown then. The tasks
+// of such a job are neither created nor looked up. The caller holds the mutex.
+func (h *Home) rejectWithoutRoom(ctx context.Context, submission rattanscheduler.Submission, now time.Time) bool {
+	id := submission.Job.ID
+	if h.scheduler.HasJob(id) {
+		return false
+	}
+	outcome := rattanscheduler.Refused
+	switch {
+	case !h.hasRoom(submission.Job):
+		if submission.Resumed || h.presence(id, now) != JobAbsent {
+			outcome = rattanscheduler.Expired
+		}
+	case ctx.Value(noRoomKey{}) == nil || !h.scheduler.IsNew(submission, now):
 		return false
 	}
-	h.scheduler.Refuse(submission, "home lacks memory", noRoomRetryAfter, now)
+	h.handleResult(rattanscheduler.JobResult{
+		JobID:      id,
+		Outcome:    outcome,
+		Reason:     "home lacks memory",
+		RetryAfter: noRoomRetryAfter,
+		Tasks:      submission.Job.Tasks(),
+		Estimate:   submission.Job.CriticalPath(),
+	}, now)
 	return true
 }
--- a/rattanhome/room_test.go
+++ b/rattanhome/room_test.go
@@ -43,3 +43,56 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(result.Outcome, qt.Equals, rattanscheduler.Succeeded)
 }
+
+// TestTasksAreBounded guards against jobs whose tasks take many times the memory of their
+// bodies, against large jobs that leave no room to small ones, and against a refusal of a
+// job that may have started.
+func TestTasksAreBounded(t *testing.T) {
+	c := qt.New(t)
+	const limit = 100
+	h := newTestHome(c, newFakeTargets(time.Second))
+	awaitListing(h)
+	h.mutex.Lock()
+	h.config.MaxTasks = limit
+	h.history.previousSince = h.history.previousSince.Add(-historyRetention)
+	h.mutex.Unlock()
+	submit := func(id, tasks int, resumed bool) chan rattanscheduler.JobResult {
+		submission := testSubmission(id)
+		submission.Job.Steps[0].Count = tasks
+		submission.Resumed = resumed
+		results := make(chan rattanscheduler.JobResult, 1)
+		go func() {
+			result, _ := h.Submit(context.Background(), submission)
+			results <- result
+		}()
+		return results
+	}
+	running := submit(1, smallJobTasks, false)
+	awaitTasks(h, smallJobTasks)
+	refused := <-submit(2, limit, false)
+	c.Check(refused.Outcome, qt.Equals, rattanscheduler.Refused)
+	c.Check(refused.RetryAfter, qt.Equals, noRoomRetryAfter)
+	c.Check((<-submit(3, limit, true)).Outcome, qt.Equals, rattanscheduler.Expired)
+	large := submit(4, limit-limit/reservedTaskShare-smallJobTasks, false)
+	awaitTasks(h, limit-limit/reservedTaskShare)
+	c.Check((<-submit(5, smallJobTasks+1, false)).Outcome, qt.Equals, rattanscheduler.Refused)
+	small := submit(6, 1, false)
+	awaitTasks(h, limit-limit/reservedTaskShare+1)
+	h.Close()
+	<-running
+	<-large
+	<-small
+}
+
+// awaitTasks returns once the jobs of the home have so many tasks.
+func awaitTasks(h *Home, count int) {
+	for {
+		h.mutex.Lock()
+		tasks := h.scheduler.Tasks()
+		h.mutex.Unlock()
+		if tasks == count {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/rattanlimit/limits.go
+++ b/rattanlimit/limits.go
@@ -12,6 +12,8 @@
 	// connectionShare is that of connections, in the process and in the kernel, of what
 	// is beyond baseBytes.
 	connectionShare = 3
+	// taskShare is that of tasks at the home, also of what is beyond baseBytes.
+	taskShare = 8
 	// backlogShare is that of connections that wait to be accepted.
 	backlogShare = 32
 	// reservedShare is the reciprocal share of the bytes for bodies that is reserved
@@ -42,6 +44,14 @@
 	// that on connections that wait to be accepted.
 	minConnections = 64
 	minBacklog     = 32
+	// taskBytes is what a task takes at the home, with its run. minTasks leaves room for
+	// a job of 1,000 tasks on the smallest machine.
+	taskBytes = 1 << 10
+	minTasks  = 2048
+	// requestShare is the reciprocal share of the descriptors for start requests, and
+	// for stop requests. minRequests is the bound on the smallest machine.
+	requestShare = 8
+	minRequests  = 32
 )
 
 // Limits are the bounds of one instance.
@@ -57,6 +67,10 @@
 	// accepted.
 	Connections int
 	Backlog     int
+	// Tasks bounds the tasks of the jobs in progress at the home, Requests the start
+	// requests and the stop requests that it has under way.
+	Tasks    int
+	Requests int
 }
 
 // ForMachine returns the limits for a machine with so many bytes of memory and so
@@ -76,6 +90,8 @@
 		BodyBytes:     bodyBytes,
 		ReservedBytes: bodyBytes / reservedShare,
 		PeerBytes:     max(minBodyBytes, memory/peerShare),
+		Tasks:         max(minTasks, int((memory-baseBytes)/taskShare/taskBytes)),
+		Requests:      max(minRequests, (descriptors-reservedDescriptors)/requestShare),
 		Connections:   max(minConnections, connections),
 		Backlog:       max(minBacklog, int(memory/backlogShare/receivedBytes)),
 	}
--- a/rattannode/limits.go
+++ b/rattannode/limits.go
@@ -29,12 +29,11 @@
 
 // intake bounds what the instance holds for callers and for other instances.
 type intake struct {
+	limits      rattanlimit.Limits
 	bodies      *rattanlimit.Bodies
 	connections *rattanlimit.Connections
-	// backlog bounds the connections of callers that wait to be accepted.
-	backlog  int
-	peerJobs *rattanlimit.Jobs
-	clock    func() time.Time
+	peerJobs    *rattanlimit.Jobs
+	clock       func() time.Time
 }
 
 func newIntake(config *Config) *intake {
@@ -43,9 +42,9 @@
 	peers := rattanlimit.NewBudget(limits.PeerBytes, 0)
 	journal := newLimitJournal(config)
 	in := &intake{
+		limits:      limits,
 		bodies:      rattanlimit.NewBodies(callers, journal, config.Clock),
 		connections: rattanlimit.NewConnections(limits.Connections, callers, journal, config.Clock),
-		backlog:     limits.Backlog,
 		peerJobs:    rattanlimit.NewJobs(peers, journal),
 		clock:       config.Clock,
 	}
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -231,6 +231,8 @@
 		Exchange:      n.agent,
 		Observer:      n.journal,
 		Evacuation:    evacuation,
+		MaxTasks:      n.intake.limits.Tasks,
+		MaxRequests:   n.intake.limits.Requests,
 		Suspended:     n.suspended,
 		Clock:         n.config.Clock,
 	})
@@ -238,7 +240,7 @@
 
 func (n *Node) buildApp() error {
 	settings := n.config.Settings
-	callerServer, err := newHTTPServer(settings.CallerAddress, n.callerHandler, n.intake.connections, n.intake.backlog)
+	callerServer, err := newHTTPServer(settings.CallerAddress, n.callerHandler, n.intake.connections, n.intake.limits.Backlog)
 	if err != nil {
 		return errors.Annotate(err, "listen.front")
 	}
--- a/rattanoverload/kinds_test.go
+++ b/rattanoverload/kinds_test.go
@@ -121,3 +121,10 @@
 func testKind(t *testing.T, c caller) {
 	startSystem(t, machineDescriptors).testMachine(crowd{callers: kindCallers, newCaller: everyCaller(c)}, nil)
 }
+
+// TestKindManyTasks guards against small bodies whose jobs have as many tasks as a job
+// can have.
+func TestKindManyTasks(t *testing.T) {
+	const manyTasks = `{"spec":"s","best_effort":true,"steps":[{"count":1000,"cpu":100,"mem_mb":1,"estimate_ms":20}]}`
+	testKind(t, whole([]byte(manyTasks), 0))
+}
--- a/rattanscheduler/scheduler.go
+++ b/rattanscheduler/scheduler.go
@@ -100,6 +100,8 @@
 	config  Config
 	targets map[string]*target
 	jobs    map[string]*job
+	// tasks is the number of tasks of all jobs.
+	tasks int
 	// services contains the waiting jobs and the indexed targets by service.
 	services map[string]*serviceState
 	// lastSequence is the sequence number of the last job that was queued.
@@ -218,6 +220,16 @@
 	return len(s.jobs)
 }
 
+// Tasks returns the number of tasks of the jobs that have not ended.
+func (s *Scheduler) Tasks() int {
+	return s.tasks
+}
+
+func (s *Scheduler) addJob(j *job) {
+	s.jobs[j.submission.Job.ID] = j
+	s.tasks += len(j.tasks)
+}
+
 // WaitingTasks returns the number of tasks that are ready but have no target.
 func (s *Scheduler) WaitingTasks() int {
 	count := 0
@@ -256,7 +268,7 @@
 		return
 	}
 	j := newJob(submission, now)
-	s.jobs[submission.Job.ID] = j
+	s.addJob(j)
 	s.service(submission.Service).notePriority(submission.Priority)
 	s.adoptRuns(j)
 	if s.evacuation != rattanwork.EvacuationActive && s.refuseUnhostable(j, now) {
@@ -271,7 +283,7 @@
 // Refuse refuses or redirects a new job instead of submitting it.
 func (s *Scheduler) Refuse(submission Submission, reason string, retryAfter time.Duration, now time.Time) {
 	j := newJob(submission, now)
-	s.jobs[submission.Job.ID] = j
+	s.addJob(j)
 	j.updateReady(s.mayStart)
 	s.endJob(j, Refused, reason, retryAfter, now)
 }
@@ -440,6 +452,7 @@
 	id := j.submission.Job.ID
 	j.outcome = end.outcome
 	delete(s.jobs, id)
+	s.tasks -= len(j.tasks)
 	if end.outcome == Redirected {
 		s.redirectedJobs[id] = redirection{zone: end.zone, until: j.submission.Deadline.Add(s.longestLease()), moved: end.moved, followed: j.joined}
 	}
