Refuse jobs of many tasks first when the home lacks processor time

Callers saw: ordinary requests refused, and homes replaced, beside jobs of 1,000 tasks (27 changes of the home in 20 s).

Cause: the shedder counted a job of 1,000 tasks like one of a single task.

Change: a job of more than 16 tasks is refused as soon as the share of refusals times its tasks, in units of 16, reaches one. Smaller ones are shed as before.

Evidence: TestLargeJobsAreShedFirst.

--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -363,7 +363,7 @@
 // it has. The caller holds the mutex.
 func (h *Home) shed(submission rattanscheduler.Submission, now time.Time) bool {
 	lag := h.lag.standing(now)
-	if lag < minShedLag || !h.scheduler.IsNew(submission, now) || !h.shedder.sheds(lag) {
+	if lag < minShedLag || !h.scheduler.IsNew(submission, now) || !h.shedder.sheds(lag, submission.Job.Tasks()) {
 		return false
 	}
 	h.scheduler.Refuse(submission, "home lacks processor time", shedRetryAfter, now)
--- a/rattanhome/overload.go
+++ b/rattanhome/overload.go
@@ -80,10 +80,16 @@
 	credit float64
 }
 
-// sheds reports whether to refuse the next new job.
-func (s *shedder) sheds(lag time.Duration) bool {
+// sheds reports whether to refuse the next new job, which has so many tasks. A job with
+// more than smallJobTasks takes the processor time of several others, and is refused as
+// often as one of them at least would be.
+func (s *shedder) sheds(lag time.Duration, tasks int) bool {
 	share := float64(lag-minShedLag) / float64(fullShedLag-minShedLag)
-	s.credit += min(max(share, 0), maxShedShare)
+	share = min(max(share, 0), maxShedShare)
+	if tasks > smallJobTasks {
+		return share*float64(tasks)/smallJobTasks >= 1
+	}
+	s.credit += share
 	if s.credit < 1 {
 		return false
 	}
--- a/rattanhome/overload_test.go
+++ b/rattanhome/overload_test.go
@@ -45,7 +45,7 @@
 		if free.Before(arrival) {
 			free = arrival
 		}
-		if shedding && shed.sheds(lag.standing(free)) {
+		if shedding && shed.sheds(lag.standing(free), 1) {
 			free = free.Add(refusalCost)
 			continue
 		}
@@ -138,3 +138,23 @@
 	c.Check(refused.Runs, qt.Equals, 0)
 	c.Check(submit(2, true).Outcome, qt.Equals, rattanscheduler.Succeeded)
 }
+
+// TestLargeJobsAreShedFirst guards against a home that refuses small jobs while jobs of
+// many tasks take its processor time.
+func TestLargeJobsAreShedFirst(t *testing.T) {
+	c := qt.New(t)
+	lag := minShedLag + (fullShedLag-minShedLag)/10
+	refused := map[int]int{}
+	for _, tasks := range []int{1, smallJobTasks, 10 * smallJobTasks, 1000} {
+		var shed shedder
+		for range 100 {
+			if shed.sheds(lag, tasks) {
+				refused[tasks]++
+			}
+		}
+	}
+	c.Check(refused[1] >= 9 && refused[1] <= 11, qt.IsTrue, qt.Commentf("%v", refused))
+	c.Check(refused[smallJobTasks], qt.Equals, refused[1])
+	c.Check(refused[10*smallJobTasks], qt.Equals, 100)
+	c.Check(refused[1000], qt.Equals, 100)
+}
