Bound the jobs of other instances that a home decodes without room

Callers saw: nothing, until the home runs out of memory; and their small requests through other instances refused for want of memory.

Cause: a job of another instance without room was decoded and counted beyond the bound, however many there were, and no part was reserved for small jobs.

Change: jobs without room may take as much again as the bound. Beyond it, a job is not decoded: it is refused if the home says that it is absent (JobPresence), and gets 504 otherwise.

--- a/rattanhome/room.go
+++ b/rattanhome/room.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/rattanlever/rattanlever/rattanscheduler"
 	"github.com/rattanlever/rattanlever/rattanwork"
 )
@@ -61,13 +64,32 @@
 	case ctx.Value(noRoomKey{}) == nil || !h.scheduler.IsNew(submission, now):
 		return false
 	}
-	h.handleResult(rattanscheduler.JobResult{
-		JobID:      id,
-		Outcome:    outcome,
-		Reason:     "home lacks memory",
-		RetryAfter: noRoomRetryAfter,
-		Tasks:      submission.Job.Tasks(),
-		Estimate:   submission.Job.CriticalPath(),
-	}, now)
+	result := noRoomResult(id, outcome)
+	result.Tasks = submission.Job.Tasks()
+	result.Estimate = submission.Job.CriticalPath()
+	h.handleResult(result, now)
 	return true
 }
+
+// noRoomResult returns the result of a job for which there is no memory.
+func noRoomResult(jobID string, outcome rattanscheduler.Outcome) rattanscheduler.JobResult {
+	return rattanscheduler.JobResult{JobID: jobID, Outcome: outcome, Reason: "home lacks memory", RetryAfter: noRoomRetryAfter}
+}
+
+// RejectSubmission answers a request for which there is not even the memory to decode its
+// job: the job is refused if it is absent, and its outcome stays unknown otherwise.
+func (s *Service) RejectSubmission(_ context.Context, _ string, body []byte) ([]byte, error) {
+	var request struct {
+		Job     struct{ ID string }
+		Resumed bool
+	}
+	if err := json.Unmarshal(body, &request); err != nil {
+		return nil, errors.Annotate(err, "request")
+	}
+	outcome := rattanscheduler.Refused
+	if request.Resumed || s.Presence(request.Job.ID) != JobAbsent {
+		outcome = rattanscheduler.Expired
+	}
+	data, err := json.Marshal(Reply{Result: noRoomResult(request.Job.ID, outcome)})
+	return data, errors.Trace(err)
+}
--- a/rattanhome/room_test.go
+++ b/rattanhome/room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -96,3 +97,30 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestRejectSubmission guards against a job that is refused without being decoded although
+// it may have started, and against one that is never refused.
+func TestRejectSubmission(t *testing.T) {
+	c := qt.New(t)
+	h := newTestHome(c, newFakeTargets(time.Millisecond))
+	awaitListing(h)
+	service := NewService(ServiceConfig{Name: "self", Membership: soleMember{h}, DesiredState: &fakeDesiredState{}, Journal: noopJournal{}, Clock: time.Now})
+	outcome := func(id int, resumed bool) rattanscheduler.Outcome {
+		body, err := json.Marshal(Request{Job: testSubmission(id).Job, Resumed: resumed})
+		c.Assert(err, qt.IsNil)
+		data, err := service.RejectSubmission(context.Background(), "other", body)
+		c.Assert(err, qt.IsNil)
+		var reply Reply
+		c.Assert(json.Unmarshal(data, &reply), qt.IsNil)
+		return reply.Result.Outcome
+	}
+	c.Check(outcome(1, false), qt.Equals, rattanscheduler.Expired, qt.Commentf("elected a moment ago"))
+	h.mutex.Lock()
+	h.history.previousSince = h.history.previousSince.Add(-historyRetention)
+	h.mutex.Unlock()
+	c.Check(outcome(1, false), qt.Equals, rattanscheduler.Refused)
+	c.Check(outcome(1, true), qt.Equals, rattanscheduler.Expired)
+	_, err := h.Submit(context.Background(), testSubmission(1))
+	c.Assert(err, qt.IsNil)
+	c.Check(outcome(1, false), qt.Equals, rattanscheduler.Expired)
+}
--- a/rattanlimit/budget.go
+++ b/rattanlimit/budget.go
@@ -65,6 +65,20 @@
 	return true
 }
 
+// overdraw resizes the share beyond the bound of the budget, by at most so many times the
+// bound. It reports false and changes nothing if that is not enough.
+func (s *Share) overdraw(bytes, times int64) bool {
+	b := s.budget
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.held+bytes-s.bytes > (1+times)*b.total {
+		return false
+	}
+	b.held += bytes - s.bytes
+	s.bytes = bytes
+	return true
+}
+
 // force resizes the share, also beyond the bound of the budget.
 func (s *Share) force(bytes int64) {
 	s.budget.mutex.Lock()
--- a/rattanlimit/limits.go
+++ b/rattanlimit/limits.go
@@ -62,7 +62,9 @@
 	BodyBytes     int64
 	ReservedBytes int64
 	// PeerBytes bounds the bytes that the home holds for jobs of other instances.
-	PeerBytes int64
+	// ReservedPeerBytes of them are reserved for small ones.
+	PeerBytes         int64
+	ReservedPeerBytes int64
 	// Connections bounds the connections of callers, Backlog those that wait to be
 	// accepted.
 	Connections int
@@ -86,13 +88,15 @@
 	connectionMemory := (memory - baseBytes) / connectionShare
 	// A third of the descriptors is left to peers, targets and the store.
 	connections := min((descriptors-reservedDescriptors)*2/3, int(connectionMemory/(connectionBytes+kernelBytes)))
+	peerBytes := max(minBodyBytes, memory/peerShare)
 	return Limits{
-		BodyBytes:     bodyBytes,
-		ReservedBytes: bodyBytes / reservedShare,
-		PeerBytes:     max(minBodyBytes, memory/peerShare),
-		Tasks:         max(minTasks, int((memory-baseBytes)/taskShare/taskBytes)),
-		Requests:      max(minRequests, (descriptors-reservedDescriptors)/requestShare),
-		Connections:   max(minConnections, connections),
-		Backlog:       max(minBacklog, int(memory/backlogShare/receivedBytes)),
+		BodyBytes:         bodyBytes,
+		ReservedBytes:     bodyBytes / reservedShare,
+		PeerBytes:         peerBytes,
+		ReservedPeerBytes: peerBytes / reservedShare,
+		Tasks:             max(minTasks, int((memory-baseBytes)/taskShare/taskBytes)),
+		Requests:          max(minRequests, (descriptors-reservedDescriptors)/requestShare),
+		Connections:       max(minConnections, connections),
+		Backlog:           max(minBacklog, int(memory/backlogShare/receivedBytes)),
 	}
 }
--- a/rattannode/limits.go
+++ b/rattannode/limits.go
@@ -39,7 +39,7 @@
 func newIntake(config *Config) *intake {
 	limits := rattanlimit.ForMachine(config.Settings.MemoryBytes, config.Settings.MaxDescriptors)
 	callers := rattanlimit.NewBudget(limits.BodyBytes, limits.ReservedBytes)
-	peers := rattanlimit.NewBudget(limits.PeerBytes, 0)
+	peers := rattanlimit.NewBudget(limits.PeerBytes, limits.ReservedPeerBytes)
 	journal := newLimitJournal(config)
 	in := &intake{
 		limits:      limits,
@@ -75,12 +75,16 @@
 }
 
 // limitSubmissions returns a handler of jobs of other instances that counts what they
-// take and tells the home for which of them there is no room.
-func (in *intake) limitSubmissions(next rattanpeer.Handler) rattanpeer.Handler {
+// take and tells the home for which of them there is no room. Those beyond that are
+// rejected without being decoded.
+func (in *intake) limitSubmissions(next, reject rattanpeer.Handler) rattanpeer.Handler {
 	return func(ctx context.Context, sender string, body []byte) ([]byte, error) {
-		release, hasRoom := in.peerJobs.Admit(platform.DecodedSize(body))
+		release, admission := in.peerJobs.Admit(platform.DecodedSize(body))
 		defer release()
-		if !hasRoom {
+		switch admission {
+		case rattanlimit.NotAdmitted:
+			return reject(ctx, sender, body)
+		case rattanlimit.AdmittedWithoutRoom:
 			ctx = rattanhome.WithoutRoom(ctx)
 		}
 		return next(ctx, sender, body)
--- a/rattannode/node.go
+++ b/rattannode/node.go
@@ -162,7 +162,9 @@
 		Clock:         n.config.Clock,
 	})
 	n.homeService.RegisterHandlers(peerNode)
-	peerNode.Wrap(rattanhome.MethodSubmit, n.intake.limitSubmissions)
+	peerNode.Wrap(rattanhome.MethodSubmit, func(next rattanpeer.Handler) rattanpeer.Handler {
+		return n.intake.limitSubmissions(next, n.homeService.RejectSubmission)
+	})
 	n.where = rattanfront.NewWhere(rattanfront.WhereConfig{
 		Self:         self,
 		Homes:        n.agent,
--- a/rattanoverload/kinds_test.go
+++ b/rattanoverload/kinds_test.go
@@ -32,6 +32,14 @@
 	return []byte(`{"spec":"s","best_effort":true,"steps":[` + strings.Repeat(step+",", steps-1) + step + `]}`)
 }
 
+// longSpec returns a valid job whose specification is as long as it can be, and whose
+// many steps have long lists of earlier steps.
+func longSpec() []byte {
+	const steps, listed = 100, 400
+	step := `{"count":1,"cpu":100,"mem_mb":1,"estimate_ms":20,"after":[` + strings.Repeat("0,", listed) + `0]}`
+	return []byte(`{"spec":"` + strings.Repeat("s", 4000) + `","best_effort":true,"steps":[{"count":1,"cpu":100,"mem_mb":1,"estimate_ms":20},` + strings.Repeat(step+",", steps-2) + step + `]}`)
+}
+
 // TestKindDecodedJobs guards against valid jobs that exceed the machine's memory once
 // they are decoded.
 func TestKindDecodedJobs(t *testing.T) {
--- a/rattanoverload/system_test.go
+++ b/rattanoverload/system_test.go
@@ -70,9 +70,7 @@
 	for _, name := range zones {
 		s.addZone(name, descriptors)
 	}
-	for _, instance := range deployment.Instances {
-		c.Assert(instance.WaitReady(http.DefaultClient, startTimeout), qt.IsNil)
-	}
+	s.awaitReady()
 	return s
 }
 
@@ -83,10 +81,20 @@
 		s.Assert(err, qt.IsNil)
 	}
 	for i := range instanceCount {
-		instance, err := s.AddInstance(rattansite.InstanceSettings{
-			Name: fmt.Sprintf("front-%s-%d", name, i+1), Zone: name, MemoryMB: machineMB, MaxDescriptors: descriptors,
-		})
-		s.Assert(err, qt.IsNil)
-		s.Assert(instance.Start(), qt.IsNil)
+		s.addInstance(fmt.Sprintf("front-%s-%d", name, i+1), name, descriptors)
+	}
+}
+
+// addInstance starts an instance.
+func (s *system) addInstance(name, inZone string, descriptors int) {
+	instance, err := s.AddInstance(rattansite.InstanceSettings{Name: name, Zone: inZone, MemoryMB: machineMB, MaxDescriptors: descriptors})
+	s.Assert(err, qt.IsNil)
+	s.Assert(instance.Start(), qt.IsNil)
+}
+
+// awaitReady waits until all instances are ready.
+func (s *system) awaitReady() {
+	for _, instance := range s.Instances {
+		s.Assert(instance.WaitReady(http.DefaultClient, startTimeout), qt.IsNil)
 	}
 }
