Let crowds, signals in series and changes come in the randomized soak

Every second caller keeps its connections open and uses them until the process is gone. Machines have 144 MB; a process that ends by itself, or holds more than the machine with the queues of its connections, is a violation.

--- a/rattanrig/caller.go
+++ b/rattanrig/caller.go
@@ -43,14 +43,21 @@
 	random *rand.Rand
 	number int
 	jobs   int
+	// transport keeps the connections of every second caller open, which uses them until
+	// the process at the other end is gone.
+	transport *http.Transport
 }
 
 func newCaller(r *rig, number int) *caller {
-	return &caller{rig: r, random: r.random(uint64(number) + 1), number: number}
+	return &caller{
+		rig: r, random: r.random(uint64(number) + 1), number: number,
+		transport: &http.Transport{DisableKeepAlives: number%2 == 0},
+	}
 }
 
 // run submits jobs until the context ends, and waits for the last one.
 func (c *caller) run(ctx context.Context) {
+	defer c.transport.CloseIdleConnections()
 	for ctx.Err() == nil {
 		c.submit()
 		time.Sleep(time.Duration(c.random.Int64N(int64(maxPause))))
@@ -94,7 +101,7 @@
 	}
 	uncertain := false
 	for range maxAttempts {
-		answer := c.rig.post(j, c.rig.instances[c.random.IntN(len(c.rig.instances))])
+		answer := c.post(j, c.rig.instances[c.random.IntN(len(c.rig.instances))])
 		switch answer.Status {
 		case http.StatusOK:
 			c.rig.jobEnded(j, answer.Body)
@@ -146,7 +153,7 @@
 		case <-time.After(delay):
 		}
 		j.cancelSent.Store(true)
-		answer := r.request(r.instances[random.IntN(len(r.instances))], http.MethodDelete, j, cancelTimeout)
+		answer := r.request(&http.Transport{DisableKeepAlives: true}, r.instances[random.IntN(len(r.instances))], http.MethodDelete, j, cancelTimeout)
 		// Both answers say that the job does not go on.
 		if answer.Status == http.StatusOK || answer.Status == http.StatusGone {
 			r.deployment.Checker.JobCancelled(j.id)
@@ -166,9 +173,10 @@
 
 // post sends a job to an instance, which must answer within the deadline unless it
 // is disturbed meanwhile.
-func (r *rig) post(j *job, i *instance) rattanprocess.Answer {
+func (c *caller) post(j *job, i *instance) rattanprocess.Answer {
+	r := c.rig
 	sentAt := time.Now()
-	got := r.request(i, http.MethodPost, j, j.deadline+answerSlack)
+	got := r.request(c.transport, i, http.MethodPost, j, j.deadline+answerSlack)
 	if got.Status != noAnswer {
 		return got
 	}
@@ -182,8 +190,8 @@
 // noAnswer is the status of a request without an answer.
 const noAnswer = 0
 
-// request sends a request for a job on a connection of its own.
-func (r *rig) request(i *instance, method string, j *job, timeout time.Duration) (got rattanprocess.Answer) {
+// request sends a request for a job on a connection of the transport.
+func (r *rig) request(transport *http.Transport, i *instance, method string, j *job, timeout time.Duration) (got rattanprocess.Answer) {
 	r.record("caller: %s job %s at %s", method, j.id, i.Name)
 	defer func() { r.record("caller: %s job %s at %s: %d %s", method, j.id, i.Name, got.Status, got.Body) }()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
@@ -192,5 +200,5 @@
 	if err != nil {
 		return rattanprocess.Answer{}
 	}
-	return rattanprocess.AnswerTo((&http.Transport{DisableKeepAlives: true}).RoundTrip, request)
+	return rattanprocess.AnswerTo(transport.RoundTrip, request)
 }
--- a/rattanrig/disturbance.go
+++ b/rattanrig/disturbance.go
@@ -36,6 +36,15 @@
 	RequestOutlivesTarget
 	// StoreAway makes the store unavailable to all instances or one.
 	StoreAway
+	// SignalsInSeries sends several signals to an instance, which may end it, and starts
+	// it again.
+	SignalsInSeries
+	// DesiredStateChanged writes several desired states.
+	DesiredStateChanged
+	// CrowdAtInstance lets a crowd of callers that do not behave come to an instance.
+	CrowdAtInstance
+	// CrowdAtAll lets such a crowd come to all instances.
+	CrowdAtAll
 	// ZoneKilled kills all instances of a zone, which start again later. It is
 	// played only if it is named.
 	ZoneKilled
@@ -51,7 +60,7 @@
 
 	kindCount = int(ZoneEvacuated) + 1
 	// usualKinds is the number of kinds that are played unless some are named.
-	usualKinds = int(StoreAway) + 1
+	usualKinds = int(CrowdAtAll) + 1
 )
 
 // ParseKind returns the kind with the name, and whether there is one.
@@ -84,6 +93,13 @@
 	// maxEvacuation is longer, so that many evacuations outlast the bound.
 	maxEvacuation = 12 * time.Second
 	lostShare     = 0.2
+	// A series has up to maxSignals signals or maxChanges changes.
+	maxSignals     = 6
+	maxSignalPause = 400 * time.Millisecond
+	maxChanges     = 5
+	maxChangePause = 300 * time.Millisecond
+	// defaultBodyBytes is the least limit for bodies in the desired state.
+	defaultBodyBytes = 20000
 )
 
 // disturb begins disturbances until the context ends, and waits until all of them
@@ -113,7 +129,17 @@
 // begin plays one disturbance to its end.
 func (r *rig) begin(kind Kind, random *rand.Rand) {
 	switch kind {
-	case InstanceKilled, InstancePaused, InstanceTerminated:
+	case CrowdAtInstance:
+		i := r.instances[random.IntN(len(r.instances))]
+		r.began(kind, i.Name)
+		r.crowd([]*instance{i}, random)
+	case CrowdAtAll:
+		r.began(kind, "")
+		r.crowd(r.instances, random)
+	case DesiredStateChanged:
+		r.began(kind, "")
+		r.changeDesiredState(random)
+	case InstanceKilled, InstancePaused, InstanceTerminated, SignalsInSeries:
 		i := r.instances[random.IntN(len(r.instances))]
 		// An instance that is already disturbed is left alone.
 		if !i.disturbing.TryLock() {
@@ -210,11 +236,16 @@
 }
 
 func (r *rig) disturbInstance(kind Kind, i *instance, random *rand.Rand) {
+	if !i.Alive() {
+		r.violate("%s has ended by itself", i.Name)
+	}
 	switch kind {
 	case InstancePaused:
 		i.signal(syscall.SIGSTOP)
 		time.Sleep(upTo(random, maxPauseTime))
 		i.signal(syscall.SIGCONT)
+	case SignalsInSeries:
+		r.sendSignals(i, random)
 	case InstanceTerminated:
 		if i.end(syscall.SIGTERM) {
 			r.violate("%s has not ended %v after SIGTERM", i.Name, gracePeriod)
@@ -231,6 +262,35 @@
 	r.record("%v %s ends", kind, i.Name)
 }
 
+// seriesSignals are the signals of a series. A process that is paused gets the others when
+// it continues.
+var seriesSignals = []syscall.Signal{syscall.SIGHUP, syscall.SIGSTOP, syscall.SIGCONT, syscall.SIGHUP, syscall.SIGTERM}
+
+// sendSignals sends signals in series to an instance and ends its process.
+func (r *rig) sendSignals(i *instance, random *rand.Rand) {
+	for range 1 + random.IntN(maxSignals) {
+		signal := seriesSignals[random.IntN(len(seriesSignals))]
+		r.record("%s gets %v", i.Name, signal)
+		i.signal(signal)
+		time.Sleep(upTo(random, maxSignalPause))
+	}
+	i.signal(syscall.SIGCONT)
+	if i.end(syscall.SIGTERM) {
+		r.violate("%s has not ended %v after SIGTERM", i.Name, gracePeriod)
+	}
+}
+
+// changeDesiredState writes several desired states, each of which changes the limit for
+// bodies only.
+func (r *rig) changeDesiredState(random *rand.Rand) {
+	for range 1 + random.IntN(maxChanges) {
+		if err := r.putDesiredState(defaultBodyBytes + random.IntN(defaultBodyBytes)); err != nil {
+			r.violate("desired state: %v", err)
+		}
+		time.Sleep(upTo(random, maxChangePause))
+	}
+}
+
 func (r *rig) disturbTarget(kind Kind, target *disturbedTarget, random *rand.Rand) {
 	switch kind {
 	case TargetSilent:
--- a/rattanrig/instance.go
+++ b/rattanrig/instance.go
@@ -39,7 +39,7 @@
 
 // addInstance adds an instance to the deployment, without starting its process.
 func (r *rig) addInstance(name, zone string) (*instance, error) {
-	settings := rattansite.InstanceSettings{Name: name, Zone: zone}
+	settings := rattansite.InstanceSettings{Name: name, Zone: zone, MemoryMB: machineMB, MaxDescriptors: maxDescriptors}
 	if slices.Contains(r.config.Kinds, ZoneEvacuated) {
 		settings.EvacuateMillis = evacuateMillis
 	}
--- a/rattanrig/kind_string.go
+++ b/rattanrig/kind_string.go
@@ -17,15 +17,19 @@
 	_ = x[RequestsDelayed-6]
 	_ = x[RequestOutlivesTarget-7]
 	_ = x[StoreAway-8]
-	_ = x[ZoneKilled-9]
-	_ = x[ZonePaused-10]
-	_ = x[AllKilled-11]
-	_ = x[ZoneEvacuated-12]
+	_ = x[SignalsInSeries-9]
+	_ = x[DesiredStateChanged-10]
+	_ = x[CrowdAtInstance-11]
+	_ = x[CrowdAtAll-12]
+	_ = x[ZoneKilled-13]
+	_ = x[ZonePaused-14]
+	_ = x[AllKilled-15]
+	_ = x[ZoneEvacuated-16]
 }
 
-const _Kind_name = "InstanceKilledInstancePausedInstanceTerminatedTargetRestartedTargetSilentAnswersLostRequestsDelayedRequestOutlivesTargetStoreAwayZoneKilledZonePausedAllKilledZoneEvacuated"
+const _Kind_name = "InstanceKilledInstancePausedInstanceTerminatedTargetRestartedTargetSilentAnswersLostRequestsDelayedRequestOutlivesTargetStoreAwaySignalsInSeriesDesiredStateChangedCrowdAtInstanceCrowdAtAllZoneKilledZonePausedAllKilledZoneEvacuated"
 
-var _Kind_index = [...]uint8{0, 14, 28, 46, 61, 73, 84, 99, 120, 129, 139, 149, 158, 171}
+var _Kind_index = [...]uint8{0, 14, 28, 46, 61, 73, 84, 99, 120, 129, 144, 163, 178, 188, 198, 208, 217, 230}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/rattanrig/rig.go
+++ b/rattanrig/rig.go
@@ -23,7 +23,10 @@
 const (
 	targetMilliCPU = 16000
 	targetMemoryMB = 65536
-	desiredVersion = 3
+	// machineMB is the memory of each machine in the settings, maxDescriptors the number
+	// of descriptors of its process.
+	machineMB      = 144
+	maxDescriptors = 1500
 	logFileName    = "events.log"
 )
 
@@ -61,13 +64,16 @@
 	// number of cancellations that were answered as if there were no such job.
 	Unanswered     int
 	CancelsRefused int
-	Violations     []string
+	// PeakMB is the highest sum of resident memory and bytes in queues of an instance, in
+	// megabytes.
+	PeakMB     int
+	Violations []string
 }
 
 // String returns a line with the counts, and a line for each violation.
 func (r *Report) String() string {
-	line := fmt.Sprintf("seed %d: %d disturbances, %d jobs, %d succeeded, %d failed, %d refused, %d cancelled, %d requests unanswered, %d cancellations refused, %d violations",
-		r.Seed, r.Disturbances, r.Jobs, r.Succeeded, r.Failed, r.Refused, r.Cancelled, r.Unanswered, r.CancelsRefused, len(r.Violations))
+	line := fmt.Sprintf("seed %d: %d disturbances, %d jobs, %d succeeded, %d failed, %d refused, %d cancelled, %d requests unanswered, %d cancellations refused, peak of %d MB, %d violations",
+		r.Seed, r.Disturbances, r.Jobs, r.Succeeded, r.Failed, r.Refused, r.Cancelled, r.Unanswered, r.CancelsRefused, r.PeakMB, len(r.Violations))
 	return strings.Join(append([]string{line}, r.Violations...), "\n")
 }
 
@@ -80,6 +86,11 @@
 	// evacuating holds a lock for each zone that is held while it is evacuated.
 	evacuating []sync.Mutex
 	log        *os.File
+	memory     []*rattanprocess.MemoryMeter
+
+	// stateMutex is held while a desired state is written, version is that of the last.
+	stateMutex sync.Mutex
+	version    int
 
 	mutex  sync.Mutex
 	report Report
@@ -100,6 +111,7 @@
 		return nil, err
 	}
 	r.play(ctx)
+	r.checkProcesses()
 	r.report.Violations = append(r.report.Violations, r.deployment.Checker.Violations()...)
 	for _, violation := range r.report.Violations {
 		r.record("violation: %s", violation)
@@ -117,9 +129,8 @@
 		return err
 	}
 	r.deployment.Checker.Observe = func(event string) { r.record("%s", event) }
-	state := rattansite.DesiredState{Version: desiredVersion, Service: rattanprocess.Service, Host: rattanprocess.Host, Prefixes: []string{rattanprocess.Prefix}}
-	if err := r.deployment.Store.PutDesiredState(state); err != nil {
-		return errors.Trace(err)
+	if err := r.putDesiredState(defaultBodyBytes); err != nil {
+		return err
 	}
 	for _, zone := range r.config.Zones {
 		for number := range r.config.TargetsPerZone {
@@ -138,6 +149,7 @@
 		}
 	}
 	for _, instance := range r.instances {
+		r.memory = append(r.memory, instance.StartMemoryMeter())
 		if err := instance.WaitReady(&http.Client{Timeout: readyTimeout}, startTimeout); err != nil {
 			return err
 		}
@@ -145,6 +157,17 @@
 	return nil
 }
 
+// putDesiredState writes a further desired state with the limit for bodies.
+func (r *rig) putDesiredState(maxBodyBytes int) error {
+	r.stateMutex.Lock()
+	defer r.stateMutex.Unlock()
+	r.version++
+	r.record("desired state %d", r.version)
+	return errors.Trace(r.deployment.Store.PutDesiredState(rattansite.DesiredState{
+		Version: r.version, Service: rattanprocess.Service, Host: rattanprocess.Host, Prefixes: []string{rattanprocess.Prefix}, MaxBodyBytes: maxBodyBytes,
+	}))
+}
+
 func (r *rig) addTarget(id, zone string) error {
 	target, err := r.deployment.AddTarget(rattansite.TargetConfig{ID: id, Zone: zone, MilliCPU: targetMilliCPU, MemoryMB: targetMemoryMB})
 	if err != nil {
@@ -166,6 +189,24 @@
 	running.Wait()
 }
 
+// checkProcesses checks that all processes live and that what they hold, with the bytes in
+// the queues of their connections, has stayed within the memory of their machines.
+func (r *rig) checkProcesses() {
+	for number, instance := range r.instances {
+		if !instance.Alive() {
+			r.violate("%s has ended by itself", instance.Name)
+		}
+		peaks, err := r.memory[number].End()
+		if err != nil {
+			r.violate("memory of %s: %v", instance.Name, err)
+		}
+		r.count(func(report *Report) { report.PeakMB = max(report.PeakMB, peaks.Resident+peaks.Queued) })
+		if peaks.Resident+peaks.Queued > machineMB {
+			r.violate("%s: %d MB resident and %d MB in queues, machine of %d", instance.Name, peaks.Resident, peaks.Queued, machineMB)
+		}
+	}
+}
+
 func (r *rig) close() {
 	if r.deployment != nil {
 		r.deployment.Close()
--- a/rattanrig/rig_test.go
+++ b/rattanrig/rig_test.go
@@ -22,15 +22,18 @@
 // go test ./rattanrig -run TestSeeds -timeout 0 -args -first 1 -seeds 50
 var (
 	firstSeed = flag.Uint64("first", 1, "the first seed to play")
-	seedCount = flag.Int("seeds", 1, "the number of seeds to play")
+	seedCount = flag.Int("seeds", 3, "the number of seeds to play")
 	loadTime  = flag.Duration("load", 12*time.Second, "how long callers submit jobs")
 	kinds     = flag.String("kinds", "", "the kinds of disturbances, separated by commas, all if empty")
 	interval  = flag.Duration("interval", 300*time.Millisecond, "the mean time between two disturbances")
+	instances = flag.Int("instances", 3, "the number of instances in each zone")
+	callers   = flag.Int("callers", 20, "the number of callers that behave")
 	logs      = flag.String("logs", "", "a directory for the logs of each seed")
 )
 
 // TestSeeds guards against two runs of a task, refused jobs that run, cancelled jobs
-// that start, overcommitted targets and missing answers under disturbances.
+// that start, overcommitted targets, missing answers and processes that end or exceed the
+// memory of their machine under disturbances.
 func TestSeeds(t *testing.T) {
 	binary, err := rattanprocess.Build(t.TempDir())
 	qt.Assert(t, err, qt.IsNil)
@@ -50,7 +53,7 @@
 			}
 			report, err := rattanrig.Run(ctx, rattanrig.Config{
 				Binary: binary, Directory: directory, Seed: seed, Zones: []string{"a", "b"},
-				InstancesPerZone: 3, TargetsPerZone: 4, Callers: 20,
+				InstancesPerZone: *instances, TargetsPerZone: 4, Callers: *callers,
 				LoadTime: *loadTime, DisturbanceInterval: *interval, Kinds: parseKinds(t),
 			})
 			qt.Assert(t, err, qt.IsNil)
