Decode submissions of the stand-in zones in one place

Four stand-ins of rattanfront's tests decoded the request of a submission and encoded the reply each by themselves. Their checks are unchanged.

--- a/rattanfront/redirect_test.go
+++ b/rattanfront/redirect_test.go
@@ -56,18 +56,11 @@
 }
 
 func (z *redirectingZones) Call(_ context.Context, address, method string, body []byte) ([]byte, error) {
-	if method != rattanhome.MethodSubmit {
-		return []byte("{}"), nil
-	}
-	var request rattanhome.Request
-	if err := json.Unmarshal(body, &request); err != nil {
-		return nil, err
-	}
-	z.zones = append(z.zones, address)
-	if err := z.lost[address]; err != nil {
-		return nil, err
-	}
-	return json.Marshal(rattanhome.Reply{Result: rattanscheduler.JobResult{JobID: request.Job.ID, Outcome: z.answers[address]}})
+	return answerSubmission(method, body, func(request *rattanhome.Request) (rattanhome.Reply, error) {
+		z.zones = append(z.zones, address)
+		reply := rattanhome.Reply{Result: rattanscheduler.JobResult{JobID: request.Job.ID, Outcome: z.answers[address]}}
+		return reply, z.lost[address]
+	})
 }
 
 // TestRemainingZonesAreTried guards against a refusal of a job that another zone would
--- a/rattanfront/refused_test.go
+++ b/rattanfront/refused_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -243,22 +242,21 @@
 func (z *lostAnswerZones) Answered(record AnswerRecord) { z.record = record }
 
 func (z *lostAnswerZones) Call(ctx context.Context, address, method string, body []byte) ([]byte, error) {
-	instance := z.instances[address]
-	if method != rattanhome.MethodSubmit {
-		return []byte("{}"), nil
-	}
-	var request rattanhome.Request
-	if err := json.Unmarshal(body, &request); err != nil {
-		return nil, err
-	}
+	return answerSubmission(method, body, func(request *rattanhome.Request) (rattanhome.Reply, error) {
+		return z.submit(ctx, z.instances[address], request)
+	})
+}
+
+// submit submits a job at an instance and loses the first answer.
+func (z *lostAnswerZones) submit(ctx context.Context, instance *homeInstance, request *rattanhome.Request) (rattanhome.Reply, error) {
 	select {
 	case <-z.released:
 		notify(z.joined)
 	default:
 	}
-	reply, err := instance.Submit(ctx, &request)
+	reply, err := instance.Submit(ctx, request)
 	if err != nil {
-		return nil, err
+		return reply, err
 	}
 	if reply.Conflict != nil {
 		notify(z.conflicts)
@@ -268,9 +266,9 @@
 	if lost {
 		close(z.answered)
 		<-z.released
-		return nil, rattanpeer.ErrLinkClosed
+		return reply, rattanpeer.ErrLinkClosed
 	}
-	return json.Marshal(reply)
+	return reply, nil
 }
 
 func notify(channel chan struct{}) {
--- a/rattanfront/submission_test.go
+++ b/rattanfront/submission_test.go
@@ -200,17 +200,34 @@
 	}
 }
 
+// answerSubmission decodes a submission that is sent to a home and returns the encoded
+// reply of the function. A call of another method gets an empty reply.
+func answerSubmission(method string, body []byte, answer func(request *rattanhome.Request) (rattanhome.Reply, error)) ([]byte, error) {
+	if method != rattanhome.MethodSubmit {
+		return []byte("{}"), nil
+	}
+	var request rattanhome.Request
+	if err := json.Unmarshal(body, &request); err != nil {
+		return nil, err
+	}
+	reply, err := answer(&request)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(reply)
+}
+
 // recordingZones completes each job in another zone and keeps the last request.
 type recordingZones struct {
 	*fakeZones
 	request rattanhome.Request
 }
 
-func (z *recordingZones) Call(_ context.Context, _, _ string, body []byte) ([]byte, error) {
-	if err := json.Unmarshal(body, &z.request); err != nil {
-		return nil, err
-	}
-	return json.Marshal(rattanhome.Reply{Result: rattanscheduler.JobResult{Outcome: rattanscheduler.Succeeded}})
+func (z *recordingZones) Call(_ context.Context, _, method string, body []byte) ([]byte, error) {
+	return answerSubmission(method, body, func(request *rattanhome.Request) (rattanhome.Reply, error) {
+		z.request = *request
+		return rattanhome.Reply{Result: rattanscheduler.JobResult{Outcome: rattanscheduler.Succeeded}}, nil
+	})
 }
 
 // TestSubmissionNumbersGrowOverRestarts guards against an instance whose submissions are all rejected after a restart, because its home knows their numbers.
--- a/rattanfront/version_test.go
+++ b/rattanfront/version_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"sync"
 	"testing"
@@ -60,14 +59,9 @@
 }
 
 func (z *versionedZones) Call(_ context.Context, _, method string, body []byte) ([]byte, error) {
-	if method != rattanhome.MethodSubmit {
-		return []byte("{}"), nil
-	}
-	var request rattanhome.Request
-	if err := json.Unmarshal(body, &request); err != nil {
-		return nil, err
-	}
-	return json.Marshal(z.reply(&z.remote, &request))
+	return answerSubmission(method, body, func(request *rattanhome.Request) (rattanhome.Reply, error) {
+		return z.reply(&z.remote, request), nil
+	})
 }
 
 // reply records the request and returns the next reply, the last one for all
