Let a home refuse a job that it has redirected before

A job that was redirected counted as one that may have run: if the other zone refused it and this zone did then, the answer was 504 instead of 503. The home of the other zone remembers the job if it accepts it, so this one need not.

TestRedirectedJobMayBeRefused fails without the change.

--- a/rattanhome/home.go
+++ b/rattanhome/home.go
@@ -425,11 +425,14 @@
 // handleResult passes a job's result to the callers that wait for it, and
 // caches the results that apply to repeated submissions too.
 func (h *Home) handleResult(result rattanscheduler.JobResult, now time.Time) {
-	if result.Outcome != rattanscheduler.Refused {
+	switch result.Outcome {
+	case rattanscheduler.Redirected:
+		// The home of the other zone remembers the job if it accepts it.
+	case rattanscheduler.Refused:
+		// The scheduler may have forgotten an earlier submission.
+		result.MayHaveStarted = result.MayHaveStarted || h.history.presence(result.JobID, now) == JobPresent
+	default:
 		h.history.add(result.JobID, now)
-	} else if h.history.presence(result.JobID, now) == JobPresent {
-		// The scheduler has forgotten an earlier submission.
-		result.MayHaveStarted = true
 	}
 	h.config.Observer.JobEnded(result)
 	if result.Outcome == rattanscheduler.Succeeded || result.Outcome == rattanscheduler.Failed {
--- a/rattanhome/overload.go
+++ b/rattanhome/overload.go
@@ -80,9 +80,9 @@
 	credit float64
 }
 
-// sheds reports whether to refuse the next new job, which has so many tasks. A job with
-// more than smallJobTasks takes the processor time of several others, and is refused as
-// often as one of them at least would be.
+// sheds reports whether to refuse the next new job, which has so many tasks. A job of more
+// than smallJobTasks counts as several jobs of that size, and is refused if one of those
+// would be.
 func (s *shedder) sheds(lag time.Duration, tasks int) bool {
 	share := float64(lag-minShedLag) / float64(fullShedLag-minShedLag)
 	share = min(max(share, 0), maxShedShare)
--- a/rattanhome/presence.go
+++ b/rattanhome/presence.go
@@ -46,8 +46,8 @@
 	maxGeneration = 32768
 )
 
-// jobHistory remembers the jobs that have ended, unless they were refused, for at least
-// historyRetention. It keeps hashes in two generations: two jobs with the same hash make
+// jobHistory remembers the jobs that have ended, unless they were refused or redirected,
+// for at least historyRetention. It keeps hashes in two generations: two jobs with the same hash make
 // it remember one that it has not seen, which is harmless.
 type jobHistory struct {
 	seed             maphash.Seed
--- a/rattanhome/presence_test.go
+++ b/rattanhome/presence_test.go
@@ -43,6 +43,20 @@
 	c.Check(h.Presence(other.Job.ID), qt.Equals, JobUncertain)
 }
 
+// TestRedirectedJobMayBeRefused guards against a job whose outcome counts as unknown
+// because it was redirected to another zone, which has refused it.
+func TestRedirectedJobMayBeRefused(t *testing.T) {
+	c := qt.New(t)
+	h := newTestHome(c, newFakeTargets(time.Millisecond))
+	waiter := make(chan rattanscheduler.JobResult, 1)
+	h.mutex.Lock()
+	h.handleResult(rattanscheduler.JobResult{JobID: "a", Outcome: rattanscheduler.Redirected}, h.now())
+	h.waiters["a"] = append(h.waiters["a"], waiter)
+	h.handleResult(rattanscheduler.JobResult{JobID: "a", Outcome: rattanscheduler.Refused}, h.now())
+	h.mutex.Unlock()
+	c.Check((<-waiter).MayHaveStarted, qt.IsFalse)
+}
+
 // TestJobHistory guards against a home that takes a job for absent which has ended lately
 // or may have run before the home was elected, and against one that never learns that a
 // job is absent.
--- a/rattanlimit/connections.go
+++ b/rattanlimit/connections.go
@@ -264,7 +264,7 @@
 // Close closes the connection, later if its caller may still have to read the answer. The
 // connection counts until then, but takes no goroutine and no buffers of the server.
 func (c *Connection) Close() error {
-	if !c.endLinger() {
+	if !c.beginLinger() {
 		return c.closeNow()
 	}
 	if err := c.CloseWrite(); err != nil {
@@ -282,9 +282,9 @@
 	c.lingers = true
 }
 
-// endLinger reports whether Close must let the caller read the answer, which it must only
+// beginLinger reports whether Close must let the caller read the answer. It reports true
 // once.
-func (c *Connection) endLinger() bool {
+func (c *Connection) beginLinger() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	lingers := c.lingers && !c.closed
