Answer 413 unless the job is known, and generate the page of settings

The page of settings is generated from rattansettings/page.go, where the new limits were missing (TestPage).

--- a/rattanfront/presence.go
+++ b/rattanfront/presence.go
@@ -24,7 +24,7 @@
 // all homes know that none has, the answer says that the outcome is unknown. It is not
 // recorded like other answers, because a flood of such requests must not fill the log.
 func (h *Handler) refuseUnread(w http.ResponseWriter, id, reason string) int {
-	if h.mayHaveRun(id) {
+	if h.presence(id) != rattanhome.JobAbsent {
 		respond(w, http.StatusGatewayTimeout, platform.ErrorBody(reason))
 		return http.StatusGatewayTimeout
 	}
@@ -32,29 +32,47 @@
 	return http.StatusServiceUnavailable
 }
 
-// mayHaveRun reports whether a job may have been started by another request with the
-// same ID, as far as this instance and the homes of all zones know. What cannot be a job
-// has not run.
-func (h *Handler) mayHaveRun(id string) bool {
+// presence returns what this instance and the homes of all zones know of a job. What
+// cannot be a job is absent.
+func (h *Handler) presence(id string) rattanhome.JobPresence {
 	if !platform.IsJobID(id) {
-		return false
+		return rattanhome.JobAbsent
 	}
 	if h.isPending(id) {
-		return true
+		return rattanhome.JobPresent
 	}
+	presence := rattanhome.JobAbsent
 	var remote []string
 	for _, zone := range h.config.Homes.Zones() {
 		claim, ok, _ := h.config.Homes.Home(zone)
 		switch {
 		case !ok:
-			return true
+			presence = rattanhome.JobUncertain
 		case claim.Name != h.config.Self.Name:
 			remote = append(remote, claim.Address)
-		case h.config.LocalHome.Presence(id) != rattanhome.JobAbsent:
-			return true
+		default:
+			presence = combine(presence, h.config.LocalHome.Presence(id))
 		}
 	}
-	return len(remote) > 0 && (!h.lookups.Allow() || !h.absentAt(remote, id))
+	if presence != rattanhome.JobAbsent || len(remote) == 0 {
+		return presence
+	}
+	if !h.lookups.Allow() {
+		return rattanhome.JobUncertain
+	}
+	return h.presenceAt(remote, id)
+}
+
+// combine returns what is known of a job of which two homes know as much.
+func combine(a, b rattanhome.JobPresence) rattanhome.JobPresence {
+	switch {
+	case a == rattanhome.JobPresent || b == rattanhome.JobPresent:
+		return rattanhome.JobPresent
+	case a == rattanhome.JobUncertain || b == rattanhome.JobUncertain:
+		return rattanhome.JobUncertain
+	default:
+		return rattanhome.JobAbsent
+	}
 }
 
 // isPending reports whether a caller of this instance waits for the job.
@@ -65,9 +83,9 @@
 	return pending
 }
 
-// absentAt reports whether the homes at all addresses state that the job is absent. The
-// request itself does not bound the calls: its context may have ended with its body.
-func (h *Handler) absentAt(addresses []string, id string) bool {
+// presenceAt returns what the homes at the addresses know of a job. The request itself
+// does not bound the calls: its context may have ended with its body.
+func (h *Handler) presenceAt(addresses []string, id string) rattanhome.JobPresence {
 	ctx, cancel := context.WithTimeout(context.Background(), lookupTimeout)
 	defer cancel()
 	presences := make(chan rattanhome.JobPresence, len(addresses))
@@ -78,10 +96,9 @@
 			presences <- reply.Presence
 		}()
 	}
+	presence := rattanhome.JobAbsent
 	for range addresses {
-		if <-presences != rattanhome.JobAbsent {
-			return false
-		}
+		presence = combine(presence, <-presences)
 	}
-	return true
+	return presence
 }
--- a/rattanfront/receive.go
+++ b/rattanfront/receive.go
@@ -6,6 +6,7 @@
 	"github.com/juju/errors"
 
 	"github.com/rattanlever/rattanlever/platform"
+	"github.com/rattanlever/rattanlever/rattanhome"
 	"github.com/rattanlever/rattanlever/rattanlimit"
 )
 
@@ -31,11 +32,11 @@
 	return body, held, err == nil
 }
 
-// answerTooLarge answers a request whose body is too large. A job that may have run under
-// the same ID is not reported as rejected.
+// answerTooLarge answers a request whose body is too large. A job that is known under the
+// same ID is not reported as rejected.
 func (h *Handler) answerTooLarge(w http.ResponseWriter, s *submission) {
 	status := http.StatusRequestEntityTooLarge
-	if h.mayHaveRun(s.id) {
+	if h.presence(s.id) == rattanhome.JobPresent {
 		status = http.StatusGatewayTimeout
 	}
 	s.recordAnswer(status, "body too large")
--- a/rattansettings/page.go
+++ b/rattansettings/page.go
@@ -17,8 +17,8 @@
 
 | field | default | what follows from it |
 |---|---|---|
-| ` + "`limits.memory_mb`" + ` | 0, unknown: counts as 512 | a twelfth of it (at least 6 MB) for callers' bodies, large headers and decoded jobs, a quarter of that for small requests only; a twelfth (at least 6 MB) for jobs of other instances at the home; a sixth for connections, 16 KB each; a third is the soft limit of the runtime (unless unknown) |
-| ` + "`limits.max_fds`" + ` | 0, unknown: counts as 4,096 | of those beyond the 200 that are reserved for files, two thirds for connections of callers; the smaller of the two bounds on connections applies, at least 64 |
+| ` + "`limits.memory_mb`" + ` | 0, unknown: counts as 512 | a twelfth of it (at least 6 MB) for callers' bodies, large headers and decoded jobs, a quarter of that for small requests only; a twelfth (at least 6 MB) for jobs of other instances at the home, a quarter of that for small ones only, and as much again for jobs that the home must decode to decide on; a third of what is beyond 36 MB for connections, 36 KB each (16 in the process, 12 received and not yet read, 8 sent and not yet received); an eighth of what is beyond 36 MB for the tasks of jobs in progress at the home, 1 KB each (at least 2,048 tasks), a quarter of them for jobs of up to 16 tasks only; a 32nd for connections that wait to be accepted (at least 32); a third is the soft limit of the runtime (unless unknown) |
+| ` + "`limits.max_fds`" + ` | 0, unknown: counts as 4,096 | of those beyond the 200 that are reserved for files, two thirds for connections of callers; the smaller of the two bounds on connections applies, at least 64; an eighth for start requests under way to targets, and as much for stop requests, at least 32 |
 
 | constant | value | where |
 |---|---|---|
@@ -31,7 +31,11 @@
 | write of an answer to a caller that does not read | 10 s | rattanlimit/connections.go |
 | header | 16,384 bytes and 4,096 that net/http adds, within 3 s; beyond 4,096 bytes each counts twice against the bytes for callers | rattannode/node.go, rattanlimit/connections.go |
 | idle connection | 60 s | rattannode/node.go |
+| receive buffer and send buffer of a connection | 8,192 and 4,096 bytes requested; the kernel holds up to 12,288 received and 8,192 sent bytes | rattanlimit/listen.go |
+| backlog of the readiness and the metrics endpoint | 64 each | rattannode/limits.go |
 | connections to the readiness and the metrics endpoint | 64 each | rattannode/limits.go |
+| memory of a home for jobs that have ended, for truthful refusals | 30 s to 60 s, 65,536 jobs | rattanhome/presence.go |
+| questions to other homes about jobs that are refused | 200 a second, 100 at once, 150 ms each | rattanfront/presence.go |
 | size of a body without ` + "`max_body_bytes`" + ` in the desired state | 262,144 bytes | rattanfront/receive.go |
 | tasks, and so steps, of a job | 1,000 | platform/submission.go |
 `
