Share what the tests of overload repeat, and drop a general resize

Read once more: Share.force was called with 0 alone since jobs without room are overdrawn within a bound; Release does that now. The head of a submission is built from that of any request, the tests of unread bytes and of single kinds start their callers in one place, an argument that no caller used is gone, and a number of the soak that meant two things has two names. Behaviour, bounds and checks are the same.

--- a/rattanhome/presence.go
+++ b/rattanhome/presence.go
@@ -47,8 +47,8 @@
 )
 
 // jobHistory remembers the jobs that have ended, unless they were refused or redirected,
-// for at least historyRetention. It keeps hashes in two generations: two jobs with the same hash make
-// it remember one that it has not seen, which is harmless.
+// for at least historyRetention. It keeps hashes in two generations: two jobs with the
+// same hash make it remember one that it has not seen, which is harmless.
 type jobHistory struct {
 	seed             maphash.Seed
 	latest, previous map[uint64]struct{}
--- a/rattanlimit/budget.go
+++ b/rattanlimit/budget.go
@@ -79,20 +79,16 @@
 	return true
 }
 
-// force resizes the share, also beyond the bound of the budget.
-func (s *Share) force(bytes int64) {
+// Release returns all bytes to the budget.
+func (s *Share) Release() {
+	if s.budget == nil {
+		return
+	}
 	s.budget.mutex.Lock()
 	defer s.budget.mutex.Unlock()
-	s.budget.held += bytes - s.bytes
+	s.budget.held -= s.bytes
 	if s.large {
-		s.budget.large += bytes - s.bytes
-	}
-	s.bytes = bytes
-}
-
-// Release returns all bytes to the budget.
-func (s *Share) Release() {
-	if s.budget != nil {
-		s.force(0)
+		s.budget.large -= s.bytes
 	}
+	s.bytes = 0
 }
--- a/rattanoverload/caller_test.go
+++ b/rattanoverload/caller_test.go
@@ -45,7 +45,12 @@
 // head returns the head of a request that submits a job with a new ID.
 func (c *connection) head(framing string) string {
 	c.id = newJobID(c.checker)
-	return fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: 4000\r\n%s\r\n\r\n", rattanprocess.Prefix, c.id, rattanprocess.Host, framing)
+	return request(http.MethodPost, rattanprocess.Prefix+c.id, framing)
+}
+
+// request returns the head of a request.
+func request(method, path, framing string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: 4000\r\n%s\r\n\r\n", method, path, rattanprocess.Host, framing)
 }
 
 // newJobID returns the ID of a new job and tells the checker of it.
--- a/rattanoverload/kinds_test.go
+++ b/rattanoverload/kinds_test.go
@@ -51,11 +51,6 @@
 	})
 }
 
-// request returns the head of a request.
-func request(method, path, framing string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: 4000\r\n%s\r\n\r\n", method, path, rattanprocess.Host, framing)
-}
-
 // TestKindOtherMethods guards against bodies of requests that are no submissions.
 func TestKindOtherMethods(t *testing.T) {
 	body := paddedJob(bodyBytes)
@@ -124,10 +119,9 @@
 	})
 }
 
-// testKind checks that resident memory and queued bytes stay within the machine's memory
-// while callers send requests of one kind.
+// testKind checks the bounds of testMachine while callers send requests of one kind.
 func testKind(t *testing.T, c caller) {
-	startSystem(t, machineDescriptors).testMachine(crowd{callers: kindCallers, newCaller: everyCaller(c)}, nil)
+	testCallers(t, kindCallers, c)
 }
 
 // TestKindManyTasks guards against small bodies whose jobs have as many tasks as a job
--- a/rattanoverload/refusal_test.go
+++ b/rattanoverload/refusal_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -74,11 +73,11 @@
 	s.Check(statuses[http.StatusRequestEntityTooLarge], qt.Equals, 0)
 }
 
-// other returns an instance of the zone that is not the home and none of the others.
-func (s *system) other(inZone string, others ...*rattanprocess.Instance) *rattanprocess.Instance {
-	others = append(others, s.Home(inZone))
+// other returns an instance of the zone that is not the home.
+func (s *system) other(inZone string) *rattanprocess.Instance {
+	home := s.Home(inZone)
 	for _, instance := range s.Instances {
-		if instance.Zone == inZone && !slices.Contains(others, instance) {
+		if instance.Zone == inZone && instance != home {
 			return instance
 		}
 	}
--- a/rattanrig/crowd.go
+++ b/rattanrig/crowd.go
@@ -26,6 +26,8 @@
 	crowdPause     = 100 * time.Millisecond
 	// crowdTasks is the number of tasks of the complete jobs that a crowd sends.
 	crowdTasks = 1000
+	// maxPipelined is the most requests that a caller sends without reading answers.
+	maxPipelined = 1000
 )
 
 // crowdRequest returns what a caller of a crowd sends.
@@ -53,7 +55,7 @@
 	// Requests without a body, whose answers are not read.
 	func(random *rand.Rand) string {
 		request := "GET " + rattanprocess.Prefix + " HTTP/1.1\r\nHost: " + rattanprocess.Host + "\r\n\r\n"
-		return strings.Repeat(request, 1+random.IntN(crowdTasks))
+		return strings.Repeat(request, 1+random.IntN(maxPipelined))
 	},
 	// A job with as many tasks as a job can have, none of which any target has room for.
 	func(random *rand.Rand) string {
