--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -54,10 +54,10 @@
 	flag.StringVar(&scenario, "scenario", "random", "what is played: random, blip, reborn or spread")
 	flag.IntVar(&bigCount, "big", 0, "tasks of large jobs")
 	var burst burstSize
-	flag.IntVar(&burst.jobs, "jobs", 16, "jobs of a burst")
+	flag.IntVar(&burst.jobs, "jobs", 20, "jobs of a burst")
 	flag.IntVar(&burst.tasks, "tasks", 250, "tasks of a job of a burst")
 	flag.IntVar(&burst.antiAffinity, "anti-affinity", 1, "tasks of a job of a burst on one worker")
-	flag.DurationVar(&burst.duration, "duration", 3*time.Second, "run time of a task of a burst")
+	flag.DurationVar(&burst.duration, "duration", 4*time.Second, "run time of a task of a burst")
 	flag.Parse()
 	rng = rand.New(rand.NewPCG(*seed, 1))
 	os.Exit(play(*binary, *seed, *length, *rate, *trouble, *out, *zones, burst))
--- a/review/rig3/spread.go
+++ b/review/rig3/spread.go
@@ -14,7 +14,7 @@
 	beforeBurst     = time.Second
 	playLength      = 20 * time.Second
 	ordinaryLimit   = 1500
-	burstLimit      = 8000
+	burstLimit      = 10000
 	maxUnservedPart = 0.6
 )
 
