--- a/review/rig3/reborn.go
+++ b/review/rig3/reborn.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	rebornLength   = 100 * time.Millisecond
+	rebornLength   = 200 * time.Millisecond
 	rebornInterval = 1700 * time.Millisecond
 )
 
